--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -21,6 +21,12 @@
 	gc_str_t body; /* copied */
 	long connect_timeout_ms; /* 0: 1000 */
 	long timeout_ms; /* of the whole call; 0: none */
+	/*
+	 * Set for requests that must not reach the peer twice. libcurl sends a
+	 * request again when a reused connection closes without an answer, so
+	 * such a call gets a connection of its own.
+	 */
+	bool send_once;
 } gc_http_call_conf_t;
 
 typedef struct gc_http_call_ops {
