--- a/core/health.c
+++ b/core/health.c
@@ -60,6 +60,7 @@
 static bool drop_missing(gc_health_t *health);
 static void eject(entry_t *entry, struct timespec now);
 static int64_t ejection_ms(unsigned int level);
+static void forget_level(entry_t *entry, struct timespec now);
 static bool count_stall(entry_t *entry, struct timespec now);
 
 gc_health_t *gc_health_create(TALLOC_CTX *mem)
@@ -250,10 +251,16 @@
 	return MIN(ms, EJECT_MAX_MS);
 }
 
-static void eject(entry_t *entry, struct timespec now)
+static void forget_level(entry_t *entry, struct timespec now)
 {
-	if (gc_ms_between(entry->readmitted_at, now) > EJECT_FORGET_MS)
+	if (!entry->ejected &&
+	    gc_ms_between(entry->readmitted_at, now) > EJECT_FORGET_MS)
 		entry->level = 0;
+}
+
+static void eject(entry_t *entry, struct timespec now)
+{
+	forget_level(entry, now);
 	entry->level++;
 	entry->ejected = true;
 	entry->probing = false;
@@ -305,6 +312,7 @@
 	/* A later load report shows that it has come back. */
 	if (entry->reported && gc_ms_between(seen, entry->reported_at) > 0)
 		return false;
+	forget_level(entry, now);
 	/* The peer may be cut off itself, so an own probe decides at once. */
 	entry->ejected = true;
 	entry->probing = false;
