--- /dev/null
+++ b/core/stall.c
@@ -0,0 +1,103 @@
+/*
+ * Detects engines that stall, from their own time between tokens: a smoothed
+ * mean and mean deviation, as in the retransmission timer of TCP (RFC 6298).
+ */
+#include "core/stall.h"
+
+#define MEAN_GAIN      (1.0 / 8)
+#define DEVIATION_GAIN (1.0 / 4)
+
+typedef struct limits {
+	double mean_factor;
+	double deviation_factor;
+	int64_t min_ms; /* covers jitter of the network and of batching */
+	int64_t max_ms; /* keeps resumption below the 6 s target */
+	int64_t initial_ms; /* before the first sample */
+} limits_t;
+
+typedef struct estimate {
+	bool has_sample;
+	double mean_us;
+	double deviation_us;
+} estimate_t;
+
+struct gc_stall {
+	estimate_t first; /* until the first token: queueing and prefill */
+	estimate_t next; /* between tokens */
+};
+
+/* Indexed by policy; economy waits longer because a restart costs more. */
+static const limits_t first_limits[] = {
+	[GC_POLICY_LATENCY] = {1.5, 4, 500, 5000, 2500},
+	[GC_POLICY_ECONOMY] = {2, 8, 2000, 15000, 6000},
+};
+static const limits_t next_limits[] = {
+	[GC_POLICY_LATENCY] = {2, 4, 150, 1500, 600},
+	[GC_POLICY_ECONOMY] = {4, 8, 600, 2500, 1800},
+};
+
+static void estimate_add(estimate_t *estimate, double us);
+static int64_t estimate_timeout(const estimate_t *estimate,
+				const limits_t *limits);
+
+gc_stall_t *gc_stall_create(TALLOC_CTX *mem)
+{
+	return talloc_zero(mem, gc_stall_t);
+}
+
+void gc_stall_destroy(gc_stall_t *stall)
+{
+	talloc_free(stall);
+}
+
+static void estimate_add(estimate_t *estimate, double us)
+{
+	double diff = us - estimate->mean_us;
+
+	if (!estimate->has_sample) {
+		estimate->has_sample = true;
+		estimate->mean_us = us;
+		estimate->deviation_us = us / 2;
+		return;
+	}
+	estimate->mean_us += MEAN_GAIN * diff;
+	if (diff < 0)
+		diff = -diff;
+	estimate->deviation_us +=
+		DEVIATION_GAIN * (diff - estimate->deviation_us);
+}
+
+void gc_stall_observe(gc_stall_t *stall, bool first_token, int64_t interval_us)
+{
+	const limits_t *limits = first_token ? first_limits : next_limits;
+	int64_t max_us = limits[GC_POLICY_ECONOMY].max_ms * 1000;
+
+	if (interval_us < 0)
+		return;
+	/* A pause beyond every timeout must not raise them for long. */
+	if (interval_us > max_us)
+		interval_us = max_us;
+	estimate_add(first_token ? &stall->first : &stall->next, interval_us);
+}
+
+static int64_t estimate_timeout(const estimate_t *estimate,
+				const limits_t *limits)
+{
+	double us = limits->mean_factor * estimate->mean_us +
+		    limits->deviation_factor * estimate->deviation_us;
+	int64_t ms = us / 1000;
+
+	if (!estimate->has_sample)
+		return limits->initial_ms;
+	if (ms < limits->min_ms)
+		return limits->min_ms;
+	return ms > limits->max_ms ? limits->max_ms : ms;
+}
+
+int64_t gc_stall_timeout_ms(const gc_stall_t *stall, bool first_token,
+			    gc_policy_t policy)
+{
+	if (first_token)
+		return estimate_timeout(&stall->first, &first_limits[policy]);
+	return estimate_timeout(&stall->next, &next_limits[policy]);
+}
