--- a/core/admit.c
+++ b/core/admit.c
@@ -63,6 +63,7 @@
 static double share_fill(const share_t *share, uint32_t extra);
 static share_t *next_share(gc_admit_t *admit);
 static share_t *fullest_share(gc_admit_t *admit);
+static bool may_run_now(gc_admit_t *admit, const share_t *share);
 static void note_grant(gc_admit_t *admit);
 static void take_slot(gc_ticket_t *ticket);
 static void enqueue(gc_ticket_t *ticket);
@@ -187,6 +188,14 @@
 	return best;
 }
 
+/* A new request must not overtake queued ones that could run. */
+static bool may_run_now(gc_admit_t *admit, const share_t *share)
+{
+	return admit->in_flight < admit->conf.max_in_flight &&
+	       share->n_queued == 0 && share_may_run(share) &&
+	       (admit->n_queued == 0 || !next_share(admit));
+}
+
 static void note_grant(gc_admit_t *admit)
 {
 	struct timespec now = gc_clock_now(admit->conf.clock);
@@ -302,14 +311,14 @@
 	share_t *share = share_get(admit, account);
 	gc_ticket_t *victim = NULL;
 	gc_ticket_t *t;
+	bool now;
 
 	*ticket = NULL;
 	*retry_after_ms = 0;
 	if (share->n_queued == 0)
 		share_catch_up(admit, share);
-	if (admit->n_queued >= admit->conf.max_queued &&
-	    (admit->in_flight >= admit->conf.max_in_flight ||
-	     share->n_queued > 0 || !share_may_run(share))) {
+	now = may_run_now(admit, share);
+	if (!now && admit->n_queued >= admit->conf.max_queued) {
 		share_t *fullest = fullest_share(admit);
 
 		/* A full queue drops from the account that fills it most. */
@@ -327,8 +336,7 @@
 	t->ops = ops;
 	t->ctx = ctx;
 	*ticket = t;
-	if (admit->in_flight < admit->conf.max_in_flight &&
-	    share->n_queued == 0 && share_may_run(share)) {
+	if (now) {
 		take_slot(t);
 		return GC_ADMIT_NOW;
 	}
