--- /dev/null
+++ b/standins/engine/standin-engine.c
@@ -0,0 +1,329 @@
+/* Stand-in for a model engine: options, routes, load, orders, faults. */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/clock.h"
+#include "standin-engine.h"
+
+typedef struct load_sample {
+	int64_t at_us;
+	unsigned int running;
+	unsigned int queued;
+} load_sample_t;
+
+engine_options_t engine_options = {
+	.slots = 8,
+	.prefill_us_per_token = 200,
+	.token_ms = 20,
+	.cache_tokens = 65536,
+	.block_tokens = 16,
+	.retain_ms = 10000,
+	.load_lag_ms = 500,
+	.event_lag_ms = 500,
+};
+
+static const GOptionEntry entries[] = {
+	{"slots", 0, 0, G_OPTION_ARG_INT, &engine_options.slots,
+	 "Runs at the same time (8)", "N"},
+	{"prefill-us-per-token", 0, 0, G_OPTION_ARG_INT,
+	 &engine_options.prefill_us_per_token,
+	 "Prefill time of a token that is not cached (200)", "US"},
+	{"token-ms", 0, 0, G_OPTION_ARG_INT, &engine_options.token_ms,
+	 "Time between tokens of a run (20)", "MS"},
+	{"cache-tokens", 0, 0, G_OPTION_ARG_INT, &engine_options.cache_tokens,
+	 "Memory of the prefix cache in tokens (65536)", "N"},
+	{"block-tokens", 0, 0, G_OPTION_ARG_INT, &engine_options.block_tokens,
+	 "Tokens in a block of the prefix cache (16)", "N"},
+	{"retain-ms", 0, 0, G_OPTION_ARG_INT, &engine_options.retain_ms,
+	 "Keep a run without a stream this long (10000)", "MS"},
+	{"load-lag-ms", 0, 0, G_OPTION_ARG_INT, &engine_options.load_lag_ms,
+	 "Age of load reports (500)", "MS"},
+	{"cache-event-lag-ms", 0, 0, G_OPTION_ARG_INT,
+	 &engine_options.event_lag_ms, "Delay of cache events (500)", "MS"},
+	{"cache-event-loss", 0, 0, G_OPTION_ARG_INT, &engine_options.event_loss,
+	 "Leave out every Nth cache event; 0: none (0)", "N"},
+	{"check-fencing", 0, 0, G_OPTION_ARG_NONE,
+	 &engine_options.check_fencing,
+	 "Refuse orders with an old fencing number", NULL},
+	{0},
+};
+
+static const char *const run_fault_names[N_RUN_FAULTS] = {
+	[FAULT_GARBAGE] = "garbage", [FAULT_REPEAT] = "repeat",
+	[FAULT_GAP] = "gap",	     [FAULT_FOREIGN] = "foreign",
+	[FAULT_CUT] = "cut",	     [FAULT_FREEZE] = "freeze",
+};
+
+static void *start(standin_t *standin);
+static void handle(void *ctx, gc_http_req_t *req);
+static void route(engine_t *engine, gc_http_req_t *req);
+static bool route_run(engine_t *engine, gc_http_req_t *req);
+static void show_load(engine_t *engine, gc_http_req_t *req);
+static void show_cache_events(engine_t *engine, gc_http_req_t *req);
+static void show_stats(engine_t *engine, gc_http_req_t *req);
+static void take_order(engine_t *engine, gc_http_req_t *req);
+static void set_fault(engine_t *engine, gc_http_req_t *req);
+static bool apply_fault(engine_t *engine, const json_t *body);
+static void set_run_fault(engine_t *engine, run_fault_kind_t kind,
+			  const json_t *body);
+static void on_thaw(struct tevent_context *ev, struct tevent_timer *te,
+		    struct timeval now, void *ctx);
+
+int main(int argc, char **argv)
+{
+	static const standin_conf_t conf = {
+		.program = "standin-engine",
+		.summary = "Model engine that generates hash-chained tokens.",
+		.options = entries,
+		.handler = handle,
+		.start = start,
+	};
+
+	return standin_main(&conf, argc, argv);
+}
+
+static void *start(standin_t *standin)
+{
+	engine_t *engine = talloc_zero(standin->mem, engine_t);
+
+	if (engine_options.slots < 1 || engine_options.block_tokens < 1) {
+		fprintf(stderr,
+			"%s: --slots and --block-tokens must be 1 or "
+			"more\n",
+			standin->program);
+		return NULL;
+	}
+	engine->standin = standin;
+	engine->cache = cache_create(engine);
+	engine->run_base = g_strdup_printf("%s-%06x", standin->name,
+					   g_random_int() & 0xffffff);
+	g_strcanon(engine->run_base,
+		   G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "-_.", '_');
+	engine->runs = g_hash_table_new(g_str_hash, g_str_equal);
+	engine->orders = json_array();
+	g_queue_init(&engine->queue);
+	g_queue_init(&engine->loads);
+	g_queue_init(&engine->frozen_reqs);
+	engine_load_changed(engine);
+	return engine;
+}
+
+static void handle(void *ctx, gc_http_req_t *req)
+{
+	engine_t *engine = ctx;
+
+	if (standin_is(req, "POST", "/faults"))
+		set_fault(engine, req);
+	else if (engine_frozen(engine))
+		g_queue_push_tail(&engine->frozen_reqs, req);
+	else
+		route(engine, req);
+}
+
+static void route(engine_t *engine, gc_http_req_t *req)
+{
+	if (standin_is(req, "POST", "/v1/runs"))
+		run_start(engine, req);
+	else if (standin_is(req, "GET", "/v1/load"))
+		show_load(engine, req);
+	else if (standin_is(req, "GET", "/v1/cache_events"))
+		show_cache_events(engine, req);
+	else if (standin_is(req, "GET", "/v1/stats"))
+		show_stats(engine, req);
+	else if (standin_is(req, "POST", "/v1/orders"))
+		take_order(engine, req);
+	else if (standin_is(req, "GET", "/v1/orders"))
+		standin_reply(req, 200, json_incref(engine->orders));
+	else if (!route_run(engine, req))
+		standin_reply_error(req, 404, "no such path: %s",
+				    gc_http_req_path(req));
+}
+
+static bool route_run(engine_t *engine, gc_http_req_t *req)
+{
+	const char *method = gc_http_req_method(req);
+	const char *path = gc_http_req_path(req);
+
+	if (!g_str_has_prefix(path, "/v1/runs/"))
+		return false;
+	path += strlen("/v1/runs/");
+	if (strcmp(method, "DELETE") == 0 && !strchr(path, '/'))
+		run_cancel(engine, req, path);
+	else if (strcmp(method, "GET") == 0 &&
+		 g_str_has_suffix(path, "/stream"))
+		run_attach(engine, req, path);
+	else
+		return false;
+	return true;
+}
+
+void engine_load_changed(engine_t *engine)
+{
+	load_sample_t *sample = g_new0(load_sample_t, 1);
+	int64_t old =
+		standin_now_us() - engine_options.load_lag_ms * INT64_C(1000);
+
+	sample->at_us = standin_now_us();
+	sample->running = engine->running;
+	sample->queued = engine->queue.length;
+	g_queue_push_tail(&engine->loads, sample);
+	/* The newest of the samples that are old enough is the report. */
+	while (engine->loads.length > 1 &&
+	       ((load_sample_t *)engine->loads.head->next->data)->at_us <= old)
+		g_free(g_queue_pop_head(&engine->loads));
+}
+
+static void show_load(engine_t *engine, gc_http_req_t *req)
+{
+	struct timespec at = gc_add_ms(gc_clock_wall(&gc_clock_system),
+				       -(int64_t)engine_options.load_lag_ms);
+	const load_sample_t *sample;
+
+	engine_load_changed(engine);
+	sample = g_queue_peek_head(&engine->loads);
+	standin_reply(req, 200,
+		      json_pack("{si si si sI}", "running",
+				(int)sample->running, "queued",
+				(int)sample->queued, "slots",
+				engine_options.slots, "at_ms",
+				(json_int_t)(at.tv_sec * INT64_C(1000) +
+					     at.tv_nsec / 1000000)));
+}
+
+static void show_cache_events(engine_t *engine, gc_http_req_t *req)
+{
+	uint64_t from = 0;
+
+	if (gc_http_req_query(req, "from") &&
+	    !standin_query_u64(req, "from", &from)) {
+		standin_reply_error(req, 400, "from is no number");
+		return;
+	}
+	standin_reply(req, 200, cache_events(engine->cache, from));
+}
+
+static void show_stats(engine_t *engine, gc_http_req_t *req)
+{
+	const engine_stats_t *stats = &engine->stats;
+
+	standin_reply(req, 200,
+		      json_pack("{sI sI sI sI sI sI sI}", "prefilled",
+				(json_int_t)stats->prefilled, "cached",
+				(json_int_t)stats->cached, "decoded",
+				(json_int_t)stats->decoded, "runs",
+				(json_int_t)stats->runs, "cancelled",
+				(json_int_t)stats->cancelled, "expired",
+				(json_int_t)stats->expired, "refused",
+				(json_int_t)stats->refused));
+}
+
+static void take_order(engine_t *engine, gc_http_req_t *req)
+{
+	json_t *body = standin_body(req);
+	int64_t fence;
+
+	if (!body)
+		return;
+	fence = standin_int(body, "fence", -1);
+	if (fence < 0 || !json_is_string(json_object_get(body, "order"))) {
+		standin_reply_error(req, 400,
+				    "an order needs order (string) "
+				    "and fence (number)");
+	} else if (engine_options.check_fencing &&
+		   (uint64_t)fence < engine->highest_fence) {
+		standin_reply_error(req, 409,
+				    "fence %" G_GINT64_FORMAT
+				    " is older than %" G_GUINT64_FORMAT,
+				    fence, engine->highest_fence);
+	} else {
+		engine->highest_fence =
+			MAX(engine->highest_fence, (uint64_t)fence);
+		json_array_append(engine->orders, body);
+		standin_reply_text(req, 200, "{\"accepted\":true}\n");
+	}
+	json_decref(body);
+}
+
+static void set_fault(engine_t *engine, gc_http_req_t *req)
+{
+	json_t *body = standin_body(req);
+
+	if (!body)
+		return;
+	if (apply_fault(engine, body))
+		standin_reply_text(req, 200, "{\"ok\":true}\n");
+	else
+		standin_reply_error(req, 400, "unknown fault");
+	json_decref(body);
+}
+
+static bool apply_fault(engine_t *engine, const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "fault"));
+
+	if (!name)
+		return false;
+	if (strcmp(name, "clear") == 0) {
+		memset(engine->next_faults, 0, sizeof(engine->next_faults));
+		engine->refuse_count = 0;
+		engine_freeze(engine, 0);
+		return true;
+	}
+	if (strcmp(name, "refuse") == 0) {
+		engine->refuse_count = standin_int(body, "count", 1);
+		engine->refuse_retry_s = standin_int(body, "retry_after_s", 1);
+		return true;
+	}
+	if (strcmp(name, "freeze") == 0 && !json_object_get(body, "after")) {
+		engine_freeze(engine, standin_int(body, "ms", 1000));
+		return true;
+	}
+	for (int i = 0; i < N_RUN_FAULTS; i++) {
+		if (strcmp(name, run_fault_names[i]) != 0)
+			continue;
+		set_run_fault(engine, i, body);
+		return true;
+	}
+	return false;
+}
+
+static void set_run_fault(engine_t *engine, run_fault_kind_t kind,
+			  const json_t *body)
+{
+	engine->next_faults[kind] = (run_fault_t){
+		.set = true,
+		.after = standin_int(body, "after", 0),
+		.ms = standin_int(body, "ms", 1000),
+		.lose_run = json_is_true(json_object_get(body, "lose_run")),
+	};
+}
+
+void engine_freeze(engine_t *engine, int64_t ms)
+{
+	engine->frozen_until_us = standin_now_us() + ms * 1000;
+	standin_after_us(engine->standin->ev, engine, ms * 1000, on_thaw,
+			 engine);
+}
+
+bool engine_frozen(const engine_t *engine)
+{
+	return engine->frozen_until_us > standin_now_us();
+}
+
+static void on_thaw(struct tevent_context *ev, struct tevent_timer *te,
+		    struct timeval now, void *ctx)
+{
+	engine_t *engine = ctx;
+	gc_http_req_t *req;
+
+	/* Rounding may wake the loop a little early, or it froze again. */
+	if (engine_frozen(engine)) {
+		standin_after_us(ev, engine,
+				 engine->frozen_until_us - standin_now_us(),
+				 on_thaw, engine);
+		return;
+	}
+	run_thaw(engine);
+	while ((req = g_queue_pop_head(&engine->frozen_reqs)) != NULL)
+		route(engine, req);
+}
