--- a/standins/platform/standin-platform.c
+++ b/standins/platform/standin-platform.c
@@ -39,8 +39,7 @@
 static bool count_kv(platform_t *platform, gc_http_req_t *req);
 static void route_kv(platform_t *platform, gc_http_req_t *req);
 static bool take(bucket_t *bucket);
-static void delay(platform_t *platform, gc_http_req_t *req, unsigned int status,
-		  const char *answer);
+static void delay(platform_t *platform, gc_http_req_t *req, const char *answer);
 static void on_delay(struct tevent_context *ev, struct tevent_timer *te,
 		     struct timeval now, void *ctx);
 static bool in_outage(const platform_t *platform);
@@ -212,8 +211,7 @@
 	return true;
 }
 
-static void delay(platform_t *platform, gc_http_req_t *req, unsigned int status,
-		  const char *answer)
+static void delay(platform_t *platform, gc_http_req_t *req, const char *answer)
 {
 	delayed_t *delayed = talloc_zero(platform, delayed_t);
 
