--- /dev/null
+++ b/lib/control.c
@@ -0,0 +1,265 @@
+/* The control thread: puts its parts together and publishes views. */
+#include <string.h>
+
+#include "core/error.h"
+#include "lib/control_impl.h"
+
+/*
+ * Longest time of one call to the key-value service. It must leave time for a
+ * second attempt within the three seconds that a confirmation counts.
+ */
+#define KV_TIMEOUT_MS 1500
+
+typedef struct report {
+	gc_engine_verdict_t verdict;
+	char engine[GC_NAME_MAX];
+} report_t;
+
+static uint64_t next_random(void *ctx);
+static bool create_peers(gc_control_t *control, GError **err);
+static void create_members(gc_control_t *control, uint16_t caller_port);
+static void on_publish(struct tevent_context *ev, struct tevent_immediate *im,
+		       void *ctx);
+static void on_report(void *ctx, void *message);
+static void fill_instances(gc_view_t *view, const gc_health_t *health,
+			   struct timespec now, gc_view_instance_t *out);
+static void count_daemon(void *ctx, const gc_member_info_t *info);
+static void add_daemon(void *ctx, const gc_member_info_t *info);
+
+gc_control_t *gc_control_create(TALLOC_CTX *mem, struct tevent_context *ev,
+				const gc_control_conf_t *conf, GError **err)
+{
+	gc_control_t *control = talloc_zero(mem, gc_control_t);
+
+	control->ev = ev;
+	control->settings = conf->settings;
+	control->clock = conf->clock;
+	control->random_state = conf->seed;
+	control->random = (gc_random_t){next_random, &control->random_state};
+	control->publish = conf->publish;
+	control->ctx = conf->ctx;
+	control->publish_soon = tevent_create_immediate(control);
+	control->mailbox = gc_mailbox_create(control, ev, control);
+	control->http = gc_httpc_create(control, ev);
+	control->kv = gc_kv_create(control, control->http,
+				   conf->settings->platform_url, KV_TIMEOUT_MS);
+	control->engines_health = gc_health_create(control);
+	control->services_health = gc_health_create(control);
+	if (!create_peers(control, err)) {
+		talloc_free(control);
+		return NULL;
+	}
+	create_members(control, conf->caller_port);
+	control->operators = gc_operators_create(control, err);
+	if (!control->operators) {
+		talloc_free(control);
+		return NULL;
+	}
+	control->config = gc_control_config_create(control);
+	control->engines = gc_control_engines_create(control);
+	control->member_loop = gc_control_members_create(control);
+	gc_control_changed(control);
+	return control;
+}
+
+void gc_control_destroy(gc_control_t *control)
+{
+	talloc_free(control);
+}
+
+/* SplitMix64, seeded by the configuration. */
+static uint64_t next_random(void *ctx)
+{
+	uint64_t *state = ctx;
+	uint64_t z = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+static bool create_peers(gc_control_t *control, GError **err)
+{
+	control->peers =
+		gc_peers_create(control, control->ev, &control->settings->peer,
+				&gc_control_peer_ops, control, err);
+	return control->peers != NULL;
+}
+
+static void create_members(gc_control_t *control, uint16_t caller_port)
+{
+	const gc_settings_t *settings = control->settings;
+	g_autofree char *caller_url = g_strdup_printf(
+		"http://%s:%u", settings->caller.address, caller_port);
+	g_autofree gc_str_t *seeds =
+		g_new(gc_str_t, settings->n_seed_peers + 1);
+	gc_members_conf_t conf = {
+		.self = gc_str(settings->instance),
+		.failure_domain = gc_str(settings->failure_domain),
+		.peer_url = gc_str(gc_peers_url(control->peers)),
+		.caller_url = gc_str(caller_url),
+		.heartbeat_ms = settings->heartbeat_ms,
+		.confirm_ms = settings->config_confirm_ms,
+		.random = &control->random,
+		.started = gc_control_now(control),
+	};
+
+	control->members = gc_members_create(control, &conf);
+	for (size_t i = 0; i < settings->n_seed_peers; i++)
+		seeds[i] = gc_str(settings->seed_peers[i]);
+	gc_members_set_seeds(control->members, seeds, settings->n_seed_peers);
+}
+
+void gc_control_leave(gc_control_t *control)
+{
+	gc_members_set_leaving(control->members);
+	gc_control_send_heartbeats(control);
+	gc_control_changed(control);
+}
+
+void gc_control_report(gc_control_t *control, gc_str_t engine,
+		       gc_engine_verdict_t verdict)
+{
+	report_t *report = g_new0(report_t, 1);
+	size_t len = MIN(engine.len, sizeof(report->engine) - 1);
+
+	report->verdict = verdict;
+	memcpy(report->engine, engine.data, len);
+	gc_mailbox_post(control->mailbox, on_report, report);
+}
+
+static void on_report(void *ctx, void *message)
+{
+	report_t *report = message;
+
+	gc_control_engines_report(ctx, gc_str(report->engine), report->verdict);
+	g_free(report);
+}
+
+gc_kv_t *gc_control_kv(gc_control_t *control)
+{
+	return control->kv;
+}
+
+gc_mailbox_t *gc_control_mailbox(gc_control_t *control)
+{
+	return control->mailbox;
+}
+
+struct timespec gc_control_now(const gc_control_t *control)
+{
+	return gc_clock_now(control->clock);
+}
+
+struct tevent_timer *gc_control_after_ms(const gc_control_t *control,
+					 TALLOC_CTX *mem, int64_t ms,
+					 tevent_timer_handler_t fn, void *ctx)
+{
+	struct timeval at =
+		tevent_timeval_current_ofs(ms / 1000, (ms % 1000) * 1000);
+
+	return tevent_add_timer(control->ev, mem, at, fn, ctx);
+}
+
+gc_metric_t *gc_control_bytes(const char *channel)
+{
+	return gc_counter("goldcrest_control_bytes",
+			  "Bytes of the control thread by channel", "channel",
+			  channel);
+}
+
+void gc_control_changed(gc_control_t *control)
+{
+	if (control->publish_pending)
+		return;
+	control->publish_pending = true;
+	tevent_schedule_immediate(control->publish_soon, control->ev,
+				  on_publish, control);
+}
+
+static void on_publish(struct tevent_context *ev, struct tevent_immediate *im,
+		       void *ctx)
+{
+	gc_control_t *control = ctx;
+	gc_view_t *view = gc_control_make_view(control);
+
+	control->publish_pending = false;
+	control->publish(control->ctx, view);
+	gc_view_unref(view);
+}
+
+typedef struct daemon_list {
+	gc_view_t *view;
+	size_t n;
+} daemon_list_t;
+
+gc_view_t *gc_control_make_view(gc_control_t *control)
+{
+	struct timespec now = gc_control_now(control);
+	gc_config_t *config = gc_control_config_current(control);
+	daemon_list_t daemons = {0};
+	gc_view_t *view;
+
+	gc_members_each(control->members, now, count_daemon, &daemons.n);
+	view = gc_view_create(gc_health_count(control->engines_health),
+			      gc_health_count(control->services_health),
+			      daemons.n);
+	view->config = config ? gc_config_ref(config) : NULL;
+	view->in_effect_until =
+		gc_members_in_effect_until(control->members, now);
+	view->stopping = gc_members_leaving(control->members);
+	fill_instances(view, control->engines_health, now, view->engines);
+	fill_instances(view, control->services_health, now, view->services);
+	daemons.view = view;
+	daemons.n = 0;
+	gc_members_each(control->members, now, add_daemon, &daemons);
+	return view;
+}
+
+static void fill_instances(gc_view_t *view, const gc_health_t *health,
+			   struct timespec now, gc_view_instance_t *out)
+{
+	gc_health_instance_t in;
+
+	for (size_t i = 0; i < gc_health_count(health); i++) {
+		gc_health_get(health, now, i, &in);
+		out[i] = (gc_view_instance_t){
+			.name = gc_view_str(view, in.name),
+			.url = gc_view_str(view, in.url),
+			.failure_domain = gc_view_str(view, in.failure_domain),
+			.labels = json_incref(in.labels),
+			.leaving = in.leaving,
+			.ejected = in.ejected,
+			.slots = in.slots,
+			.running = in.running,
+			.queued = in.queued,
+			.reported_at = in.reported_at,
+		};
+	}
+}
+
+/* Daemons that callers may use. */
+static bool is_serving(const gc_member_info_t *info)
+{
+	return info->live && !info->leaving && info->caller_url.len > 0;
+}
+
+static void count_daemon(void *ctx, const gc_member_info_t *info)
+{
+	size_t *n = ctx;
+
+	*n += is_serving(info);
+}
+
+static void add_daemon(void *ctx, const gc_member_info_t *info)
+{
+	daemon_list_t *list = ctx;
+
+	if (!is_serving(info))
+		return;
+	list->view->daemons[list->n++] = (gc_view_daemon_t){
+		.name = gc_view_str(list->view, info->name),
+		.caller_url = gc_view_str(list->view, info->caller_url),
+		.failure_domain = gc_view_str(list->view, info->failure_domain),
+	};
+}
--- /dev/null
+++ b/lib/control_engines.c
@@ -0,0 +1,354 @@
+/* Instance list, load polls and ejection of engines. */
+#include <string.h>
+
+#include "core/error.h"
+#include "lib/control_impl.h"
+#include "lib/control_list.h"
+#include "lib/log.h"
+
+#define LIST_TIMEOUT_MS 2000L
+#define LOAD_TIMEOUT_MS 1000L
+/* Probes started per load poll, so that a mass failure sends no burst. */
+#define MAX_PROBES 8
+
+typedef enum list_kind {
+	LIST_ENGINES,
+	LIST_SERVICES,
+	LIST_DAEMONS,
+	N_LISTS,
+} list_kind_t;
+
+static const char *const list_names[N_LISTS] = {
+	[LIST_ENGINES] = "engine",
+	[LIST_SERVICES] = "service",
+	[LIST_DAEMONS] = "goldcrest",
+};
+
+typedef struct list_poll {
+	gc_control_t *control;
+	list_kind_t kind;
+	bool pending;
+	bool read_once;
+	bool failing;
+} list_poll_t;
+
+typedef struct load_poll {
+	gc_control_t *control;
+	char name[GC_NAME_MAX];
+	bool probe;
+} load_poll_t;
+
+struct gc_control_engines {
+	gc_control_t *control;
+	list_poll_t lists[N_LISTS];
+	GHashTable *subset; /* names of the engines that this daemon polls */
+	GHashTable *pending; /* names whose load poll is under way */
+	gc_metric_t *list_bytes;
+	gc_metric_t *load_bytes;
+};
+
+static int engines_destructor(gc_control_engines_t *engines);
+static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *ctx);
+static void start_list(gc_control_engines_t *engines, list_poll_t *list);
+static void on_list(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err);
+static void note_list(list_poll_t *list, int status, const GError *err);
+static void take_list(list_poll_t *list, json_t *answer);
+static void choose_subset(gc_control_engines_t *engines);
+static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *ctx);
+static void start_load(gc_control_engines_t *engines, gc_str_t name,
+		       gc_str_t url, bool probe);
+static void start_probes(gc_control_engines_t *engines);
+static void on_load(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err);
+static bool take_load(gc_control_t *control, gc_str_t name, gc_str_t body);
+static gc_str_t url_of(const gc_health_t *health, struct timespec now,
+		       gc_str_t name);
+
+gc_control_engines_t *gc_control_engines_create(gc_control_t *control)
+{
+	gc_control_engines_t *engines =
+		talloc_zero(control, gc_control_engines_t);
+
+	engines->control = control;
+	engines->subset =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	engines->pending =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	engines->list_bytes = gc_control_bytes("list");
+	engines->load_bytes = gc_control_bytes("load");
+	talloc_set_destructor(engines, engines_destructor);
+	for (unsigned int i = 0; i < N_LISTS; i++) {
+		engines->lists[i].control = control;
+		engines->lists[i].kind = (list_kind_t)i;
+	}
+	gc_control_after_ms(control, engines, 0, on_list_tick, engines);
+	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
+			    on_load_tick, engines);
+	return engines;
+}
+
+static int engines_destructor(gc_control_engines_t *engines)
+{
+	g_hash_table_destroy(engines->subset);
+	g_hash_table_destroy(engines->pending);
+	return 0;
+}
+
+bool gc_control_engines_listed(const gc_control_t *control)
+{
+	return control->engines->lists[LIST_ENGINES].read_once &&
+	       control->engines->lists[LIST_SERVICES].read_once;
+}
+
+static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *ctx)
+{
+	gc_control_engines_t *engines = ctx;
+
+	gc_control_after_ms(engines->control, engines,
+			    engines->control->settings->list_poll_ms,
+			    on_list_tick, engines);
+	for (unsigned int i = 0; i < N_LISTS; i++)
+		start_list(engines, &engines->lists[i]);
+}
+
+static void start_list(gc_control_engines_t *engines, list_poll_t *list)
+{
+	const gc_http_call_ops_t ops = {.done = on_list};
+	g_autofree char *url = NULL;
+	gc_http_call_conf_t conf = {.method = "GET",
+				    .peer = "instance list",
+				    .body = GC_STR_EMPTY,
+				    .timeout_ms = LIST_TIMEOUT_MS};
+
+	if (list->pending)
+		return;
+	url = g_strdup_printf("%s/v1/health/service/%s",
+			      engines->control->settings->platform_url,
+			      list_names[list->kind]);
+	conf.url = url;
+	list->pending = true;
+	gc_httpc_start(engines->control->http, &conf, &ops, list);
+}
+
+static void on_list(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err)
+{
+	list_poll_t *list = ctx;
+	json_t *answer = NULL;
+
+	list->pending = false;
+	note_list(list, status, err);
+	if (err || status != 200)
+		return;
+	gc_counter_add(list->control->engines->list_bytes, body.len);
+	answer = json_loadb(body.data, body.len, 0, NULL);
+	if (json_is_array(answer))
+		take_list(list, answer);
+	json_decref(answer);
+}
+
+static void note_list(list_poll_t *list, int status, const GError *err)
+{
+	bool failing = err != NULL || status != 200;
+
+	if (failing == list->failing)
+		return;
+	list->failing = failing;
+	gc_log(failing ? GC_LOG_WARNING : GC_LOG_INFO, failing ? 1502 : 1503,
+	       failing ? "can't read the instance list; keeping the last one"
+		       : "instance list can be read again",
+	       "list", list_names[list->kind], "error", err ? err->message : "",
+	       NULL);
+}
+
+static void take_list(list_poll_t *list, json_t *answer)
+{
+	gc_control_t *control = list->control;
+	struct timespec now = gc_control_now(control);
+	GStringChunk *strings = g_string_chunk_new(4096);
+	size_t n;
+
+	list->read_once = true;
+	if (list->kind == LIST_DAEMONS) {
+		g_autofree gc_member_hint_t *daemons =
+			gc_list_daemons(answer, strings, &n);
+
+		gc_members_on_list(control->members, now, daemons, n);
+	} else {
+		g_autofree gc_listed_t *entries =
+			gc_list_instances(answer, strings, &n);
+		gc_health_t *health = list->kind == LIST_ENGINES
+					      ? control->engines_health
+					      : control->services_health;
+
+		if (gc_health_on_list(health, now, entries, n)) {
+			choose_subset(control->engines);
+			gc_control_changed(control);
+		}
+	}
+	g_string_chunk_free(strings);
+}
+
+static void choose_subset(gc_control_engines_t *engines)
+{
+	gc_control_t *control = engines->control;
+	size_t n = gc_health_count(control->engines_health);
+	g_autofree gc_str_t *names = g_new0(gc_str_t, n + 1);
+	struct timespec now = gc_control_now(control);
+	gc_health_instance_t instance;
+
+	for (size_t i = 0; i < n; i++) {
+		gc_health_get(control->engines_health, now, i, &instance);
+		names[i] = instance.name;
+	}
+	g_hash_table_remove_all(engines->subset);
+	for (size_t i = 0; i < n; i++) {
+		if (gc_place_in_subset(gc_str(control->settings->instance),
+				       names[i], names, n,
+				       control->settings->engine_subset))
+			g_hash_table_add(engines->subset,
+					 g_strndup(names[i].data,
+						   names[i].len));
+	}
+}
+
+static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
+			 struct timeval now, void *ctx)
+{
+	gc_control_engines_t *engines = ctx;
+	gc_control_t *control = engines->control;
+	const gc_health_t *health = control->engines_health;
+	gc_health_instance_t instance;
+
+	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
+			    on_load_tick, engines);
+	for (size_t i = 0; i < gc_health_count(health); i++) {
+		gc_health_get(health, gc_control_now(control), i, &instance);
+		/* Only the probe decides about an ejected engine. */
+		if (!instance.ejected &&
+		    g_hash_table_contains(engines->subset, instance.name.data))
+			start_load(engines, instance.name, instance.url, false);
+	}
+	start_probes(engines);
+}
+
+static void start_probes(gc_control_engines_t *engines)
+{
+	gc_health_t *health = engines->control->engines_health;
+	struct timespec now = gc_control_now(engines->control);
+
+	for (unsigned int i = 0; i < MAX_PROBES; i++) {
+		gc_str_t name = gc_health_take_probe(health, now);
+
+		if (name.len == 0)
+			return;
+		start_load(engines, name, url_of(health, now, name), true);
+	}
+}
+
+static gc_str_t url_of(const gc_health_t *health, struct timespec now,
+		       gc_str_t name)
+{
+	gc_health_instance_t instance;
+
+	for (size_t i = 0; i < gc_health_count(health); i++) {
+		gc_health_get(health, now, i, &instance);
+		if (gc_str_eq(instance.name, name))
+			return instance.url;
+	}
+	return GC_STR_EMPTY;
+}
+
+static void start_load(gc_control_engines_t *engines, gc_str_t name,
+		       gc_str_t url, bool probe)
+{
+	const gc_http_call_ops_t ops = {.done = on_load};
+	load_poll_t *poll;
+	gc_http_call_conf_t conf = {.method = "GET",
+				    .body = GC_STR_EMPTY,
+				    .timeout_ms = LOAD_TIMEOUT_MS};
+	char *load_url;
+
+	if (!probe && g_hash_table_contains(engines->pending, name.data))
+		return;
+	poll = talloc_zero(engines, load_poll_t);
+	poll->control = engines->control;
+	poll->probe = probe;
+	g_strlcpy(poll->name, name.data, sizeof(poll->name));
+	if (!probe)
+		g_hash_table_add(engines->pending, g_strdup(poll->name));
+	load_url = talloc_asprintf(poll, "%.*s/v1/load", GC_STR_ARG(url));
+	conf.url = load_url;
+	conf.peer = poll->name;
+	gc_httpc_start(engines->control->http, &conf, &ops, poll);
+}
+
+static void on_load(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err)
+{
+	load_poll_t *poll = ctx;
+	gc_control_t *control = poll->control;
+	gc_str_t name = gc_str(poll->name);
+	bool ok = !err && status == 200 && take_load(control, name, body);
+
+	gc_counter_add(control->engines->load_bytes, body.len);
+	if (poll->probe) {
+		gc_health_on_probe(control->engines_health,
+				   gc_control_now(control), name, ok);
+		gc_log(GC_LOG_INFO, ok ? 1504 : 1505,
+		       ok ? "engine re-admitted after a probe"
+			  : "probe of an ejected engine failed",
+		       "engine", poll->name, NULL);
+	} else {
+		g_hash_table_remove(control->engines->pending, poll->name);
+		/* No connection: dead. A slow answer is no proof of that. */
+		if (err && !sent)
+			gc_control_engines_report(control, name,
+						  GC_ENGINE_FAILED);
+	}
+	gc_control_changed(control);
+	talloc_free(poll);
+}
+
+static bool take_load(gc_control_t *control, gc_str_t name, gc_str_t body)
+{
+	json_t *load = json_loadb(body.data, body.len, 0, NULL);
+	json_t *slots = json_object_get(load, "slots");
+	json_t *running = json_object_get(load, "running");
+	json_t *queued = json_object_get(load, "queued");
+	bool ok = json_is_integer(slots) && json_is_integer(running) &&
+		  json_is_integer(queued);
+
+	if (ok)
+		gc_health_on_load(control->engines_health,
+				  gc_control_now(control), name,
+				  json_integer_value(slots),
+				  json_integer_value(running),
+				  json_integer_value(queued));
+	json_decref(load);
+	return ok;
+}
+
+void gc_control_engines_report(gc_control_t *control, gc_str_t engine,
+			       gc_engine_verdict_t verdict)
+{
+	g_autofree char *name = NULL;
+
+	if (!gc_health_report(control->engines_health, gc_control_now(control),
+			      engine, verdict))
+		return;
+	name = g_strndup(engine.data, engine.len);
+	gc_log(GC_LOG_WARNING, 1500, "engine ejected", "engine", name,
+	       "verdict", verdict == GC_ENGINE_FAILED ? "failed" : "stalled",
+	       NULL);
+	gc_counter_add(gc_counter("goldcrest_engine_ejections_total",
+				  "Engines ejected by this daemon", NULL, NULL),
+		       1);
+	if (verdict == GC_ENGINE_FAILED)
+		gc_control_tell_engine_down(control, engine);
+	gc_control_changed(control);
+}
