Allow calls to start, end and go on inside HTTP client callbacks

libcurl refuses to add a handle inside its callbacks and may call the write callback from inside curl_easy_pause. A stream that starts its next attempt from a token callback would have lost the call, and a cancel inside a callback replaced the timer that libcurl had set for its own timeouts.

Calls that start or end inside a callback are now added or freed after it, and a paused call goes on from the loop. Only a deferred call costs a walk over the list of calls.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -14,6 +14,7 @@
 	struct tevent_timer *timer;
 	gc_http_call_t *calls;
 	bool in_callback;
+	unsigned int n_deferred; /* calls to add or free after a callback */
 };
 
 struct gc_http_call {
@@ -25,6 +26,8 @@
 	GByteArray *body;
 	gc_http_call_ops_t ops;
 	void *ctx;
+	struct tevent_immediate *unpause;
+	bool waiting; /* to be added once libcurl's callback has returned */
 	bool cancelled;
 	bool paused;
 };
@@ -45,6 +48,8 @@
 		     struct timeval now, void *ctx);
 static void on_fd(struct tevent_context *ev, struct tevent_fd *fde,
 		  uint16_t flags, void *ctx);
+static void on_unpause(struct tevent_context *ev, struct tevent_immediate *im,
+		       void *ctx);
 static void finish_calls(gc_httpc_t *client);
 static void finish_call(gc_http_call_t *call, CURLcode code);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
@@ -95,8 +100,14 @@
 		client->calls->prev = call;
 	client->calls = call;
 	talloc_set_destructor(call, call_destructor);
+	call->unpause = tevent_create_immediate(call);
 	set_options(call, conf);
-	curl_multi_add_handle(client->multi, call->easy);
+	/* libcurl forbids adding a handle inside its callbacks. */
+	call->waiting = client->in_callback;
+	if (call->waiting)
+		client->n_deferred++;
+	else
+		curl_multi_add_handle(client->multi, call->easy);
 	return call;
 }
 
@@ -155,7 +166,7 @@
 	/* libcurl forbids removing a handle inside its callbacks. */
 	if (call->client->in_callback) {
 		call->cancelled = true;
-		on_timeout(call->client->multi, 0, call->client);
+		call->client->n_deferred++;
 		return;
 	}
 	talloc_free(call);
@@ -168,7 +179,23 @@
 	call->paused = pause;
 	if (pause)
 		return; /* on_data tells libcurl at the next block */
+	/* libcurl may call on_data from inside curl_easy_pause. */
+	tevent_schedule_immediate(call->unpause, call->client->ev, on_unpause,
+				  call);
+}
+
+static void on_unpause(struct tevent_context *ev, struct tevent_immediate *im,
+		       void *ctx)
+{
+	gc_http_call_t *call = ctx;
+	gc_httpc_t *client = call->client;
+
+	if (call->paused || call->cancelled)
+		return;
+	client->in_callback = true;
 	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+	client->in_callback = false;
+	finish_calls(client);
 }
 
 const char *gc_http_call_header(gc_http_call_t *call, const char *name)
@@ -287,10 +314,17 @@
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
 		finish_call(call, msg->data.result);
 	}
+	if (client->n_deferred == 0)
+		return;
+	client->n_deferred = 0;
 	for (call = client->calls; call; call = next) {
 		next = call->next;
-		if (call->cancelled)
+		if (call->cancelled) {
 			talloc_free(call);
+		} else if (call->waiting) {
+			call->waiting = false;
+			curl_multi_add_handle(client->multi, call->easy);
+		}
 	}
 }
 
