Fix stop, restart and hang-up in the HTTP server

libmicrohttpd aborts the process when it is stopped with suspended connections; MHD_OPTION_LISTENING_ADDRESS_REUSE with 0 means exclusive use, so a restarted program could not bind its port while old connections were in TIME_WAIT; and a connection that waits for its answer is not watched, so a caller that hung up was not noticed.

Suspended connections are resumed before the stop, the option is passed only for shared ports, and gc_http_req_connected looks at the socket. The refusal of an oversized body has all members of a refusal now.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -1,5 +1,6 @@
 /* HTTP server on a tevent loop, by libmicrohttpd. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -33,12 +34,14 @@
 	size_t max_body;
 	uint16_t port;
 	unsigned int open_requests;
+	gc_http_req_t *requests;
 	gc_httpd_handler_t handler;
 	void *ctx;
 };
 
 struct gc_http_req {
 	gc_httpd_t *httpd;
+	gc_http_req_t *prev, *next;
 	struct MHD_Connection *conn;
 	char *method;
 	char *path;
@@ -112,10 +115,11 @@
 	httpd->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
 		conf->port, NULL, NULL, on_access, httpd, MHD_OPTION_SOCK_ADDR,
-		(struct sockaddr *)&addr, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-		conf->shared_port ? 1U : 0U, MHD_OPTION_NOTIFY_COMPLETED,
+		(struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
 		on_completed, httpd, MHD_OPTION_CONNECTION_LIMIT, 20000U,
-		MHD_OPTION_END);
+		conf->shared_port ? MHD_OPTION_LISTENING_ADDRESS_REUSE
+				  : MHD_OPTION_END,
+		1U, MHD_OPTION_END);
 	if (!httpd->daemon) {
 		gc_error_set(err, GC_ERR_IO, "listen", conf->address,
 			     "can't listen on port %u", conf->port);
@@ -142,6 +146,9 @@
 {
 	httpd->stopping = true;
 	TALLOC_FREE(httpd->fd_event);
+	/* The library aborts when it stops with suspended connections. */
+	for (gc_http_req_t *req = httpd->requests; req; req = req->next)
+		resume(req);
 	MHD_stop_daemon(httpd->daemon);
 	if (httpd->listen_fd >= 0)
 		close(httpd->listen_fd);
@@ -238,8 +245,13 @@
 		if (req->too_large)
 			gc_http_reply(req, 413, "application/json",
 				      GC_STR_LIT("{\"error\":{\"message\":"
-						 "\"body too large\",\"code\":"
+						 "\"body too large\","
+						 "\"type\":"
+						 "\"invalid_request_error\","
+						 "\"code\":"
 						 "\"body_too_large\","
+						 "\"step\":\"body\","
+						 "\"peer\":\"\","
 						 "\"run\":\"not_run\"}}\n"));
 		else
 			httpd->handler(httpd->ctx, req);
@@ -264,6 +276,10 @@
 	req->body = g_byte_array_new();
 	req->out = g_byte_array_new();
 	httpd->open_requests++;
+	req->next = httpd->requests;
+	if (req->next)
+		req->next->prev = req;
+	httpd->requests = req;
 	talloc_set_destructor(req, request_destructor);
 	return req;
 }
@@ -271,6 +287,12 @@
 static int request_destructor(gc_http_req_t *req)
 {
 	req->httpd->open_requests--;
+	if (req->prev)
+		req->prev->next = req->next;
+	else
+		req->httpd->requests = req->next;
+	if (req->next)
+		req->next->prev = req->prev;
 	g_byte_array_free(req->body, TRUE);
 	g_byte_array_free(req->out, TRUE);
 	g_slist_free_full(req->headers, g_free);
@@ -355,6 +377,20 @@
 					   name);
 }
 
+bool gc_http_req_connected(const gc_http_req_t *req)
+{
+	const union MHD_ConnectionInfo *info;
+	ssize_t n;
+	char byte;
+
+	info = MHD_get_connection_info(req->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD);
+	if (!info)
+		return false;
+	n = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return n > 0 || (n < 0 && (errno == EAGAIN || errno == EINTR));
+}
+
 gc_str_t gc_http_req_body(const gc_http_req_t *req)
 {
 	return (gc_str_t){req->body->len ? (const char *)req->body->data : "",
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -57,6 +57,11 @@
 const char *gc_http_req_header(const gc_http_req_t *req, const char *name);
 const char *gc_http_req_query(const gc_http_req_t *req, const char *name);
 gc_str_t gc_http_req_body(const gc_http_req_t *req);
+/*
+ * False if the caller has hung up. The library doesn't watch a connection
+ * while an answer is awaited, so poll this.
+ */
+bool gc_http_req_connected(const gc_http_req_t *req);
 void gc_http_req_on_closed(gc_http_req_t *req, gc_http_closed_t closed,
 			   void *ctx);
 
