Add the traffic thread and the filter chain

The thread owns its loop, listener, client, admission queue, random source and what it knows about engines. gc_traffic_attach hands over the control thread's parts, which are created after the listener because they need its port.

--- /dev/null
+++ b/lib/engines.h
@@ -0,0 +1,55 @@
+/* What a traffic thread knows about engines: reach, stalls, own runs. */
+#ifndef GC_LIB_ENGINES_H
+#define GC_LIB_ENGINES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <time.h>
+
+#include <talloc.h>
+
+#include "core/clock.h"
+#include "core/place.h"
+#include "core/stall.h"
+#include "core/types.h"
+#include "lib/settings.h"
+#include "lib/view.h"
+
+typedef struct gc_engines gc_engines_t;
+typedef struct gc_engine_record gc_engine_record_t;
+
+/* One attempt in flight; embedded in the host's object. */
+typedef struct gc_flight {
+	struct gc_flight *prev, *next;
+	gc_engine_record_t *record; /* NULL: not in flight */
+	struct timespec since;
+} gc_flight_t;
+
+typedef struct gc_pick {
+	const gc_account_t *account;
+	const char *model;
+	gc_policy_t policy;
+	uint64_t prompt_tokens;
+	const gc_str_t *avoid;
+	size_t n_avoid;
+} gc_pick_t;
+
+gc_engines_t *gc_engines_create(TALLOC_CTX *mem, const gc_settings_t *settings,
+				const gc_clock_t *clock,
+				const gc_random_t *random);
+/* Takes a reference to the view. */
+void gc_engines_set_view(gc_engines_t *engines, gc_view_t *view);
+/* Slots of the engines in reach that take new work. */
+uint32_t gc_engines_slots(const gc_engines_t *engines);
+/* Chooses an engine for a new run; false if none is available. */
+bool gc_engines_pick(gc_engines_t *engines, const gc_pick_t *pick,
+		     char name[GC_NAME_MAX]);
+/* The instance of this name; NULL if the view doesn't list it. */
+const gc_view_instance_t *gc_engines_find(const gc_engines_t *engines,
+					  const char *name);
+gc_stall_t *gc_engines_stall(gc_engines_t *engines, const char *name);
+void gc_flight_begin(gc_engines_t *engines, gc_flight_t *flight,
+		     const char *name);
+void gc_flight_end(gc_flight_t *flight);
+
+#endif
--- /dev/null
+++ b/lib/filter.c
@@ -0,0 +1,171 @@
+/* The filter chain and typed refusals. */
+#include <stdlib.h>
+
+#include "lib/filter.h"
+#include "lib/log.h"
+#include "lib/meter.h"
+
+/* A refused caller comes back after 1 to 3 s, spread at random. */
+#define RETRY_MIN_S    1
+#define RETRY_SPREAD_S 3
+
+typedef struct refusal_kind {
+	unsigned int status;
+	const char *code;
+} refusal_kind_t;
+
+static const refusal_kind_t kinds[] = {
+	[GC_ERR_INVALID] = {400, "invalid_request"},
+	[GC_ERR_UNAUTHORIZED] = {401, "unauthorized"},
+	[GC_ERR_NOT_FOUND] = {404, "not_found"},
+	[GC_ERR_CONFLICT] = {409, "conflict"},
+	[GC_ERR_TOO_LARGE] = {413, "body_too_large"},
+	[GC_ERR_OVERLOADED] = {429, "overloaded"},
+	[GC_ERR_UNAVAILABLE] = {503, "unavailable"},
+	[GC_ERR_TIMEOUT] = {504, "timeout"},
+	[GC_ERR_PROTOCOL] = {502, "protocol_error"},
+	[GC_ERR_IO] = {502, "io_error"},
+	[GC_ERR_CANCELLED] = {503, "cancelled"},
+	[GC_ERR_LOST] = {410, "lost"},
+};
+
+static const refusal_kind_t *kind_of(const GError *err);
+static void answer(gc_http_req_t *req, unsigned int status,
+		   unsigned int retry_after_s, json_t *body);
+static void refuse_in_chain(gc_exchange_t *exchange, const GError *err);
+
+void gc_filter_run(const gc_filter_t *chain, gc_exchange_t *exchange)
+{
+	GError *err = NULL;
+
+	for (const gc_filter_t *filter = chain; filter->name; filter++) {
+		switch (filter->apply(exchange, &err)) {
+		case GC_FILTER_NEXT:
+			continue;
+		case GC_FILTER_TAKEN:
+			return;
+		case GC_FILTER_REFUSE:
+			refuse_in_chain(exchange, err);
+			g_clear_error(&err);
+			return;
+		}
+	}
+	gc_error_set(&err, GC_ERR_NOT_FOUND, "path", NULL,
+		     "nothing is served at this path");
+	refuse_in_chain(exchange, err);
+	g_clear_error(&err);
+}
+
+static void refuse_in_chain(gc_exchange_t *exchange, const GError *err)
+{
+	unsigned int retry_after_s = 0;
+
+	if (err->code == GC_ERR_UNAVAILABLE || err->code == GC_ERR_OVERLOADED)
+		retry_after_s = gc_retry_after_s(exchange->traffic);
+	gc_log_error(GC_LOG_DEBUG, 1101, "request refused", err);
+	if (exchange->account) {
+		g_autofree char *name = g_strndup(exchange->account->name.data,
+						  exchange->account->name.len);
+
+		gc_meter_add(gc_meter_get(name, gc_exchange_class(exchange)),
+			     GC_METER_REFUSALS, 1);
+	}
+	gc_refuse(exchange->req, err, GC_RUN_NOT_RUN, retry_after_s);
+}
+
+const char *gc_exchange_class(const gc_exchange_t *exchange)
+{
+	if (g_str_has_prefix(gc_http_req_path(exchange->req), "/v1/services/"))
+		return "service";
+	return "generate";
+}
+
+unsigned int gc_retry_after_s(gc_traffic_t *traffic)
+{
+	const gc_random_t *random = gc_traffic_random(traffic);
+
+	return RETRY_MIN_S + random->next(random->ctx) % RETRY_SPREAD_S;
+}
+
+static const refusal_kind_t *kind_of(const GError *err)
+{
+	if (err->domain != GC_ERROR || err->code < 0 ||
+	    (size_t)err->code >= G_N_ELEMENTS(kinds))
+		return &kinds[GC_ERR_IO];
+	return &kinds[err->code];
+}
+
+json_t *gc_refusal_json(const GError *err, const char *code, gc_run_state_t run,
+			unsigned int retry_after_s)
+{
+	const refusal_kind_t *kind = kind_of(err);
+	const char *type = "server_error";
+	json_t *error;
+
+	if (kind->status == 429)
+		type = "rate_limit_error";
+	else if (kind->status < 500)
+		type = "invalid_request_error";
+	error = json_pack("{ss ss ss ss ss ss}", "message", err->message,
+			  "type", type, "code", code ? code : kind->code,
+			  "step", gc_error_step(err), "peer",
+			  gc_error_peer(err), "run", gc_run_state_name(run));
+	/* A message can quote bytes that are no UTF-8. */
+	if (!error)
+		error = json_pack("{ss ss ss ss ss ss}", "message",
+				  "bytes that are no UTF-8", "type", type,
+				  "code", code ? code : kind->code, "step", "",
+				  "peer", "", "run", gc_run_state_name(run));
+	if (retry_after_s > 0)
+		json_object_set_new(error, "retry_after_s",
+				    json_integer(retry_after_s));
+	return json_pack("{so}", "error", error);
+}
+
+static void answer(gc_http_req_t *req, unsigned int status,
+		   unsigned int retry_after_s, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	char seconds[16];
+
+	if (retry_after_s > 0) {
+		g_snprintf(seconds, sizeof(seconds), "%u", retry_after_s);
+		gc_http_req_add_header(req, "Retry-After", seconds);
+	}
+	if (status == 401)
+		gc_http_req_add_header(req, "WWW-Authenticate", "Bearer");
+	gc_http_reply(req, status, "application/json", gc_str(text));
+	free(text);
+	json_decref(body);
+}
+
+void gc_refuse(gc_http_req_t *req, const GError *err, gc_run_state_t run,
+	       unsigned int retry_after_s)
+{
+	answer(req, kind_of(err)->status, retry_after_s,
+	       gc_refusal_json(err, NULL, run, retry_after_s));
+}
+
+void gc_refuse_as(gc_http_req_t *req, unsigned int status, const char *code,
+		  const GError *err, gc_run_state_t run,
+		  unsigned int retry_after_s, json_t *outcome)
+{
+	json_t *body = gc_refusal_json(err, code, run, retry_after_s);
+
+	if (outcome)
+		json_object_set(json_object_get(body, "error"), "outcome",
+				outcome);
+	answer(req, status, retry_after_s, body);
+}
+
+void gc_refuse_elsewhere(gc_http_req_t *req, const GError *err,
+			 gc_run_state_t run, unsigned int retry_after_s,
+			 const char *address)
+{
+	json_t *body = gc_refusal_json(err, NULL, run, retry_after_s);
+
+	if (address)
+		json_object_set_new(json_object_get(body, "error"), "address",
+				    json_string(address));
+	answer(req, kind_of(err)->status, retry_after_s, body);
+}
--- a/lib/filter.h
+++ b/lib/filter.h
@@ -46,6 +46,18 @@
 		  const GError *err, gc_run_state_t run,
 		  unsigned int retry_after_s, json_t *outcome);
 
+/* The same as gc_refuse, with the address of another daemon (may be NULL). */
+void gc_refuse_elsewhere(gc_http_req_t *req, const GError *err,
+			 gc_run_state_t run, unsigned int retry_after_s,
+			 const char *address);
+/* The member "error" of a refusal, in an object; new reference. */
+json_t *gc_refusal_json(const GError *err, const char *code, gc_run_state_t run,
+			unsigned int retry_after_s);
+/* "generate" or "service", the class of the metrics. */
+const char *gc_exchange_class(const gc_exchange_t *exchange);
+/* Seconds until a refused caller should come back, with jitter. */
+unsigned int gc_retry_after_s(gc_traffic_t *traffic);
+
 /* The filters, in the order of the chain. */
 gc_filter_result_t gc_filter_addresses(gc_exchange_t *ex, GError **err);
 gc_filter_result_t gc_filter_in_effect(gc_exchange_t *ex, GError **err);
--- a/lib/traffic.h
+++ b/lib/traffic.h
@@ -6,8 +6,10 @@
 #include <talloc.h>
 #include <tevent.h>
 
+#include "core/admit.h"
 #include "core/clock.h"
 #include "core/place.h"
+#include "lib/engines.h"
 #include "lib/httpc.h"
 #include "lib/httpd.h"
 #include "lib/mailbox.h"
@@ -33,6 +35,12 @@
 gc_traffic_t *gc_traffic_create(const gc_traffic_conf_t *conf, GError **err);
 /* Port of the caller listener. */
 uint16_t gc_traffic_port(const gc_traffic_t *traffic);
+/*
+ * Hands over what is created after the listener, because it needs its port.
+ * Call before the first view. From any thread.
+ */
+void gc_traffic_attach(gc_traffic_t *traffic, struct gc_control *control,
+		       struct gc_claims *claims);
 /* Hands over a new view (a reference is taken). From any thread. */
 void gc_traffic_set_view(gc_traffic_t *traffic, gc_view_t *view);
 /*
@@ -53,5 +61,25 @@
 const gc_settings_t *gc_traffic_settings(gc_traffic_t *traffic);
 struct gc_claims *gc_traffic_claims(gc_traffic_t *traffic);
 struct gc_control *gc_traffic_control(gc_traffic_t *traffic);
+gc_engines_t *gc_traffic_engines(gc_traffic_t *traffic);
+gc_admit_t *gc_traffic_admit(gc_traffic_t *traffic);
+gc_retry_budget_t *gc_traffic_retry_budget(gc_traffic_t *traffic);
+/* Call after a request was queued, so that its wait ends in time. */
+void gc_traffic_watch_queue(gc_traffic_t *traffic);
+/* True after gc_traffic_stop. */
+bool gc_traffic_stopping(const gc_traffic_t *traffic);
+
+/* Open work that must be broken off when the grace of a stop is over. */
+typedef struct gc_traffic_job {
+	struct gc_traffic_job *prev, *next;
+	gc_traffic_t *traffic;
+	void (*break_off)(void *ctx);
+	void *ctx;
+} gc_traffic_job_t;
+
+void gc_traffic_job_add(gc_traffic_t *traffic, gc_traffic_job_t *job);
+void gc_traffic_job_remove(gc_traffic_job_t *job);
+/* Jobs that are open now. */
+unsigned int gc_traffic_jobs(const gc_traffic_t *traffic);
 
 #endif
