Add generations: completions and chat completions

Joins gc_stream_t, the engine client and the caller's answer. A caller that reads slowly pauses its engines; the time of such a pause does not count as the engine's silence.

Tried with stand-ins for the control thread and two stand-in engines: one streamed completion and one whole chat completion arrived complete.

--- /dev/null
+++ b/lib/generation_ops.c
@@ -0,0 +1,435 @@
+/* The attempts of a generation and the actions of its gc_stream_t. */
+#include <string.h>
+
+#include "lib/control.h"
+#include "lib/generation_impl.h"
+#include "lib/log.h"
+
+/* Longest engine event beside a prompt and a prefix in it. */
+#define EVENT_MARGIN_BYTES (1024 * 1024)
+
+static attempt_t *attempt_create(gc_generation_t *gen, uint32_t number,
+				 const char *engine);
+static int attempt_destructor(attempt_t *attempt);
+static attempt_t *attempt_find(gc_generation_t *gen, uint32_t number);
+static bool engine_conf(attempt_t *attempt, gc_engine_conf_t *conf);
+static void on_lost(struct tevent_context *ev, struct tevent_immediate *im,
+		    void *ctx);
+static json_t *run_body(gc_generation_t *gen, uint64_t from);
+static void on_run(void *ctx, const char *run, uint64_t from, json_t *request);
+static bool take_request(gc_generation_t *gen, json_t *request, GError **err);
+static void on_token(void *ctx, uint64_t offset, gc_str_t text);
+static void on_end(void *ctx, const char *reason, uint64_t tokens);
+static void on_broken(void *ctx, const GError *err);
+
+static bool op_pick(void *ctx, const gc_str_t *avoid, size_t n_avoid,
+		    char engine[GC_NAME_MAX]);
+static void op_start(void *ctx, uint32_t number, const char *engine,
+		     uint64_t from);
+static void op_attach(void *ctx, uint32_t number, const char *engine,
+		      const char *run, uint64_t from);
+static void op_cancel(void *ctx, uint32_t number, bool end_run);
+static void op_deliver(void *ctx, gc_str_t token, const gc_cursor_t *cursor);
+static void observe_interval(gc_generation_t *gen, uint32_t attempt,
+			     struct timespec now);
+static void op_finish(void *ctx, const char *reason);
+static void op_fail(void *ctx, const GError *err);
+static bool op_caller_connected(void *ctx);
+static void op_set_timer(void *ctx, const struct timespec *at);
+static void on_stream_timer(struct tevent_context *ev, struct tevent_timer *te,
+			    struct timeval now, void *ctx);
+static int64_t op_stall_timeout_ms(void *ctx, const char *engine,
+				   bool first_token);
+static void op_report(void *ctx, const char *engine,
+		      gc_engine_verdict_t verdict);
+
+static const gc_engine_ops_t engine_ops = {
+	.run = on_run, .token = on_token, .end = on_end, .broken = on_broken};
+const gc_stream_ops_t gc_generation_stream_ops = {
+	.pick = op_pick,
+	.start = op_start,
+	.attach = op_attach,
+	.cancel = op_cancel,
+	.deliver = op_deliver,
+	.finish = op_finish,
+	.fail = op_fail,
+	.caller_connected = op_caller_connected,
+	.set_timer = op_set_timer,
+	.stall_timeout_ms = op_stall_timeout_ms,
+	.report = op_report,
+};
+
+static attempt_t *attempt_create(gc_generation_t *gen, uint32_t number,
+				 const char *engine)
+{
+	attempt_t *attempt = talloc_zero(gen, attempt_t);
+
+	attempt->gen = gen;
+	attempt->number = number;
+	attempt->last = gc_clock_now(gen->clock);
+	g_strlcpy(attempt->name, engine, sizeof(attempt->name));
+	attempt->next = gen->attempts;
+	if (attempt->next)
+		attempt->next->prev = attempt;
+	gen->attempts = attempt;
+	gc_flight_begin(gc_traffic_engines(gen->traffic), &attempt->flight,
+			engine);
+	talloc_set_destructor(attempt, attempt_destructor);
+	return attempt;
+}
+
+static int attempt_destructor(attempt_t *attempt)
+{
+	gc_flight_end(&attempt->flight);
+	if (attempt->prev)
+		attempt->prev->next = attempt->next;
+	else
+		attempt->gen->attempts = attempt->next;
+	if (attempt->next)
+		attempt->next->prev = attempt->prev;
+	return 0;
+}
+
+static attempt_t *attempt_find(gc_generation_t *gen, uint32_t number)
+{
+	for (attempt_t *a = gen->attempts; a; a = a->next) {
+		if (a->number == number)
+			return a;
+	}
+	return NULL;
+}
+
+/* False if the view doesn't list the engine; that is reported soon. */
+static bool engine_conf(attempt_t *attempt, gc_engine_conf_t *conf)
+{
+	gc_traffic_t *traffic = attempt->gen->traffic;
+	const gc_view_instance_t *instance =
+		gc_engines_find(gc_traffic_engines(traffic), attempt->name);
+
+	if (!instance) {
+		attempt->lost = tevent_create_immediate(attempt);
+		tevent_schedule_immediate(attempt->lost, gc_traffic_ev(traffic),
+					  on_lost, attempt);
+		return false;
+	}
+	conf->ev = gc_traffic_ev(traffic);
+	conf->http = gc_traffic_http(traffic);
+	conf->name = instance->name;
+	conf->url = instance->url;
+	conf->max_event_bytes =
+		2 * gc_traffic_settings(traffic)->max_body_bytes +
+		EVENT_MARGIN_BYTES;
+	return true;
+}
+
+static void on_lost(struct tevent_context *ev, struct tevent_immediate *im,
+		    void *ctx)
+{
+	attempt_t *attempt = ctx;
+	GError *err = NULL;
+
+	gc_error_set(&err, GC_ERR_NOT_FOUND, "connect", attempt->name,
+		     "the instance list doesn't name this engine");
+	on_broken(attempt, err);
+	g_error_free(err);
+}
+
+static void op_start(void *ctx, uint32_t number, const char *engine,
+		     uint64_t from)
+{
+	gc_generation_t *gen = ctx;
+	attempt_t *attempt = attempt_create(gen, number, engine);
+	gc_engine_conf_t conf;
+	json_t *body;
+
+	if (!engine_conf(attempt, &conf))
+		return;
+	gen->dispatched = true;
+	body = run_body(gen, from);
+	attempt->engine = gc_engine_start(attempt, &conf, body, from,
+					  &engine_ops, attempt);
+	json_decref(body);
+}
+
+/* "account" and "chat" let another daemon check and shape a resume. */
+static json_t *run_body(gc_generation_t *gen, uint64_t from)
+{
+	const gc_generate_t *request = gen->request;
+	char hex[GC_REQUEST_ID_LEN * 2 + 1];
+	json_t *prefix = json_array();
+
+	for (size_t i = 0; i < GC_REQUEST_ID_LEN; i++)
+		g_snprintf(hex + 2 * i, 3, "%02x", gen->id[i]);
+	for (uint64_t i = 0; i < from; i++) {
+		gc_str_t token = gc_stream_token(gen->stream, i);
+
+		json_array_append_new(prefix,
+				      json_stringn(token.data, token.len));
+	}
+	return json_pack("{ss ss ss so sI sI ss sb}", "request", hex, "model",
+			 request->model, "prompt", request->prompt, "prefix",
+			 prefix, "max_tokens", (json_int_t)request->max_tokens,
+			 "priority", (json_int_t)request->priority, "account",
+			 gen->account, "chat", request->chat);
+}
+
+static void op_attach(void *ctx, uint32_t number, const char *engine,
+		      const char *run, uint64_t from)
+{
+	gc_generation_t *gen = ctx;
+	attempt_t *attempt = attempt_create(gen, number, engine);
+	gc_engine_conf_t conf;
+
+	gen->dispatched = true;
+	if (!engine_conf(attempt, &conf))
+		return;
+	attempt->engine = gc_engine_attach(attempt, &conf, run, from,
+					   &engine_ops, attempt);
+}
+
+static void op_cancel(void *ctx, uint32_t number, bool end_run)
+{
+	gc_generation_t *gen = ctx;
+	attempt_t *attempt = attempt_find(gen, number);
+
+	if (!attempt)
+		return;
+	if (attempt->engine)
+		gc_engine_cancel(attempt->engine, end_run && !gen->keep_runs);
+	talloc_free(attempt);
+}
+
+static void on_run(void *ctx, const char *run, uint64_t from, json_t *request)
+{
+	attempt_t *attempt = ctx;
+	gc_generation_t *gen = attempt->gen;
+	GError *err = NULL;
+
+	if (request && !take_request(gen, request, &err)) {
+		/* The run is another caller's: it must go on. */
+		gen->keep_runs = true;
+		gc_generation_give_up(gen, err);
+		g_error_free(err);
+		return;
+	}
+	gc_stream_on_run(gen->stream, attempt->number, run, from);
+}
+
+/*
+ * Checks that a run that was attached to belongs to this account, and learns
+ * from it what a resume doesn't say. The start request has precedence over
+ * the resume's body: a run started later must continue the same answer.
+ */
+static bool take_request(gc_generation_t *gen, json_t *request, GError **err)
+{
+	const char *account =
+		json_string_value(json_object_get(request, "account"));
+	const char *model =
+		json_string_value(json_object_get(request, "model"));
+	const char *prompt =
+		json_string_value(json_object_get(request, "prompt"));
+	json_int_t max_tokens =
+		json_integer_value(json_object_get(request, "max_tokens"));
+
+	if (account && strcmp(account, gen->account) != 0) {
+		gc_error_set(err, GC_ERR_UNAUTHORIZED, "resume", NULL,
+			     "the response is another account's");
+		return false;
+	}
+	if (!model || !prompt || max_tokens < 1)
+		return true;
+	talloc_free(gen->request->model);
+	talloc_free(gen->request->prompt);
+	gen->request->model = talloc_strdup(gen->request, model);
+	gen->request->prompt = talloc_strdup(gen->request, prompt);
+	gen->request->max_tokens = max_tokens;
+	gen->request->priority =
+		json_integer_value(json_object_get(request, "priority"));
+	return true;
+}
+
+static void on_token(void *ctx, uint64_t offset, gc_str_t text)
+{
+	attempt_t *attempt = ctx;
+	gc_generation_t *gen = attempt->gen;
+	struct timespec now = gc_clock_now(gen->clock);
+	gc_stall_t *stall = gc_engines_stall(gc_traffic_engines(gen->traffic),
+					     attempt->name);
+
+	/* A pause of ours says nothing about the engine. */
+	if (!gen->paused && gen->paused_ms == 0)
+		gc_stall_observe(stall, !attempt->got_token,
+				 gc_us_between(attempt->last, now));
+	attempt->got_token = true;
+	attempt->last = now;
+	gc_stream_on_token(gen->stream, attempt->number, offset, text);
+}
+
+static void on_end(void *ctx, const char *reason, uint64_t tokens)
+{
+	attempt_t *attempt = ctx;
+	gc_generation_t *gen = attempt->gen;
+	uint32_t number = attempt->number;
+
+	gc_stream_on_end(gen->stream, number, reason, tokens);
+	talloc_free(attempt_find(gen, number));
+}
+
+/* The stream may cancel the attempt's run, so it is kept until then. */
+static void on_broken(void *ctx, const GError *err)
+{
+	attempt_t *attempt = ctx;
+	gc_generation_t *gen = attempt->gen;
+	uint32_t number = attempt->number;
+
+	gc_log_error(GC_LOG_INFO, 1103, "attempt broke", err);
+	gc_stream_on_broken(gen->stream, number, err);
+	talloc_free(attempt_find(gen, number));
+}
+
+/* Actions of gc_stream_t. */
+
+static bool op_pick(void *ctx, const gc_str_t *avoid, size_t n_avoid,
+		    char engine[GC_NAME_MAX])
+{
+	gc_generation_t *gen = ctx;
+	gc_retry_budget_t *budget = gc_traffic_retry_budget(gen->traffic);
+	gc_pick_t pick = {
+		.account = gen->ex->account,
+		.model = gen->request->model,
+		.policy = gen->ex->account->policy,
+		.prompt_tokens = gc_estimate_tokens(gen->request->prompt) +
+				 gc_stream_tokens(gen->stream),
+		.avoid = avoid,
+		.n_avoid = n_avoid,
+	};
+
+	if (!gc_engines_pick(gc_traffic_engines(gen->traffic), &pick, engine))
+		return false;
+	return !gen->dispatched || gc_retry_budget_take(budget);
+}
+
+static void op_deliver(void *ctx, gc_str_t token, const gc_cursor_t *cursor)
+{
+	gc_generation_t *gen = ctx;
+	struct timespec now = gc_clock_now(gen->clock);
+	bool first = gen->last_attempt == 0;
+
+	if (first)
+		gc_meter_observe(gen->meter,
+				 gen->resumed ? GC_METER_RESUME_GAP
+					      : GC_METER_FIRST_TOKEN,
+				 gc_us_between(gen->ex->arrived, now) / 1e3);
+	else
+		observe_interval(gen, cursor->attempt, now);
+	gc_meter_add(gen->meter, GC_METER_TOKENS, 1);
+	gen->last_attempt = cursor->attempt;
+	gen->last_token = now;
+	gen->paused_ms = 0;
+	gc_reply_token(gen->reply, token, cursor);
+	if (gc_reply_is_full(gen->reply))
+		gc_generation_pause(gen, true);
+}
+
+static void observe_interval(gc_generation_t *gen, uint32_t attempt,
+			     struct timespec now)
+{
+	double ms = gc_us_between(gen->last_token, now) / 1e3;
+
+	if (attempt == gen->last_attempt) {
+		gc_meter_observe(gen->meter, GC_METER_TOKEN_INTERVAL, ms);
+		return;
+	}
+	gc_meter_add(gen->meter, GC_METER_RESUMES, 1);
+	gc_meter_observe(gen->meter, GC_METER_RESUME_GAP, ms);
+}
+
+static void op_finish(void *ctx, const char *reason)
+{
+	gc_generation_t *gen = ctx;
+	gc_usage_t usage = {
+		.prompt_tokens = gc_estimate_tokens(gen->request->prompt),
+		.completion_tokens = gc_stream_tokens(gen->stream),
+	};
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	gen->over = true;
+	for (uint64_t i = 0;
+	     !gen->request->stream && i < usage.completion_tokens; i++) {
+		gc_str_t token = gc_stream_token(gen->stream, i);
+
+		g_string_append_len(text, token.data, token.len);
+	}
+	gc_reply_finish(gen->reply, (gc_str_t){text->str, text->len}, reason,
+			&usage);
+	gc_generation_release(gen);
+}
+
+static void op_fail(void *ctx, const GError *err)
+{
+	gc_generation_t *gen = ctx;
+
+	gc_log_error(GC_LOG_WARNING, 1104, "generation failed", err);
+	gen->over = true;
+	gc_reply_fail(gen->reply, err,
+		      gen->dispatched ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
+		      gc_retry_after_s(gen->traffic));
+	gc_generation_release(gen);
+}
+
+static bool op_caller_connected(void *ctx)
+{
+	gc_generation_t *gen = ctx;
+
+	return gc_http_req_connected(gen->ex->req);
+}
+
+static void op_set_timer(void *ctx, const struct timespec *at)
+{
+	gc_generation_t *gen = ctx;
+	int64_t us;
+
+	TALLOC_FREE(gen->timer);
+	if (!at)
+		return;
+	us = MAX(gc_us_between(gc_clock_now(gen->clock), *at), 0);
+	gen->timer = tevent_add_timer(gc_traffic_ev(gen->traffic), gen,
+				      tevent_timeval_current_ofs(us / 1000000,
+								 us % 1000000),
+				      on_stream_timer, gen);
+}
+
+static void on_stream_timer(struct tevent_context *ev, struct tevent_timer *te,
+			    struct timeval now, void *ctx)
+{
+	gc_generation_t *gen = ctx;
+
+	gen->timer = NULL;
+	if (!gen->over)
+		gc_stream_on_timer(gen->stream);
+}
+
+/* The time in which this daemon itself did not read doesn't count. */
+static int64_t op_stall_timeout_ms(void *ctx, const char *engine,
+				   bool first_token)
+{
+	gc_generation_t *gen = ctx;
+	gc_stall_t *stall =
+		gc_engines_stall(gc_traffic_engines(gen->traffic), engine);
+	int64_t ms = gc_stall_timeout_ms(stall, first_token,
+					 gen->ex->account->policy);
+
+	if (gen->paused)
+		ms += gc_generation_ms_since(gen, gen->paused_at);
+	return ms + gen->paused_ms;
+}
+
+static void op_report(void *ctx, const char *engine,
+		      gc_engine_verdict_t verdict)
+{
+	gc_generation_t *gen = ctx;
+	struct gc_control *control = gc_traffic_control(gen->traffic);
+
+	if (control)
+		gc_control_report(control, gc_str(engine), verdict);
+}
--- /dev/null
+++ b/lib/reply.c
@@ -0,0 +1,140 @@
+/* The caller's side of a generation: events or one whole answer. */
+#include <stdlib.h>
+
+#include "lib/filter.h"
+#include "lib/reply.h"
+
+/* Above the high mark the engine is paused, below the low one it goes on. */
+#define HIGH_BYTES (64 * 1024)
+#define LOW_BYTES  (16 * 1024)
+
+struct gc_reply {
+	gc_reply_conf_t conf;
+	gc_answer_t answer;
+	char *cursor; /* last event id that was sent */
+	bool begun;
+	bool first; /* no token was sent yet, here or before a resume */
+};
+
+static void begin(gc_reply_t *reply);
+static void write_event(gc_reply_t *reply, const char *name, const char *id,
+			json_t *data);
+
+gc_reply_t *gc_reply_create(TALLOC_CTX *mem, const gc_reply_conf_t *conf)
+{
+	gc_reply_t *reply = talloc_zero(mem, gc_reply_t);
+	char hex[GC_REQUEST_ID_LEN * 2 + 1];
+
+	for (size_t i = 0; i < GC_REQUEST_ID_LEN; i++)
+		g_snprintf(hex + 2 * i, 3, "%02x", conf->request_id[i]);
+	reply->conf = *conf;
+	reply->first = !conf->last_event_id;
+	reply->cursor = talloc_strdup(reply, conf->last_event_id);
+	reply->answer.id = talloc_asprintf(
+		reply, "%s-%s", conf->request->chat ? "chatcmpl" : "cmpl", hex);
+	reply->answer.created = conf->created;
+	reply->answer.request = conf->request;
+	return reply;
+}
+
+bool gc_reply_begun(const gc_reply_t *reply)
+{
+	return reply->begun;
+}
+
+bool gc_reply_is_full(const gc_reply_t *reply)
+{
+	return reply->begun &&
+	       gc_http_stream_buffered(reply->conf.req) > HIGH_BYTES;
+}
+
+static void begin(gc_reply_t *reply)
+{
+	gc_http_req_t *req = reply->conf.req;
+
+	if (reply->begun)
+		return;
+	reply->begun = true;
+	gc_http_req_add_header(req, "Cache-Control", "no-cache");
+	gc_http_stream_begin(req, 200, "text/event-stream");
+	gc_http_stream_on_drained(req, LOW_BYTES, reply->conf.drained,
+				  reply->conf.ctx);
+}
+
+/* Takes the reference to data. */
+static void write_event(gc_reply_t *reply, const char *name, const char *id,
+			json_t *data)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	char *json = json_dumps(data, JSON_COMPACT);
+
+	json_decref(data);
+	if (name)
+		g_string_append_printf(text, "event: %s\n", name);
+	if (id)
+		g_string_append_printf(text, "id: %s\n", id);
+	g_string_append(text, "data: ");
+	g_string_append(text, json ? json : "{}");
+	g_string_append(text, "\n\n");
+	free(json);
+	begin(reply);
+	gc_http_stream_write(reply->conf.req, (gc_str_t){text->str, text->len});
+}
+
+void gc_reply_token(gc_reply_t *reply, gc_str_t token,
+		    const gc_cursor_t *cursor)
+{
+	if (!reply->conf.request->stream)
+		return;
+	talloc_free(reply->cursor);
+	reply->cursor = gc_cursor_encode(reply, reply->conf.fleet_key, cursor);
+	write_event(reply, NULL, reply->cursor,
+		    gc_answer_chunk(&reply->answer, token, reply->first));
+	reply->first = false;
+}
+
+void gc_reply_finish(gc_reply_t *reply, gc_str_t text, const char *reason,
+		     const gc_usage_t *usage)
+{
+	gc_http_req_t *req = reply->conf.req;
+	json_t *whole;
+	char *json;
+
+	if (reply->conf.request->stream) {
+		write_event(reply, NULL, reply->cursor,
+			    gc_answer_last_chunk(&reply->answer, reason,
+						 usage));
+		gc_http_stream_write(req, GC_STR_LIT("data: [DONE]\n\n"));
+		gc_http_stream_end(req);
+		return;
+	}
+	whole = gc_answer_whole(&reply->answer, text, reason, usage);
+	json = json_dumps(whole, JSON_COMPACT);
+	json_decref(whole);
+	gc_http_reply(req, 200, "application/json", gc_str(json));
+	free(json);
+}
+
+void gc_reply_fail(gc_reply_t *reply, const GError *err, gc_run_state_t run,
+		   unsigned int retry_after_s)
+{
+	if (!reply->begun) {
+		gc_refuse(reply->conf.req, err, run, retry_after_s);
+		return;
+	}
+	write_event(reply, "error", NULL,
+		    gc_refusal_json(err, NULL, run, retry_after_s));
+	gc_http_stream_end(reply->conf.req);
+}
+
+void gc_reply_abort(gc_reply_t *reply)
+{
+	gc_http_stream_abort(reply->conf.req);
+}
+
+void gc_reply_keep_alive(gc_reply_t *reply)
+{
+	if (reply->begun && gc_http_stream_buffered(reply->conf.req) == 0)
+		gc_http_stream_write(reply->conf.req,
+				     GC_STR_LIT(": waiting\n\n"));
+}
