Add the daemon

Main thread: control loop and signals; the rest in traffic threads. The ports file needs the operator listener's port, so lib/control.h gets gc_control_operator_port.

--- /dev/null
+++ b/goldcrestd/daemon.c
@@ -0,0 +1,279 @@
+/* The control loop in the main thread, the traffic threads and signals. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#include <curl/curl.h>
+#include <sodium.h>
+
+#include "core/error.h"
+#include "goldcrestd.h"
+#include "lib/claims.h"
+#include "lib/control.h"
+#include "lib/log.h"
+#include "lib/traffic.h"
+
+enum {
+	EVENT_STARTED = 1000,
+	EVENT_STOPPING = 1001,
+	EVENT_STOPPED = 1002,
+	EVENT_START_FAILED = 1003,
+	EVENT_SETTINGS_READ = 1004,
+	EVENT_SETTINGS_WRONG = 1005,
+};
+
+typedef struct daemon {
+	const daemon_options_t *options;
+	gc_settings_t *settings;
+	struct tevent_context *ev;
+	gc_mailbox_t *mailbox;
+	gc_control_t *control;
+	gc_claims_t *claims;
+	GRand *rand;
+	gc_random_t random;
+	gc_traffic_t **traffic;
+	unsigned int n_traffic;
+	unsigned int n_stopped;
+	bool stopping;
+} daemon_t;
+
+static bool start(daemon_t *daemon, GError **err);
+static bool start_traffic(daemon_t *daemon, GError **err);
+static bool start_control(daemon_t *daemon, GError **err);
+static bool write_ports(const daemon_t *daemon, GError **err);
+static void add_signals(daemon_t *daemon);
+static void stop_all(daemon_t *daemon);
+static void publish(void *ctx, gc_view_t *view);
+static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
+		    int signum, int count, void *info, void *ctx);
+static void on_reload(struct tevent_context *ev, struct tevent_signal *se,
+		      int signum, int count, void *info, void *ctx);
+static void on_traffic_stopped(void *ctx);
+static void take_stopped(void *ctx, void *message);
+static void init_log(const daemon_t *daemon);
+static uint64_t random_seed(void);
+static uint64_t next_random(void *ctx);
+
+int daemon_run(const daemon_options_t *options)
+{
+	daemon_t *daemon = talloc_zero(NULL, daemon_t);
+	GError *err = NULL;
+	bool up;
+
+	daemon->options = options;
+	daemon->settings =
+		gc_settings_load(daemon, options->settings_file, &err);
+	if (!daemon->settings) {
+		fprintf(stderr, "goldcrestd: %s:\n%s\n", options->settings_file,
+			err->message);
+		g_error_free(err);
+		talloc_free(daemon);
+		return EXIT_FAILURE;
+	}
+	if (options->check_only) {
+		talloc_free(daemon);
+		return EXIT_SUCCESS;
+	}
+	init_log(daemon);
+	up = start(daemon, &err);
+	if (!up) {
+		gc_log_error(GC_LOG_ERROR, EVENT_START_FAILED, "can't start",
+			     err);
+		g_error_free(err);
+	}
+	while (up && daemon->n_stopped < daemon->n_traffic)
+		tevent_loop_once(daemon->ev);
+	stop_all(daemon);
+	talloc_free(daemon);
+	return up ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static void init_log(const daemon_t *daemon)
+{
+	gc_log_init("goldcrestd", daemon->settings->instance,
+		    daemon->settings->log_json,
+		    daemon->options->verbose ? GC_LOG_DEBUG
+					     : daemon->settings->log_level);
+}
+
+static bool start(daemon_t *daemon, GError **err)
+{
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+		gc_error_set(err, GC_ERR_IO, "start", NULL,
+			     "can't set up the libraries");
+		return false;
+	}
+	daemon->ev = tevent_context_init(daemon);
+	daemon->mailbox = gc_mailbox_create(daemon, daemon->ev, daemon);
+	daemon->rand = g_rand_new_with_seed(random_seed());
+	daemon->random = (gc_random_t){next_random, daemon->rand};
+	if (!start_traffic(daemon, err) || !start_control(daemon, err) ||
+	    !write_ports(daemon, err))
+		return false;
+	add_signals(daemon);
+	gc_log(GC_LOG_INFO, EVENT_STARTED, "started", NULL);
+	return true;
+}
+
+static uint64_t random_seed(void)
+{
+	uint64_t seed = 0;
+
+	if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
+		seed = g_get_real_time();
+	return seed;
+}
+
+static uint64_t next_random(void *ctx)
+{
+	uint64_t high = g_rand_int(ctx);
+
+	return high << 32 | g_rand_int(ctx);
+}
+
+/* The listener's port must be known before the control thread's parts are. */
+static bool start_traffic(daemon_t *daemon, GError **err)
+{
+	gc_traffic_conf_t conf = {
+		.settings = daemon->settings,
+		.clock = &gc_clock_system,
+	};
+	unsigned int n = daemon->settings->traffic_threads;
+
+	daemon->traffic = talloc_zero_array(daemon, gc_traffic_t *, n);
+	for (unsigned int i = 0; i < n; i++) {
+		conf.seed = random_seed();
+		daemon->traffic[i] = gc_traffic_create(&conf, err);
+		if (!daemon->traffic[i])
+			return false;
+		daemon->n_traffic++;
+		/* The other threads share the port that the first one got. */
+		daemon->settings->caller.port =
+			gc_traffic_port(daemon->traffic[0]);
+	}
+	return true;
+}
+
+static bool start_control(daemon_t *daemon, GError **err)
+{
+	gc_control_conf_t conf = {
+		.settings = daemon->settings,
+		.clock = &gc_clock_system,
+		.seed = random_seed(),
+		.caller_port = daemon->settings->caller.port,
+		.publish = publish,
+		.ctx = daemon,
+	};
+
+	daemon->control = gc_control_create(daemon, daemon->ev, &conf, err);
+	if (!daemon->control)
+		return false;
+	daemon->claims = gc_claims_create(daemon, daemon->ev,
+					  gc_control_kv(daemon->control),
+					  gc_control_mailbox(daemon->control),
+					  &gc_clock_system, &daemon->random,
+					  daemon->settings->claim_batch_ms);
+	for (unsigned int i = 0; i < daemon->n_traffic; i++)
+		gc_traffic_attach(daemon->traffic[i], daemon->control,
+				  daemon->claims);
+	return true;
+}
+
+/* Renamed into place, so that a reader never sees half of it. */
+static bool write_ports(const daemon_t *daemon, GError **err)
+{
+	const char *path = daemon->options->ports_file;
+	g_autofree char *text = NULL;
+
+	if (!path)
+		return true;
+	text = g_strdup_printf("{\"caller\":%u,\"operator\":%u}\n",
+			       daemon->settings->caller.port,
+			       gc_control_operator_port(daemon->control));
+	return g_file_set_contents(path, text, -1, err);
+}
+
+static void add_signals(daemon_t *daemon)
+{
+	tevent_add_signal(daemon->ev, daemon, SIGTERM, 0, on_stop, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGINT, 0, on_stop, daemon);
+	tevent_add_signal(daemon->ev, daemon, SIGHUP, 0, on_reload, daemon);
+}
+
+static void publish(void *ctx, gc_view_t *view)
+{
+	daemon_t *daemon = ctx;
+
+	for (unsigned int i = 0; i < daemon->n_traffic; i++)
+		gc_traffic_set_view(daemon->traffic[i], view);
+}
+
+static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
+		    int signum, int count, void *info, void *ctx)
+{
+	daemon_t *daemon = ctx;
+
+	if (daemon->stopping)
+		return;
+	daemon->stopping = true;
+	gc_log(GC_LOG_INFO, EVENT_STOPPING, "stopping", NULL);
+	gc_control_leave(daemon->control);
+	for (unsigned int i = 0; i < daemon->n_traffic; i++)
+		gc_traffic_stop(daemon->traffic[i],
+				daemon->settings->stop_grace_s,
+				on_traffic_stopped, daemon);
+}
+
+/* In a traffic thread. */
+static void on_traffic_stopped(void *ctx)
+{
+	daemon_t *daemon = ctx;
+
+	gc_mailbox_post(daemon->mailbox, take_stopped, NULL);
+}
+
+static void take_stopped(void *ctx, void *message)
+{
+	daemon_t *daemon = ctx;
+
+	daemon->n_stopped++;
+}
+
+/* The log level and the operator keys change; the rest needs a restart. */
+static void on_reload(struct tevent_context *ev, struct tevent_signal *se,
+		      int signum, int count, void *info, void *ctx)
+{
+	daemon_t *daemon = ctx;
+	GError *err = NULL;
+	gc_settings_t *fresh;
+
+	fresh = gc_settings_load(daemon, daemon->options->settings_file, &err);
+	if (!fresh) {
+		gc_log_error(GC_LOG_ERROR, EVENT_SETTINGS_WRONG,
+			     "the settings are wrong, the old ones stay", err);
+		g_error_free(err);
+		return;
+	}
+	daemon->settings->log_level = fresh->log_level;
+	daemon->settings->operator_keys = fresh->operator_keys;
+	daemon->settings->n_operator_keys = fresh->n_operator_keys;
+	talloc_steal(daemon->settings, fresh->operator_keys);
+	talloc_free(fresh);
+	init_log(daemon);
+	gc_log(GC_LOG_INFO, EVENT_SETTINGS_READ, "settings read again", NULL);
+}
+
+/* Traffic threads report to the control thread until they have ended. */
+static void stop_all(daemon_t *daemon)
+{
+	for (unsigned int i = 0; i < daemon->n_traffic; i++)
+		gc_traffic_destroy(daemon->traffic[i]);
+	daemon->n_traffic = 0;
+	if (daemon->control)
+		gc_control_destroy(daemon->control);
+	if (daemon->rand)
+		g_rand_free(daemon->rand);
+	gc_log(GC_LOG_INFO, EVENT_STOPPED, "stopped", NULL);
+}
--- a/lib/control.h
+++ b/lib/control.h
@@ -29,6 +29,8 @@
 gc_control_t *gc_control_create(TALLOC_CTX *mem, struct tevent_context *ev,
 				const gc_control_conf_t *conf, GError **err);
 void gc_control_destroy(gc_control_t *control);
+/* Port of the operator listener. */
+uint16_t gc_control_operator_port(const gc_control_t *control);
 /* Leaves the address list: heartbeats say so, the view says stopping. */
 void gc_control_leave(gc_control_t *control);
 /* What a stream learnt about an engine. From every thread. */
