Compare the tokens of an attached run from offset 0

A restarted engine may use a run id again, so attaching behind the delivered tokens could go on with another request's run. Every attach now reads from 0 and compares each token with the one held. The silent attempt is kept until another engine is picked, because a slow run is worth more than none.

--- a/core/stream.c
+++ b/core/stream.c
@@ -2,9 +2,11 @@
  * Decisions of one generation: attempts on engines, resume, delivery.
  *
  * At most two attempts are live: the main one and, while the latency policy
- * suspects it, an extra one elsewhere. Both started from, or were checked
- * against, exactly the tokens held; the first of them to yield a token ends
- * the other, so all tokens held come from one lineage.
+ * suspects it, an extra one elsewhere. A started attempt has exactly the
+ * tokens held as its prefix. An attached one is read from offset 0 and
+ * compared with the tokens held, because a restarted engine may use a run id
+ * again. The first attempt to yield a new token ends the other, so all tokens
+ * held come from one lineage.
  */
 #include <string.h>
 
@@ -23,7 +25,8 @@
 /* Longest wait for an engine when the request has no deadline. */
 #define PICK_WAIT_MAX_MS 10000
 /* A timer that is later than this was delayed by a pause of the process. */
-#define PAUSE_MS 250
+#define PAUSE_MS    250
+#define RUN_DIFFERS "the run differs from the delivered tokens"
 /* The reason of a response that has all tokens but lost its end event. */
 #define REASON_LENGTH "length"
 
@@ -39,6 +42,7 @@
 	char engine[GC_NAME_MAX];
 	char run[GC_RUN_MAX]; /* "" until known */
 	uint64_t from; /* first offset asked for */
+	uint64_t next; /* offset that must come next */
 	bool attached; /* by attach, not by start */
 	bool yielded; /* this run yielded a token */
 	bool reported; /* as yielding, since the last suspicion */
@@ -116,7 +120,7 @@
 static void wait_to_pick(gc_stream_t *s);
 static void stop_waiting(gc_stream_t *s);
 static void open_attempt(gc_stream_t *s, attempt_t *a, uint64_t from);
-static void attach_run(gc_stream_t *s, const attempt_t *run, uint64_t from);
+static void attach_run(gc_stream_t *s, const attempt_t *run);
 static void start_run(gc_stream_t *s, const char *engine);
 static void wait_for_last(gc_stream_t *s);
 static void start_elsewhere(gc_stream_t *s);
@@ -137,10 +141,13 @@
 		       gc_str_t token);
 static void take_end(gc_stream_t *s, attempt_t *a, const char *reason,
 		     uint64_t tokens);
+static void compare_token(gc_stream_t *s, attempt_t *a, uint64_t offset,
+			  gc_str_t token);
+static void leave_run(gc_stream_t *s, attempt_t *a);
 static bool is_cut(const GError *err);
 static void take_broken(gc_stream_t *s, attempt_t *a, const GError *err);
-static void suspect_latency(gc_stream_t *s, attempt_t *a);
-static void suspect_economy(gc_stream_t *s, attempt_t *a);
+static void probe(gc_stream_t *s, attempt_t *a);
+static void give_up_waiting(gc_stream_t *s, attempt_t *a);
 static void suspect(gc_stream_t *s, attempt_t *a);
 static bool silence_ends(const gc_stream_t *s, const attempt_t *a,
 			 struct timespec *at);
@@ -297,7 +304,7 @@
 
 static void fail_at_deadline(gc_stream_t *s)
 {
-	if (s->waiting && !is_live(&s->main))
+	if (s->waiting && !s->checking)
 		fail(s, GC_ERR_UNAVAILABLE, "pick",
 		     "no engine available until the deadline");
 	else
@@ -372,7 +379,7 @@
 {
 	int64_t delay_ms = PICK_DELAY_MAX_MS;
 
-	if (s->waiting && !has_deadline(s) && !is_live(&s->main) &&
+	if (s->waiting && !has_deadline(s) &&
 	    gc_ms_between(s->waiting_since, now_of(s)) >= PICK_WAIT_MAX_MS) {
 		fail(s, GC_ERR_UNAVAILABLE, "pick", "no engine available");
 		return;
@@ -394,6 +401,7 @@
 	a->state = ATTEMPT_STARTING;
 	a->number = ++s->last_number;
 	a->from = from;
+	a->next = from;
 	a->suspected = false;
 	a->last_wait = false;
 	a->reported = false;
@@ -401,14 +409,14 @@
 }
 
 /* Attaches to the run that *run names, as the main attempt. */
-static void attach_run(gc_stream_t *s, const attempt_t *run, uint64_t from)
+static void attach_run(gc_stream_t *s, const attempt_t *run)
 {
 	attempt_t a = *run;
 
-	open_attempt(s, &a, from);
+	open_attempt(s, &a, 0);
 	a.attached = true;
 	s->main = a;
-	s->ops->attach(s->ctx, a.number, a.engine, a.run, from);
+	s->ops->attach(s->ctx, a.number, a.engine, a.run, 0);
 }
 
 static void start_run(gc_stream_t *s, const char *engine)
@@ -461,6 +469,8 @@
 		return;
 	}
 	stop_waiting(s);
+	if (s->conf.policy == GC_POLICY_ECONOMY)
+		stop_attempt(s, &s->main, true);
 	if (is_live(&s->extra)) {
 		/* Both are silent; the one that was silent longer goes. */
 		attempt_t next = s->extra;
@@ -521,7 +531,7 @@
 	drop_tokens(s);
 	g_strlcpy(run.engine, s->cursor.engine, sizeof(run.engine));
 	g_strlcpy(run.run, s->cursor.run, sizeof(run.run));
-	attach_run(s, &run, 0);
+	attach_run(s, &run);
 }
 
 /* The connection was cut or silent before the check ended. */
@@ -549,7 +559,7 @@
  */
 static void check_failed(gc_stream_t *s, attempt_t *a)
 {
-	note_error(s, a->engine, "the run differs from the delivered tokens");
+	note_error(s, a->engine, RUN_DIFFERS);
 	stop_attempt(s, a, false);
 	run_is_lost(s);
 }
@@ -568,6 +578,23 @@
 	a->reattached = 0;
 }
 
+/* A token of an attached run that is held already. */
+static void compare_token(gc_stream_t *s, attempt_t *a, uint64_t offset,
+			  gc_str_t token)
+{
+	a->silent_since = now_of(s);
+	if (!gc_str_eq(token, gc_stream_token(s, offset)))
+		leave_run(s, a);
+}
+
+/* The id names another run than before; that run is not ended. */
+static void leave_run(gc_stream_t *s, attempt_t *a)
+{
+	note_error(s, a->engine, RUN_DIFFERS);
+	stop_attempt(s, a, false);
+	after_loss(s);
+}
+
 /* Events of attempts. */
 
 static void report(gc_stream_t *s, const char *engine,
@@ -675,9 +702,9 @@
 		break_protocol(s, a, "token before the run event");
 		return;
 	}
-	if (offset < s->n_tokens)
+	if (offset < a->next)
 		return;
-	if (offset > s->n_tokens) {
+	if (offset > a->next) {
 		break_protocol(s, a, "gap between tokens");
 		return;
 	}
@@ -685,8 +712,11 @@
 		break_protocol(s, a, "token beyond the limit");
 		return;
 	}
+	a->next++;
 	if (s->checking)
 		check_token(s, a, token);
+	else if (offset < s->n_tokens)
+		compare_token(s, a, offset, token);
 	else
 		deliver(s, a, token);
 }
@@ -702,6 +732,10 @@
 		check_failed(s, a);
 		return;
 	}
+	if (a->next < s->n_tokens) {
+		leave_run(s, a);
+		return;
+	}
 	if (tokens != s->n_tokens) {
 		break_protocol(s, a, "number of tokens differs at the end");
 		return;
@@ -719,7 +753,8 @@
 
 static void take_broken(gc_stream_t *s, attempt_t *a, const GError *err)
 {
-	bool is_gone = g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND);
+	bool is_gone =
+		a->attached && g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND);
 	attempt_t was = *a;
 
 	memset(a, 0, sizeof(*a));
@@ -735,13 +770,13 @@
 		finish(s, REASON_LENGTH);
 		return;
 	}
-	if (is_cut(err) && was.run[0] && !was.probing && !was.suspected &&
+	if (is_cut(err) && was.run[0] && !was.probing &&
 	    was.reattached < REATTACH_MAX && !other_of(s, a) &&
 	    !past_deadline(s)) {
 		if (!check_caller(s))
 			return;
 		was.reattached++;
-		attach_run(s, &was, s->n_tokens);
+		attach_run(s, &was);
 		return;
 	}
 	if (!is_gone) {
@@ -756,7 +791,22 @@
 
 /* Silence. */
 
-static void suspect_latency(gc_stream_t *s, attempt_t *a)
+static void probe(gc_stream_t *s, attempt_t *a)
+{
+	attempt_t was = *a;
+
+	if (!check_caller(s))
+		return;
+	stop_attempt(s, a, false);
+	was.probing = true;
+	attach_run(s, &was);
+}
+
+/*
+ * The silent attempt is kept until another engine is picked: a run that is
+ * only slow is worth more than none.
+ */
+static void give_up_waiting(gc_stream_t *s, attempt_t *a)
 {
 	if (a->last_wait) {
 		fail(s, GC_ERR_TIMEOUT, "stall", "no engine yields a token");
@@ -770,25 +820,6 @@
 	start_elsewhere(s);
 }
 
-static void suspect_economy(gc_stream_t *s, attempt_t *a)
-{
-	attempt_t was = *a;
-
-	if (was.run[0] && !was.probing) {
-		if (!check_caller(s))
-			return;
-		stop_attempt(s, a, false);
-		was.probing = true;
-		attach_run(s, &was, s->n_tokens);
-		return;
-	}
-	note_error(s, was.engine, "stalled");
-	avoid_engine(s, was.engine);
-	report(s, was.engine, GC_ENGINE_STALLED);
-	stop_attempt(s, a, true);
-	after_loss(s);
-}
-
 static void suspect(gc_stream_t *s, attempt_t *a)
 {
 	if (s->checking) {
@@ -797,10 +828,11 @@
 		check_again(s);
 	} else if (is_whole(s)) {
 		finish(s, REASON_LENGTH);
-	} else if (s->conf.policy == GC_POLICY_LATENCY) {
-		suspect_latency(s, a);
+	} else if (s->conf.policy == GC_POLICY_ECONOMY && a->run[0] &&
+		   !a->probing && !a->last_wait) {
+		probe(s, a);
 	} else {
-		suspect_economy(s, a);
+		give_up_waiting(s, a);
 	}
 }
 
@@ -855,6 +887,7 @@
  */
 static void arm(gc_stream_t *s)
 {
+	struct timespec now = now_of(s);
 	struct timespec next = {0};
 	struct timespec at;
 	bool has_next = false;
@@ -871,6 +904,9 @@
 		earliest(&next, &has_next, at);
 	if (!has_next || (s->armed && gc_us_between(s->armed_at, next) >= 0))
 		return;
+	/* The lateness of the timer counts from now on. */
+	if (has_passed(now, next))
+		next = now;
 	s->armed = true;
 	s->armed_at = next;
 	s->ops->set_timer(s->ctx, &next);
--- a/core/stream.h
+++ b/core/stream.h
@@ -41,7 +41,12 @@
 	/* Attaches to a run and reads tokens from offset from on. */
 	void (*attach)(void *ctx, uint32_t attempt, const char *engine,
 		       const char *run, uint64_t from);
-	/* Closes the attempt's connection; end_run also cancels the run. */
+	/*
+	 * Closes the attempt's connection; end_run also cancels the run. Every
+	 * attempt ends with gc_stream_on_broken or with this. A broken attempt
+	 * whose run may go on is cancelled too, with end_run set: the host
+	 * keeps engine and run id of an attempt as long as the stream.
+	 */
 	void (*cancel)(void *ctx, uint32_t attempt, bool end_run);
 	/* The next token of the answer; cursor names the state behind it. */
 	void (*deliver)(void *ctx, gc_str_t token, const gc_cursor_t *cursor);
@@ -49,9 +54,15 @@
 	void (*finish)(void *ctx, const char *reason);
 	/* The answer can't go on; nothing follows. */
 	void (*fail)(void *ctx, const GError *err);
-	/* False if the caller has hung up. */
+	/*
+	 * False if the caller has hung up: the stream is then over, as after
+	 * gc_stream_on_caller_gone.
+	 */
 	bool (*caller_connected)(void *ctx);
-	/* Calls gc_stream_on_timer at this time; NULL: not at all. */
+	/*
+	 * Calls gc_stream_on_timer at this time, instead of an earlier order;
+	 * NULL: not at all.
+	 */
 	void (*set_timer)(void *ctx, const struct timespec *at);
 	/* Silence after which the engine is suspected, ms. */
 	int64_t (*stall_timeout_ms)(void *ctx, const char *engine,
@@ -89,6 +100,7 @@
 		      uint64_t from);
 void gc_stream_on_token(gc_stream_t *stream, uint32_t attempt, uint64_t offset,
 			gc_str_t token);
+/* tokens counts the whole response, prefix included. */
 void gc_stream_on_end(gc_stream_t *stream, uint32_t attempt, const char *reason,
 		      uint64_t tokens);
 /*
@@ -102,7 +114,11 @@
 /* The caller hung up: cancels all runs; finish and fail don't follow. */
 void gc_stream_on_caller_gone(gc_stream_t *stream);
 
-/* Tokens held so far and token i of them. */
+/*
+ * Tokens held so far and token i of them; the view is valid until the next
+ * event. All of them are delivered or held by the caller, except while the
+ * run of a cursor is checked.
+ */
 uint64_t gc_stream_tokens(const gc_stream_t *stream);
 gc_str_t gc_stream_token(const gc_stream_t *stream, uint64_t i);
 /* True after finish, fail or caller_gone. */
