--- /dev/null
+++ b/goldcrestcall/call.c
@@ -0,0 +1,155 @@
+/* The subcommands, each one call and then the end. */
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcrestcall.h"
+#include "lib/caller.h"
+
+typedef struct session {
+	const options_t *options;
+	struct tevent_context *ev;
+	gc_caller_t *caller;
+	GRand *rand;
+	gc_random_t random;
+	bool over;
+	int status;
+} session_t;
+
+static uint64_t next_random(void *ctx);
+static void session_begin(session_t *session, const options_t *options);
+static int session_run(session_t *session);
+static char *read_prompt(const char *path, gsize *len);
+static void on_token(void *ctx, gc_str_t text);
+static void on_resumed(void *ctx, const char *url);
+static void on_generated(void *ctx, const GError *err);
+static void on_acted(void *ctx, gc_run_state_t run, int status, gc_str_t body,
+		     const GError *err);
+
+int run_generate(const options_t *options, const char *path)
+{
+	static const gc_generation_ops_t ops = {
+		.token = on_token, .resumed = on_resumed, .done = on_generated};
+	session_t session;
+	gsize len = 0;
+	g_autofree char *prompt = read_prompt(path, &len);
+	gc_generation_conf_t conf = {.model = options->model,
+				     .prompt = {prompt, len},
+				     .max_tokens = options->max_tokens};
+
+	if (!prompt)
+		return EXIT_FAILED;
+	session_begin(&session, options);
+	gc_caller_generate(session.caller, &conf, &ops, &session);
+	return session_run(&session);
+}
+
+int run_action(const options_t *options, const char *service, const char *path)
+{
+	session_t session;
+	const char *key = options->idempotency_key;
+
+	session_begin(&session, options);
+	if (!key)
+		key = gc_uuid7(session.caller, &gc_clock_system,
+			       &session.random);
+	if (options->verbose)
+		fprintf(stderr, "goldcrestcall: idempotency key %s\n", key);
+	gc_caller_action(session.caller, service, path, key,
+			 gc_str(options->data ? options->data : "{}"), on_acted,
+			 &session);
+	return session_run(&session);
+}
+
+static uint64_t next_random(void *ctx)
+{
+	return (uint64_t)g_rand_int(ctx) << 32 | g_rand_int(ctx);
+}
+
+static void session_begin(session_t *session, const options_t *options)
+{
+	gc_caller_conf_t conf = {
+		.urls = (const char *const *)options->urls,
+		.key = options->key,
+		.clock = &gc_clock_system,
+		.patience_ms = options->patience_s * 1000L,
+	};
+
+	*session = (session_t){.options = options, .status = EXIT_FAILED};
+	session->rand = g_rand_new();
+	session->random = (gc_random_t){next_random, session->rand};
+	conf.random = &session->random;
+	session->ev = tevent_context_init(NULL);
+	session->caller = gc_caller_create(session->ev, session->ev, &conf);
+}
+
+static int session_run(session_t *session)
+{
+	while (!session->over)
+		tevent_loop_once(session->ev);
+	talloc_free(session->ev);
+	g_rand_free(session->rand);
+	return session->status;
+}
+
+static char *read_prompt(const char *path, gsize *len)
+{
+	g_autoptr(GError) err = NULL;
+	char *text = NULL;
+
+	if (strcmp(path, "-") == 0)
+		path = "/dev/stdin";
+	if (!g_file_get_contents(path, &text, len, &err)) {
+		fprintf(stderr, "goldcrestcall: %s\n", err->message);
+		return NULL;
+	}
+	if (g_utf8_validate(text, (gssize)*len, NULL))
+		return text;
+	fprintf(stderr, "goldcrestcall: %s: not UTF-8 text\n", path);
+	g_free(text);
+	return NULL;
+}
+
+static void on_token(void *ctx, gc_str_t text)
+{
+	fwrite(text.data, 1, text.len, stdout);
+	fflush(stdout);
+}
+
+static void on_resumed(void *ctx, const char *url)
+{
+	session_t *session = ctx;
+
+	if (session->options->verbose)
+		fprintf(stderr, "goldcrestcall: %s: broken, resuming\n", url);
+}
+
+static void on_generated(void *ctx, const GError *err)
+{
+	session_t *session = ctx;
+
+	session->over = true;
+	session->status = err ? EXIT_FAILED : EXIT_WHOLE;
+	putchar('\n');
+	if (err)
+		fprintf(stderr, "goldcrestcall: %s: %s: %s\n",
+			gc_error_peer(err), gc_error_step(err), err->message);
+}
+
+static void on_acted(void *ctx, gc_run_state_t run, int status, gc_str_t body,
+		     const GError *err)
+{
+	session_t *session = ctx;
+
+	session->over = true;
+	session->status = EXIT_WHOLE;
+	printf("%.*s\n", GC_STR_ARG(body));
+	if (!err)
+		return;
+	session->status = run == GC_RUN_NOT_RUN	   ? EXIT_NOT_RUN
+			  : run == GC_RUN_IN_DOUBT ? EXIT_IN_DOUBT
+						   : EXIT_FAILED;
+	fprintf(stderr, "goldcrestcall: %s: %s: %s (%s)\n", gc_error_peer(err),
+		gc_error_step(err), err->message, gc_run_state_name(run));
+}
--- /dev/null
+++ b/lib/caller.c
@@ -0,0 +1,266 @@
+/* The caller's side: the address list and what every call shares. */
+#include <string.h>
+
+#include <jansson.h>
+
+#include "lib/caller_private.h"
+
+/* Retry of the address list while no daemon answers. */
+#define ADDRESS_RETRY_MS   250
+#define ADDRESS_TIMEOUT_MS 1500
+#define DEFAULT_TTL_S	   10
+
+typedef struct waiter {
+	struct waiter *next;
+	gc_address_done_t done;
+	void *ctx;
+	struct timespec give_up_at;
+} waiter_t;
+
+struct gc_caller_addresses {
+	char **urls;
+	size_t n;
+	struct timespec expires;
+	waiter_t *waiters;
+	gc_http_call_t *fetch;
+	size_t next_seed;
+};
+
+static void fetch_addresses(gc_caller_t *caller);
+static void on_addresses(void *ctx, int status, gc_str_t body, bool sent,
+			 const GError *err);
+static bool take_addresses(gc_caller_t *caller, gc_str_t body);
+static void on_retry(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *ctx);
+static void wake_waiters(gc_caller_t *caller);
+static void expire_waiters(gc_caller_t *caller);
+static const char *choose(gc_caller_t *caller, const char *avoid);
+
+gc_caller_t *gc_caller_create(TALLOC_CTX *mem, struct tevent_context *ev,
+			      const gc_caller_conf_t *conf)
+{
+	gc_caller_t *caller = talloc_zero(mem, gc_caller_t);
+
+	caller->ev = ev;
+	caller->http = gc_httpc_create(caller, ev);
+	caller->conf = *conf;
+	caller->authorization =
+		talloc_asprintf(caller, "Authorization: Bearer %s", conf->key);
+	caller->addresses = talloc_zero(caller, struct gc_caller_addresses);
+	while (conf->urls[caller->n_seeds])
+		caller->n_seeds++;
+	return caller;
+}
+
+void gc_caller_destroy(gc_caller_t *caller)
+{
+	talloc_free(caller);
+}
+
+void gc_caller_address(gc_caller_t *caller, const char *avoid,
+		       gc_address_done_t done, void *ctx)
+{
+	struct gc_caller_addresses *list = caller->addresses;
+	struct timespec now = gc_clock_now(caller->conf.clock);
+	waiter_t *waiter;
+
+	if (list->n > 0 && gc_ms_between(now, list->expires) > 0) {
+		done(ctx, choose(caller, avoid));
+		return;
+	}
+	waiter = talloc_zero(caller, waiter_t);
+	waiter->done = done;
+	waiter->ctx = ctx;
+	waiter->give_up_at = gc_add_ms(now, caller->conf.patience_ms);
+	waiter->next = list->waiters;
+	list->waiters = waiter;
+	if (!list->fetch)
+		fetch_addresses(caller);
+}
+
+void gc_caller_forget(gc_caller_t *caller, void *ctx)
+{
+	waiter_t **at = &caller->addresses->waiters;
+
+	while (*at) {
+		waiter_t *waiter = *at;
+
+		if (waiter->ctx != ctx) {
+			at = &waiter->next;
+			continue;
+		}
+		*at = waiter->next;
+		talloc_free(waiter);
+	}
+}
+
+void gc_caller_address_failed(gc_caller_t *caller, const char *url)
+{
+	struct gc_caller_addresses *list = caller->addresses;
+
+	for (size_t i = 0; i < list->n; i++) {
+		if (strcmp(list->urls[i], url) != 0)
+			continue;
+		list->urls[i] = list->urls[--list->n];
+		return;
+	}
+}
+
+static void fetch_addresses(gc_caller_t *caller)
+{
+	static const gc_http_call_ops_t ops = {.done = on_addresses};
+	struct gc_caller_addresses *list = caller->addresses;
+	const char *seed = caller->conf.urls[list->next_seed % caller->n_seeds];
+	g_autofree char *url = g_strconcat(seed, "/v1/addresses", NULL);
+	gc_http_call_conf_t conf = {
+		.method = "GET", .url = url, .timeout_ms = ADDRESS_TIMEOUT_MS};
+
+	list->next_seed++;
+	list->fetch = gc_httpc_start(caller->http, &conf, &ops, caller);
+}
+
+static void on_addresses(void *ctx, int status, gc_str_t body, bool sent,
+			 const GError *err)
+{
+	gc_caller_t *caller = ctx;
+	struct timeval at;
+
+	caller->addresses->fetch = NULL;
+	if (!err && status == 200 && take_addresses(caller, body)) {
+		wake_waiters(caller);
+		return;
+	}
+	expire_waiters(caller);
+	if (!caller->addresses->waiters)
+		return;
+	/* The first round over the seeds goes without a pause. */
+	at = tevent_timeval_current_ofs(0, caller->addresses->next_seed <
+							   caller->n_seeds
+						   ? 0
+						   : ADDRESS_RETRY_MS * 1000);
+	tevent_add_timer(caller->ev, caller, at, on_retry, caller);
+}
+
+static void on_retry(struct tevent_context *ev, struct tevent_timer *te,
+		     struct timeval now, void *ctx)
+{
+	gc_caller_t *caller = ctx;
+
+	if (caller->addresses->waiters && !caller->addresses->fetch)
+		fetch_addresses(caller);
+}
+
+static bool take_addresses(gc_caller_t *caller, gc_str_t body)
+{
+	struct gc_caller_addresses *list = caller->addresses;
+	json_t *doc = json_loadb(body.data, body.len, 0, NULL);
+	json_t *items = json_object_get(doc, "addresses");
+	json_t *ttl = json_object_get(doc, "ttl_s");
+	json_t *item;
+	size_t i;
+
+	TALLOC_FREE(list->urls);
+	list->n = 0;
+	list->urls = talloc_array(list, char *, json_array_size(items) + 1);
+	json_array_foreach (items, i, item) {
+		const char *url =
+			json_string_value(json_object_get(item, "url"));
+
+		if (url)
+			list->urls[list->n++] = talloc_strdup(list->urls, url);
+	}
+	list->expires = gc_add_ms(
+		gc_clock_now(caller->conf.clock),
+		(ttl ? json_integer_value(ttl) : DEFAULT_TTL_S) * 1000);
+	json_decref(doc);
+	return list->n > 0;
+}
+
+static void wake_waiters(gc_caller_t *caller)
+{
+	waiter_t *waiter = caller->addresses->waiters;
+
+	caller->addresses->waiters = NULL;
+	while (waiter) {
+		waiter_t *next = waiter->next;
+
+		waiter->done(waiter->ctx, choose(caller, NULL));
+		talloc_free(waiter);
+		waiter = next;
+	}
+}
+
+static void expire_waiters(gc_caller_t *caller)
+{
+	struct timespec now = gc_clock_now(caller->conf.clock);
+	waiter_t *waiter = caller->addresses->waiters;
+
+	caller->addresses->waiters = NULL;
+	while (waiter) {
+		waiter_t *next = waiter->next;
+
+		if (gc_ms_between(now, waiter->give_up_at) > 0) {
+			waiter->next = caller->addresses->waiters;
+			caller->addresses->waiters = waiter;
+		} else {
+			waiter->done(waiter->ctx, NULL);
+			talloc_free(waiter);
+		}
+		waiter = next;
+	}
+}
+
+/* A random address, not avoid if there is another one. */
+static const char *choose(gc_caller_t *caller, const char *avoid)
+{
+	struct gc_caller_addresses *list = caller->addresses;
+	const gc_random_t *random = caller->conf.random;
+	size_t i = random->next(random->ctx) % list->n;
+
+	if (avoid && list->n > 1 && strcmp(list->urls[i], avoid) == 0)
+		i = (i + 1) % list->n;
+	return list->urls[i];
+}
+
+GError *gc_caller_refusal(int status, gc_str_t body, const char *url,
+			  gc_run_state_t *run, int64_t *retry_after_ms)
+{
+	json_t *doc = json_loadb(body.data, body.len, 0, NULL);
+	json_t *error = json_object_get(doc, "error");
+	const char *message =
+		json_string_value(json_object_get(error, "message"));
+	const char *step = json_string_value(json_object_get(error, "step"));
+	const char *state = json_string_value(json_object_get(error, "run"));
+	GError *err = NULL;
+
+	*run = GC_RUN_IN_DOUBT;
+	if (g_strcmp0(state, "not_run") == 0)
+		*run = GC_RUN_NOT_RUN;
+	else if (g_strcmp0(state, "done") == 0)
+		*run = GC_RUN_DONE;
+	*retry_after_ms = (int64_t)(1000 * json_number_value(json_object_get(
+						   error, "retry_after_s")));
+	gc_error_set(&err,
+		     status == 429 || status == 503 ? GC_ERR_UNAVAILABLE
+						    : GC_ERR_INVALID,
+		     step ? step : "call", url, "HTTP %d: %s", status,
+		     message ? message : "no error text");
+	json_decref(doc);
+	return err;
+}
+
+char *gc_uuid7(TALLOC_CTX *mem, const gc_clock_t *clock,
+	       const gc_random_t *random)
+{
+	struct timespec t = gc_clock_wall(clock);
+	uint64_t ms = (uint64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+	uint64_t a = random->next(random->ctx);
+	uint64_t b = random->next(random->ctx);
+
+	return talloc_asprintf(mem, "%08x-%04x-7%03x-%04x-%012llx",
+			       (unsigned int)(ms >> 16),
+			       (unsigned int)(ms & 0xffff),
+			       (unsigned int)(a & 0xfff),
+			       (unsigned int)(0x8000 | ((a >> 12) & 0x3fff)),
+			       (unsigned long long)(b & 0xffffffffffffULL));
+}
