--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,248 @@
+"""Starts the stand-ins and daemons of one run on loopback with free ports.
+
+Used by the demo and the measurements. Every process is ended by its id.
+"""
+
+import json
+import os
+import secrets
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+DOMAINS = ["a", "b", "c"]
+OPERATOR_KEY = "operator-key"
+ACCOUNT_KEYS = {"lone-star": "lone-star-key", "cyflogres": "cyflogres-key"}
+START_TIMEOUT_S = 10
+
+
+def free_ports(count):
+    """Ports that were free a moment ago; all are held until all are known."""
+    sockets = [socket.socket() for _ in range(count)]
+    for s in sockets:
+        s.bind(("127.0.0.1", 0))
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def http(method, url, body=None, headers=None, timeout=5):
+    """Returns (status, parsed JSON or text)."""
+    data = None if body is None else json.dumps(body).encode()
+    req = urllib.request.Request(url, data=data, method=method)
+    for name, value in (headers or {}).items():
+        req.add_header(name, value)
+    try:
+        with urllib.request.urlopen(req, timeout=timeout) as answer:
+            status, text = answer.status, answer.read().decode()
+    except urllib.error.HTTPError as err:
+        status, text = err.code, err.read().decode()
+    try:
+        return status, json.loads(text)
+    except ValueError:
+        return status, text
+
+
+def wait_for(what, condition, timeout=START_TIMEOUT_S):
+    """Polls until condition() is true; an OSError counts as not yet."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise RuntimeError(f"{what}: not ready in {timeout} s")
+
+
+class Fleet:
+    """One platform, engines, plain backend servers and daemons."""
+
+    def __init__(self, daemon_settings=None):
+        self.dir = tempfile.mkdtemp(prefix="goldcrest-")
+        self.processes = {}
+        self.ports = {}
+        self.daemon_settings = daemon_settings or {}
+        self.fleet_key = secrets.token_hex(32)
+        self.config = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def spawn(self, name, program, args):
+        log = open(os.path.join(self.dir, name + ".log"), "ab")
+        self.processes[name] = subprocess.Popen(
+            [os.path.join(ROOT, program)] + args,
+            stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        log.close()
+
+    def url(self, name):
+        return f"http://127.0.0.1:{self.ports[name]}"
+
+    def start_standin(self, name, kind, args):
+        port = free_ports(1)[0]
+        self.ports[name] = port
+        self.spawn(name, f"standins/{kind}/standin-{kind}",
+                   ["--name", name, "--address", "127.0.0.1",
+                    "--port", str(port)] + args)
+        wait_for(name, lambda: socket.create_connection(
+            ("127.0.0.1", port), timeout=1).close() is None)
+
+    def register(self, name, service, labels, state="live"):
+        entry = {"ID": name, "Name": service, "Address": "127.0.0.1",
+                 "Port": self.ports[name],
+                 "Meta": dict(labels, state=state)}
+        status, text = http(
+            "PUT", self.url("platform") + "/v1/agent/service/register", entry)
+        if status != 200:
+            raise RuntimeError(f"register {name}: {status} {text}")
+
+    def start_platform(self, args=()):
+        self.start_standin("platform", "platform", list(args))
+
+    def start_engine(self, index, args=(), labels=None):
+        name = f"engine-{index}"
+        self.start_standin(name, "engine", list(args))
+        self.register(name, "engine", {
+            "failure_domain": DOMAINS[index % len(DOMAINS)],
+            "kind": "engine", **(labels or {})})
+        return name
+
+    def start_backend(self, index, args=()):
+        name = f"backend-{index}"
+        self.start_standin(name, "backend", list(args))
+        self.register(name, "service", {
+            "failure_domain": DOMAINS[index % len(DOMAINS)],
+            "kind": "service"})
+        return name
+
+    def start_daemons(self, count):
+        names = [f"entry-{i}" for i in range(count)]
+        ports = free_ports(3 * count)
+        peers = {n: ports[3 * i + 2] for i, n in enumerate(names)}
+        for i, name in enumerate(names):
+            self.ports[name] = ports[3 * i]
+            self.ports[name + ".operator"] = ports[3 * i + 1]
+            self.ports[name + ".peer"] = peers[name]
+            settings = {
+                "instance": name,
+                "failure_domain": DOMAINS[i % len(DOMAINS)],
+                "caller": {"address": "127.0.0.1", "port": ports[3 * i]},
+                "operator": {"address": "127.0.0.1",
+                             "port": ports[3 * i + 1]},
+                "peer": {"address": "127.0.0.1", "port": peers[name]},
+                "seed_peers": [f"tcp://127.0.0.1:{p}"
+                               for n, p in peers.items() if n != name][:4],
+                "platform_url": self.url("platform"),
+                "fleet_key": self.fleet_key,
+                "operator_keys": [OPERATOR_KEY],
+                **self.daemon_settings,
+            }
+            with open(os.path.join(self.dir, name + ".json"), "w") as f:
+                json.dump(settings, f)
+            self.start_daemon(name)
+        for name in names:
+            wait_for(name, lambda n=name: http(
+                "GET", self.url(n) + "/v1/addresses")[0] == 200)
+        return names
+
+    def start_daemon(self, name):
+        self.spawn(name, "goldcrestd/goldcrestd",
+                   ["-f", os.path.join(self.dir, name + ".json")])
+
+    def operator(self, method, name, path, body=None, version=None):
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY}
+        if version is not None:
+            headers["If-Match"] = str(version)
+        return http(method, self.url(name + ".operator") + path, body, headers)
+
+    def configure(self, daemon, patch, version=0):
+        """Applies a configuration change; returns the new version."""
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while True:
+            status, doc = self.operator("PATCH", daemon, "/v1/config", patch,
+                                        version)
+            if status == 200:
+                return doc["version"]
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"config: {status} {doc}")
+            time.sleep(0.2)
+
+    def wait_in_effect(self, daemons, version):
+        def everywhere():
+            for name in daemons:
+                _, doc = self.operator("GET", name, "/v1/status")
+                if doc["version"] < version or not doc["in_effect"]:
+                    return False
+            return True
+        wait_for(f"version {version}", everywhere)
+
+    def kill(self, name, sig=signal.SIGKILL):
+        """Sends a signal; returns the time in ms since the epoch."""
+        at = int(time.time() * 1000)
+        self.processes[name].send_signal(sig)
+        if sig in (signal.SIGKILL, signal.SIGTERM):
+            self.processes[name].wait(timeout=60)
+        return at
+
+    def load(self, daemons, account, args):
+        """Starts gcload; read its report with report()."""
+        urls = [arg for n in daemons for arg in ("--url", self.url(n))]
+        return subprocess.Popen(
+            [os.path.join(ROOT, "bench/gcload"), *urls,
+             "--key", ACCOUNT_KEYS[account], *args],
+            stdin=subprocess.DEVNULL, stdout=subprocess.PIPE)
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def report(process, timeout):
+    """The report of a finished gcload."""
+    try:
+        out, _ = process.communicate(timeout=timeout)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+        raise
+    return json.loads(out)
+
+
+def sha256(text):
+    import hashlib
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def two_user_config(policy_a="latency", policy_b="economy"):
+    """Accounts of both users, one model, one plain service."""
+    return {
+        "pools": {
+            "engines": {"kind": "engine",
+                        "selector": {"match": {"kind": "engine"}}},
+            "services": {"kind": "service",
+                         "selector": {"match": {"kind": "service"}}}},
+        "models": {"draft": {"version": "1", "pool": "engines"}},
+        "services": {"bookings": {"pool": "services",
+                                  "status_path": "/status/{key}",
+                                  "checks_fencing": False}},
+        "accounts": {
+            "lone-star": {"key_sha256": sha256(ACCOUNT_KEYS["lone-star"]),
+                          "weight": 1, "policy": policy_a},
+            "cyflogres": {"key_sha256": sha256(ACCOUNT_KEYS["cyflogres"]),
+                          "weight": 1, "policy": policy_b}},
+    }
