--- a/bench/gcload.h
+++ b/bench/gcload.h
@@ -23,6 +23,7 @@
 	char *path;
 	int bookings;
 	int patience_s;
+	gboolean restart; /* begin a failed answer anew (a baseline) */
 	int seed;
 } load_options_t;
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -46,6 +46,7 @@
 	struct timespec begun;
 	struct timespec last;
 	bool reconnected;
+	uint64_t held; /* tokens of the answer that was begun anew */
 } request_t;
 
 typedef struct booking {
@@ -56,6 +57,8 @@
 static uint64_t next_random(void *ctx);
 static void start_requests(load_t *load);
 static void start_request(load_t *load);
+static void generate(request_t *request);
+static bool begin_anew(request_t *request);
 static void schedule_arrival(load_t *load);
 static void on_arrival(struct tevent_context *ev, struct tevent_timer *te,
 		       struct timeval now, void *ctx);
@@ -146,11 +149,8 @@
 
 static void start_request(load_t *load)
 {
-	static const gc_generation_ops_t ops = {
-		.token = on_token, .resumed = on_resumed, .done = on_generated};
 	const load_options_t *o = load->options;
 	request_t *request = talloc_zero(load->ev, request_t);
-	gc_generation_conf_t conf = {.model = o->model};
 
 	request->load = load;
 	request->prompt = make_prompt(o->kind, o->prompt_words, &load->random);
@@ -158,14 +158,34 @@
 		g_rand_int_range(load->rand, o->min_tokens, o->max_tokens + 1);
 	request->begun = gc_clock_now(&gc_clock_system);
 	request->last = request->begun;
-	chain_begin(&request->chain, gc_str(request->prompt));
-	conf.prompt = gc_str(request->prompt);
-	conf.max_tokens = request->want;
 	load->started++;
 	load->running++;
+	generate(request);
+}
+
+static void generate(request_t *request)
+{
+	static const gc_generation_ops_t ops = {
+		.token = on_token, .resumed = on_resumed, .done = on_generated};
+	load_t *load = request->load;
+	gc_generation_conf_t conf = {.model = load->options->model,
+				     .prompt = gc_str(request->prompt),
+				     .max_tokens = request->want};
+
+	chain_begin(&request->chain, gc_str(request->prompt));
 	gc_caller_generate(load->caller, &conf, &ops, request);
 }
 
+/* The baseline that throws a failed answer away and asks again. */
+static bool begin_anew(request_t *request)
+{
+	if (!request->load->options->restart || request->held > 0)
+		return false;
+	request->held = request->chain.tokens;
+	generate(request);
+	return true;
+}
+
 static void on_token(void *ctx, gc_str_t text)
 {
 	request_t *request = ctx;
@@ -174,10 +194,13 @@
 	double gap = (double)gc_us_between(request->last, now) / 1000;
 
 	chain_take(&request->chain, text);
+	if (request->chain.tokens <= request->held)
+		return; /* the caller has seen these tokens already */
 	add_sample(request->chain.tokens == 1 ? load->first_ms
 					      : load->interval_ms,
 		   gap);
-	if (request->chain.new_run || request->reconnected)
+	if (request->chain.new_run || request->reconnected ||
+	    (request->held > 0 && request->chain.tokens == request->held + 1))
 		note_resume(request, gap);
 	request->reconnected = false;
 	request->last = now;
@@ -207,6 +230,8 @@
 	const chain_t *chain = &request->chain;
 	struct timespec now = gc_clock_now(&gc_clock_system);
 
+	if (err && !chain->broken && begin_anew(request))
+		return;
 	add_sample(load->total_ms,
 		   (double)gc_us_between(request->begun, now) / 1000);
 	if (chain->broken || (!err && chain->tokens != request->want))
