--- a/lib/generation_impl.h
+++ b/lib/generation_impl.h
@@ -16,6 +16,7 @@
 	char name[GC_NAME_MAX];
 	gc_flight_t flight;
 	struct tevent_immediate *lost; /* its engine isn't in the view */
+	bool timed; /* last is the start or a token of its own time */
 	bool got_token;
 	struct timespec last; /* start or last token */
 } attempt_t;
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -145,6 +145,7 @@
 	if (!engine_conf(attempt, &conf))
 		return;
 	gen->dispatched = true;
+	attempt->timed = true;
 	body = run_body(gen, from);
 	attempt->engine = gc_engine_start(attempt, &conf, body, from,
 					  &engine_ops, attempt);
@@ -253,15 +254,22 @@
 	attempt_t *attempt = ctx;
 	gc_generation_t *gen = attempt->gen;
 	struct timespec now = gc_clock_now(gen->clock);
+	uint64_t held = MAX(gc_stream_tokens(gen->stream),
+			    gen->resumed ? gen->cursor.offset : 0);
+	/* Tokens that an attach reads again come faster than decoded ones. */
+	bool fresh = offset >= held;
 	gc_stall_t *stall = gc_engines_stall(gc_traffic_engines(gen->traffic),
 					     attempt->name);
 
-	/* A pause of ours says nothing about the engine. */
-	if (!gen->paused && gen->paused_ms == 0)
-		gc_stall_observe(stall, !attempt->got_token,
-				 gc_us_between(attempt->last, now));
-	attempt->got_token = true;
-	attempt->last = now;
+	if (fresh) {
+		/* A pause of ours says nothing about the engine. */
+		if (attempt->timed && !gen->paused && gen->paused_ms == 0)
+			gc_stall_observe(stall, !attempt->got_token,
+					 gc_us_between(attempt->last, now));
+		attempt->timed = true;
+		attempt->got_token = true;
+		attempt->last = now;
+	}
 	gc_stream_on_token(gen->stream, attempt->number, offset, text);
 }
 
