--- a/lib/control.c
+++ b/lib/control.c
@@ -62,6 +62,11 @@
 	return control;
 }
 
+uint16_t gc_control_operator_port(const gc_control_t *control)
+{
+	return gc_operators_port(control->operators);
+}
+
 void gc_control_destroy(gc_control_t *control)
 {
 	talloc_free(control);
