Report query arguments without a value as present

gc_http_req_query gave NULL for "?keys", as for an argument that is absent, so that the key listing of the published protocol could not be recognised.

Look the argument up together with its length and give "" when it has no value.

Tested by regress/standins_platform.t, whose key listing was empty before and lists the keys now.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -351,8 +351,14 @@
 
 const char *gc_http_req_query(const gc_http_req_t *req, const char *name)
 {
-	return MHD_lookup_connection_value(req->conn, MHD_GET_ARGUMENT_KIND,
-					   name);
+	const char *value = NULL;
+
+	if (MHD_lookup_connection_value_n(req->conn, MHD_GET_ARGUMENT_KIND,
+					  name, strlen(name), &value,
+					  NULL) != MHD_YES)
+		return NULL;
+	/* An argument without "=" has no value, but is not absent. */
+	return value ? value : "";
 }
 
 gc_str_t gc_http_req_body(const gc_http_req_t *req)
