Let the stand-in engine's run ids be chosen

Run ids start with a random number, so that the ids of a restarted engine differ; recorded answers can't be compared with that.

--- a/standins/engine/standin-engine.c
+++ b/standins/engine/standin-engine.c
@@ -42,6 +42,8 @@
 	 &engine_options.event_lag_ms, "Delay of cache events (500)", "MS"},
 	{"cache-event-loss", 0, 0, G_OPTION_ARG_INT, &engine_options.event_loss,
 	 "Leave out every Nth cache event; 0: none (0)", "N"},
+	{"run-base", 0, 0, G_OPTION_ARG_STRING, &engine_options.run_base,
+	 "Start of run ids (the name and a random number)", "TEXT"},
 	{"check-fencing", 0, 0, G_OPTION_ARG_NONE,
 	 &engine_options.check_fencing,
 	 "Refuse orders with an old fencing number", NULL},
@@ -95,8 +97,10 @@
 	}
 	engine->standin = standin;
 	engine->cache = cache_create(engine);
-	engine->run_base = g_strdup_printf("%s-%06x", standin->name,
-					   g_random_int() & 0xffffff);
+	engine->run_base = engine_options.run_base
+				   ? g_strdup(engine_options.run_base)
+				   : g_strdup_printf("%s-%06x", standin->name,
+						     g_random_int() & 0xffffff);
 	g_strcanon(engine->run_base,
 		   G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "-_.", '_');
 	engine->runs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -177,6 +181,7 @@
 {
 	struct timespec at = gc_add_ms(gc_clock_wall(&gc_clock_system),
 				       -(int64_t)engine_options.load_lag_ms);
+	json_int_t at_ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
 	const load_sample_t *sample;
 
 	engine_load_changed(engine);
@@ -185,9 +190,7 @@
 		      json_pack("{si si si sI}", "running",
 				(int)sample->running, "queued",
 				(int)sample->queued, "slots",
-				engine_options.slots, "at_ms",
-				(json_int_t)(at.tv_sec * INT64_C(1000) +
-					     at.tv_nsec / 1000000)));
+				engine_options.slots, "at_ms", at_ms));
 }
 
 static void show_cache_events(engine_t *engine, gc_http_req_t *req)
--- a/standins/engine/standin-engine.h
+++ b/standins/engine/standin-engine.h
@@ -19,6 +19,7 @@
 	gint event_lag_ms;
 	gint event_loss; /* every Nth event is left out; 0: none */
 	gboolean check_fencing;
+	gchar *run_base; /* NULL: the name and a random number */
 } engine_options_t;
 
 extern engine_options_t engine_options;
