--- a/core/stream.c
+++ b/core/stream.c
@@ -689,8 +689,12 @@
 	}
 	a->state = ATTEMPT_STREAMING;
 	g_strlcpy(a->run, run, sizeof(a->run));
-	if (!a->suspected)
-		a->silent_since = now_of(s);
+	a->silent_since = now_of(s);
+	/* A sign of life, as long as nothing was started instead. */
+	if (!other_of(s, a)) {
+		a->suspected = false;
+		stop_waiting(s);
+	}
 	if (s->checking && s->cursor.offset == 0)
 		s->checking = false;
 }
