Name the changed entries of a section that is new

Cause: a conflict with the first configuration was told as "instances" only. Change: sections that come or go are told by their entries; the list of changes is an allowed member of the document. Conclusion: goldcrestctl can tell which object a conflict touches.

--- a/core/config.c
+++ b/core/config.c
@@ -166,9 +166,10 @@
 
 static void read_document(gc_config_t *config, GString *errors)
 {
-	static const char *const members[] = {"version",  "change", "instances",
-					      "pools",	  "models", "services",
-					      "accounts", NULL};
+	static const char *const members[] = {"version",   "changes",
+					      "instances", "pools",
+					      "models",	   "services",
+					      "accounts",  NULL};
 
 	gc_check_members(config->document, "", members, errors);
 	if (!json_object_get(config->document, "version"))
--- a/core/config_edit.c
+++ b/core/config_edit.c
@@ -62,7 +62,12 @@
 static void add_changes(GPtrArray *paths, const char *prefix, json_t *before,
 			json_t *after)
 {
-	if (json_is_object(before) && json_is_object(after)) {
+	/* A section that comes or goes is told by its entries. */
+	bool section = strchr(prefix, '.') == NULL &&
+		       (!before || json_is_object(before)) &&
+		       (!after || json_is_object(after));
+
+	if (section || (json_is_object(before) && json_is_object(after))) {
 		add_members(paths, prefix, before, after);
 		return;
 	}
@@ -71,6 +76,11 @@
 	g_ptr_array_add(paths, g_strdup(prefix));
 }
 
+static bool is_bookkeeping(const char *name)
+{
+	return strcmp(name, "version") == 0 || strcmp(name, "changes") == 0;
+}
+
 static void add_members(GPtrArray *paths, const char *prefix, json_t *before,
 			json_t *after)
 {
@@ -82,19 +92,17 @@
 		g_autofree char *path =
 			g_strconcat(prefix, top ? "" : ".", name, NULL);
 
-		if (top && (strcmp(name, "version") == 0 ||
-			    strcmp(name, "changes") == 0))
-			continue;
-		add_changes(paths, path, value, json_object_get(after, name));
+		if (!top || !is_bookkeeping(name))
+			add_changes(paths, path, value,
+				    json_object_get(after, name));
 	}
 	json_object_foreach (after, name, value) {
-		if (json_object_get(before, name))
-			continue;
-		if (top && (strcmp(name, "version") == 0 ||
-			    strcmp(name, "changes") == 0))
-			continue;
-		g_ptr_array_add(paths, g_strconcat(prefix, top ? "" : ".", name,
-						   NULL));
+		g_autofree char *path =
+			g_strconcat(prefix, top ? "" : ".", name, NULL);
+
+		if (!json_object_get(before, name) &&
+		    (!top || !is_bookkeeping(name)))
+			add_changes(paths, path, NULL, value);
 	}
 }
 
--- a/lib/control_impl.h
+++ b/lib/control_impl.h
@@ -90,5 +90,6 @@
 
 /* operators.c: the operator listener. Errors: GC_ERR_IO. */
 gc_operators_t *gc_operators_create(gc_control_t *control, GError **err);
+uint16_t gc_operators_port(const gc_operators_t *operators);
 
 #endif
--- a/lib/operators.c
+++ b/lib/operators.c
@@ -85,6 +85,11 @@
 	return operators;
 }
 
+uint16_t gc_operators_port(const gc_operators_t *operators)
+{
+	return gc_httpd_port(operators->httpd);
+}
+
 static void on_request(void *ctx, gc_http_req_t *req)
 {
 	gc_operators_t *operators = ctx;
