--- a/bench/demo.py
+++ b/bench/demo.py
@@ -69,7 +69,7 @@
                     and engine_died <= r["at_ms"] < daemon_died]
     after_daemon = [r["at_ms"] - daemon_died for r in resumes
                     if r["reconnected"] and r["at_ms"] >= daemon_died]
-    per_key = effects["effects"]
+    per_key = effects["keys"]
     doubled = sum(1 for n in per_key.values() if n > 1)
     told = reports[0]["keys"]
     # An effect that a caller was told had not happened.
--- a/lib/control.c
+++ b/lib/control.c
@@ -72,11 +72,6 @@
 	talloc_free(control);
 }
 
-uint16_t gc_control_operator_port(const gc_control_t *control)
-{
-	return gc_operators_port(control->operators);
-}
-
 /* SplitMix64, seeded by the configuration. */
 static uint64_t next_random(void *ctx)
 {
