Answer held requests only while the engine is not frozen

A run that goes on after a freeze could meet its own freeze, and the requests that were held up were then answered during it.

Check before each of them. The case itself was not reproduced; make build and a run of 200 randomly cancelled and cut streams under address sanitizer showed no error (trial on a scratch copy).

--- a/standins/engine/standin-engine.c
+++ b/standins/engine/standin-engine.c
@@ -327,6 +327,8 @@
 		return;
 	}
 	run_thaw(engine);
-	while ((req = g_queue_pop_head(&engine->frozen_reqs)) != NULL)
+	/* A run that goes on may meet its own freeze. */
+	while (!engine_frozen(engine) &&
+	       (req = g_queue_pop_head(&engine->frozen_reqs)) != NULL)
 		route(engine, req);
 }
