Close a connection without any answer when it is cut before one

Change: abort before the answer closes the connection; the two scripted runs now expect an empty reply (curl 52) instead of a broken body (curl 18), which is the stricter outcome. Before: curl exit 18 in both runs. After: 52, both runs pass.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -260,6 +260,8 @@
 		suspend(req);
 		return MHD_YES;
 	}
+	if (!req->response)
+		return MHD_NO; /* aborted before its answer began */
 	return queue_response(req);
 }
 
@@ -486,7 +488,7 @@
 
 void gc_http_stream_abort(gc_http_req_t *req)
 {
-	if (req->state != ANSWER_STREAM)
+	if (req->state != ANSWER_STREAM && req->state != ANSWER_NONE)
 		return;
 	req->state = ANSWER_ABORTED;
 	resume(req);
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -82,7 +82,10 @@
 void gc_http_stream_on_drained(gc_http_req_t *req, size_t low_bytes,
 			       gc_http_drained_t drained, void *ctx);
 void gc_http_stream_end(gc_http_req_t *req);
-/* Closes the connection without a proper end, so that the client notices. */
+/*
+ * Closes the connection without a proper end, so that the client notices;
+ * without any answer if none has begun.
+ */
 void gc_http_stream_abort(gc_http_req_t *req);
 
 #endif
--- a/regress/standins_backend.t
+++ b/regress/standins_backend.t
@@ -35,18 +35,18 @@
   $ fault '{"fault":"cut_before"}'
   {"ok":true}
   $ book k3
-  curl: (18) transfer closed with outstanding read data remaining
-  [18]
+  curl: (52) Empty reply from server
+  [52]
   $ get $U1/status/k3
   {"state":"unknown","effects":0}
   $ fault '{"fault":"cut_after","count":2}'
   {"ok":true}
   $ book k4
-  curl: (18) transfer closed with outstanding read data remaining
-  [18]
+  curl: (52) Empty reply from server
+  [52]
   $ book k4
-  curl: (18) transfer closed with outstanding read data remaining
-  [18]
+  curl: (52) Empty reply from server
+  [52]
   $ get $U1/status/k4
   {"state":"done","effects":2}
   $ book k4
--- a/regress/standins_platform_faults.t
+++ b/regress/standins_platform_faults.t
@@ -20,8 +20,8 @@
   $ get $U/v1/kv/a
   [{"Key":"a","Value":"b25l","ModifyIndex":2}]
   $ put "/v1/kv/a?cas=2" two
-  curl: (18) transfer closed with outstanding read data remaining
-  [18]
+  curl: (52) Empty reply from server
+  [52]
   $ get $U/v1/kv/a
   [{"Key":"a","Value":"dHdv","ModifyIndex":3}]
   $ put "/v1/kv/a?cas=3" three
@@ -43,8 +43,8 @@
   $ fault '{"fault":"outage","ms":60000,"cut":true}'
   {"ok":true}
   $ get $U/v1/kv/a
-  curl: (18) transfer closed with outstanding read data remaining
-  [18]
+  curl: (52) Empty reply from server
+  [52]
   $ fault '{"fault":"clear"}'
   {"ok":true}
   $ get $U/v1/kv/a
--- a/standins/serve.c
+++ b/standins/serve.c
@@ -222,7 +222,6 @@
 
 void standin_cut(gc_http_req_t *req)
 {
-	gc_http_stream_begin(req, 200, "application/json");
 	gc_http_stream_abort(req);
 }
 
