Let tokens name their run

A token of another run on the right connection with the right offset could not be told from a right one, so the fault `foreign` of the stand-in engine got through to the caller (daemon_engine.t saw "broken at 5").

--- a/standins/engine/run.c
+++ b/standins/engine/run.c
@@ -77,7 +77,8 @@
 static void on_drained(void *ctx);
 static bool send_token(run_t *run);
 static bool take_fault(run_t *run, run_fault_kind_t kind, uint64_t offset);
-static void write_token(run_t *run, uint64_t offset, const char *text);
+static void write_token(run_t *run, uint64_t offset, const char *id,
+			const char *text);
 static void write_event(run_t *run, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 static void on_comment(struct tevent_context *ev, struct tevent_timer *te,
 		       struct timeval now, void *ctx);
@@ -418,13 +419,14 @@
 	if (take_fault(run, FAULT_GAP, offset))
 		return true;
 	if (take_fault(run, FAULT_REPEAT, offset))
-		write_token(run, offset, text);
+		write_token(run, offset, run->id, text);
 	if (take_fault(run, FAULT_FOREIGN, offset))
-		write_token(run, offset, "sofa:other-000000-1:00000000 ");
+		write_token(run, offset, "other-000000-1",
+			    "sofa:other-000000-1:00000000 ");
 	else if (take_fault(run, FAULT_GARBAGE, offset))
 		write_event(run, "id: x%%\ndata: {\"t\":garbage\n\n");
 	else
-		write_token(run, offset, text);
+		write_token(run, offset, run->id, text);
 	return true;
 }
 
@@ -440,9 +442,10 @@
 	return true;
 }
 
-static void write_token(run_t *run, uint64_t offset, const char *text)
+static void write_token(run_t *run, uint64_t offset, const char *id,
+			const char *text)
 {
-	json_t *value = json_pack("{ss}", "t", text);
+	json_t *value = json_pack("{ss ss}", "t", text, "run", id);
 	char *data = json_dumps(value, JSON_COMPACT);
 
 	write_event(run, "id: %" PRIu64 "\ndata: %s\n\n", offset, data);
