Report not_run when every engine refused, and try longer

A generation whose starts were all refused was reported as in_doubt, and eight attempts at the only engine left were over within about a second.

A start that was refused or not sent doesn't count as run. 32 attempts bridge about 10 s at the longest delay between them; the retry budget still limits the load.

--- a/lib/engine.c
+++ b/lib/engine.c
@@ -226,7 +226,10 @@
 	else if (!err)
 		gc_error_set(&own, GC_ERR_IO, "stream", engine->peer,
 			     "the engine closed the stream before its end");
-	report_broken(engine, err ? err : own);
+	else if (!sent && !engine->is_attach)
+		gc_error_set(&own, GC_ERR_UNAVAILABLE, "connect", engine->peer,
+			     "%s", err->message);
+	report_broken(engine, own ? own : err);
 	g_clear_error(&own);
 }
 
--- a/lib/engine.h
+++ b/lib/engine.h
@@ -25,7 +25,8 @@
 	void (*token)(void *ctx, uint64_t offset, gc_str_t text);
 	void (*end)(void *ctx, const char *reason, uint64_t tokens);
 	/*
-	 * The connection is gone; codes as in gc_stream_on_broken. Neither
+	 * The connection is gone; codes as in gc_stream_on_broken, and
+	 * GC_ERR_UNAVAILABLE if no connection was made for a start. Neither
 	 * broken nor another callback follows after end.
 	 */
 	void (*broken)(void *ctx, const GError *err);
--- a/lib/generation.c
+++ b/lib/generation.c
@@ -4,8 +4,11 @@
 #include "lib/generation_impl.h"
 #include "lib/log.h"
 
-/* New runs per generation; each failed engine takes one. */
-#define MAX_ATTEMPTS 8
+/*
+ * New runs per generation. An answer whose only engine refuses for a while is
+ * tried every 400 ms, so this bridges about 10 s.
+ */
+#define MAX_ATTEMPTS 32
 /* How often a waiting generation looks whether its caller has hung up. */
 #define WATCH_MS 500
 /* Silence after which a comment line is sent. */
@@ -179,7 +182,7 @@
 	if (gen->stream)
 		gc_stream_on_caller_gone(gen->stream);
 	gc_reply_fail(gen->reply, err,
-		      gen->dispatched ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
+		      gen->in_doubt ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
 		      gc_retry_after_s(gen->traffic));
 	gc_generation_release(gen);
 }
--- a/lib/generation_impl.h
+++ b/lib/generation_impl.h
@@ -16,6 +16,7 @@
 	char name[GC_NAME_MAX];
 	gc_flight_t flight;
 	struct tevent_immediate *lost; /* its engine isn't in the view */
+	bool may_run; /* started and not refused */
 	bool timed; /* last is the start or a token of its own time */
 	bool got_token;
 	struct timespec last; /* start or last token */
@@ -39,7 +40,8 @@
 	uint8_t id[GC_REQUEST_ID_LEN];
 	bool over; /* the answer is given or given up */
 	bool keep_runs; /* runs go on at the engine; another daemon resumes */
-	bool dispatched; /* some engine may have begun to work */
+	bool started; /* some engine was asked to start a run */
+	bool in_doubt; /* some engine may have begun to work */
 	uint32_t last_attempt; /* of the last token; 0: none */
 	struct timespec last_token;
 	bool paused; /* the caller reads slowly */
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -80,6 +80,7 @@
 
 static int attempt_destructor(attempt_t *attempt)
 {
+	attempt->gen->in_doubt |= attempt->may_run;
 	gc_flight_end(&attempt->flight);
 	if (attempt->prev)
 		attempt->prev->next = attempt->next;
@@ -144,7 +145,8 @@
 
 	if (!engine_conf(attempt, &conf))
 		return;
-	gen->dispatched = true;
+	gen->started = true;
+	attempt->may_run = true;
 	attempt->timed = true;
 	body = run_body(gen, from);
 	attempt->engine = gc_engine_start(attempt, &conf, body, from,
@@ -181,7 +183,7 @@
 	attempt_t *attempt = attempt_create(gen, number, engine);
 	gc_engine_conf_t conf;
 
-	gen->dispatched = true;
+	gen->in_doubt = true;
 	if (!engine_conf(attempt, &conf))
 		return;
 	attempt->engine = gc_engine_attach(attempt, &conf, run, from,
@@ -290,6 +292,11 @@
 	gc_generation_t *gen = attempt->gen;
 	uint32_t number = attempt->number;
 
+	/* The engine refused, or no connection to it was made. */
+	if (g_error_matches(err, GC_ERROR, GC_ERR_OVERLOADED) ||
+	    g_error_matches(err, GC_ERROR, GC_ERR_UNAVAILABLE))
+		attempt->may_run = false;
+	gen->in_doubt |= attempt->may_run;
 	gc_log_error(GC_LOG_INFO, 1103, "attempt broke", err);
 	gc_stream_on_broken(gen->stream, number, err);
 	talloc_free(attempt_find(gen, number));
@@ -314,7 +321,7 @@
 
 	if (!gc_engines_pick(gc_traffic_engines(gen->traffic), &pick, engine))
 		return false;
-	return !gen->dispatched || gc_retry_budget_take(budget);
+	return !gen->started || gc_retry_budget_take(budget);
 }
 
 static void op_deliver(void *ctx, gc_str_t token, const gc_cursor_t *cursor)
@@ -380,7 +387,7 @@
 	gc_log_error(GC_LOG_WARNING, 1104, "generation failed", err);
 	gen->over = true;
 	gc_reply_fail(gen->reply, err,
-		      gen->dispatched ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
+		      gen->in_doubt ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
 		      gc_retry_after_s(gen->traffic));
 	gc_generation_release(gen);
 }
