--- /dev/null
+++ b/regress/daemon.sh
@@ -0,0 +1,142 @@
+# Functions for the scripted runs of daemons (daemon_*.t). Sourced with bash;
+# works in the current directory and ends what it started when the shell ends.
+FLEET_KEY=000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+OPERATOR_KEY=operator-key
+pids=
+
+cleanup() {
+	for pid in $pids; do
+		kill -CONT "$pid" 2>/dev/null
+		kill -KILL "$pid" 2>/dev/null
+	done
+	wait 2>/dev/null
+}
+trap cleanup EXIT
+
+# kill_9 PID: ends a process of this shell without the shell's notice of it.
+kill_9() { kill -KILL "$1"; wait "$1" 2>/dev/null || true; }
+
+# Waits up to 10 s until the command succeeds.
+await() {
+	for _ in $(seq 200); do
+		"$@" >/dev/null 2>&1 && return 0
+		sleep 0.05
+	done
+	echo "gave up waiting for: $*"
+	return 1
+}
+
+# number NAME FILE: the number of a member of a flat JSON object.
+number() { grep -o "\"$1\":[0-9]*" "$2" | head -n 1 | cut -d : -f 2; }
+sha256() { printf %s "$1" | sha256sum | cut -d ' ' -f 1; }
+
+# The port of a stand-in's ports file.
+port_in() { grep -o '[0-9][0-9]*' "$1" | head -n 1; }
+
+start_platform() {
+	standin-platform --ports-file platform.ports >platform.log 2>&1 &
+	pids="$pids $!"
+	await test -s platform.ports
+	PLATFORM=http://127.0.0.1:$(port_in platform.ports)
+	cat >config.json <<-END
+	{"version":1,"instances":{},
+	 "pools":{"engines":{"kind":"engine","selector":{}}},
+	 "models":{"draft":{"version":"1","pool":"engines","selector":{}}},
+	 "services":{},
+	 "accounts":{
+	  "quick":{"key_sha256":"$(sha256 quick-key)","weight":1,
+	   "policy":"latency","selector":{},"max_in_flight":100},
+	  "thrifty":{"key_sha256":"$(sha256 thrifty-key)","weight":1,
+	   "policy":"economy","selector":{},"max_in_flight":100}}}
+	END
+	curl -s -X PUT --data-binary @config.json \
+		"$PLATFORM/v1/kv/config/current?cas=0" >/dev/null
+}
+
+# start_engine NAME [OPTION...]: sets NAME_pid and NAME_url.
+start_engine() {
+	local name=$1
+	shift
+	standin-engine --name "$name" --ports-file "$name.ports" "$@" \
+		>"$name.log" 2>&1 &
+	eval "${name}_pid=$!"
+	pids="$pids $!"
+	await test -s "$name.ports"
+	eval "${name}_url=http://127.0.0.1:$(port_in "$name.ports")"
+	curl -s -X PUT "$PLATFORM/v1/agent/service/register" -d "{
+		\"ID\":\"$name\",\"Name\":\"engine\",\"Address\":\"127.0.0.1\",
+		\"Port\":$(port_in "$name.ports"),
+		\"Meta\":{\"failure_domain\":\"a\"}}"
+}
+
+# settings NAME [MEMBERS]: writes NAME.json; MEMBERS begin with a comma.
+settings() {
+	cat >"$1.json" <<-END
+	{"instance":"$1","failure_domain":"a",
+	 "caller":{"address":"127.0.0.1","port":0},
+	 "operator":{"address":"127.0.0.1","port":0},
+	 "peer":{"address":"127.0.0.1","port":0},
+	 "platform_url":"$PLATFORM","fleet_key":"$FLEET_KEY",
+	 "operator_keys":["$OPERATOR_KEY"],"list_poll_ms":100,
+	 "load_poll_ms":100,"heartbeat_ms":100$2}
+	END
+}
+
+# start_daemon NAME [MEMBERS]: sets NAME_pid, NAME_url and NAME_ops, and waits
+# until the daemon can place a generation.
+start_daemon() {
+	settings "$1" "$2"
+	goldcrestd -f "$1.json" --ports-file "$1.ports" 2>"$1.log" &
+	eval "$1_pid=$!"
+	pids="$pids $!"
+	await test -s "$1.ports"
+	eval "$1_url=http://127.0.0.1:$(number caller "$1.ports")"
+	eval "$1_ops=http://127.0.0.1:$(number operator "$1.ports")"
+	eval "await ready \$$1_url"
+}
+
+# peer_of OPS_URL: the daemon's own peer address, a seed for others.
+peer_of() {
+	curl -s -H "Authorization: Bearer $OPERATOR_KEY" "$1/v1/status" |
+		grep -o 'tcp://[0-9.:]*' | head -n 1
+}
+
+ready() {
+	call "$1" '{"model":"draft","prompt":"ready?","max_tokens":1}' |
+		grep -q text_completion
+}
+
+# call URL BODY [CURL OPTION...]: one completion.
+call() {
+	local url=$1 body=$2
+	shift 2
+	curl -s -H 'Authorization: Bearer quick-key' "$@" \
+		"$url/v1/completions" -d "$body"
+}
+
+# stream URL MAX_TOKENS [CURL OPTION...]: one streamed completion.
+stream() {
+	local url=$1 max=$2
+	shift 2
+	call "$url" "{\"model\":\"draft\",\"prompt\":\"$PROMPT\",
+		\"max_tokens\":$max,\"stream\":true}" -N "$@"
+}
+# runs_on URL ENGINE: true once a generation was placed on the engine.
+runs_on() {
+	call "$1" '{"model":"draft","prompt":"ready?","max_tokens":1}' |
+		grep -q ":$2-"
+}
+PROMPT='two sofas and a fridge'
+
+# The last event id and the tokens of event streams, in order.
+last_id() { sed -n 's/^id: //p' "$1" | tail -n 1; }
+tokens() { sed -n 's/.*"text":"\([^"]\{1,\}\)","finish_reason":null.*/\1/p' "$@"; }
+
+# chain FILE...: "whole N" if the tokens of the streams are the N tokens of the
+# prompt's hash chain, without a gap, a repeat or a token of another answer.
+chain() { tokens "$@" | "$TOP/regress/bin/chain" "$PROMPT"; }
+
+# stat URL NAME: a number of an engine's statistics.
+stat() { curl -s "$1/v1/stats" >stats.tmp && number "$2" stats.tmp; }
+stat_is() { test "$(stat "$1" "$2")" = "$3"; }
+fault() { curl -s -o /dev/null "$1/faults" -d "$2"; }
--- /dev/null
+++ b/regress/daemon_frozen.t
@@ -0,0 +1,30 @@
+Guards against callers that wait for an engine that has frozen for good, and
+against its run that goes on when the engine does.
+
+  $ . "$TOP/regress/daemon.sh"
+  $ start_platform
+  $ start_engine e1
+  $ start_engine e2
+  $ start_daemon d1
+  $ started() { test "$(tokens out | wc -l)" -gt 20; }
+  $ in_use() { tokens out | sed -n 's/^[^:]*:\(e[0-9]\)-.*/\1/p' | tail -n 1; }
+
+The stall detector learns the engines' pace first.
+
+  $ stream $d1_url 50 >/dev/null; stream $d1_url 50 >/dev/null
+  $ for key in quick thrifty; do
+  >   stream $d1_url 200 -H "Authorization: Bearer $key-key" >out &
+  >   caller=$!; await started; eval "pid=\$$(in_use)_pid url=\$$(in_use)_url"
+  >   kill -STOP $pid
+  >   wait $caller; chain out; tail -n 2 out | head -n 1
+  >   kill -CONT $pid
+  >   await stat_is $url cancelled 1 && echo cancelled
+  >   fault $url '{"fault":"clear"}'
+  >   sleep 2
+  > done
+  whole 200
+  data: [DONE]
+  cancelled
+  whole 200
+  data: [DONE]
+  cancelled
