--- a/core/members.c
+++ b/core/members.c
@@ -123,7 +123,6 @@
 {
 	bool complete = false;
 
-	members->list_read = true;
 	for (guint i = 0; i < members->all->len; i++)
 		((member_t *)members->all->pdata[i])->listed = false;
 	for (size_t i = 0; i < n; i++) {
@@ -141,6 +140,7 @@
 			member->leaving = listed[i].leaving;
 		}
 	}
+	members->list_read |= complete;
 	forget(members, now, complete);
 }
 
--- a/core/members.h
+++ b/core/members.h
@@ -95,7 +95,10 @@
 /* The whole instance list of daemons, as just read. */
 void gc_members_on_list(gc_members_t *members, struct timespec now,
 			const gc_member_hint_t *listed, size_t n);
-/* Seeds whose daemon isn't known yet count as known until a list is read. */
+/*
+ * Seeds whose daemon isn't known yet count as known until a list was read that
+ * has this daemon in it.
+ */
 void gc_members_set_seeds(gc_members_t *members, const gc_str_t *peer_urls,
 			  size_t n);
 gc_members_answer_t gc_members_on_heartbeat(gc_members_t *members,
--- a/core/members_table.h
+++ b/core/members_table.h
@@ -38,7 +38,7 @@
 	GPtrArray *seeds; /* peer URLs */
 	uint32_t boot; /* distinguishes the runs of this daemon */
 	bool leaving;
-	bool list_read;
+	bool list_read; /* one that has this daemon in it */
 	bool voter;
 	uint64_t version; /* content held */
 	uint64_t newest; /* highest version heard of */
--- a/lib/control_members.c
+++ b/lib/control_members.c
@@ -146,8 +146,11 @@
 	gc_control_t *control = ctx;
 	g_autofree char *source = g_strndup(from.data, from.len);
 
-	if (version > gc_members_version(control->members))
-		gc_control_config_take(control, document, source);
+	if (version <= gc_members_version(control->members))
+		return;
+	/* The pull has been answered; the next change needs another. */
+	if (gc_control_config_take(control, document, source))
+		control->member_loop->pulled_at = (struct timespec){0};
 }
 
 static void on_engine_down(void *ctx, gc_str_t from, gc_str_t engine,
