--- a/lib/control.c
+++ b/lib/control.c
@@ -62,14 +62,14 @@
 	return control;
 }
 
-void gc_control_destroy(gc_control_t *control)
+uint16_t gc_control_operator_port(const gc_control_t *control)
 {
-	talloc_free(control);
+	return gc_operators_port(control->operators);
 }
 
-uint16_t gc_control_operator_port(const gc_control_t *control)
+void gc_control_destroy(gc_control_t *control)
 {
-	return gc_operators_port(control->operators);
+	talloc_free(control);
 }
 
 /* SplitMix64, seeded by the configuration. */
