--- a/core/admit.c
+++ b/core/admit.c
@@ -170,6 +170,11 @@
 	return best;
 }
 
+/*
+ * The account from which a full queue drops: the one that fills it most by
+ * weight. No account loses its only queued request, otherwise one with a low
+ * weight would never be granted.
+ */
 static share_t *fullest_share(gc_admit_t *admit)
 {
 	share_t *best = NULL;
@@ -180,7 +185,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		share_t *share = value;
 
-		if (share->n_queued == 0)
+		if (share->n_queued < 2)
 			continue;
 		if (!best || share_fill(share, 0) > share_fill(best, 0))
 			best = share;
@@ -321,9 +326,9 @@
 	if (!now && admit->n_queued >= admit->conf.max_queued) {
 		share_t *fullest = fullest_share(admit);
 
-		/* A full queue drops from the account that fills it most. */
 		if (!fullest ||
-		    share_fill(share, 1) >= share_fill(fullest, 0)) {
+		    (share->n_queued > 0 &&
+		     share_fill(share, 1) >= share_fill(fullest, 0))) {
 			share_drop_if_idle(admit, share);
 			*retry_after_ms = retry_after(admit);
 			return GC_ADMIT_REFUSED;
--- a/core/place.c
+++ b/core/place.c
@@ -22,6 +22,7 @@
 	bool ejected; /* use ejected engines instead of the others */
 	size_t count;
 	double mean_load;
+	double least_load;
 } usable_t;
 
 static bool is_avoided(const gc_place_request_t *req, gc_str_t name);
@@ -64,13 +65,17 @@
 static void survey(usable_t *u)
 {
 	double sum = 0;
+	double load;
 
 	u->count = 0;
 	for (size_t i = 0; i < u->n; i++) {
 		if (!is_usable(u, i))
 			continue;
+		load = load_with_one_more(&u->candidates[i]);
+		if (u->count == 0 || load < u->least_load)
+			u->least_load = load;
 		u->count++;
-		sum += load_with_one_more(&u->candidates[i]);
+		sum += load;
 	}
 	u->mean_load = u->count > 0 ? sum / u->count : 0;
 }
@@ -98,6 +103,9 @@
 
 	if (bound < AFFINITY_FREE_LOAD)
 		bound = AFFINITY_FREE_LOAD;
+	/* No queueing for a cache while another engine has a free slot. */
+	if (bound > 1 && u->least_load <= 1)
+		bound = 1;
 	for (size_t i = 0; i < u->n; i++) {
 		uint64_t cached = u->candidates[i].cached_tokens;
 
--- /dev/null
+++ b/regress/check_cursor.c
@@ -0,0 +1,140 @@
+/* Guards against cursors that are lost in transit, forged or altered. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/cursor.h"
+#include "core/error.h"
+
+static const uint8_t key[GC_FLEET_KEY_LEN] = {1, 2, 3};
+static const uint8_t other_key[GC_FLEET_KEY_LEN] = {1, 2, 4};
+
+static gc_cursor_t longest_cursor(void);
+static void assert_invalid(const uint8_t *with_key, gc_str_t text);
+
+static gc_cursor_t longest_cursor(void)
+{
+	gc_cursor_t cursor = {.attempt = UINT32_MAX,
+			      .offset = UINT64_MAX,
+			      .hash = UINT64_MAX};
+
+	memset(cursor.request, 0xff, sizeof(cursor.request));
+	memset(cursor.engine, 'e', GC_NAME_MAX - 1);
+	memset(cursor.run, 'r', GC_RUN_MAX - 1);
+	return cursor;
+}
+
+static void assert_invalid(const uint8_t *with_key, gc_str_t text)
+{
+	gc_cursor_t cursor;
+	GError *err = NULL;
+
+	ck_assert(!gc_cursor_decode(with_key, text, &cursor, &err));
+	ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
+	g_error_free(err);
+}
+
+START_TEST(test_round_trip)
+{
+	gc_cursor_t small = {.engine = "e1", .run = "r1", .offset = 1};
+	gc_cursor_t cursors[] = {longest_cursor(), small};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cursors); i++) {
+		char *text = gc_cursor_encode(NULL, key, &cursors[i]);
+		gc_cursor_t back;
+
+		ck_assert(gc_cursor_decode(key, gc_str(text), &back, NULL));
+		ck_assert_mem_eq(back.request, cursors[i].request,
+				 sizeof(back.request));
+		ck_assert_str_eq(back.engine, cursors[i].engine);
+		ck_assert_str_eq(back.run, cursors[i].run);
+		ck_assert_uint_eq(back.attempt, cursors[i].attempt);
+		ck_assert_uint_eq(back.offset, cursors[i].offset);
+		ck_assert_uint_eq(back.hash, cursors[i].hash);
+		talloc_free(text);
+	}
+}
+END_TEST
+
+/* An id travels in an event line, a header and a URL without escapes. */
+START_TEST(test_alphabet)
+{
+	gc_cursor_t cursor = longest_cursor();
+	char *text = gc_cursor_encode(NULL, key, &cursor);
+
+	ck_assert_uint_eq(strspn(text, "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklm"
+				       "nopqrstuvwxyz0123456789-_"),
+			  strlen(text));
+	talloc_free(text);
+}
+END_TEST
+
+START_TEST(test_any_change_is_found)
+{
+	gc_cursor_t cursor = {.engine = "e1", .run = "r1", .offset = 7};
+	char *text = gc_cursor_encode(NULL, key, &cursor);
+	size_t len = strlen(text);
+
+	for (size_t i = 0; i < len; i++) {
+		char was = text[i];
+
+		text[i] = was == 'A' ? 'B' : 'A';
+		assert_invalid(key, gc_str(text));
+		text[i] = was;
+		assert_invalid(key, (gc_str_t){text, i});
+	}
+	talloc_free(text);
+}
+END_TEST
+
+START_TEST(test_foreign_input)
+{
+	gc_cursor_t cursor = {.engine = "e1", .run = "r1", .offset = 7};
+	char *text = gc_cursor_encode(NULL, key, &cursor);
+	char longer[4096];
+
+	assert_invalid(other_key, gc_str(text));
+	assert_invalid(key, GC_STR_EMPTY);
+	assert_invalid(key, GC_STR_LIT("*** not base64 ***"));
+	memset(longer, 'A', sizeof(longer));
+	assert_invalid(key, (gc_str_t){longer, sizeof(longer)});
+	snprintf(longer, sizeof(longer), "%sAAAA", text);
+	assert_invalid(key, gc_str(longer));
+	talloc_free(text);
+}
+END_TEST
+
+/* Tokens that join to the same text are different sequences. */
+START_TEST(test_chain_hash)
+{
+	uint64_t ab_c = gc_chain_hash(gc_chain_hash(0, GC_STR_LIT("ab")),
+				      GC_STR_LIT("c"));
+	uint64_t a_bc = gc_chain_hash(gc_chain_hash(0, GC_STR_LIT("a")),
+				      GC_STR_LIT("bc"));
+	uint64_t c_ab = gc_chain_hash(gc_chain_hash(0, GC_STR_LIT("c")),
+				      GC_STR_LIT("ab"));
+
+	ck_assert_uint_ne(ab_c, a_bc);
+	ck_assert_uint_ne(ab_c, c_ab);
+	ck_assert_uint_ne(gc_chain_hash(ab_c, GC_STR_EMPTY), ab_c);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("cursor");
+	TCase *tcase = tcase_create("cursor");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_round_trip);
+	tcase_add_test(tcase, test_alphabet);
+	tcase_add_test(tcase, test_any_change_is_found);
+	tcase_add_test(tcase, test_foreign_input);
+	tcase_add_test(tcase, test_chain_hash);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/regress/prop_admit.cc
@@ -0,0 +1,316 @@
+/*
+ * Guards admission against accounts that flood, limits that are exceeded,
+ * slots that stay free while requests wait, and requests that are answered
+ * twice or never.
+ */
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "core/admit.h"
+}
+
+namespace
+{
+
+constexpr int64_t QUEUE_MS = 1000;
+
+struct Request {
+	size_t account;
+	gc_ticket_t *ticket = nullptr;
+	bool running = false;
+	bool queued = false;
+	int64_t since_ms = 0;
+};
+
+struct World {
+	int64_t now_ms = 1000;
+	uint64_t seed = 1;
+	TALLOC_CTX *mem = talloc_new(nullptr);
+	gc_admit_t *admit = nullptr;
+	gc_clock_t clock;
+	gc_random_t random;
+	uint32_t limit;
+	uint32_t max_queued;
+	std::vector<std::string> names;
+	std::vector<gc_account_t> accounts;
+	std::vector<std::unique_ptr<Request>> requests;
+	std::vector<uint64_t> grants;
+
+	World(uint32_t limit, uint32_t max_queued);
+	~World()
+	{
+		talloc_free(mem);
+	}
+	void add_account(uint32_t weight, uint32_t max_in_flight);
+	gc_admit_result_t ask(size_t account);
+	void release(Request *r);
+	size_t count(size_t account, bool running) const;
+	Request *any(bool running, size_t choice) const;
+	void check_limits() const;
+};
+
+struct timespec world_now(void *ctx)
+{
+	int64_t ms = static_cast<World *>(ctx)->now_ms;
+	return {ms / 1000, (ms % 1000) * 1000000};
+}
+
+uint64_t world_random(void *ctx)
+{
+	uint64_t z = (static_cast<World *>(ctx)->seed +=
+		      UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+World *current; /* for the callbacks */
+
+void on_granted(void *ctx)
+{
+	Request *r = static_cast<Request *>(ctx);
+
+	RC_ASSERT(r->queued);
+	r->queued = false;
+	r->running = true;
+	current->grants[r->account]++;
+}
+
+void on_expired(void *ctx, int64_t retry_after_ms)
+{
+	Request *r = static_cast<Request *>(ctx);
+
+	RC_ASSERT(r->queued);
+	RC_ASSERT(retry_after_ms > 0);
+	r->queued = false;
+	r->ticket = nullptr;
+}
+
+const gc_admit_ops_t OPS = {on_granted, on_expired};
+
+World::World(uint32_t in_flight, uint32_t queued)
+    : limit(in_flight), max_queued(queued)
+{
+	gc_admit_conf_t conf = {};
+
+	clock = {world_now, world_now, this};
+	random = {world_random, this};
+	conf.clock = &clock;
+	conf.random = &random;
+	conf.max_in_flight = limit;
+	conf.max_queued = max_queued;
+	conf.queue_ms = QUEUE_MS;
+	admit = gc_admit_create(mem, &conf);
+	current = this;
+	names.reserve(16);
+}
+
+void World::add_account(uint32_t weight, uint32_t max_in_flight)
+{
+	gc_account_t account = {};
+
+	names.push_back("account" + std::to_string(names.size()));
+	account.name = {names.back().data(), names.back().size()};
+	account.weight = weight;
+	account.max_in_flight = max_in_flight;
+	accounts.push_back(account);
+	grants.push_back(0);
+}
+
+gc_admit_result_t World::ask(size_t account)
+{
+	auto r = std::make_unique<Request>();
+	int64_t retry_after_ms = 0;
+
+	r->account = account;
+	r->queued = true; /* a grant may come before the call returns */
+	r->since_ms = now_ms;
+	gc_admit_result_t result =
+		gc_admit_request(admit, &accounts[account], &OPS, r.get(),
+				 &r->ticket, &retry_after_ms);
+	if (result == GC_ADMIT_NOW) {
+		r->queued = false;
+		r->running = true;
+		grants[account]++;
+	} else if (result == GC_ADMIT_REFUSED) {
+		RC_ASSERT(retry_after_ms > 0);
+		RC_ASSERT(!r->ticket);
+		r->queued = false;
+	}
+	requests.push_back(std::move(r));
+	return result;
+}
+
+void World::release(Request *r)
+{
+	gc_ticket_t *ticket = r->ticket;
+
+	r->ticket = nullptr;
+	r->running = false;
+	r->queued = false;
+	gc_admit_release(ticket);
+}
+
+size_t World::count(size_t account, bool running) const
+{
+	size_t n = 0;
+
+	for (const auto &r : requests)
+		if (r->account == account)
+			n += running ? r->running : r->queued;
+	return n;
+}
+
+Request *World::any(bool running, size_t choice) const
+{
+	std::vector<Request *> found;
+
+	for (const auto &r : requests)
+		if (running ? r->running : r->queued)
+			found.push_back(r.get());
+	return found.empty() ? nullptr : found[choice % found.size()];
+}
+
+void World::check_limits() const
+{
+	size_t in_flight = 0;
+	size_t queued = 0;
+	bool could_run = false;
+
+	for (size_t i = 0; i < accounts.size(); i++) {
+		size_t running = count(i, true);
+		uint32_t max = accounts[i].max_in_flight;
+		in_flight += running;
+		queued += count(i, false);
+		if (max > 0)
+			RC_ASSERT(running <= max);
+		could_run |= count(i, false) > 0 && (max == 0 || running < max);
+	}
+	RC_ASSERT(in_flight <= limit);
+	RC_ASSERT(queued <= max_queued);
+	/* No slot stays free while a request that may run waits. */
+	RC_ASSERT(!could_run || in_flight == limit);
+	for (const auto &r : requests)
+		if (r->queued)
+			RC_ASSERT(now_ms - r->since_ms <= QUEUE_MS);
+}
+
+/* Any mix of requests, ends, hang-ups and time. */
+void check_any_sequence()
+{
+	World w(*rc::gen::inRange(0, 5), *rc::gen::inRange(0, 8));
+	auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+		rc::gen::pair(rc::gen::inRange(0, 9),
+			      rc::gen::inRange(0, 1000)));
+
+	w.add_account(1, 0);
+	w.add_account(4, 2);
+	w.add_account(2, 1);
+	for (const auto &step : steps) {
+		Request *r = nullptr;
+		if (step.first < 5) {
+			w.ask(step.second % 3);
+		} else if (step.first == 8) {
+			w.now_ms += step.second;
+		} else {
+			r = w.any(step.first != 7, step.second);
+			if (r)
+				w.release(r);
+		}
+		int64_t due_ms = gc_admit_expire(w.admit);
+		bool due_ok =
+			due_ms == -1 ? !w.any(false, 0) : due_ms <= QUEUE_MS;
+		RC_ASSERT(due_ok);
+		w.check_limits();
+	}
+	while (Request *r = w.any(true, 0))
+		w.release(r);
+	if (w.limit > 0)
+		RC_ASSERT(!w.any(false, 0));
+}
+
+/* One account keeps one request waiting while others flood. */
+void check_flood()
+{
+	World w(*rc::gen::inRange(1, 6), *rc::gen::inRange(2, 30));
+	size_t n_flooding = *rc::gen::inRange(1, 4);
+	size_t n_rounds = *rc::gen::inRange(1, 200);
+	uint32_t own = *rc::gen::inRange(1, 6);
+	uint32_t sum = own;
+
+	w.add_account(own, 0);
+	for (size_t i = 1; i <= n_flooding; i++) {
+		uint32_t weight = *rc::gen::inRange(1, 6);
+		w.add_account(weight, 0);
+		sum += weight;
+		for (int k = 0; k < 40; k++)
+			w.ask(i);
+	}
+	/* The queue has room for every account's first request. */
+	RC_PRE(w.max_queued > n_flooding);
+	w.ask(0);
+	std::fill(w.grants.begin(), w.grants.end(), 0);
+	for (size_t round = 0; round < n_rounds; round++) {
+		w.release(w.any(true, round * 7));
+		while (w.count(0, false) < 2)
+			if (w.ask(0) == GC_ADMIT_REFUSED)
+				break;
+		RC_ASSERT(w.count(0, false) > 0U);
+		for (size_t i = 1; i <= n_flooding; i++)
+			for (int k = 0; k < 3; k++)
+				w.ask(i);
+		w.requests.erase(
+			std::remove_if(w.requests.begin(), w.requests.end(),
+				       [](const auto &r) {
+					       return !r->running && !r->queued;
+				       }),
+			w.requests.end());
+	}
+	double share = std::floor((double)n_rounds * own / sum);
+	/* Rounding to whole requests, once per competing account. */
+	RC_ASSERT(w.grants[0] + 1.0 + n_flooding >= share);
+}
+
+/* Retries never exceed the share of first tries plus what was saved. */
+void check_retry_budget()
+{
+	auto takes = *rc::gen::arbitrary<std::vector<bool>>();
+	gc_retry_budget_t budget = {0, 0.125, 4};
+	double earned = 0;
+	double taken = 0;
+
+	for (bool take : takes) {
+		if (take) {
+			taken += gc_retry_budget_take(&budget);
+		} else {
+			gc_retry_budget_earn(&budget);
+			earned += budget.per_request;
+		}
+		RC_ASSERT(taken <= earned);
+		RC_ASSERT(budget.tokens >= 0.0 && budget.tokens <= budget.max);
+	}
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = true;
+
+	ok &= rc::check("limits hold and no slot is wasted",
+			check_any_sequence);
+	ok &= rc::check("a flood leaves others their weighted share",
+			check_flood);
+	ok &= rc::check("retries stay within the budget", check_retry_budget);
+	return ok ? 0 : 1;
+}
--- /dev/null
+++ b/regress/prop_place.cc
@@ -0,0 +1,217 @@
+/*
+ * Guards placement against engines that must not get work, queues behind full
+ * engines while others are free, and daemons that overload one engine because
+ * their load reports lag.
+ */
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "core/place.h"
+}
+
+namespace
+{
+
+uint64_t next_random(void *ctx)
+{
+	uint64_t *state = static_cast<uint64_t *>(ctx);
+	uint64_t z = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+gc_str_t view(const std::string &s)
+{
+	return {s.data(), s.size()};
+}
+
+std::vector<std::string> make_names(const char *stem, size_t n)
+{
+	std::vector<std::string> names;
+
+	for (size_t i = 0; i < n; i++)
+		names.push_back(stem + std::to_string(i));
+	return names;
+}
+
+std::vector<gc_candidate_t>
+any_candidates(const std::vector<std::string> &names)
+{
+	std::vector<gc_candidate_t> candidates;
+
+	for (const auto &name : names) {
+		gc_candidate_t c = {};
+		c.name = view(name);
+		c.failure_domain = *rc::gen::arbitrary<bool>()
+					   ? GC_STR_LIT("near")
+					   : GC_STR_LIT("far");
+		c.slots = *rc::gen::inRange(1, 9);
+		c.running = *rc::gen::inRange(0, 10);
+		c.queued = *rc::gen::inRange(0, 3);
+		c.own_since_report = *rc::gen::inRange(0, 3);
+		c.own_in_flight = *rc::gen::inRange(0, 6);
+		c.cached_tokens = *rc::gen::inRange(0, 120);
+		c.leaving = *rc::gen::inRange(0, 4) == 0;
+		c.ejected = *rc::gen::inRange(0, 4) == 0;
+		candidates.push_back(c);
+	}
+	return candidates;
+}
+
+double load_of(const gc_candidate_t &c)
+{
+	double load = c.running + c.queued + c.own_since_report;
+
+	if (load < c.own_in_flight)
+		load = c.own_in_flight;
+	return (load + 1) / c.slots;
+}
+
+void check_choice()
+{
+	auto names = make_names("e", *rc::gen::inRange(0, 8));
+	auto candidates = any_candidates(names);
+	uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+	gc_random_t random = {next_random, &seed};
+	gc_place_request_t req = {};
+	std::vector<gc_str_t> avoid;
+
+	for (const auto &name : names)
+		if (*rc::gen::inRange(0, 4) == 0)
+			avoid.push_back(view(name));
+	req.prompt_tokens = 100;
+	req.policy = *rc::gen::element(GC_POLICY_LATENCY, GC_POLICY_ECONOMY);
+	req.avoid = avoid.data();
+	req.n_avoid = avoid.size();
+	req.prefer_domain = GC_STR_LIT("near");
+
+	auto may_use = [&](const gc_candidate_t &c, bool ejected) {
+		for (const auto &a : avoid)
+			if (gc_str_eq(a, c.name))
+				return false;
+		return !c.leaving && c.ejected == ejected;
+	};
+	bool has_healthy = false;
+	bool has_ejected = false;
+	for (const auto &c : candidates) {
+		has_healthy |= may_use(c, false);
+		has_ejected |= may_use(c, true);
+	}
+	ssize_t i = gc_place_choose(candidates.data(), candidates.size(), &req,
+				    &random);
+	if (!has_healthy && !has_ejected) {
+		RC_ASSERT(i == -1);
+		return;
+	}
+	RC_ASSERT(i >= 0 && (size_t)i < candidates.size());
+	const gc_candidate_t &chosen = candidates[i];
+	RC_ASSERT(may_use(chosen, !has_healthy));
+	/* The others at this pass: is there a free one, a better twin? */
+	double sum = 0;
+	size_t n = 0;
+	bool has_free = false;
+	for (const auto &c : candidates) {
+		if (!may_use(c, !has_healthy))
+			continue;
+		sum += load_of(c);
+		n++;
+		has_free |= load_of(c) <= 1;
+	}
+	if (has_free)
+		RC_ASSERT(load_of(chosen) <= 1);
+	/* Of two engines the busier one is taken only for its cache. */
+	for (const auto &c : candidates)
+		if (n == 2 && may_use(c, !has_healthy) &&
+		    load_of(c) < load_of(chosen)) {
+			RC_ASSERT(chosen.cached_tokens >= 25U);
+			RC_ASSERT(load_of(chosen) <=
+				  std::max(0.75, 1.25 * sum / n));
+		}
+}
+
+/* Many daemons place from the same old report. */
+void check_spread()
+{
+	constexpr size_t N_ENGINES = 20;
+	constexpr size_t N_DAEMONS = 10;
+	constexpr size_t PER_DAEMON = 10;
+	auto names = make_names("e", N_ENGINES);
+	uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+	gc_random_t random = {next_random, &seed};
+	gc_place_request_t req = {};
+	std::vector<size_t> total(N_ENGINES);
+
+	req.prompt_tokens = 100;
+	for (size_t d = 0; d < N_DAEMONS; d++) {
+		std::vector<gc_candidate_t> c(N_ENGINES);
+		for (size_t i = 0; i < N_ENGINES; i++) {
+			c[i].name = view(names[i]);
+			c[i].slots = 16;
+		}
+		for (size_t k = 0; k < PER_DAEMON; k++) {
+			ssize_t i = gc_place_choose(c.data(), c.size(), &req,
+						    &random);
+			RC_ASSERT(i >= 0);
+			c[i].own_since_report++;
+			c[i].own_in_flight++;
+			total[i]++;
+		}
+	}
+	for (size_t t : total)
+		RC_ASSERT(t <= 3 * N_DAEMONS * PER_DAEMON / N_ENGINES);
+}
+
+void check_subset()
+{
+	size_t n = *rc::gen::inRange<size_t>(1, 40);
+	size_t size = *rc::gen::inRange<size_t>(0, 12);
+	std::string daemon = "d" + std::to_string(*rc::gen::inRange(0, 1000));
+	auto names = make_names("e", n);
+	size_t removed = *rc::gen::inRange<size_t>(0, n);
+	std::vector<gc_str_t> all;
+	std::vector<gc_str_t> rest;
+	size_t members = 0;
+	size_t moved = 0;
+
+	for (const auto &name : names)
+		all.push_back(view(name));
+	rest = all;
+	rest.erase(rest.begin() + removed);
+	for (size_t i = 0; i < n; i++) {
+		bool in = gc_place_in_subset(view(daemon), all[i], all.data(),
+					     n, size);
+		members += in;
+		if (i == removed)
+			continue;
+		bool now_in = gc_place_in_subset(view(daemon), all[i],
+						 rest.data(), n - 1, size);
+		/* A removal only adds members. */
+		RC_ASSERT(now_in || !in);
+		moved += in != now_in;
+	}
+	RC_ASSERT(members == std::min(n, size));
+	RC_ASSERT(moved <= 1U);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = true;
+
+	ok &= rc::check("the chosen engine may take the work", check_choice);
+	ok &= rc::check("lagging reports do not overload one engine",
+			check_spread);
+	ok &= rc::check("a subset has its size and moves one member at most",
+			check_subset);
+	return ok ? 0 : 1;
+}
