Replay traces of known failures against stated actions

Random events don't state which action comes first in a given failure. Each line of a trace is an event or the action that must answer it, in order.

--- /dev/null
+++ b/regress/check_replay.c
@@ -0,0 +1,427 @@
+/*
+ * Replays the traces: each line is an event for a gc_stream_t or the next
+ * action that it must answer with. Guards the order of actions in the known
+ * failures, which a property over random events doesn't state.
+ */
+#include <check.h>
+#include <glob.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "core/error.h"
+#include "core/stream.h"
+
+typedef struct replay {
+	const char *path;
+	int line;
+	gc_stream_t *stream;
+	json_t *actions; /* not yet expected */
+	json_t *engines; /* names that pick chooses from, in order */
+	bool connected;
+	bool armed;
+	int64_t timer_ms;
+	int64_t now_ms;
+	int64_t stall_ms;
+	int64_t first_stall_ms;
+} replay_t;
+
+static struct timespec test_now(void *ctx);
+static void record(replay_t *r, json_t *action);
+static bool op_pick(void *ctx, const gc_str_t *avoid, size_t n_avoid,
+		    char engine[GC_NAME_MAX]);
+static void op_start(void *ctx, uint32_t attempt, const char *engine,
+		     uint64_t from);
+static void op_attach(void *ctx, uint32_t attempt, const char *engine,
+		      const char *run, uint64_t from);
+static void op_cancel(void *ctx, uint32_t attempt, bool end_run);
+static void op_deliver(void *ctx, gc_str_t token, const gc_cursor_t *cursor);
+static void op_finish(void *ctx, const char *reason);
+static void op_fail(void *ctx, const GError *err);
+static bool op_caller_connected(void *ctx);
+static void op_set_timer(void *ctx, const struct timespec *at);
+static int64_t op_stall_timeout_ms(void *ctx, const char *engine,
+				   bool first_token);
+static void op_report(void *ctx, const char *engine,
+		      gc_engine_verdict_t verdict);
+static const char *text_of(const json_t *line, const char *key);
+static int64_t number_of(const json_t *line, const char *key);
+static void configure(replay_t *r, const json_t *conf);
+static void resume(replay_t *r, const json_t *line);
+static void advance(replay_t *r, int64_t ms);
+static void fire(replay_t *r);
+static gc_errcode_t code_of(const char *name);
+static void send_broken(replay_t *r, const json_t *line);
+static void send_event(replay_t *r, const char *event, const json_t *line);
+static void expect(replay_t *r, json_t *line);
+static void take_line(replay_t *r, json_t *line);
+static void fail_at(const replay_t *r, const char *what, const json_t *got);
+
+static replay_t current;
+static glob_t traces;
+static const gc_clock_t test_clock = {test_now, test_now, NULL};
+static const gc_stream_ops_t ops = {
+	.pick = op_pick,
+	.start = op_start,
+	.attach = op_attach,
+	.cancel = op_cancel,
+	.deliver = op_deliver,
+	.finish = op_finish,
+	.fail = op_fail,
+	.caller_connected = op_caller_connected,
+	.set_timer = op_set_timer,
+	.stall_timeout_ms = op_stall_timeout_ms,
+	.report = op_report,
+};
+static const struct {
+	const char *name;
+	gc_errcode_t code;
+} codes[] = {
+	{"io", GC_ERR_IO},
+	{"timeout", GC_ERR_TIMEOUT},
+	{"not_found", GC_ERR_NOT_FOUND},
+	{"overloaded", GC_ERR_OVERLOADED},
+	{"protocol", GC_ERR_PROTOCOL},
+	{"unavailable", GC_ERR_UNAVAILABLE},
+	{"lost", GC_ERR_LOST},
+};
+
+static struct timespec test_now(void *ctx)
+{
+	return (struct timespec){current.now_ms / 1000,
+				 current.now_ms % 1000 * 1000000};
+}
+
+static void record(replay_t *r, json_t *action)
+{
+	json_array_append_new(r->actions, action);
+}
+
+static bool op_pick(void *ctx, const gc_str_t *avoid, size_t n_avoid,
+		    char engine[GC_NAME_MAX])
+{
+	replay_t *r = ctx;
+	json_t *value;
+	size_t i;
+
+	json_array_foreach (r->engines, i, value) {
+		const char *name = json_string_value(value);
+		bool avoided = false;
+
+		for (size_t k = 0; k < n_avoid; k++)
+			avoided |= gc_str_eq(avoid[k], gc_str(name));
+		if (avoided)
+			continue;
+		g_strlcpy(engine, name, GC_NAME_MAX);
+		return true;
+	}
+	record(r, json_pack("{s:s}", "expect", "pick_failed"));
+	return false;
+}
+
+static void op_start(void *ctx, uint32_t attempt, const char *engine,
+		     uint64_t from)
+{
+	record(ctx, json_pack("{s:s,s:I,s:s,s:I}", "expect", "start", "attempt",
+			      (json_int_t)attempt, "engine", engine, "from",
+			      (json_int_t)from));
+}
+
+static void op_attach(void *ctx, uint32_t attempt, const char *engine,
+		      const char *run, uint64_t from)
+{
+	record(ctx, json_pack("{s:s,s:I,s:s,s:s,s:I}", "expect", "attach",
+			      "attempt", (json_int_t)attempt, "engine", engine,
+			      "run", run, "from", (json_int_t)from));
+}
+
+static void op_cancel(void *ctx, uint32_t attempt, bool end_run)
+{
+	record(ctx, json_pack("{s:s,s:I,s:b}", "expect", "cancel", "attempt",
+			      (json_int_t)attempt, "end_run", end_run));
+}
+
+static void op_deliver(void *ctx, gc_str_t token, const gc_cursor_t *cursor)
+{
+	record(ctx, json_pack("{s:s,s:s%,s:s,s:s,s:I,s:I}", "expect", "deliver",
+			      "text", token.data, token.len, "engine",
+			      cursor->engine, "run", cursor->run, "attempt",
+			      (json_int_t)cursor->attempt, "offset",
+			      (json_int_t)cursor->offset));
+}
+
+static void op_finish(void *ctx, const char *reason)
+{
+	record(ctx,
+	       json_pack("{s:s,s:s}", "expect", "finish", "reason", reason));
+}
+
+static void op_fail(void *ctx, const GError *err)
+{
+	const char *name = "?";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++)
+		if (g_error_matches(err, GC_ERROR, codes[i].code))
+			name = codes[i].name;
+	record(ctx, json_pack("{s:s,s:s,s:s}", "expect", "fail", "code", name,
+			      "step", gc_error_step(err)));
+}
+
+static bool op_caller_connected(void *ctx)
+{
+	replay_t *r = ctx;
+
+	record(r, json_pack("{s:s}", "expect", "caller_connected"));
+	return r->connected;
+}
+
+/* Timers are followed, not expected: their times are no outcome. */
+static void op_set_timer(void *ctx, const struct timespec *at)
+{
+	replay_t *r = ctx;
+
+	r->armed = at != NULL;
+	if (at)
+		r->timer_ms = at->tv_sec * 1000 + at->tv_nsec / 1000000;
+}
+
+static int64_t op_stall_timeout_ms(void *ctx, const char *engine,
+				   bool first_token)
+{
+	replay_t *r = ctx;
+
+	return first_token ? r->first_stall_ms : r->stall_ms;
+}
+
+static void op_report(void *ctx, const char *engine,
+		      gc_engine_verdict_t verdict)
+{
+	static const char *const names[] = {
+		[GC_ENGINE_OK] = "ok",
+		[GC_ENGINE_STALLED] = "stalled",
+		[GC_ENGINE_FAILED] = "failed",
+	};
+
+	record(ctx, json_pack("{s:s,s:s,s:s}", "expect", "report", "engine",
+			      engine, "verdict", names[verdict]));
+}
+
+static void fail_at(const replay_t *r, const char *what, const json_t *got)
+{
+	char *text = got ? json_dumps(got, JSON_ENCODE_ANY) : NULL;
+
+	ck_abort_msg("%s:%d: %s: %s", r->path, r->line, what,
+		     text ? text : "nothing");
+}
+
+static const char *text_of(const json_t *line, const char *key)
+{
+	const char *text = json_string_value(json_object_get(line, key));
+
+	if (!text)
+		fail_at(&current, "string missing", line);
+	return text;
+}
+
+static int64_t number_of(const json_t *line, const char *key)
+{
+	const json_t *value = json_object_get(line, key);
+
+	if (!json_is_integer(value))
+		fail_at(&current, "number missing", line);
+	return json_integer_value(value);
+}
+
+static void configure(replay_t *r, const json_t *conf)
+{
+	gc_stream_conf_t c = {
+		.clock = &test_clock,
+		.max_tokens = number_of(conf, "max_tokens"),
+		.max_attempts = number_of(conf, "max_attempts"),
+	};
+
+	c.policy = strcmp(text_of(conf, "policy"), "latency") == 0
+			   ? GC_POLICY_LATENCY
+			   : GC_POLICY_ECONOMY;
+	c.deadline = gc_add_ms(test_now(NULL), number_of(conf, "deadline_ms"));
+	r->stall_ms = number_of(conf, "stall_ms");
+	r->first_stall_ms = number_of(conf, "first_stall_ms");
+	r->engines = json_incref(json_object_get(conf, "engines"));
+	r->stream = gc_stream_create(NULL, &c, &ops, r);
+}
+
+static void resume(replay_t *r, const json_t *line)
+{
+	json_t *held = json_object_get(line, "held");
+	json_t *sent = json_object_get(line, "prefix");
+	size_t n = json_array_size(sent);
+	gc_str_t *prefix = g_new0(gc_str_t, n + 1);
+	gc_cursor_t cursor = {0};
+	json_t *value;
+	size_t i;
+
+	g_strlcpy(cursor.engine, text_of(line, "engine"), GC_NAME_MAX);
+	g_strlcpy(cursor.run, text_of(line, "run"), GC_RUN_MAX);
+	cursor.attempt = number_of(line, "attempt");
+	cursor.offset = json_array_size(held);
+	json_array_foreach (held, i, value)
+		cursor.hash = gc_chain_hash(cursor.hash,
+					    gc_str(json_string_value(value)));
+	json_array_foreach (sent, i, value)
+		prefix[i] = gc_str(json_string_value(value));
+	gc_stream_resume(r->stream, &cursor, prefix, n);
+	g_free(prefix);
+}
+
+static void fire(replay_t *r)
+{
+	r->armed = false;
+	gc_stream_on_timer(r->stream);
+}
+
+/* Lets time pass; timers fire when they are due. */
+static void advance(replay_t *r, int64_t ms)
+{
+	int64_t until_ms = r->now_ms + ms;
+
+	while (r->armed && r->timer_ms <= until_ms) {
+		r->now_ms = r->timer_ms;
+		fire(r);
+	}
+	r->now_ms = until_ms;
+}
+
+static gc_errcode_t code_of(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++)
+		if (strcmp(codes[i].name, name) == 0)
+			return codes[i].code;
+	fail_at(&current, "unknown code", NULL);
+	return GC_ERR_INVALID;
+}
+
+static void send_broken(replay_t *r, const json_t *line)
+{
+	GError *err = NULL;
+
+	gc_error_set(&err, code_of(text_of(line, "code")), "test", NULL,
+		     "broken");
+	gc_stream_on_broken(r->stream, number_of(line, "attempt"), err);
+	g_error_free(err);
+}
+
+static void send_event(replay_t *r, const char *event, const json_t *line)
+{
+	if (strcmp(event, "begin") == 0) {
+		gc_stream_begin(r->stream);
+	} else if (strcmp(event, "resume") == 0) {
+		resume(r, line);
+	} else if (strcmp(event, "run") == 0) {
+		gc_stream_on_run(r->stream, number_of(line, "attempt"),
+				 text_of(line, "run"), number_of(line, "from"));
+	} else if (strcmp(event, "token") == 0) {
+		gc_stream_on_token(r->stream, number_of(line, "attempt"),
+				   number_of(line, "offset"),
+				   gc_str(text_of(line, "text")));
+	} else if (strcmp(event, "end") == 0) {
+		gc_stream_on_end(r->stream, number_of(line, "attempt"),
+				 text_of(line, "reason"),
+				 number_of(line, "tokens"));
+	} else if (strcmp(event, "broken") == 0) {
+		send_broken(r, line);
+	} else if (strcmp(event, "advance") == 0) {
+		advance(r, number_of(line, "ms"));
+	} else if (strcmp(event, "pause") == 0) {
+		/* The process stood still; its timer fires late. */
+		r->now_ms += number_of(line, "ms");
+		fire(r);
+	} else if (strcmp(event, "engines") == 0) {
+		json_decref(r->engines);
+		r->engines = json_incref(json_object_get(line, "names"));
+	} else if (strcmp(event, "hang_up") == 0) {
+		r->connected = false;
+	} else if (strcmp(event, "caller_gone") == 0) {
+		gc_stream_on_caller_gone(r->stream);
+	} else {
+		fail_at(r, "unknown event", line);
+	}
+}
+
+static void expect(replay_t *r, json_t *line)
+{
+	json_t *next = json_array_get(r->actions, 0);
+
+	if (!next || !json_equal(next, line))
+		fail_at(r, "another action was expected; got", next);
+	json_array_remove(r->actions, 0);
+}
+
+static void take_line(replay_t *r, json_t *line)
+{
+	if (json_object_get(line, "expect")) {
+		expect(r, line);
+		return;
+	}
+	if (json_array_size(r->actions) > 0)
+		fail_at(r, "unexpected action", json_array_get(r->actions, 0));
+	if (json_object_get(line, "conf"))
+		configure(r, json_object_get(line, "conf"));
+	else
+		send_event(r, text_of(line, "event"), line);
+}
+
+START_TEST(test_trace)
+{
+	char text[4096];
+	FILE *file = fopen(traces.gl_pathv[_i], "r");
+
+	ck_assert_ptr_nonnull(file);
+	current = (replay_t){.path = traces.gl_pathv[_i],
+			     .actions = json_array(),
+			     .now_ms = 1000,
+			     .connected = true};
+	while (fgets(text, sizeof(text), file)) {
+		json_t *line = json_loads(text, 0, NULL);
+
+		current.line++;
+		if (!line)
+			fail_at(&current, "bad JSON", NULL);
+		take_line(&current, line);
+		json_decref(line);
+	}
+	if (json_array_size(current.actions) > 0)
+		fail_at(&current, "unexpected action",
+			json_array_get(current.actions, 0));
+	ck_assert(gc_stream_over(current.stream));
+	gc_stream_destroy(current.stream);
+	json_decref(current.actions);
+	json_decref(current.engines);
+	fclose(file);
+}
+END_TEST
+
+int main(void)
+{
+	const char *top = getenv("TOP");
+	char *pattern =
+		g_strdup_printf("%s/regress/traces/*.jsonl", top ? top : "..");
+	Suite *suite = suite_create("replay");
+	TCase *tcase = tcase_create("replay");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	if (glob(pattern, 0, NULL, &traces) != 0) {
+		fprintf(stderr, "check_replay: no traces at %s\n", pattern);
+		return EXIT_FAILURE;
+	}
+	tcase_add_loop_test(tcase, test_trace, 0, traces.gl_pathc);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	globfree(&traces);
+	g_free(pattern);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
