--- a/core/claim.c
+++ b/core/claim.c
@@ -439,7 +439,8 @@
 	/* Two attempts at a key in one daemon: the later one sees the first. */
 	if (g_hash_table_contains(staged, op->claim.key))
 		return;
-	if (entry && strcmp(entry_text(entry, ENTRY_STATE), STATE_RELEASED)) {
+	if (entry &&
+	    strcmp(entry_text(entry, ENTRY_STATE), STATE_RELEASED) != 0) {
 		meet_entry(record, op, entry);
 		return;
 	}
