--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -88,6 +88,8 @@
 static ssize_t read_stream(void *ctx, uint64_t pos, char *buf, size_t max);
 static void set_response(gc_http_req_t *req, struct MHD_Response *response,
 			 unsigned int status, const char *type);
+static enum MHD_Result append_argument(void *ctx, enum MHD_ValueKind kind,
+				       const char *name, const char *value);
 
 gc_httpd_t *gc_httpd_create(TALLOC_CTX *mem, struct tevent_context *ev,
 			    const gc_httpd_conf_t *conf,
@@ -355,6 +357,30 @@
 					   name);
 }
 
+static enum MHD_Result append_argument(void *ctx, enum MHD_ValueKind kind,
+				       const char *name, const char *value)
+{
+	GString *query = ctx;
+
+	if (query->len > 0)
+		g_string_append_c(query, '&');
+	g_string_append_uri_escaped(query, name, NULL, FALSE);
+	if (!value)
+		return MHD_YES;
+	g_string_append_c(query, '=');
+	g_string_append_uri_escaped(query, value, NULL, FALSE);
+	return MHD_YES;
+}
+
+char *gc_http_req_query_string(const gc_http_req_t *req)
+{
+	GString *query = g_string_new(NULL);
+
+	MHD_get_connection_values(req->conn, MHD_GET_ARGUMENT_KIND,
+				  append_argument, query);
+	return g_string_free(query, FALSE);
+}
+
 gc_str_t gc_http_req_body(const gc_http_req_t *req)
 {
 	return (gc_str_t){req->body->len ? (const char *)req->body->data : "",
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -56,6 +56,8 @@
 /* NULL if absent. Header names match in any case. */
 const char *gc_http_req_header(const gc_http_req_t *req, const char *name);
 const char *gc_http_req_query(const gc_http_req_t *req, const char *name);
+/* All query arguments, escaped for a URL ("a=1&b=2"); free with g_free. */
+char *gc_http_req_query_string(const gc_http_req_t *req);
 gc_str_t gc_http_req_body(const gc_http_req_t *req);
 void gc_http_req_on_closed(gc_http_req_t *req, gc_http_closed_t closed,
 			   void *ctx);
