Test that an action is sent once over a reused connection

libcurl repeats a request when a reused connection closes unanswered. The new test has a backend server that answers a lookup, keeps the connection, and closes it at the action.

--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -50,6 +51,17 @@
 	gc_http_call_t *call;
 } answer_t;
 
+/*
+ * A backend server in a thread of its own. It answers GET and keeps the
+ * connection; it closes the connection of an action without a byte.
+ */
+typedef struct silent_server {
+	int listen_fd;
+	GThread *thread;
+	int stop; /* atomic */
+	unsigned int actions; /* read after the join */
+} silent_server_t;
+
 typedef struct fixture {
 	TALLOC_CTX *mem;
 	gc_traffic_t traffic;
@@ -78,7 +90,10 @@
 static void tear_down(fixture_t *f);
 static gc_httpd_t *serve(fixture_t *f, gc_httpd_handler_t handler);
 static char *url_of(fixture_t *f, gc_httpd_t *httpd, const char *path);
+static gc_str_t bound_url(fixture_t *f, int *fd);
 static gc_str_t refused_url(fixture_t *f);
+static void *serve_silently(void *ctx);
+static bool serve_once(silent_server_t *server, int fd);
 static void free_stored(gpointer data);
 static void on_entry(void *ctx, gc_http_req_t *req);
 static void on_kv(void *ctx, gc_http_req_t *req);
@@ -168,20 +183,65 @@
 			       gc_httpd_port(httpd), path);
 }
 
-/* An address that refuses connections: bound, but not listening. */
-static gc_str_t refused_url(fixture_t *f)
+static gc_str_t bound_url(fixture_t *f, int *fd)
 {
 	struct sockaddr_in addr = {.sin_family = AF_INET,
 				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
-	getsockname(fd, (struct sockaddr *)&addr, &len);
+	*fd = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(*fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+	getsockname(*fd, (struct sockaddr *)&addr, &len);
 	return gc_str(talloc_asprintf(f->mem, "http://127.0.0.1:%u",
 				      ntohs(addr.sin_port)));
 }
 
+/* An address that refuses connections: bound, but not listening. */
+static gc_str_t refused_url(fixture_t *f)
+{
+	int fd;
+
+	return bound_url(f, &fd);
+}
+
+static void *serve_silently(void *ctx)
+{
+	silent_server_t *server = ctx;
+	struct pollfd fds[8] = {{server->listen_fd, POLLIN, 0}};
+	nfds_t n = 1;
+
+	while (!g_atomic_int_get(&server->stop)) {
+		poll(fds, n, 10);
+		for (nfds_t i = 1; i < n; i++) {
+			if (fds[i].fd >= 0 && fds[i].revents &&
+			    !serve_once(server, fds[i].fd)) {
+				close(fds[i].fd);
+				fds[i].fd = -1;
+			}
+		}
+		if (fds[0].revents && n < G_N_ELEMENTS(fds))
+			fds[n++] = (struct pollfd){accept(server->listen_fd,
+							  NULL, NULL),
+						   POLLIN, 0};
+	}
+	return NULL;
+}
+
+/* False closes the connection. */
+static bool serve_once(silent_server_t *server, int fd)
+{
+	const char *answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	char text[4096] = "";
+
+	if (read(fd, text, sizeof(text) - 1) <= 0)
+		return false;
+	if (g_str_has_prefix(text, "GET /bookings"))
+		return write(fd, answer, strlen(answer)) > 0;
+	if (g_str_has_prefix(text, "POST"))
+		server->actions++;
+	return false;
+}
+
 static void free_stored(gpointer data)
 {
 	stored_t *stored = data;
@@ -499,6 +559,31 @@
 }
 END_TEST
 
+/* libcurl repeats a request when a reused connection closes unanswered. */
+START_TEST(test_sent_once)
+{
+	silent_server_t server = {0};
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.servers[0].url = bound_url(&f, &server.listen_fd);
+	listen(server.listen_fd, 8);
+	server.thread = g_thread_new("backend", serve_silently, &server);
+	request(&f, "GET", NULL, "");
+	ck_assert_str_eq(f.answer.body, "ok");
+	request(&f, "POST", key, "{}");
+	ck_assert_int_eq(f.answer.status, 409);
+	ck_assert_str_eq(f.answer.run, "in_doubt");
+	g_atomic_int_set(&server.stop, 1);
+	g_thread_join(server.thread);
+	close(server.listen_fd);
+	ck_assert_uint_eq(server.actions, 1);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
 /* Nothing was sent: the claim is released and the same key can run later. */
 START_TEST(test_refused_connection)
 {
@@ -645,6 +730,7 @@
 	tcase_add_test(tcase, test_lost_answer);
 	tcase_add_test(tcase, test_broken_in_doubt);
 	tcase_add_test(tcase, test_broken_done);
+	tcase_add_test(tcase, test_sent_once);
 	tcase_add_test(tcase, test_refused_connection);
 	tcase_add_test(tcase, test_other_server);
 	tcase_add_test(tcase, test_leaving_server);
