Notice a refused connection at once

Cause: resumes after a killed engine took 322 ms where the floor (prefill of the uncached prefix) is 166 ms. A system call trace showed 152 ms between the refused connect and the next start: tevent drops error events of a descriptor that is only watched for writing, so libcurl learnt of the refusal from its own timer. Ruled out: placement (two of 16 streams moved in 166 ms), the engine's prefill (each run prefilled 322 tokens once), the retry budget (it starts at max_streams). Change: a descriptor that libcurl wants to write is watched for reading as well.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -240,8 +240,9 @@
 	}
 	if (what & CURL_POLL_IN)
 		flags |= TEVENT_FD_READ;
+	/* tevent reports a refused connection only to a reader. */
 	if (what & CURL_POLL_OUT)
-		flags |= TEVENT_FD_WRITE;
+		flags |= TEVENT_FD_WRITE | TEVENT_FD_READ;
 	if (!watched) {
 		watched = talloc_zero(client, watched_t);
 		watched->client = client;
--- /dev/null
+++ b/regress/check_httpc.c
@@ -0,0 +1,85 @@
+/* Guards against failures of a connection that are noticed late. */
+#include <arpa/inet.h>
+#include <check.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/clock.h"
+#include "core/error.h"
+#include "lib/httpc.h"
+
+/* A refused connection answers in microseconds on loopback. */
+#define REFUSAL_MAX_MS 50
+
+typedef struct outcome {
+	bool over;
+	bool sent;
+	int code;
+} outcome_t;
+
+static uint16_t closed_port(void);
+static void on_done(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err);
+
+static uint16_t closed_port(void)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(addr);
+	int sock = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(sock, (struct sockaddr *)&addr, len), 0);
+	ck_assert_int_eq(getsockname(sock, (struct sockaddr *)&addr, &len), 0);
+	close(sock);
+	return ntohs(addr.sin_port);
+}
+
+static void on_done(void *ctx, int status, gc_str_t body, bool sent,
+		    const GError *err)
+{
+	outcome_t *outcome = ctx;
+
+	outcome->over = true;
+	outcome->sent = sent;
+	outcome->code = err ? err->code : -1;
+}
+
+START_TEST(test_refused_at_once)
+{
+	static const gc_http_call_ops_t ops = {.done = on_done};
+	struct tevent_context *ev = tevent_context_init(NULL);
+	gc_httpc_t *client = gc_httpc_create(ev, ev);
+	outcome_t outcome = {.sent = true};
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%u/", closed_port());
+	gc_http_call_conf_t conf = {.method = "GET", .url = url};
+	struct timespec begun = gc_clock_now(&gc_clock_system);
+	int64_t ms;
+
+	gc_httpc_start(client, &conf, &ops, &outcome);
+	while (!outcome.over)
+		tevent_loop_once(ev);
+	ms = gc_ms_between(begun, gc_clock_now(&gc_clock_system));
+	ck_assert_int_eq(outcome.code, GC_ERR_IO);
+	ck_assert(!outcome.sent);
+	ck_assert_int_lt(ms, REFUSAL_MAX_MS);
+	talloc_free(ev);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("httpc");
+	TCase *tcase = tcase_create("httpc");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tcase, test_refused_at_once);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
