Strengthen the properties where broken copies passed them

Broken copies of the decision code showed gaps: the generation property did not see a skipped comparison of an attached run, an unchecked cursor hash, an ignored deadline, a missing retry timer or a failure that is held back, and the placement property did not see daemons that all choose the first engine. Engines now restart with reused run ids, pauses reach the deadline, a quarter of the sequences ends with frozen engines, and 100 daemons place from one report.

--- a/regress/prop_place.cc
+++ b/regress/prop_place.cc
@@ -142,8 +142,8 @@
 void check_spread()
 {
 	constexpr size_t N_ENGINES = 20;
-	constexpr size_t N_DAEMONS = 10;
-	constexpr size_t PER_DAEMON = 10;
+	constexpr size_t N_DAEMONS = 100;
+	constexpr size_t PER_DAEMON = 1;
 	auto names = make_names("e", N_ENGINES);
 	uint64_t seed = *rc::gen::arbitrary<uint64_t>();
 	gc_random_t random = {next_random, &seed};
@@ -167,7 +167,7 @@
 		}
 	}
 	for (size_t t : total)
-		RC_ASSERT(t <= 3 * N_DAEMONS * PER_DAEMON / N_ENGINES);
+		RC_ASSERT(t <= 4 * N_DAEMONS * PER_DAEMON / N_ENGINES);
 }
 
 void check_subset()
--- a/regress/prop_stream.cc
+++ b/regress/prop_stream.cc
@@ -27,6 +27,9 @@
 constexpr int64_t DEADLINE_MS = 20000;
 constexpr int64_t STALL_MS = 300;
 constexpr int64_t PAUSE_MS = 250; /* as in core/stream.c */
+constexpr int64_t RETRY_MAX_MS = 400; /* between two tries */
+/* With frozen engines: the windows of all attempts and the waits between. */
+constexpr int64_t GIVE_UP_MS = 8000;
 constexpr size_t N_ENGINES = 3;
 constexpr uint8_t KEY[GC_FLEET_KEY_LEN] = {7};
 
@@ -365,6 +368,9 @@
 	}
 	RC_ASSERT(d.armed);
 	RC_ASSERT(d.timer_ms <= DEADLINE_MS);
+	/* Without an attempt, the next try is near. */
+	if (d.open_attempts() == 0)
+		RC_ASSERT(d.timer_ms <= d.world->now_ms + RETRY_MAX_MS);
 	/* No run of an earlier attempt goes on beside the open ones. */
 	for (const auto &entry : d.attempts) {
 		const Attempt &a = entry.second;
@@ -547,6 +553,26 @@
 	}
 }
 
+/* The engine is back, and other requests have got the same run ids. */
+void restart_engine(World &w, Engine &e)
+{
+	std::vector<std::string> ids;
+
+	for (const auto &entry : e.runs)
+		ids.push_back(entry.first);
+	kill_engine(w, e);
+	e.alive = true;
+	for (const auto &id : ids) {
+		auto run = std::make_shared<Run>();
+		run->uid = w.next_uid++;
+		for (uint64_t i = 0; i < MAX_TOKENS; i++)
+			run->tokens.push_back("other" + std::to_string(i) +
+					      ":" + std::to_string(run->uid));
+		e.runs[id] = run;
+		e.next_id++;
+	}
+}
+
 Daemon &new_daemon(World &w)
 {
 	gc_stream_conf_t conf = {};
@@ -611,6 +637,7 @@
 	STEPS,
 	CUT,
 	KILL,
+	RESTART,
 	REVIVE,
 	FREEZE,
 	THAW,
@@ -633,46 +660,20 @@
 
 /* More weight for what drives a generation on. */
 const Kind KINDS[] = {
-	ADVANCE,
-	ADVANCE,
-	ADVANCE,
-	ADVANCE,
-	STEP,
-	STEP,
-	STEP,
-	STEP,
-	STEPS,
-	STEPS,
-	STEPS,
-	STEPS,
-	CUT,
-	CUT,
-	KILL,
-	KILL,
-	REVIVE,
-	REVIVE,
-	FREEZE,
-	FREEZE,
-	THAW,
-	THAW,
-	LATE_CHUNK,
-	LATE_CHUNK,
-	DUPLICATE,
-	DUPLICATE,
-	GAP,
-	GARBAGE,
-	REFUSE,
-	BAD_RUN,
-	BAD_END,
-	FORGET_RUN,
-	PICK_OFF,
-	PICK_ON,
-	PICK_ON,
-	HANG_UP,
-	SILENT_HANG_UP,
-	TAKE_OVER,
-	TAKE_OVER,
-	PAUSE,
+	RESTART,    RESTART,	ADVANCE,
+	ADVANCE,    ADVANCE,	ADVANCE,
+	STEP,	    STEP,	STEP,
+	STEP,	    STEPS,	STEPS,
+	STEPS,	    STEPS,	CUT,
+	CUT,	    KILL,	KILL,
+	REVIVE,	    REVIVE,	FREEZE,
+	FREEZE,	    THAW,	THAW,
+	LATE_CHUNK, LATE_CHUNK, DUPLICATE,
+	DUPLICATE,  GAP,	GARBAGE,
+	REFUSE,	    BAD_RUN,	BAD_END,
+	FORGET_RUN, PICK_OFF,	PICK_ON,
+	PICK_ON,    HANG_UP,	SILENT_HANG_UP,
+	TAKE_OVER,  TAKE_OVER,	PAUSE,
 };
 
 struct Command {
@@ -683,12 +684,12 @@
 void showValue(const Command &c, std::ostream &os)
 {
 	static const char *const names[] = {
-		"advance",   "step",	  "steps",   "cut",
-		"kill",	     "revive",	  "freeze",  "thaw",
-		"late",	     "duplicate", "gap",     "garbage",
-		"refuse",    "bad run",	  "bad end", "forget run",
-		"pick off",  "pick on",	  "hang up", "silent hang up",
-		"take over", "pause",
+		"advance",	  "step",      "steps",	    "cut",
+		"kill",		  "restart",   "revive",    "freeze",
+		"thaw",		  "late",      "duplicate", "gap",
+		"garbage",	  "refuse",    "bad run",   "bad end",
+		"forget run",	  "pick off",  "pick on",   "hang up",
+		"silent hang up", "take over", "pause",
 	};
 	os << names[c.kind] << " " << c.choice;
 }
@@ -748,7 +749,7 @@
 			fire_timer(*each);
 		break;
 	case PAUSE:
-		w.now_ms += 300 + c.choice % 2000;
+		w.now_ms += c.choice % 8 ? 300 + c.choice % 2000 : DEADLINE_MS;
 		fire_timer(d);
 		break;
 	case STEP:
@@ -767,6 +768,9 @@
 	case KILL:
 		kill_engine(w, e);
 		break;
+	case RESTART:
+		restart_engine(w, e);
+		break;
 	case REVIVE:
 		e.alive = true;
 		break;
@@ -854,17 +858,21 @@
 	}
 }
 
-/* With healthy engines, every generation ends before its deadline. */
-void drain(World &w)
+/*
+ * Whatever happened before, every generation ends: before its deadline with
+ * healthy engines, and soon when all of them stay frozen.
+ */
+void drain(World &w, bool frozen)
 {
 	Daemon &d = w.caller_daemon();
+	int64_t until_ms = frozen ? w.now_ms + GIVE_UP_MS : DEADLINE_MS;
 
 	w.can_pick = true;
 	for (auto &e : w.engines) {
 		e.alive = true;
-		e.frozen = false;
+		e.frozen = frozen;
 	}
-	while (!d.ended && w.now_ms < DEADLINE_MS + 100) {
+	while (!d.ended && w.now_ms < until_ms + 100) {
 		w.now_ms += 10;
 		for (auto &each : w.daemons)
 			fire_timer(*each);
@@ -888,7 +896,7 @@
 		});
 }
 
-void play(gc_policy_t policy, const std::vector<Command> &commands)
+void play(gc_policy_t policy, const std::vector<Command> &commands, bool frozen)
 {
 	World w;
 
@@ -897,7 +905,7 @@
 	event(first, [&] { gc_stream_begin(first.stream); });
 	for (const auto &c : commands)
 		apply(w, c);
-	drain(w);
+	drain(w, frozen);
 }
 
 /* A run that is still there is gone on with, and nothing is run again. */
@@ -911,7 +919,7 @@
 	for (uint32_t i = 0; i < steps; i++)
 		step_all(first);
 	take_over(w, choice);
-	drain(w);
+	drain(w, false);
 	RC_ASSERT(w.caller_daemon().finished);
 	RC_ASSERT(w.caller_daemon().starts == (w.daemons.size() > 1 ? 0U : 1U));
 }
@@ -934,7 +942,8 @@
 					name + ")",
 				[&] {
 					for (int i = 0; i < SEQUENCES; i++)
-						play(policy, *commands);
+						play(policy, *commands,
+						     i % 4 == 0);
 				});
 		ok &= rc::check(
 			"a takeover continues a live run (" + name + ")", [&] {
