Document limits and offsets in the generation interface

The host needs to know that attaching always reads from 0, that max_tokens counts the whole response and that max_attempts counts started runs only.

--- a/core/stream.h
+++ b/core/stream.h
@@ -38,7 +38,10 @@
 	/* Starts a run with the prompt and tokens [0, from) as its prefix. */
 	void (*start)(void *ctx, uint32_t attempt, const char *engine,
 		      uint64_t from);
-	/* Attaches to a run and reads tokens from offset from on. */
+	/*
+	 * Attaches to a run and reads tokens from offset from on. The stream
+	 * passes 0, because it compares the run with the tokens it holds.
+	 */
 	void (*attach)(void *ctx, uint32_t attempt, const char *engine,
 		       const char *run, uint64_t from);
 	/*
@@ -76,8 +79,8 @@
 	const gc_clock_t *clock;
 	gc_policy_t policy;
 	uint8_t request[GC_REQUEST_ID_LEN];
-	uint64_t max_tokens;
-	uint32_t max_attempts;
+	uint64_t max_tokens; /* of the whole response; 0: no limit */
+	uint32_t max_attempts; /* runs started; attaching is not counted */
 	struct timespec deadline; /* monotonic; all zero: none */
 } gc_stream_conf_t;
 
