Notice refused connections at once in the HTTP client

tevent's epoll backend reports errors only for descriptors that are watched for reading. libcurl watches a connecting socket for writing only, so a refused connection was noticed by libcurl's own 200 ms timer. After an engine's death the attach that is refused delayed each resume by that.

Every socket is now watched for reading, too; without interest in reading only an error is passed on.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -1,4 +1,5 @@
 /* HTTP client on a tevent loop, by libcurl's multi interface. */
+#include <poll.h>
 #include <string.h>
 
 #include <curl/curl.h>
@@ -37,6 +38,7 @@
 	gc_httpc_t *client;
 	curl_socket_t sock;
 	struct tevent_fd *fde;
+	bool wants_read;
 } watched_t;
 
 static int client_destructor(gc_httpc_t *client);
@@ -48,6 +50,7 @@
 		     struct timeval now, void *ctx);
 static void on_fd(struct tevent_context *ev, struct tevent_fd *fde,
 		  uint16_t flags, void *ctx);
+static bool has_error(curl_socket_t sock);
 static void on_unpause(struct tevent_context *ev, struct tevent_immediate *im,
 		       void *ctx);
 static void finish_calls(gc_httpc_t *client);
@@ -238,8 +241,11 @@
 		curl_multi_assign(client->multi, sock, NULL);
 		return 0;
 	}
-	if (what & CURL_POLL_IN)
-		flags |= TEVENT_FD_READ;
+	/*
+	 * tevent reports errors only to readers; without this a refused
+	 * connection would be noticed by libcurl's timer, 200 ms later.
+	 */
+	flags |= TEVENT_FD_READ;
 	if (what & CURL_POLL_OUT)
 		flags |= TEVENT_FD_WRITE;
 	if (!watched) {
@@ -249,8 +255,8 @@
 		watched->fde = tevent_add_fd(client->ev, watched, sock, flags,
 					     on_fd, watched);
 		curl_multi_assign(client->multi, sock, watched);
-		return 0;
 	}
+	watched->wants_read = what & CURL_POLL_IN;
 	tevent_fd_set_flags(watched->fde, flags);
 	return 0;
 }
@@ -291,10 +297,16 @@
 	int events = 0;
 	int running;
 
-	if (flags & TEVENT_FD_READ)
+	if ((flags & TEVENT_FD_READ) && watched->wants_read)
 		events |= CURL_CSELECT_IN;
+	else if ((flags & TEVENT_FD_READ) && has_error(watched->sock))
+		events |= CURL_CSELECT_ERR;
+	else if (flags & TEVENT_FD_READ) /* unwanted data would spin the loop */
+		TEVENT_FD_NOT_READABLE(watched->fde);
 	if (flags & TEVENT_FD_WRITE)
 		events |= CURL_CSELECT_OUT;
+	if (events == 0)
+		return;
 	client->in_callback = true;
 	curl_multi_socket_action(client->multi, watched->sock, events,
 				 &running);
@@ -302,6 +314,13 @@
 	finish_calls(client);
 }
 
+static bool has_error(curl_socket_t sock)
+{
+	struct pollfd poll_fd = {.fd = sock};
+
+	return poll(&poll_fd, 1, 0) > 0;
+}
+
 static void finish_calls(gc_httpc_t *client)
 {
 	gc_http_call_t *call, *next;
