Let the delay between attempts grow until a token comes

Each pick reset the delay, so an engine that refused at once was tried every 20 ms and 32 attempts were over in 0.7 s. The answer failed although the engine took runs again a moment later. The wait for a slow connect had hidden this.

The delay now grows until some engine yields a token, and engines that failed are tried again only after a wait.

--- a/core/stream.c
+++ b/core/stream.c
@@ -86,7 +86,8 @@
 	bool waiting; /* for retry_at: start or, while checking, attach */
 	struct timespec retry_at;
 	struct timespec waiting_since;
-	uint32_t n_waits;
+	uint32_t n_waits; /* since the last token */
+	bool waited; /* this pick comes after a wait */
 
 	bool armed;
 	struct timespec armed_at;
@@ -152,6 +153,7 @@
 static bool silence_ends(const gc_stream_t *s, const attempt_t *a,
 			 struct timespec *at);
 static void check_silence(gc_stream_t *s, attempt_t *a, uint32_t number);
+static void start_after_wait(gc_stream_t *s);
 static void retry(gc_stream_t *s);
 static void earliest(struct timespec *next, bool *has_next, struct timespec at);
 static void arm(gc_stream_t *s);
@@ -359,7 +361,7 @@
 	for (size_t i = 0; i < s->n_failed; i++)
 		avoid[n++] = s->failed[i];
 	found = s->ops->pick(s->ctx, avoid, n, engine);
-	if (!found && s->n_waits > 0 && n > n_live)
+	if (!found && s->waited && n > n_live)
 		found = s->ops->pick(s->ctx, avoid, n_live, engine);
 	talloc_free(avoid);
 	return found;
@@ -468,7 +470,8 @@
 		wait_to_pick(s);
 		return;
 	}
-	stop_waiting(s);
+	/* The delay goes on growing until some engine yields a token. */
+	s->waiting = false;
 	if (s->conf.policy == GC_POLICY_ECONOMY)
 		stop_attempt(s, &s->main, true);
 	if (is_live(&s->extra)) {
@@ -864,6 +867,13 @@
 		suspect(s, a);
 }
 
+static void start_after_wait(gc_stream_t *s)
+{
+	s->waited = true;
+	start_elsewhere(s);
+	s->waited = false;
+}
+
 static void retry(gc_stream_t *s)
 {
 	if (s->over || !s->waiting || !has_passed(now_of(s), s->retry_at))
@@ -871,7 +881,7 @@
 	if (s->checking)
 		attach_to_check(s);
 	else if (!is_live(&s->main) || s->main.suspected)
-		start_elsewhere(s);
+		start_after_wait(s);
 	else
 		stop_waiting(s);
 }
--- a/regress/daemon_engine.t
+++ b/regress/daemon_engine.t
@@ -63,3 +63,14 @@
   $ wait $caller; chain out; tail -n 2 out | head -n 1
   whole 100
   data: [DONE]
+
+It loses the run and refuses new ones for two seconds: the answer waits.
+
+  $ fault_left() { eval "fault \$${left}_url '$1'"; }
+  $ left=$engine; fault_left '{"fault":"cut","after":30,"lose_run":true}'
+  $ stream $d1_url 60 >out &
+  $ caller=$!; await started; fault_left '{"fault":"refuse","count":1000}'
+  $ sleep 2.5; fault_left '{"fault":"clear"}'
+  $ wait $caller; chain out; tail -n 2 out | head -n 1
+  whole 60
+  data: [DONE]
