--- a/lib/openai.c
+++ b/lib/openai.c
@@ -225,11 +225,12 @@
 
 static json_t *usage_json(const gc_usage_t *usage)
 {
-	return json_pack(
-		"{sI sI sI}", "prompt_tokens", (json_int_t)usage->prompt_tokens,
-		"completion_tokens", (json_int_t)usage->completion_tokens,
-		"total_tokens",
-		(json_int_t)(usage->prompt_tokens + usage->completion_tokens));
+	uint64_t total = usage->prompt_tokens + usage->completion_tokens;
+
+	return json_pack("{sI sI sI}", "prompt_tokens",
+			 (json_int_t)usage->prompt_tokens, "completion_tokens",
+			 (json_int_t)usage->completion_tokens, "total_tokens",
+			 (json_int_t)total);
 }
 
 uint64_t gc_estimate_tokens(const char *text)
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -25,11 +25,11 @@
 
 typedef struct field {
 	const char *name;
-	field_kind_t kind;
 	size_t offset;
-	bool required;
 	json_int_t min, max; /* of numbers */
 	json_int_t preset; /* of numbers that are absent */
+	field_kind_t kind;
+	bool required;
 } field_t;
 
 typedef struct reader {
@@ -40,39 +40,39 @@
 #define MEMBER(member) offsetof(gc_settings_t, member)
 
 static const field_t fields[] = {
-	{"instance", FIELD_NAME, MEMBER(instance), true, 0, 0, 0},
-	{"failure_domain", FIELD_NAME, MEMBER(failure_domain), true, 0, 0, 0},
-	{"caller", FIELD_LISTEN, MEMBER(caller), true, 0, 0, 0},
-	{"operator", FIELD_LISTEN, MEMBER(operators), true, 0, 0, 0},
-	{"peer", FIELD_LISTEN, MEMBER(peer), true, 0, 0, 0},
-	{"seed_peers", FIELD_PEERS, MEMBER(seed_peers), false, 0, 0, 0},
-	{"platform_url", FIELD_URL, MEMBER(platform_url), true, 0, 0, 0},
-	{"fleet_key", FIELD_FLEET_KEY, MEMBER(fleet_key), true, 0, 0, 0},
-	{"operator_keys", FIELD_KEYS, MEMBER(operator_keys), true, 0, 0, 0},
-	{"traffic_threads", FIELD_UINT, MEMBER(traffic_threads), false, 1,
-	 MAX_THREADS, 1},
-	{"max_body_bytes", FIELD_SIZE, MEMBER(max_body_bytes), false, 1024,
-	 1 << 30, 4 << 20},
-	{"heartbeat_ms", FIELD_UINT, MEMBER(heartbeat_ms), false, 10, 60000,
-	 500},
-	{"config_confirm_ms", FIELD_UINT, MEMBER(config_confirm_ms), false, 100,
-	 600000, 3000},
-	{"list_poll_ms", FIELD_UINT, MEMBER(list_poll_ms), false, 10, 600000,
-	 1000},
-	{"load_poll_ms", FIELD_UINT, MEMBER(load_poll_ms), false, 10, 600000,
-	 500},
-	{"engine_subset", FIELD_UINT, MEMBER(engine_subset), false, 1, 100000,
-	 64},
-	{"queue_ms", FIELD_UINT, MEMBER(queue_ms), false, 0, 600000, 2000},
-	{"max_streams", FIELD_UINT, MEMBER(max_streams), false, 1, 100000,
-	 4000},
-	{"address_ttl_s", FIELD_UINT, MEMBER(address_ttl_s), false, 1, 3600,
-	 10},
-	{"stop_grace_s", FIELD_UINT, MEMBER(stop_grace_s), false, 0, 86400, 30},
-	{"claim_batch_ms", FIELD_UINT, MEMBER(claim_batch_ms), false, 0, 1000,
-	 2},
-	{"log_json", FIELD_BOOL, MEMBER(log_json), false, 0, 0, 0},
-	{"log_level", FIELD_LEVEL, MEMBER(log_level), false, 0, 0, 0},
+	{"instance", MEMBER(instance), 0, 0, 0, FIELD_NAME, true},
+	{"failure_domain", MEMBER(failure_domain), 0, 0, 0, FIELD_NAME, true},
+	{"caller", MEMBER(caller), 0, 0, 0, FIELD_LISTEN, true},
+	{"operator", MEMBER(operators), 0, 0, 0, FIELD_LISTEN, true},
+	{"peer", MEMBER(peer), 0, 0, 0, FIELD_LISTEN, true},
+	{"seed_peers", MEMBER(seed_peers), 0, 0, 0, FIELD_PEERS, false},
+	{"platform_url", MEMBER(platform_url), 0, 0, 0, FIELD_URL, true},
+	{"fleet_key", MEMBER(fleet_key), 0, 0, 0, FIELD_FLEET_KEY, true},
+	{"operator_keys", MEMBER(operator_keys), 0, 0, 0, FIELD_KEYS, true},
+	{"traffic_threads", MEMBER(traffic_threads), 1, MAX_THREADS, 1,
+	 FIELD_UINT, false},
+	{"max_body_bytes", MEMBER(max_body_bytes), 1024, 1 << 30, 4 << 20,
+	 FIELD_SIZE, false},
+	{"heartbeat_ms", MEMBER(heartbeat_ms), 10, 60000, 500, FIELD_UINT,
+	 false},
+	{"config_confirm_ms", MEMBER(config_confirm_ms), 100, 600000, 3000,
+	 FIELD_UINT, false},
+	{"list_poll_ms", MEMBER(list_poll_ms), 10, 600000, 1000, FIELD_UINT,
+	 false},
+	{"load_poll_ms", MEMBER(load_poll_ms), 10, 600000, 500, FIELD_UINT,
+	 false},
+	{"engine_subset", MEMBER(engine_subset), 1, 100000, 64, FIELD_UINT,
+	 false},
+	{"queue_ms", MEMBER(queue_ms), 0, 600000, 2000, FIELD_UINT, false},
+	{"max_streams", MEMBER(max_streams), 1, 100000, 4000, FIELD_UINT,
+	 false},
+	{"address_ttl_s", MEMBER(address_ttl_s), 1, 3600, 10, FIELD_UINT,
+	 false},
+	{"stop_grace_s", MEMBER(stop_grace_s), 0, 86400, 30, FIELD_UINT, false},
+	{"claim_batch_ms", MEMBER(claim_batch_ms), 0, 1000, 2, FIELD_UINT,
+	 false},
+	{"log_json", MEMBER(log_json), 0, 0, 0, FIELD_BOOL, false},
+	{"log_level", MEMBER(log_level), 0, 0, 0, FIELD_LEVEL, false},
 };
 
 static void fault(reader_t *reader, const char *path, const char *fmt, ...)
