Log each hang-up, and wait for the new output in scripts

A background caller truncates its output file late, so a script could see the file of the caller before and end the new one before it had sent its request (seen once in daemon_caller.t on a slow build: "gave up waiting for: cancelled 2"). The scripts remove the file first.

--- a/lib/generation.c
+++ b/lib/generation.c
@@ -21,6 +21,7 @@
 static void on_expired(void *ctx, int64_t retry_after_ms);
 static void refuse_overloaded(gc_generation_t *gen, int64_t retry_after_ms);
 static void start_stream(gc_generation_t *gen);
+static void log_hang_up(const gc_generation_t *gen);
 static void on_closed(void *ctx, bool complete);
 static void on_watch(struct tevent_context *ev, struct tevent_timer *te,
 		     struct timeval now, void *ctx);
@@ -187,15 +188,20 @@
 	gc_generation_release(gen);
 }
 
+static void log_hang_up(const gc_generation_t *gen)
+{
+	gc_log(GC_LOG_DEBUG, 1102, "caller hung up", "account", gen->account,
+	       NULL);
+}
+
 static void on_closed(void *ctx, bool complete)
 {
 	gc_generation_t *gen = ctx;
 
 	if (gen->over)
 		return;
+	log_hang_up(gen);
 	gen->over = true;
-	gc_log(GC_LOG_DEBUG, 1102, "caller hung up", "account", gen->account,
-	       NULL);
 	if (gen->stream)
 		gc_stream_on_caller_gone(gen->stream);
 	gc_generation_release(gen);
@@ -223,6 +229,7 @@
 		arm_watch(gen);
 		return;
 	}
+	log_hang_up(gen);
 	gc_error_set(&err, GC_ERR_CANCELLED, "caller", NULL,
 		     "the caller hung up");
 	gc_generation_give_up(gen, err);
--- a/regress/daemon_admit.t
+++ b/regress/daemon_admit.t
@@ -10,7 +10,7 @@
 does not reach the engine.
 
   $ runs=$(stat $e1_url runs)
-  $ stream $d1_url 100 >out &
+  $ rm -f out; stream $d1_url 100 >out &
   $ caller=$!; await test -s out
   $ call $d1_url '{"model":"draft","prompt":"p"}' -i | tr -d '\r' >refused
   $ grep '^HTTP' refused
@@ -27,7 +27,7 @@
 
 A request that waits for less than that is granted.
 
-  $ stream $d1_url 10 >out &
+  $ rm -f out; stream $d1_url 10 >out &
   $ caller=$!; await test -s out; stream $d1_url 10 >out2; wait $caller
   $ chain out; chain out2
   whole 10
@@ -36,7 +36,7 @@
 A queued caller hangs up: its place is free, and nothing runs for it.
 
   $ runs=$(stat $e1_url runs)
-  $ stream $d1_url 40 >out &
+  $ rm -f out; stream $d1_url 40 >out &
   $ caller=$!; await test -s out
   $ stream $d1_url 10 -m 0.1 >out2
   [28]
--- a/regress/daemon_caller.t
+++ b/regress/daemon_caller.t
@@ -12,6 +12,7 @@
   >   await cancelled $1; test $(($(now_ms) - begin)) -lt 1000
   > }
   $ start_caller() {
+  >   rm -f out
   >   curl -sN -H 'Authorization: Bearer quick-key' $d1_url/v1/completions \
   >     -d "{\"model\":\"draft\",\"prompt\":\"$PROMPT\",\"max_tokens\":$1,
   >          \"stream\":$2}" >out &
--- a/regress/daemon_engine.t
+++ b/regress/daemon_engine.t
@@ -47,7 +47,7 @@
 
   $ in_use() { tokens out | sed -n 's/^[^:]*:\(e[0-9]\)-.*/\1/p' | tail -n 1; }
   $ started() { test "$(tokens out | wc -l)" -gt 5; }
-  $ stream $d1_url 100 >out &
+  $ rm -f out; stream $d1_url 100 >out &
   $ caller=$!; await started; engine=$(in_use); eval "kill_9 \$${engine}_pid"
   $ wait $caller; chain out; tail -n 2 out | head -n 1
   whole 100
@@ -57,7 +57,7 @@
 
 The only engine that is left freezes for a second, then goes on.
 
-  $ stream $d1_url 100 >out &
+  $ rm -f out; stream $d1_url 100 >out &
   $ caller=$!; await started; engine=$(in_use); eval "pid=\$${engine}_pid"
   $ kill -STOP $pid; sleep 1; kill -CONT $pid
   $ wait $caller; chain out; tail -n 2 out | head -n 1
@@ -68,7 +68,7 @@
 
   $ fault_left() { eval "fault \$${left}_url '$1'"; }
   $ left=$engine; fault_left '{"fault":"cut","after":30,"lose_run":true}'
-  $ stream $d1_url 60 >out &
+  $ rm -f out; stream $d1_url 60 >out &
   $ caller=$!; await started; fault_left '{"fault":"refuse","count":1000}'
   $ sleep 2.5; fault_left '{"fault":"clear"}'
   $ wait $caller; chain out; tail -n 2 out | head -n 1
--- a/regress/daemon_frozen.t
+++ b/regress/daemon_frozen.t
@@ -13,7 +13,7 @@
 
   $ stream $d1_url 50 >/dev/null; stream $d1_url 50 >/dev/null
   $ for key in quick thrifty; do
-  >   stream $d1_url 200 -H "Authorization: Bearer $key-key" >out &
+  >   rm -f out; stream $d1_url 200 -H "Authorization: Bearer $key-key" >out &
   >   caller=$!; await started; eval "pid=\$$(in_use)_pid url=\$$(in_use)_url"
   >   kill -STOP $pid
   >   wait $caller; chain out; tail -n 2 out | head -n 1
--- a/regress/daemon_resume.t
+++ b/regress/daemon_resume.t
@@ -15,7 +15,7 @@
 A daemon is killed; the caller resumes at the other one by its last event id,
 by GET and by POST.
 
-  $ stream $d1_url 100 >out1 &
+  $ rm -f out1; stream $d1_url 100 >out1 &
   $ caller=$!; await started; kill_9 $d1_pid; wait $caller
   [18]
   $ resume "$(last_id out1)" >out2
@@ -53,9 +53,9 @@
   $ start_daemon d3 ",\"seed_peers\":[\"$(peer_of $d2_ops)\"]"
   $ knows_d3() { curl -s $d2_url/v1/addresses | grep -q '"instance":"d3"'; }
   $ await knows_d3
-  $ stream $d2_url 30 >out1 &
+  $ rm -f out1; stream $d2_url 30 >out1 &
   $ short=$!
-  $ stream $d2_url 200 >out3 &
+  $ rm -f out3; stream $d2_url 200 >out3 &
   $ long=$!
   $ await started; kill -TERM $d2_pid; sleep 0.3
   $ call $d2_url '{"model":"draft","prompt":"p"}' -w '%{http_code}' |
