--- a/core/members.h
+++ b/core/members.h
@@ -119,6 +119,11 @@
 /* The key-value service had this version at some time after started. */
 void gc_members_on_read(gc_members_t *members, struct timespec started,
 			uint64_t version);
+/*
+ * A read that was started then got no answer. A daemon that knows no other is
+ * confirmed by this alone: otherwise a pause would go unnoticed.
+ */
+void gc_members_on_read_failed(gc_members_t *members, struct timespec started);
 /* This daemon holds the version's content. False if it isn't newer. */
 bool gc_members_adopt(gc_members_t *members, uint64_t version);
 uint64_t gc_members_version(const gc_members_t *members);
--- a/core/members_confirm.c
+++ b/core/members_confirm.c
@@ -109,6 +109,12 @@
 	confirm(members, version, started);
 }
 
+void gc_members_on_read_failed(gc_members_t *members, struct timespec started)
+{
+	if (earlier(members->read_failed_at, started))
+		members->read_failed_at = started;
+}
+
 bool gc_members_adopt(gc_members_t *members, uint64_t version)
 {
 	if (version <= members->version)
@@ -196,7 +202,7 @@
 		g_new(struct timespec, members->all->len + 1);
 	size_t n = 0;
 
-	*at = now;
+	*at = members->read_failed_at;
 	if (needed == 0)
 		return true;
 	for (guint i = 0; i < members->all->len; i++) {
--- a/core/members_table.h
+++ b/core/members_table.h
@@ -40,6 +40,7 @@
 	bool leaving;
 	bool list_read; /* one that has this daemon in it */
 	bool voter;
+	struct timespec read_failed_at; /* start of the last failed read */
 	uint64_t version; /* content held */
 	uint64_t newest; /* highest version heard of */
 	uint64_t confirmed; /* version that was the newest ... */
--- a/lib/control_config.c
+++ b/lib/control_config.c
@@ -135,8 +135,10 @@
 	gc_control_t *control = config->control;
 
 	note_service(config, err);
-	if (err)
+	if (err) {
+		gc_members_on_read_failed(control->members, started);
 		return;
+	}
 	gc_counter_add(config->bytes, value.len);
 	if (index == 0) {
 		config->index = 0;
