--- /dev/null
+++ b/regress/check_members_replay.c
@@ -0,0 +1,277 @@
+/*
+ * Replays recorded events of one daemon and checks what it decides. Guards
+ * against the faults that the traces are named after. The lines of a trace:
+ * {"at":MS,"event":"read"|"read_failed","started":MS,"version":V}
+ * {"at":MS,"event":"adopt","version":V}
+ * {"at":MS,"event":"heartbeat","from":NAME,"version":V,"age":MS,"echo_at":MS}
+ *   where echo_at is the time of the own heartbeat that it echoes
+ * {"at":MS,"event":"list","daemons":[NAME...]}
+ * {"at":MS,"event":"record","document":{},"nonce":S,"expect":V}
+ * {"at":MS,"event":"expect", and any of "in_effect", "version", "may_accept",
+ *   "watcher", "known", "acknowledged":V, "not_acknowledged":V, "pull_from"}
+ */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "core/clock.h"
+#include "core/config_edit.h"
+#include "core/members.h"
+
+#define START_MS 1000000
+
+typedef struct replay {
+	gc_members_t *members;
+	struct timespec now;
+	const char *file;
+	int line;
+} replay_t;
+
+typedef struct handler {
+	const char *event;
+	void (*fn)(replay_t *replay, json_t *event);
+} handler_t;
+
+static GPtrArray *files;
+
+static uint64_t next_random(void *ctx);
+static struct timespec at_ms(int64_t ms);
+static int64_t integer(json_t *event, const char *name, int64_t absent);
+static const char *string(json_t *event, const char *name);
+static void on_read(replay_t *replay, json_t *event);
+static void on_read_failed(replay_t *replay, json_t *event);
+static void on_adopt(replay_t *replay, json_t *event);
+static void on_heartbeat(replay_t *replay, json_t *event);
+static void on_list(replay_t *replay, json_t *event);
+static void on_record(replay_t *replay, json_t *event);
+static void on_expect(replay_t *replay, json_t *event);
+static void run_line(replay_t *replay, const char *line);
+
+static const handler_t handlers[] = {
+	{"read", on_read},     {"read_failed", on_read_failed},
+	{"adopt", on_adopt},   {"heartbeat", on_heartbeat},
+	{"list", on_list},     {"record", on_record},
+	{"expect", on_expect},
+};
+
+static uint64_t next_random(void *ctx)
+{
+	return 1;
+}
+
+static struct timespec at_ms(int64_t ms)
+{
+	return gc_add_ms((struct timespec){0}, START_MS + ms);
+}
+
+static int64_t integer(json_t *event, const char *name, int64_t absent)
+{
+	json_t *value = json_object_get(event, name);
+
+	return value ? json_integer_value(value) : absent;
+}
+
+static const char *string(json_t *event, const char *name)
+{
+	return json_string_value(json_object_get(event, name));
+}
+
+static void on_read(replay_t *replay, json_t *event)
+{
+	gc_members_on_read(replay->members, at_ms(integer(event, "started", 0)),
+			   integer(event, "version", 0));
+}
+
+static void on_read_failed(replay_t *replay, json_t *event)
+{
+	gc_members_on_read_failed(replay->members,
+				  at_ms(integer(event, "started", 0)));
+}
+
+static void on_adopt(replay_t *replay, json_t *event)
+{
+	gc_members_adopt(replay->members, integer(event, "version", 0));
+}
+
+static void on_heartbeat(replay_t *replay, json_t *event)
+{
+	const char *from = string(event, "from");
+	g_autofree char *url = g_strconcat("tcp://", from, NULL);
+	int64_t echo_at = integer(event, "echo_at", -1);
+	gc_heartbeat_t own;
+	gc_heartbeat_t heartbeat = {
+		.from = {.name = gc_str(from),
+			 .failure_domain = GC_STR_LIT("a"),
+			 .peer_url = gc_str(url),
+			 .caller_url = GC_STR_LIT("http://1")},
+		.version = integer(event, "version", 0),
+		.confirmed_age_ms = integer(event, "age", -1),
+		.stamp = gc_ms_between((struct timespec){0}, replay->now),
+		.known = integer(event, "known", 1),
+		.voter = true,
+	};
+
+	if (echo_at >= 0) {
+		gc_members_make_heartbeat(replay->members, at_ms(echo_at),
+					  gc_str(from), &own);
+		heartbeat.echo = own.stamp;
+	}
+	gc_members_on_heartbeat(replay->members, replay->now, &heartbeat);
+}
+
+static void on_list(replay_t *replay, json_t *event)
+{
+	json_t *names = json_object_get(event, "daemons");
+	size_t n = json_array_size(names);
+	g_autofree gc_member_hint_t *listed = g_new0(gc_member_hint_t, n + 1);
+
+	for (size_t i = 0; i < n; i++)
+		listed[i].name =
+			gc_str(json_string_value(json_array_get(names, i)));
+	gc_members_on_list(replay->members, replay->now, listed, n);
+}
+
+static void on_record(replay_t *replay, json_t *event)
+{
+	ck_assert_msg((int64_t)gc_config_find_nonce(json_object_get(event,
+								    "document"),
+						    string(event, "nonce")) ==
+			      integer(event, "expect", 0),
+		      "%s:%d: nonce", replay->file, replay->line);
+}
+
+static void expect(const replay_t *replay, json_t *event, const char *name,
+		   int64_t found)
+{
+	json_t *value = json_object_get(event, name);
+	int64_t wanted = json_is_integer(value) ? json_integer_value(value)
+						: json_is_true(value);
+
+	if (value)
+		ck_assert_msg(wanted == found, "%s:%d: %s is %lld",
+			      replay->file, replay->line, name,
+			      (long long)found);
+}
+
+static void on_expect(replay_t *replay, json_t *event)
+{
+	const gc_members_t *members = replay->members;
+	struct timespec now = replay->now;
+	const char *pull_from = string(event, "pull_from");
+	int64_t acknowledged = integer(event, "acknowledged", -1);
+	int64_t missing = integer(event, "not_acknowledged", -1);
+
+	expect(replay, event, "in_effect", gc_members_in_effect(members, now));
+	expect(replay, event, "version", (int64_t)gc_members_version(members));
+	expect(replay, event, "may_accept",
+	       gc_members_may_accept(members, now));
+	expect(replay, event, "watcher", gc_members_is_watcher(members, now));
+	expect(replay, event, "known", (int64_t)gc_members_known(members));
+	if (acknowledged >= 0)
+		ck_assert_msg(
+			gc_members_acknowledged(members, now, acknowledged),
+			"%s:%d: acknowledged", replay->file, replay->line);
+	if (missing >= 0)
+		ck_assert_msg(!gc_members_acknowledged(members, now, missing),
+			      "%s:%d: not_acknowledged", replay->file,
+			      replay->line);
+	if (pull_from)
+		ck_assert_msg(gc_str_eq(gc_members_pull_from(members, now),
+					gc_str(pull_from)),
+			      "%s:%d: pull_from", replay->file, replay->line);
+}
+
+static void run_line(replay_t *replay, const char *line)
+{
+	json_t *event = json_loads(line, 0, NULL);
+	const char *name = string(event, "event");
+	bool found = false;
+
+	ck_assert_msg(name != NULL, "%s:%d: not an event", replay->file,
+		      replay->line);
+	replay->now = at_ms(integer(event, "at", 0));
+	for (size_t i = 0; i < G_N_ELEMENTS(handlers); i++) {
+		if (strcmp(handlers[i].event, name) != 0)
+			continue;
+		handlers[i].fn(replay, event);
+		found = true;
+	}
+	ck_assert_msg(found, "%s:%d: unknown event", replay->file,
+		      replay->line);
+	json_decref(event);
+}
+
+START_TEST(test_trace)
+{
+	const gc_random_t random = {.next = next_random};
+	const gc_members_conf_t conf = {
+		.self = GC_STR_LIT("self"),
+		.failure_domain = GC_STR_LIT("a"),
+		.peer_url = GC_STR_LIT("tcp://self"),
+		.caller_url = GC_STR_LIT("http://self"),
+		.heartbeat_ms = 500,
+		.confirm_ms = 3000,
+		.random = &random,
+		.started = at_ms(0),
+	};
+	replay_t replay = {.file = files->pdata[_i]};
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	ck_assert(g_file_get_contents(replay.file, &text, NULL, NULL));
+	lines = g_strsplit(text, "\n", -1);
+	replay.members = gc_members_create(NULL, &conf);
+	for (char **line = lines; *line; line++) {
+		replay.line++;
+		if (**line)
+			run_line(&replay, *line);
+	}
+	ck_assert_int_gt(replay.line, 1);
+	talloc_free(replay.members);
+}
+END_TEST
+
+static int compare_files(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static void find_files(void)
+{
+	GDir *dir = g_dir_open("traces_members", 0, NULL);
+	const char *name;
+
+	files = g_ptr_array_new_with_free_func(g_free);
+	while (dir && (name = g_dir_read_name(dir)) != NULL) {
+		if (g_str_has_suffix(name, ".jsonl"))
+			g_ptr_array_add(files, g_strconcat("traces_members/",
+							   name, NULL));
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_ptr_array_sort(files, compare_files);
+}
+
+int main(void)
+{
+	Suite *suite = suite_create("members_replay");
+	TCase *tcase = tcase_create("members_replay");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	find_files();
+	if (files->len == 0) {
+		fprintf(stderr, "traces_members: no traces\n");
+		return EXIT_FAILURE;
+	}
+	tcase_add_loop_test(tcase, test_trace, 0, (int)files->len);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	g_ptr_array_free(files, TRUE);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/regress/members_model.h
+++ b/regress/members_model.h
@@ -123,6 +123,7 @@
 	unsigned partition = 0; /* bit i: daemon i is on side 1 */
 	int kv_side = -1; /* with a partition; -1: both reach it */
 	std::vector<Accepted> accepted;
+	std::vector<std::string> refused; /* nonces told as conflicts */
 	unsigned next_nonce = 1;
 	unsigned served = 0; /* checks in which a daemon served */
 	std::string failure; /* the first broken invariant */
--- a/regress/prop_members.cc
+++ b/regress/prop_members.cc
@@ -115,7 +115,7 @@
 	}
 }
 
-/* Every accepted change is in the record's history, and only it. */
+/* Accepted changes are in the record's history, refused ones are not. */
 void check_accepted(model::World &world)
 {
 	for (const model::Accepted &accepted : world.accepted) {
@@ -125,6 +125,13 @@
 				   std::to_string(accepted.version) +
 				   " is not in the record");
 	}
+	for (const std::string &nonce : world.refused) {
+		for (const std::string &written : world.history) {
+			if (written == nonce)
+				world.fail("a change was refused though it "
+					   "was written");
+		}
+	}
 }
 
 bool check_configuration(int n, uint64_t seed, const std::vector<Step> &steps,
