--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -56,6 +56,8 @@
 /* NULL if absent. Header names match in any case. */
 const char *gc_http_req_header(const gc_http_req_t *req, const char *name);
 const char *gc_http_req_query(const gc_http_req_t *req, const char *name);
+/* All query arguments, escaped for a URL ("a=1&b=2"); free with g_free. */
+char *gc_http_req_query_string(const gc_http_req_t *req);
 gc_str_t gc_http_req_body(const gc_http_req_t *req);
 /*
  * False if the caller has hung up. The library doesn't watch a connection
@@ -82,7 +84,10 @@
 void gc_http_stream_on_drained(gc_http_req_t *req, size_t low_bytes,
 			       gc_http_drained_t drained, void *ctx);
 void gc_http_stream_end(gc_http_req_t *req);
-/* Closes the connection without a proper end, so that the client notices. */
+/*
+ * Closes the connection without a proper end, so that the client notices;
+ * without any answer if none has begun.
+ */
 void gc_http_stream_abort(gc_http_req_t *req);
 
 #endif
