Name the log event numbers in one header

Change: lib/events.h has a named constant for each number; every gc_log call uses one. No number had two uses; none changed. Conclusion: behaviour is unchanged.

--- a/goldcrestd/daemon.c
+++ b/goldcrestd/daemon.c
@@ -11,18 +11,10 @@
 #include "goldcrestd.h"
 #include "lib/claims.h"
 #include "lib/control.h"
+#include "lib/events.h"
 #include "lib/log.h"
 #include "lib/traffic.h"
 
-enum {
-	EVENT_STARTED = 1000,
-	EVENT_STOPPING = 1001,
-	EVENT_STOPPED = 1002,
-	EVENT_START_FAILED = 1003,
-	EVENT_SETTINGS_READ = 1004,
-	EVENT_SETTINGS_WRONG = 1005,
-};
-
 typedef struct daemon {
 	const daemon_options_t *options;
 	gc_settings_t *settings;
@@ -78,7 +70,7 @@
 	init_log(daemon);
 	up = start(daemon, &err);
 	if (!up) {
-		gc_log_error(GC_LOG_ERROR, EVENT_START_FAILED, "can't start",
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_START_FAILED, "can't start",
 			     err);
 		g_error_free(err);
 	}
@@ -113,7 +105,7 @@
 	    !write_ports(daemon, err))
 		return false;
 	add_signals(daemon);
-	gc_log(GC_LOG_INFO, EVENT_STARTED, "started", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", NULL);
 	return true;
 }
 
@@ -218,7 +210,7 @@
 	if (daemon->stopping)
 		return;
 	daemon->stopping = true;
-	gc_log(GC_LOG_INFO, EVENT_STOPPING, "stopping", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STOPPING, "stopping", NULL);
 	gc_control_leave(daemon->control);
 	for (unsigned int i = 0; i < daemon->n_traffic; i++)
 		gc_traffic_stop(daemon->traffic[i],
@@ -251,7 +243,7 @@
 
 	fresh = gc_settings_load(daemon, daemon->options->settings_file, &err);
 	if (!fresh) {
-		gc_log_error(GC_LOG_ERROR, EVENT_SETTINGS_WRONG,
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_SETTINGS_WRONG,
 			     "the settings are wrong, the old ones stay", err);
 		g_error_free(err);
 		return;
@@ -262,7 +254,8 @@
 	talloc_steal(daemon->settings, fresh->operator_keys);
 	talloc_free(fresh);
 	init_log(daemon);
-	gc_log(GC_LOG_INFO, EVENT_SETTINGS_READ, "settings read again", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_SETTINGS_READ, "settings read again",
+	       NULL);
 }
 
 /* Traffic threads report to the control thread until they have ended. */
@@ -275,5 +268,5 @@
 		gc_control_destroy(daemon->control);
 	if (daemon->rand)
 		g_rand_free(daemon->rand);
-	gc_log(GC_LOG_INFO, EVENT_STOPPED, "stopped", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STOPPED, "stopped", NULL);
 }
--- a/lib/control_change.c
+++ b/lib/control_change.c
@@ -13,6 +13,7 @@
 #include "core/config_edit.h"
 #include "core/error.h"
 #include "lib/control_change.h"
+#include "lib/events.h"
 #include "lib/log.h"
 
 #define NONCE_BYTES	    16
@@ -416,8 +417,8 @@
 	gc_control_t *control = change->control;
 	struct timespec now = gc_control_now(control);
 
-	gc_log(GC_LOG_INFO, 1305, "operator's change written", "nonce",
-	       change->nonce, NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_CONFIG_WRITTEN,
+	       "operator's change written", "nonce", change->nonce, NULL);
 	gc_control_config_take(control, text, "operator");
 	change->deadline = gc_add_ms(now, ACKNOWLEDGE_MS);
 	gc_control_after_ms(control, change, 0, on_acknowledge, change);
--- a/lib/control_config.c
+++ b/lib/control_config.c
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "lib/control_impl.h"
+#include "lib/events.h"
 #include "lib/log.h"
 
 #define WATCH_WAIT_S 30
@@ -157,11 +158,11 @@
 		return;
 	config->service_down = down;
 	if (down)
-		gc_log_error(GC_LOG_WARNING, 1300,
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_CONFIG_UNREADABLE,
 			     "can't read the configuration", err);
 	else
-		gc_log(GC_LOG_INFO, 1301, "configuration can be read again",
-		       NULL);
+		gc_log(GC_LOG_INFO, GC_EVENT_CONFIG_READABLE,
+		       "configuration can be read again", NULL);
 }
 
 /* False if the record holds no valid version. */
@@ -177,7 +178,8 @@
 
 	json_decref(document);
 	if (found < own) {
-		log_version(1302, "the service holds an older version", found,
+		log_version(GC_EVENT_CONFIG_OLDER,
+			    "the service holds an older version", found,
 			    "key-value service");
 		return false;
 	}
@@ -199,8 +201,8 @@
 
 	json_decref(document);
 	if (!parsed) {
-		gc_log_error(GC_LOG_ERROR, 1303, "configuration is invalid",
-			     err);
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_CONFIG_INVALID,
+			     "configuration is invalid", err);
 		g_clear_error(&err);
 		return false;
 	}
@@ -211,8 +213,8 @@
 	keep(config, parsed, text);
 	gc_health_set_config(control->engines_health, parsed);
 	gc_health_set_config(control->services_health, parsed);
-	log_version(1304, "took a configuration", gc_config_version(parsed),
-		    source);
+	log_version(GC_EVENT_CONFIG_TAKEN, "took a configuration",
+		    gc_config_version(parsed), source);
 	gc_control_changed(control);
 	/* Tells peers at once; those that are behind pull. */
 	gc_control_send_heartbeats(control);
--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -4,6 +4,7 @@
 #include "core/error.h"
 #include "lib/control_impl.h"
 #include "lib/control_list.h"
+#include "lib/events.h"
 #include "lib/log.h"
 
 #define LIST_TIMEOUT_MS 2000L
@@ -158,7 +159,8 @@
 	if (failing == list->failing)
 		return;
 	list->failing = failing;
-	gc_log(failing ? GC_LOG_WARNING : GC_LOG_INFO, failing ? 1502 : 1503,
+	gc_log(failing ? GC_LOG_WARNING : GC_LOG_INFO,
+	       failing ? GC_EVENT_LIST_UNREADABLE : GC_EVENT_LIST_READABLE,
 	       failing ? "can't read the instance list; keeping the last one"
 		       : "instance list can be read again",
 	       "list", list_names[list->kind], "error", err ? err->message : "",
@@ -299,7 +301,8 @@
 	if (poll->probe) {
 		gc_health_on_probe(control->engines_health,
 				   gc_control_now(control), name, ok);
-		gc_log(GC_LOG_INFO, ok ? 1504 : 1505,
+		gc_log(GC_LOG_INFO,
+		       ok ? GC_EVENT_ENGINE_READMITTED : GC_EVENT_PROBE_FAILED,
 		       ok ? "engine re-admitted after a probe"
 			  : "probe of an ejected engine failed",
 		       "engine", poll->name, NULL);
@@ -342,9 +345,9 @@
 			      engine, verdict))
 		return;
 	name = g_strndup(engine.data, engine.len);
-	gc_log(GC_LOG_WARNING, 1500, "engine ejected", "engine", name,
-	       "verdict", verdict == GC_ENGINE_FAILED ? "failed" : "stalled",
-	       NULL);
+	gc_log(GC_LOG_WARNING, GC_EVENT_ENGINE_EJECTED, "engine ejected",
+	       "engine", name, "verdict",
+	       verdict == GC_ENGINE_FAILED ? "failed" : "stalled", NULL);
 	gc_counter_add(gc_counter("goldcrest_engine_ejections_total",
 				  "Engines ejected by this daemon", NULL, NULL),
 		       1);
--- a/lib/control_members.c
+++ b/lib/control_members.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 
 #include "lib/control_impl.h"
+#include "lib/events.h"
 #include "lib/log.h"
 
 #define ALL_TARGETS (GC_MEMBERS_ALL * 2)
@@ -71,8 +72,8 @@
 		return;
 	loop->known = known;
 	g_snprintf(text, sizeof(text), "%zu", known);
-	gc_log(GC_LOG_INFO, 1400, "number of known daemons changed", "known",
-	       text, NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_KNOWN_DAEMONS_CHANGED,
+	       "number of known daemons changed", "known", text, NULL);
 	gc_gauge_set(gc_gauge("goldcrest_known_daemons",
 			      "Daemons known, this one included", NULL, NULL),
 		     (int64_t)known);
@@ -161,8 +162,8 @@
 	if (!gc_health_on_news(control->engines_health, gc_control_now(control),
 			       engine, age_ms))
 		return;
-	log_peer(GC_LOG_INFO, 1501, "engine ejected after a peer's news", from,
-		 engine);
+	log_peer(GC_LOG_INFO, GC_EVENT_ENGINE_EJECTED_BY_PEER,
+		 "engine ejected after a peer's news", from, engine);
 	gc_control_changed(control);
 }
 
--- a/lib/filter.c
+++ b/lib/filter.c
@@ -1,6 +1,7 @@
 /* The filter chain and typed refusals. */
 #include <stdlib.h>
 
+#include "lib/events.h"
 #include "lib/filter.h"
 #include "lib/log.h"
 #include "lib/meter.h"
@@ -62,7 +63,8 @@
 
 	if (err->code == GC_ERR_UNAVAILABLE || err->code == GC_ERR_OVERLOADED)
 		retry_after_s = gc_retry_after_s(exchange->traffic);
-	gc_log_error(GC_LOG_DEBUG, 1101, "request refused", err);
+	gc_log_error(GC_LOG_DEBUG, GC_EVENT_REQUEST_REFUSED, "request refused",
+		     err);
 	if (exchange->account) {
 		g_autofree char *name = g_strndup(exchange->account->name.data,
 						  exchange->account->name.len);
--- a/lib/generation.c
+++ b/lib/generation.c
@@ -1,6 +1,7 @@
 /* The life of a generation: admission, hang-up, break-off. */
 #include <string.h>
 
+#include "lib/events.h"
 #include "lib/generation_impl.h"
 #include "lib/log.h"
 
@@ -194,8 +195,8 @@
 	if (gen->over)
 		return;
 	gen->over = true;
-	gc_log(GC_LOG_DEBUG, 1102, "caller hung up", "account", gen->account,
-	       NULL);
+	gc_log(GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP, "caller hung up",
+	       "account", gen->account, NULL);
 	if (gen->stream)
 		gc_stream_on_caller_gone(gen->stream);
 	gc_generation_release(gen);
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "lib/control.h"
+#include "lib/events.h"
 #include "lib/generation_impl.h"
 #include "lib/log.h"
 
@@ -297,7 +298,7 @@
 	    g_error_matches(err, GC_ERROR, GC_ERR_UNAVAILABLE))
 		attempt->may_run = false;
 	gen->in_doubt |= attempt->may_run;
-	gc_log_error(GC_LOG_INFO, 1103, "attempt broke", err);
+	gc_log_error(GC_LOG_INFO, GC_EVENT_ATTEMPT_BROKE, "attempt broke", err);
 	gc_stream_on_broken(gen->stream, number, err);
 	talloc_free(attempt_find(gen, number));
 }
@@ -384,7 +385,8 @@
 {
 	gc_generation_t *gen = ctx;
 
-	gc_log_error(GC_LOG_WARNING, 1104, "generation failed", err);
+	gc_log_error(GC_LOG_WARNING, GC_EVENT_GENERATION_FAILED,
+		     "generation failed", err);
 	gen->over = true;
 	gc_reply_fail(gen->reply, err,
 		      gen->in_doubt ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
--- a/lib/operators.c
+++ b/lib/operators.c
@@ -7,6 +7,7 @@
 #include "core/config_edit.h"
 #include "core/error.h"
 #include "lib/control_change.h"
+#include "lib/events.h"
 #include "lib/log.h"
 #include "lib/operators_status.h"
 
@@ -80,8 +81,9 @@
 		return NULL;
 	}
 	g_snprintf(port, sizeof(port), "%u", gc_httpd_port(operators->httpd));
-	gc_log(GC_LOG_INFO, 1306, "operator listener is ready", "address",
-	       conf.address, "port", port, NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_OPERATOR_LISTENER_READY,
+	       "operator listener is ready", "address", conf.address, "port",
+	       port, NULL);
 	return operators;
 }
 
--- a/standins/serve.c
+++ b/standins/serve.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "core/clock.h"
+#include "lib/events.h"
 #include "lib/log.h"
 #include "standins/serve.h"
 
@@ -14,12 +15,6 @@
 #define STOP_GRACE_MS 3000
 #define STOP_POLL_MS  10
 
-enum {
-	EVENT_STARTED = 1700,
-	EVENT_STOPPING = 1701,
-	EVENT_FAILED = 1702,
-};
-
 static struct {
 	char *address;
 	int port;
@@ -121,7 +116,8 @@
 		gc_httpd_create(server, standin->ev, &httpd_conf,
 				server->conf->handler, server->ctx, &err);
 	if (!standin->httpd) {
-		gc_log_error(GC_LOG_ERROR, EVENT_FAILED, "can't listen", err);
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_STANDIN_FAILED,
+			     "can't listen", err);
 		return false;
 	}
 	port = gc_httpd_port(standin->httpd);
@@ -151,8 +147,9 @@
 
 	if (g_file_set_contents(options.ports_file, text, -1, &err))
 		return true;
-	gc_log(GC_LOG_ERROR, EVENT_FAILED, "can't write the ports file", "file",
-	       options.ports_file, "error", err->message, NULL);
+	gc_log(GC_LOG_ERROR, GC_EVENT_STANDIN_FAILED,
+	       "can't write the ports file", "file", options.ports_file,
+	       "error", err->message, NULL);
 	return false;
 }
 
@@ -166,7 +163,7 @@
 	server->stopping = true;
 	server->stop_at =
 		gc_add_ms(gc_clock_now(&gc_clock_system), STOP_GRACE_MS);
-	gc_log(GC_LOG_INFO, EVENT_STOPPING, "stopping", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STANDIN_STOPPING, "stopping", NULL);
 	gc_httpd_stop_accepting(server->standin.httpd);
 	if (server->conf->stop)
 		server->conf->stop(server->ctx);
