Name the events of claims and actions in lib/events.h

Cause: the claims module came with its own number macros. Change: their five numbers (1201, 1202, 1210, 1211, 1212) are constants of lib/events.h; none collided with another. Conclusion: one header holds all numbers.

--- a/lib/claims.c
+++ b/lib/claims.c
@@ -5,12 +5,10 @@
 
 #include "core/error.h"
 #include "lib/claims.h"
+#include "lib/events.h"
 #include "lib/log.h"
 #include "lib/metrics.h"
 
-#define EVENT_RECORD_FULL   1201
-#define EVENT_WRITE_REFUSED 1202
-
 struct gc_claims {
 	struct tevent_context *ev;
 	gc_kv_t *kv;
@@ -386,7 +384,7 @@
 	case GC_KV_CONFLICT:
 		if (!err)
 			return GC_CLAIM_CONFLICT;
-		gc_log_error(GC_LOG_ERROR, EVENT_WRITE_REFUSED,
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_CLAIM_WRITE_REFUSED,
 			     "key-value service refuses a claim record", err);
 		return err->code == GC_ERR_TOO_LARGE ? GC_CLAIM_TOO_LARGE
 						     : GC_CLAIM_NOT_SENT;
@@ -406,7 +404,7 @@
 
 	gc_counter_add(slot->claims->verdicts[answer->verdict], 1);
 	if (answer->err && answer->err->code == GC_ERR_TOO_LARGE)
-		gc_log_error(GC_LOG_WARNING, EVENT_RECORD_FULL,
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_CLAIM_RECORD_FULL,
 			     "claim record is full", answer->err);
 	reply->claim = message->claim;
 	reply->done = message->done;
--- a/lib/filter_service.c
+++ b/lib/filter_service.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "lib/claims.h"
+#include "lib/events.h"
 #include "lib/filter.h"
 #include "lib/log.h"
 
@@ -30,10 +31,6 @@
 #define NOT_RUN_RETRY_S	 1
 #define SERVER_NAMES_MAX MAX_TRIES
 
-#define EVENT_IN_DOUBT 1210
-#define EVENT_RELEASED 1211
-#define EVENT_TOO_LATE 1212
-
 /*
  * One call of a service. It has a talloc context of its own, because a
  * dispatched action goes on when its caller hangs up.
@@ -481,7 +478,7 @@
 	}
 	gc_error_set(&err, GC_ERR_TIMEOUT, "dispatch", NULL,
 		     "the daemon was paused before the dispatch");
-	gc_log_error(GC_LOG_WARNING, EVENT_TOO_LATE,
+	gc_log_error(GC_LOG_WARNING, GC_EVENT_ACTION_TOO_LATE,
 		     "action was given up before its dispatch", err);
 	release(call, "too_late", err);
 	g_clear_error(&err);
@@ -543,7 +540,7 @@
 	gc_http_req_t *req = take_request(call);
 
 	gc_claims_release(gc_traffic_claims(call->traffic), &call->claim);
-	gc_log_error(GC_LOG_INFO, EVENT_RELEASED,
+	gc_log_error(GC_LOG_INFO, GC_EVENT_CLAIM_RELEASED,
 		     "claim released, nothing was sent", cause);
 	if (req)
 		gc_refuse_as(req, 503, code, cause, GC_RUN_NOT_RUN,
@@ -702,7 +699,8 @@
 		call->own_claim
 			? "the connection broke after the dispatch"
 			: "another attempt at this key has no outcome yet");
-	gc_log_error(GC_LOG_WARNING, EVENT_IN_DOUBT, "action in doubt", err);
+	gc_log_error(GC_LOG_WARNING, GC_EVENT_ACTION_IN_DOUBT,
+		     "action in doubt", err);
 	if (req)
 		gc_refuse_as(req, 409, "in_doubt", err, GC_RUN_IN_DOUBT,
 			     IN_DOUBT_RETRY_S, call->status_read);
