--- a/lib/generation.c
+++ b/lib/generation.c
@@ -1,6 +1,7 @@
 /* The life of a generation: admission, hang-up, break-off. */
 #include <string.h>
 
+#include "lib/events.h"
 #include "lib/generation_impl.h"
 #include "lib/log.h"
 
@@ -190,7 +191,7 @@
 
 static void log_hang_up(const gc_generation_t *gen)
 {
-	gc_log(GC_LOG_DEBUG, 1102, "caller hung up", "account", gen->account,
+	gc_log(GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP, "caller hung up", "account", gen->account,
 	       NULL);
 }
 
