--- a/regress/daemon_frozen.t
+++ b/regress/daemon_frozen.t
@@ -15,10 +15,10 @@
   $ for key in quick thrifty; do
   >   rm -f out; stream $d1_url 200 -H "Authorization: Bearer $key-key" >out &
   >   caller=$!; await started; eval "pid=\$$(in_use)_pid url=\$$(in_use)_url"
-  >   kill -STOP $pid
+  >   before=$(stat $url cancelled); kill -STOP $pid
   >   wait $caller; chain out; tail -n 2 out | head -n 1
   >   kill -CONT $pid
-  >   await stat_is $url cancelled 1 && echo cancelled
+  >   await stat_is $url cancelled $((before + 1)) && echo cancelled
   >   fault $url '{"fault":"clear"}'
   >   sleep 2
   > done
--- a/regress/standins_engine.t
+++ b/regress/standins_engine.t
@@ -18,13 +18,13 @@
   data: {"run":"e1-1","attach":1,"offset":0,"cached":0}
   
   id: 0
-  data: {"t":"pensiwn:e1-1:86699583 "}
+  data: {"t":"pensiwn:e1-1:86699583 ","run":"e1-1"}
   
   id: 1
-  data: {"t":"lwfans:e1-1:598074ce "}
+  data: {"t":"lwfans:e1-1:598074ce ","run":"e1-1"}
   
   id: 2
-  data: {"t":"wardrobe:e1-1:0a717f1e "}
+  data: {"t":"wardrobe:e1-1:0a717f1e ","run":"e1-1"}
   
   event: end
   data: {"reason":"length","tokens":3}
@@ -34,13 +34,13 @@
   data: {"run":"e2-1","attach":1,"offset":3,"cached":0}
   
   id: 3
-  data: {"t":"payslip:e2-1:ae9150be "}
+  data: {"t":"payslip:e2-1:ae9150be ","run":"e2-1"}
   
   id: 4
-  data: {"t":"blwyddyn:e2-1:b786c978 "}
+  data: {"t":"blwyddyn:e2-1:b786c978 ","run":"e2-1"}
   
   id: 5
-  data: {"t":"pension:e2-1:45af064f "}
+  data: {"t":"pension:e2-1:45af064f ","run":"e2-1"}
   
   event: end
   data: {"reason":"length","tokens":6}
@@ -53,7 +53,7 @@
   data: {"run":"e1-1","attach":2,"offset":2,"cached":0,"request":{"request":"r1","model":"m","prompt":"how do I book a sofa","max_tokens":3}}
   
   id: 2
-  data: {"t":"wardrobe:e1-1:0a717f1e "}
+  data: {"t":"wardrobe:e1-1:0a717f1e ","run":"e1-1"}
   
   event: end
   data: {"reason":"length","tokens":3}
