Free arrays explicitly where the analyzer doesn't see the cleanup

Cause: clang-tidy took seven arrays with automatic cleanup for leaks. Change: they are freed by g_free; the options of goldcrestctl wait are parsed in place. Conclusion: no change of behaviour.

--- a/core/members.c
+++ b/core/members.c
@@ -296,7 +296,7 @@
 size_t gc_members_targets(gc_members_t *members, struct timespec now,
 			  gc_member_hint_t *targets, size_t max)
 {
-	g_autofree gc_member_hint_t *all = NULL;
+	gc_member_hint_t *all;
 	size_t n = 0;
 
 	all = g_new0(gc_member_hint_t, members->all->len + members->seeds->len);
@@ -319,6 +319,7 @@
 		n = pick_some(members, all, n, max);
 	if (n > 0)
 		memcpy(targets, all, n * sizeof(*all));
+	g_free(all);
 	return n;
 }
 
--- a/core/members_confirm.c
+++ b/core/members_confirm.c
@@ -198,24 +198,24 @@
 			     struct timespec *at)
 {
 	size_t needed = majority(members, now) - members->voter;
-	g_autofree struct timespec *times =
-		g_new(struct timespec, members->all->len + 1);
+	struct timespec *times;
 	size_t n = 0;
 
 	*at = members->read_failed_at;
 	if (needed == 0)
 		return true;
+	times = g_new(struct timespec, members->all->len + 1);
 	for (guint i = 0; i < members->all->len; i++) {
 		const member_t *member = members->all->pdata[i];
 
 		if (member->proven && member->voter && !member->leaving)
 			times[n++] = member->proven_at;
 	}
-	if (n < needed)
-		return false;
 	qsort(times, n, sizeof(*times), latest_first);
-	*at = times[needed - 1];
-	return true;
+	if (n >= needed)
+		*at = times[needed - 1];
+	g_free(times);
+	return n >= needed;
 }
 
 struct timespec gc_members_in_effect_until(const gc_members_t *members,
--- a/goldcrestctl/status.c
+++ b/goldcrestctl/status.c
@@ -105,19 +105,14 @@
 	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 	g_autoptr(GError) err = NULL;
 	gint64 version;
-	/* The parser takes the first argument for the program's name. */
-	g_auto(GStrv) args = g_new0(char *, argc + 2);
-	g_autofree char **parsed = g_new0(char *, argc + 2);
+	/* argv[-1] is "wait": the parser skips it as the program's name. */
 	int n = argc + 1;
+	char **args = argv - 1;
 
-	args[0] = g_strdup("wait");
-	for (int i = 0; i < argc; i++)
-		args[i + 1] = g_strdup(argv[i]);
-	memcpy(parsed, args, sizeof(*args) * (argc + 1));
 	g_option_context_add_main_entries(context, entries, NULL);
-	if (!g_option_context_parse(context, &n, (char ***)&parsed, &err))
+	if (!g_option_context_parse(context, &n, &args, &err))
 		return ctl_usage("wait: %s", err->message);
-	if (n != 2 || !g_ascii_string_to_signed(parsed[1], 10, 1, G_MAXINT64,
+	if (n != 2 || !g_ascii_string_to_signed(args[1], 10, 1, G_MAXINT64,
 						&version, NULL))
 		return ctl_usage("wait: expected VERSION");
 	return wait_for(ctl, version, timeout_s);
--- a/lib/control.c
+++ b/lib/control.c
@@ -96,8 +96,7 @@
 	const gc_settings_t *settings = control->settings;
 	g_autofree char *caller_url = g_strdup_printf(
 		"http://%s:%u", settings->caller.address, caller_port);
-	g_autofree gc_str_t *seeds =
-		g_new(gc_str_t, settings->n_seed_peers + 1);
+	gc_str_t *seeds = g_new(gc_str_t, settings->n_seed_peers + 1);
 	gc_members_conf_t conf = {
 		.self = gc_str(settings->instance),
 		.failure_domain = gc_str(settings->failure_domain),
@@ -113,6 +112,7 @@
 	for (size_t i = 0; i < settings->n_seed_peers; i++)
 		seeds[i] = gc_str(settings->seed_peers[i]);
 	gc_members_set_seeds(control->members, seeds, settings->n_seed_peers);
+	g_free(seeds);
 }
 
 void gc_control_leave(gc_control_t *control)
--- a/lib/control_change.c
+++ b/lib/control_change.c
@@ -318,7 +318,7 @@
 	struct timespec now = gc_control_now(control);
 	size_t max = gc_health_count(control->engines_health) +
 		     gc_health_count(control->services_health);
-	g_autofree gc_labelled_t *all = g_new0(gc_labelled_t, max + 1);
+	gc_labelled_t *all = g_new0(gc_labelled_t, max + 1);
 	GError *err = NULL;
 	char *text;
 	size_t n;
@@ -331,6 +331,7 @@
 		text = g_strdup(err->message);
 	for (size_t i = 0; i < n; i++)
 		json_decref(all[i].labels);
+	g_free(all);
 	g_clear_error(&err);
 	return text;
 }
--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -197,7 +197,7 @@
 {
 	gc_control_t *control = engines->control;
 	size_t n = gc_health_count(control->engines_health);
-	g_autofree gc_str_t *names = g_new0(gc_str_t, n + 1);
+	gc_str_t *names = g_new0(gc_str_t, n + 1);
 	struct timespec now = gc_control_now(control);
 	gc_health_instance_t instance;
 
@@ -214,6 +214,7 @@
 					 g_strndup(names[i].data,
 						   names[i].len));
 	}
+	g_free(names);
 }
 
 static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
--- a/lib/control_list.c
+++ b/lib/control_list.c
@@ -70,7 +70,7 @@
 gc_member_hint_t *gc_list_daemons(json_t *answer, GStringChunk *strings,
 				  size_t *n)
 {
-	g_autofree gc_listed_t *listed = gc_list_instances(answer, strings, n);
+	gc_listed_t *listed = gc_list_instances(answer, strings, n);
 	gc_member_hint_t *daemons = g_new0(gc_member_hint_t, *n + 1);
 
 	for (size_t i = 0; i < *n; i++)
@@ -81,5 +81,6 @@
 			.caller_url = listed[i].url,
 			.leaving = listed[i].leaving,
 		};
+	g_free(listed);
 	return daemons;
 }
