--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -241,13 +241,14 @@
 		curl_multi_assign(client->multi, sock, NULL);
 		return 0;
 	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
 	/*
 	 * tevent reports errors only to readers; without this a refused
 	 * connection would be noticed by libcurl's timer, 200 ms later.
 	 */
-	flags |= TEVENT_FD_READ;
 	if (what & CURL_POLL_OUT)
-		flags |= TEVENT_FD_WRITE;
+		flags |= TEVENT_FD_WRITE | TEVENT_FD_READ;
 	if (!watched) {
 		watched = talloc_zero(client, watched_t);
 		watched->client = client;
