Guess each engine's cached prefix from the prompts it was given

Placement got 0 as cached tokens of every engine, so prompts with a common start were spread and prefilled on each of them.

A traffic thread remembers, in a table of fixed size, which engine was given which start of a prompt, and passes the length on to gc_place_choose.

--- a/lib/engines.c
+++ b/lib/engines.c
@@ -3,7 +3,9 @@
 
 #include <xxhash.h>
 
+#include "lib/affinity.h"
 #include "lib/engines.h"
+#include "lib/openai.h"
 
 struct gc_engine_record {
 	gc_stall_t *stall;
@@ -17,6 +19,7 @@
 	gc_view_t *view;
 	GHashTable *records; /* name -> gc_engine_record_t */
 	bool *in_subset; /* of view->engines, by index */
+	gc_affinity_t *affinity;
 	uint64_t subset_of; /* hash of the names that it was made from */
 };
 
@@ -26,8 +29,8 @@
 static uint64_t names_hash(const gc_view_t *view);
 static size_t collect(gc_engines_t *engines, const gc_pick_t *pick,
 		      bool subset_only, gc_candidate_t *out);
-static void fill(gc_engines_t *engines, const gc_view_instance_t *instance,
-		 gc_candidate_t *out);
+static void fill(gc_engines_t *engines, const gc_pick_t *pick,
+		 const gc_view_instance_t *instance, gc_candidate_t *out);
 
 gc_engines_t *gc_engines_create(TALLOC_CTX *mem, const gc_settings_t *settings,
 				const gc_clock_t *clock,
@@ -38,6 +41,7 @@
 	engines->settings = settings;
 	engines->clock = clock;
 	engines->random = random;
+	engines->affinity = gc_affinity_create(engines);
 	engines->records =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	talloc_set_destructor(engines, engines_destructor);
@@ -109,7 +113,8 @@
 		     char name[GC_NAME_MAX])
 {
 	gc_place_request_t request = {
-		.prompt_tokens = pick->prompt_tokens,
+		.prompt_tokens =
+			gc_estimate_tokens(pick->prompt) + pick->prefix_tokens,
 		.policy = pick->policy,
 		.avoid = pick->avoid,
 		.n_avoid = pick->n_avoid,
@@ -155,14 +160,14 @@
 					    gc_str(pick->model),
 					    instance->labels))
 			continue;
-		fill(engines, instance, &out[n]);
+		fill(engines, pick, instance, &out[n]);
 		n++;
 	}
 	return n;
 }
 
-static void fill(gc_engines_t *engines, const gc_view_instance_t *instance,
-		 gc_candidate_t *out)
+static void fill(gc_engines_t *engines, const gc_pick_t *pick,
+		 const gc_view_instance_t *instance, gc_candidate_t *out)
 {
 	g_autofree char *name =
 		g_strndup(instance->name.data, instance->name.len);
@@ -177,6 +182,9 @@
 		.leaving = instance->leaving,
 		.ejected = instance->ejected,
 	};
+	out->cached_tokens = gc_affinity_bytes(engines->affinity,
+					       gc_str(pick->prompt), own) /
+			     GC_BYTES_PER_TOKEN;
 	for (const gc_flight_t *f = own->flights; f; f = f->next) {
 		out->own_in_flight++;
 		if (gc_us_between(instance->reported_at, f->since) > 0)
@@ -226,6 +234,13 @@
 	flight->record->flights = flight;
 }
 
+void gc_engines_note_prompt(gc_engines_t *engines, const char *name,
+			    const char *prompt)
+{
+	gc_affinity_note(engines->affinity, gc_str(prompt),
+			 record(engines, name));
+}
+
 void gc_flight_end(gc_flight_t *flight)
 {
 	if (!flight->record)
--- a/lib/engines.h
+++ b/lib/engines.h
@@ -29,7 +29,8 @@
 	const gc_account_t *account;
 	const char *model;
 	gc_policy_t policy;
-	uint64_t prompt_tokens;
+	const char *prompt;
+	uint64_t prefix_tokens; /* behind the prompt */
 	const gc_str_t *avoid;
 	size_t n_avoid;
 } gc_pick_t;
@@ -48,6 +49,9 @@
 const gc_view_instance_t *gc_engines_find(const gc_engines_t *engines,
 					  const char *name);
 gc_stall_t *gc_engines_stall(gc_engines_t *engines, const char *name);
+/* The engine starts a run with this prompt and will have it in its cache. */
+void gc_engines_note_prompt(gc_engines_t *engines, const char *name,
+			    const char *prompt);
 void gc_flight_begin(gc_engines_t *engines, gc_flight_t *flight,
 		     const char *name);
 void gc_flight_end(gc_flight_t *flight);
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -149,6 +149,8 @@
 	gen->started = true;
 	attempt->may_run = true;
 	attempt->timed = true;
+	gc_engines_note_prompt(gc_traffic_engines(gen->traffic), engine,
+			       gen->request->prompt);
 	body = run_body(gen, from);
 	attempt->engine = gc_engine_start(attempt, &conf, body, from,
 					  &engine_ops, attempt);
@@ -314,8 +316,8 @@
 		.account = gen->ex->account,
 		.model = gen->request->model,
 		.policy = gen->ex->account->policy,
-		.prompt_tokens = gc_estimate_tokens(gen->request->prompt) +
-				 gc_stream_tokens(gen->stream),
+		.prompt = gen->request->prompt,
+		.prefix_tokens = gc_stream_tokens(gen->stream),
 		.avoid = avoid,
 		.n_avoid = n_avoid,
 	};
--- a/lib/openai.c
+++ b/lib/openai.c
@@ -7,8 +7,6 @@
 
 #define DEFAULT_MAX_TOKENS 256
 #define MAX_PRIORITY	   100
-/* Bytes of text per token, a usual mean of English text. */
-#define BYTES_PER_TOKEN 4
 
 static bool read_model(gc_generate_t *out, json_t *body, GError **err);
 static bool read_prompt(gc_generate_t *out, json_t *body, GError **err);
@@ -237,5 +235,5 @@
 {
 	size_t len = text ? strlen(text) : 0;
 
-	return (len + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
+	return (len + GC_BYTES_PER_TOKEN - 1) / GC_BYTES_PER_TOKEN;
 }
--- a/lib/openai.h
+++ b/lib/openai.h
@@ -13,6 +13,8 @@
 
 /* Most tokens that a caller may ask for. */
 #define GC_MAX_TOKENS 100000
+/* Bytes of text per token, a usual mean of English text. */
+#define GC_BYTES_PER_TOKEN 4
 
 typedef struct gc_generate {
 	bool chat;
