--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -246,3 +246,31 @@
             "cyflogres": {"key_sha256": sha256(ACCOUNT_KEYS["cyflogres"]),
                           "weight": 1, "policy": policy_b}},
     }
+
+
+def serve():
+    """Runs a small fleet until it is interrupted; prints how to reach it."""
+    with Fleet() as run:
+        run.start_platform()
+        for i in range(5):
+            run.start_engine(i, ["--slots", "8", "--token-ms", "20"])
+        run.start_backend(0)
+        daemons = run.start_daemons(3)
+        version = run.configure(daemons[0], two_user_config())
+        run.wait_in_effect(daemons, version)
+        for i, name in enumerate(daemons):
+            print(f"export CALLER_{i}={run.url(name)} "
+                  f"OPERATOR_{i}={run.url(name + '.operator')}")
+        print(f"export KEY={ACCOUNT_KEYS['lone-star']} "
+              f"GOLDCREST_OPERATOR_KEY={OPERATOR_KEY}")
+        print(f"# logs and settings: {run.dir}; end with an interrupt",
+              flush=True)
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            pass
+
+
+if __name__ == "__main__":
+    serve()
