--- /dev/null
+++ b/regress/docs.py
@@ -0,0 +1,165 @@
+"""Compares the pages for operators with the code; prints each difference."""
+
+import os
+import re
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+SOURCE_DIRS = ["core", "lib", "goldcrestd", "goldcrestctl", "goldcrestcall",
+               "standins"]
+# Linked from README.md before they are written: their figures need
+# measurements of the finished system. Checked as soon as they exist.
+LATER_PAGES = {"docs/PROOF.md", "docs/CAPACITY.md"}
+
+faults = []
+
+
+def read(path):
+    with open(os.path.join(ROOT, path), encoding="utf-8") as f:
+        return f.read()
+
+
+def sources():
+    for top in SOURCE_DIRS:
+        for folder, _, names in sorted(os.walk(os.path.join(ROOT, top))):
+            for name in sorted(names):
+                if name.endswith((".c", ".h")):
+                    path = os.path.join(folder, name)
+                    yield os.path.relpath(path, ROOT), read(path)
+
+
+def compare(what, code, page, code_name, page_name):
+    for item in sorted(set(code) - set(page)):
+        faults.append(f"{what} {item}: in {code_name}, not in {page_name}")
+    for item in sorted(set(page) - set(code)):
+        faults.append(f"{what} {item}: in {page_name}, not in {code_name}")
+
+
+def require(what, items):
+    """An empty list would make its comparison pass without a check."""
+    if not items:
+        faults.append(f"no {what} found")
+    return items
+
+
+def rows(path):
+    """The cells of each table row."""
+    for line in read(path).splitlines():
+        if line.startswith("|") and not line.startswith("|---"):
+            yield [cell.strip() for cell in line.strip("|").split("|")]
+
+
+def check_events():
+    header = "lib/events.h"
+    page = "docs/LOGS.md"
+    constants = require("events", re.findall(
+        r"\b(GC_EVENT_\w+) = (\d+)", read(header)))
+    numbers = [number for _, number in constants]
+    for number in sorted(set(numbers)):
+        if numbers.count(number) > 1:
+            faults.append(f"event {number}: two names in {header}")
+    listed = [row for row in rows(page) if row[0].isdigit()]
+    compare("event", numbers, [row[0] for row in listed], header, page)
+
+    files = {path: text for path, text in sources() if path != header}
+    code = "\n".join(files.values())
+    for name, number in constants:
+        if not re.search(rf"\b{name}\b", code):
+            faults.append(f"event {number}: {name} is not used")
+    for path, text in files.items():
+        for found in re.findall(
+                r"EVENT_\w+\s*=?\s*\d{4}\b"
+                r"|gc_log(?:_error)?\([^;\"]*\b1\d{3}\b", text):
+            faults.append(f"{path}: event number without a constant of "
+                          f"{header}: {found}")
+    # Literals that are split over lines are one message.
+    joined = re.sub(r'"\s*\n\s*"', "", code)
+    for row in listed:
+        if f'"{row[2]}"' not in joined:
+            faults.append(f"event {row[0]}: no message \"{row[2]}\"")
+        if row[1] not in ("debug", "info", "warning", "error"):
+            faults.append(f"event {row[0]}: no level {row[1]}")
+
+
+def metrics_of_code():
+    names = set()
+    for path, text in sources():
+        names.update(re.findall(r'"(goldcrest_[a-z_]+)"', text))
+    # lib/meter.c puts its names together from a label and a part.
+    meter = read("lib/meter.c")
+    parts = require("parts of names in lib/meter.c", re.findall(
+        r'\] = \{"([a-z_]+)",', meter))
+    labels = require("labels in lib/meter.c", re.findall(
+        r'fill\(&[\w>-]+, "(\w+)"', meter))
+    names.update(f"goldcrest_{label}_{part}"
+                 for label in labels for part in parts)
+    return names
+
+
+def check_metrics():
+    page = "docs/METRICS.md"
+    code = require("metrics", metrics_of_code())
+    listed = [row[0].strip("`") for row in rows(page)
+              if row[0].startswith("`")]
+    compare("metric", code, listed, "the code", page)
+    for name in re.findall(r"goldcrest_[a-z_]+", read(page)):
+        if name not in code:
+            faults.append(f"metric {name}: in the text of {page} only")
+
+
+def settings_of_code():
+    table = read("lib/settings.c")
+    table = table[table.index("fields[] = {"):]
+    table = table[:table.index("\n};")]
+    return require("settings in lib/settings.c",
+                   re.findall(r'\{"(\w+)",', table))
+
+
+def settings_of_man():
+    names = []
+    for line in read("goldcrestd/goldcrestd.conf.5").splitlines():
+        if line.startswith(".It Va "):
+            line = line[len(".It Va "):].split(" Pq ")[0]
+            names += [name.strip() for name in line.split(" , ")]
+    return names
+
+
+def check_settings():
+    code = settings_of_code()
+    compare("setting", code, settings_of_man(), "lib/settings.c",
+            "goldcrestd.conf.5")
+    text = read("docs/OPERATING.md")
+    section = text[text.index("### Settings"):]
+    section = section[:section.index("\n### ", 1)]
+    listed = re.findall(r"^\| `(\w+)` \|", section, re.M)
+    compare("setting", code, listed, "lib/settings.c", "docs/OPERATING.md")
+
+
+def check_links():
+    pages = ["README.md"] + sorted(
+        "docs/" + name for name in os.listdir(os.path.join(ROOT, "docs"))
+        if name.endswith(".md"))
+    for page in pages:
+        for target in re.findall(r"\]\(([^)\s]+)\)", read(page)):
+            if re.match(r"[a-z]+:|#", target):
+                continue
+            path = os.path.normpath(os.path.join(
+                os.path.dirname(page), target.split("#")[0]))
+            if (path not in LATER_PAGES
+                    and not os.path.exists(os.path.join(ROOT, path))):
+                faults.append(f"{page}: {target} does not exist")
+
+
+def main():
+    check_events()
+    check_metrics()
+    check_settings()
+    check_links()
+    for fault in faults:
+        print(fault)
+    print("pages and code agree" if not faults else f"{len(faults)} faults")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
