--- a/lib/generation.c
+++ b/lib/generation.c
@@ -191,8 +191,8 @@
 
 static void log_hang_up(const gc_generation_t *gen)
 {
-	gc_log(GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP, "caller hung up", "account", gen->account,
-	       NULL);
+	gc_log(GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP, "caller hung up",
+	       "account", gen->account, NULL);
 }
 
 static void on_closed(void *ctx, bool complete)
--- a/regress/docs.py
+++ b/regress/docs.py
@@ -79,6 +79,15 @@
             faults.append(f"event {row[0]}: no message \"{row[2]}\"")
         if row[1] not in ("debug", "info", "warning", "error"):
             faults.append(f"event {row[0]}: no level {row[1]}")
+    # Calls that choose level or event at run time are not seen here.
+    levels = {row[0]: row[1] for row in listed}
+    by_name = dict(constants)
+    for level, name in require("calls with a level", re.findall(
+            r"\bGC_LOG_([A-Z]+),\s*(GC_EVENT_\w+)", code)):
+        number = by_name.get(name)
+        if number in levels and levels[number] != level.lower():
+            faults.append(f"event {number}: level {levels[number]} in {page}, "
+                          f"{level.lower()} in the code")
 
 
 def metrics_of_code():
