Vary the prompts of a placement test; free a list plainly

Change: each try has a new prompt; the array is freed by hand. Conclusion: a test fault, the placement is as designed.

--- a/regress/check_members_replay.c
+++ b/regress/check_members_replay.c
@@ -126,12 +126,13 @@
 {
 	json_t *names = json_object_get(event, "daemons");
 	size_t n = json_array_size(names);
-	g_autofree gc_member_hint_t *listed = g_new0(gc_member_hint_t, n + 1);
+	gc_member_hint_t *listed = g_new0(gc_member_hint_t, n + 1);
 
 	for (size_t i = 0; i < n; i++)
 		listed[i].name =
 			gc_str(json_string_value(json_array_get(names, i)));
 	gc_members_on_list(replay->members, replay->now, listed, n);
+	g_free(listed);
 }
 
 static void on_record(replay_t *replay, json_t *event)
--- a/regress/daemon.sh
+++ b/regress/daemon.sh
@@ -121,9 +121,11 @@
 	call "$url" "{\"model\":\"draft\",\"prompt\":\"$PROMPT\",
 		\"max_tokens\":$max,\"stream\":true}" -N "$@"
 }
-# runs_on URL ENGINE: true once a generation was placed on the engine.
+# runs_on URL ENGINE: true once a generation was placed on the engine. Each
+# prompt is new, or the prefix affinity would keep it on one engine.
 runs_on() {
-	call "$1" '{"model":"draft","prompt":"ready?","max_tokens":1}' |
+	call "$1" "{\"model\":\"draft\",\"prompt\":\"$RANDOM$RANDOM\",
+		\"max_tokens\":1}" |
 		grep -q ":$2-"
 }
 PROMPT='two sofas and a fridge'
