--- a/bench/bench.py
+++ b/bench/bench.py
@@ -24,7 +24,8 @@
 STREAMS = 30
 TOKENS = 300
 FAULT_AFTER_S = 4.0
-FREEZE_S = 20
+# Shorter than the economy policy's wait, longer than the latency policy's.
+PAUSE_S = 0.8
 ENGINE_ARGS = ["--slots", str(SLOTS), "--token-ms", str(TOKEN_MS),
                "--prefill-us-per-token", str(PREFILL_US),
                "--cache-tokens", "20000"]
@@ -40,12 +41,14 @@
 
 
 def engine_work(run, names):
-    """Tokens prefilled and decoded so far, by engine."""
-    work = {}
+    """Work of the engines so far: (tokens, ms of slot time)."""
+    tokens = slot_ms = 0.0
     for name in names:
         _, stats = fleet.http("GET", run.url(name) + "/v1/stats")
-        work[name] = stats["prefilled"] + stats["decoded"]
-    return work
+        tokens += stats["prefilled"] + stats["decoded"]
+        slot_ms += (stats["prefilled"] * PREFILL_US / 1000 +
+                    stats["decoded"] * TOKEN_MS)
+    return tokens, slot_ms
 
 
 def start(run, policy, engines=ENGINES, daemons=DAEMONS, engine_args=None):
@@ -66,28 +69,42 @@
             "--seed", "7", "--patience-s", "60", *extra]
 
 
+def average_engine(run, names):
+    """The engine whose number of runs is nearest to the mean."""
+    loads = {n: fleet.http("GET", run.url(n) + "/v1/load")[1]["running"]
+             for n in names}
+    mean = sum(loads.values()) / len(loads)
+    return min(names, key=lambda n: abs(loads[n] - mean))
+
+
 def fault_run(policy, fault, settings=None, load_args=()):
-    """One run; fault is None, "reset" or "freeze".
+    """One run; fault is None, "reset", "freeze" or "pause".
 
-    Returns the load's report, engine tokens used, and the latencies in ms.
+    Returns the load's report, the engines' work, and the latencies in ms. A
+    pause has no latency of its own: a stream may go on at the same engine.
     """
     with fleet.Fleet(settings) as run:
         engines, entries = start(run, policy)
         load = run.load(entries, "lone-star", generate_args(load_args))
         time.sleep(FAULT_AFTER_S)
-        victim = engines[0]
+        victim = average_engine(run, engines)
         before = engine_work(run, [victim])
         if fault == "reset":
             at = run.kill(victim)
         elif fault == "freeze":
             at = run.kill(victim, signal.SIGSTOP)
+        elif fault == "pause":
+            at = run.kill(victim, signal.SIGSTOP)
+            time.sleep(PAUSE_S)
+            run.kill(victim, signal.SIGCONT)
         else:
             at = 0
         out = fleet.report(load, 120)
-        alive = engines if fault is None else engines[1:]
-        work = sum(engine_work(run, alive).values())
-        if fault is not None:
-            work += before[victim]
+        alive = [e for e in engines
+                 if fault not in ("reset", "freeze") or e != victim]
+        work = engine_work(run, alive)
+        if fault in ("reset", "freeze"):
+            work = (work[0] + before[0], work[1] + before[1])
     latencies = [r["at_ms"] - at for r in out["resumes"] if r["at_ms"] >= at]
     if out["whole"] != STREAMS:
         print(f"# {policy} {fault}: {out['whole']} of {STREAMS} whole, "
@@ -98,25 +115,30 @@
 VARIANTS = [
     ("latency", "latency", None, ()),
     ("economy", "economy", None, ()),
-    ("fixed_timeout", "economy", {"stall_fixed_ms": 5000}, ()),
+    ("fixed_timeout", "economy", {"stall_timeout_ms": 5000}, ()),
     ("restart", "economy", {"max_attempts": 1}, ("--restart",)),
 ]
 
 
 def bench_resume():
-    out, base_work, _ = fault_run("latency", None)
+    out, base, _ = fault_run("latency", None)
     line("failure_free_interval_p95", out["interval_p95_ms"], "ms")
     # Mean tokens that a new engine has to prefill, and one round trip.
     held = FAULT_AFTER_S * 1000 / TOKEN_MS
     line("resume_floor", (PROMPT_WORDS + held) * PREFILL_US / 1000 + 1, "ms")
     for name, policy, settings, load_args in VARIANTS:
-        for fault in ("reset", "freeze"):
+        for fault in ("reset", "freeze", "pause"):
             out, work, latencies = fault_run(policy, fault, settings,
                                              load_args)
-            line(f"resume_{fault}_p95.{name}", percentile(latencies, 0.95),
-                 "ms")
+            if fault == "pause":
+                line(f"pause_gap_max.{name}", out["interval_max_ms"], "ms")
+            else:
+                line(f"resume_{fault}_p95.{name}",
+                     percentile(latencies, 0.95), "ms")
             line(f"resume_{fault}_count.{name}", len(latencies), "streams")
-            line(f"extra_use_{fault}.{name}", work / base_work, "ratio")
+            line(f"extra_use_{fault}.{name}", work[0] / base[0], "ratio")
+            line(f"extra_slot_time_{fault}.{name}", work[1] / base[1],
+                 "ratio")
             line(f"broken_{fault}.{name}", out["broken"] + out["failed"],
                  "answers")
 
--- a/lib/generation.c
+++ b/lib/generation.c
@@ -9,7 +9,6 @@
  * New runs per generation. An answer whose only engine refuses for a while is
  * tried every 400 ms, so this bridges about 10 s.
  */
-#define MAX_ATTEMPTS 32
 /* How often a waiting generation looks whether its caller has hung up. */
 #define WATCH_MS 500
 /* Silence after which a comment line is sent. */
@@ -151,7 +150,7 @@
 		.policy = gen->ex->account->policy,
 		.max_tokens =
 			gen->request->prompt ? gen->request->max_tokens : 0,
-		.max_attempts = MAX_ATTEMPTS,
+		.max_attempts = gc_traffic_settings(gen->traffic)->max_attempts,
 	};
 
 	memcpy(conf.request, gen->id, sizeof(conf.request));
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -435,7 +435,10 @@
 	gc_generation_t *gen = ctx;
 	gc_stall_t *stall =
 		gc_engines_stall(gc_traffic_engines(gen->traffic), engine);
-	int64_t ms = gc_stall_timeout_ms(stall, first_token,
+	int64_t ms = gc_traffic_settings(gen->traffic)->stall_timeout_ms;
+
+	if (ms == 0)
+		ms = gc_stall_timeout_ms(stall, first_token,
 					 gen->ex->account->policy);
 
 	if (gen->paused)
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -42,6 +42,8 @@
 	unsigned int address_ttl_s; /* 10 */
 	unsigned int stop_grace_s; /* 30 */
 	unsigned int claim_batch_ms; /* 2 */
+	unsigned int max_attempts; /* 32: runs started per generation */
+	unsigned int stall_timeout_ms; /* 0: learnt from each engine */
 	bool log_json;
 	gc_log_level_t log_level;
 } gc_settings_t;
