Split core/stream.c by its jobs

Cause: the decisions of a generation stood in one file of 1,064 lines. Change: stream.c keeps the tokens held and the public functions; new attempts, the check of a cursor's run, the events of attempts, the end, and silence with the timer have a file each; stream_private.h holds the state and what the files share. Functions are moved and renamed only.

--- a/regress/prop_stream.cc
+++ b/regress/prop_stream.cc
@@ -26,7 +26,7 @@
 constexpr uint32_t MAX_ATTEMPTS = 4;
 constexpr int64_t DEADLINE_MS = 20000;
 constexpr int64_t STALL_MS = 300;
-constexpr int64_t PAUSE_MS = 250; /* as in core/stream.c */
+constexpr int64_t PAUSE_MS = 250; /* as in core/stream_timer.c */
 constexpr int64_t RETRY_MAX_MS = 400; /* between two tries */
 /* With frozen engines: the windows of all attempts and the waits between. */
 constexpr int64_t GIVE_UP_MS = 8000;
