Name the request and the account in the log events of a generation

Cause: "attempt broke" and "generation failed" named the engine only, so that an operator could not find the attempts of one answer. The hexadecimal form of the request id was made in two places.

--- a/lib/generation.c
+++ b/lib/generation.c
@@ -1,9 +1,10 @@
 /* The life of a generation: admission, hang-up, break-off. */
 #include <string.h>
 
+#include <sodium.h>
+
 #include "lib/events.h"
 #include "lib/generation_impl.h"
-#include "lib/log.h"
 
 /*
  * New runs per generation. An answer whose only engine refuses for a while is
@@ -53,6 +54,8 @@
 		gen->cursor = *cursor;
 		memcpy(gen->id, cursor->request, sizeof(gen->id));
 	}
+	sodium_bin2hex(gen->id_hex, sizeof(gen->id_hex), gen->id,
+		       sizeof(gen->id));
 	create_reply(gen,
 		     cursor ? gc_http_req_header(exchange->req, "Last-Event-ID")
 			    : NULL);
@@ -78,7 +81,7 @@
 		.req = gen->ex->req,
 		.request = gen->request,
 		.fleet_key = gc_traffic_settings(gen->traffic)->fleet_key,
-		.request_id = gen->id,
+		.request_id = gen->id_hex,
 		.created = gc_clock_wall(gen->clock).tv_sec,
 		.last_event_id = last_event_id,
 		.drained = on_drained,
@@ -191,8 +194,22 @@
 
 static void log_hang_up(const gc_generation_t *gen)
 {
-	gc_log(GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP, "caller hung up",
-	       "account", gen->account, NULL);
+	gc_generation_log(gen, GC_LOG_DEBUG, GC_EVENT_CALLER_HUNG_UP,
+			  "caller hung up", NULL);
+}
+
+void gc_generation_log(const gc_generation_t *gen, gc_log_level_t level,
+		       unsigned int event, const char *message,
+		       const GError *err)
+{
+	if (!err) {
+		gc_log(level, event, message, "request", gen->id_hex, "account",
+		       gen->account, NULL);
+		return;
+	}
+	gc_log(level, event, message, "request", gen->id_hex, "account",
+	       gen->account, "error", err->message, "step", gc_error_step(err),
+	       "peer", gc_error_peer(err), NULL);
 }
 
 static void on_closed(void *ctx, bool complete)
--- a/lib/generation_impl.h
+++ b/lib/generation_impl.h
@@ -5,6 +5,7 @@
 #include "core/stream.h"
 #include "lib/engine.h"
 #include "lib/generation.h"
+#include "lib/log.h"
 #include "lib/meter.h"
 #include "lib/reply.h"
 
@@ -38,6 +39,7 @@
 	bool resumed;
 	gc_cursor_t cursor; /* if resumed */
 	uint8_t id[GC_REQUEST_ID_LEN];
+	char id_hex[GC_REQUEST_ID_LEN * 2 + 1]; /* for people and engines */
 	bool over; /* the answer is given or given up */
 	bool keep_runs; /* runs go on at the engine; another daemon resumes */
 	bool started; /* some engine was asked to start a run */
@@ -52,6 +54,10 @@
 /* Actions of gc_stream_t; their context is the generation. */
 extern const gc_stream_ops_t gc_generation_stream_ops;
 
+/* Logs an event with the request, the account and, unless NULL, the error. */
+void gc_generation_log(const gc_generation_t *gen, gc_log_level_t level,
+		       unsigned int event, const char *message,
+		       const GError *err);
 /* Ends the generation with an error from the host's side. */
 void gc_generation_give_up(gc_generation_t *gen, const GError *err);
 /* Gives the ticket back; may start other generations. */
--- a/lib/generation_ops.c
+++ b/lib/generation_ops.c
@@ -4,7 +4,6 @@
 #include "lib/control.h"
 #include "lib/events.h"
 #include "lib/generation_impl.h"
-#include "lib/log.h"
 
 /* Longest engine event beside a prompt and a prefix in it. */
 #define EVENT_MARGIN_BYTES (1024 * 1024)
@@ -161,22 +160,20 @@
 static json_t *run_body(gc_generation_t *gen, uint64_t from)
 {
 	const gc_generate_t *request = gen->request;
-	char hex[GC_REQUEST_ID_LEN * 2 + 1];
 	json_t *prefix = json_array();
 
-	for (size_t i = 0; i < GC_REQUEST_ID_LEN; i++)
-		g_snprintf(hex + 2 * i, 3, "%02x", gen->id[i]);
 	for (uint64_t i = 0; i < from; i++) {
 		gc_str_t token = gc_stream_token(gen->stream, i);
 
 		json_array_append_new(prefix,
 				      json_stringn(token.data, token.len));
 	}
-	return json_pack("{ss ss ss so sI sI ss sb}", "request", hex, "model",
-			 request->model, "prompt", request->prompt, "prefix",
-			 prefix, "max_tokens", (json_int_t)request->max_tokens,
-			 "priority", (json_int_t)request->priority, "account",
-			 gen->account, "chat", request->chat);
+	return json_pack("{ss ss ss so sI sI ss sb}", "request", gen->id_hex,
+			 "model", request->model, "prompt", request->prompt,
+			 "prefix", prefix, "max_tokens",
+			 (json_int_t)request->max_tokens, "priority",
+			 (json_int_t)request->priority, "account", gen->account,
+			 "chat", request->chat);
 }
 
 static void op_attach(void *ctx, uint32_t number, const char *engine,
@@ -300,7 +297,8 @@
 	    g_error_matches(err, GC_ERROR, GC_ERR_UNAVAILABLE))
 		attempt->may_run = false;
 	gen->in_doubt |= attempt->may_run;
-	gc_log_error(GC_LOG_INFO, GC_EVENT_ATTEMPT_BROKE, "attempt broke", err);
+	gc_generation_log(gen, GC_LOG_INFO, GC_EVENT_ATTEMPT_BROKE,
+			  "attempt broke", err);
 	gc_stream_on_broken(gen->stream, number, err);
 	talloc_free(attempt_find(gen, number));
 }
@@ -387,8 +385,8 @@
 {
 	gc_generation_t *gen = ctx;
 
-	gc_log_error(GC_LOG_WARNING, GC_EVENT_GENERATION_FAILED,
-		     "generation failed", err);
+	gc_generation_log(gen, GC_LOG_WARNING, GC_EVENT_GENERATION_FAILED,
+			  "generation failed", err);
 	gen->over = true;
 	gc_reply_fail(gen->reply, err,
 		      gen->in_doubt ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
--- a/lib/reply.c
+++ b/lib/reply.c
@@ -23,15 +23,14 @@
 gc_reply_t *gc_reply_create(TALLOC_CTX *mem, const gc_reply_conf_t *conf)
 {
 	gc_reply_t *reply = talloc_zero(mem, gc_reply_t);
-	char hex[GC_REQUEST_ID_LEN * 2 + 1];
 
-	for (size_t i = 0; i < GC_REQUEST_ID_LEN; i++)
-		g_snprintf(hex + 2 * i, 3, "%02x", conf->request_id[i]);
 	reply->conf = *conf;
 	reply->first = !conf->last_event_id;
 	reply->cursor = talloc_strdup(reply, conf->last_event_id);
-	reply->answer.id = talloc_asprintf(
-		reply, "%s-%s", conf->request->chat ? "chatcmpl" : "cmpl", hex);
+	reply->answer.id =
+		talloc_asprintf(reply, "%s-%s",
+				conf->request->chat ? "chatcmpl" : "cmpl",
+				conf->request_id);
 	reply->answer.created = conf->created;
 	reply->answer.request = conf->request;
 	return reply;
--- a/lib/reply.h
+++ b/lib/reply.h
@@ -15,7 +15,7 @@
 	gc_http_req_t *req;
 	const gc_generate_t *request; /* its model must be known by a token */
 	const uint8_t *fleet_key;
-	const uint8_t *request_id; /* GC_REQUEST_ID_LEN bytes */
+	const char *request_id; /* hexadecimal */
 	int64_t created; /* seconds since 1970 */
 	const char *last_event_id; /* a resume's cursor, else NULL */
 	gc_http_drained_t drained; /* the buffer fell below the low mark */
--- a/regress/daemon_engine.t
+++ b/regress/daemon_engine.t
@@ -37,6 +37,13 @@
   whole 20
   data: [DONE]
 
+The log tells which answers met these faults: an operator who gets a complaint
+about one answer finds its attempts by the id in it.
+
+  $ id=$(sed -n 's/.*"id":"cmpl-\([0-9a-f]*\)".*/\1/p' out | head -n 1)
+  $ grep 'attempt broke' d1.log | grep "request=$id" | grep -c 'account=quick'
+  [1-9][0-9]* (re)
+
 An engine that refuses.
 
   $ both '{"fault":"refuse","count":1}'; whole; clear_faults
