--- a/lib/traffic.c
+++ b/lib/traffic.c
@@ -359,11 +359,6 @@
 	job->traffic = NULL;
 }
 
-unsigned int gc_traffic_jobs(const gc_traffic_t *traffic)
-{
-	return traffic->n_jobs;
-}
-
 void gc_traffic_watch_queue(gc_traffic_t *traffic)
 {
 	int64_t ms = gc_admit_expire(traffic->admit);
--- a/lib/traffic.h
+++ b/lib/traffic.h
@@ -79,7 +79,5 @@
 
 void gc_traffic_job_add(gc_traffic_t *traffic, gc_traffic_job_t *job);
 void gc_traffic_job_remove(gc_traffic_job_t *job);
-/* Jobs that are open now. */
-unsigned int gc_traffic_jobs(const gc_traffic_t *traffic);
 
 #endif
