--- a/standins/serve.h
+++ b/standins/serve.h
@@ -55,7 +55,7 @@
 
 /* Microseconds of the monotonic clock. */
 int64_t standin_now_us(void);
-/* Calls fn once after ms; the timer ends with mem. */
+/* Calls fn once after us; the timer ends with mem. */
 struct tevent_timer *standin_after_us(struct tevent_context *ev,
 				      TALLOC_CTX *mem, int64_t us,
 				      tevent_timer_handler_t fn, void *ctx);
