--- a/bench/load.c
+++ b/bench/load.c
@@ -109,6 +109,10 @@
 				    begun, gc_clock_now(&gc_clock_system)) /
 				    1e6);
 	talloc_free(load.ev);
+	g_rand_free(load.rand);
+	g_array_unref(load.first_ms);
+	g_array_unref(load.interval_ms);
+	g_array_unref(load.total_ms);
 	return load.broken > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
--- a/bench/main.c
+++ b/bench/main.c
@@ -45,6 +45,8 @@
 		 "Actions in all", "N"},
 		{"patience-s", 'p', 0, G_OPTION_ARG_INT, &o.patience_s,
 		 "Longest time without progress (30)", "S"},
+		{"restart", 0, 0, G_OPTION_ARG_NONE, &o.restart,
+		 "Begin a failed answer anew, once (a baseline)", NULL},
 		{"seed", 's', 0, G_OPTION_ARG_INT, &o.seed,
 		 "Seed of prompts, lengths and arrivals (1)", "N"},
 		G_OPTION_ENTRY_NULL};
