Split the command interpreter of prop_stream.cc

Change: commands of engines, of one attempt, and of time and caller have a function each; an unknown command fails the test.

--- a/regress/prop_stream.cc
+++ b/regress/prop_stream.cc
@@ -124,36 +124,20 @@
 	RC_ASSERT(!a.open);
 }
 
-void apply(World &w, const Command &c)
+void send_gap(Daemon &d, uint32_t number, uint32_t choice)
+{
+	uint64_t offset = d.attempts[number].next + 1 + choice % 2;
+
+	send_token(d, number, offset, "gap ");
+	RC_ASSERT(d.delivered_in_event == 0U);
+	RC_ASSERT(!d.attempts[number].open);
+}
+
+bool apply_to_engine(World &w, const Command &c)
 {
-	Daemon &d = w.caller_daemon();
 	Engine &e = w.engines[c.choice % N_ENGINES];
-	uint32_t number = open_attempt_at(d, c.choice);
-	bool streaming = number && d.attempts[number].accepted;
 
 	switch (c.kind) {
-	case ADVANCE:
-		w.now_ms += c.choice % 400;
-		for (auto &each : w.daemons)
-			fire_timer(*each);
-		break;
-	case PAUSE:
-		w.now_ms += c.choice % 8 ? 300 + c.choice % 2000 : DEADLINE_MS;
-		fire_timer(d);
-		break;
-	case STEP:
-		if (number)
-			step(d, number);
-		break;
-	case STEPS:
-		for (uint32_t i = 0; i < c.choice % 6; i++)
-			step_all(d);
-		break;
-	case CUT:
-		if (number)
-			send_broken(d, number,
-				    c.choice % 2 ? GC_ERR_IO : GC_ERR_TIMEOUT);
-		break;
 	case KILL:
 		kill_engine(w, e);
 		break;
@@ -169,6 +153,27 @@
 	case THAW:
 		e.frozen = false;
 		break;
+	case FORGET_RUN:
+		e.runs.clear();
+		break;
+	default:
+		return false;
+	}
+	return true;
+}
+
+/* Wrong or late events of one of the attempts. */
+bool apply_to_attempt(Daemon &d, const Command &c)
+{
+	uint32_t number = open_attempt_at(d, c.choice);
+	bool streaming = number && d.attempts[number].accepted;
+
+	switch (c.kind) {
+	case CUT:
+		if (number)
+			send_broken(d, number,
+				    c.choice % 2 ? GC_ERR_IO : GC_ERR_TIMEOUT);
+		break;
 	case LATE_CHUNK:
 		if (!d.ended)
 			send_late_chunk(d, c.choice);
@@ -185,13 +190,8 @@
 		}
 		break;
 	case GAP:
-		if (streaming) {
-			send_token(d, number,
-				   d.attempts[number].next + 1 + c.choice % 2,
-				   "gap ");
-			RC_ASSERT(d.delivered_in_event == 0U);
-			RC_ASSERT(!d.attempts[number].open);
-		}
+		if (streaming)
+			send_gap(d, number, c.choice);
 		break;
 	case GARBAGE:
 		if (number && c.choice % 2)
@@ -219,8 +219,35 @@
 			RC_ASSERT(!d.finished || d.held.size() == MAX_TOKENS);
 		}
 		break;
-	case FORGET_RUN:
-		e.runs.clear();
+	default:
+		return false;
+	}
+	return true;
+}
+
+/* Time, the engines' next events, and the caller. */
+bool drive(World &w, const Command &c)
+{
+	Daemon &d = w.caller_daemon();
+	uint32_t number = open_attempt_at(d, c.choice);
+
+	switch (c.kind) {
+	case ADVANCE:
+		w.now_ms += c.choice % 400;
+		for (auto &each : w.daemons)
+			fire_timer(*each);
+		break;
+	case PAUSE:
+		w.now_ms += c.choice % 8 ? 300 + c.choice % 2000 : DEADLINE_MS;
+		fire_timer(d);
+		break;
+	case STEP:
+		if (number)
+			step(d, number);
+		break;
+	case STEPS:
+		for (uint32_t i = 0; i < c.choice % 6; i++)
+			step_all(d);
 		break;
 	case PICK_OFF:
 		w.can_pick = false;
@@ -242,9 +269,18 @@
 	case TAKE_OVER:
 		take_over(w, c.choice);
 		break;
-	case N_KINDS:
-		break;
+	default:
+		return false;
 	}
+	return true;
+}
+
+void apply(World &w, const Command &c)
+{
+	bool known = apply_to_engine(w, c) ||
+		     apply_to_attempt(w.caller_daemon(), c) || drive(w, c);
+
+	RC_ASSERT(known);
 }
 
 /*
