Set the default name of a stand-in after its options are read

Change: the defaults are set where the options are empty. After: with the address and undefined-behaviour sanitizers standins_engine.t, standins_engine_faults.t, standins_backend.t and standins_platform.t fail before and pass now.

--- a/standins/serve.c
+++ b/standins/serve.c
@@ -57,8 +57,6 @@
 {
 	server_t *server;
 
-	options.address = g_strdup("127.0.0.1");
-	options.name = g_strdup(conf->program);
 	if (!read_options(conf, argc, argv))
 		return EXIT_FAILURE;
 	gc_log_init(conf->program, options.name, options.log_json, GC_LOG_INFO);
@@ -97,6 +95,10 @@
 			options.port);
 		return false;
 	}
+	if (!options.address)
+		options.address = g_strdup("127.0.0.1");
+	if (!options.name)
+		options.name = g_strdup(conf->program);
 	return true;
 }
 
