--- a/bench/main.c
+++ b/bench/main.c
@@ -5,6 +5,7 @@
 
 #include "gcload.h"
 
+static void free_options(load_options_t *o);
 static int usage(const char *message);
 
 int main(int argc, char **argv)
@@ -52,6 +53,7 @@
 		G_OPTION_ENTRY_NULL};
 	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 	g_autoptr(GError) err = NULL;
+	int status;
 
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &err))
@@ -64,7 +66,19 @@
 		return usage("--bookings needs --service and --path");
 	if (!o.kind)
 		o.kind = g_strdup("household");
-	return load_run(&o);
+	status = load_run(&o);
+	free_options(&o);
+	return status;
+}
+
+static void free_options(load_options_t *o)
+{
+	g_strfreev(o->urls);
+	g_free(o->key);
+	g_free(o->model);
+	g_free(o->kind);
+	g_free(o->service);
+	g_free(o->path);
 }
 
 static int usage(const char *message)
