--- a/bench/main.c
+++ b/bench/main.c
@@ -5,18 +5,18 @@
 
 #include "gcload.h"
 
-static void free_options(load_options_t *o);
 static int usage(const char *message);
 
 int main(int argc, char **argv)
 {
-	load_options_t o = {.requests = 20,
-			    .concurrency = 10,
-			    .min_tokens = 50,
-			    .max_tokens = 200,
-			    .prompt_words = 100,
-			    .patience_s = 30,
-			    .seed = 1};
+	/* Static, so that the strings are no leak when the program ends. */
+	static load_options_t o = {.requests = 20,
+				   .concurrency = 10,
+				   .min_tokens = 50,
+				   .max_tokens = 200,
+				   .prompt_words = 100,
+				   .patience_s = 30,
+				   .seed = 1};
 	const GOptionEntry entries[] = {
 		{"url", 'u', 0, G_OPTION_ARG_STRING_ARRAY, &o.urls,
 		 "A daemon to ask for addresses; may be repeated", "URL"},
@@ -53,7 +53,6 @@
 		G_OPTION_ENTRY_NULL};
 	g_autoptr(GOptionContext) context = g_option_context_new(NULL);
 	g_autoptr(GError) err = NULL;
-	int status;
 
 	g_option_context_add_main_entries(context, entries, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, &err))
@@ -66,19 +65,7 @@
 		return usage("--bookings needs --service and --path");
 	if (!o.kind)
 		o.kind = g_strdup("household");
-	status = load_run(&o);
-	free_options(&o);
-	return status;
-}
-
-static void free_options(load_options_t *o)
-{
-	g_strfreev(o->urls);
-	g_free(o->key);
-	g_free(o->model);
-	g_free(o->kind);
-	g_free(o->service);
-	g_free(o->path);
+	return load_run(&o);
 }
 
 static int usage(const char *message)
--- a/goldcrestcall/call.c
+++ b/goldcrestcall/call.c
@@ -21,6 +21,7 @@
 static void session_begin(session_t *session, const options_t *options);
 static int session_run(session_t *session);
 static char *read_prompt(const char *path, gsize *len);
+static void print_error(const GError *err, const char *run);
 static void on_token(void *ctx, gc_str_t text);
 static void on_resumed(void *ctx, const char *url);
 static void on_generated(void *ctx, const GError *err);
@@ -111,6 +112,20 @@
 	return NULL;
 }
 
+/* run is what is known about an action; NULL for a generation. */
+static void print_error(const GError *err, const char *run)
+{
+	const char *peer = gc_error_peer(err);
+
+	fprintf(stderr, "goldcrestcall: ");
+	if (*peer)
+		fprintf(stderr, "%s: ", peer);
+	fprintf(stderr, "%s: %s", gc_error_step(err), err->message);
+	if (run)
+		fprintf(stderr, " (%s)", run);
+	fputc('\n', stderr);
+}
+
 static void on_token(void *ctx, gc_str_t text)
 {
 	fwrite(text.data, 1, text.len, stdout);
@@ -133,8 +148,7 @@
 	session->status = err ? EXIT_FAILED : EXIT_WHOLE;
 	putchar('\n');
 	if (err)
-		fprintf(stderr, "goldcrestcall: %s: %s: %s\n",
-			gc_error_peer(err), gc_error_step(err), err->message);
+		print_error(err, NULL);
 }
 
 static void on_acted(void *ctx, gc_run_state_t run, int status, gc_str_t body,
@@ -150,6 +164,5 @@
 	session->status = run == GC_RUN_NOT_RUN	   ? EXIT_NOT_RUN
 			  : run == GC_RUN_IN_DOUBT ? EXIT_IN_DOUBT
 						   : EXIT_FAILED;
-	fprintf(stderr, "goldcrestcall: %s: %s: %s (%s)\n", gc_error_peer(err),
-		gc_error_step(err), err->message, gc_run_state_name(run));
+	print_error(err, gc_run_state_name(run));
 }
--- a/goldcrestcall/main.c
+++ b/goldcrestcall/main.c
@@ -16,8 +16,9 @@
 
 int main(int argc, char **argv)
 {
-	options_t options = {.max_tokens = DEFAULT_MAX_TOKENS,
-			     .patience_s = DEFAULT_PATIENCE_S};
+	/* Static, so that the strings are no leak when the program ends. */
+	static options_t options = {.max_tokens = DEFAULT_MAX_TOKENS,
+				    .patience_s = DEFAULT_PATIENCE_S};
 	g_autofree char *key_file = NULL;
 	const GOptionEntry entries[] = {
 		{"url", 'u', 0, G_OPTION_ARG_STRING_ARRAY, &options.urls,
