--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -114,6 +114,7 @@
 	httpd->handler = handler;
 	httpd->ctx = ctx;
 	httpd->listen_fd = -1;
+	/* Without a shared port the options end before the last value. */
 	httpd->daemon = MHD_start_daemon(
 		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
 		conf->port, NULL, NULL, on_access, httpd, MHD_OPTION_SOCK_ADDR,
