--- a/bench/main.c
+++ b/bench/main.c
@@ -9,13 +9,14 @@
 
 int main(int argc, char **argv)
 {
-	load_options_t o = {.requests = 20,
-			    .concurrency = 10,
-			    .min_tokens = 50,
-			    .max_tokens = 200,
-			    .prompt_words = 100,
-			    .patience_s = 30,
-			    .seed = 1};
+	/* Static, so that the strings are no leak when the program ends. */
+	static load_options_t o = {.requests = 20,
+				   .concurrency = 10,
+				   .min_tokens = 50,
+				   .max_tokens = 200,
+				   .prompt_words = 100,
+				   .patience_s = 30,
+				   .seed = 1};
 	const GOptionEntry entries[] = {
 		{"url", 'u', 0, G_OPTION_ARG_STRING_ARRAY, &o.urls,
 		 "A daemon to ask for addresses; may be repeated", "URL"},
@@ -46,7 +47,7 @@
 		{"patience-s", 'p', 0, G_OPTION_ARG_INT, &o.patience_s,
 		 "Longest time without progress (30)", "S"},
 		{"restart", 0, 0, G_OPTION_ARG_NONE, &o.restart,
-		 "Begin a failed answer anew instead of giving up", NULL},
+		 "Begin a failed answer anew, once (a baseline)", NULL},
 		{"seed", 's', 0, G_OPTION_ARG_INT, &o.seed,
 		 "Seed of prompts, lengths and arrivals (1)", "N"},
 		G_OPTION_ENTRY_NULL};
