--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 
 import json
 import os
+import random
 import secrets
 import signal
 import socket
@@ -22,13 +23,20 @@
 
 
 def free_ports(count):
-    """Ports that were free a moment ago; all are held until all are known."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports that were free a moment ago, from below the range that the kernel
+    gives to outgoing connections: a daemon that is started again after a kill
+    must not find its port taken by one of them."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(10000, 32000)
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
--- a/bench/load.c
+++ b/bench/load.c
@@ -24,6 +24,7 @@
 	int whole;
 	int broken;
 	int failed;
+	int untyped; /* failed without an error of the system's own */
 	uint64_t tokens;
 	int bookings_started;
 	int bookings_running;
@@ -240,6 +241,7 @@
 		load->failed++;
 	else
 		load->whole++;
+	load->untyped += err && err->domain != GC_ERROR;
 	if (err && json_array_size(load->errors) < 10)
 		json_array_append_new(load->errors, json_string(err->message));
 	g_free(request->prompt);
@@ -312,10 +314,11 @@
 static void print_report(load_t *load, double seconds)
 {
 	json_t *report =
-		json_pack("{si si si si sI sf}", "requests", load->started,
+		json_pack("{si si si si si sI sf}", "requests", load->started,
 			  "whole", load->whole, "broken", load->broken,
-			  "failed", load->failed, "tokens",
-			  (json_int_t)load->tokens, "seconds", seconds);
+			  "failed", load->failed, "untyped", load->untyped,
+			  "tokens", (json_int_t)load->tokens, "seconds",
+			  seconds);
 	char *text;
 
 	json_object_update_new(
