--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,6 +11,7 @@
 import argparse
 import concurrent.futures
 import random
+import shutil
 import signal
 import sys
 import threading
@@ -498,6 +499,8 @@
         print(f"  FAILED: {problem}", flush=True)
     if case.problems:
         print(f"  logs: {case.run.dir}", flush=True)
+    else:
+        shutil.rmtree(case.run.dir)
     for error in sorted(set(case.errors)):
         print(f"  error: {error}", flush=True)
     return not case.problems
