Let a stopping daemon wait for the outcomes of its actions

A daemon ended as soon as its last caller had an answer. The outcome that was still to be written was lost, so that a repeat of a done action was in doubt, and the answer to an open claim could go to the mailbox of a thread that was gone. An action whose caller had hung up wasn't waited for at all.

A service call is now a job of its traffic thread: the thread stays up until it ends or the grace is over. Then a dispatched action is answered in_doubt, and a claim granted later is given back. The control thread goes on until no claim is open, for 5 s at most; 1203 tells of open ones.

--- a/goldcrestd/daemon.c
+++ b/goldcrestd/daemon.c
@@ -15,6 +15,15 @@
 #include "lib/log.h"
 #include "lib/traffic.h"
 
+/*
+ * Outcomes get this long to be written once the traffic threads are idle.
+ * Longer than the time of a claim (2 s), as a claim must get its answer while
+ * the mailbox of its thread exists.
+ */
+#define CLAIMS_WAIT_MS 5000
+/* How often the end of the open claims is looked for. */
+#define CLAIMS_POLL_MS 20
+
 typedef struct daemon {
 	const daemon_options_t *options;
 	gc_settings_t *settings;
@@ -35,6 +44,9 @@
 static bool start_control(daemon_t *daemon, GError **err);
 static bool write_ports(const daemon_t *daemon, GError **err);
 static void add_signals(daemon_t *daemon);
+static void settle_claims(daemon_t *daemon);
+static void on_claims_poll(struct tevent_context *ev, struct tevent_timer *te,
+			   struct timeval now, void *ctx);
 static void stop_all(daemon_t *daemon);
 static void publish(void *ctx, gc_view_t *view);
 static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
@@ -76,6 +88,8 @@
 	}
 	while (up && daemon->n_stopped < daemon->n_traffic)
 		tevent_loop_once(daemon->ev);
+	if (up)
+		settle_claims(daemon);
 	stop_all(daemon);
 	talloc_free(daemon);
 	return up ? EXIT_SUCCESS : EXIT_FAILURE;
@@ -258,6 +272,38 @@
 	       NULL);
 }
 
+/*
+ * A claim without its outcome leaves a repeat in doubt, and the answer to an
+ * open claim goes to the mailbox of a traffic thread. The traffic threads
+ * still run here.
+ */
+static void settle_claims(daemon_t *daemon)
+{
+	struct timespec until =
+		gc_add_ms(gc_clock_now(&gc_clock_system), CLAIMS_WAIT_MS);
+	g_autofree char *text = NULL;
+	unsigned int open;
+
+	on_claims_poll(daemon->ev, NULL, (struct timeval){0}, daemon);
+	while ((open = gc_claims_open(daemon->claims)) > 0 &&
+	       gc_ms_between(gc_clock_now(&gc_clock_system), until) > 0)
+		tevent_loop_once(daemon->ev);
+	if (open == 0)
+		return;
+	text = g_strdup_printf("%u", open);
+	gc_log(GC_LOG_WARNING, GC_EVENT_CLAIMS_OPEN,
+	       "stopping with open claims", "open", text, NULL);
+}
+
+/* Wakes the loop of settle_claims, so that its bound holds. */
+static void on_claims_poll(struct tevent_context *ev, struct tevent_timer *te,
+			   struct timeval now, void *ctx)
+{
+	tevent_add_timer(ev, ctx,
+			 tevent_timeval_current_ofs(0, CLAIMS_POLL_MS * 1000),
+			 on_claims_poll, ctx);
+}
+
 /* Traffic threads report to the control thread until they have ended. */
 static void stop_all(daemon_t *daemon)
 {
--- a/lib/filter_service.c
+++ b/lib/filter_service.c
@@ -37,6 +37,8 @@
  */
 typedef struct service_call {
 	gc_traffic_t *traffic;
+	gc_traffic_job_t job;
+	bool broken_off; /* the daemon's grace is over: no dispatch any more */
 	gc_view_t *view; /* keeps account and service alive */
 	const gc_account_t *account;
 	const gc_service_t *service;
@@ -70,6 +72,7 @@
 static service_call_t *
 call_create(gc_exchange_t *ex, const gc_service_t *service, const char *rest);
 static int call_destructor(service_call_t *call);
+static void break_off(void *ctx);
 static int watch_destructor(request_watch_t *watch);
 static char *request_path(service_call_t *call, const char *rest);
 static gc_http_req_t *take_request(service_call_t *call);
@@ -195,6 +198,9 @@
 	call->watch->call = call;
 	talloc_set_destructor(call->watch, watch_destructor);
 	talloc_set_destructor(call, call_destructor);
+	call->job.break_off = break_off;
+	call->job.ctx = call;
+	gc_traffic_job_add(call->traffic, &call->job);
 	return call;
 }
 
@@ -212,6 +218,7 @@
 
 static int call_destructor(service_call_t *call)
 {
+	gc_traffic_job_remove(&call->job);
 	if (call->call)
 		gc_http_call_cancel(call->call);
 	if (call->watch)
@@ -221,6 +228,32 @@
 	return 0;
 }
 
+/*
+ * The daemon stops and its grace is over. A claim on its way has its answer
+ * within CLAIM_WAIT_MS and is given back then.
+ */
+static void break_off(void *ctx)
+{
+	service_call_t *call = ctx;
+	GError *err = NULL;
+
+	call->broken_off = true;
+	if (!call->call)
+		return;
+	gc_http_call_cancel(call->call);
+	call->call = NULL;
+	if (!call->is_get) {
+		reply_in_doubt(call);
+		return;
+	}
+	gc_error_set(&err, GC_ERR_UNAVAILABLE, "stop", NULL,
+		     "the daemon stops before the backend server answered");
+	gc_refuse_as(take_request(call), 503, "stopping", err, GC_RUN_IN_DOUBT,
+		     NOT_RUN_RETRY_S, NULL);
+	g_clear_error(&err);
+	talloc_free(call);
+}
+
 /* The caller hung up, or the answer is out. */
 static int watch_destructor(request_watch_t *watch)
 {
@@ -455,7 +488,10 @@
 		return;
 	case GC_CLAIM_IN_DOUBT:
 		call->n_tried = 0;
-		start_status_read(call);
+		if (call->broken_off)
+			reply_in_doubt(call);
+		else
+			start_status_read(call);
 		return;
 	case GC_CLAIM_KNOWN:
 		reply_known(call, answer);
@@ -472,6 +508,13 @@
 	struct timespec now = gc_clock_now(gc_traffic_clock(call->traffic));
 	GError *err = NULL;
 
+	if (call->broken_off) {
+		gc_error_set(&err, GC_ERR_UNAVAILABLE, "dispatch", NULL,
+			     "the daemon stops before the dispatch");
+		release(call, "stopping", err);
+		g_clear_error(&err);
+		return;
+	}
 	if (gc_ms_between(call->arrived, now) <= DISPATCH_BY_MS) {
 		dispatch(call);
 		return;
--- a/lib/traffic.c
+++ b/lib/traffic.c
@@ -295,7 +295,9 @@
 	gc_traffic_t *traffic = ctx;
 	int64_t over_ms = gc_ms_between(traffic->stop_at,
 					gc_clock_now(traffic->conf.clock));
-	bool idle = gc_httpd_open_requests(traffic->httpd) == 0;
+	/* An action goes on as a job when its caller has hung up. */
+	bool idle = gc_httpd_open_requests(traffic->httpd) == 0 &&
+		    traffic->n_jobs == 0;
 
 	if (!idle && over_ms >= 0 && !traffic->broken_off)
 		break_off_jobs(traffic);
--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -813,6 +813,14 @@
 	return &random_source;
 }
 
+void gc_traffic_job_add(gc_traffic_t *traffic, gc_traffic_job_t *job)
+{
+}
+
+void gc_traffic_job_remove(gc_traffic_job_t *job)
+{
+}
+
 struct gc_claims *gc_traffic_claims(gc_traffic_t *traffic)
 {
 	return traffic->claims;
