Delete the records of claims whose keys are all expired

Nothing deleted old claims: a fleet kept up to 64 records for each hour for ever, and operators were told to delete them by hand.

No lease is needed: deleting twice is the same as once, and a key older than 24 h is refused before its claim is read. As the monotonic clock may stand still while an instance is suspended, the age of the key is checked again when its claim is granted. lib/kv.h lists keys and deletes.

--- a/core/claim.c
+++ b/core/claim.c
@@ -202,8 +202,27 @@
 	memset(claim, 0, sizeof(*claim));
 	hash_text(claim->request, raw, GC_STR_EMPTY, request);
 	hash_text(claim->key, raw, account, uuid);
-	snprintf(claim->record, sizeof(claim->record), "claims/%" PRIu64 "/%d",
-		 unix_ms / MS_PER_HOUR, raw[0] % GC_CLAIM_SHARDS);
+	snprintf(claim->record, sizeof(claim->record),
+		 GC_CLAIM_PREFIX "%" PRIu64 "/%d", unix_ms / MS_PER_HOUR,
+		 raw[0] % GC_CLAIM_SHARDS);
+}
+
+bool gc_claim_record_expired(const char *name, struct timespec wall)
+{
+	uint64_t now_hour = (uint64_t)wall.tv_sec / (MS_PER_HOUR / 1000);
+	g_auto(GStrv) parts = NULL;
+	guint64 hour, shard;
+
+	if (!g_str_has_prefix(name, GC_CLAIM_PREFIX))
+		return false;
+	parts = g_strsplit(name + strlen(GC_CLAIM_PREFIX), "/", -1);
+	if (g_strv_length(parts) != 2 ||
+	    !g_ascii_string_to_unsigned(parts[0], 10, 0, UINT64_MAX / 2, &hour,
+					NULL) ||
+	    !g_ascii_string_to_unsigned(parts[1], 10, 0, GC_CLAIM_SHARDS - 1,
+					&shard, NULL))
+		return false;
+	return now_hour > hour + GC_CLAIM_DELETE_HOURS;
 }
 
 void gc_claim_set_nonce(gc_claim_t *claim, uint64_t nonce)
--- a/core/claim.h
+++ b/core/claim.h
@@ -17,6 +17,13 @@
 #define GC_CLAIM_SHARDS 64
 /* A key is remembered this long after its time stamp. */
 #define GC_CLAIM_RETENTION_MS (24 * 3600 * INT64_C(1000))
+/*
+ * A record is deleted once its hour ended this long ago. The hour beyond the
+ * retention allows for daemons whose clocks differ.
+ */
+#define GC_CLAIM_DELETE_HOURS 25
+/* Common start of the names of all records. */
+#define GC_CLAIM_PREFIX "claims/"
 /* A caller's clock may be this far ahead of the daemon's. */
 #define GC_CLAIM_FUTURE_MS (5 * 60 * INT64_C(1000))
 /* Longer bodies are not stored with the outcome (bytes). */
@@ -55,6 +62,11 @@
 bool gc_uuid7_parse(gc_str_t text, char canonical[GC_UUID_MAX],
 		    uint64_t *unix_ms);
 gc_claim_age_t gc_claim_age(uint64_t unix_ms, struct timespec wall);
+/*
+ * True if the name is that of a record whose keys are all refused as expired,
+ * so that it can be deleted. False for any other name.
+ */
+bool gc_claim_record_expired(const char *name, struct timespec wall);
 /*
  * Sets all members but the nonce. request describes what the key stands for:
  * the same key with another request is refused.
--- a/lib/control_impl.h
+++ b/lib/control_impl.h
@@ -22,6 +22,7 @@
 typedef struct gc_control_members gc_control_members_t;
 typedef struct gc_control_engines gc_control_engines_t;
 typedef struct gc_operators gc_operators_t;
+typedef struct gc_control_sweep gc_control_sweep_t;
 
 struct gc_control {
 	struct tevent_context *ev;
@@ -88,6 +89,9 @@
 void gc_control_engines_report(gc_control_t *control, gc_str_t engine,
 			       gc_engine_verdict_t verdict);
 
+/* control_sweep.c: deletes old records of claims. */
+gc_control_sweep_t *gc_control_sweep_create(gc_control_t *control);
+
 /* operators.c: the operator listener. Errors: GC_ERR_IO. */
 gc_operators_t *gc_operators_create(gc_control_t *control, GError **err);
 uint16_t gc_operators_port(const gc_operators_t *operators);
--- a/lib/filter_service.c
+++ b/lib/filter_service.c
@@ -49,6 +49,7 @@
 	const char *method;
 	const char *path; /* with the query, escaped */
 	const char *key; /* canonical UUID */
+	uint64_t key_ms; /* its time stamp */
 	const char *key_header; /* as the caller sent it */
 	const char *content_type;
 	gc_str_t body;
@@ -81,6 +82,7 @@
 static bool refuse_key(service_call_t *call, unsigned int status,
 		       const char *code, gc_run_state_t run,
 		       const char *message);
+static bool refuse_expired(service_call_t *call);
 static gc_str_t strip_quotes(gc_str_t text);
 static void set_claim(service_call_t *call, uint64_t unix_ms);
 static const gc_view_instance_t *choose_server(service_call_t *call);
@@ -300,13 +302,12 @@
 		return refuse_key(call, 400, "key_in_future", GC_RUN_NOT_RUN,
 				  "the time of the Idempotency-Key is ahead");
 	case GC_CLAIM_EXPIRED:
-		return refuse_key(
-			call, 409, "key_expired", GC_RUN_IN_DOUBT,
-			"the Idempotency-Key is no longer remembered");
+		return refuse_expired(call);
 	case GC_CLAIM_CURRENT:
 		break;
 	}
 	call->key = canonical;
+	call->key_ms = unix_ms;
 	call->key_header = talloc_strdup(call, text);
 	set_claim(call, unix_ms);
 	return true;
@@ -324,6 +325,12 @@
 	return false;
 }
 
+static bool refuse_expired(service_call_t *call)
+{
+	return refuse_key(call, 409, "key_expired", GC_RUN_IN_DOUBT,
+			  "the Idempotency-Key is no longer remembered");
+}
+
 /* The header is a structured field in some clients, in quotes. */
 static gc_str_t strip_quotes(gc_str_t text)
 {
@@ -508,6 +515,20 @@
 	struct timespec now = gc_clock_now(gc_traffic_clock(call->traffic));
 	GError *err = NULL;
 
+	/*
+	 * The monotonic clock may stand still while an instance is suspended.
+	 * A key that expired meanwhile may have lost its record.
+	 */
+	if (gc_claim_age(call->key_ms,
+			 gc_clock_wall(gc_traffic_clock(call->traffic))) ==
+	    GC_CLAIM_EXPIRED) {
+		gc_claims_release(gc_traffic_claims(call->traffic),
+				  &call->claim);
+		if (call->req)
+			refuse_expired(call);
+		talloc_free(call);
+		return;
+	}
 	if (call->broken_off) {
 		gc_error_set(&err, GC_ERR_UNAVAILABLE, "dispatch", NULL,
 			     "the daemon stops before the dispatch");
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -30,6 +30,7 @@
 	char *key;
 	gc_kv_get_done_t get_done;
 	gc_kv_put_done_t put_done;
+	gc_kv_keys_done_t keys_done;
 	void *ctx;
 } pending_t;
 
@@ -44,11 +45,16 @@
 static int pending_destructor(pending_t *pending);
 static pending_t *pending_create(gc_kv_t *kv, const char *key, void *ctx);
 static char *record_url(pending_t *pending, const char *query);
-static void start_get(pending_t *pending, const char *query, long timeout_ms);
+static void start_get(pending_t *pending, const char *query, long timeout_ms,
+		      const gc_http_call_ops_t *ops);
 static void on_get_done(void *ctx, int status, gc_str_t body, bool sent,
 			const GError *err);
 static void on_put_done(void *ctx, int status, gc_str_t body, bool sent,
 			const GError *err);
+static void on_keys_done(void *ctx, int status, gc_str_t body, bool sent,
+			 const GError *err);
+static bool parse_keys(const pending_t *pending, gc_str_t body, GPtrArray *keys,
+		       GError **err);
 static void get_error(const pending_t *pending, int status, bool sent,
 		      const GError *cause, GError **err);
 static gc_kv_put_t put_result(const pending_t *pending, int status,
@@ -122,15 +128,17 @@
 
 void gc_kv_get(gc_kv_t *kv, const char *key, gc_kv_get_done_t done, void *ctx)
 {
+	const gc_http_call_ops_t ops = {.done = on_get_done};
 	pending_t *pending = pending_create(kv, key, ctx);
 
 	pending->get_done = done;
-	start_get(pending, "", kv->timeout_ms);
+	start_get(pending, "", kv->timeout_ms, &ops);
 }
 
 void gc_kv_watch(gc_kv_t *kv, const char *key, uint64_t index,
 		 unsigned int wait_s, gc_kv_get_done_t done, void *ctx)
 {
+	const gc_http_call_ops_t ops = {.done = on_get_done};
 	pending_t *pending = pending_create(kv, key, ctx);
 	long wait_ms = (long)wait_s * MS_PER_S;
 	char query[64];
@@ -139,7 +147,8 @@
 	g_snprintf(query, sizeof(query), "?index=%" PRIu64 "&wait=%us",
 		   watch_index(kv, key, index), wait_s);
 	start_get(pending, query,
-		  wait_ms + wait_ms / WATCH_JITTER_DIVISOR + kv->timeout_ms);
+		  wait_ms + wait_ms / WATCH_JITTER_DIVISOR + kv->timeout_ms,
+		  &ops);
 }
 
 static uint64_t watch_index(const gc_kv_t *kv, const char *key, uint64_t index)
@@ -152,9 +161,9 @@
 	return absent ? *absent : 0;
 }
 
-static void start_get(pending_t *pending, const char *query, long timeout_ms)
+static void start_get(pending_t *pending, const char *query, long timeout_ms,
+		      const gc_http_call_ops_t *ops)
 {
-	const gc_http_call_ops_t ops = {.done = on_get_done};
 	const gc_http_call_conf_t conf = {
 		.method = "GET",
 		.url = record_url(pending, query),
@@ -164,7 +173,36 @@
 		.timeout_ms = timeout_ms,
 	};
 
-	pending->call = gc_httpc_start(pending->kv->http, &conf, &ops, pending);
+	pending->call = gc_httpc_start(pending->kv->http, &conf, ops, pending);
+}
+
+void gc_kv_keys(gc_kv_t *kv, const char *prefix, gc_kv_keys_done_t done,
+		void *ctx)
+{
+	const gc_http_call_ops_t ops = {.done = on_keys_done};
+	pending_t *pending = pending_create(kv, prefix, ctx);
+
+	pending->keys_done = done;
+	start_get(pending, "?keys", kv->timeout_ms, &ops);
+}
+
+/* Deleting twice is the same as once, so that it may be sent again. */
+void gc_kv_delete(gc_kv_t *kv, const char *key, gc_kv_put_done_t done,
+		  void *ctx)
+{
+	const gc_http_call_ops_t ops = {.done = on_put_done};
+	pending_t *pending = pending_create(kv, key, ctx);
+	const gc_http_call_conf_t conf = {
+		.method = "DELETE",
+		.url = record_url(pending, ""),
+		.peer = "key-value service",
+		.body = GC_STR_EMPTY,
+		.connect_timeout_ms = kv->timeout_ms,
+		.timeout_ms = kv->timeout_ms,
+	};
+
+	pending->put_done = done;
+	pending->call = gc_httpc_start(kv->http, &conf, &ops, pending);
 }
 
 void gc_kv_cas(gc_kv_t *kv, const char *key, uint64_t index, gc_str_t value,
@@ -218,6 +256,49 @@
 	g_clear_error(&err);
 }
 
+static void on_keys_done(void *ctx, int status, gc_str_t body, bool sent,
+			 const GError *cause)
+{
+	pending_t *pending = ctx;
+	gc_kv_keys_done_t done = pending->keys_done;
+	void *done_ctx = pending->ctx;
+	g_autoptr(GPtrArray) keys = g_ptr_array_new_with_free_func(g_free);
+	GError *err = NULL;
+
+	/* The service answers 404 when no key has the prefix. */
+	if (!cause && status == 200)
+		parse_keys(pending, body, keys, &err);
+	else if (cause || status != 404)
+		get_error(pending, status, sent, cause, &err);
+	/* The callback may destroy the client. */
+	pending->call = NULL;
+	talloc_free(pending);
+	done(done_ctx, (const char *const *)keys->pdata, keys->len, err);
+	g_clear_error(&err);
+}
+
+static bool parse_keys(const pending_t *pending, gc_str_t body, GPtrArray *keys,
+		       GError **err)
+{
+	json_t *root = json_loadb(body.data, body.len, 0, NULL);
+	bool ok = json_is_array(root);
+	json_t *key;
+	size_t i;
+
+	json_array_foreach (root, i, key) {
+		ok = ok && json_is_string(key);
+		if (ok)
+			g_ptr_array_add(keys, g_strdup(json_string_value(key)));
+	}
+	json_decref(root);
+	if (ok)
+		return true;
+	g_ptr_array_set_size(keys, 0);
+	gc_error_set(err, GC_ERR_IO, "key-value read", "key-value service",
+		     "%s: list of keys not understood", pending->key);
+	return false;
+}
+
 static void remember_absent(pending_t *pending)
 {
 	const char *text = gc_http_call_header(pending->call, "X-Consul-Index");
--- a/lib/kv.h
+++ b/lib/kv.h
@@ -30,6 +30,10 @@
 typedef void (*gc_kv_put_done_t)(void *ctx, gc_kv_put_t result,
 				 const GError *err);
 
+/* Names of the keys; err is set as for a read. Valid during the call. */
+typedef void (*gc_kv_keys_done_t)(void *ctx, const char *const *keys, size_t n,
+				  const GError *err);
+
 /* timeout_ms is for each call except the waiting part of a watch. */
 gc_kv_t *gc_kv_create(TALLOC_CTX *mem, gc_httpc_t *http, const char *url,
 		      unsigned int timeout_ms);
@@ -41,6 +45,12 @@
 /* Compare-and-swap: writes if the record's index is `index` (0: absent). */
 void gc_kv_cas(gc_kv_t *kv, const char *key, uint64_t index, gc_str_t value,
 	       gc_kv_put_done_t done, void *ctx);
+/* Lists the keys that start with prefix. */
+void gc_kv_keys(gc_kv_t *kv, const char *prefix, gc_kv_keys_done_t done,
+		void *ctx);
+/* Deletes the record whatever its index; an absent one counts as written. */
+void gc_kv_delete(gc_kv_t *kv, const char *key, gc_kv_put_done_t done,
+		  void *ctx);
 /* Calls made since the start, for measurements. */
 uint64_t gc_kv_calls(const gc_kv_t *kv);
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -71,6 +71,8 @@
 	{"stop_grace_s", MEMBER(stop_grace_s), 0, 86400, 30, FIELD_UINT, false},
 	{"claim_batch_ms", MEMBER(claim_batch_ms), 0, 1000, 2, FIELD_UINT,
 	 false},
+	{"claim_sweep_s", MEMBER(claim_sweep_s), 1, 86400, 3600, FIELD_UINT,
+	 false},
 	{"log_json", MEMBER(log_json), 0, 0, 0, FIELD_BOOL, false},
 	{"log_level", MEMBER(log_level), 0, 0, 0, FIELD_LEVEL, false},
 };
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -42,6 +42,7 @@
 	unsigned int address_ttl_s; /* 10 */
 	unsigned int stop_grace_s; /* 30 */
 	unsigned int claim_batch_ms; /* 2 */
+	unsigned int claim_sweep_s; /* 3600 */
 	bool log_json;
 	gc_log_level_t log_level;
 } gc_settings_t;
--- a/regress/check_claim.c
+++ b/regress/check_claim.c
@@ -401,6 +401,36 @@
 }
 END_TEST
 
+START_TEST(test_expired_records)
+{
+	const struct timespec wall = {.tv_sec = 500000 * INT64_C(3600)};
+	const struct timespec before = {.tv_sec = wall.tv_sec - 1};
+	const char *const other[] = {
+		"claims/",
+		"claims/1",
+		"claims/1/",
+		"claims/1/64",
+		"claims/1/2/3",
+		"claims/-1/2",
+		"claims/ 1/2",
+		"claims/x/2",
+		"claims//2",
+		"config/current",
+		"claims-old/1/2",
+		"claims/1/2x",
+		"claims/99999999999999999999/2",
+	};
+
+	ck_assert(gc_claim_record_expired("claims/499974/0", wall));
+	ck_assert(gc_claim_record_expired("claims/1/63", wall));
+	ck_assert(!gc_claim_record_expired("claims/499974/0", before));
+	ck_assert(!gc_claim_record_expired("claims/499975/0", wall));
+	ck_assert(!gc_claim_record_expired("claims/500001/0", wall));
+	for (size_t i = 0; i < G_N_ELEMENTS(other); i++)
+		ck_assert(!gc_claim_record_expired(other[i], wall));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("claim");
@@ -418,6 +448,7 @@
 	tcase_add_test(tcase, test_late_answer);
 	tcase_add_test(tcase, test_released);
 	tcase_add_test(tcase, test_bodies);
+	tcase_add_test(tcase, test_expired_records);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -74,6 +74,7 @@
 	GHashTable *store; /* key to stored_t */
 	uint64_t last_index;
 	bool kv_down;
+	time_t suspend_s; /* from the next read of a record on */
 	unsigned int lose_answers; /* of so many next writes */
 	backend_mode_t mode;
 	bool status_done;
@@ -86,6 +87,8 @@
 } fixture_t;
 
 static uint64_t next_random(void *ctx);
+static struct timespec test_now(void *ctx);
+static struct timespec test_wall(void *ctx);
 static void set_up(fixture_t *f);
 static void tear_down(fixture_t *f);
 static gc_httpd_t *serve(fixture_t *f, gc_httpd_handler_t handler);
@@ -113,6 +116,8 @@
 /* The service that the replaced configuration knows. */
 static gc_service_t service;
 static uint64_t random_state;
+/* Added to the wall clock; a suspended instance wakes up later. */
+static time_t suspended_s;
 
 static uint64_t next_random(void *ctx)
 {
@@ -120,6 +125,20 @@
 	return random_state >> 33;
 }
 
+static struct timespec test_now(void *ctx)
+{
+	return gc_clock_now(&gc_clock_system);
+}
+
+static struct timespec test_wall(void *ctx)
+{
+	struct timespec wall = gc_clock_wall(&gc_clock_system);
+
+	wall.tv_sec += suspended_s;
+	return wall;
+}
+
+static const gc_clock_t test_clock = {.now = test_now, .wall = test_wall};
 static const gc_random_t random_source = {.next = next_random};
 
 static void set_up(fixture_t *f)
@@ -129,6 +148,7 @@
 
 	*f = (fixture_t){.mem = mem};
 	random_state = 7;
+	suspended_s = 0;
 	service = (gc_service_t){GC_STR_LIT("pickup"),
 				 GC_STR_LIT("/status/{key}"), false};
 	f->traffic.ev = ev;
@@ -321,6 +341,7 @@
 	stored_t *stored = g_hash_table_lookup(f->store, gc_http_req_path(req));
 	char *value, *text;
 
+	suspended_s = f->suspend_s;
 	if (!stored) {
 		gc_http_reply(req, 404, "text/plain", GC_STR_EMPTY);
 		return;
@@ -497,6 +518,25 @@
 }
 END_TEST
 
+/* The record of a key that expires during a suspension may be deleted. */
+START_TEST(test_expires_before_dispatch)
+{
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.suspend_s = 25 * 3600;
+	request(&f, "POST", key, "{}");
+	ck_assert_int_eq(f.answer.status, 409);
+	ck_assert_str_eq(f.answer.run, "in_doubt");
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "key_expired"));
+	ck_assert_uint_eq(f.actions, 0);
+	settle(&f);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
 /* The write took effect and its answer was lost: the action still runs. */
 START_TEST(test_lost_answer)
 {
@@ -727,6 +767,7 @@
 	tcase_set_timeout(tcase, 20);
 	tcase_add_test(tcase, test_action);
 	tcase_add_test(tcase, test_unfit_keys);
+	tcase_add_test(tcase, test_expires_before_dispatch);
 	tcase_add_test(tcase, test_lost_answer);
 	tcase_add_test(tcase, test_broken_in_doubt);
 	tcase_add_test(tcase, test_broken_done);
@@ -805,7 +846,7 @@
 
 const gc_clock_t *gc_traffic_clock(gc_traffic_t *traffic)
 {
-	return &gc_clock_system;
+	return &test_clock;
 }
 
 const gc_random_t *gc_traffic_random(gc_traffic_t *traffic)
--- a/regress/check_kv.c
+++ b/regress/check_kv.c
@@ -56,6 +56,8 @@
 static void on_get(void *ctx, gc_str_t value, uint64_t index,
 		   const GError *err);
 static void on_put(void *ctx, gc_kv_put_t put, const GError *err);
+static void on_keys(void *ctx, const char *const *keys, size_t n,
+		    const GError *err);
 static void put(fixture_t *f, const char *const *answers);
 
 static void *serve(void *ctx)
@@ -179,6 +181,17 @@
 	f->result.called = true;
 }
 
+/* The value is the list, with commas. */
+static void on_keys(void *ctx, const char *const *keys, size_t n,
+		    const GError *err)
+{
+	g_autoptr(GString) list = g_string_new(NULL);
+
+	for (size_t i = 0; i < n; i++)
+		g_string_append_printf(list, "%s,", keys[i]);
+	on_get(ctx, (gc_str_t){list->str, list->len}, n, err);
+}
+
 static void put(fixture_t *f, const char *const *answers)
 {
 	set_up(f, answers);
@@ -291,6 +304,66 @@
 }
 END_TEST
 
+/* Half a list must not pass for a whole one. */
+START_TEST(test_keys)
+{
+	const struct {
+		const char *answer;
+		const char *list;
+		int code;
+	} cases[] = {
+		{"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n"
+		 "[\"a/1\",\"a/2\"]",
+		 "a/1,a/2,", -1},
+		{"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", "", -1},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n[\"a/1\",2]", "",
+		 GC_ERR_IO},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "",
+		 GC_ERR_IO},
+		{"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "",
+		 GC_ERR_UNAVAILABLE},
+		{ANSWER_NEVER, "", GC_ERR_TIMEOUT},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *const answers[] = {cases[i].answer, NULL};
+		fixture_t f;
+
+		set_up(&f, answers);
+		gc_kv_keys(f.kv, "a/", on_keys, &f);
+		wait_result(&f);
+		ck_assert_str_eq(f.result.value, cases[i].list);
+		ck_assert_int_eq(f.result.code, cases[i].code);
+		tear_down(&f);
+		ck_assert_str_eq(f.server.seen->str,
+				 "GET /v1/kv/a/?keys HTTP/1.1|\n");
+		g_string_free(f.server.seen, TRUE);
+	}
+}
+END_TEST
+
+START_TEST(test_delete)
+{
+	const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntrue",
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", NULL};
+	fixture_t f;
+
+	set_up(&f, answers);
+	gc_kv_delete(f.kv, "a/1", on_put, &f);
+	wait_result(&f);
+	ck_assert_int_eq(f.result.put, GC_KV_WRITTEN);
+	gc_kv_delete(f.kv, "a/1", on_put, &f);
+	wait_result(&f);
+	ck_assert_int_eq(f.result.put, GC_KV_UNKNOWN);
+	ck_assert_int_eq(f.result.code, GC_ERR_IO);
+	tear_down(&f);
+	ck_assert_str_eq(f.server.seen->str, "DELETE /v1/kv/a/1 HTTP/1.1|\n"
+					     "DELETE /v1/kv/a/1 HTTP/1.1|\n");
+	g_string_free(f.server.seen, TRUE);
+}
+END_TEST
+
 START_TEST(test_put_not_sent)
 {
 	const char *const answers[] = {NULL};
@@ -342,6 +415,8 @@
 	tcase_add_test(tcase, test_get);
 	tcase_add_test(tcase, test_watch_absent);
 	tcase_add_test(tcase, test_put);
+	tcase_add_test(tcase, test_keys);
+	tcase_add_test(tcase, test_delete);
 	tcase_add_test(tcase, test_put_not_sent);
 	tcase_add_test(tcase, test_put_once);
 	suite_add_tcase(suite, tcase);
