Bound the answers of backend servers in memory

The answer to a GET, an action or a status read was collected without a limit, so that one backend server could take all memory of a daemon.

A call of the HTTP client can have a limit for its collected body. Calls of services get max_body_bytes: a longer answer to a GET is 502 answer_too_large and isn't asked for at other servers; for an action the status is the outcome, which is stored and passed on without the body.

send_once was set for actions, for POST /v1/runs and for compare-and-swap. The two POST calls of goldcrestcall lacked it: libcurl could start a generation a second time, or report an own action as in doubt.

--- a/lib/caller_action.c
+++ b/lib/caller_action.c
@@ -62,7 +62,9 @@
 	gc_http_call_conf_t conf = {.method = "POST",
 				    .headers = headers,
 				    .body = action->body,
-				    .timeout_ms = ACTION_TIMEOUT_MS};
+				    .timeout_ms = ACTION_TIMEOUT_MS,
+				    /* A repeat would be in doubt. */
+				    .send_once = true};
 	g_autofree char *url = NULL;
 
 	if (!address) {
--- a/lib/caller_generate.c
+++ b/lib/caller_generate.c
@@ -95,7 +95,7 @@
 	static const gc_http_call_ops_t ops = {.data = on_data,
 					       .done = on_done};
 	gc_generation_t *gen = ctx;
-	gc_http_call_conf_t conf = {.method = "POST"};
+	gc_http_call_conf_t conf = {.method = "POST", .send_once = true};
 	const char *headers[4] = {"Content-Type: application/json",
 				  gen->caller->authorization};
 	g_autofree char *url = NULL;
--- a/lib/filter_service.c
+++ b/lib/filter_service.c
@@ -105,6 +105,9 @@
 static void dispatch(service_call_t *call);
 static void on_action_done(void *ctx, int status, gc_str_t body, bool sent,
 			   const GError *err);
+static void finish_without_body(service_call_t *call, int status,
+				gc_str_t part);
+static void reply_status(gc_http_req_t *req, int status);
 static void release(service_call_t *call, const char *code,
 		    const GError *cause);
 static void reply_known(service_call_t *call, const gc_claim_answer_t *answer);
@@ -425,6 +428,7 @@
 	whole.peer = talloc_strndup(call, call->server->name.data,
 				    call->server->name.len);
 	whole.connect_timeout_ms = CONNECT_MS;
+	whole.max_body = gc_traffic_settings(call->traffic)->max_body_bytes;
 	return gc_httpc_start(gc_traffic_http(call->traffic), &whole, &ops,
 			      call);
 }
@@ -445,15 +449,19 @@
 			const GError *err)
 {
 	service_call_t *call = ctx;
+	bool too_large = err && err->code == GC_ERR_TOO_LARGE;
 	bool failed = err || (status >= 502 && status <= 504);
 
 	call->any_sent = call->any_sent || sent;
-	if (failed && next_server(call)) {
+	if (failed && !too_large && next_server(call)) {
 		start_get(call);
 		return;
 	}
 	if (!err)
 		pass_on(call, status, body);
+	else if (too_large)
+		gc_refuse_as(take_request(call), 502, "answer_too_large", err,
+			     GC_RUN_DONE, 0, NULL);
 	else
 		gc_refuse_as(take_request(call), 502, "backend_failed", err,
 			     call->any_sent ? GC_RUN_IN_DOUBT : GC_RUN_NOT_RUN,
@@ -577,6 +585,11 @@
 {
 	service_call_t *call = ctx;
 
+	if (err && err->code == GC_ERR_TOO_LARGE) {
+		call->call = NULL;
+		finish_without_body(call, status, body);
+		return;
+	}
 	if (err && sent) {
 		call->call = NULL;
 		start_status_read(call);
@@ -598,6 +611,21 @@
 	talloc_free(call);
 }
 
+/*
+ * The status is the outcome, although the answer is longer than the daemon
+ * collects. The part of it is too long to be stored as a body. Frees the call.
+ */
+static void finish_without_body(service_call_t *call, int status, gc_str_t part)
+{
+	gc_http_req_t *req = take_request(call);
+
+	gc_claims_finish(gc_traffic_claims(call->traffic), &call->claim, status,
+			 part);
+	if (req)
+		reply_status(req, status);
+	talloc_free(call);
+}
+
 /* Nothing was sent: the key is free again. Frees the call. */
 static void release(service_call_t *call, const char *code, const GError *cause)
 {
@@ -616,7 +644,6 @@
 {
 	gc_http_req_t *req = take_request(call);
 	json_t *json;
-	char *text;
 
 	if (!req)
 		return;
@@ -630,11 +657,18 @@
 		json_decref(json);
 		return;
 	}
-	json = json_pack("{s:s, s:{s:i}}", "run",
-			 gc_run_state_name(GC_RUN_DONE), "outcome", "status",
-			 answer->status);
-	text = json_dumps(json, JSON_COMPACT);
-	gc_http_reply(req, (unsigned int)answer->status, "application/json",
+	reply_status(req, answer->status);
+}
+
+/* The outcome of an action whose body isn't known. */
+static void reply_status(gc_http_req_t *req, int status)
+{
+	json_t *json = json_pack("{s:s, s:{s:i}}", "run",
+				 gc_run_state_name(GC_RUN_DONE), "outcome",
+				 "status", status);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	gc_http_reply(req, (unsigned int)status, "application/json",
 		      gc_str(text));
 	free(text);
 	json_decref(json);
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -31,6 +31,8 @@
 	bool waiting; /* to be added once libcurl's callback has returned */
 	bool cancelled;
 	bool paused;
+	size_t max_body; /* 0: no limit */
+	bool too_large;
 };
 
 /* A socket that libcurl watches. */
@@ -56,6 +58,7 @@
 static void finish_calls(gc_httpc_t *client);
 static void finish_call(gc_http_call_t *call, CURLcode code);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
+static size_t collect(gc_http_call_t *call, const char *data, size_t n);
 static void set_options(gc_http_call_t *call, const gc_http_call_conf_t *conf);
 static gc_errcode_t error_code(CURLcode code);
 
@@ -97,6 +100,7 @@
 	call->ctx = ctx;
 	call->peer = talloc_strdup(call, conf->peer ? conf->peer : conf->url);
 	call->body = g_byte_array_new();
+	call->max_body = conf->max_body;
 	call->easy = curl_easy_init();
 	call->next = client->calls;
 	if (client->calls)
@@ -220,15 +224,22 @@
 		return CURL_WRITEFUNC_ERROR;
 	if (call->paused)
 		return CURL_WRITEFUNC_PAUSE;
-	if (!call->ops.data) {
-		g_byte_array_append(call->body, (const guint8 *)data, n);
-		return n;
-	}
+	if (!call->ops.data)
+		return collect(call, data, n);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	call->ops.data(call->ctx, (int)status, (gc_str_t){data, n});
 	return call->cancelled ? CURL_WRITEFUNC_ERROR : n;
 }
 
+static size_t collect(gc_http_call_t *call, const char *data, size_t n)
+{
+	size_t room = call->max_body ? call->max_body - call->body->len : n;
+
+	g_byte_array_append(call->body, (const guint8 *)data, MIN(n, room));
+	call->too_large = n > room;
+	return call->too_large ? CURL_WRITEFUNC_ERROR : n;
+}
+
 static int on_socket(CURL *easy, curl_socket_t sock, int what, void *ctx,
 		     void *sock_ctx)
 {
@@ -366,7 +377,11 @@
 	/* The pre-transfer time is set once the request is about to go out. */
 	curl_easy_getinfo(call->easy, CURLINFO_PRETRANSFER_TIME_T, &connected);
 	sent = connected > 0;
-	if (code != CURLE_OK)
+	if (call->too_large)
+		gc_error_set(&err, GC_ERR_TOO_LARGE, "http", call->peer,
+			     "the answer is longer than %zu bytes",
+			     call->max_body);
+	else if (code != CURLE_OK)
 		gc_error_set(&err, error_code(code), "http", call->peer, "%s",
 			     curl_easy_strerror(code));
 	if (call->ops.done)
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -27,6 +27,11 @@
 	 * such a call gets a connection of its own.
 	 */
 	bool send_once;
+	/*
+	 * Longest collected body in bytes; 0: no limit. A longer one ends the
+	 * call with GC_ERR_TOO_LARGE and the body up to the limit.
+	 */
+	size_t max_body;
 } gc_http_call_conf_t;
 
 typedef struct gc_http_call_ops {
--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -21,6 +21,7 @@
 
 #define KV_TIMEOUT_MS 200
 #define BATCH_MS      2
+#define MAX_BODY      2048
 #define PATH	      "/v1/services/pickup/bookings"
 
 typedef enum backend_mode {
@@ -79,6 +80,7 @@
 	backend_mode_t mode;
 	bool status_done;
 	bool fail_get;
+	size_t answer_bytes; /* of the backend server; 0: a short answer */
 	gc_http_req_t *held;
 	unsigned int actions; /* that the backend server got */
 	unsigned int reads;
@@ -358,6 +360,7 @@
 static void on_backend(void *ctx, gc_http_req_t *req)
 {
 	fixture_t *f = ctx;
+	g_autofree char *filler = g_strnfill(f->answer_bytes, 'x');
 	const char *fencing;
 
 	if (g_str_has_prefix(gc_http_req_path(req), "/status/")) {
@@ -371,7 +374,9 @@
 	if (strcmp(gc_http_req_method(req), "GET") == 0) {
 		f->reads++;
 		ck_assert_str_eq(gc_http_req_query(req, "day"), "a b");
-		gc_http_reply(req, 200, "text/plain", GC_STR_LIT("list"));
+		gc_http_reply(req, 200, "text/plain",
+			      f->answer_bytes ? gc_str(filler)
+					      : GC_STR_LIT("list"));
 		return;
 	}
 	f->actions++;
@@ -386,7 +391,8 @@
 		gc_http_stream_abort(req);
 	} else {
 		gc_http_reply(req, 201, "application/json",
-			      GC_STR_LIT("{\"id\":7}"));
+			      f->answer_bytes ? gc_str(filler)
+					      : GC_STR_LIT("{\"id\":7}"));
 	}
 }
 
@@ -537,6 +543,38 @@
 }
 END_TEST
 
+/* A backend server must not fill the daemon's memory. */
+START_TEST(test_long_answer)
+{
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.answer_bytes = MAX_BODY;
+	request(&f, "GET", NULL, "");
+	ck_assert_int_eq(f.answer.status, 200);
+	ck_assert_uint_eq(strlen(f.answer.body), MAX_BODY);
+	f.answer_bytes = MAX_BODY + 1;
+	request(&f, "GET", NULL, "");
+	ck_assert_int_eq(f.answer.status, 502);
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "answer_too_large"));
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "longer than 2048 bytes"));
+	ck_assert_uint_eq(f.reads, 2);
+	/* The effect of an action is known by the status alone. */
+	for (int i = 0; i < 2; i++) {
+		request(&f, "POST", key, "{}");
+		ck_assert_int_eq(f.answer.status, 201);
+		ck_assert_ptr_nonnull(
+			strstr(f.answer.body, "\"run\":\"done\""));
+		ck_assert(f.answer.replayed == (i == 1));
+		settle(&f);
+	}
+	ck_assert_uint_eq(f.actions, 1);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
 /* The write took effect and its answer was lost: the action still runs. */
 START_TEST(test_lost_answer)
 {
@@ -768,6 +806,7 @@
 	tcase_add_test(tcase, test_action);
 	tcase_add_test(tcase, test_unfit_keys);
 	tcase_add_test(tcase, test_expires_before_dispatch);
+	tcase_add_test(tcase, test_long_answer);
 	tcase_add_test(tcase, test_lost_answer);
 	tcase_add_test(tcase, test_broken_in_doubt);
 	tcase_add_test(tcase, test_broken_done);
@@ -862,6 +901,13 @@
 {
 }
 
+const gc_settings_t *gc_traffic_settings(gc_traffic_t *traffic)
+{
+	static const gc_settings_t settings = {.max_body_bytes = MAX_BODY};
+
+	return &settings;
+}
+
 struct gc_claims *gc_traffic_claims(gc_traffic_t *traffic)
 {
 	return traffic->claims;
