--- a/lib/settings.c
+++ b/lib/settings.c
@@ -74,6 +74,8 @@
 	{"max_attempts", MEMBER(max_attempts), 1, 1000, 32, FIELD_UINT, false},
 	{"stall_timeout_ms", MEMBER(stall_timeout_ms), 0, 600000, 0, FIELD_UINT,
 	 false},
+	{"claim_sweep_s", MEMBER(claim_sweep_s), 1, 86400, 3600, FIELD_UINT,
+	 false},
 	{"log_json", MEMBER(log_json), 0, 0, 0, FIELD_BOOL, false},
 	{"log_level", MEMBER(log_level), 0, 0, 0, FIELD_LEVEL, false},
 };
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -44,6 +44,7 @@
 	unsigned int claim_batch_ms; /* 2 */
 	unsigned int max_attempts; /* 32: runs started per generation */
 	unsigned int stall_timeout_ms; /* 0: learnt from each engine */
+	unsigned int claim_sweep_s; /* 3600 */
 	bool log_json;
 	gc_log_level_t log_level;
 } gc_settings_t;
--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -21,6 +21,7 @@
 
 #define KV_TIMEOUT_MS 200
 #define BATCH_MS      2
+#define MAX_BODY      2048
 #define PATH	      "/v1/services/pickup/bookings"
 
 typedef enum backend_mode {
@@ -74,10 +75,12 @@
 	GHashTable *store; /* key to stored_t */
 	uint64_t last_index;
 	bool kv_down;
+	time_t suspend_s; /* from the next read of a record on */
 	unsigned int lose_answers; /* of so many next writes */
 	backend_mode_t mode;
 	bool status_done;
 	bool fail_get;
+	size_t answer_bytes; /* of the backend server; 0: a short answer */
 	gc_http_req_t *held;
 	unsigned int actions; /* that the backend server got */
 	unsigned int reads;
@@ -86,6 +89,8 @@
 } fixture_t;
 
 static uint64_t next_random(void *ctx);
+static struct timespec test_now(void *ctx);
+static struct timespec test_wall(void *ctx);
 static void set_up(fixture_t *f);
 static void tear_down(fixture_t *f);
 static gc_httpd_t *serve(fixture_t *f, gc_httpd_handler_t handler);
@@ -113,6 +118,8 @@
 /* The service that the replaced configuration knows. */
 static gc_service_t service;
 static uint64_t random_state;
+/* Added to the wall clock; a suspended instance wakes up later. */
+static time_t suspended_s;
 
 static uint64_t next_random(void *ctx)
 {
@@ -120,6 +127,20 @@
 	return random_state >> 33;
 }
 
+static struct timespec test_now(void *ctx)
+{
+	return gc_clock_now(&gc_clock_system);
+}
+
+static struct timespec test_wall(void *ctx)
+{
+	struct timespec wall = gc_clock_wall(&gc_clock_system);
+
+	wall.tv_sec += suspended_s;
+	return wall;
+}
+
+static const gc_clock_t test_clock = {.now = test_now, .wall = test_wall};
 static const gc_random_t random_source = {.next = next_random};
 
 static void set_up(fixture_t *f)
@@ -129,6 +150,7 @@
 
 	*f = (fixture_t){.mem = mem};
 	random_state = 7;
+	suspended_s = 0;
 	service = (gc_service_t){GC_STR_LIT("pickup"),
 				 GC_STR_LIT("/status/{key}"), false};
 	f->traffic.ev = ev;
@@ -321,6 +343,7 @@
 	stored_t *stored = g_hash_table_lookup(f->store, gc_http_req_path(req));
 	char *value, *text;
 
+	suspended_s = f->suspend_s;
 	if (!stored) {
 		gc_http_reply(req, 404, "text/plain", GC_STR_EMPTY);
 		return;
@@ -337,6 +360,7 @@
 static void on_backend(void *ctx, gc_http_req_t *req)
 {
 	fixture_t *f = ctx;
+	g_autofree char *filler = g_strnfill(f->answer_bytes, 'x');
 	const char *fencing;
 
 	if (g_str_has_prefix(gc_http_req_path(req), "/status/")) {
@@ -350,7 +374,9 @@
 	if (strcmp(gc_http_req_method(req), "GET") == 0) {
 		f->reads++;
 		ck_assert_str_eq(gc_http_req_query(req, "day"), "a b");
-		gc_http_reply(req, 200, "text/plain", GC_STR_LIT("list"));
+		gc_http_reply(req, 200, "text/plain",
+			      f->answer_bytes ? gc_str(filler)
+					      : GC_STR_LIT("list"));
 		return;
 	}
 	f->actions++;
@@ -365,7 +391,8 @@
 		gc_http_stream_abort(req);
 	} else {
 		gc_http_reply(req, 201, "application/json",
-			      GC_STR_LIT("{\"id\":7}"));
+			      f->answer_bytes ? gc_str(filler)
+					      : GC_STR_LIT("{\"id\":7}"));
 	}
 }
 
@@ -497,6 +524,57 @@
 }
 END_TEST
 
+/* The record of a key that expires during a suspension may be deleted. */
+START_TEST(test_expires_before_dispatch)
+{
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.suspend_s = 25 * 3600;
+	request(&f, "POST", key, "{}");
+	ck_assert_int_eq(f.answer.status, 409);
+	ck_assert_str_eq(f.answer.run, "in_doubt");
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "key_expired"));
+	ck_assert_uint_eq(f.actions, 0);
+	settle(&f);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
+/* A backend server must not fill the daemon's memory. */
+START_TEST(test_long_answer)
+{
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.answer_bytes = MAX_BODY;
+	request(&f, "GET", NULL, "");
+	ck_assert_int_eq(f.answer.status, 200);
+	ck_assert_uint_eq(strlen(f.answer.body), MAX_BODY);
+	f.answer_bytes = MAX_BODY + 1;
+	request(&f, "GET", NULL, "");
+	ck_assert_int_eq(f.answer.status, 502);
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "answer_too_large"));
+	ck_assert_ptr_nonnull(strstr(f.answer.body, "longer than 2048 bytes"));
+	ck_assert_uint_eq(f.reads, 2);
+	/* The effect of an action is known by the status alone. */
+	for (int i = 0; i < 2; i++) {
+		request(&f, "POST", key, "{}");
+		ck_assert_int_eq(f.answer.status, 201);
+		ck_assert_ptr_nonnull(
+			strstr(f.answer.body, "\"run\":\"done\""));
+		ck_assert(f.answer.replayed == (i == 1));
+		settle(&f);
+	}
+	ck_assert_uint_eq(f.actions, 1);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
 /* The write took effect and its answer was lost: the action still runs. */
 START_TEST(test_lost_answer)
 {
@@ -727,6 +805,8 @@
 	tcase_set_timeout(tcase, 20);
 	tcase_add_test(tcase, test_action);
 	tcase_add_test(tcase, test_unfit_keys);
+	tcase_add_test(tcase, test_expires_before_dispatch);
+	tcase_add_test(tcase, test_long_answer);
 	tcase_add_test(tcase, test_lost_answer);
 	tcase_add_test(tcase, test_broken_in_doubt);
 	tcase_add_test(tcase, test_broken_done);
@@ -805,7 +885,7 @@
 
 const gc_clock_t *gc_traffic_clock(gc_traffic_t *traffic)
 {
-	return &gc_clock_system;
+	return &test_clock;
 }
 
 const gc_random_t *gc_traffic_random(gc_traffic_t *traffic)
@@ -813,6 +893,21 @@
 	return &random_source;
 }
 
+void gc_traffic_job_add(gc_traffic_t *traffic, gc_traffic_job_t *job)
+{
+}
+
+void gc_traffic_job_remove(gc_traffic_job_t *job)
+{
+}
+
+const gc_settings_t *gc_traffic_settings(gc_traffic_t *traffic)
+{
+	static const gc_settings_t settings = {.max_body_bytes = MAX_BODY};
+
+	return &settings;
+}
+
 struct gc_claims *gc_traffic_claims(gc_traffic_t *traffic)
 {
 	return traffic->claims;
