Count all control bytes, HTTP headers included, by kind

The counter left out the headers of HTTP calls, which are most of the traffic, and the calls of claims. goldcrest_control_bytes now has the label kind; libcurl's debug callback sees requests and answers as they go over the connection.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import re
 import signal
 import sys
 import time
@@ -169,16 +170,6 @@
             line("goodput" + name, goodput, "ratio")
 
 
-def metric(run, name, what):
-    """Sum of a metric's series on one daemon."""
-    _, text = run.operator("GET", name, "/metrics")
-    total = 0.0
-    for row in str(text).splitlines():
-        if row.startswith(what + "{") or row.startswith(what + " "):
-            total += float(row.rsplit(" ", 1)[1])
-    return total
-
-
 def cpu_s(pid):
     with open(f"/proc/{pid}/stat") as f:
         fields = f.read().rsplit(")", 1)[1].split()
@@ -191,6 +182,21 @@
 
 
 IDLE_S = 10
+CONTROL_ENGINES = 35
+BYTE_KINDS = ("config", "claims", "list", "load", "peers_sent",
+              "peers_received")
+
+
+def control_bytes(run, entries):
+    """Control bytes of all daemons so far, by kind."""
+    totals = dict.fromkeys(BYTE_KINDS, 0.0)
+    for name in entries:
+        _, text = run.operator("GET", name, "/metrics")
+        for kind, value in re.findall(
+                r'^goldcrest_control_bytes\{kind="(\w+)"\} (\S+)$', str(text),
+                re.MULTILINE):
+            totals[kind] += float(value)
+    return totals
 
 
 def platform_calls(run):
@@ -201,21 +207,24 @@
 def bench_control():
     for count in (5, 15, 45):
         with fleet.Fleet() as run:
-            _, entries = start(run, "latency", engines=2, daemons=count)
+            _, entries = start(run, "latency", engines=CONTROL_ENGINES,
+                               daemons=count)
             time.sleep(2)
             pids = [run.processes[n].pid for n in entries]
             calls = platform_calls(run)
-            sent = sum(metric(run, n, "goldcrest_control_bytes")
-                       for n in entries)
+            sent = control_bytes(run, entries)
             cpu = sum(cpu_s(p) for p in pids)
             time.sleep(IDLE_S)
             calls_after = platform_calls(run)
-            sent_after = sum(metric(run, n, "goldcrest_control_bytes")
-                             for n in entries)
+            sent_after = control_bytes(run, entries)
             cpu_after = sum(cpu_s(p) for p in pids)
             per = count * IDLE_S
             line(f"control_bytes_per_s.{count}",
-                 (sent_after - sent) / per, "B/s/daemon")
+                 sum(sent_after.values()) / per - sum(sent.values()) / per,
+                 "B/s/daemon")
+            for kind in BYTE_KINDS:
+                line(f"control_bytes_per_s_{kind}.{count}",
+                     (sent_after[kind] - sent[kind]) / per, "B/s/daemon")
             line(f"control_cpu.{count}", (cpu_after - cpu) / per * 100,
                  "%/daemon")
             line(f"control_rss.{count}",
--- a/lib/control.c
+++ b/lib/control.c
@@ -43,6 +43,9 @@
 	control->http = gc_httpc_create(control, ev);
 	control->kv = gc_kv_create(control, control->http,
 				   conf->settings->platform_url, KV_TIMEOUT_MS);
+	gc_kv_count_bytes(control->kv, "", gc_control_bytes("claims"));
+	gc_kv_count_bytes(control->kv, GC_CONFIG_KEY,
+			  gc_control_bytes("config"));
 	control->engines_health = gc_health_create(control);
 	control->services_health = gc_health_create(control);
 	if (!create_peers(control, err)) {
@@ -166,11 +169,10 @@
 	return tevent_add_timer(control->ev, mem, at, fn, ctx);
 }
 
-gc_metric_t *gc_control_bytes(const char *channel)
+gc_metric_t *gc_control_bytes(const char *kind)
 {
 	return gc_counter("goldcrest_control_bytes",
-			  "Bytes of the control thread by channel", "channel",
-			  channel);
+			  "Bytes of control traffic by kind", "kind", kind);
 }
 
 void gc_control_changed(gc_control_t *control)
--- a/lib/control_config.c
+++ b/lib/control_config.c
@@ -28,7 +28,6 @@
 	bool service_down;
 	struct timespec read_started;
 	struct timespec watch_started;
-	gc_metric_t *bytes;
 	gc_metric_t *version_gauge;
 };
 
@@ -55,7 +54,6 @@
 
 	config->control = control;
 	g_queue_init(&config->kept);
-	config->bytes = gc_control_bytes("config");
 	config->version_gauge =
 		gc_gauge("goldcrest_config_version",
 			 "Operator configuration held", NULL, NULL);
@@ -140,7 +138,6 @@
 		gc_members_on_read_failed(control->members, started);
 		return;
 	}
-	gc_counter_add(config->bytes, value.len);
 	if (index == 0) {
 		config->index = 0;
 		gc_members_on_read(control->members, started, 0);
--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -123,7 +123,8 @@
 	gc_http_call_conf_t conf = {.method = "GET",
 				    .peer = "instance list",
 				    .body = GC_STR_EMPTY,
-				    .timeout_ms = LIST_TIMEOUT_MS};
+				    .timeout_ms = LIST_TIMEOUT_MS,
+				    .bytes = engines->list_bytes};
 
 	if (list->pending)
 		return;
@@ -145,7 +146,6 @@
 	note_list(list, status, err);
 	if (err || status != 200)
 		return;
-	gc_counter_add(list->control->engines->list_bytes, body.len);
 	answer = json_loadb(body.data, body.len, 0, NULL);
 	if (json_is_array(answer))
 		take_list(list, answer);
@@ -273,7 +273,8 @@
 	load_poll_t *poll;
 	gc_http_call_conf_t conf = {.method = "GET",
 				    .body = GC_STR_EMPTY,
-				    .timeout_ms = LOAD_TIMEOUT_MS};
+				    .timeout_ms = LOAD_TIMEOUT_MS,
+				    .bytes = engines->load_bytes};
 	char *load_url;
 
 	if (!probe && g_hash_table_contains(engines->pending, name.data))
@@ -298,7 +299,6 @@
 	gc_str_t name = gc_str(poll->name);
 	bool ok = !err && status == 200 && take_load(control, name, body);
 
-	gc_counter_add(control->engines->load_bytes, body.len);
 	if (poll->probe) {
 		gc_health_on_probe(control->engines_health,
 				   gc_control_now(control), name, ok);
--- a/lib/control_impl.h
+++ b/lib/control_impl.h
@@ -53,8 +53,8 @@
 struct tevent_timer *gc_control_after_ms(const gc_control_t *control,
 					 TALLOC_CTX *mem, int64_t ms,
 					 tevent_timer_handler_t fn, void *ctx);
-/* Counter of goldcrest_control_bytes for the channel. */
-gc_metric_t *gc_control_bytes(const char *channel);
+/* Counter of goldcrest_control_bytes for the kind. */
+gc_metric_t *gc_control_bytes(const char *kind);
 gc_view_t *gc_control_make_view(gc_control_t *control);
 
 /* control_config.c: watches, reads, takes and passes on versions. */
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -27,6 +27,7 @@
 	GByteArray *body;
 	gc_http_call_ops_t ops;
 	void *ctx;
+	gc_metric_t *bytes;
 	struct tevent_immediate *unpause;
 	bool waiting; /* to be added once libcurl's callback has returned */
 	bool cancelled;
@@ -43,6 +44,8 @@
 
 static int client_destructor(gc_httpc_t *client);
 static int call_destructor(gc_http_call_t *call);
+static int on_debug(CURL *easy, curl_infotype type, char *data, size_t size,
+		    void *ctx);
 static int on_socket(CURL *easy, curl_socket_t sock, int what, void *ctx,
 		     void *sock_ctx);
 static int on_timeout(CURLM *multi, long ms, void *ctx);
@@ -95,6 +98,7 @@
 	call->client = client;
 	call->ops = *ops;
 	call->ctx = ctx;
+	call->bytes = conf->bytes;
 	call->peer = talloc_strdup(call, conf->peer ? conf->peer : conf->url);
 	call->body = g_byte_array_new();
 	call->easy = curl_easy_init();
@@ -145,6 +149,11 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	if (!call->bytes)
+		return;
+	curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
+	curl_easy_setopt(easy, CURLOPT_DEBUGDATA, call);
+	curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
 }
 
 static int call_destructor(gc_http_call_t *call)
@@ -164,6 +173,21 @@
 	return 0;
 }
 
+/*
+ * Sees the traffic as it goes over the connection. The sizes that libcurl keeps
+ * of a request leave open whether they include its body.
+ */
+static int on_debug(CURL *easy, curl_infotype type, char *data, size_t size,
+		    void *ctx)
+{
+	gc_http_call_t *call = ctx;
+
+	if (type == CURLINFO_HEADER_IN || type == CURLINFO_HEADER_OUT ||
+	    type == CURLINFO_DATA_IN || type == CURLINFO_DATA_OUT)
+		gc_counter_add(call->bytes, size);
+	return 0;
+}
+
 void gc_http_call_cancel(gc_http_call_t *call)
 {
 	/* libcurl forbids removing a handle inside its callbacks. */
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -9,6 +9,7 @@
 #include <tevent.h>
 
 #include "core/str.h"
+#include "lib/metrics.h"
 
 typedef struct gc_httpc gc_httpc_t;
 typedef struct gc_http_call gc_http_call_t;
@@ -27,6 +28,11 @@
 	 * such a call gets a connection of its own.
 	 */
 	bool send_once;
+	/*
+	 * Counts the bytes of requests and answers with their headers, also of
+	 * calls that fail or are cancelled; NULL: not counted.
+	 */
+	gc_metric_t *bytes;
 } gc_http_call_conf_t;
 
 typedef struct gc_http_call_ops {
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -21,8 +21,14 @@
 	 * not block, so a watch of an absent record waits on this index.
 	 */
 	GHashTable *absent;
+	GSList *counted; /* byte_count_t, talloc children, last set first */
 };
 
+typedef struct byte_count {
+	char *prefix;
+	gc_metric_t *bytes;
+} byte_count_t;
+
 /* A call on its way; a talloc child of the client. */
 typedef struct pending {
 	gc_kv_t *kv;
@@ -60,6 +66,7 @@
 static bool decode_value(json_t *entry, record_t *record);
 static void remember_absent(pending_t *pending);
 static uint64_t watch_index(const gc_kv_t *kv, const char *key, uint64_t index);
+static gc_metric_t *bytes_of(const gc_kv_t *kv, const char *key);
 
 gc_kv_t *gc_kv_create(TALLOC_CTX *mem, gc_httpc_t *http, const char *url,
 		      unsigned int timeout_ms)
@@ -83,9 +90,30 @@
 static int kv_destructor(gc_kv_t *kv)
 {
 	g_hash_table_destroy(kv->absent);
+	g_slist_free(kv->counted);
 	return 0;
 }
 
+void gc_kv_count_bytes(gc_kv_t *kv, const char *prefix, gc_metric_t *bytes)
+{
+	byte_count_t *count = talloc_zero(kv, byte_count_t);
+
+	count->prefix = talloc_strdup(count, prefix);
+	count->bytes = bytes;
+	kv->counted = g_slist_prepend(kv->counted, count);
+}
+
+static gc_metric_t *bytes_of(const gc_kv_t *kv, const char *key)
+{
+	for (GSList *l = kv->counted; l; l = l->next) {
+		const byte_count_t *count = l->data;
+
+		if (g_str_has_prefix(key, count->prefix))
+			return count->bytes;
+	}
+	return NULL;
+}
+
 uint64_t gc_kv_calls(const gc_kv_t *kv)
 {
 	return kv->calls;
@@ -162,6 +190,7 @@
 		.body = GC_STR_EMPTY,
 		.connect_timeout_ms = pending->kv->timeout_ms,
 		.timeout_ms = timeout_ms,
+		.bytes = bytes_of(pending->kv, pending->key),
 	};
 
 	pending->call = gc_httpc_start(pending->kv->http, &conf, &ops, pending);
@@ -183,6 +212,7 @@
 		 * took effect at the first.
 		 */
 		.send_once = true,
+		.bytes = bytes_of(kv, key),
 	};
 	char query[32];
 
--- a/lib/kv.h
+++ b/lib/kv.h
@@ -41,6 +41,11 @@
 /* Compare-and-swap: writes if the record's index is `index` (0: absent). */
 void gc_kv_cas(gc_kv_t *kv, const char *key, uint64_t index, gc_str_t value,
 	       gc_kv_put_done_t done, void *ctx);
+/*
+ * Counts the bytes of calls, HTTP headers included, for keys that begin with
+ * the prefix; of several that match, the one set last counts.
+ */
+void gc_kv_count_bytes(gc_kv_t *kv, const char *prefix, gc_metric_t *bytes);
 /* Calls made since the start, for measurements. */
 uint64_t gc_kv_calls(const gc_kv_t *kv);
 
--- a/lib/peers.c
+++ b/lib/peers.c
@@ -110,11 +110,11 @@
 static void make_metrics(gc_peers_t *peers)
 {
 	peers->sent = gc_counter("goldcrest_control_bytes",
-				 "Bytes of the control thread by channel",
-				 "channel", "peers_sent");
+				 "Bytes of control traffic by kind", "kind",
+				 "peers_sent");
 	peers->received = gc_counter("goldcrest_control_bytes",
-				     "Bytes of the control thread by channel",
-				     "channel", "peers_received");
+				     "Bytes of control traffic by kind", "kind",
+				     "peers_received");
 	peers->malformed = gc_counter("goldcrest_peer_malformed_total",
 				      "Peer messages that were not understood",
 				      NULL, NULL);
--- a/regress/check_httpc.c
+++ b/regress/check_httpc.c
@@ -1,8 +1,12 @@
-/* Guards against failures of a connection that are noticed late. */
+/*
+ * Guards against failures of a connection that are noticed late, and against
+ * traffic that isn't counted.
+ */
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,7 +23,15 @@
 	int code;
 } outcome_t;
 
+/* A server that answers one request on its own thread. */
+typedef struct one_shot {
+	int sock;
+	size_t received;
+} one_shot_t;
+
 static uint16_t closed_port(void);
+static uint16_t listen_once(one_shot_t *server);
+static void *serve_once(void *ctx);
 static void on_done(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err);
 
@@ -69,6 +81,71 @@
 }
 END_TEST
 
+#define BODY   "0123456789"
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour"
+
+static uint16_t listen_once(one_shot_t *server)
+{
+	struct sockaddr_in addr = {.sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(addr);
+
+	server->sock = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(server->sock, (struct sockaddr *)&addr, len), 0);
+	ck_assert_int_eq(listen(server->sock, 1), 0);
+	ck_assert_int_eq(
+		getsockname(server->sock, (struct sockaddr *)&addr, &len), 0);
+	return ntohs(addr.sin_port);
+}
+
+static void *serve_once(void *ctx)
+{
+	one_shot_t *server = ctx;
+	int sock = accept(server->sock, NULL, NULL);
+	char request[4096] = "";
+
+	while (!strstr(request, "\r\n\r\n" BODY)) {
+		ssize_t n = read(sock, request + server->received,
+				 sizeof(request) - 1 - server->received);
+
+		if (n <= 0)
+			break;
+		server->received += n;
+	}
+	if (write(sock, ANSWER, strlen(ANSWER)) < 0)
+		server->received = 0;
+	close(sock);
+	close(server->sock);
+	return NULL;
+}
+
+START_TEST(test_counts_headers_and_bodies)
+{
+	static const gc_http_call_ops_t ops = {.done = on_done};
+	struct tevent_context *ev = tevent_context_init(NULL);
+	gc_httpc_t *client = gc_httpc_create(ev, ev);
+	one_shot_t server = {0};
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/path",
+					       listen_once(&server));
+	gc_metric_t *bytes = gc_counter("test_bytes", "", NULL, NULL);
+	gc_http_call_conf_t conf = {.method = "PUT",
+				    .url = url,
+				    .body = gc_str(BODY),
+				    .bytes = bytes};
+	GThread *thread = g_thread_new("server", serve_once, &server);
+	outcome_t outcome = {0};
+
+	gc_httpc_start(client, &conf, &ops, &outcome);
+	while (!outcome.over)
+		tevent_loop_once(ev);
+	g_thread_join(thread);
+	ck_assert_int_eq(outcome.code, -1);
+	ck_assert_uint_eq(gc_counter_value(bytes),
+			  server.received + strlen(ANSWER));
+	talloc_free(ev);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("httpc");
@@ -77,6 +154,7 @@
 	int failed;
 
 	tcase_add_test(tcase, test_refused_at_once);
+	tcase_add_test(tcase, test_counts_headers_and_bodies);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
