Wait for changes of the instance list by blocking queries

Polls of an unchanged list cost 7.3 KB/s per daemon with 35 engines. Each daemon now waits with ?index=N&wait=30s, reads a changed list once more, because an instance is dropped when two lists in a row lack it, and polls at three times list_poll_ms if the service has no index or doesn't block. standin-platform has blocking queries of the list and a fault that turns them off.

--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -1,4 +1,5 @@
 /* Instance list, load polls and ejection of engines. */
+#include <inttypes.h>
 #include <string.h>
 
 #include "core/error.h"
@@ -8,7 +9,22 @@
 #include "lib/log.h"
 
 #define LIST_TIMEOUT_MS 2000L
-#define LOAD_TIMEOUT_MS 1000L
+/* Time that a blocking query waits for a change. */
+#define LIST_WAIT_S 30
+/*
+ * The first wait after a change. It is longer than the time for which an
+ * instance that was seen leaving stays so, which only a later answer ends.
+ */
+#define LIST_FIRST_WAIT_S 6
+/* The service adds up to this part of the wait, to spread its answers. */
+#define LIST_WAIT_JITTER 16
+/*
+ * A service that doesn't block is polled at this multiple of list_poll_ms, so
+ * that the polls cost a third of the bytes and a leaving instance is still
+ * noticed within a few seconds.
+ */
+#define LIST_NO_BLOCKING_FACTOR 3
+#define LOAD_TIMEOUT_MS		1000L
 /* Probes started per load poll, so that a mass failure sends no burst. */
 #define MAX_PROBES 8
 
@@ -28,9 +44,19 @@
 typedef struct list_poll {
 	gc_control_t *control;
 	list_kind_t kind;
-	bool pending;
+	gc_http_call_t *call;
 	bool read_once;
 	bool failing;
+	/*
+	 * X-Consul-Index of the last answer, 0 if it had none. The next query
+	 * blocks only if settled: an instance is dropped when two lists in a
+	 * row lack it, so a changed list is read once more.
+	 */
+	uint64_t index;
+	bool settled;
+	bool blocking; /* the call under way */
+	int wait_s; /* of the next blocking query */
+	struct timespec started;
 } list_poll_t;
 
 typedef struct load_poll {
@@ -51,7 +77,8 @@
 static int engines_destructor(gc_control_engines_t *engines);
 static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx);
-static void start_list(gc_control_engines_t *engines, list_poll_t *list);
+static void start_list(list_poll_t *list);
+static int64_t take_index(list_poll_t *list, int status);
 static void on_list(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err);
 static void note_list(list_poll_t *list, int status, const GError *err);
@@ -84,8 +111,9 @@
 	for (unsigned int i = 0; i < N_LISTS; i++) {
 		engines->lists[i].control = control;
 		engines->lists[i].kind = (list_kind_t)i;
+		gc_control_after_ms(control, engines, 0, on_list_tick,
+				    &engines->lists[i]);
 	}
-	gc_control_after_ms(control, engines, 0, on_list_tick, engines);
 	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
 			    on_load_tick, engines);
 	return engines;
@@ -107,42 +135,52 @@
 static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx)
 {
-	gc_control_engines_t *engines = ctx;
-
-	gc_control_after_ms(engines->control, engines,
-			    engines->control->settings->list_poll_ms,
-			    on_list_tick, engines);
-	for (unsigned int i = 0; i < N_LISTS; i++)
-		start_list(engines, &engines->lists[i]);
+	start_list(ctx);
 }
 
-static void start_list(gc_control_engines_t *engines, list_poll_t *list)
+/*
+ * Each daemon waits for changes itself. Bytes and calls at rest don't grow with
+ * the list, and only a change is paid for with the whole list.
+ */
+static void start_list(list_poll_t *list)
 {
+	gc_control_t *control = list->control;
 	const gc_http_call_ops_t ops = {.done = on_list};
 	g_autofree char *url = NULL;
 	gc_http_call_conf_t conf = {.method = "GET",
 				    .peer = "instance list",
 				    .body = GC_STR_EMPTY,
 				    .timeout_ms = LIST_TIMEOUT_MS,
-				    .bytes = engines->list_bytes};
+				    .bytes = control->engines->list_bytes};
 
-	if (list->pending)
-		return;
+	list->blocking = list->settled && list->index > 0;
+	list->started = gc_control_now(control);
 	url = g_strdup_printf("%s/v1/health/service/%s",
-			      engines->control->settings->platform_url,
+			      control->settings->platform_url,
 			      list_names[list->kind]);
+	if (list->blocking) {
+		char *plain = url;
+
+		url = g_strdup_printf("%s?index=%" PRIu64 "&wait=%ds", plain,
+				      list->index, list->wait_s);
+		g_free(plain);
+		conf.timeout_ms += list->wait_s * 1000L +
+				   list->wait_s * 1000L / LIST_WAIT_JITTER;
+	}
 	conf.url = url;
-	list->pending = true;
-	gc_httpc_start(engines->control->http, &conf, &ops, list);
+	list->call = gc_httpc_start(control->http, &conf, &ops, list);
 }
 
 static void on_list(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err)
 {
 	list_poll_t *list = ctx;
+	int64_t pause_ms = take_index(list, err ? 0 : status);
 	json_t *answer = NULL;
 
-	list->pending = false;
+	list->call = NULL;
+	gc_control_after_ms(list->control, list->control->engines, pause_ms,
+			    on_list_tick, list);
 	note_list(list, status, err);
 	if (err || status != 200)
 		return;
@@ -152,6 +190,39 @@
 	json_decref(answer);
 }
 
+/*
+ * Keeps the index of the answer; returns the pause before the next query. A
+ * status of 0 means that no answer came. After a failure the list is read
+ * without blocking, so that the end of an outage is noticed.
+ */
+static int64_t take_index(list_poll_t *list, int status)
+{
+	int64_t poll_ms = list->control->settings->list_poll_ms;
+	int64_t took_ms =
+		gc_ms_between(list->started, gc_control_now(list->control));
+	const char *text = NULL;
+	uint64_t index;
+
+	if (status == 200)
+		text = gc_http_call_header(list->call, "X-Consul-Index");
+	index = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+	list->settled = index > 0 && index == list->index;
+	list->index = index;
+	if (status != 200)
+		return poll_ms;
+	if (index == 0)
+		return poll_ms * LIST_NO_BLOCKING_FACTOR;
+	if (!list->blocking || !list->settled) {
+		list->wait_s = LIST_FIRST_WAIT_S;
+		return poll_ms;
+	}
+	/* A service that has an index and yet doesn't block. */
+	if (took_ms < list->wait_s * INT64_C(500))
+		return poll_ms * LIST_NO_BLOCKING_FACTOR;
+	list->wait_s = LIST_WAIT_S;
+	return 0;
+}
+
 static void note_list(list_poll_t *list, int status, const GError *err)
 {
 	bool failing = err != NULL || status != 200;
--- a/regress/standins_platform.t
+++ b/regress/standins_platform.t
@@ -110,6 +110,19 @@
   $ put /v1/agent/service/deregister/e1
   $ sleep 0.9; get $U/v1/health/service/engine
   []
+
+A blocking query of the list ends at a change of its service only.
+
+  $ index=$(get -D - -o /dev/null $U/v1/health/service/engine | tr -d '\r' | sed -n 's/^X-Consul-Index: //p')
+  $ get "$U/v1/health/service/engine?index=$index&wait=10s" >blocked & B=$!
+  $ put /v1/agent/service/register '{"ID":"s1","Name":"service","Address":"127.0.0.1","Port":1}'
+  $ sleep 0.9; kill -0 $B; echo $?
+  0
+  $ put /v1/agent/service/register '{"ID":"e2","Name":"engine","Address":"127.0.0.1","Port":1}'
+  $ wait $B; grep -o '"ID":"e2"' blocked
+  "ID":"e2"
+  $ get "$U/v1/health/service/engine?index=0&wait=10s" | grep -o '"ID":"e2"'
+  "ID":"e2"
   $ put /v1/agent/service/register '{"Name":"engine"}'
   {"error":{"message":"Address must be a string","status":400}}
 
--- a/standins/platform/standin-platform.c
+++ b/standins/platform/standin-platform.c
@@ -85,6 +85,7 @@
 	platform_t *platform = ctx;
 
 	kv_end_watches(platform->kv, false);
+	list_end_watches(platform->list);
 }
 
 static void handle(void *ctx, gc_http_req_t *req)
@@ -360,11 +361,14 @@
 	} else if (strcmp(name, "list_lag") == 0) {
 		list_set_lag(platform->list,
 			     standin_int(body, "ms", list_lag_ms));
+	} else if (strcmp(name, "list_no_blocking") == 0) {
+		list_set_blocking(platform->list, false);
 	} else if (strcmp(name, "clear") == 0) {
 		platform->outage_until_us = 0;
 		platform->delay_until_us = 0;
 		platform->lose_count = 0;
 		list_set_lag(platform->list, list_lag_ms);
+		list_set_blocking(platform->list, true);
 	} else {
 		return false;
 	}
--- a/standins/platform/standin-platform.h
+++ b/standins/platform/standin-platform.h
@@ -79,6 +79,10 @@
 /* list.c */
 list_t *list_create(TALLOC_CTX *mem, standin_t *standin, int64_t lag_ms);
 void list_set_lag(list_t *list, int64_t lag_ms);
+/* Whether blocking queries block; without it answers have no index. */
+void list_set_blocking(list_t *list, bool blocks);
+void list_end_watches(list_t *list);
+/* Blocks while the service's index isn't above ?index=N, for ?wait=30s. */
 void list_show(list_t *list, gc_http_req_t *req, const char *service);
 void list_register(list_t *list, gc_http_req_t *req);
 void list_deregister(list_t *list, gc_http_req_t *req, const char *id);
