Read load reports of idle engines less often, with a bound on the calls

Load reports were most of the control traffic, 227 bytes each with headers. A daemon now reads those of engines that it has runs on every load_poll_ms, others ten times less often, and at most 6 per interval. Traffic threads tell the control thread of the engines in use. engine_subset stays at 64: a smaller one would leave engines unused in a small fleet.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Measurements on one machine; prints lines of `name value unit`.
 
-Usage: bench.py [SECTION ...]; sections: resume, shares, control, traffic.
+Usage: bench.py [SECTION ...]; sections: resume, shares, control, traffic,
+spread.
 Seeds are fixed. The suffix of a name is the policy or the baseline.
 """
 
@@ -282,8 +283,46 @@
         line(f"whole.{streams}", out["whole"], "answers")
 
 
+# Spread: 10 engines of 8 slots, answers of 40 tokens at 20 ms, 70% busy.
+SPREAD_ENGINES = 10
+SPREAD_RATE = 0.7 * SPREAD_ENGINES * 8 / (SHARE_TOKENS * 0.020)
+SPREAD_S = 10
+
+
+def bench_spread():
+    """Placement by load reports: busiest engine over mean, and latency."""
+    for count in (3, 15):
+        with fleet.Fleet() as run:
+            names, entries = start(run, "economy", engines=SPREAD_ENGINES,
+                                   daemons=count,
+                                   engine_args=SHARE_ENGINE_ARGS)
+            time.sleep(2)
+            before = engine_work(run, names)
+            sent = control_bytes(run, entries)
+            load = run.load(entries, "lone-star", [
+                "--model", "draft", "--min-tokens", str(SHARE_TOKENS),
+                "--max-tokens", str(SHARE_TOKENS), "--prompt-words", "50",
+                "--rate", f"{SPREAD_RATE:.1f}", "--requests",
+                str(int(SPREAD_RATE * SPREAD_S)), "--seed", "21"])
+            out = fleet.report(load, 90)
+            sent_after = control_bytes(run, entries)
+            after = engine_work(run, names)
+        work = [after[n] - before[n] for n in names]
+        mean = sum(work) / len(work)
+        line(f"spread_max_over_mean.{count}", max(work) / mean, "ratio")
+        line(f"spread_min_over_mean.{count}", min(work) / mean, "ratio")
+        line(f"spread_first_token_p95.{count}", out["first_token_p95_ms"],
+             "ms")
+        line(f"spread_total_p95.{count}", out["total_p95_ms"], "ms")
+        line(f"spread_whole.{count}", out["whole"], "answers")
+        line(f"spread_load_bytes_per_s.{count}",
+             (sent_after["load"] - sent["load"]) / count / out["seconds"],
+             "B/s/daemon")
+
+
 SECTIONS = {"resume": bench_resume, "shares": bench_shares,
-            "control": bench_control, "traffic": bench_traffic}
+            "control": bench_control, "traffic": bench_traffic,
+            "spread": bench_spread}
 
 
 def main():
--- a/lib/control.c
+++ b/lib/control.c
@@ -21,6 +21,7 @@
 static void on_publish(struct tevent_context *ev, struct tevent_immediate *im,
 		       void *ctx);
 static void on_report(void *ctx, void *message);
+static void on_used(void *ctx, void *message);
 static void fill_instances(gc_view_t *view, const gc_health_t *health,
 			   struct timespec now, gc_view_instance_t *out);
 static void count_daemon(void *ctx, const gc_member_info_t *info);
@@ -144,6 +145,18 @@
 	g_free(report);
 }
 
+void gc_control_note_used(gc_control_t *control, gc_str_t engine)
+{
+	gc_mailbox_post(control->mailbox, on_used,
+			g_strndup(engine.data, engine.len));
+}
+
+static void on_used(void *ctx, void *message)
+{
+	gc_control_engines_used(ctx, message);
+	g_free(message);
+}
+
 gc_kv_t *gc_control_kv(gc_control_t *control)
 {
 	return control->kv;
--- a/lib/control.h
+++ b/lib/control.h
@@ -36,6 +36,11 @@
 /* What a stream learnt about an engine. From every thread. */
 void gc_control_report(gc_control_t *control, gc_str_t engine,
 		       gc_engine_verdict_t verdict);
+/*
+ * This daemon has runs on the engine, or had one lately. Repeated while it has;
+ * load reports of such engines are read more often. From every thread.
+ */
+void gc_control_note_used(gc_control_t *control, gc_str_t engine);
 /* The control thread's key-value client, for other controllers. */
 gc_kv_t *gc_control_kv(gc_control_t *control);
 gc_mailbox_t *gc_control_mailbox(gc_control_t *control);
--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -1,5 +1,7 @@
 /* Instance list, load polls and ejection of engines. */
 #include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/error.h"
@@ -25,6 +27,19 @@
  */
 #define LIST_NO_BLOCKING_FACTOR 3
 #define LOAD_TIMEOUT_MS		1000L
+/*
+ * An engine that this daemon has no run on is asked for its load this much
+ * less often.
+ */
+#define LOAD_IDLE_FACTOR 10
+/* Longer than traffic threads take to tell of a used engine again. */
+#define LOAD_USED_MS 2000
+/*
+ * Polls started per load_poll_ms, so that the bytes don't grow with the number
+ * of engines: 12 calls/s by default, of about 230 bytes each. The engines that
+ * wait longest by their interval go first.
+ */
+#define MAX_LOAD_POLLS 6
 /* Probes started per load poll, so that a mass failure sends no burst. */
 #define MAX_PROBES 8
 
@@ -65,10 +80,26 @@
 	bool probe;
 } load_poll_t;
 
+/* When the load of an engine was read; the value of the subset. */
+typedef struct load_state {
+	bool polled;
+	struct timespec polled_at;
+	bool used;
+	struct timespec used_at;
+} load_state_t;
+
+/* An engine whose load could be read now. */
+typedef struct load_due {
+	gc_str_t name;
+	gc_str_t url;
+	double overdue; /* time since the last poll by the interval */
+	load_state_t *state;
+} load_due_t;
+
 struct gc_control_engines {
 	gc_control_t *control;
 	list_poll_t lists[N_LISTS];
-	GHashTable *subset; /* names of the engines that this daemon polls */
+	GHashTable *subset; /* name of an engine to poll -> load_state_t */
 	GHashTable *pending; /* names whose load poll is under way */
 	gc_metric_t *list_bytes;
 	gc_metric_t *load_bytes;
@@ -84,6 +115,12 @@
 static void note_list(list_poll_t *list, int status, const GError *err);
 static void take_list(list_poll_t *list, json_t *answer);
 static void choose_subset(gc_control_engines_t *engines);
+static void keep_in_subset(gc_control_engines_t *engines, GHashTable *before,
+			   gc_str_t name);
+static void start_due_loads(gc_control_engines_t *engines);
+static size_t collect_due(gc_control_engines_t *engines, struct timespec now,
+			  load_due_t *due);
+static int most_overdue_first(const void *a, const void *b);
 static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx);
 static void start_load(gc_control_engines_t *engines, gc_str_t name,
@@ -102,7 +139,7 @@
 
 	engines->control = control;
 	engines->subset =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	engines->pending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	engines->list_bytes = gc_control_bytes("list");
@@ -273,41 +310,118 @@
 	gc_str_t *names = g_new0(gc_str_t, n + 1);
 	struct timespec now = gc_control_now(control);
 	gc_health_instance_t instance;
+	GHashTable *before;
 
 	for (size_t i = 0; i < n; i++) {
 		gc_health_get(control->engines_health, now, i, &instance);
 		names[i] = instance.name;
 	}
-	g_hash_table_remove_all(engines->subset);
+	before = engines->subset;
+	engines->subset =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (size_t i = 0; i < n; i++) {
 		if (gc_place_in_subset(gc_str(control->settings->instance),
 				       names[i], names, n,
 				       control->settings->engine_subset))
-			g_hash_table_add(engines->subset,
-					 g_strndup(names[i].data,
-						   names[i].len));
+			keep_in_subset(engines, before, names[i]);
 	}
+	g_hash_table_destroy(before);
 	g_free(names);
 }
 
+static void keep_in_subset(gc_control_engines_t *engines, GHashTable *before,
+			   gc_str_t name)
+{
+	char *key = g_strndup(name.data, name.len);
+	const load_state_t *old = g_hash_table_lookup(before, key);
+	load_state_t *state = g_new0(load_state_t, 1);
+
+	if (old)
+		*state = *old;
+	g_hash_table_insert(engines->subset, key, state);
+}
+
+void gc_control_engines_used(gc_control_t *control, const char *name)
+{
+	load_state_t *state =
+		g_hash_table_lookup(control->engines->subset, name);
+
+	if (!state)
+		return;
+	state->used = true;
+	state->used_at = gc_control_now(control);
+}
+
 static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx)
 {
 	gc_control_engines_t *engines = ctx;
 	gc_control_t *control = engines->control;
-	const gc_health_t *health = control->engines_health;
-	gc_health_instance_t instance;
 
 	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
 			    on_load_tick, engines);
+	start_due_loads(engines);
+	start_probes(engines);
+}
+
+static void start_due_loads(gc_control_engines_t *engines)
+{
+	size_t n = gc_health_count(engines->control->engines_health);
+	load_due_t *due = g_new0(load_due_t, n + 1);
+	struct timespec now = gc_control_now(engines->control);
+	unsigned int started = 0;
+
+	n = collect_due(engines, now, due);
+	qsort(due, n, sizeof(*due), most_overdue_first);
+	for (size_t i = 0; i < n; i++) {
+		/* The first report of an engine isn't put off. */
+		if (due[i].state->polled && started++ >= MAX_LOAD_POLLS)
+			break;
+		due[i].state->polled = true;
+		due[i].state->polled_at = now;
+		start_load(engines, due[i].name, due[i].url, false);
+	}
+	g_free(due);
+}
+
+static size_t collect_due(gc_control_engines_t *engines, struct timespec now,
+			  load_due_t *due)
+{
+	const gc_health_t *health = engines->control->engines_health;
+	double poll_ms = engines->control->settings->load_poll_ms;
+	gc_health_instance_t instance;
+	size_t n = 0;
+
 	for (size_t i = 0; i < gc_health_count(health); i++) {
-		gc_health_get(health, gc_control_now(control), i, &instance);
+		load_state_t *state;
+		double interval_ms = poll_ms;
+
+		gc_health_get(health, now, i, &instance);
+		state = g_hash_table_lookup(engines->subset,
+					    instance.name.data);
 		/* Only the probe decides about an ejected engine. */
-		if (!instance.ejected &&
-		    g_hash_table_contains(engines->subset, instance.name.data))
-			start_load(engines, instance.name, instance.url, false);
+		if (!state || instance.ejected)
+			continue;
+		if (!state->used ||
+		    gc_ms_between(state->used_at, now) > LOAD_USED_MS)
+			interval_ms *= LOAD_IDLE_FACTOR;
+		due[n] = (load_due_t){instance.name, instance.url, HUGE_VAL,
+				      state};
+		if (state->polled)
+			due[n].overdue = gc_ms_between(state->polled_at, now) /
+					 interval_ms;
+		/* Timers come a little early or late. */
+		n += due[n].overdue >= 1 - poll_ms / 2 / interval_ms;
 	}
-	start_probes(engines);
+	return n;
+}
+
+static int most_overdue_first(const void *a, const void *b)
+{
+	const load_due_t *x = a;
+	const load_due_t *y = b;
+
+	return (x->overdue < y->overdue) - (x->overdue > y->overdue);
 }
 
 static void start_probes(gc_control_engines_t *engines)
--- a/lib/control_impl.h
+++ b/lib/control_impl.h
@@ -87,6 +87,8 @@
 bool gc_control_engines_listed(const gc_control_t *control);
 void gc_control_engines_report(gc_control_t *control, gc_str_t engine,
 			       gc_engine_verdict_t verdict);
+/* A traffic thread has runs on the engine. */
+void gc_control_engines_used(gc_control_t *control, const char *name);
 
 /* operators.c: the operator listener. Errors: GC_ERR_IO. */
 gc_operators_t *gc_operators_create(gc_control_t *control, GError **err);
--- a/lib/engines.c
+++ b/lib/engines.c
@@ -10,6 +10,7 @@
 struct gc_engine_record {
 	gc_stall_t *stall;
 	gc_flight_t *flights;
+	bool used; /* since the last gc_engines_each_used */
 };
 
 struct gc_engines {
@@ -222,10 +223,27 @@
 	return found;
 }
 
+void gc_engines_each_used(gc_engines_t *engines,
+			  void (*fn)(void *ctx, const char *name), void *ctx)
+{
+	GHashTableIter iter;
+	gpointer name, value;
+
+	g_hash_table_iter_init(&iter, engines->records);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		gc_engine_record_t *engine = value;
+
+		if (engine->used || engine->flights)
+			fn(ctx, name);
+		engine->used = false;
+	}
+}
+
 void gc_flight_begin(gc_engines_t *engines, gc_flight_t *flight,
 		     const char *name)
 {
 	flight->record = record(engines, name);
+	flight->record->used = true;
 	flight->since = gc_clock_now(engines->clock);
 	flight->prev = NULL;
 	flight->next = flight->record->flights;
--- a/lib/engines.h
+++ b/lib/engines.h
@@ -52,6 +52,12 @@
 /* The engine starts a run with this prompt and will have it in its cache. */
 void gc_engines_note_prompt(gc_engines_t *engines, const char *name,
 			    const char *prompt);
+/*
+ * Calls fn for each engine with a run now or since the last call of this, so
+ * that short runs between two calls are told of too.
+ */
+void gc_engines_each_used(gc_engines_t *engines,
+			  void (*fn)(void *ctx, const char *name), void *ctx);
 void gc_flight_begin(gc_engines_t *engines, gc_flight_t *flight,
 		     const char *name);
 void gc_flight_end(gc_flight_t *flight);
--- a/lib/traffic.c
+++ b/lib/traffic.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include "core/error.h"
+#include "lib/control.h"
 #include "lib/filter.h"
 #include "lib/traffic.h"
 
@@ -10,6 +11,8 @@
 #define STOP_POLL_MS 50
 /* Broken-off answers get this long to go out before the listener closes. */
 #define BREAK_OFF_MS 1000
+/* How often the control thread is told of the engines in use, at most. */
+#define TELL_USED_MS 500
 /*
  * New attempts of broken generations, as a share of new generations; a full
  * budget lets every stream of the thread move once, e.g. when a rack fails.
@@ -31,6 +34,7 @@
 	GRand *rand;
 	gc_random_t random;
 	gc_view_t *view;
+	struct timespec told_used_at;
 	gc_traffic_job_t *jobs;
 	unsigned int n_jobs;
 	bool stopping;
@@ -73,6 +77,8 @@
 static void on_request(void *ctx, gc_http_req_t *req);
 static int exchange_destructor(gc_exchange_t *exchange);
 static void take_view(void *ctx, void *message);
+static void tell_used(gc_traffic_t *traffic);
+static void tell_used_engine(void *ctx, const char *name);
 static void take_attach(void *ctx, void *message);
 static void take_stop(void *ctx, void *message);
 static void take_quit(void *ctx, void *message);
@@ -255,6 +261,24 @@
 	gc_engines_set_view(traffic->engines, traffic->view);
 	gc_admit_set_limit(traffic->admit,
 			   MIN(gc_engines_slots(traffic->engines), most));
+	tell_used(traffic);
+}
+
+static void tell_used(gc_traffic_t *traffic)
+{
+	struct timespec now = gc_clock_now(traffic->conf.clock);
+
+	if (!traffic->conf.control ||
+	    gc_ms_between(traffic->told_used_at, now) < TELL_USED_MS)
+		return;
+	traffic->told_used_at = now;
+	gc_engines_each_used(traffic->engines, tell_used_engine,
+			     traffic->conf.control);
+}
+
+static void tell_used_engine(void *ctx, const char *name)
+{
+	gc_control_note_used(ctx, gc_str(name));
 }
 
 void gc_traffic_stop(gc_traffic_t *traffic, unsigned int grace_s,
