Send addresses and hints less often to peers that know as many daemons

Full heartbeats have several times the size of short ones. Every 64th heartbeat to a peer is full instead of every 8th once the peer knows as many daemons as the sender, and besides the second full one, in case the first was lost.

--- a/core/members.c
+++ b/core/members.c
@@ -5,8 +5,12 @@
 
 #include "core/members_table.h"
 
-/* Every n-th heartbeat to a peer carries the addresses, to save bytes. */
-#define FULL_EVERY 8
+/*
+ * Every n-th heartbeat to a peer carries the addresses and hints, to save
+ * bytes; fewer do when the peer knows as many daemons as this one does.
+ */
+#define FULL_EVERY	  8
+#define FULL_EVERY_AGREED 64
 
 static int members_destructor(gc_members_t *members);
 static void free_member(gpointer data);
@@ -17,6 +21,7 @@
 static bool forgettable(const gc_members_t *members, const member_t *member,
 			struct timespec now, bool complete);
 static void add_hints(gc_members_t *members, const gc_heartbeat_t *heartbeat);
+static bool full_due(const gc_members_t *members, member_t *member);
 static void make_full(gc_members_t *members, struct timespec now,
 		      gc_heartbeat_t *heartbeat);
 static gc_member_hint_t hint_of(const member_t *member);
@@ -257,10 +262,25 @@
 	};
 	heartbeat->wants_reply = members->all->len >= GC_MEMBERS_ALL ||
 				 !gc_members_in_effect(members, now);
-	if (!member || !member->heard || member->beats++ % FULL_EVERY == 0)
+	if (!member || full_due(members, member))
 		make_full(members, now, heartbeat);
 }
 
+/* Counts the heartbeat. True if it is to carry the addresses. */
+static bool full_due(const gc_members_t *members, member_t *member)
+{
+	uint32_t every = member->known == gc_members_known(members)
+				 ? FULL_EVERY_AGREED
+				 : FULL_EVERY;
+	uint32_t beat;
+
+	if (!member->heard)
+		return true;
+	beat = member->beats++;
+	/* A peer that was only just heard may have missed the first one. */
+	return beat == FULL_EVERY || beat % every == 0;
+}
+
 static void make_full(gc_members_t *members, struct timespec now,
 		      gc_heartbeat_t *heartbeat)
 {
