Count live daemons only in goldcrestctl wait

A daemon that died stays known for 30 s and more, so that wait reported one daemon too few and failed although the change was in effect.

--- a/goldcrestctl/status.c
+++ b/goldcrestctl/status.c
@@ -14,7 +14,7 @@
 static long long num(json_t *object, const char *name);
 static bool is_true(json_t *object, const char *name);
 static void count_holders(json_t *status, long long version, size_t *holders,
-			  size_t *known);
+			  size_t *live);
 static ctl_exit_t wait_for(const ctl_t *ctl, long long version, int timeout_s);
 
 static const char *str(json_t *object, const char *name)
@@ -119,19 +119,20 @@
 }
 
 static void count_holders(json_t *status, long long version, size_t *holders,
-			  size_t *known)
+			  size_t *live)
 {
 	json_t *daemon;
 	size_t i;
 
 	*holders = 0;
-	*known = 0;
+	*live = 0;
 	json_array_foreach (json_object_get(status, "daemons"), i, daemon) {
 		bool self = is_true(daemon, "self");
 
-		if (is_true(daemon, "leaving"))
+		/* A dead daemon stays known for a while and serves nobody. */
+		if (is_true(daemon, "leaving") || !is_true(daemon, "live"))
 			continue;
-		(*known)++;
+		(*live)++;
 		*holders += num(daemon, "version") >= version &&
 			    (!self || is_true(status, "in_effect"));
 	}
@@ -142,7 +143,7 @@
 	gint64 end =
 		g_get_monotonic_time() + (gint64)timeout_s * G_USEC_PER_SEC;
 	size_t holders = 0;
-	size_t known = 0;
+	size_t live = 0;
 	ctl_answer_t answer;
 	bool answered;
 	bool done;
@@ -151,8 +152,8 @@
 		ctl_request(ctl, "GET", "/v1/status", NULL, NULL, &answer);
 		answered = answer.status == 200;
 		if (answered)
-			count_holders(answer.body, version, &holders, &known);
-		done = answered && known > 0 && holders == known;
+			count_holders(answer.body, version, &holders, &live);
+		done = answered && live > 0 && holders == live;
 		if (!done && g_get_monotonic_time() < end)
 			g_usleep(POLL_US);
 		if (!done && g_get_monotonic_time() >= end && !answered) {
@@ -165,9 +166,9 @@
 	} while (!done && g_get_monotonic_time() < end);
 	if (ctl->json)
 		printf("{\"daemons\":%zu,\"in_effect\":%zu,\"version\":%lld}\n",
-		       known, holders, version);
+		       live, holders, version);
 	else
 		printf("version %lld is in effect on %zu of %zu daemons\n",
-		       version, holders, known);
+		       version, holders, live);
 	return done ? CTL_OK : CTL_NOT_IN_EFFECT;
 }
--- a/regress/control_operators.t
+++ b/regress/control_operators.t
@@ -66,3 +66,9 @@
   $ ctl $d1_ops wait 99 --timeout-s 1
   version 99 is in effect on 0 of 3 daemons
   [5]
+
+A daemon that died doesn't keep `wait` from ending.
+
+  $ kill_9 $d3_pid
+  $ sleep 2; ctl $d1_ops wait 7
+  version 7 is in effect on 2 of 2 daemons
