--- a/bench/bench.py
+++ b/bench/bench.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
 """Measurements on one machine; prints lines of `name value unit`.
 
-Usage: bench.py [SECTION ...]; sections: resume, shares, control, traffic.
+Usage: bench.py [SECTION ...]; sections: resume, shares, control, traffic,
+spread.
 Seeds are fixed. The suffix of a name is the policy or the baseline.
 """
 
 import os
+import re
 import signal
 import sys
 import time
@@ -191,16 +193,6 @@
             line("goodput" + name, goodput, "ratio")
 
 
-def metric(run, name, what):
-    """Sum of a metric's series on one daemon."""
-    _, text = run.operator("GET", name, "/metrics")
-    total = 0.0
-    for row in str(text).splitlines():
-        if row.startswith(what + "{") or row.startswith(what + " "):
-            total += float(row.rsplit(" ", 1)[1])
-    return total
-
-
 def cpu_s(pid):
     with open(f"/proc/{pid}/stat") as f:
         fields = f.read().rsplit(")", 1)[1].split()
@@ -213,6 +205,21 @@
 
 
 IDLE_S = 10
+CONTROL_ENGINES = 35
+BYTE_KINDS = ("config", "claims", "list", "load", "peers_sent",
+              "peers_received")
+
+
+def control_bytes(run, entries):
+    """Control bytes of all daemons so far, by kind."""
+    totals = dict.fromkeys(BYTE_KINDS, 0.0)
+    for name in entries:
+        _, text = run.operator("GET", name, "/metrics")
+        for kind, value in re.findall(
+                r'^goldcrest_control_bytes\{kind="(\w+)"\} (\S+)$', str(text),
+                re.MULTILINE):
+            totals[kind] += float(value)
+    return totals
 
 
 def platform_calls(run):
@@ -223,21 +230,24 @@
 def bench_control():
     for count in (5, 15, 45):
         with fleet.Fleet() as run:
-            _, entries = start(run, "latency", engines=2, daemons=count)
+            _, entries = start(run, "latency", engines=CONTROL_ENGINES,
+                               daemons=count)
             time.sleep(2)
             pids = [run.processes[n].pid for n in entries]
             calls = platform_calls(run)
-            sent = sum(metric(run, n, "goldcrest_control_bytes")
-                       for n in entries)
+            sent = control_bytes(run, entries)
             cpu = sum(cpu_s(p) for p in pids)
             time.sleep(IDLE_S)
             calls_after = platform_calls(run)
-            sent_after = sum(metric(run, n, "goldcrest_control_bytes")
-                             for n in entries)
+            sent_after = control_bytes(run, entries)
             cpu_after = sum(cpu_s(p) for p in pids)
             per = count * IDLE_S
             line(f"control_bytes_per_s.{count}",
-                 (sent_after - sent) / per, "B/s/daemon")
+                 sum(sent_after.values()) / per - sum(sent.values()) / per,
+                 "B/s/daemon")
+            for kind in BYTE_KINDS:
+                line(f"control_bytes_per_s_{kind}.{count}",
+                     (sent_after[kind] - sent[kind]) / per, "B/s/daemon")
             line(f"control_cpu.{count}", (cpu_after - cpu) / per * 100,
                  "%/daemon")
             line(f"control_rss.{count}",
@@ -295,8 +305,46 @@
         line(f"whole.{streams}", out["whole"], "answers")
 
 
+# Spread: 10 engines of 8 slots, answers of 40 tokens at 20 ms, 70% busy.
+SPREAD_ENGINES = 10
+SPREAD_RATE = 0.7 * SPREAD_ENGINES * 8 / (SHARE_TOKENS * 0.020)
+SPREAD_S = 10
+
+
+def bench_spread():
+    """Placement by load reports: busiest engine over mean, and latency."""
+    for count in (3, 15):
+        with fleet.Fleet() as run:
+            names, entries = start(run, "economy", engines=SPREAD_ENGINES,
+                                   daemons=count,
+                                   engine_args=SHARE_ENGINE_ARGS)
+            time.sleep(2)
+            before = engine_work(run, names)
+            sent = control_bytes(run, entries)
+            load = run.load(entries, "lone-star", [
+                "--model", "draft", "--min-tokens", str(SHARE_TOKENS),
+                "--max-tokens", str(SHARE_TOKENS), "--prompt-words", "50",
+                "--rate", f"{SPREAD_RATE:.1f}", "--requests",
+                str(int(SPREAD_RATE * SPREAD_S)), "--seed", "21"])
+            out = fleet.report(load, 90)
+            sent_after = control_bytes(run, entries)
+            after = engine_work(run, names)
+        work = [after[n] - before[n] for n in names]
+        mean = sum(work) / len(work)
+        line(f"spread_max_over_mean.{count}", max(work) / mean, "ratio")
+        line(f"spread_min_over_mean.{count}", min(work) / mean, "ratio")
+        line(f"spread_first_token_p95.{count}", out["first_token_p95_ms"],
+             "ms")
+        line(f"spread_total_p95.{count}", out["total_p95_ms"], "ms")
+        line(f"spread_whole.{count}", out["whole"], "answers")
+        line(f"spread_load_bytes_per_s.{count}",
+             (sent_after["load"] - sent["load"]) / count / out["seconds"],
+             "B/s/daemon")
+
+
 SECTIONS = {"resume": bench_resume, "shares": bench_shares,
-            "control": bench_control, "traffic": bench_traffic}
+            "control": bench_control, "traffic": bench_traffic,
+            "spread": bench_spread}
 
 
 def main():
--- a/lib/control.c
+++ b/lib/control.c
@@ -21,6 +21,7 @@
 static void on_publish(struct tevent_context *ev, struct tevent_immediate *im,
 		       void *ctx);
 static void on_report(void *ctx, void *message);
+static void on_used(void *ctx, void *message);
 static void fill_instances(gc_view_t *view, const gc_health_t *health,
 			   struct timespec now, gc_view_instance_t *out);
 static void count_daemon(void *ctx, const gc_member_info_t *info);
@@ -43,6 +44,9 @@
 	control->http = gc_httpc_create(control, ev);
 	control->kv = gc_kv_create(control, control->http,
 				   conf->settings->platform_url, KV_TIMEOUT_MS);
+	gc_kv_count_bytes(control->kv, "", gc_control_bytes("claims"));
+	gc_kv_count_bytes(control->kv, GC_CONFIG_KEY,
+			  gc_control_bytes("config"));
 	control->engines_health = gc_health_create(control);
 	control->services_health = gc_health_create(control);
 	if (!create_peers(control, err)) {
@@ -142,6 +146,18 @@
 	g_free(report);
 }
 
+void gc_control_note_used(gc_control_t *control, gc_str_t engine)
+{
+	gc_mailbox_post(control->mailbox, on_used,
+			g_strndup(engine.data, engine.len));
+}
+
+static void on_used(void *ctx, void *message)
+{
+	gc_control_engines_used(ctx, message);
+	g_free(message);
+}
+
 gc_kv_t *gc_control_kv(gc_control_t *control)
 {
 	return control->kv;
@@ -167,11 +183,10 @@
 	return tevent_add_timer(control->ev, mem, at, fn, ctx);
 }
 
-gc_metric_t *gc_control_bytes(const char *channel)
+gc_metric_t *gc_control_bytes(const char *kind)
 {
 	return gc_counter("goldcrest_control_bytes",
-			  "Bytes of the control thread by channel", "channel",
-			  channel);
+			  "Bytes of control traffic by kind", "kind", kind);
 }
 
 void gc_control_changed(gc_control_t *control)
--- a/lib/control_engines.c
+++ b/lib/control_engines.c
@@ -1,4 +1,7 @@
 /* Instance list, load polls and ejection of engines. */
+#include <inttypes.h>
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/error.h"
@@ -8,7 +11,35 @@
 #include "lib/log.h"
 
 #define LIST_TIMEOUT_MS 2000L
-#define LOAD_TIMEOUT_MS 1000L
+/* Time that a blocking query waits for a change. */
+#define LIST_WAIT_S 30
+/*
+ * The first wait after a change. It is longer than the time for which an
+ * instance that was seen leaving stays so, which only a later answer ends.
+ */
+#define LIST_FIRST_WAIT_S 6
+/* The service adds up to this part of the wait, to spread its answers. */
+#define LIST_WAIT_JITTER 16
+/*
+ * A service that doesn't block is polled at this multiple of list_poll_ms, so
+ * that the polls cost a third of the bytes and a leaving instance is still
+ * noticed within a few seconds.
+ */
+#define LIST_NO_BLOCKING_FACTOR 3
+#define LOAD_TIMEOUT_MS		1000L
+/*
+ * An engine that this daemon has no run on is asked for its load this much
+ * less often.
+ */
+#define LOAD_IDLE_FACTOR 10
+/* Longer than traffic threads take to tell of a used engine again. */
+#define LOAD_USED_MS 2000
+/*
+ * Polls started per load_poll_ms, so that the bytes don't grow with the number
+ * of engines: 12 calls/s by default, of about 230 bytes each. The engines that
+ * wait longest by their interval go first.
+ */
+#define MAX_LOAD_POLLS 6
 /* Probes started per load poll, so that a mass failure sends no burst. */
 #define MAX_PROBES 8
 
@@ -28,9 +59,19 @@
 typedef struct list_poll {
 	gc_control_t *control;
 	list_kind_t kind;
-	bool pending;
+	gc_http_call_t *call;
 	bool read_once;
 	bool failing;
+	/*
+	 * X-Consul-Index of the last answer, 0 if it had none. The next query
+	 * blocks only if settled: an instance is dropped when two lists in a
+	 * row lack it, so a changed list is read once more.
+	 */
+	uint64_t index;
+	bool settled;
+	bool blocking; /* the call under way */
+	int wait_s; /* of the next blocking query */
+	struct timespec started;
 } list_poll_t;
 
 typedef struct load_poll {
@@ -39,10 +80,26 @@
 	bool probe;
 } load_poll_t;
 
+/* When the load of an engine was read; the value of the subset. */
+typedef struct load_state {
+	bool polled;
+	struct timespec polled_at;
+	bool used;
+	struct timespec used_at;
+} load_state_t;
+
+/* An engine whose load could be read now. */
+typedef struct load_due {
+	gc_str_t name;
+	gc_str_t url;
+	double overdue; /* time since the last poll by the interval */
+	load_state_t *state;
+} load_due_t;
+
 struct gc_control_engines {
 	gc_control_t *control;
 	list_poll_t lists[N_LISTS];
-	GHashTable *subset; /* names of the engines that this daemon polls */
+	GHashTable *subset; /* name of an engine to poll -> load_state_t */
 	GHashTable *pending; /* names whose load poll is under way */
 	gc_metric_t *list_bytes;
 	gc_metric_t *load_bytes;
@@ -51,12 +108,19 @@
 static int engines_destructor(gc_control_engines_t *engines);
 static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx);
-static void start_list(gc_control_engines_t *engines, list_poll_t *list);
+static void start_list(list_poll_t *list);
+static int64_t take_index(list_poll_t *list, int status);
 static void on_list(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err);
 static void note_list(list_poll_t *list, int status, const GError *err);
 static void take_list(list_poll_t *list, json_t *answer);
 static void choose_subset(gc_control_engines_t *engines);
+static void keep_in_subset(gc_control_engines_t *engines, GHashTable *before,
+			   gc_str_t name);
+static void start_due_loads(gc_control_engines_t *engines);
+static size_t collect_due(gc_control_engines_t *engines, struct timespec now,
+			  load_due_t *due);
+static int most_overdue_first(const void *a, const void *b);
 static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx);
 static void start_load(gc_control_engines_t *engines, gc_str_t name,
@@ -75,7 +139,7 @@
 
 	engines->control = control;
 	engines->subset =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	engines->pending =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	engines->list_bytes = gc_control_bytes("list");
@@ -84,8 +148,9 @@
 	for (unsigned int i = 0; i < N_LISTS; i++) {
 		engines->lists[i].control = control;
 		engines->lists[i].kind = (list_kind_t)i;
+		gc_control_after_ms(control, engines, 0, on_list_tick,
+				    &engines->lists[i]);
 	}
-	gc_control_after_ms(control, engines, 0, on_list_tick, engines);
 	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
 			    on_load_tick, engines);
 	return engines;
@@ -107,51 +172,94 @@
 static void on_list_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx)
 {
-	gc_control_engines_t *engines = ctx;
-
-	gc_control_after_ms(engines->control, engines,
-			    engines->control->settings->list_poll_ms,
-			    on_list_tick, engines);
-	for (unsigned int i = 0; i < N_LISTS; i++)
-		start_list(engines, &engines->lists[i]);
+	start_list(ctx);
 }
 
-static void start_list(gc_control_engines_t *engines, list_poll_t *list)
+/*
+ * Each daemon waits for changes itself. Bytes and calls at rest don't grow with
+ * the list, and only a change is paid for with the whole list.
+ */
+static void start_list(list_poll_t *list)
 {
+	gc_control_t *control = list->control;
 	const gc_http_call_ops_t ops = {.done = on_list};
 	g_autofree char *url = NULL;
 	gc_http_call_conf_t conf = {.method = "GET",
 				    .peer = "instance list",
 				    .body = GC_STR_EMPTY,
-				    .timeout_ms = LIST_TIMEOUT_MS};
+				    .timeout_ms = LIST_TIMEOUT_MS,
+				    .bytes = control->engines->list_bytes};
 
-	if (list->pending)
-		return;
+	list->blocking = list->settled && list->index > 0;
+	list->started = gc_control_now(control);
 	url = g_strdup_printf("%s/v1/health/service/%s",
-			      engines->control->settings->platform_url,
+			      control->settings->platform_url,
 			      list_names[list->kind]);
+	if (list->blocking) {
+		char *plain = url;
+
+		url = g_strdup_printf("%s?index=%" PRIu64 "&wait=%ds", plain,
+				      list->index, list->wait_s);
+		g_free(plain);
+		conf.timeout_ms += list->wait_s * 1000L +
+				   list->wait_s * 1000L / LIST_WAIT_JITTER;
+	}
 	conf.url = url;
-	list->pending = true;
-	gc_httpc_start(engines->control->http, &conf, &ops, list);
+	list->call = gc_httpc_start(control->http, &conf, &ops, list);
 }
 
 static void on_list(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err)
 {
 	list_poll_t *list = ctx;
+	int64_t pause_ms = take_index(list, err ? 0 : status);
 	json_t *answer = NULL;
 
-	list->pending = false;
+	list->call = NULL;
+	gc_control_after_ms(list->control, list->control->engines, pause_ms,
+			    on_list_tick, list);
 	note_list(list, status, err);
 	if (err || status != 200)
 		return;
-	gc_counter_add(list->control->engines->list_bytes, body.len);
 	answer = json_loadb(body.data, body.len, 0, NULL);
 	if (json_is_array(answer))
 		take_list(list, answer);
 	json_decref(answer);
 }
 
+/*
+ * Keeps the index of the answer; returns the pause before the next query. A
+ * status of 0 means that no answer came. After a failure the list is read
+ * without blocking, so that the end of an outage is noticed.
+ */
+static int64_t take_index(list_poll_t *list, int status)
+{
+	int64_t poll_ms = list->control->settings->list_poll_ms;
+	int64_t took_ms =
+		gc_ms_between(list->started, gc_control_now(list->control));
+	const char *text = NULL;
+	uint64_t index;
+
+	if (status == 200)
+		text = gc_http_call_header(list->call, "X-Consul-Index");
+	index = text ? g_ascii_strtoull(text, NULL, 10) : 0;
+	list->settled = index > 0 && index == list->index;
+	list->index = index;
+	if (status != 200)
+		return poll_ms;
+	if (index == 0)
+		return poll_ms * LIST_NO_BLOCKING_FACTOR;
+	if (!list->blocking || !list->settled) {
+		list->wait_s = LIST_FIRST_WAIT_S;
+		return poll_ms;
+	}
+	/* A service that has an index and yet doesn't block. */
+	if (took_ms < list->wait_s * INT64_C(500))
+		return poll_ms * LIST_NO_BLOCKING_FACTOR;
+	list->wait_s = LIST_WAIT_S;
+	return 0;
+}
+
 static void note_list(list_poll_t *list, int status, const GError *err)
 {
 	bool failing = err != NULL || status != 200;
@@ -202,41 +310,118 @@
 	gc_str_t *names = g_new0(gc_str_t, n + 1);
 	struct timespec now = gc_control_now(control);
 	gc_health_instance_t instance;
+	GHashTable *before;
 
 	for (size_t i = 0; i < n; i++) {
 		gc_health_get(control->engines_health, now, i, &instance);
 		names[i] = instance.name;
 	}
-	g_hash_table_remove_all(engines->subset);
+	before = engines->subset;
+	engines->subset =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	for (size_t i = 0; i < n; i++) {
 		if (gc_place_in_subset(gc_str(control->settings->instance),
 				       names[i], names, n,
 				       control->settings->engine_subset))
-			g_hash_table_add(engines->subset,
-					 g_strndup(names[i].data,
-						   names[i].len));
+			keep_in_subset(engines, before, names[i]);
 	}
+	g_hash_table_destroy(before);
 	g_free(names);
 }
 
+static void keep_in_subset(gc_control_engines_t *engines, GHashTable *before,
+			   gc_str_t name)
+{
+	char *key = g_strndup(name.data, name.len);
+	const load_state_t *old = g_hash_table_lookup(before, key);
+	load_state_t *state = g_new0(load_state_t, 1);
+
+	if (old)
+		*state = *old;
+	g_hash_table_insert(engines->subset, key, state);
+}
+
+void gc_control_engines_used(gc_control_t *control, const char *name)
+{
+	load_state_t *state =
+		g_hash_table_lookup(control->engines->subset, name);
+
+	if (!state)
+		return;
+	state->used = true;
+	state->used_at = gc_control_now(control);
+}
+
 static void on_load_tick(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx)
 {
 	gc_control_engines_t *engines = ctx;
 	gc_control_t *control = engines->control;
-	const gc_health_t *health = control->engines_health;
-	gc_health_instance_t instance;
 
 	gc_control_after_ms(control, engines, control->settings->load_poll_ms,
 			    on_load_tick, engines);
+	start_due_loads(engines);
+	start_probes(engines);
+}
+
+static void start_due_loads(gc_control_engines_t *engines)
+{
+	size_t n = gc_health_count(engines->control->engines_health);
+	load_due_t *due = g_new0(load_due_t, n + 1);
+	struct timespec now = gc_control_now(engines->control);
+	unsigned int started = 0;
+
+	n = collect_due(engines, now, due);
+	qsort(due, n, sizeof(*due), most_overdue_first);
+	for (size_t i = 0; i < n; i++) {
+		/* The first report of an engine isn't put off. */
+		if (due[i].state->polled && started++ >= MAX_LOAD_POLLS)
+			break;
+		due[i].state->polled = true;
+		due[i].state->polled_at = now;
+		start_load(engines, due[i].name, due[i].url, false);
+	}
+	g_free(due);
+}
+
+static size_t collect_due(gc_control_engines_t *engines, struct timespec now,
+			  load_due_t *due)
+{
+	const gc_health_t *health = engines->control->engines_health;
+	double poll_ms = engines->control->settings->load_poll_ms;
+	gc_health_instance_t instance;
+	size_t n = 0;
+
 	for (size_t i = 0; i < gc_health_count(health); i++) {
-		gc_health_get(health, gc_control_now(control), i, &instance);
+		load_state_t *state;
+		double interval_ms = poll_ms;
+
+		gc_health_get(health, now, i, &instance);
+		state = g_hash_table_lookup(engines->subset,
+					    instance.name.data);
 		/* Only the probe decides about an ejected engine. */
-		if (!instance.ejected &&
-		    g_hash_table_contains(engines->subset, instance.name.data))
-			start_load(engines, instance.name, instance.url, false);
+		if (!state || instance.ejected)
+			continue;
+		if (!state->used ||
+		    gc_ms_between(state->used_at, now) > LOAD_USED_MS)
+			interval_ms *= LOAD_IDLE_FACTOR;
+		due[n] = (load_due_t){instance.name, instance.url, HUGE_VAL,
+				      state};
+		if (state->polled)
+			due[n].overdue = gc_ms_between(state->polled_at, now) /
+					 interval_ms;
+		/* Timers come a little early or late. */
+		n += due[n].overdue >= 1 - poll_ms / 2 / interval_ms;
 	}
-	start_probes(engines);
+	return n;
+}
+
+static int most_overdue_first(const void *a, const void *b)
+{
+	const load_due_t *x = a;
+	const load_due_t *y = b;
+
+	return (x->overdue < y->overdue) - (x->overdue > y->overdue);
 }
 
 static void start_probes(gc_control_engines_t *engines)
@@ -273,7 +458,8 @@
 	load_poll_t *poll;
 	gc_http_call_conf_t conf = {.method = "GET",
 				    .body = GC_STR_EMPTY,
-				    .timeout_ms = LOAD_TIMEOUT_MS};
+				    .timeout_ms = LOAD_TIMEOUT_MS,
+				    .bytes = engines->load_bytes};
 	char *load_url;
 
 	if (!probe && g_hash_table_contains(engines->pending, name.data))
@@ -298,7 +484,6 @@
 	gc_str_t name = gc_str(poll->name);
 	bool ok = !err && status == 200 && take_load(control, name, body);
 
-	gc_counter_add(control->engines->load_bytes, body.len);
 	if (poll->probe) {
 		gc_health_on_probe(control->engines_health,
 				   gc_control_now(control), name, ok);
--- a/lib/control_impl.h
+++ b/lib/control_impl.h
@@ -54,8 +54,8 @@
 struct tevent_timer *gc_control_after_ms(const gc_control_t *control,
 					 TALLOC_CTX *mem, int64_t ms,
 					 tevent_timer_handler_t fn, void *ctx);
-/* Counter of goldcrest_control_bytes for the channel. */
-gc_metric_t *gc_control_bytes(const char *channel);
+/* Counter of goldcrest_control_bytes for the kind. */
+gc_metric_t *gc_control_bytes(const char *kind);
 gc_view_t *gc_control_make_view(gc_control_t *control);
 
 /* control_config.c: watches, reads, takes and passes on versions. */
@@ -88,6 +88,8 @@
 bool gc_control_engines_listed(const gc_control_t *control);
 void gc_control_engines_report(gc_control_t *control, gc_str_t engine,
 			       gc_engine_verdict_t verdict);
+/* A traffic thread has runs on the engine. */
+void gc_control_engines_used(gc_control_t *control, const char *name);
 
 /* control_sweep.c: deletes old records of claims. */
 gc_control_sweep_t *gc_control_sweep_create(gc_control_t *control);
--- a/lib/kv.h
+++ b/lib/kv.h
@@ -51,6 +51,11 @@
 /* Deletes the record whatever its index; an absent one counts as written. */
 void gc_kv_delete(gc_kv_t *kv, const char *key, gc_kv_put_done_t done,
 		  void *ctx);
+/*
+ * Counts the bytes of calls, HTTP headers included, for keys that begin with
+ * the prefix; of several that match, the one set last counts.
+ */
+void gc_kv_count_bytes(gc_kv_t *kv, const char *prefix, gc_metric_t *bytes);
 /* Calls made since the start, for measurements. */
 uint64_t gc_kv_calls(const gc_kv_t *kv);
 
