Remove the files of a demo or measurement that went well

Cause: each run of the demo and the bench left a folder of logs among the temporary files; 361 were there.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -52,7 +52,7 @@
         self.name = name
         self.seed = seed
         self.rng = random.Random(f"{seed}/{name}")
-        self.run = fleet.Fleet()
+        self.run = fleet.Fleet(keep_logs=True)
         self.lock = threading.Lock()
         self.over = threading.Event()
         self.faults_over = threading.Event()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,6 +7,7 @@
 import os
 import random
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -73,19 +74,22 @@
 class Fleet:
     """One platform, engines, plain backend servers and daemons."""
 
-    def __init__(self, daemon_settings=None):
+    def __init__(self, daemon_settings=None, keep_logs=False):
+        self.keep_logs = keep_logs
         self.dir = tempfile.mkdtemp(prefix="goldcrest-")
         self.processes = {}
         self.ports = {}
         self.daemon_settings = daemon_settings or {}
         self.fleet_key = secrets.token_hex(32)
-        self.config = {}
 
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, exc_type, *_):
         self.stop()
+        # The logs of a run that failed are worth reading.
+        if exc_type is None and not self.keep_logs:
+            shutil.rmtree(self.dir)
 
     def spawn(self, name, program, args):
         log = open(os.path.join(self.dir, name + ".log"), "ab")
