--- a/bench/bench.py
+++ b/bench/bench.py
@@ -285,6 +285,19 @@
             line(f"config_record.{count}",
                  len(json.dumps(doc, separators=(",", ":"))), "B")
             line(f"config_change_in_effect.{count}", seconds * 1000, "ms")
+            # With 5 daemons in 3 failure domains every daemon is a watcher.
+            pids = [run.processes[n].pid for n in entries]
+            cpu = sum(cpu_s(p) for p in pids)
+            sent = sum(control_bytes(run, entries).values())
+            time.sleep(IDLE_S)
+            line(f"config_watcher_cpu.{count}",
+                 (sum(cpu_s(p) for p in pids) - cpu) / 5 / IDLE_S * 100,
+                 "%/daemon")
+            line(f"config_watcher_bytes.{count}",
+                 (sum(control_bytes(run, entries).values()) - sent) / 5 /
+                 IDLE_S, "B/s/daemon")
+            line(f"config_watcher_rss.{count}",
+                 sum(resident_bytes(p) for p in pids) / 5 / 2**20, "MiB")
 
 
 def bench_bookings(run, entries):
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -114,10 +114,18 @@
     yield ("configuration", "bytes of whole records", f"{spread:.0f} B/s",
            verdict(spread, CONTROL_BYTES_PER_S),
            "whole record to each daemon; changes alone would carry it")
-    watcher = record * f["kv_reads_idle_per_daemon.5"]
-    yield ("watcher", "bytes of reads", f"{watcher / 1000:.0f} kB/s",
-           verdict(watcher, CONTROL_BYTES_PER_S),
+    at_accounts = {}
+    for name in ("bytes", "cpu", "rss"):
+        base, growth = slope(f, "config_watcher_" + name, (10, 100, 1000))
+        at_accounts[name] = base + growth * ACCOUNTS
+    yield ("watcher", "bytes", f"{at_accounts['bytes'] / 1000:.0f} kB/s",
+           verdict(at_accounts["bytes"], CONTROL_BYTES_PER_S),
            "whole record each read; a small version key would carry it")
+    yield ("watcher", "processor", f"{at_accounts['cpu']:.1f}% of a core",
+           verdict(at_accounts["cpu"], CONTROL_CPU_PERCENT),
+           "one parse a read")
+    yield ("watcher", "memory", f"{at_accounts['rss']:.0f} MiB",
+           verdict(at_accounts["rss"], CONTROL_MIB), "one parsed record")
     watchers = DOMAINS * WATCHERS_PER_DOMAIN
     reads = watchers * f["kv_reads_idle_per_daemon.5"]
     yield ("key-value service", "reads of watchers", f"{reads:.0f} /s",
