--- a/Makefile
+++ b/Makefile
@@ -3,12 +3,12 @@
 
 DEBS = libtalloc-dev libtevent-dev libzmq3-dev libmicrohttpd-dev \
 	libcurl4-openssl-dev libglib2.0-dev libjansson-dev libmsgpack-dev \
-	libxxhash-dev libsodium-dev check librapidcheck-dev python3-cram \
+	libxxhash-dev libsodium-dev libhttp-parser-dev check librapidcheck-dev python3-cram \
 	gcc g++ make pkg-config python3 curl procps
 LINT_DEBS = clang-format clang-tidy mandoc
 PROGS = goldcrestd goldcrestctl goldcrestcall standins/engine \
 	standins/platform standins/backend bench
-LIB_SRCS = $(wildcard core/*.c lib/*.c)
+LIB_SRCS = $(wildcard core/*.c lib/*.c platform/*.c)
 LIB_OBJS = $(LIB_SRCS:.c=.o)
 C_FILES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 
@@ -46,6 +46,10 @@
 bench: all
 	@bench/bench.sh
 
+# What deploy/system.toml needs: the daemon alone, built below target/.
+deploy:
+	@mk/deploy.sh
+
 format:
 	clang-format -i $(C_FILES)
 
@@ -56,11 +60,11 @@
 	@mk/lint.sh "$(CPPFLAGS)"
 
 clean:
-	rm -f libgoldcrest.a core/*.[od] lib/*.[od]
+	rm -f libgoldcrest.a core/*.[od] lib/*.[od] platform/*.[od]
 	@for d in $(PROGS) regress; do \
 		[ ! -f $$d/Makefile ] || $(MAKE) --no-print-directory -C $$d clean; \
 	done
 
 -include $(LIB_OBJS:.o=.d)
 
-.PHONY: all setup setup-lint build check demo bench format format-check lint clean
+.PHONY: deploy all setup setup-lint build check demo bench format format-check lint clean
--- /dev/null
+++ b/core/routes.c
@@ -0,0 +1,244 @@
+/* Routes, keys and limits of one operator version. */
+#include <glib.h>
+
+#include "core/routes.h"
+
+#define STRING_BLOCK 4096 /* bytes */
+
+struct gc_routes {
+	GStringChunk *strings;
+	uint64_t version;
+	gc_request_limits_t limits;
+	GHashTable *hosts; /* gc_str_t: GPtrArray of gc_route_t */
+	GHashTable *services; /* gc_str_t: gc_route_service_t */
+	GHashTable *keys; /* gc_str_t: gc_str_t of the account */
+	size_t n_routes;
+};
+
+/* In force until the operator sets others. */
+static const gc_request_limits_t default_limits = {
+	.max_header_bytes = 16384,
+	.max_body_bytes = 4194304,
+	.header_timeout_ms = 3000,
+	.idle_timeout_ms = 15000,
+};
+
+static void routes_clear(gpointer data);
+static guint str_hash(gconstpointer key);
+static gboolean str_equal(gconstpointer a, gconstpointer b);
+static gc_str_t keep(gc_routes_t *routes, gc_str_t s);
+static gc_str_t *keep_boxed(gc_routes_t *routes, gc_str_t s);
+static void free_route(gpointer data);
+static gint longer_first(gconstpointer a, gconstpointer b);
+static bool has_prefix(gc_str_t s, gc_str_t prefix);
+
+gc_routes_t *gc_routes_create(uint64_t version)
+{
+	gc_routes_t *routes = g_atomic_rc_box_new0(gc_routes_t);
+
+	routes->strings = g_string_chunk_new(STRING_BLOCK);
+	routes->version = version;
+	routes->limits = default_limits;
+	routes->hosts = g_hash_table_new_full(
+		str_hash, str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	routes->services =
+		g_hash_table_new_full(str_hash, str_equal, g_free, g_free);
+	routes->keys =
+		g_hash_table_new_full(str_hash, str_equal, g_free, g_free);
+	return routes;
+}
+
+gc_routes_t *gc_routes_ref(gc_routes_t *routes)
+{
+	return g_atomic_rc_box_acquire(routes);
+}
+
+void gc_routes_unref(gc_routes_t *routes)
+{
+	if (routes)
+		g_atomic_rc_box_release_full(routes, routes_clear);
+}
+
+static void routes_clear(gpointer data)
+{
+	gc_routes_t *routes = data;
+
+	g_hash_table_unref(routes->hosts);
+	g_hash_table_unref(routes->services);
+	g_hash_table_unref(routes->keys);
+	g_string_chunk_free(routes->strings);
+}
+
+static guint str_hash(gconstpointer key)
+{
+	const gc_str_t *s = key;
+	guint hash = 5381;
+
+	for (size_t i = 0; i < s->len; i++)
+		hash = hash * 33 + (unsigned char)s->data[i];
+	return hash;
+}
+
+static gboolean str_equal(gconstpointer a, gconstpointer b)
+{
+	return gc_str_eq(*(const gc_str_t *)a, *(const gc_str_t *)b);
+}
+
+static gc_str_t keep(gc_routes_t *routes, gc_str_t s)
+{
+	const char *data = g_string_chunk_insert_len(routes->strings, s.data,
+						     (gssize)s.len);
+
+	return (gc_str_t){data, s.len};
+}
+
+static gc_str_t *keep_boxed(gc_routes_t *routes, gc_str_t s)
+{
+	gc_str_t *boxed = g_new(gc_str_t, 1);
+
+	*boxed = keep(routes, s);
+	return boxed;
+}
+
+void gc_routes_add(gc_routes_t *routes, const gc_route_t *route)
+{
+	gc_route_t *kept = g_new(gc_route_t, 1);
+	GPtrArray *of_host = g_hash_table_lookup(routes->hosts, &route->host);
+
+	*kept = *route;
+	kept->name = keep(routes, route->name);
+	kept->host = keep(routes, route->host);
+	kept->path_prefix = keep(routes, route->path_prefix);
+	kept->shares = g_new(gc_route_share_t, route->n_shares);
+	for (size_t i = 0; i < route->n_shares; i++) {
+		kept->shares[i].service =
+			keep(routes, route->shares[i].service);
+		kept->shares[i].weight = route->shares[i].weight;
+	}
+	if (!of_host) {
+		of_host = g_ptr_array_new_with_free_func(free_route);
+		g_hash_table_insert(routes->hosts,
+				    keep_boxed(routes, route->host), of_host);
+	}
+	g_ptr_array_add(of_host, kept);
+	g_ptr_array_sort(of_host, longer_first);
+	routes->n_routes++;
+}
+
+static void free_route(gpointer data)
+{
+	gc_route_t *route = data;
+
+	g_free(route->shares);
+	g_free(route);
+}
+
+static gint longer_first(gconstpointer a, gconstpointer b)
+{
+	const gc_route_t *left = *(gc_route_t *const *)a;
+	const gc_route_t *right = *(gc_route_t *const *)b;
+
+	if (left->path_prefix.len == right->path_prefix.len)
+		return 0;
+	return left->path_prefix.len > right->path_prefix.len ? -1 : 1;
+}
+
+void gc_routes_add_service(gc_routes_t *routes,
+			   const gc_route_service_t *service)
+{
+	gc_route_service_t *kept = g_new(gc_route_service_t, 1);
+
+	*kept = *service;
+	kept->name = keep(routes, service->name);
+	g_hash_table_replace(routes->services, keep_boxed(routes, kept->name),
+			     kept);
+}
+
+void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account)
+{
+	g_hash_table_replace(routes->keys, keep_boxed(routes, key),
+			     keep_boxed(routes, account));
+}
+
+void gc_routes_set_limits(gc_routes_t *routes,
+			  const gc_request_limits_t *limits)
+{
+	routes->limits = *limits;
+}
+
+uint64_t gc_routes_version(const gc_routes_t *routes)
+{
+	return routes->version;
+}
+
+const gc_request_limits_t *gc_routes_limits(const gc_routes_t *routes)
+{
+	return &routes->limits;
+}
+
+size_t gc_routes_count(const gc_routes_t *routes)
+{
+	return routes->n_routes;
+}
+
+const gc_route_t *gc_routes_find(const gc_routes_t *routes, gc_str_t host,
+				 gc_str_t path)
+{
+	const GPtrArray *of_host = g_hash_table_lookup(routes->hosts, &host);
+
+	for (guint i = 0; of_host && i < of_host->len; i++) {
+		const gc_route_t *route = g_ptr_array_index(of_host, i);
+
+		if (has_prefix(path, route->path_prefix))
+			return route;
+	}
+	return NULL;
+}
+
+static bool has_prefix(gc_str_t s, gc_str_t prefix)
+{
+	return s.len >= prefix.len &&
+	       memcmp(s.data, prefix.data, prefix.len) == 0;
+}
+
+bool gc_routes_account(const gc_routes_t *routes, gc_str_t key,
+		       gc_str_t *account)
+{
+	const gc_str_t *found = g_hash_table_lookup(routes->keys, &key);
+
+	if (!found)
+		return false;
+	*account = *found;
+	return true;
+}
+
+const gc_route_service_t *gc_routes_service(const gc_routes_t *routes,
+					    gc_str_t name)
+{
+	return g_hash_table_lookup(routes->services, &name);
+}
+
+gc_str_t gc_route_pick(const gc_route_t *route, uint64_t random)
+{
+	uint64_t total = 0;
+
+	if (route->n_shares == 0)
+		return GC_STR_EMPTY;
+	for (size_t i = 0; i < route->n_shares; i++)
+		total += route->shares[i].weight;
+	if (total == 0)
+		return route->shares[0].service;
+	random %= total;
+	for (size_t i = 0; i < route->n_shares; i++) {
+		if (random < route->shares[i].weight)
+			return route->shares[i].service;
+		random -= route->shares[i].weight;
+	}
+	return route->shares[0].service;
+}
+
+bool gc_route_may_repeat(const gc_route_t *route)
+{
+	return route->kind == GC_ROUTE_IDEMPOTENT ||
+	       (route->kind == GC_ROUTE_STREAM && route->resumable);
+}
--- a/goldcrestd/goldcrestd.h
+++ b/goldcrestd/goldcrestd.h
@@ -13,5 +13,7 @@
 
 /* Runs until a signal stops it; the process's exit status. */
 int daemon_run(const daemon_options_t *options);
+/* The same in the routed mode, which the settings ask for. */
+int routed_run(const daemon_options_t *options);
 
 #endif
--- a/goldcrestd/main.c
+++ b/goldcrestd/main.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "goldcrestd.h"
+#include "lib/routed_settings.h"
 
 static daemon_options_t options;
 
@@ -33,5 +34,7 @@
 				"-f FILE\n");
 		return EXIT_FAILURE;
 	}
+	if (gc_routed_settings_asked(options.settings_file))
+		return routed_run(&options);
 	return daemon_run(&options);
 }
--- /dev/null
+++ b/goldcrestd/routed.c
@@ -0,0 +1,255 @@
+/* The routed mode: control loop in the main thread, one traffic thread. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#include <curl/curl.h>
+
+#include "core/error.h"
+#include "goldcrestd.h"
+#include "lib/carrier.h"
+#include "lib/desk.h"
+#include "lib/events.h"
+#include "lib/fleet.h"
+#include "lib/log.h"
+#include "lib/mailbox.h"
+#include "platform/platform.h"
+
+/* A call to the store that takes longer has failed. */
+#define STORE_TIMEOUT_MS 700
+/* Longest wait of a watch. Two of them and a timeout fit into the age at
+ * which keys are no longer admitted. */
+#define WATCH_MS 1300
+/* The platform says that living servers are back within about 2 s. */
+#define LAPSE_GRACE_MS 2500
+
+typedef struct routed {
+	const daemon_options_t *options;
+	gc_routed_settings_t *settings;
+	struct tevent_context *ev;
+	gc_timers_t *timers;
+	gc_mailbox_t *mailbox;
+	gc_httpc_t *http;
+	gc_fleet_t *fleet;
+	gc_desk_t *desk;
+	gc_carrier_t *carrier;
+	gc_confirmed_t confirmed;
+	GRand *rand;
+	gc_random_t random;
+	bool stopping;
+	bool stopped;
+} routed_t;
+
+static bool start(routed_t *routed, GError **err);
+static bool start_desk(routed_t *routed, GError **err);
+static void start_fleet(routed_t *routed);
+static void publish(void *ctx, gc_fleet_view_t *view);
+static void init_log(const routed_t *routed);
+static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
+		    int signum, int count, void *info, void *ctx);
+static void on_reload(struct tevent_context *ev, struct tevent_signal *se,
+		      int signum, int count, void *info, void *ctx);
+static void on_carrier_stopped(void *ctx);
+static void take_stopped(void *ctx, void *message);
+static uint32_t random_seed(void);
+static uint64_t next_random(void *ctx);
+
+int routed_run(const daemon_options_t *options)
+{
+	routed_t *routed = talloc_zero(NULL, routed_t);
+	g_autoptr(GError) err = NULL;
+	bool up;
+
+	routed->options = options;
+	routed->settings =
+		gc_routed_settings_load(routed, options->settings_file, &err);
+	if (!routed->settings) {
+		fprintf(stderr, "goldcrestd: %s:\n%s\n", options->settings_file,
+			err->message);
+		talloc_free(routed);
+		return EXIT_FAILURE;
+	}
+	if (options->check_only) {
+		talloc_free(routed);
+		return EXIT_SUCCESS;
+	}
+	init_log(routed);
+	up = start(routed, &err);
+	if (!up)
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_START_FAILED, "can't start",
+			     err);
+	while (up && !routed->stopped)
+		tevent_loop_once(routed->ev);
+	if (routed->carrier)
+		gc_carrier_destroy(routed->carrier);
+	gc_log(GC_LOG_INFO, GC_EVENT_STOPPED, "stopped", NULL);
+	if (routed->rand)
+		g_rand_free(routed->rand);
+	talloc_free(routed);
+	return up ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static void init_log(const routed_t *routed)
+{
+	gc_log_init("goldcrestd", routed->settings->instance, true,
+		    routed->options->verbose ? GC_LOG_DEBUG
+					     : routed->settings->log_level);
+}
+
+static bool start(routed_t *routed, GError **err)
+{
+	gc_carrier_conf_t carrier = {
+		.settings = routed->settings,
+		.adapter = &gc_platform_adapter,
+		.clock = &gc_clock_system,
+		.confirmed = &routed->confirmed,
+		.seed = random_seed(),
+	};
+
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_NOTHING);
+	routed->rand = g_rand_new_with_seed(random_seed());
+	routed->random = (gc_random_t){next_random, routed->rand};
+	routed->ev = tevent_context_init(routed);
+	routed->timers = gc_timers_create(routed, routed->ev);
+	routed->mailbox = gc_mailbox_create(routed, routed->ev, routed);
+	if (!routed->timers) {
+		gc_error_set(err, GC_ERR_IO, "start", NULL,
+			     "no timer descriptor");
+		return false;
+	}
+	tevent_add_signal(routed->ev, routed, SIGTERM, 0, on_stop, routed);
+	tevent_add_signal(routed->ev, routed, SIGINT, 0, on_stop, routed);
+	tevent_add_signal(routed->ev, routed, SIGHUP, 0, on_reload, routed);
+	routed->carrier = gc_carrier_create(&carrier, err);
+	if (!routed->carrier)
+		return false;
+	start_fleet(routed);
+	if (!start_desk(routed, err))
+		return false;
+	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", NULL);
+	return true;
+}
+
+static void start_fleet(routed_t *routed)
+{
+	const gc_routed_settings_t *settings = routed->settings;
+	gc_fleet_conf_t conf = {
+		.ev = routed->ev,
+		.timers = routed->timers,
+		.clock = &gc_clock_system,
+		.random = &routed->random,
+		.adapter = &gc_platform_adapter,
+		.self = {.id = gc_str(settings->instance),
+			 .address = gc_str(settings->caller_address),
+			 .failure_domain = gc_str(settings->failure_domain)},
+		.watch_ms = WATCH_MS,
+		.lease_ms = settings->lease_ms,
+		.lapse_grace_ms = LAPSE_GRACE_MS,
+		.confirmed = &routed->confirmed,
+		.publish = publish,
+		.ctx = routed,
+	};
+
+	routed->http = gc_httpc_create(routed, routed->ev);
+	conf.store = gc_platform_store(routed, routed->http, settings->store,
+				       STORE_TIMEOUT_MS);
+	routed->fleet = gc_fleet_create(routed, &conf);
+}
+
+static void publish(void *ctx, gc_fleet_view_t *view)
+{
+	routed_t *routed = ctx;
+
+	gc_carrier_set_view(routed->carrier, view);
+}
+
+static bool start_desk(routed_t *routed, GError **err)
+{
+	const gc_routed_settings_t *settings = routed->settings;
+	gc_desk_conf_t conf = {
+		.ev = routed->ev,
+		.timers = routed->timers,
+		.clock = &gc_clock_system,
+		.random = &routed->random,
+		.adapter = &gc_platform_adapter,
+		.fleet = routed->fleet,
+		.confirmed = &routed->confirmed,
+		.instance = gc_str(settings->instance),
+		.contact_ms = settings->contact_ms,
+		.address_ttl_s = settings->address_ttl_s,
+	};
+
+	routed->desk = gc_desk_create(routed, &conf);
+	return gc_desk_listen(routed->desk, &settings->ready, err) &&
+	       gc_desk_listen(routed->desk, &settings->addresses, err) &&
+	       (!settings->metrics.address ||
+		gc_desk_listen(routed->desk, &settings->metrics, err));
+}
+
+static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
+		    int signum, int count, void *info, void *ctx)
+{
+	routed_t *routed = ctx;
+
+	if (routed->stopping)
+		return;
+	routed->stopping = true;
+	gc_log(GC_LOG_INFO, GC_EVENT_STOPPING, "stopping", NULL);
+	gc_desk_set_stopping(routed->desk);
+	gc_fleet_leave(routed->fleet);
+	gc_carrier_stop(routed->carrier, on_carrier_stopped, routed);
+}
+
+/* In the traffic thread. */
+static void on_carrier_stopped(void *ctx)
+{
+	routed_t *routed = ctx;
+
+	gc_mailbox_post(routed->mailbox, take_stopped, NULL);
+}
+
+static void take_stopped(void *ctx, void *message)
+{
+	routed_t *routed = ctx;
+
+	routed->stopped = true;
+}
+
+/* The log level changes; the rest needs a restart. */
+static void on_reload(struct tevent_context *ev, struct tevent_signal *se,
+		      int signum, int count, void *info, void *ctx)
+{
+	routed_t *routed = ctx;
+	g_autoptr(GError) err = NULL;
+	gc_routed_settings_t *fresh = gc_routed_settings_load(
+		routed, routed->options->settings_file, &err);
+
+	if (!fresh) {
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_SETTINGS_WRONG,
+			     "the settings are wrong, the old ones stay", err);
+		return;
+	}
+	routed->settings->log_level = fresh->log_level;
+	talloc_free(fresh);
+	init_log(routed);
+	gc_log(GC_LOG_INFO, GC_EVENT_SETTINGS_READ, "settings read again",
+	       NULL);
+}
+
+static uint32_t random_seed(void)
+{
+	uint32_t seed = 0;
+
+	if (getrandom(&seed, sizeof(seed), 0) != sizeof(seed))
+		seed = (uint32_t)g_get_real_time();
+	return seed;
+}
+
+static uint64_t next_random(void *ctx)
+{
+	uint64_t high = g_rand_int(ctx);
+
+	return high << 32 | g_rand_int(ctx);
+}
--- /dev/null
+++ b/lib/carrier.h
@@ -0,0 +1,35 @@
+/* The traffic thread of the routed mode: its loop, listener and relay. */
+#ifndef GC_LIB_CARRIER_H
+#define GC_LIB_CARRIER_H
+
+#include <glib.h>
+
+#include "lib/adapter.h"
+#include "lib/fleet.h"
+#include "lib/routed_settings.h"
+
+typedef struct gc_carrier gc_carrier_t;
+
+typedef struct gc_carrier_conf {
+	const gc_routed_settings_t *settings;
+	const gc_adapter_t *adapter;
+	const gc_clock_t *clock;
+	const gc_confirmed_t *confirmed;
+	uint32_t seed; /* of the thread's random source */
+} gc_carrier_conf_t;
+
+/* Listens and starts the thread. Errors: GC_ERR_IO. */
+gc_carrier_t *gc_carrier_create(const gc_carrier_conf_t *conf, GError **err);
+uint16_t gc_carrier_port(const gc_carrier_t *carrier);
+/* Safe from every thread. */
+void gc_carrier_set_view(gc_carrier_t *carrier, gc_fleet_view_t *view);
+/*
+ * Serves on until nothing is open or the grace period ends, then calls
+ * stopped(ctx) in the traffic thread.
+ */
+void gc_carrier_stop(gc_carrier_t *carrier, void (*stopped)(void *ctx),
+		     void *ctx);
+/* Ends the thread. */
+void gc_carrier_destroy(gc_carrier_t *carrier);
+
+#endif
--- /dev/null
+++ b/lib/desk.h
@@ -0,0 +1,40 @@
+/*
+ * The control thread's small listener: readiness, callers' questions where to
+ * connect, metrics.
+ */
+#ifndef GC_LIB_DESK_H
+#define GC_LIB_DESK_H
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "core/clock.h"
+#include "core/place.h"
+#include "lib/adapter.h"
+#include "lib/fleet.h"
+#include "lib/settings.h"
+#include "lib/timer.h"
+
+typedef struct gc_desk gc_desk_t;
+
+typedef struct gc_desk_conf {
+	struct tevent_context *ev;
+	gc_timers_t *timers;
+	const gc_clock_t *clock;
+	const gc_random_t *random;
+	const gc_adapter_t *adapter;
+	gc_fleet_t *fleet;
+	const gc_confirmed_t *confirmed;
+	gc_str_t instance; /* name of this daemon */
+	int64_t contact_ms; /* not ready without a confirmation for so long */
+	unsigned int address_ttl_s;
+} gc_desk_conf_t;
+
+gc_desk_t *gc_desk_create(TALLOC_CTX *mem, const gc_desk_conf_t *conf);
+/* Listens; all listeners answer all questions. Errors: GC_ERR_IO. */
+bool gc_desk_listen(gc_desk_t *desk, const gc_listen_t *listen, GError **err);
+/* Not ready any more, and not among the addresses. */
+void gc_desk_set_stopping(gc_desk_t *desk);
+
+#endif
--- /dev/null
+++ b/lib/exchange.c
@@ -0,0 +1,105 @@
+/* Texts of requests to backend servers and of answers to callers. */
+#include "lib/exchange.h"
+#include "lib/relay_private.h"
+
+static bool goes_on(const gc_exchange_t *exchange, gc_header_t header);
+static bool is_internal(const gc_header_names_t *names, gc_str_t name);
+static void append_header(GString *text, gc_str_t name, gc_str_t value);
+static void append_orders(GString *text, const gc_exchange_t *exchange,
+			  const gc_backend_t *backend, int64_t left_ms);
+
+GString *gc_exchange_request_text(const gc_exchange_t *exchange,
+				  const gc_backend_t *backend, int64_t left_ms)
+{
+	const gc_message_t *request = exchange->request;
+	gc_str_t target = gc_message_target(request);
+	gc_str_t body = gc_message_body(request);
+	GString *text = g_string_sized_new(1024 + body.len);
+
+	g_string_append_printf(text, "%s %.*s HTTP/1.1\r\n",
+			       gc_message_method(request), GC_STR_ARG(target));
+	for (size_t i = 0; i < gc_message_n_headers(request); i++) {
+		gc_header_t header = gc_message_header(request, i);
+
+		if (goes_on(exchange, header))
+			append_header(text, header.name, header.value);
+	}
+	append_orders(text, exchange, backend, left_ms);
+	if (body.len > 0 || gc_message_find(request, "content-length").data ||
+	    gc_message_find(request, "transfer-encoding").data)
+		g_string_append_printf(text, "Content-Length: %zu\r\n",
+				       body.len);
+	g_string_append(text, "\r\n");
+	g_string_append_len(text, body.data, (gssize)body.len);
+	return text;
+}
+
+static bool goes_on(const gc_exchange_t *exchange, gc_header_t header)
+{
+	const gc_header_names_t *names =
+		&exchange->relay->conf.adapter->headers;
+
+	return !gc_message_hop_by_hop(exchange->request, header.name) &&
+	       !gc_header_is(header.name, "content-length") &&
+	       !gc_header_is(header.name, "expect") &&
+	       !gc_header_is(header.name, "authorization") &&
+	       !gc_header_is(header.name, names->deadline_ms) &&
+	       !(gc_header_is(header.name, "last-event-id") &&
+		 exchange->events) &&
+	       !is_internal(names, header.name);
+}
+
+static bool is_internal(const gc_header_names_t *names, gc_str_t name)
+{
+	for (size_t i = 0; names->internal[i]; i++)
+		if (gc_header_is(name, names->internal[i]))
+			return true;
+	return false;
+}
+
+static void append_header(GString *text, gc_str_t name, gc_str_t value)
+{
+	g_string_append_len(text, name.data, (gssize)name.len);
+	g_string_append(text, ": ");
+	g_string_append_len(text, value.data, (gssize)value.len);
+	g_string_append(text, "\r\n");
+}
+
+/* What the system tells the server besides the caller's request. */
+static void append_orders(GString *text, const gc_exchange_t *exchange,
+			  const gc_backend_t *backend, int64_t left_ms)
+{
+	const gc_header_names_t *names =
+		&exchange->relay->conf.adapter->headers;
+	int64_t last = exchange->events ? gc_events_last_id(exchange->events)
+					: GC_EVENTS_NONE;
+
+	append_header(text, gc_str(names->target), gc_backend_id(backend));
+	g_string_append_printf(text, "%s: %" G_GINT64_FORMAT "\r\n",
+			       names->deadline_ms, left_ms);
+	if (exchange->account.len > 0)
+		append_header(text, gc_str(names->account), exchange->account);
+	if (last != GC_EVENTS_NONE)
+		g_string_append_printf(
+			text, "Last-Event-Id: %" G_GINT64_FORMAT "\r\n", last);
+	if (exchange->copy)
+		append_header(text, gc_str(names->copy_to),
+			      gc_backend_address(exchange->copy));
+	if (exchange->copy_from == backend)
+		g_string_append_printf(text, "%s: %.*s/%.*s\r\n",
+				       names->copy_from,
+				       GC_STR_ARG(gc_backend_address(backend)),
+				       GC_STR_ARG(exchange->id));
+}
+
+void gc_exchange_copy_head(GString *head, const gc_message_t *answer)
+{
+	for (size_t i = 0; i < gc_message_n_headers(answer); i++) {
+		gc_header_t header = gc_message_header(answer, i);
+
+		if (gc_message_hop_by_hop(answer, header.name) ||
+		    gc_header_is(header.name, "content-length"))
+			continue;
+		append_header(head, header.name, header.value);
+	}
+}
--- /dev/null
+++ b/lib/exchange.h
@@ -0,0 +1,56 @@
+/* One routed request in progress; private to lib/relay.c and its parts. */
+#ifndef GC_LIB_EXCHANGE_H
+#define GC_LIB_EXCHANGE_H
+
+#include "core/attempts.h"
+#include "core/events.h"
+#include "lib/relay.h"
+
+/* Backend servers that one request can meet. */
+#define GC_EXCHANGE_MAX_TRIED 16
+
+typedef struct gc_exchange {
+	gc_relay_t *relay;
+	struct gc_exchange *prev, *next;
+	gc_caller_t *caller; /* NULL once it has left */
+	const gc_message_t *request; /* valid while the caller is there */
+	gc_fleet_view_t *view; /* holds the route */
+	const gc_route_t *route;
+	gc_str_t service;
+	gc_str_t account; /* empty on an anonymous route */
+	gc_str_t id;
+	bool head_request;
+	struct timespec arrived;
+	int64_t deadline_ms; /* after arrival, of the caller */
+	int64_t limit_ms; /* after arrival, of caller and route */
+
+	gc_attempts_t attempts;
+	gc_backend_t *tried[GC_EXCHANGE_MAX_TRIED];
+	size_t n_tried;
+	gc_call_t *call; /* the attempt in progress */
+	gc_backend_t *backend; /* of the call */
+	gc_backend_t *copy; /* gets the run's memory */
+	gc_backend_t *copy_from; /* holds memory of the run before */
+	struct timespec heard; /* last byte of the attempt */
+	bool heard_any; /* an event of the attempt came */
+
+	gc_events_t *events; /* of a stream */
+	bool head_sent;
+	GString *head; /* of the answer that is being collected */
+	int status; /* of it */
+	GByteArray *body; /* of it */
+	bool good; /* it is a success of this request */
+	bool refused; /* the server says that it did not run it */
+
+	gc_timer_t *limit_timer;
+	gc_timer_t *silence_timer;
+	gc_timer_t *retry_timer;
+} gc_exchange_t;
+
+/* Text of the request for a backend server; free with g_string_free. */
+GString *gc_exchange_request_text(const gc_exchange_t *exchange,
+				  const gc_backend_t *backend, int64_t left_ms);
+/* Header lines of a server's answer that go on to the caller. */
+void gc_exchange_copy_head(GString *head, const gc_message_t *answer);
+
+#endif
--- /dev/null
+++ b/lib/fleet.c
@@ -0,0 +1,564 @@
+/* Reads the store, keeps the own entry, publishes views. */
+#include <jansson.h>
+
+#include "core/error.h"
+#include "lib/events.h"
+#include "lib/fleet.h"
+#include "lib/log.h"
+#include "lib/metrics.h"
+
+/* Keys of daemons in the store; the rest of the key is the daemon's name. */
+#define DAEMONS_PREFIX "goldcrest/daemons/"
+/* Pause after a failed call; doubles up to the longest. */
+#define RETRY_MS     100
+#define RETRY_MAX_MS 400
+/* A short pause collects the changes of one cause into one call. */
+#define GATHER_MS 40
+/* A renewal is sent this many times within the lease. */
+#define RENEWALS 3
+
+struct gc_fleet {
+	gc_fleet_conf_t conf;
+	gc_routes_t *routes;
+	uint64_t config_revision;
+	gc_roster_t *servers;
+	gc_roster_t *daemons;
+	gc_fleet_view_t *view;
+	uint64_t revision; /* of the store, up to which changes are known */
+	bool listed; /* the first list is complete */
+	bool in_contact;
+	struct timespec call_started;
+	int64_t retry_ms;
+	gc_timer_t *next_call;
+	gc_timer_t *expiry;
+	gc_timer_t *renewal;
+	uint64_t lease;
+	bool entry_written;
+	bool leaving;
+	char *own_key;
+	gc_metric_t *calls;
+};
+
+/* A view with the memory of its strings. */
+typedef struct view_box {
+	GStringChunk *strings;
+	gc_fleet_view_t view;
+} view_box_t;
+
+#define BOX_OF(v) \
+	((view_box_t *)(void *)((char *)(v)-G_STRUCT_OFFSET(view_box_t, view)))
+#define STRING_BLOCK 2048 /* bytes */
+
+static int fleet_destructor(gc_fleet_t *fleet);
+static void view_clear(gpointer data);
+static void add_entry(void *ctx, const gc_entry_t *entry);
+static gc_str_t keep(GStringChunk *strings, gc_str_t s);
+static void publish(gc_fleet_t *fleet);
+static void start_list(gc_fleet_t *fleet);
+static void on_list(void *ctx, const gc_store_items_t *items,
+		    const GError *err);
+static void start_watch(gc_fleet_t *fleet);
+static void on_watch(void *ctx, const gc_store_items_t *items,
+		     const GError *err);
+static void on_next_call(void *ctx);
+static void call_failed(gc_fleet_t *fleet, const GError *err);
+static void regained(gc_fleet_t *fleet);
+static bool take_item(gc_fleet_t *fleet, const gc_store_item_t *item);
+static void take_config(gc_fleet_t *fleet, const gc_store_item_t *item);
+static void take_server(gc_fleet_t *fleet, gc_str_t id,
+			const gc_store_item_t *item);
+static void take_daemon(gc_fleet_t *fleet, gc_str_t id,
+			const gc_store_item_t *item);
+static bool after_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
+static void confirm(gc_fleet_t *fleet, struct timespec at);
+static void on_expiry(void *ctx);
+static void on_renewal(void *ctx);
+static void on_lease(void *ctx, uint64_t id, const GError *err);
+static void write_entry(gc_fleet_t *fleet);
+static void on_written(void *ctx, uint64_t id, const GError *err);
+static void on_renewed(void *ctx, uint64_t id, const GError *err);
+static void on_left(void *ctx, uint64_t id, const GError *err);
+static void renew_later(gc_fleet_t *fleet, bool ok);
+static void count_call(gc_fleet_t *fleet);
+
+gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf)
+{
+	gc_fleet_t *fleet = talloc_zero(mem, gc_fleet_t);
+
+	fleet->conf = *conf;
+	fleet->servers = gc_roster_create(fleet, conf->lapse_grace_ms);
+	fleet->daemons = gc_roster_create(fleet, conf->lapse_grace_ms);
+	fleet->retry_ms = RETRY_MS;
+	fleet->own_key = talloc_asprintf(fleet, "%s%.*s", DAEMONS_PREFIX,
+					 GC_STR_ARG(conf->self.id));
+	fleet->calls = gc_counter("goldcrest_store_calls_total",
+				  "Calls to the store.", NULL, NULL);
+	fleet->next_call =
+		gc_timer_create(fleet, conf->timers, on_next_call, fleet);
+	fleet->expiry = gc_timer_create(fleet, conf->timers, on_expiry, fleet);
+	fleet->renewal =
+		gc_timer_create(fleet, conf->timers, on_renewal, fleet);
+	talloc_set_destructor(fleet, fleet_destructor);
+	publish(fleet);
+	start_list(fleet);
+	on_renewal(fleet);
+	return fleet;
+}
+
+static int fleet_destructor(gc_fleet_t *fleet)
+{
+	gc_routes_unref(fleet->routes);
+	gc_fleet_view_unref(fleet->view);
+	return 0;
+}
+
+gc_fleet_view_t *gc_fleet_view_ref(gc_fleet_view_t *view)
+{
+	g_atomic_rc_box_acquire(BOX_OF(view));
+	return view;
+}
+
+void gc_fleet_view_unref(gc_fleet_view_t *view)
+{
+	if (view)
+		g_atomic_rc_box_release_full(BOX_OF(view), view_clear);
+}
+
+static void view_clear(gpointer data)
+{
+	view_box_t *box = data;
+
+	gc_routes_unref(box->view.routes);
+	g_free(box->view.servers);
+	g_free(box->view.daemons);
+	g_string_chunk_free(box->strings);
+}
+
+gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet)
+{
+	return fleet->view;
+}
+
+typedef struct adder {
+	GStringChunk *strings;
+	gc_entry_t *list;
+	size_t n;
+} adder_t;
+
+static void publish(gc_fleet_t *fleet)
+{
+	view_box_t *box = g_atomic_rc_box_new0(view_box_t);
+	gc_fleet_view_t *view = &box->view;
+	adder_t adder;
+
+	box->strings = g_string_chunk_new(STRING_BLOCK);
+	if (fleet->routes)
+		view->routes = gc_routes_ref(fleet->routes);
+	view->servers = g_new0(gc_entry_t, gc_roster_count(fleet->servers));
+	view->daemons = g_new0(gc_entry_t, gc_roster_count(fleet->daemons));
+	adder = (adder_t){box->strings, view->servers, 0};
+	gc_roster_each(fleet->servers, add_entry, &adder);
+	view->n_servers = adder.n;
+	adder = (adder_t){box->strings, view->daemons, 0};
+	gc_roster_each(fleet->daemons, add_entry, &adder);
+	view->n_daemons = adder.n;
+	gc_fleet_view_unref(fleet->view);
+	fleet->view = view;
+	fleet->conf.publish(fleet->conf.ctx, view);
+}
+
+static void add_entry(void *ctx, const gc_entry_t *entry)
+{
+	adder_t *adder = ctx;
+	gc_entry_t *copy = &adder->list[adder->n++];
+
+	*copy = *entry;
+	copy->id = keep(adder->strings, entry->id);
+	copy->service = keep(adder->strings, entry->service);
+	copy->address = keep(adder->strings, entry->address);
+	copy->failure_domain = keep(adder->strings, entry->failure_domain);
+}
+
+static gc_str_t keep(GStringChunk *strings, gc_str_t s)
+{
+	return (gc_str_t){g_string_chunk_insert_len(strings, s.data,
+						    (gssize)s.len),
+			  s.len};
+}
+
+static void count_call(gc_fleet_t *fleet)
+{
+	gc_counter_add(fleet->calls, 1);
+	fleet->call_started = gc_clock_now(fleet->conf.clock);
+}
+
+static void start_list(gc_fleet_t *fleet)
+{
+	fleet->listed = false;
+	gc_roster_begin_list(fleet->servers);
+	gc_roster_begin_list(fleet->daemons);
+	count_call(fleet);
+	fleet->conf.store.ops->list(fleet->conf.store.store, GC_STR_EMPTY,
+				    on_list, fleet);
+}
+
+/*
+ * Pages are no snapshot; the watch goes on from the revision of the first
+ * page, so that changes between pages are seen, if twice.
+ */
+static void on_list(void *ctx, const gc_store_items_t *items, const GError *err)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (err) {
+		call_failed(fleet, err);
+		return;
+	}
+	for (size_t i = 0; i < items->n; i++)
+		take_item(fleet, &items->items[i]);
+	if (fleet->revision == 0)
+		fleet->revision = items->revision;
+	if (items->more && items->n > 0) {
+		gc_counter_add(fleet->calls, 1);
+		fleet->conf.store.ops->list(fleet->conf.store.store,
+					    items->items[items->n - 1].key,
+					    on_list, fleet);
+		return;
+	}
+	regained(fleet);
+	fleet->listed = true;
+	gc_roster_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
+	gc_roster_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
+	confirm(fleet, fleet->call_started);
+	publish(fleet);
+	on_expiry(fleet);
+	start_watch(fleet);
+}
+
+static void start_watch(gc_fleet_t *fleet)
+{
+	count_call(fleet);
+	fleet->conf.store.ops->watch(fleet->conf.store.store, fleet->revision,
+				     fleet->conf.watch_ms, on_watch, fleet);
+}
+
+static void on_watch(void *ctx, const gc_store_items_t *items,
+		     const GError *err)
+{
+	gc_fleet_t *fleet = ctx;
+	bool changed = false;
+
+	if (err) {
+		call_failed(fleet, err);
+		return;
+	}
+	regained(fleet);
+	for (size_t i = 0; i < items->n; i++)
+		changed |= take_item(fleet, &items->items[i]);
+	if (items->revision > fleet->revision)
+		fleet->revision = items->revision;
+	confirm(fleet, fleet->call_started);
+	if (changed)
+		publish(fleet);
+	on_expiry(fleet);
+	if (items->n > 0)
+		gc_timer_set(fleet->next_call, GATHER_MS);
+	else
+		start_watch(fleet);
+}
+
+static void on_next_call(void *ctx)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (fleet->listed)
+		start_watch(fleet);
+	else
+		start_list(fleet);
+}
+
+static void call_failed(gc_fleet_t *fleet, const GError *err)
+{
+	/* The history is gone: everything is read again. */
+	if (g_error_matches(err, GC_ERROR, GC_ERR_LOST) || !fleet->listed) {
+		fleet->listed = false;
+		fleet->revision = 0;
+	}
+	if (fleet->in_contact)
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_STORE_LOST,
+			     "the store can't be read", err);
+	if (!g_error_matches(err, GC_ERROR, GC_ERR_LOST))
+		fleet->in_contact = false;
+	gc_timer_set(fleet->next_call, fleet->retry_ms);
+	fleet->retry_ms = MIN(fleet->retry_ms * 2, RETRY_MAX_MS);
+}
+
+static void regained(gc_fleet_t *fleet)
+{
+	struct timespec now = gc_clock_now(fleet->conf.clock);
+
+	fleet->retry_ms = RETRY_MS;
+	if (fleet->in_contact)
+		return;
+	fleet->in_contact = true;
+	gc_roster_regained(fleet->servers, now);
+	gc_roster_regained(fleet->daemons, now);
+	gc_log(GC_LOG_INFO, GC_EVENT_STORE_FOUND, "the store can be read",
+	       NULL);
+}
+
+/*
+ * The answer tells the state at some time after the call was started, however
+ * late it arrives.
+ */
+static void confirm(gc_fleet_t *fleet, struct timespec at)
+{
+	if (!fleet->listed || !fleet->routes)
+		return;
+	atomic_store(fleet->conf.confirmed,
+		     at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000);
+}
+
+int64_t gc_confirmed_age_ms(const gc_confirmed_t *confirmed,
+			    struct timespec now)
+{
+	int64_t at = atomic_load(confirmed);
+
+	if (at == 0)
+		return -1;
+	return now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000 - at;
+}
+
+/* True if a view has to be published. */
+static bool take_item(gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	gc_str_t id;
+
+	if (gc_str_eq(item->key, gc_str(fleet->conf.adapter->config_key))) {
+		if (item->deleted || item->revision <= fleet->config_revision)
+			return false;
+		take_config(fleet, item);
+		return true;
+	}
+	if (after_prefix(item->key, fleet->conf.adapter->servers_prefix, &id)) {
+		take_server(fleet, id, item);
+		return true;
+	}
+	if (after_prefix(item->key, DAEMONS_PREFIX, &id)) {
+		take_daemon(fleet, id, item);
+		return true;
+	}
+	return false;
+}
+
+static bool after_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
+{
+	size_t len = strlen(prefix);
+
+	if (key.len <= len || memcmp(key.data, prefix, len) != 0)
+		return false;
+	*rest = (gc_str_t){key.data + len, key.len - len};
+	return true;
+}
+
+static void take_config(gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	g_autoptr(GError) err = NULL;
+	g_autofree char *version = NULL;
+	g_autofree char *revision =
+		g_strdup_printf("%" G_GUINT64_FORMAT, item->revision);
+	gc_routes_t *routes =
+		fleet->conf.adapter->read_routes(item->value, &err);
+
+	if (!routes) {
+		gc_log_error(GC_LOG_ERROR, GC_EVENT_ROUTES_UNREADABLE,
+			     "the operator's record can't be read", err);
+		return;
+	}
+	fleet->config_revision = item->revision;
+	if (fleet->routes &&
+	    gc_routes_version(routes) < gc_routes_version(fleet->routes)) {
+		gc_routes_unref(routes);
+		return;
+	}
+	gc_routes_unref(fleet->routes);
+	fleet->routes = routes;
+	version = g_strdup_printf("%" G_GUINT64_FORMAT,
+				  gc_routes_version(routes));
+	gc_log(GC_LOG_INFO, GC_EVENT_ROUTES_TAKEN, "routes taken", "version",
+	       version, "revision", revision, NULL);
+}
+
+static void take_server(gc_fleet_t *fleet, gc_str_t id,
+			const gc_store_item_t *item)
+{
+	g_autoptr(GError) err = NULL;
+	g_autofree char *name = g_strndup(id.data, id.len);
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_entry_t entry;
+
+	if (item->deleted) {
+		gc_roster_remove(fleet->servers,
+				 gc_clock_now(fleet->conf.clock), id);
+		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_GONE,
+		       "backend server removed", "server", name, NULL);
+	} else if (fleet->conf.adapter->read_server(mem, id, item->value,
+						    &entry, &err)) {
+		gc_roster_put(fleet->servers, &entry);
+		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_SEEN,
+		       entry.draining ? "backend server draining"
+				      : "backend server ready",
+		       "server", name, "address", entry.address.data, "service",
+		       entry.service.data, NULL);
+	} else {
+		gc_roster_drop(fleet->servers, id);
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_SERVER_UNREADABLE,
+			     "the entry of a backend server can't be used",
+			     err);
+	}
+	talloc_free(mem);
+}
+
+static void take_daemon(gc_fleet_t *fleet, gc_str_t id,
+			const gc_store_item_t *item)
+{
+	json_t *json;
+	const char *address;
+	const char *domain;
+
+	if (item->deleted) {
+		gc_roster_remove(fleet->daemons,
+				 gc_clock_now(fleet->conf.clock), id);
+		return;
+	}
+	json = json_loadb(item->value.data, item->value.len, 0, NULL);
+	if (json_unpack(json, "{s:s,s:s}", "address", &address,
+			"failure_domain", &domain) == 0) {
+		gc_entry_t entry = {
+			.id = id,
+			.address = gc_str(address),
+			.failure_domain = gc_str(domain),
+		};
+
+		gc_roster_put(fleet->daemons, &entry);
+	}
+	json_decref(json);
+}
+
+static void on_expiry(void *ctx)
+{
+	gc_fleet_t *fleet = ctx;
+	struct timespec now = gc_clock_now(fleet->conf.clock);
+	int64_t servers_ms;
+	int64_t daemons_ms;
+	bool dropped;
+
+	/* Nothing is dropped while the store is away. */
+	if (!fleet->in_contact)
+		return;
+	dropped = gc_roster_expire(fleet->servers, now, &servers_ms);
+	dropped |= gc_roster_expire(fleet->daemons, now, &daemons_ms);
+	if (dropped)
+		publish(fleet);
+	if (servers_ms >= 0)
+		gc_timer_set(fleet->expiry, servers_ms + 1);
+	else if (daemons_ms >= 0)
+		gc_timer_set(fleet->expiry, daemons_ms + 1);
+}
+
+static void on_renewal(void *ctx)
+{
+	gc_fleet_t *fleet = ctx;
+	const gc_store_ops_t *ops = fleet->conf.store.ops;
+
+	if (fleet->leaving)
+		return;
+	gc_counter_add(fleet->calls, 1);
+	if (fleet->lease == 0)
+		ops->lease(fleet->conf.store.store, fleet->conf.lease_ms,
+			   on_lease, fleet);
+	else if (!fleet->entry_written)
+		write_entry(fleet);
+	else
+		ops->renew(fleet->conf.store.store, fleet->lease, on_renewed,
+			   fleet);
+}
+
+static void on_lease(void *ctx, uint64_t id, const GError *err)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (err || id == 0) {
+		renew_later(fleet, false);
+		return;
+	}
+	fleet->lease = id;
+	if (fleet->leaving)
+		gc_fleet_leave(fleet);
+	else
+		write_entry(fleet);
+}
+
+static void write_entry(gc_fleet_t *fleet)
+{
+	const gc_entry_t *self = &fleet->conf.self;
+	json_t *json = json_pack("{s:s#,s:s#}", "address", self->address.data,
+				 (int)self->address.len, "failure_domain",
+				 self->failure_domain.data,
+				 (int)self->failure_domain.len);
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	fleet->conf.store.ops->put(fleet->conf.store.store,
+				   gc_str(fleet->own_key), gc_str(text),
+				   fleet->lease, on_written, fleet);
+	free(text);
+	json_decref(json);
+}
+
+static void on_written(void *ctx, uint64_t id, const GError *err)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (err && g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND))
+		fleet->lease = 0;
+	fleet->entry_written = !err;
+	renew_later(fleet, !err);
+}
+
+static void on_renewed(void *ctx, uint64_t id, const GError *err)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (err && g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) {
+		fleet->lease = 0;
+		fleet->entry_written = false;
+	}
+	renew_later(fleet, !err);
+}
+
+static void renew_later(gc_fleet_t *fleet, bool ok)
+{
+	if (fleet->leaving)
+		return;
+	gc_timer_set(fleet->renewal,
+		     ok ? fleet->conf.lease_ms / RENEWALS : RETRY_MAX_MS);
+}
+
+void gc_fleet_leave(gc_fleet_t *fleet)
+{
+	fleet->leaving = true;
+	gc_timer_stop(fleet->renewal);
+	if (fleet->lease == 0)
+		return;
+	gc_counter_add(fleet->calls, 1);
+	fleet->conf.store.ops->end_lease(fleet->conf.store.store, fleet->lease,
+					 on_left, fleet);
+	fleet->lease = 0;
+}
+
+static void on_left(void *ctx, uint64_t id, const GError *err)
+{
+	if (err)
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_LEAVE_FAILED,
+			     "the own entry could not be taken away", err);
+}
--- /dev/null
+++ b/lib/fleet.h
@@ -0,0 +1,71 @@
+/*
+ * Controller of what a daemon knows from the store: the operator's routes, the
+ * backend servers and the other daemons. Keeps the daemon's own entry there
+ * under a lease, and publishes immutable views to other threads.
+ */
+#ifndef GC_LIB_FLEET_H
+#define GC_LIB_FLEET_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <talloc.h>
+#include <tevent.h>
+
+#include "core/clock.h"
+#include "core/place.h"
+#include "core/roster.h"
+#include "core/routes.h"
+#include "lib/adapter.h"
+#include "lib/store.h"
+#include "lib/timer.h"
+
+/*
+ * The monotonic time in ms at which the newest configuration known here was
+ * certainly the newest of all; 0: never. Set by the control thread.
+ */
+typedef _Atomic int64_t gc_confirmed_t;
+
+/* An immutable snapshot, reference-counted across threads. */
+typedef struct gc_fleet_view {
+	gc_routes_t *routes; /* NULL until the first version is known */
+	gc_entry_t *servers; /* backend servers, in the order of ids */
+	size_t n_servers;
+	gc_entry_t *daemons; /* serving daemons, in the order of ids */
+	size_t n_daemons;
+} gc_fleet_view_t;
+
+gc_fleet_view_t *gc_fleet_view_ref(gc_fleet_view_t *view);
+void gc_fleet_view_unref(gc_fleet_view_t *view);
+
+typedef struct gc_fleet gc_fleet_t;
+
+typedef struct gc_fleet_conf {
+	struct tevent_context *ev;
+	gc_timers_t *timers;
+	const gc_clock_t *clock;
+	const gc_random_t *random;
+	gc_store_t store;
+	const gc_adapter_t *adapter;
+	gc_entry_t self; /* this daemon; its address is the callers' one */
+	int64_t watch_ms; /* longest wait of a watch */
+	int64_t lease_ms; /* of the own entry */
+	int64_t lapse_grace_ms; /* see gc_roster_create */
+	gc_confirmed_t *confirmed;
+	/* A new view; takes a reference if it keeps it. */
+	void (*publish)(void *ctx, gc_fleet_view_t *view);
+	void *ctx;
+} gc_fleet_conf_t;
+
+gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf);
+/* The newest view; never NULL. */
+gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet);
+/* Takes the own entry away. */
+void gc_fleet_leave(gc_fleet_t *fleet);
+/* Milliseconds since the configuration was last confirmed; -1: never. */
+int64_t gc_confirmed_age_ms(const gc_confirmed_t *confirmed,
+			    struct timespec now);
+
+#endif
--- /dev/null
+++ b/lib/relay.c
@@ -0,0 +1,336 @@
+/* Admission of routed requests by route, key and age of the configuration. */
+#include <stdlib.h>
+
+#include "lib/events.h"
+#include "lib/log.h"
+#include "lib/relay_private.h"
+
+/* When to come back after a refusal, with the jitter that spreads callers. */
+#define RETRY_AFTER_MS	300
+#define RETRY_JITTER_MS 300
+/* Limits until the operator's are known. */
+#define FIRST_HEADER_BYTES 16384
+#define FIRST_BODY_BYTES   4194304
+#define FIRST_HEADER_MS	   3000
+#define FIRST_IDLE_MS	   15000
+/* For requests without a deadline on routes without a timeout. */
+#define DEFAULT_LIMIT_MS 30000
+
+static int relay_destructor(gc_relay_t *relay);
+static void on_request(void *ctx, gc_caller_t *caller,
+		       const gc_message_t *request);
+static void on_gone(void *ctx, gc_caller_t *caller);
+static void on_drained(void *ctx, gc_caller_t *caller);
+static gc_request_limits_t get_limits(void *ctx);
+static const gc_refusal_t *admit(gc_exchange_t *exchange);
+static const gc_refusal_t *check_key(gc_exchange_t *exchange, int64_t age_ms);
+static gc_exchange_t *create(gc_relay_t *relay, gc_caller_t *caller,
+			     const gc_message_t *request);
+static void set_limits(gc_exchange_t *exchange);
+static gc_str_t host_of(const gc_message_t *request);
+static bool key_of(const gc_exchange_t *exchange, gc_str_t *key);
+static int64_t number_header(const gc_message_t *request, const char *name,
+			     int64_t other);
+static size_t rank_of(const gc_relay_t *relay, size_t *n_local);
+
+const gc_front_ops_t gc_relay_front_ops = {
+	.request = on_request,
+	.gone = on_gone,
+	.drained = on_drained,
+	.limits = get_limits,
+};
+
+static const gc_refusal_t no_configuration = {
+	503, "not_ready", "no configuration is known", RETRY_AFTER_MS, true};
+static const gc_refusal_t stale_configuration = {
+	503, "not_confirmed", "the configuration was not confirmed lately",
+	RETRY_AFTER_MS, true};
+static const gc_refusal_t stopping = {503, "stopping", "the daemon is stopping",
+				      RETRY_AFTER_MS, true};
+static const gc_refusal_t no_route = {404, "no_route", "no route matches", 0,
+				      true};
+static const gc_refusal_t bad_host = {400, "bad_host",
+				      "not one host, or not a path", 0, true};
+static const gc_refusal_t wrong_key = {
+	401, "wrong_key", "the key is missing or unknown", 0, true};
+
+gc_relay_t *gc_relay_create(TALLOC_CTX *mem, const gc_relay_conf_t *conf)
+{
+	gc_relay_t *relay = talloc_zero(mem, gc_relay_t);
+	gc_upstream_conf_t upstream = {
+		.ev = conf->ev,
+		.timers = conf->timers,
+		.clock = conf->clock,
+		.id_header = conf->adapter->headers.request_id,
+		.connect_timeout_ms = conf->connect_timeout_ms,
+		.liveness = conf->liveness,
+	};
+	gc_backends_conf_t backends = {
+		.failure_domain = conf->failure_domain,
+		.random = conf->random,
+		.repeat_ratio = conf->repeat_ratio,
+		.repeat_slack = conf->repeat_slack,
+	};
+
+	relay->conf = *conf;
+	relay->upstream = gc_upstream_create(relay, &upstream);
+	relay->backends = gc_backends_create(relay, &backends);
+	talloc_set_destructor(relay, relay_destructor);
+	return relay;
+}
+
+static int relay_destructor(gc_relay_t *relay)
+{
+	gc_fleet_view_unref(relay->view);
+	return 0;
+}
+
+void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view)
+{
+	size_t n_local;
+	size_t rank;
+
+	gc_fleet_view_unref(relay->view);
+	relay->view = gc_fleet_view_ref(view);
+	rank = rank_of(relay, &n_local);
+	gc_backends_sync(relay->backends, view->servers, view->n_servers, rank,
+			 n_local, view->n_daemons);
+}
+
+/* This daemon's place among the daemons of its failure domain. */
+static size_t rank_of(const gc_relay_t *relay, size_t *n_local)
+{
+	const gc_fleet_view_t *view = relay->view;
+	size_t rank = 0;
+
+	*n_local = 0;
+	for (size_t i = 0; i < view->n_daemons; i++) {
+		const gc_entry_t *daemon = &view->daemons[i];
+
+		if (!gc_str_eq(daemon->failure_domain,
+			       relay->conf.failure_domain))
+			continue;
+		if (gc_str_eq(daemon->id, relay->conf.instance))
+			rank = *n_local;
+		(*n_local)++;
+	}
+	return rank;
+}
+
+void gc_relay_set_stopping(gc_relay_t *relay)
+{
+	relay->stopping = true;
+}
+
+size_t gc_relay_open(const gc_relay_t *relay)
+{
+	return relay->n_open;
+}
+
+static gc_request_limits_t get_limits(void *ctx)
+{
+	const gc_relay_t *relay = ctx;
+
+	if (relay->view && relay->view->routes)
+		return *gc_routes_limits(relay->view->routes);
+	return (gc_request_limits_t){
+		.max_header_bytes = FIRST_HEADER_BYTES,
+		.max_body_bytes = FIRST_BODY_BYTES,
+		.header_timeout_ms = FIRST_HEADER_MS,
+		.idle_timeout_ms = FIRST_IDLE_MS,
+	};
+}
+
+static void on_request(void *ctx, gc_caller_t *caller,
+		       const gc_message_t *request)
+{
+	gc_relay_t *relay = ctx;
+	gc_exchange_t *exchange = create(relay, caller, request);
+	const gc_refusal_t *refusal = admit(exchange);
+
+	if (!refusal) {
+		gc_exchange_run(exchange);
+		return;
+	}
+	gc_relay_refuse(relay, caller, exchange->id, refusal);
+	gc_fleet_view_unref(exchange->view);
+	talloc_free(exchange);
+}
+
+static gc_exchange_t *create(gc_relay_t *relay, gc_caller_t *caller,
+			     const gc_message_t *request)
+{
+	gc_exchange_t *exchange = talloc_zero(relay, gc_exchange_t);
+	const char *id_header = relay->conf.adapter->headers.request_id;
+
+	exchange->relay = relay;
+	exchange->caller = caller;
+	exchange->request = request;
+	exchange->arrived = gc_caller_arrived(caller);
+	exchange->id =
+		gc_str_dup(exchange, gc_message_find(request, id_header));
+	exchange->head_request =
+		strcmp(gc_message_method(request), "HEAD") == 0;
+	return exchange;
+}
+
+/* Sets route, service and account; the reason if the request is refused. */
+static const gc_refusal_t *admit(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	const gc_message_t *request = exchange->request;
+	gc_str_t target = gc_message_target(request);
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	int64_t age_ms = gc_confirmed_age_ms(relay->conf.confirmed, now);
+	const char *query;
+	gc_str_t path = target;
+
+	if (gc_message_count(request, "host") != 1 || target.len == 0 ||
+	    *target.data != '/')
+		return &bad_host;
+	if (!relay->view || !relay->view->routes || age_ms < 0)
+		return &no_configuration;
+	query = memchr(target.data, '?', target.len);
+	if (query)
+		path.len = (size_t)(query - target.data);
+	exchange->route =
+		gc_routes_find(relay->view->routes, host_of(request), path);
+	if (!exchange->route)
+		return age_ms > relay->conf.deny_age_ms ? &stale_configuration
+							: &no_route;
+	if (!exchange->route->anonymous) {
+		const gc_refusal_t *refusal = check_key(exchange, age_ms);
+
+		if (refusal)
+			return refusal;
+	}
+	if (relay->stopping && exchange->route->kind == GC_ROUTE_STREAM)
+		return &stopping;
+	exchange->view = gc_fleet_view_ref(relay->view);
+	exchange->service = gc_route_pick(
+		exchange->route,
+		relay->conf.random->next(relay->conf.random->ctx));
+	set_limits(exchange);
+	return NULL;
+}
+
+static const gc_refusal_t *check_key(gc_exchange_t *exchange, int64_t age_ms)
+{
+	const gc_relay_conf_t *conf = &exchange->relay->conf;
+	gc_str_t key;
+
+	/* The key may have been revoked since. */
+	if (age_ms > conf->admit_age_ms)
+		return &stale_configuration;
+	if (key_of(exchange, &key) &&
+	    gc_routes_account(exchange->relay->view->routes, key,
+			      &exchange->account))
+		return NULL;
+	return age_ms > conf->deny_age_ms ? &stale_configuration : &wrong_key;
+}
+
+static bool key_of(const gc_exchange_t *exchange, gc_str_t *key)
+{
+	gc_str_t value = gc_message_find(exchange->request, "authorization");
+	const char *scheme = exchange->relay->conf.adapter->headers.auth_scheme;
+	size_t len = strlen(scheme);
+
+	if (gc_message_count(exchange->request, "authorization") != 1 ||
+	    value.len <= len + 1 ||
+	    g_ascii_strncasecmp(value.data, scheme, len) != 0 ||
+	    value.data[len] != ' ')
+		return false;
+	*key = (gc_str_t){value.data + len + 1, value.len - len - 1};
+	return true;
+}
+
+/* Without the port, which does not select a route. */
+static gc_str_t host_of(const gc_message_t *request)
+{
+	gc_str_t host = gc_message_find(request, "host");
+	const char *colon = memchr(host.data, ':', host.len);
+
+	if (colon)
+		host.len = (size_t)(colon - host.data);
+	return host;
+}
+
+static void set_limits(gc_exchange_t *exchange)
+{
+	const gc_route_t *route = exchange->route;
+	const char *name = exchange->relay->conf.adapter->headers.deadline_ms;
+	int64_t limit =
+		route->timeout_ms > 0 ? route->timeout_ms : DEFAULT_LIMIT_MS;
+
+	exchange->deadline_ms = number_header(exchange->request, name, limit);
+	exchange->limit_ms = MIN(limit, exchange->deadline_ms);
+	exchange->attempts.route = route;
+}
+
+static int64_t number_header(const gc_message_t *request, const char *name,
+			     int64_t other)
+{
+	gc_str_t value = gc_message_find(request, name);
+	g_autofree char *text = NULL;
+	char *after;
+	int64_t number;
+
+	if (!value.data || value.len == 0)
+		return other;
+	text = g_strndup(value.data, value.len);
+	number = g_ascii_strtoll(text, &after, 10);
+	return *after == '\0' && number >= 0 ? number : other;
+}
+
+static void on_gone(void *ctx, gc_caller_t *caller)
+{
+	gc_exchange_t *exchange = gc_caller_data(caller);
+
+	if (exchange)
+		gc_exchange_abandon(exchange);
+}
+
+static void on_drained(void *ctx, gc_caller_t *caller)
+{
+	gc_exchange_t *exchange = gc_caller_data(caller);
+
+	if (exchange)
+		gc_exchange_drained(exchange);
+}
+
+void gc_relay_refuse(gc_relay_t *relay, gc_caller_t *caller, gc_str_t id,
+		     const gc_refusal_t *refusal)
+{
+	g_autoptr(GString) head =
+		g_string_new("Content-Type: application/json\r\n");
+	g_autofree char *body = g_strdup_printf(
+		"{\"error\":{\"code\":\"%s\",\"message\":\"%s\","
+		"\"run\":\"%s\"}}\n",
+		refusal->code, refusal->why,
+		refusal->not_run ? "not_run" : "in_doubt");
+	g_autofree char *status = g_strdup_printf("%d", refusal->status);
+
+	if (id.len > 0)
+		g_string_append_printf(head, "%s: %.*s\r\n",
+				       relay->conf.adapter->headers.request_id,
+				       GC_STR_ARG(id));
+	if (refusal->retry_after_ms > 0) {
+		int64_t ms = refusal->retry_after_ms;
+
+		ms += (int64_t)(relay->conf.random->next(
+					relay->conf.random->ctx) %
+				RETRY_JITTER_MS);
+		g_string_append_printf(head,
+				       "Retry-After: %" G_GINT64_FORMAT
+				       ".%03" G_GINT64_FORMAT "\r\n",
+				       ms / 1000, ms % 1000);
+	}
+	gc_log(refusal->not_run ? GC_LOG_INFO : GC_LOG_WARNING,
+	       refusal->not_run ? GC_EVENT_ROUTED_REFUSED
+				: GC_EVENT_ROUTED_FAILED,
+	       refusal->not_run ? "request refused" : "request failed",
+	       "request", id.len > 0 ? id.data : "", "status", status, "reason",
+	       refusal->why, NULL);
+	gc_caller_answer(caller, refusal->status,
+			 (gc_str_t){head->str, head->len}, gc_str(body));
+}
--- /dev/null
+++ b/lib/routed_settings.c
@@ -0,0 +1,166 @@
+/* Reads and checks the settings of the routed mode. */
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "core/error.h"
+#include "lib/routed_settings.h"
+
+typedef struct reader {
+	TALLOC_CTX *mem;
+	const json_t *json;
+	GString *problems;
+} reader_t;
+
+static json_t *load(const char *path, GError **err);
+static void read_all(reader_t *reader, gc_routed_settings_t *settings);
+static const char *text(reader_t *reader, const char *name, bool required);
+static void endpoint(reader_t *reader, const char *name, bool required,
+		     gc_listen_t *listen);
+static double number(reader_t *reader, const char *name, double other,
+		     double least, double most);
+static void problem(reader_t *reader, const char *name, const char *what);
+
+bool gc_routed_settings_asked(const char *path)
+{
+	json_t *json = load(path, NULL);
+	const char *mode = json_string_value(json_object_get(json, "mode"));
+	bool asked = mode && strcmp(mode, "routed") == 0;
+
+	json_decref(json);
+	return asked;
+}
+
+static json_t *load(const char *path, GError **err)
+{
+	json_error_t error;
+	json_t *json = json_load_file(path, 0, &error);
+
+	if (!json)
+		gc_error_set(err, GC_ERR_INVALID, "settings", NULL,
+			     "line %d: %s", error.line, error.text);
+	return json;
+}
+
+gc_routed_settings_t *gc_routed_settings_load(TALLOC_CTX *mem, const char *path,
+					      GError **err)
+{
+	gc_routed_settings_t *settings;
+	reader_t reader = {0};
+	json_t *json = load(path, err);
+
+	if (!json)
+		return NULL;
+	settings = talloc_zero(mem, gc_routed_settings_t);
+	reader = (reader_t){settings, json, g_string_new(NULL)};
+	read_all(&reader, settings);
+	json_decref(json);
+	if (reader.problems->len > 0) {
+		gc_error_set(err, GC_ERR_INVALID, "settings", NULL, "%s",
+			     reader.problems->str);
+		TALLOC_FREE(settings);
+	}
+	g_string_free(reader.problems, TRUE);
+	return settings;
+}
+
+static void read_all(reader_t *reader, gc_routed_settings_t *settings)
+{
+	const char *level = text(reader, "log_level", false);
+
+	settings->instance = text(reader, "instance", true);
+	settings->failure_domain = text(reader, "failure_domain", true);
+	settings->store = text(reader, "store", true);
+	settings->caller_address = text(reader, "caller", true);
+	endpoint(reader, "caller", true, &settings->caller);
+	endpoint(reader, "ready", true, &settings->ready);
+	endpoint(reader, "addresses", true, &settings->addresses);
+	endpoint(reader, "metrics", false, &settings->metrics);
+	settings->config_in_force_ms = (int64_t)number(
+		reader, "config_in_force_ms", 2000, 200, 600000);
+	settings->revoke_ms =
+		(int64_t)number(reader, "revoke_ms", 5000, 500, 600000);
+	settings->contact_ms =
+		(int64_t)number(reader, "contact_ms", 3000, 500, 600000);
+	settings->stop_grace_ms =
+		(int64_t)(1000 * number(reader, "stop_grace_s", 8, 1, 3600));
+	settings->repeat_ratio = number(reader, "repeat_ratio", 0.8, 0, 10);
+	settings->repeat_slack =
+		(uint32_t)number(reader, "repeat_slack", 300, 0, 1e9);
+	settings->address_ttl_s =
+		(uint32_t)number(reader, "address_ttl_s", 2, 1, 3600);
+	settings->lease_ms =
+		(int64_t)number(reader, "lease_ms", 3000, 1000, 600000);
+	settings->log_level = GC_LOG_INFO;
+	if (level && !gc_log_level_parse(level, &settings->log_level))
+		problem(reader, "log_level",
+			"not debug, info, warning or error");
+}
+
+static void problem(reader_t *reader, const char *name, const char *what)
+{
+	if (reader->problems->len > 0)
+		g_string_append_c(reader->problems, '\n');
+	g_string_append_printf(reader->problems, "%s: %s", name, what);
+}
+
+static const char *text(reader_t *reader, const char *name, bool required)
+{
+	const json_t *value = json_object_get(reader->json, name);
+
+	if (json_is_string(value) && json_string_length(value) > 0)
+		return talloc_strdup(reader->mem, json_string_value(value));
+	if (required)
+		problem(reader, name, "a string is missing");
+	else if (value && !json_is_null(value))
+		problem(reader, name, "not a string");
+	return NULL;
+}
+
+static void endpoint(reader_t *reader, const char *name, bool required,
+		     gc_listen_t *listen)
+{
+	const json_t *value = json_object_get(reader->json, name);
+	char *address;
+	char *colon;
+	struct in_addr ip;
+	unsigned long port;
+
+	if (!json_is_string(value)) {
+		if (required || (value && !json_is_null(value)))
+			problem(reader, name, "IP:PORT is missing");
+		return;
+	}
+	address = talloc_strdup(reader->mem, json_string_value(value));
+	colon = strrchr(address, ':');
+	if (!colon) {
+		problem(reader, name, "not IP:PORT");
+		return;
+	}
+	*colon = '\0';
+	port = strtoul(colon + 1, NULL, 10);
+	if (inet_pton(AF_INET, address, &ip) != 1 || port > UINT16_MAX) {
+		problem(reader, name, "not IP:PORT");
+		return;
+	}
+	listen->address = address;
+	listen->port = (uint16_t)port;
+}
+
+static double number(reader_t *reader, const char *name, double other,
+		     double least, double most)
+{
+	const json_t *value = json_object_get(reader->json, name);
+	g_autofree char *range = NULL;
+
+	if (!value || json_is_null(value))
+		return other;
+	if (json_is_number(value) && json_number_value(value) >= least &&
+	    json_number_value(value) <= most)
+		return json_number_value(value);
+	range = g_strdup_printf("not a number from %g to %g", least, most);
+	problem(reader, name, range);
+	return other;
+}
--- /dev/null
+++ b/lib/socket.c
@@ -0,0 +1,430 @@
+/* Non-blocking TCP connections and listeners on a tevent loop. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/error.h"
+#include "lib/socket.h"
+
+/* One read; larger ones only hold the loop up. */
+#define READ_BYTES 16384
+/* Connections taken in one turn of the loop. */
+#define ACCEPT_BURST 32
+#define BACKLOG	     512
+/* Probes without an answer that end a connection. */
+#define KEEPALIVE_PROBES 1
+
+struct gc_socket {
+	struct tevent_context *ev;
+	int fd;
+	struct tevent_fd *fde;
+	struct tevent_immediate *later;
+	gc_socket_ops_t ops;
+	void *ctx;
+	GByteArray *out; /* NULL while nothing waits */
+	uint64_t sent;
+	int send_error;
+	bool connecting;
+	bool paused;
+	bool in_callback;
+	bool destroyed;
+};
+
+struct gc_listener {
+	int fd;
+	struct tevent_fd *fde;
+	uint16_t port;
+	gc_listener_accept_t accept;
+	void *ctx;
+};
+
+static int socket_destructor(gc_socket_t *sock);
+static gc_socket_t *create(TALLOC_CTX *mem, struct tevent_context *ev, int fd,
+			   const gc_socket_ops_t *ops, void *ctx);
+static bool parse_address(gc_str_t address, struct sockaddr_in *sin);
+static void set_liveness(int fd, const gc_socket_liveness_t *liveness);
+static void set_int(int fd, int level, int option, int value);
+static void on_fd(struct tevent_context *ev, struct tevent_fd *fde,
+		  uint16_t flags, void *ctx);
+static void finish_connect(gc_socket_t *sock);
+static void do_read(gc_socket_t *sock);
+static void do_write(gc_socket_t *sock);
+static size_t write_some(gc_socket_t *sock, gc_str_t data);
+static void update_flags(gc_socket_t *sock);
+static void end(gc_socket_t *sock, int error);
+static void on_send_error(struct tevent_context *ev,
+			  struct tevent_immediate *im, void *ctx);
+static int listener_destructor(gc_listener_t *listener);
+static bool open_listener(gc_listener_t *listener, const char *address,
+			  uint16_t port);
+static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
+		      uint16_t flags, void *ctx);
+
+gc_socket_t *gc_socket_connect(TALLOC_CTX *mem, struct tevent_context *ev,
+			       gc_str_t address,
+			       const gc_socket_liveness_t *liveness,
+			       const gc_socket_ops_t *ops, void *ctx)
+{
+	struct sockaddr_in sin;
+	gc_socket_t *sock;
+	int fd;
+
+	if (!parse_address(address, &sin))
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	set_liveness(fd, liveness);
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 &&
+	    errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	sock = create(mem, ev, fd, ops, ctx);
+	sock->connecting = true;
+	update_flags(sock);
+	return sock;
+}
+
+static bool parse_address(gc_str_t address, struct sockaddr_in *sin)
+{
+	g_autofree char *text = g_strndup(address.data, address.len);
+	char *colon = strrchr(text, ':');
+	char *after;
+	unsigned long port;
+
+	if (!colon)
+		return false;
+	*colon = '\0';
+	port = strtoul(colon + 1, &after, 10);
+	*sin = (struct sockaddr_in){.sin_family = AF_INET};
+	sin->sin_port = htons((uint16_t)port);
+	return after != colon + 1 && *after == '\0' && port > 0 &&
+	       port <= UINT16_MAX && inet_pton(AF_INET, text, &sin->sin_addr);
+}
+
+static void set_liveness(int fd, const gc_socket_liveness_t *liveness)
+{
+	if (liveness->keepalive_s > 0) {
+		int s = (int)liveness->keepalive_s;
+
+		set_int(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+		set_int(fd, IPPROTO_TCP, TCP_KEEPIDLE, s);
+		set_int(fd, IPPROTO_TCP, TCP_KEEPINTVL, s);
+		set_int(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	}
+	if (liveness->unacked_ms > 0)
+		set_int(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			(int)liveness->unacked_ms);
+}
+
+/* Socket options are hints here: a kernel without one serves as well. */
+static void set_int(int fd, int level, int option, int value)
+{
+	(void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+gc_socket_t *gc_socket_adopt(TALLOC_CTX *mem, struct tevent_context *ev, int fd,
+			     const gc_socket_ops_t *ops, void *ctx)
+{
+	return create(mem, ev, fd, ops, ctx);
+}
+
+static gc_socket_t *create(TALLOC_CTX *mem, struct tevent_context *ev, int fd,
+			   const gc_socket_ops_t *ops, void *ctx)
+{
+	gc_socket_t *sock = talloc_zero(mem, gc_socket_t);
+
+	set_int(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	sock->ev = ev;
+	sock->fd = fd;
+	sock->ops = *ops;
+	sock->ctx = ctx;
+	sock->later = tevent_create_immediate(sock);
+	sock->fde = tevent_add_fd(ev, sock, fd, TEVENT_FD_READ, on_fd, sock);
+	talloc_set_destructor(sock, socket_destructor);
+	return sock;
+}
+
+static int socket_destructor(gc_socket_t *sock)
+{
+	TALLOC_FREE(sock->fde);
+	if (sock->fd >= 0)
+		close(sock->fd);
+	if (sock->out)
+		g_byte_array_free(sock->out, TRUE);
+	sock->out = NULL;
+	return 0;
+}
+
+void gc_socket_destroy(gc_socket_t *sock)
+{
+	if (!sock || sock->destroyed)
+		return;
+	if (!sock->in_callback) {
+		talloc_free(sock);
+		return;
+	}
+	sock->destroyed = true;
+	TALLOC_FREE(sock->fde);
+	close(sock->fd);
+	sock->fd = -1;
+	/* The owner may be freed before the callback has returned. */
+	talloc_steal(NULL, sock);
+}
+
+void gc_socket_reset(gc_socket_t *sock)
+{
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	if (sock && !sock->destroyed)
+		(void)setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &linger,
+				 sizeof(linger));
+	gc_socket_destroy(sock);
+}
+
+void gc_socket_set_ops(gc_socket_t *sock, const gc_socket_ops_t *ops, void *ctx)
+{
+	sock->ops = *ops;
+	sock->ctx = ctx;
+}
+
+static void update_flags(gc_socket_t *sock)
+{
+	uint16_t flags = 0;
+
+	if (!sock->paused && !sock->connecting)
+		flags |= TEVENT_FD_READ;
+	if (sock->connecting || sock->out)
+		flags |= TEVENT_FD_WRITE;
+	if (tevent_fd_get_flags(sock->fde) != flags)
+		tevent_fd_set_flags(sock->fde, flags);
+}
+
+static void on_fd(struct tevent_context *ev, struct tevent_fd *fde,
+		  uint16_t flags, void *ctx)
+{
+	gc_socket_t *sock = ctx;
+
+	sock->in_callback = true;
+	if (sock->connecting)
+		finish_connect(sock);
+	else if (flags & TEVENT_FD_WRITE)
+		do_write(sock);
+	if (!sock->destroyed && (flags & TEVENT_FD_READ))
+		do_read(sock);
+	sock->in_callback = false;
+	if (sock->destroyed)
+		talloc_free(sock);
+}
+
+static void finish_connect(gc_socket_t *sock)
+{
+	socklen_t len = sizeof(int);
+	int error = 0;
+
+	if (getsockopt(sock->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+		error = errno;
+	if (error != 0) {
+		end(sock, error);
+		return;
+	}
+	sock->connecting = false;
+	if (sock->ops.connected)
+		sock->ops.connected(sock->ctx);
+	if (!sock->destroyed && sock->out)
+		do_write(sock);
+	if (!sock->destroyed)
+		update_flags(sock);
+}
+
+static void do_read(gc_socket_t *sock)
+{
+	static _Thread_local char buffer[READ_BYTES];
+	ssize_t n = recv(sock->fd, buffer, sizeof(buffer), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0)
+		end(sock, n < 0 ? errno : 0);
+	else
+		sock->ops.received(sock->ctx, (gc_str_t){buffer, (size_t)n});
+}
+
+static void end(gc_socket_t *sock, int error)
+{
+	/* Without this the loop would spin until the owner destroys it. */
+	tevent_fd_set_flags(sock->fde, 0);
+	sock->ops.ended(sock->ctx, error);
+}
+
+static void do_write(gc_socket_t *sock)
+{
+	gc_str_t data = {(const char *)sock->out->data, sock->out->len};
+	size_t n = write_some(sock, data);
+
+	if (sock->send_error != 0) {
+		end(sock, sock->send_error);
+		return;
+	}
+	g_byte_array_remove_range(sock->out, 0, (guint)n);
+	if (sock->out->len > 0)
+		return;
+	g_byte_array_free(sock->out, TRUE);
+	sock->out = NULL;
+	update_flags(sock);
+	if (sock->ops.drained)
+		sock->ops.drained(sock->ctx);
+}
+
+static size_t write_some(gc_socket_t *sock, gc_str_t data)
+{
+	ssize_t n = send(sock->fd, data.data, data.len, MSG_NOSIGNAL);
+
+	if (n >= 0) {
+		sock->sent += (uint64_t)n;
+		return (size_t)n;
+	}
+	if (errno != EAGAIN && errno != EINTR)
+		sock->send_error = errno;
+	return 0;
+}
+
+void gc_socket_send(gc_socket_t *sock, gc_str_t data)
+{
+	size_t n = 0;
+
+	if (sock->destroyed || data.len == 0 || sock->send_error != 0)
+		return;
+	if (!sock->connecting && !sock->out)
+		n = write_some(sock, data);
+	if (sock->send_error != 0) {
+		/* Told from the loop, so that callers need not expect it. */
+		tevent_schedule_immediate(sock->later, sock->ev, on_send_error,
+					  sock);
+		return;
+	}
+	if (n == data.len)
+		return;
+	if (!sock->out)
+		sock->out = g_byte_array_new();
+	g_byte_array_append(sock->out, (const guint8 *)data.data + n,
+			    (guint)(data.len - n));
+	update_flags(sock);
+}
+
+static void on_send_error(struct tevent_context *ev,
+			  struct tevent_immediate *im, void *ctx)
+{
+	gc_socket_t *sock = ctx;
+
+	if (sock->destroyed)
+		return;
+	sock->in_callback = true;
+	end(sock, sock->send_error);
+	sock->in_callback = false;
+	if (sock->destroyed)
+		talloc_free(sock);
+}
+
+void gc_socket_finish(gc_socket_t *sock)
+{
+	if (!sock->destroyed)
+		(void)shutdown(sock->fd, SHUT_WR);
+}
+
+size_t gc_socket_pending(const gc_socket_t *sock)
+{
+	return sock->out ? sock->out->len : 0;
+}
+
+uint64_t gc_socket_sent(const gc_socket_t *sock)
+{
+	return sock->sent;
+}
+
+void gc_socket_pause(gc_socket_t *sock, bool pause)
+{
+	if (sock->destroyed || sock->paused == pause)
+		return;
+	sock->paused = pause;
+	update_flags(sock);
+}
+
+gc_listener_t *gc_listener_create(TALLOC_CTX *mem, struct tevent_context *ev,
+				  const char *address, uint16_t port,
+				  gc_listener_accept_t accept, void *ctx,
+				  GError **err)
+{
+	gc_listener_t *listener = talloc_zero(mem, gc_listener_t);
+
+	listener->accept = accept;
+	listener->ctx = ctx;
+	if (!open_listener(listener, address, port)) {
+		gc_error_set(err, GC_ERR_IO, "listen", address, "port %u: %s",
+			     port, g_strerror(errno));
+		if (listener->fd >= 0)
+			close(listener->fd);
+		talloc_free(listener);
+		return NULL;
+	}
+	talloc_set_destructor(listener, listener_destructor);
+	listener->fde = tevent_add_fd(ev, listener, listener->fd,
+				      TEVENT_FD_READ, on_accept, listener);
+	return listener;
+}
+
+static bool open_listener(gc_listener_t *listener, const char *address,
+			  uint16_t port)
+{
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_port = htons(port)};
+	socklen_t len = sizeof(sin);
+
+	listener->fd = -1;
+	if (inet_pton(AF_INET, address, &sin.sin_addr) != 1) {
+		errno = EINVAL;
+		return false;
+	}
+	listener->fd =
+		socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (listener->fd < 0)
+		return false;
+	set_int(listener->fd, SOL_SOCKET, SO_REUSEADDR, 1);
+	if (bind(listener->fd, (struct sockaddr *)&sin, sizeof(sin)) != 0 ||
+	    listen(listener->fd, BACKLOG) != 0 ||
+	    getsockname(listener->fd, (struct sockaddr *)&sin, &len) != 0)
+		return false;
+	listener->port = ntohs(sin.sin_port);
+	return true;
+}
+
+static int listener_destructor(gc_listener_t *listener)
+{
+	TALLOC_FREE(listener->fde);
+	close(listener->fd);
+	return 0;
+}
+
+uint16_t gc_listener_port(const gc_listener_t *listener)
+{
+	return listener->port;
+}
+
+static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
+		      uint16_t flags, void *ctx)
+{
+	gc_listener_t *listener = ctx;
+
+	for (int i = 0; i < ACCEPT_BURST; i++) {
+		int fd = accept4(listener->fd, NULL, NULL,
+				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		listener->accept(listener->ctx, fd);
+	}
+}
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -13,4 +13,4 @@
 CXXFLAGS += -std=gnu++17 $(OPT) -Wall -Wextra -Wno-unused-parameter \
 	-Wno-missing-field-initializers
 LIBGC = $(TOP)/libgoldcrest.a
-LDLIBS = $(LIBGC) $(PKG_LIBS) -lpthread -lm
+LDLIBS = $(LIBGC) $(PKG_LIBS) -lhttp_parser -lpthread -lm
