--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -10,8 +10,10 @@
 /* Silence after which a stream goes on elsewhere, as part of the longest
  * pause in time; the rest is left for the next server's first event. */
 #define SILENT_PART 0.55
-/* The same until the first event, as part of the objective. */
-#define FIRST_SILENT_PART 0.55
+/* The same until the first event, as part of the objective. A server that
+ * reads a long prompt sends nothing for seconds; one that was cut off is
+ * noticed earlier by the connection's own probes. */
+#define FIRST_SILENT_PART 1.0
 /* For routes without an objective or a longest pause. */
 #define DEFAULT_SILENT_MS 5000
 /* Part of the objective in which a request waits for a usable server. */
@@ -254,9 +256,7 @@
 static int64_t silent_limit_ms(const gc_exchange_t *exchange)
 {
 	const gc_route_t *route = exchange->route;
-	double ms = route->kind == GC_ROUTE_STREAM
-			    ? FIRST_SILENT_PART * (double)route->objective_ms
-			    : (double)route->objective_ms;
+	double ms = FIRST_SILENT_PART * (double)route->objective_ms;
 
 	if (exchange->heard_any)
 		ms = SILENT_PART * (double)route->event_gap_ms;
@@ -446,7 +446,8 @@
 	gc_backend_failed(exchange->backend, now, end);
 	gc_backend_unref(exchange->copy_from);
 	exchange->copy_from = NULL;
-	if (exchange->copy && end != GC_END_REFUSED && end != GC_END_UNREACHED)
+	/* There is no copy before the run's first event. */
+	if (exchange->copy && exchange->heard_any)
 		exchange->copy_from = gc_backend_ref(exchange->copy);
 	release_attempt(exchange);
 	next = gc_attempts_end(&exchange->attempts, end, left_ms, &repeat);
