--- a/core/attempts.c
+++ b/core/attempts.c
@@ -17,9 +17,10 @@
 	*repeat = end != GC_END_UNREACHED;
 	if (end == GC_END_UNREACHED)
 		attempts->sent--;
-	if (end != GC_END_UNREACHED && end != GC_END_REFUSED)
+	if (end != GC_END_UNREACHED && end != GC_END_REFUSED &&
+	    end != GC_END_MOVED)
 		attempts->may_have_run = true;
-	if (end == GC_END_BROKEN || end == GC_END_SILENT)
+	if (end == GC_END_BROKEN || end == GC_END_SILENT || end == GC_END_MOVED)
 		attempts->lost++;
 	if (attempts->may_have_run && !gc_route_may_repeat(attempts->route))
 		return end == GC_END_FAILED ? GC_NEXT_PASS : GC_NEXT_FAIL;
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -15,6 +15,7 @@
 typedef enum gc_attempt_end {
 	GC_END_UNREACHED, /* no byte of the request was sent */
 	GC_END_REFUSED, /* the server says that it did not run it */
+	GC_END_MOVED, /* another server answers at the address; not run */
 	GC_END_FAILED, /* a whole answer that tells of a failure */
 	GC_END_BROKEN, /* connection lost or answer damaged */
 	GC_END_SILENT, /* nothing came for too long */
--- a/core/backends.c
+++ b/core/backends.c
@@ -18,13 +18,24 @@
 /* How long a suspect domain is avoided. */
 #define DOMAIN_EJECT_MS 1300
 /* Weights of a score, in requests in flight. */
-#define REMOTE_SCORE  0.5 /* another failure domain */
-#define FOREIGN_SCORE 0.6 /* another daemon prefers this server */
+#define REMOTE_SCORE  0.6 /* another failure domain */
+#define FOREIGN_SCORE 0.4 /* another daemon prefers this server */
+#define QUEUED_SCORE  2.0 /* a prompt that is read holds up all others */
+#define MEMORY_SCORE  6.0 /* memory that is nearly used up */
 #define COPY_SCORE    0.3 /* each copy of a run's memory */
 #define FAILURE_SCORE 6.0 /* of the excess failure rate */
 #define JITTER_SCORE  0.1
 /* A copy in the domain of its run is lost with it when the domain fails. */
 #define SHARED_FATE_SCORE 100.0
+/* A report counts for this long. */
+#define REPORT_MS 500
+/* Memory in use beyond this part makes requests wait or be preempted. */
+#define MEMORY_FULL 0.8
+/* Random part of the choice whom to ask for load, in requests in flight. */
+#define CANDIDATE_JITTER 1.0
+/* A server whose address was taken over is left alone until it is removed
+ * from the store. */
+#define MOVED_MS 5000
 /* Answers over which the failure rate is smoothed. */
 #define RATE_ANSWERS 16.0
 /* Part of the fleet's allowed repeats that daemons use; the rest is a margin
@@ -64,6 +75,9 @@
 	bool ejected;
 	struct timespec ejected_until;
 	struct timespec full_until;
+	gc_load_t load; /* as reported */
+	bool reported;
+	struct timespec reported_at;
 };
 
 struct gc_backends {
@@ -87,6 +101,7 @@
 static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend);
 static double score(const gc_backends_t *backends, const gc_backend_t *backend,
 		    struct timespec now);
+static double load_score(const gc_backend_t *backend, struct timespec now);
 static double jitter(const gc_backends_t *backends);
 static bool domain_ejected(const gc_backend_t *backend, struct timespec now);
 static bool local(const gc_backends_t *backends, const gc_backend_t *backend);
@@ -286,6 +301,55 @@
 	return chosen;
 }
 
+size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
+			      gc_str_t service, const gc_backend_set_t *avoid,
+			      gc_backend_t **candidates, size_t max)
+{
+	double scores[GC_CANDIDATES_MAX];
+	size_t n = 0;
+
+	max = max < GC_CANDIDATES_MAX ? max : GC_CANDIDATES_MAX;
+	for (gc_backend_t *b = backends->first; b; b = b->next) {
+		double value;
+		size_t at;
+
+		if (!gc_str_eq(b->entry.service, service) ||
+		    !gc_backend_usable(b, now) || in_set(avoid, b))
+			continue;
+		value = score(backends, b, now) +
+			CANDIDATE_JITTER * jitter(backends);
+		for (at = n; at > 0 && scores[at - 1] > value; at--) {
+			if (at == max)
+				continue;
+			scores[at] = scores[at - 1];
+			candidates[at] = candidates[at - 1];
+		}
+		if (at == max)
+			continue;
+		scores[at] = value;
+		candidates[at] = b;
+		n += n < max;
+	}
+	return n;
+}
+
+gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
+				  const gc_backend_set_t *set)
+{
+	gc_backend_t *chosen = NULL;
+	double least = 0;
+
+	for (size_t i = 0; i < set->n; i++) {
+		double value = score(backends, set->list[i], now);
+
+		if (chosen && value >= least)
+			continue;
+		chosen = set->list[i];
+		least = value;
+	}
+	return chosen;
+}
+
 gc_backend_t *gc_backends_choose_copy(gc_backends_t *backends,
 				      struct timespec now,
 				      const gc_backend_t *run,
@@ -322,7 +386,7 @@
 		    struct timespec now)
 {
 	double excess = backend->failure_rate - backend->service->failure_rate;
-	double value = backend->in_flight + COPY_SCORE * backend->copies;
+	double value = load_score(backend, now) + COPY_SCORE * backend->copies;
 
 	if (!local(backends, backend))
 		value += REMOTE_SCORE;
@@ -335,6 +399,21 @@
 	return value + JITTER_SCORE * jitter(backends);
 }
 
+/* Work of all daemons if a fresh report tells it, else the own work. */
+static double load_score(const gc_backend_t *backend, struct timespec now)
+{
+	double own = backend->in_flight;
+	double reported;
+
+	if (!backend->reported ||
+	    gc_ms_between(backend->reported_at, now) > REPORT_MS)
+		return own;
+	reported = backend->load.running + QUEUED_SCORE * backend->load.queued;
+	if (backend->load.memory > MEMORY_FULL)
+		reported += MEMORY_SCORE;
+	return reported > own ? reported : own;
+}
+
 /* Uniform in [0, 1). */
 static double jitter(const gc_backends_t *backends)
 {
@@ -413,19 +492,31 @@
 	case GC_END_REFUSED:
 		backend->full_until = gc_add_ms(now, FULL_MS);
 		break;
+	case GC_END_MOVED:
+		backend->ejected = true;
+		backend->ejected_until = gc_add_ms(now, MOVED_MS);
+		break;
 	case GC_END_FAILED:
 		count_answer(backend, 1);
 		break;
 	case GC_END_UNREACHED:
 	case GC_END_BROKEN:
 	case GC_END_SILENT:
-		count_answer(backend, 1);
 		eject(backend, now);
 		suspect_domain(backend, now);
 		break;
 	}
 }
 
+void gc_backend_report(gc_backend_t *backend, struct timespec now,
+		       const gc_load_t *load)
+{
+	backend->load = *load;
+	backend->reported = true;
+	backend->reported_at = now;
+	gc_backend_alive(backend);
+}
+
 static void eject(gc_backend_t *backend, struct timespec now)
 {
 	int64_t ms = EJECT_MS;
--- a/core/backends.h
+++ b/core/backends.h
@@ -18,6 +18,9 @@
 #include "core/roster.h"
 #include "core/str.h"
 
+/* Servers that gc_backends_candidates names at most. */
+#define GC_CANDIDATES_MAX 8
+
 typedef struct gc_backends gc_backends_t;
 typedef struct gc_backend gc_backend_t;
 
@@ -30,7 +33,14 @@
 	uint32_t repeat_slack;
 } gc_backends_conf_t;
 
-/* Servers not to choose. */
+/* A server's own report of its load; lags by some hundred ms. */
+typedef struct gc_load {
+	uint32_t running;
+	uint32_t queued; /* these wait, or read their prompt */
+	double memory; /* part in use that can't be freed, 0 to 1 */
+} gc_load_t;
+
+/* A set of servers. */
 typedef struct gc_backend_set {
 	gc_backend_t *const *list;
 	size_t n;
@@ -53,6 +63,16 @@
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
 				 const gc_backend_set_t *avoid);
+/*
+ * Servers of the service that are worth a question for their load, the best
+ * first; at most max. Returns their number.
+ */
+size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
+			      gc_str_t service, const gc_backend_set_t *avoid,
+			      gc_backend_t **candidates, size_t max);
+/* The best server of a set by what is known now; NULL if it is empty. */
+gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
+				  const gc_backend_set_t *set);
 /*
  * The server that should hold the copy of a run's memory: in another failure
  * domain than the run if possible, with few copies. NULL if there is none.
@@ -80,6 +100,10 @@
 void gc_backend_failed(gc_backend_t *backend, struct timespec now,
 		       gc_attempt_end_t end);
 
+/* What the server said of itself. */
+void gc_backend_report(gc_backend_t *backend, struct timespec now,
+		       const gc_load_t *load);
+
 /* A first request for the service, which earns a share of a repeat. */
 void gc_backends_count_request(gc_backends_t *backends, gc_str_t service);
 /* Takes one repeat from the service's budget; false if it is used up. */
--- a/core/routes.h
+++ b/core/routes.h
@@ -41,6 +41,7 @@
 typedef struct gc_route_service {
 	gc_str_t name;
 	uint32_t max_connections; /* to one backend server, from all daemons */
+	bool reports_load; /* its servers tell their load */
 	bool backs_up; /* its servers can copy a run's memory elsewhere */
 } gc_route_service_t;
 
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "core/backends.h"
 #include "core/roster.h"
 #include "core/routes.h"
 #include "core/str.h"
@@ -41,11 +42,14 @@
 	const char *servers_prefix; /* keys of backend servers */
 	const char *ready_path;
 	const char *addresses_path;
+	const char *load_path; /* of a backend server's load report */
 	/* Errors: GC_ERR_INVALID. */
 	gc_routes_t *(*read_routes)(gc_str_t record, GError **err);
 	/* entry belongs to mem. Errors: GC_ERR_INVALID. */
 	bool (*read_server)(TALLOC_CTX *mem, gc_str_t id, gc_str_t record,
 			    gc_entry_t *entry, GError **err);
+	/* False if the report can't be read. */
+	bool (*read_load)(gc_str_t report, gc_load_t *load);
 	/* target is a request's path and query. */
 	void (*read_address_query)(TALLOC_CTX *mem, gc_str_t target,
 				   gc_address_query_t *query);
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -5,6 +5,7 @@
 #include "core/attempts.h"
 #include "core/events.h"
 #include "lib/relay.h"
+#include "lib/survey.h"
 
 /* Backend servers that one request can meet. */
 #define GC_EXCHANGE_MAX_TRIED 16
@@ -27,12 +28,16 @@
 	gc_attempts_t attempts;
 	gc_backend_t *tried[GC_EXCHANGE_MAX_TRIED];
 	size_t n_tried;
+	gc_survey_t *survey; /* before an attempt */
 	gc_call_t *call; /* the attempt in progress */
 	gc_backend_t *backend; /* of the call */
 	gc_backend_t *copy; /* gets the run's memory */
 	gc_backend_t *copy_from; /* holds memory of the run before */
 	struct timespec heard; /* last byte of the attempt */
 	bool heard_any; /* an event of the attempt came */
+	struct timespec passed; /* last event to the caller */
+	int64_t first_ms; /* after arrival, of the first event */
+	int64_t pause_ms; /* longest between two events */
 
 	gc_events_t *events; /* of a stream */
 	bool head_sent;
@@ -41,6 +46,7 @@
 	GByteArray *body; /* of it */
 	bool good; /* it is a success of this request */
 	bool refused; /* the server says that it did not run it */
+	bool moved; /* another server answers at its address */
 
 	gc_timer_t *limit_timer;
 	gc_timer_t *silence_timer;
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -27,12 +27,17 @@
 #define COLLECT_BYTES 65536
 /* Bytes that may wait for a slow caller before its server is paused. */
 #define MAX_PENDING_BYTES 131072
+/* Servers that are asked for their load before a stream is placed. */
+#define SURVEY_SIZE 3
+/* They answer within a round trip; one that does not is not chosen. */
+#define SURVEY_MS 40
 /* When to come back after a refusal. */
 #define RETRY_AFTER_MS 250
 
 static int exchange_destructor(gc_exchange_t *exchange);
 static void next_attempt(gc_exchange_t *exchange);
-static gc_backend_t *choose(gc_exchange_t *exchange, struct timespec now);
+static bool ask_for_load(gc_exchange_t *exchange, struct timespec now);
+static void on_survey(void *ctx);
 static void choose_copy(gc_exchange_t *exchange, struct timespec now);
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms);
@@ -42,6 +47,7 @@
 static void on_whole(void *ctx, const gc_message_t *answer);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *why);
 static void take_events(gc_exchange_t *exchange, gc_str_t data);
+static void count_pause(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
 static void pass_bytes(gc_exchange_t *exchange, gc_str_t data);
 static void take_whole_stream(gc_exchange_t *exchange);
@@ -112,6 +118,8 @@
 
 	cancel_call(exchange);
 	release_attempt(exchange);
+	if (exchange->survey)
+		gc_survey_destroy(exchange->survey);
 	for (size_t i = 0; i < exchange->n_tried; i++)
 		gc_backend_unref(exchange->tried[i]);
 	gc_backend_unref(exchange->copy_from);
@@ -138,6 +146,7 @@
 {
 	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
 	int64_t left_ms = exchange->limit_ms - elapsed_ms(exchange);
+	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
 	gc_backend_t *backend;
 
 	if (left_ms <= 0 || exchange->n_tried == GC_EXCHANGE_MAX_TRIED) {
@@ -145,24 +154,70 @@
 			GC_END_SILENT);
 		return;
 	}
-	backend = choose(exchange, now);
-	if (!backend) {
-		wait_for_server(exchange);
+	if (exchange->copy_from &&
+	    gc_backend_usable(exchange->copy_from, now)) {
+		start_attempt(exchange, exchange->copy_from, left_ms);
 		return;
 	}
-	start_attempt(exchange, backend, left_ms);
+	gc_backend_unref(exchange->copy_from);
+	exchange->copy_from = NULL;
+	if (ask_for_load(exchange, now))
+		return;
+	backend = gc_backends_choose(exchange->relay->backends, now,
+				     exchange->service, &tried);
+	if (backend)
+		start_attempt(exchange, backend, left_ms);
+	else
+		wait_for_server(exchange);
 }
 
-static gc_backend_t *choose(gc_exchange_t *exchange, struct timespec now)
+/* True if a survey was started; its end goes on with the attempt. */
+static bool ask_for_load(gc_exchange_t *exchange, struct timespec now)
 {
+	gc_relay_t *relay = exchange->relay;
+	const gc_route_service_t *service =
+		gc_routes_service(exchange->view->routes, exchange->service);
 	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_t *candidates[SURVEY_SIZE];
+	gc_survey_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.clock = relay->conf.clock,
+		.adapter = relay->conf.adapter,
+		.timeout_ms = SURVEY_MS,
+		.done = on_survey,
+		.ctx = exchange,
+	};
+	size_t n;
+
+	if (!service || !service->reports_load)
+		return false;
+	n = gc_backends_candidates(relay->backends, now, exchange->service,
+				   &tried, candidates, SURVEY_SIZE);
+	if (n < 2)
+		return false;
+	/* Not the exchange's: its end may free the exchange first. */
+	exchange->survey = gc_survey_start(relay, &conf, candidates, n);
+	return true;
+}
 
-	if (exchange->copy_from && gc_backend_usable(exchange->copy_from, now))
-		return exchange->copy_from;
-	gc_backend_unref(exchange->copy_from);
-	exchange->copy_from = NULL;
-	return gc_backends_choose(exchange->relay->backends, now,
-				  exchange->service, &tried);
+static void on_survey(void *ctx)
+{
+	gc_exchange_t *exchange = ctx;
+	gc_survey_t *survey = exchange->survey;
+	gc_backend_set_t answered = gc_survey_answered(survey);
+	gc_backend_t *backend =
+		gc_backends_best_of(exchange->relay->backends,
+				    gc_clock_now(exchange->relay->conf.clock),
+				    &answered);
+
+	exchange->survey = NULL;
+	if (backend)
+		start_attempt(exchange, backend,
+			      exchange->limit_ms - elapsed_ms(exchange));
+	else
+		wait_for_server(exchange);
+	gc_survey_destroy(survey);
 }
 
 /* Only streams take long enough to be worth a copy of their memory. */
@@ -337,6 +392,7 @@
 
 	if (whole->len > 0) {
 		exchange->heard = gc_clock_now(exchange->relay->conf.clock);
+		count_pause(exchange);
 		if (!exchange->heard_any) {
 			exchange->heard_any = true;
 			gc_backend_alive(exchange->backend);
@@ -356,6 +412,19 @@
 	attempt_ended(exchange, GC_END_BROKEN, err->message);
 }
 
+/* For the log: whether the caller got its events in time. */
+static void count_pause(gc_exchange_t *exchange)
+{
+	int64_t pause_ms = gc_ms_between(exchange->passed, exchange->heard);
+
+	if (!exchange->head_sent)
+		exchange->first_ms =
+			gc_ms_between(exchange->arrived, exchange->heard);
+	else if (pause_ms > exchange->pause_ms)
+		exchange->pause_ms = pause_ms;
+	exchange->passed = exchange->heard;
+}
+
 static void append_event(void *ctx, gc_str_t event)
 {
 	g_string_append_len(ctx, event.data, (gssize)event.len);
@@ -384,7 +453,8 @@
 	/* It is freed by its owner after this callback. */
 	exchange->call = NULL;
 	if (exchange->refused) {
-		attempt_ended(exchange, GC_END_REFUSED,
+		attempt_ended(exchange,
+			      exchange->moved ? GC_END_MOVED : GC_END_REFUSED,
 			      "the server did not run it");
 	} else if (exchange->good && exchange->events) {
 		take_whole_stream(exchange);
@@ -560,10 +630,14 @@
 		g_strdup_printf("%u", exchange->attempts.sent);
 	g_autofree char *ms =
 		g_strdup_printf("%" G_GINT64_FORMAT, elapsed_ms(exchange));
+	g_autofree char *first =
+		g_strdup_printf("%" G_GINT64_FORMAT, exchange->first_ms);
+	g_autofree char *pause =
+		g_strdup_printf("%" G_GINT64_FORMAT, exchange->pause_ms);
 
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ANSWERED, message, "request",
 	       exchange->id.data, "status", status, "attempts", attempts, "ms",
-	       ms, NULL);
+	       ms, "first_ms", first, "pause_ms", pause, NULL);
 }
 
 static void on_limit(void *ctx)
