--- a/core/backends.c
+++ b/core/backends.c
@@ -93,6 +93,7 @@
 static service_t *find_service(gc_backends_t *backends, gc_str_t name);
 static double budget_max(const gc_backends_t *backends);
 static domain_t *find_domain(gc_backends_t *backends, const gc_entry_t *entry);
+static bool superseded(const gc_entry_t *servers, size_t n, size_t i);
 static gc_backend_t *find(gc_backends_t *backends, const gc_entry_t *entry);
 static void update(gc_backend_t *backend, const gc_entry_t *entry);
 static void remove_unlisted(gc_backends_t *backends);
@@ -174,6 +175,8 @@
 	for (backend = backends->first; backend; backend = backend->next)
 		backend->listed = false;
 	for (size_t i = 0; i < n; i++) {
+		if (superseded(servers, n, i))
+			continue;
 		backend = find(backends, &servers[i]);
 		update(backend, &servers[i]);
 	}
@@ -183,6 +186,20 @@
 		s->budget.max = budget_max(backends);
 }
 
+/*
+ * A server that crashed and started again has another entry at the same
+ * address; the old one stays until it expires.
+ */
+static bool superseded(const gc_entry_t *servers, size_t n, size_t i)
+{
+	for (size_t j = 0; j < n; j++)
+		if (servers[j].started_ms > servers[i].started_ms &&
+		    servers[i].started_ms > 0 &&
+		    gc_str_eq(servers[j].address, servers[i].address))
+			return true;
+	return false;
+}
+
 /* A new address or start time means another incarnation: a new object. */
 static gc_backend_t *find(gc_backends_t *backends, const gc_entry_t *entry)
 {
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -48,6 +48,12 @@
 	/* entry belongs to mem. Errors: GC_ERR_INVALID. */
 	bool (*read_server)(TALLOC_CTX *mem, gc_str_t id, gc_str_t record,
 			    gc_entry_t *entry, GError **err);
+	const char *copy_order_path; /* POST: copy a run's memory elsewhere */
+	/* Body of such an order; free with g_free. */
+	char *(*write_copy_order)(gc_str_t run, gc_str_t target_address);
+	/* Name of the copy at the run's server; false if there is none. */
+	bool (*read_copy_handle)(TALLOC_CTX *mem, gc_str_t answer,
+				 gc_str_t *handle);
 	/* False if the report can't be read. */
 	bool (*read_load)(gc_str_t report, gc_load_t *load);
 	/* target is a request's path and query. */
--- a/lib/exchange.c
+++ b/lib/exchange.c
@@ -86,10 +86,8 @@
 		append_header(text, gc_str(names->copy_to),
 			      gc_backend_address(exchange->copy));
 	if (exchange->copy_from == backend)
-		g_string_append_printf(text, "%s: %.*s/%.*s\r\n",
-				       names->copy_from,
-				       GC_STR_ARG(gc_backend_address(backend)),
-				       GC_STR_ARG(exchange->id));
+		append_header(text, gc_str(names->copy_from),
+			      exchange->copy_from_name);
 }
 
 void gc_exchange_copy_head(GString *head, const gc_message_t *answer)
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -4,6 +4,7 @@
 
 #include "core/attempts.h"
 #include "core/events.h"
+#include "lib/ask.h"
 #include "lib/relay.h"
 #include "lib/survey.h"
 
@@ -32,7 +33,13 @@
 	gc_call_t *call; /* the attempt in progress */
 	gc_backend_t *backend; /* of the call */
 	gc_backend_t *copy; /* gets the run's memory */
+	gc_str_t copy_name; /* ADDRESS/ID of the copy */
+	gc_ask_t *copy_order; /* for another copy, as this one was lost */
+	gc_backend_t *copy_target; /* of the order */
+	struct timespec copy_due; /* when a copy by order has to be renewed */
+	bool copy_by_order;
 	gc_backend_t *copy_from; /* holds memory of the run before */
+	gc_str_t copy_from_name; /* ADDRESS/ID of that copy */
 	struct timespec heard; /* last byte of the attempt */
 	bool heard_any; /* an event of the attempt came */
 	struct timespec passed; /* last event to the caller */
@@ -51,8 +58,20 @@
 	gc_timer_t *limit_timer;
 	gc_timer_t *silence_timer;
 	gc_timer_t *retry_timer;
+	gc_timer_t *copy_timer; /* looks after the copy */
 } gc_exchange_t;
 
+/*
+ * Copies of a run's memory (exchange_copy.c). gc_exchange_start_copy chooses
+ * the server that gets it, before the attempt is sent; _stop_copy forgets it.
+ */
+void gc_exchange_start_copy(gc_exchange_t *exchange);
+void gc_exchange_stop_copy(gc_exchange_t *exchange);
+/* After the end of an attempt: the next one may go on from the copy. */
+void gc_exchange_use_copy(gc_exchange_t *exchange);
+/* A timer of the exchange. */
+void gc_exchange_on_copy_timer(void *ctx);
+
 /* Text of the request for a backend server; free with g_string_free. */
 GString *gc_exchange_request_text(const gc_exchange_t *exchange,
 				  const gc_backend_t *backend, int64_t left_ms);
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -38,7 +38,6 @@
 static void next_attempt(gc_exchange_t *exchange);
 static bool ask_for_load(gc_exchange_t *exchange, struct timespec now);
 static void on_survey(void *ctx);
-static void choose_copy(gc_exchange_t *exchange, struct timespec now);
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms);
 static void wait_for_server(gc_exchange_t *exchange);
@@ -92,6 +91,8 @@
 		gc_timer_create(exchange, timers, on_limit, exchange);
 	exchange->silence_timer =
 		gc_timer_create(exchange, timers, on_silence, exchange);
+	exchange->copy_timer = gc_timer_create(
+		exchange, timers, gc_exchange_on_copy_timer, exchange);
 	exchange->retry_timer =
 		gc_timer_create(exchange, timers, on_retry, exchange);
 	if (exchange->route->kind == GC_ROUTE_STREAM) {
@@ -220,25 +221,6 @@
 	gc_survey_destroy(survey);
 }
 
-/* Only streams take long enough to be worth a copy of their memory. */
-static void choose_copy(gc_exchange_t *exchange, struct timespec now)
-{
-	const gc_route_service_t *service =
-		gc_routes_service(exchange->view->routes, exchange->service);
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
-	gc_backend_t *copy;
-
-	if (!service || !service->backs_up || !exchange->events ||
-	    !gc_route_may_repeat(exchange->route))
-		return;
-	copy = gc_backends_choose_copy(exchange->relay->backends, now,
-				       exchange->backend, &tried);
-	if (!copy)
-		return;
-	exchange->copy = gc_backend_ref(copy);
-	gc_backend_begin_copy(copy);
-}
-
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms)
 {
@@ -252,7 +234,7 @@
 	exchange->backend = gc_backend_ref(backend);
 	exchange->tried[exchange->n_tried++] = gc_backend_ref(backend);
 	gc_backend_begin(backend);
-	choose_copy(exchange, now);
+	gc_exchange_start_copy(exchange);
 	exchange->heard = now;
 	exchange->heard_any = false;
 	exchange->good = false;
@@ -514,11 +496,7 @@
 	       gc_backend_id(exchange->backend).data, "reason", why, "status",
 	       status, NULL);
 	gc_backend_failed(exchange->backend, now, end);
-	gc_backend_unref(exchange->copy_from);
-	exchange->copy_from = NULL;
-	/* There is no copy before the run's first event. */
-	if (exchange->copy && exchange->heard_any)
-		exchange->copy_from = gc_backend_ref(exchange->copy);
+	gc_exchange_use_copy(exchange);
 	release_attempt(exchange);
 	next = gc_attempts_end(&exchange->attempts, end, left_ms, &repeat);
 	if (!exchange->caller) {
@@ -544,11 +522,7 @@
 		gc_backend_unref(exchange->backend);
 		exchange->backend = NULL;
 	}
-	if (exchange->copy) {
-		gc_backend_end_copy(exchange->copy);
-		gc_backend_unref(exchange->copy);
-		exchange->copy = NULL;
-	}
+	gc_exchange_stop_copy(exchange);
 }
 
 static void cancel_call(gc_exchange_t *exchange)
