--- a/lib/message.c
+++ b/lib/message.c
@@ -44,6 +44,7 @@
 static int on_name(http_parser *parser, const char *at, size_t len);
 static int on_value(http_parser *parser, const char *at, size_t len);
 static int on_head(http_parser *parser);
+static bool names_valid(const gc_message_t *message);
 static int on_body(http_parser *parser, const char *at, size_t len);
 static int on_whole(http_parser *parser);
 static gc_str_t text(const gc_message_t *message, guint at, guint len);
@@ -244,6 +245,13 @@
 		http_parser_pause(parser, 1);
 		return 0;
 	}
+	/* http-parser lets spaces through, which other parsers drop. */
+	if (!names_valid(message)) {
+		message->state = GC_MESSAGE_INVALID;
+		message->problem = "a header's name has wrong characters";
+		http_parser_pause(parser, 1);
+		return 0;
+	}
 	if (message->places->len > MAX_HEADERS ||
 	    message->head->len > message->limits.max_head) {
 		message->state = GC_MESSAGE_HEAD_TOO_LARGE;
@@ -269,6 +277,20 @@
 	return skip ? 1 : 0;
 }
 
+/* Names are tokens (RFC 9110, 5.6.2). */
+static bool names_valid(const gc_message_t *message)
+{
+	for (guint i = 0; i < message->places->len; i++) {
+		gc_str_t name = gc_message_header(message, i).name;
+
+		for (size_t j = 0; j < name.len; j++)
+			if (!g_ascii_isalnum(name.data[j]) &&
+			    !strchr("!#$%&'*+-.^_`|~", name.data[j]))
+				return false;
+	}
+	return true;
+}
+
 static int on_body(http_parser *parser, const char *at, size_t len)
 {
 	gc_message_t *message = parser->data;
--- /dev/null
+++ b/regress/check_backends.c
@@ -0,0 +1,354 @@
+/*
+ * Guards against the load patterns of a fleet that loses failure domains:
+ * herds on a fresh server, work for a domain that just broke, copies that are
+ * lost with their run, repeats that multiply the load.
+ */
+#include <stdio.h>
+
+#include "core/backends.h"
+#include "regress/unit.h"
+
+#define PER_DOMAIN 4
+#define N_SERVERS  (3 * PER_DOMAIN)
+
+static gc_backends_t *create(uint64_t *state);
+static void fill(gc_entry_t *servers);
+static void sync_all(gc_backends_t *backends, const gc_entry_t *servers,
+		     size_t n);
+static gc_backend_t *choose(gc_backends_t *backends, int64_t ms);
+static gc_backend_t *find(gc_backends_t *backends, const char *id);
+static bool in_domain(const gc_backend_t *backend, const char *domain);
+
+static char names[N_SERVERS][8];
+static char addresses[N_SERVERS][24];
+
+static gc_backends_t *create(uint64_t *state)
+{
+	static gc_random_t random;
+	gc_backends_conf_t conf = {.failure_domain = GC_STR_LIT("a"),
+				   .random = &random,
+				   .repeat_ratio = 0.8,
+				   .repeat_slack = 100};
+
+	random = (gc_random_t){unit_next_random, state};
+	return gc_backends_create(NULL, &conf);
+}
+
+/* a0 to a3, b0 to b3, c0 to c3. */
+static void fill(gc_entry_t *servers)
+{
+	static const char *const domains[] = {"a", "b", "c"};
+
+	for (int i = 0; i < N_SERVERS; i++) {
+		const char *domain = domains[i / PER_DOMAIN];
+
+		snprintf(names[i], sizeof(names[i]), "%s%d", domain,
+			 i % PER_DOMAIN);
+		snprintf(addresses[i], sizeof(addresses[i]), "127.0.0.1:%d",
+			 1000 + i);
+		servers[i] = (gc_entry_t){.id = gc_str(names[i]),
+					  .service = GC_STR_LIT("s"),
+					  .address = gc_str(addresses[i]),
+					  .failure_domain = gc_str(domain),
+					  .slots = 8,
+					  .started_ms = 1};
+	}
+}
+
+static void sync_all(gc_backends_t *backends, const gc_entry_t *servers,
+		     size_t n)
+{
+	gc_backends_sync(backends, servers, n, 0, 2, 4);
+}
+
+static gc_backend_t *choose(gc_backends_t *backends, int64_t ms)
+{
+	return gc_backends_choose(backends, unit_at(ms), GC_STR_LIT("s"), NULL);
+}
+
+static gc_backend_t *find(gc_backends_t *backends, const char *id)
+{
+	gc_backend_t *avoid[N_SERVERS];
+	gc_backend_set_t set = {avoid, 0};
+	gc_backend_t *backend;
+
+	while ((backend = gc_backends_choose(backends, unit_at(0),
+					     GC_STR_LIT("s"), &set)) != NULL) {
+		if (strcmp(gc_backend_id(backend).data, id) == 0)
+			return backend;
+		avoid[set.n++] = backend;
+	}
+	return NULL;
+}
+
+static bool in_domain(const gc_backend_t *backend, const char *domain)
+{
+	return strcmp(gc_backend_domain(backend).data, domain) == 0;
+}
+
+START_TEST(test_idle_servers_of_the_own_domain_first)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	for (int i = 0; i < PER_DOMAIN; i++) {
+		gc_backend_t *backend = choose(backends, 0);
+
+		ck_assert(in_domain(backend, "a"));
+		ck_assert_uint_eq(gc_backend_in_flight(backend), 0);
+		gc_backend_begin(backend);
+	}
+	ck_assert(!in_domain(choose(backends, 0), "a"));
+	talloc_free(backends);
+}
+END_TEST
+
+/* Two daemons that don't see each other's requests start at other servers. */
+START_TEST(test_daemons_prefer_other_servers)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state[2] = {1, 2};
+	gc_backend_t *first[2][2];
+
+	fill(servers);
+	for (size_t rank = 0; rank < 2; rank++) {
+		gc_backends_t *backends = create(&state[rank]);
+
+		gc_backends_sync(backends, servers, N_SERVERS, rank, 2, 2);
+		for (int i = 0; i < 2; i++) {
+			first[rank][i] = choose(backends, 0);
+			gc_backend_begin(first[rank][i]);
+		}
+	}
+	for (int i = 0; i < 2; i++)
+		for (int j = 0; j < 2; j++)
+			ck_assert_str_ne(gc_backend_id(first[0][i]).data,
+					 gc_backend_id(first[1][j]).data);
+}
+END_TEST
+
+/* Seen with 36 replicas: all daemons chose the one that had just restarted. */
+START_TEST(test_fresh_server_draws_no_herd)
+{
+	gc_entry_t servers[N_SERVERS];
+	unsigned int chosen = 0;
+
+	fill(servers);
+	for (uint64_t seed = 0; seed < 20; seed++) {
+		uint64_t state = seed;
+		gc_backends_t *backends = create(&state);
+
+		sync_all(backends, servers, N_SERVERS - 1);
+		for (int i = 0; i < N_SERVERS - 1; i++) {
+			gc_backend_t *old = find(backends, names[i]);
+
+			gc_backend_failed(old, unit_at(-60000), GC_END_BROKEN);
+			gc_backend_succeeded(old);
+		}
+		sync_all(backends, servers, N_SERVERS);
+		chosen += strcmp(gc_backend_id(choose(backends, 0)).data,
+				 names[N_SERVERS - 1]) == 0;
+		talloc_free(backends);
+	}
+	ck_assert_uint_eq(chosen, 0);
+}
+END_TEST
+
+START_TEST(test_a_domain_that_broke_is_avoided)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	gc_backend_failed(find(backends, "a0"), unit_at(0), GC_END_BROKEN);
+	ck_assert(in_domain(choose(backends, 1), "a"));
+	gc_backend_failed(find(backends, "a1"), unit_at(1), GC_END_SILENT);
+	ck_assert(!in_domain(choose(backends, 2), "a"));
+	ck_assert(in_domain(choose(backends, 3000), "a"));
+	talloc_free(backends);
+}
+END_TEST
+
+/* One server that fails again and again says nothing of its domain. */
+START_TEST(test_one_bad_server_ejects_no_domain)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	gc_backend_t *bad;
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	bad = find(backends, "a0");
+	for (int i = 0; i < 5; i++)
+		gc_backend_failed(bad, unit_at(i), GC_END_BROKEN);
+	ck_assert(in_domain(choose(backends, 5), "a"));
+	ck_assert(!gc_backend_usable(bad, unit_at(3000)));
+	ck_assert(gc_backend_usable(bad, unit_at(6000)));
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_all_ejected_is_better_than_none)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	for (int i = 0; i < N_SERVERS; i++)
+		gc_backend_failed(find(backends, names[i]), unit_at(0),
+				  GC_END_BROKEN);
+	ck_assert_ptr_nonnull(choose(backends, 1));
+	for (int i = 0; i < N_SERVERS; i++)
+		servers[i].draining = true;
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_ptr_null(choose(backends, 1));
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_copies_are_elsewhere)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	gc_backend_t *run;
+	gc_backend_t *copy;
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	run = find(backends, "a0");
+	for (int i = 0; i < 2 * PER_DOMAIN; i++) {
+		copy = gc_backends_choose_copy(backends, unit_at(0), run, NULL);
+		ck_assert(!in_domain(copy, "a"));
+		gc_backend_begin_copy(copy);
+	}
+	sync_all(backends, servers, PER_DOMAIN);
+	copy = gc_backends_choose_copy(backends, unit_at(0), run, NULL);
+	ck_assert_ptr_nonnull(copy);
+	ck_assert_ptr_ne(copy, run);
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_restarted_server_replaces_its_old_entry)
+{
+	gc_entry_t servers[2];
+	gc_entry_t all[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	gc_backend_t *old;
+
+	fill(all);
+	servers[0] = all[0];
+	sync_all(backends, servers, 1);
+	old = gc_backend_ref(choose(backends, 0));
+	servers[1] = all[0];
+	servers[1].id = GC_STR_LIT("z");
+	servers[1].started_ms = 2;
+	sync_all(backends, servers, 2);
+	ck_assert(gc_backend_gone(old));
+	ck_assert_str_eq(gc_backend_id(choose(backends, 0)).data, "z");
+	gc_backend_unref(old);
+	talloc_free(backends);
+}
+END_TEST
+
+/* Daemons are blind to each other's work; the servers' reports are not. */
+START_TEST(test_reports_beat_own_counts)
+{
+	const gc_load_t busy = {.running = 5, .queued = 2};
+	const gc_load_t idle = {0};
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	gc_backend_t *set[2];
+	gc_backend_set_t both = {set, 2};
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	set[0] = find(backends, "a0");
+	set[1] = find(backends, "b0");
+	gc_backend_report(set[0], unit_at(0), &busy);
+	gc_backend_report(set[1], unit_at(0), &idle);
+	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(10), &both),
+			 set[1]);
+	/* An old report counts no more. */
+	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(2000), &both),
+			 set[0]);
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_candidates_are_distinct_and_usable)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	gc_backend_t *bad;
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	bad = find(backends, "a0");
+	gc_backend_failed(bad, unit_at(0), GC_END_BROKEN);
+	for (int i = 0; i < 50; i++) {
+		gc_backend_t *c[3];
+
+		ck_assert_uint_eq(gc_backends_candidates(backends, unit_at(1),
+							 GC_STR_LIT("s"), NULL,
+							 c, 3),
+				  3);
+		ck_assert(c[0] != c[1] && c[1] != c[2] && c[0] != c[2]);
+		for (int j = 0; j < 3; j++)
+			ck_assert_ptr_ne(c[j], bad);
+	}
+	talloc_free(backends);
+}
+END_TEST
+
+/* All daemons together stay below ratio x requests + slack. */
+START_TEST(test_repeat_budget_is_shared)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create(&state);
+	unsigned int repeats = 0;
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	for (int i = 0; i < 1000; i++) {
+		gc_backends_count_request(backends, GC_STR_LIT("s"));
+		while (gc_backends_take_repeat(backends, GC_STR_LIT("s")))
+			repeats++;
+	}
+	ck_assert_uint_gt(repeats, 500);
+	ck_assert_uint_le(repeats, 800 + 100 / 4);
+	talloc_free(backends);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_idle_servers_of_the_own_domain_first,
+		test_daemons_prefer_other_servers,
+		test_fresh_server_draws_no_herd,
+		test_a_domain_that_broke_is_avoided,
+		test_one_bad_server_ejects_no_domain,
+		test_all_ejected_is_better_than_none,
+		test_copies_are_elsewhere,
+		test_restarted_server_replaces_its_old_entry,
+		test_reports_beat_own_counts,
+		test_candidates_are_distinct_and_usable,
+		test_repeat_budget_is_shared,
+	};
+
+	return unit_run("backends", tests, sizeof(tests) / sizeof(*tests));
+}
--- /dev/null
+++ b/regress/check_platform.c
@@ -0,0 +1,184 @@
+/*
+ * Guards against records of the platform that are read as something else, and
+ * against broken entries of other writers that name a server to use.
+ */
+#include "core/error.h"
+#include "platform/platform.h"
+#include "platform/records.h"
+#include "regress/unit.h"
+
+static bool read_server(const char *record);
+
+static const char *const config =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"h.example\",\"path_prefix\":\"/a/\","
+	"\"kind\":\"streaming\",\"timeout_ms\":25000,"
+	"\"target_latency_ms\":4500,\"traffic_split\":["
+	"{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\","
+	"\"weight\":10}],\"max_attempts\":5,\"anonymous\":false,"
+	"\"resumable\":true,\"target_gap_ms\":700},"
+	"{\"name\":\"r2\",\"host\":\"h.example\",\"path_prefix\":\"/b/\","
+	"\"kind\":\"non_idempotent\",\"service\":\"s2\",\"anonymous\":true},"
+	"{\"name\":\"r3\",\"host\":\"h.example\",\"path_prefix\":\"/c/\","
+	"\"kind\":\"unheard_of\",\"service\":\"s2\"}],"
+	"\"services\":[{\"name\":\"s1\",\"max_connections\":771,\"engine\":"
+	"{\"backups\":true}},{\"name\":\"s2\",\"max_connections\":214}],"
+	"\"limits\":{\"max_header_bytes\":1000,\"idle_timeout_ms\":9000},"
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\",3]}]}";
+
+START_TEST(test_routes)
+{
+	g_autoptr(GError) err = NULL;
+	gc_routes_t *routes = gc_platform_read_routes(gc_str(config), &err);
+	const gc_route_t *route;
+	gc_str_t account;
+
+	ck_assert_ptr_nonnull(routes);
+	ck_assert_uint_eq(gc_routes_version(routes), 7);
+	ck_assert_uint_eq(gc_routes_count(routes), 2);
+	route = gc_routes_find(routes, gc_str("h.example"), gc_str("/a/x"));
+	ck_assert_int_eq(route->kind, GC_ROUTE_STREAM);
+	ck_assert(route->resumable);
+	ck_assert(!route->anonymous);
+	ck_assert_uint_eq(route->n_shares, 2);
+	ck_assert_uint_eq(route->shares[0].weight, 90);
+	ck_assert_uint_eq(route->max_attempts, 5);
+	ck_assert_int_eq(route->timeout_ms, 25000);
+	ck_assert_int_eq(route->objective_ms, 4500);
+	ck_assert_int_eq(route->event_gap_ms, 700);
+	route = gc_routes_find(routes, gc_str("h.example"), gc_str("/b/"));
+	ck_assert_int_eq(route->kind, GC_ROUTE_ONCE);
+	ck_assert(route->anonymous);
+	ck_assert_uint_eq(route->n_shares, 1);
+	ck_assert_uint_eq(route->max_attempts, 1);
+	ck_assert(gc_routes_service(routes, gc_str("s1"))->backs_up);
+	ck_assert(!gc_routes_service(routes, gc_str("s2"))->reports_load);
+	ck_assert_uint_eq(gc_routes_limits(routes)->max_header_bytes, 1000);
+	ck_assert_uint_eq(gc_routes_limits(routes)->max_body_bytes, 4194304);
+	ck_assert_int_eq(gc_routes_limits(routes)->idle_timeout_ms, 9000);
+	ck_assert(gc_routes_account(routes, gc_str("k2"), &account));
+	ck_assert_str_eq(account.data, "t");
+	gc_routes_unref(routes);
+}
+END_TEST
+
+START_TEST(test_unreadable_config)
+{
+	static const char *const texts[] = {"", "[]", "{\"version\":\"7\"}",
+					    "{\"version\":7"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		g_autoptr(GError) err = NULL;
+
+		ck_assert_ptr_null(
+			gc_platform_read_routes(gc_str(texts[i]), &err));
+		ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
+	}
+}
+END_TEST
+
+static bool read_server(const char *record)
+{
+	g_autoptr(GError) err = NULL;
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_entry_t entry;
+	bool ok = gc_platform_read_server(mem, gc_str("i-1"), gc_str(record),
+					  &entry, &err);
+
+	ck_assert(ok || err);
+	talloc_free(mem);
+	return ok;
+}
+
+START_TEST(test_servers)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_entry_t entry;
+
+	ck_assert(gc_platform_read_server(
+		mem, gc_str("i-1"),
+		gc_str("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		       "\"zone\":\"z\",\"slots\":64,\"state\":\"draining\","
+		       "\"born\":1790000000123}"),
+		&entry, NULL));
+	ck_assert_str_eq(entry.id.data, "i-1");
+	ck_assert_str_eq(entry.failure_domain.data, "z");
+	ck_assert(entry.draining);
+	ck_assert_int_eq(entry.started_ms, INT64_C(1790000000123));
+	talloc_free(mem);
+	ck_assert(!read_server("{\"service\":\"s\",\"address\":\"a:1\","
+			       "\"slots\":64,\"state\":\"sleeping\"}"));
+	ck_assert(!read_server("{\"service\":7,\"address\":\"a:1\","
+			       "\"slots\":64,\"state\":\"ready\"}"));
+	ck_assert(!read_server("{\"service\":\"s\",\"address\":\"a:1\","
+			       "\"slots\":-1,\"state\":\"ready\"}"));
+	ck_assert(!read_server("{\"service\":\"s\",\"slots\":64,"
+			       "\"state\":\"ready\"}"));
+	ck_assert(!read_server("\xff\x00"));
+	ck_assert(!read_server("null"));
+}
+END_TEST
+
+START_TEST(test_load_report)
+{
+	gc_load_t load;
+
+	ck_assert(gc_platform_read_load(
+		gc_str("{\"queued\":1,\"running\":12,\"kv_used\":45000,"
+		       "\"kv_total\":90000}"),
+		&load));
+	ck_assert_uint_eq(load.running, 12);
+	ck_assert_uint_eq(load.queued, 1);
+	ck_assert_double_eq(load.memory, 0.5);
+	ck_assert(!gc_platform_read_load(gc_str("busy"), &load));
+}
+END_TEST
+
+START_TEST(test_addresses)
+{
+	const gc_adapter_t *adapter = &gc_platform_adapter;
+	gc_str_t addresses[] = {gc_str("10.0.0.1:1"), gc_str("10.0.0.2:1")};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_address_query_t query;
+	g_autofree char *text = adapter->write_addresses(addresses, 2, 2);
+
+	ck_assert_str_eq(text, "{\"addresses\":[\"10.0.0.1:1\","
+			       "\"10.0.0.2:1\"],\"ttl_s\":2}");
+	adapter->read_address_query(
+		mem, gc_str("/v1/resolve?name=h&region=r&zone=a%2Fb"), &query);
+	ck_assert_str_eq(query.failure_domain.data, "a/b");
+	adapter->read_address_query(mem, gc_str("/v1/resolve"), &query);
+	ck_assert_uint_eq(query.failure_domain.len, 0);
+	talloc_free(mem);
+}
+END_TEST
+
+START_TEST(test_copy_orders)
+{
+	const gc_adapter_t *adapter = &gc_platform_adapter;
+	g_autofree char *text = adapter->write_copy_order(
+		gc_str("9c41"), gc_str("10.0.0.2:80"));
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_str_t handle;
+
+	ck_assert_str_eq(text, "{\"id\":\"9c41\",\"target\":\"10.0.0.2:80\"}");
+	ck_assert(adapter->read_copy_handle(mem, gc_str("{\"handle\":\"h1\"}"),
+					    &handle));
+	ck_assert_str_eq(handle.data, "h1");
+	ck_assert(adapter->read_copy_handle(mem, gc_str("{\"handle\":17}"),
+					    &handle));
+	ck_assert_str_eq(handle.data, "17");
+	ck_assert(!adapter->read_copy_handle(mem, gc_str("{}"), &handle));
+	talloc_free(mem);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_routes,	  test_unreadable_config, test_servers,
+		test_load_report, test_addresses,	  test_copy_orders,
+	};
+
+	return unit_run("platform", tests, sizeof(tests) / sizeof(*tests));
+}
--- /dev/null
+++ b/regress/unit.h
@@ -0,0 +1,47 @@
+/* What the unit tests of the routed mode share. */
+#ifndef GC_REGRESS_UNIT_H
+#define GC_REGRESS_UNIT_H
+
+#include <check.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "core/clock.h"
+#include "core/place.h"
+
+/* Runs the tests as one case; the program's exit status. */
+static inline int unit_run(const char *name, const TTest *const *tests,
+			   size_t n)
+{
+	Suite *suite = suite_create(name);
+	TCase *tcase = tcase_create(name);
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	for (size_t i = 0; i < n; i++)
+		tcase_add_test(tcase, tests[i]);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+/* A time of the tests' own clock. */
+static inline struct timespec unit_at(int64_t ms)
+{
+	return gc_add_ms((struct timespec){.tv_sec = 1000}, ms);
+}
+
+/* SplitMix64; ctx is its state. */
+static inline uint64_t unit_next_random(void *ctx)
+{
+	uint64_t *state = ctx;
+	uint64_t z = (*state += UINT64_C(0x9e3779b97f4a7c15));
+
+	z = (z ^ (z >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	z = (z ^ (z >> 27)) * UINT64_C(0x94d049bb133111eb);
+	return z ^ (z >> 31);
+}
+
+#endif
