--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -21,6 +21,8 @@
 #define WAIT_STEP_MS 25
 /* A timer that fires this late tells that the daemon itself stood still. */
 #define OWN_PAUSE_MS 150
+/* How long a silent server is kept before another one is looked for again. */
+#define STAY_MS 50
 /* Time to read what arrived meanwhile. */
 #define CATCH_UP_MS 60
 /* Answers up to this size are checked whole before a byte goes on. */
@@ -64,6 +66,7 @@
 static int64_t silent_limit_ms(const gc_exchange_t *exchange);
 static void on_limit(void *ctx);
 static void on_silence(void *ctx);
+static bool can_move(const gc_exchange_t *exchange, struct timespec now);
 static void on_retry(void *ctx);
 
 static const gc_call_ops_t call_ops = {
@@ -319,10 +322,28 @@
 		gc_timer_set(exchange->silence_timer, CATCH_UP_MS);
 		return;
 	}
+	if (!can_move(exchange, now)) {
+		gc_timer_set(exchange->silence_timer, STAY_MS);
+		return;
+	}
 	cancel_call(exchange);
 	attempt_ended(exchange, GC_END_SILENT, "the server is silent");
 }
 
+/* A silent server is better than none: it may only be slow. */
+static bool can_move(const gc_exchange_t *exchange, struct timespec now)
+{
+	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_t *other;
+
+	if (exchange->copy && exchange->heard_any &&
+	    gc_backend_usable(exchange->copy, now))
+		return true;
+	return exchange->n_tried < GC_EXCHANGE_MAX_TRIED &&
+	       gc_backends_candidates(exchange->relay->backends, now,
+				      exchange->service, &tried, &other, 1) > 0;
+}
+
 static void on_head(void *ctx, const gc_message_t *answer)
 {
 	gc_exchange_t *exchange = ctx;
--- a/lib/front.c
+++ b/lib/front.c
@@ -352,9 +352,10 @@
 	finish_answer(caller);
 }
 
+/* Without chunks, a plain close would look like the end of the answer. */
 void gc_caller_abort(gc_caller_t *caller)
 {
-	close_caller(caller, true);
+	close_caller(caller, !caller->chunked);
 }
 
 size_t gc_caller_pending(const gc_caller_t *caller)
--- /dev/null
+++ b/regress/routed.sh
@@ -0,0 +1,87 @@
+# Functions for the scripted runs of the routed mode (routed_*.t). Sourced with
+# bash after daemon.sh.
+STANDINS=$TOP/standins/routed
+CONFIG_VERSION=0
+
+start_store() {
+	PYTHONDONTWRITEBYTECODE=1 python3 "$STANDINS/standin_store.py" \
+		store.ports >store.log 2>&1 &
+	pids="$pids $!"
+	await test -s store.ports
+	STORE=127.0.0.1:$(cat store.ports)
+}
+
+# start_server ID SERVICE ZONE [engine]: sets ID_pid.
+start_server() {
+	PYTHONDONTWRITEBYTECODE=1 python3 "$STANDINS/standin_server.py" \
+		"$1.ports" "$1" "$2" "$3" "http://$STORE" $4 >"$1.log" 2>&1 &
+	eval "$1_pid=$!"
+	pids="$pids $!"
+	await test -s "$1.ports"
+}
+
+operator() { curl -s "http://$STORE/operator" -d "$1" >/dev/null; }
+store_fault() { curl -s "http://$STORE/faults" -d "$1" >/dev/null; }
+stats() { curl -s "http://127.0.0.1:$(cat "$1.ports")/stats"; }
+# field SERVER NAME: a member of its statistics.
+field() { stats "$1" | python3 -c "import json,sys; print(json.load(sys.stdin)['$2'])"; }
+
+# put_config [ROUTES] [KEYS]: a new version with the usual routes and these.
+put_config() {
+	CONFIG_VERSION=$((CONFIG_VERSION + 3))
+	operator "{\"key\":\"op/config\",\"value\":{\"version\":$CONFIG_VERSION,
+	 \"routes\":[
+	  {\"name\":\"look\",\"host\":\"h.example\",\"path_prefix\":\"/look/\",
+	   \"kind\":\"idempotent\",\"service\":\"app\",\"max_attempts\":2,
+	   \"timeout_ms\":1500,\"target_latency_ms\":300},
+	  {\"name\":\"book\",\"host\":\"h.example\",\"path_prefix\":\"/book/\",
+	   \"kind\":\"non_idempotent\",\"service\":\"app\",\"max_attempts\":2,
+	   \"timeout_ms\":1000,\"target_latency_ms\":300},
+	  {\"name\":\"open\",\"host\":\"h.example\",\"path_prefix\":\"/open/\",
+	   \"kind\":\"idempotent\",\"service\":\"app\",\"anonymous\":true,
+	   \"max_attempts\":2,\"timeout_ms\":1000},
+	  {\"name\":\"draft\",\"host\":\"h.example\",\"path_prefix\":\"/draft/\",
+	   \"kind\":\"streaming\",\"service\":\"llm\",\"resumable\":true,
+	   \"max_attempts\":4,\"timeout_ms\":9000,\"target_latency_ms\":2000,
+	   \"target_gap_ms\":700}$1],
+	 \"services\":[{\"name\":\"app\",\"max_connections\":50},
+	  {\"name\":\"llm\",\"max_connections\":50,\"engine\":{\"backups\":true}}],
+	 \"limits\":{\"max_header_bytes\":2000,\"max_body_bytes\":5000,
+	  \"header_timeout_ms\":400,\"idle_timeout_ms\":5000},
+	 \"tenants\":[{\"name\":\"north\",\"api_keys\":[\"key-1\"${2-,\"key-2\"}]}]}}"
+}
+
+free_port() {
+	python3 -c 'import socket; s=socket.socket(); s.bind(("127.0.0.1",0)); print(s.getsockname()[1])'
+}
+
+# start_routed NAME [MEMBERS]: sets NAME_pid, FRONT, DESK, CALL.
+start_routed() {
+	FRONT=127.0.0.1:$(free_port)
+	DESK=127.0.0.1:$(free_port)
+	cat >"$1.json" <<-END
+	{"mode":"routed","instance":"$1","failure_domain":"a",
+	 "caller":"$FRONT","ready":"$DESK","addresses":"127.0.0.1:0",
+	 "store":"$STORE","config_in_force_ms":2000,"revoke_ms":5000,
+	 "contact_ms":3000,"stop_grace_s":4,"log_level":"debug"$2}
+	END
+	goldcrestd -f "$1.json" >"$1.log" 2>&1 &
+	eval "$1_pid=$!"
+	pids="$pids $!"
+	await ready
+}
+
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$DESK/v1/ready")" = 200 ]; }
+
+# ask PATH [CURL OPTION...]: sends a request with a fresh id. HOST and AUTH
+# change the host and the value of Authorization.
+ask() {
+	local path=$1
+	shift
+	curl -sN --max-time 10 -w '%{http_code}\n' "http://$FRONT$path" \
+		-H "Host: ${HOST-h.example}" \
+		-H "Goldcrestfield-Request-Id: r$(date +%N)" \
+		-H "Authorization:${AUTH- Token key-1}" \
+		-H 'Goldcrestfield-Deadline-Ms: 3000' "$@"
+}
+status() { ask "$@" -o /dev/null; }
--- /dev/null
+++ b/regress/routed_config.t
@@ -0,0 +1,83 @@
+Guards against configurations that come late, go back or outlive a revocation,
+against servers that are used after they left, and against callers that are
+sent to daemons that are not there.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server app1 app a
+  $ start_routed d1; D1=$FRONT DESK1=$DESK
+  $ start_routed d2; D2=$FRONT
+  $ FRONT=$D1 DESK=$DESK1
+
+Callers are told of both daemons; after one is killed, only of the other.
+
+  $ addresses() { curl -s "http://$DESK/v1/resolve?name=h.example&zone=a" | sed "s/$D1/D1/; s/$D2/D2/"; echo; }
+  $ addresses
+  {"addresses":["D1","D2"],"ttl_s":2}
+  $ kill_9 $d2_pid; sleep 4; addresses
+  {"addresses":["D1"],"ttl_s":2}
+
+A route and a key in force, and out of force, on the next request.
+
+  $ status /new/ok
+  404
+  $ put_config ',{"name":"new","host":"h.example","path_prefix":"/new/","kind":"idempotent","service":"app"}' ''; sleep 0.3
+  $ status /new/ok
+  200
+  $ AUTH=' Token key-2' status /look/ok
+  401
+  $ put_config; sleep 0.3
+  $ status /new/ok
+  404
+  $ AUTH=' Token key-2' status /look/ok
+  200
+
+The store forgets its history: the next change is seen all the same.
+
+  $ store_fault '{"compact":true}'; sleep 0.3
+  $ put_config '' ''; sleep 0.6
+  $ AUTH=' Token key-2' status /look/ok
+  401
+
+A draining server gets no request; without any, the refusal says when to come
+back.
+
+  $ start_server app2 app a; sleep 0.3; kill -USR1 $app1_pid; sleep 0.3
+  $ for i in 1 2 3 4; do ask /look/ok; done | grep -o '"server": "[a-z0-9]*"' | sort -u
+  "server": "app2"
+  $ kill -USR1 $app2_pid; sleep 0.3; ask /look/ok -D head.txt -o /dev/null; grep -o 'Retry-After: 0' head.txt
+  503
+  Retry-After: 0
+  $ start_server app3 app a; sleep 0.3; status /look/ok
+  200
+
+Entries of other writers name nothing to use and end nothing.
+
+  $ operator '{"key":"servers/x1","value":{"service":"app","state":"ready"}}'
+  $ operator '{"key":"servers/x2","value":"nonsense"}'
+  $ operator '{"key":"op/config","value":{"version":"none"}}'
+  $ sleep 0.3; status /look/ok
+  200
+  $ put_config; sleep 0.3
+
+The store is away: requests go on until the revocation bound, then those with a
+key are refused as not run, and no route or key is denied.
+
+  $ store_fault '{"mode":"silent"}'; sleep 1; status /look/ok
+  200
+  $ sleep 1.5; status /nowhere/ok
+  503
+  $ sleep 3.2; ask /look/ok | grep -o 'not_confirmed\|not_run\|^503'
+  not_confirmed
+  not_run
+  503
+  $ AUTH= status /open/ok
+  200
+  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$DESK/v1/ready"
+  503
+  $ store_fault '{"mode":"ok"}'; await ready; status /look/ok
+  200
+  $ grep -o '"message":"the store [^"]*"' d1.log | sort | uniq -c | awk '{ print $2, $3, $4, $5, $6 }'
+  "message":"the store can be read"
+  "message":"the store can't be read"
--- /dev/null
+++ b/regress/routed_requests.t
@@ -0,0 +1,108 @@
+Guards against routed requests that reach another service, run twice, are
+answered with bytes of another request, or are refused without need.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server app1 app a; start_server app2 app b
+  $ start_routed d1
+
+The request goes on unchanged, without the key, with the account's name; what
+only the system may set is dropped.
+
+  $ ask /look/ok?x=1 -X POST -d hello -H 'Goldcrestfield-Hold: h' | sed 's/app[12]/appN/'
+  {"server": "appN", "method": "POST", "target": "/look/ok?x=1", "account": "north", "key": null, "hold": null, "body": "hello"}
+  200
+  $ AUTH= ask /open/ok | grep -o '"account": [a-z]*'
+  "account": null
+
+Refusals of the daemon's own.
+
+  $ status /nowhere/ok
+  404
+  $ HOST=other.example status /look/ok
+  404
+  $ AUTH=' Token wrong' status /look/ok
+  401
+  $ AUTH= status /look/ok
+  401
+  $ status /look/ok -X POST -d "$(printf '%6000s' x)"
+  413
+  $ status /look/ok -H "X-Fill: $(printf '%2500s' x | tr ' ' x)"
+  431
+
+An idempotent request is sent again after a failure, within its attempts; a
+non-idempotent one is not, and gets no promise.
+
+  $ status /look/once-cut
+  200
+  $ status /look/once-fail
+  200
+  $ status /look/once-short
+  200
+  $ status /look/once-wrong
+  200
+  $ status /look/fail
+  500
+  $ status /look/cut
+  502
+  $ status /book/once-cut
+  502
+  $ status /book/once-wrong
+  502
+  $ status /book/fail
+  500
+  $ status /book/hang
+  504
+
+What a server says it did not run is sent to another one, or refused with a
+time to come back.
+
+  $ status /book/once-shed
+  200
+  $ ask /book/shed -D head.txt | tail -n 1; grep -o 'Retry-After: 0' head.txt
+  503
+  Retry-After: 0
+
+Answers that are late, extra or unframed.
+
+  $ for i in 1 2 3; do ask /look/late | tail -n 1; done
+  200
+  200
+  200
+  $ for i in 1 2 3; do ask /book/extra | tail -n 1; ask /book/ok | grep -c '"target": "/book/ok"'; done
+  200
+  1
+  200
+  1
+  200
+  1
+  $ ask /book/unframed
+  unframed
+  200
+
+No request ran more often than its route allows, and each server got a deadline
+within the caller's and the route's.
+
+  $ python3 - <<END
+  > import json, urllib.request
+  > runs, left = [], []
+  > for name in "app1", "app2":
+  >     port = open(name + ".ports").read().strip()
+  >     stats = json.load(urllib.request.urlopen(f"http://127.0.0.1:{port}/stats"))
+  >     runs += stats["runs"]
+  >     left += [seen["deadline"] for seen in stats["seen"]]
+  > print("deadlines", min(left) > 0, max(left) <= 1500)
+  > print("more than twice", sorted({r for r in runs if runs.count(r) > 2}))
+  > END
+  deadlines True True
+  more than twice []
+
+A restarted server at the same address is not taken for the old one.
+
+  $ operator '{"key":"servers/app1","remove":true}'
+  $ operator "{\"key\":\"servers/old\",\"value\":{\"service\":\"app\",\"address\":\"127.0.0.1:$(cat app1.ports)\",\"zone\":\"a\",\"slots\":4,\"state\":\"ready\"}}"
+  $ sleep 0.3; for i in 1 2 3; do status /book/ok; done
+  200
+  200
+  200
--- /dev/null
+++ b/regress/routed_stop.t
@@ -0,0 +1,91 @@
+Guards against a planned stop that cuts requests or is found out too late, and
+against input that is slow, torn or smuggled.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server app1 app a; start_server llm1 llm a engine
+  $ start_routed d1
+
+Settings are checked whole.
+
+  $ cat >bad.json <<END
+  > {"mode":"routed","instance":"","caller":"nowhere","ready":"127.0.0.1:1",
+  >  "store":7,"revoke_ms":"soon","log_level":"loud"}
+  > END
+  $ goldcrestd -n -f bad.json
+  goldcrestd: bad.json:
+  instance: a string is missing
+  failure_domain: a string is missing
+  store: a string is missing
+  caller: not IP:PORT
+  addresses: IP:PORT is missing
+  revoke_ms: not a number from 500 to 600000
+  log_level: not debug, info, warning or error
+  [1]
+  $ goldcrestd -n -f d1.json
+
+Torn, slow and ambiguous input gets an answer and reaches no server.
+
+  $ cat >raw.py <<END
+  > import socket, sys, time
+  > host, port = sys.argv[1].split(":")
+  > s = socket.create_connection((host, int(port)))
+  > s.settimeout(5)
+  > s.sendall(sys.argv[2].encode().decode("unicode_escape").encode("latin-1"))
+  > data = b""
+  > try:
+  >     while True:
+  >         part = s.recv(4096)
+  >         if not part: break
+  >         data += part
+  > except socket.timeout:
+  >     data += b" open"
+  > print(b" ".join(l for l in data.split(b"\n") if l.startswith(b"HTTP")).decode().replace("\r", ""))
+  > END
+  $ raw() { python3 raw.py "$FRONT" "$1"; }
+  $ raw 'POST /book/ok HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'
+  HTTP/1.1 400 Bad Request
+  $ raw 'POST /book/ok HTTP/1.1\r\nHost: h.example\r\nContent-Length : 5\r\n\r\nhello'
+  HTTP/1.1 400 Bad Request
+  $ raw 'GET /open/ok HTTP/1.1\r\nHost: h.example\r\nHost: h.example\r\nConnection: close\r\n\r\n'
+  HTTP/1.1 400 Bad Request
+  $ raw 'GET /open/ok HTTP/1.1\r\nHost: h.exa'
+  HTTP/1.1 408 Request Timeout
+  $ raw 'GET /open/ok HTTP/1.1\r\nHost: h.example\r\n\r\nGET /open/ok HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n'
+  HTTP/1.1 200 OK HTTP/1.1 200 OK
+  $ field app1 runs
+  ['', '']
+
+A reload with wrong settings changes nothing; metrics are served.
+
+  $ cp d1.json good.json; echo nonsense >d1.json; kill -HUP $d1_pid; sleep 0.2
+  $ status /look/ok
+  200
+  $ grep -c 'the settings are wrong, the old ones stay' d1.log
+  1
+  $ mv good.json d1.json; kill -HUP $d1_pid; sleep 0.2; grep -c 'settings read again' d1.log
+  1
+  $ curl -s "http://$DESK/metrics" | grep -c '^goldcrest_store_calls_total'
+  1
+
+A stop refuses new streams, serves other requests, ends the open ones and takes
+the daemon's entry away.
+
+  $ ask /look/slow >slow.out & ask /draft/ok >draft.out &
+  $ sleep 0.1; kill -TERM $d1_pid; sleep 0.1
+  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$DESK/v1/ready"
+  503
+  $ status /draft/ok
+  503
+  $ ask /look/ok -D head.txt -o /dev/null; grep -o 'Connection: close' head.txt
+  200
+  Connection: close
+  $ curl -s "http://$STORE/v1/kv-range?path_prefix=goldcrest/" | grep -o '"items": \[\]'
+  "items": []
+  $ for i in $(seq 100); do kill -0 $d1_pid 2>/dev/null || break; sleep 0.05; done
+  $ tail -n 1 slow.out; tail -n 1 draft.out
+  200
+  200
+  $ tail -n 1 d1.log | grep -o '"message":"stopped"'
+  "message":"stopped"
--- /dev/null
+++ b/regress/routed_streams.t
@@ -0,0 +1,51 @@
+Guards against streams that lose, repeat or mix events when their server dies,
+falls silent or is abandoned, and against work for callers that have left.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server llm1 llm a engine; start_server llm2 llm b engine; start_server llm3 llm c engine
+  $ start_routed d1
+  $ ids() { grep -o 'id: [0-9]*\|^[0-9]*$' | tr '\n' ' '; echo; }
+
+  $ ask /draft/ok | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
+The caller goes on after the last event that it has.
+
+  $ ask /draft/ok -H 'Last-Event-Id: 5' | ids
+  id: 6 id: 7 id: 8 200 
+
+The server dies inside its fourth event; the rest comes from the server that
+has the copy of the run's memory.
+
+  $ ask /draft/once-die | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ for s in llm1 llm2 llm3; do stats $s; echo; done | grep -o '"last": "3", "from": "127.0.0.1:[0-9]*/r[0-9]*"' | sed 's/:[0-9]*.r[0-9]*/:PORT\/ID/'
+  "last": "3", "from": "127.0.0.1:PORT/ID"
+
+The server falls silent after its third event; it is left before the stream goes
+on elsewhere, and the pause stays below the route's 700 ms.
+
+  $ ask /draft/once-mute | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ for s in llm1 llm2 llm3; do field $s abandoned; done | sort
+  [4]
+  []
+  []
+  $ grep '"message":"request answered"' d1.log | tail -n 1 | grep -o '"pause_ms":"[0-9]*"' | tr -dc 0-9 | awk '{ print ($1 > 300 && $1 < 700) }'
+  1
+
+All servers die: the stream is broken off and never looks complete.
+
+  $ ask /draft/die >die.out; echo "curl: $?"; ids <die.out
+  curl: 18
+  id: 1 id: 2 id: 3 200 
+
+A caller that leaves stops the work at once.
+
+  $ count() { for s in llm1 llm2 llm3; do stats $s | python3 -c "import json,sys; print(len(json.load(sys.stdin)['$1']))"; done | awk '{ n += $1 } END { print n }'; }
+  $ RUNS=$(count runs) LEFT=$(count abandoned)
+  $ ask /draft/mute --max-time 0.3 >/dev/null; sleep 0.3
+  $ echo $(($(count runs) - RUNS)) $(($(count abandoned) - LEFT))
+  1 1
--- /dev/null
+++ b/standins/routed/wire.py
@@ -0,0 +1,83 @@
+"""HTTP/1.1 on asyncio streams for the stand-ins: just enough, and rude on
+demand (answers that are cut, late, extra or unframed)."""
+
+import asyncio
+import json
+import urllib.parse
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        path, _, query = target.partition("?")
+        self.path = path
+        self.query = dict(urllib.parse.parse_qsl(query,
+                                                 keep_blank_values=True))
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body or b"{}")
+
+
+async def read_request(reader):
+    """The next request, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+    body = b""
+    length = int(headers.get("content-length", 0))
+    if length:
+        body = await reader.readexactly(length)
+    return Request(method, target, headers, body)
+
+
+def head(status, headers):
+    reasons = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Failed",
+               421: "Misdirected Request", 500: "Error", 503: "Busy"}
+    lines = [f"HTTP/1.1 {status} {reasons.get(status, 'Status')}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def whole(status, body=b"", headers=None):
+    headers = dict(headers or {})
+    headers["Content-Length"] = len(body)
+    return head(status, headers) + body
+
+
+def whole_json(status, value):
+    return whole(status, json.dumps(value).encode(),
+                 {"Content-Type": "application/json"})
+
+
+async def listen(handle, ports_file, port=0):
+    """Serves until cancelled; handle(request, reader, writer) answers and
+    returns False to end the connection."""
+    async def serve(reader, writer):
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None:
+                    break
+                if await handle(request, reader, writer) is False:
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", port)
+    port = server.sockets[0].getsockname()[1]
+    with open(ports_file, "w", encoding="ascii") as f:
+        f.write(f"{port}\n")
+    return server, port
