--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -18,9 +18,9 @@
 
 /* A call to the store that takes longer has failed. */
 #define STORE_TIMEOUT_MS 700
-/* Longest wait of a watch. Two of them and a timeout fit into the age at
- * which keys are no longer admitted. */
-#define WATCH_MS 1300
+/* Longest wait of a watch. One of them and a timeout fit into the age at
+ * which keys are no longer admitted; each costs a call. */
+#define WATCH_MS 1600
 /* The platform says that living servers are back within about 2 s. */
 #define LAPSE_GRACE_MS 2500
 
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -54,6 +54,8 @@
 	/* Name of the copy at the run's server; false if there is none. */
 	bool (*read_copy_handle)(TALLOC_CTX *mem, gc_str_t answer,
 				 gc_str_t *handle);
+	/* Path of a DELETE that frees such a copy; free with g_free. */
+	char *(*write_copy_drop_path)(gc_str_t handle);
 	/* False if the report can't be read. */
 	bool (*read_load)(gc_str_t report, gc_load_t *load);
 	/* target is a request's path and query. */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -37,7 +37,7 @@
 	gc_ask_t *copy_order; /* for another copy, as this one was lost */
 	gc_backend_t *copy_target; /* of the order */
 	struct timespec copy_due; /* when a copy by order has to be renewed */
-	bool copy_by_order;
+	gc_str_t copy_handle; /* of a copy by order; empty: not by order */
 	gc_backend_t *copy_from; /* holds memory of the run before */
 	gc_str_t copy_from_name; /* ADDRESS/ID of that copy */
 	struct timespec heard; /* last byte of the attempt */
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -19,6 +19,9 @@
 static gc_backend_t *choose(const gc_exchange_t *exchange);
 static void set_copy(gc_exchange_t *exchange, gc_backend_t *copy,
 		     gc_str_t address, gc_str_t name);
+static void drop(gc_exchange_t *exchange);
+static void on_dropped(void *ctx, int status, gc_str_t answer,
+		       gc_attempt_end_t end);
 static void order(gc_exchange_t *exchange, gc_backend_t *target);
 static void on_ordered(void *ctx, int status, gc_str_t answer,
 		       gc_attempt_end_t end);
@@ -69,7 +72,7 @@
 
 	exchange->copy = gc_backend_ref(copy);
 	exchange->copy_name = gc_str(text);
-	exchange->copy_by_order = false;
+	exchange->copy_handle = GC_STR_EMPTY;
 	gc_backend_begin_copy(copy);
 }
 
@@ -84,11 +87,42 @@
 	exchange->copy_target = NULL;
 	if (!exchange->copy)
 		return;
+	/* One that the next attempt goes on from must stay. */
+	if (exchange->copy != exchange->copy_from)
+		drop(exchange);
 	gc_backend_end_copy(exchange->copy);
 	gc_backend_unref(exchange->copy);
 	exchange->copy = NULL;
 }
 
+/* A copy by order would hold memory until its server gives it up. */
+static void drop(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	g_autofree char *path = NULL;
+	gc_ask_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.method = "DELETE",
+		.body = GC_STR_EMPTY,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+		.done = on_dropped,
+		.ctx = relay,
+	};
+
+	if (exchange->copy_handle.len == 0 || !exchange->backend)
+		return;
+	path = relay->conf.adapter->write_copy_drop_path(exchange->copy_handle);
+	conf.path = path;
+	gc_ask_start(relay, &conf, exchange->backend);
+}
+
+/* Whatever comes: the server frees it by itself in the end. */
+static void on_dropped(void *ctx, int status, gc_str_t answer,
+		       gc_attempt_end_t end)
+{
+}
+
 void gc_exchange_use_copy(gc_exchange_t *exchange)
 {
 	gc_backend_unref(exchange->copy_from);
@@ -111,7 +145,7 @@
 		return;
 	if (!exchange->copy || !gc_backend_usable(exchange->copy, now))
 		target = choose(exchange);
-	else if (exchange->copy_by_order &&
+	else if (exchange->copy_handle.len > 0 &&
 		 gc_ms_between(now, exchange->copy_due) <= 0)
 		target = exchange->copy;
 	if (target)
@@ -155,12 +189,14 @@
 	if (status == 200 && exchange->relay->conf.adapter->read_copy_handle(
 				     exchange, answer, &handle)) {
 		if (exchange->copy) {
+			if (exchange->copy != target)
+				drop(exchange);
 			gc_backend_end_copy(exchange->copy);
 			gc_backend_unref(exchange->copy);
 		}
 		set_copy(exchange, target,
 			 gc_backend_address(exchange->backend), handle);
-		exchange->copy_by_order = true;
+		exchange->copy_handle = handle;
 		exchange->copy_due = gc_add_ms(now_of(exchange), RENEW_MS);
 	}
 	gc_backend_unref(target);
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -96,6 +96,7 @@
 		gc_timer_create(exchange, timers, on_silence, exchange);
 	exchange->copy_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_copy_timer, exchange);
+	gc_timer_destroy(exchange->retry_timer);
 	exchange->retry_timer =
 		gc_timer_create(exchange, timers, on_retry, exchange);
 	if (exchange->route->kind == GC_ROUTE_STREAM) {
@@ -538,12 +539,12 @@
 static void release_attempt(gc_exchange_t *exchange)
 {
 	gc_timer_stop(exchange->silence_timer);
+	gc_exchange_stop_copy(exchange);
 	if (exchange->backend) {
 		gc_backend_end(exchange->backend);
 		gc_backend_unref(exchange->backend);
 		exchange->backend = NULL;
 	}
-	gc_exchange_stop_copy(exchange);
 }
 
 static void cancel_call(gc_exchange_t *exchange)
@@ -667,6 +668,10 @@
 	       "request", exchange->id.data, "ms", ms, NULL);
 	exchange->caller = NULL;
 	exchange->request = NULL;
+	if (!exchange->route) {
+		talloc_free(exchange);
+		return;
+	}
 	/* What may not be repeated is better finished than broken off. */
 	if (exchange->route->kind == GC_ROUTE_ONCE && exchange->call)
 		return;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -12,8 +12,14 @@
 /* Pause after a failed call; doubles up to the longest. */
 #define RETRY_MS     100
 #define RETRY_MAX_MS 400
-/* A short pause collects the changes of one cause into one call. */
-#define GATHER_MS 40
+/* A pause collects the changes of one cause, such as the restart of many
+ * servers, into one call; an eighth of the time until changes are in force. */
+#define GATHER_MS 250
+/* The watch after an answer with changes, which proves no more than the
+ * start of its call, waits this part of the usual time. */
+#define SHORT_WAIT_PART 4
+/* Clocks of the store and the daemon may run this much apart in a wait. */
+#define WAIT_SLACK_MS 50
 /* A renewal is sent this many times within the lease. */
 #define RENEWALS 3
 
@@ -27,6 +33,8 @@
 	uint64_t revision; /* of the store, up to which changes are known */
 	bool listed; /* the first list is complete */
 	bool in_contact;
+	bool changed; /* the last answer had changes */
+	int64_t wait_ms; /* of the watch in progress */
 	struct timespec call_started;
 	int64_t retry_ms;
 	gc_timer_t *next_call;
@@ -60,6 +68,8 @@
 static void start_watch(gc_fleet_t *fleet);
 static void on_watch(void *ctx, const gc_store_items_t *items,
 		     const GError *err);
+static struct timespec proven_at(const gc_fleet_t *fleet,
+				 const gc_store_items_t *items);
 static void on_next_call(void *ctx);
 static void call_failed(gc_fleet_t *fleet, const GError *err);
 static void regained(gc_fleet_t *fleet);
@@ -238,8 +248,10 @@
 static void start_watch(gc_fleet_t *fleet)
 {
 	count_call(fleet);
+	fleet->wait_ms = fleet->changed ? fleet->conf.watch_ms / SHORT_WAIT_PART
+					: fleet->conf.watch_ms;
 	fleet->conf.store.ops->watch(fleet->conf.store.store, fleet->revision,
-				     fleet->conf.watch_ms, on_watch, fleet);
+				     fleet->wait_ms, on_watch, fleet);
 }
 
 static void on_watch(void *ctx, const gc_store_items_t *items,
@@ -253,11 +265,12 @@
 		return;
 	}
 	regained(fleet);
+	fleet->changed = items->n > 0;
 	for (size_t i = 0; i < items->n; i++)
 		changed |= take_item(fleet, &items->items[i]);
 	if (items->revision > fleet->revision)
 		fleet->revision = items->revision;
-	confirm(fleet, fleet->call_started);
+	confirm(fleet, proven_at(fleet, items));
 	if (changed)
 		publish(fleet);
 	on_expiry(fleet);
@@ -267,6 +280,21 @@
 		start_watch(fleet);
 }
 
+/*
+ * A watch without changes proves that there were none until the end of its
+ * wait, which the store counts from the arrival of the call.
+ */
+static struct timespec proven_at(const gc_fleet_t *fleet,
+				 const gc_store_items_t *items)
+{
+	int64_t waited = gc_ms_between(fleet->call_started,
+				       gc_clock_now(fleet->conf.clock));
+
+	if (items->n > 0 || waited < fleet->wait_ms)
+		return fleet->call_started;
+	return gc_add_ms(fleet->call_started, fleet->wait_ms - WAIT_SLACK_MS);
+}
+
 static void on_next_call(void *ctx)
 {
 	gc_fleet_t *fleet = ctx;
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -8,6 +8,10 @@
 /* When to come back after a refusal, with the jitter that spreads callers. */
 #define RETRY_AFTER_MS	300
 #define RETRY_JITTER_MS 300
+/* How long a request waits for the first configuration, and how often it
+ * looks; well below an eighth of the shortest objectives seen. */
+#define FIRST_CONFIG_MS	     150
+#define FIRST_CONFIG_STEP_MS 5
 /* Limits until the operator's are known. */
 #define FIRST_HEADER_BYTES 16384
 #define FIRST_BODY_BYTES   4194304
@@ -22,6 +26,9 @@
 static void on_gone(void *ctx, gc_caller_t *caller);
 static void on_drained(void *ctx, gc_caller_t *caller);
 static gc_request_limits_t get_limits(void *ctx);
+static void try_admit(gc_exchange_t *exchange);
+static bool wait_for_configuration(gc_exchange_t *exchange);
+static void on_configuration_timer(void *ctx);
 static const gc_refusal_t *admit(gc_exchange_t *exchange);
 static const gc_refusal_t *check_key(gc_exchange_t *exchange, int64_t age_ms);
 static gc_exchange_t *create(gc_relay_t *relay, gc_caller_t *caller,
@@ -145,18 +152,53 @@
 		       const gc_message_t *request)
 {
 	gc_relay_t *relay = ctx;
-	gc_exchange_t *exchange = create(relay, caller, request);
+
+	try_admit(create(relay, caller, request));
+}
+
+static void try_admit(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_caller_t *caller = exchange->caller;
 	const gc_refusal_t *refusal = admit(exchange);
 
 	if (!refusal) {
 		gc_exchange_run(exchange);
 		return;
 	}
+	if (refusal == &no_configuration && wait_for_configuration(exchange))
+		return;
+	gc_caller_set_data(caller, NULL);
 	gc_relay_refuse(relay, caller, exchange->id, refusal);
-	gc_fleet_view_unref(exchange->view);
 	talloc_free(exchange);
 }
 
+/*
+ * A daemon that has just started knows the configuration within some ms; a
+ * refusal would cost the caller one of its tries.
+ */
+static bool wait_for_configuration(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	int64_t waited = gc_ms_between(exchange->arrived,
+				       gc_clock_now(relay->conf.clock));
+
+	if (waited >= FIRST_CONFIG_MS)
+		return false;
+	if (!exchange->retry_timer)
+		exchange->retry_timer =
+			gc_timer_create(exchange, relay->conf.timers,
+					on_configuration_timer, exchange);
+	gc_timer_set(exchange->retry_timer, FIRST_CONFIG_STEP_MS);
+	gc_caller_set_data(exchange->caller, exchange);
+	return true;
+}
+
+static void on_configuration_timer(void *ctx)
+{
+	try_admit(ctx);
+}
+
 static gc_exchange_t *create(gc_relay_t *relay, gc_caller_t *caller,
 			     const gc_message_t *request)
 {
--- a/regress/routed_config.t
+++ b/regress/routed_config.t
@@ -20,36 +20,32 @@
 
 A route and a key in force, and out of force, on the next request.
 
-  $ status /new/ok
-  404
-  $ put_config ',{"name":"new","host":"h.example","path_prefix":"/new/","kind":"idempotent","service":"app"}' ''; sleep 0.3
+  $ is() { [ "$(status $2)" = $1 ]; }
+  $ await is 404 /new/ok
+  $ put_config ',{"name":"new","host":"h.example","path_prefix":"/new/","kind":"idempotent","service":"app"}' ''; sleep 0.5
   $ status /new/ok
   200
-  $ AUTH=' Token key-2' status /look/ok
-  401
-  $ put_config; sleep 0.3
-  $ status /new/ok
-  404
+  $ AUTH=' Token key-2' await is 401 /look/ok
+  $ put_config; sleep 0.4; await is 404 /new/ok
   $ AUTH=' Token key-2' status /look/ok
   200
 
 The store forgets its history: the next change is seen all the same.
 
-  $ store_fault '{"compact":true}'; sleep 0.3
-  $ put_config '' ''; sleep 0.6
-  $ AUTH=' Token key-2' status /look/ok
-  401
+  $ store_fault '{"compact":true}'; sleep 0.5
+  $ put_config '' ''; sleep 1
+  $ AUTH=' Token key-2' await is 401 /look/ok
 
 A draining server gets no request; without any, the refusal says when to come
 back.
 
-  $ start_server app2 app a; sleep 0.3; kill -USR1 $app1_pid; sleep 0.3
+  $ start_server app2 app a; sleep 0.5; kill -USR1 $app1_pid; sleep 0.5
   $ for i in 1 2 3 4; do ask /look/ok; done | grep -o '"server": "[a-z0-9]*"' | sort -u
   "server": "app2"
-  $ kill -USR1 $app2_pid; sleep 0.3; ask /look/ok -D head.txt -o /dev/null; grep -o 'Retry-After: 0' head.txt
+  $ kill -USR1 $app2_pid; sleep 0.5; ask /look/ok -D head.txt -o /dev/null; grep -o 'Retry-After: 0' head.txt
   503
   Retry-After: 0
-  $ start_server app3 app a; sleep 0.3; status /look/ok
+  $ start_server app3 app a; sleep 0.5; status /look/ok
   200
 
 Entries of other writers name nothing to use and end nothing.
@@ -57,9 +53,9 @@
   $ operator '{"key":"servers/x1","value":{"service":"app","state":"ready"}}'
   $ operator '{"key":"servers/x2","value":"nonsense"}'
   $ operator '{"key":"op/config","value":{"version":"none"}}'
-  $ sleep 0.3; status /look/ok
+  $ sleep 0.5; status /look/ok
   200
-  $ put_config; sleep 0.3
+  $ put_config; sleep 0.5
 
 The store is away: requests go on until the revocation bound, then those with a
 key are refused as not run, and no route or key is denied.
