--- a/core/backends.c
+++ b/core/backends.c
@@ -1,8 +1,8 @@
 /* Choice of backend servers from what one daemon knows. */
 #include <glib.h>
 
-#include "core/admit.h"
 #include "core/backends.h"
+#include "core/budget.h"
 #include "core/clock.h"
 
 /* First ejection after a broken connection; doubles with each failure in a
@@ -45,7 +45,7 @@
 typedef struct service {
 	struct service *next;
 	gc_str_t name;
-	gc_retry_budget_t budget;
+	gc_budget_t budget;
 	double failure_rate; /* smoothed over all servers */
 } service_t;
 
@@ -91,7 +91,7 @@
 typedef bool (*accept_t)(const gc_backend_t *backend, struct timespec now);
 
 static service_t *find_service(gc_backends_t *backends, gc_str_t name);
-static double budget_max(const gc_backends_t *backends);
+static gc_budget_conf_t budget_conf(const gc_backends_t *backends);
 static domain_t *find_domain(gc_backends_t *backends, const gc_entry_t *entry);
 static bool superseded(const gc_entry_t *servers, size_t n, size_t i);
 static gc_backend_t *find(gc_backends_t *backends, const gc_entry_t *entry);
@@ -135,19 +135,20 @@
 			return service;
 	service = talloc_zero(backends, service_t);
 	service->name = gc_str_dup(service, name);
-	service->budget.per_request =
-		backends->conf.repeat_ratio * BUDGET_MARGIN;
-	service->budget.max = budget_max(backends);
-	service->budget.tokens = service->budget.max;
 	service->next = backends->services;
 	backends->services = service;
 	return service;
 }
 
-static double budget_max(const gc_backends_t *backends)
+/* This daemon's part of the fleet's budget. */
+static gc_budget_conf_t budget_conf(const gc_backends_t *backends)
 {
-	return backends->conf.repeat_slack * BUDGET_MARGIN /
-	       (double)backends->n_daemons;
+	return (gc_budget_conf_t){
+		.window_ms = backends->conf.repeat_window_ms,
+		.ratio = backends->conf.repeat_ratio * BUDGET_MARGIN,
+		.slack = backends->conf.repeat_slack * BUDGET_MARGIN /
+			 (double)backends->n_daemons,
+	};
 }
 
 static domain_t *find_domain(gc_backends_t *backends, const gc_entry_t *entry)
@@ -182,8 +183,6 @@
 	}
 	remove_unlisted(backends);
 	assign_homes(backends, rank, n_local > 0 ? n_local : 1);
-	for (service_t *s = backends->services; s; s = s->next)
-		s->budget.max = budget_max(backends);
 }
 
 /*
@@ -576,14 +575,21 @@
 		(failed - service->failure_rate) / (4 * RATE_ANSWERS);
 }
 
-void gc_backends_count_request(gc_backends_t *backends, gc_str_t service)
+void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
+			       gc_str_t service)
 {
-	gc_retry_budget_earn(&find_service(backends, service)->budget);
+	gc_budget_conf_t conf = budget_conf(backends);
+
+	gc_budget_count(&find_service(backends, service)->budget, &conf, now);
 }
 
-bool gc_backends_take_repeat(gc_backends_t *backends, gc_str_t service)
+bool gc_backends_take_repeat(gc_backends_t *backends, struct timespec now,
+			     gc_str_t service)
 {
-	return gc_retry_budget_take(&find_service(backends, service)->budget);
+	gc_budget_conf_t conf = budget_conf(backends);
+
+	return gc_budget_take(&find_service(backends, service)->budget, &conf,
+			      now);
 }
 
 gc_str_t gc_backend_id(const gc_backend_t *backend)
--- a/core/backends.h
+++ b/core/backends.h
@@ -31,6 +31,7 @@
 	double repeat_ratio;
 	/* Repeats allowed beyond it in a window, fleet-wide. */
 	uint32_t repeat_slack;
+	int64_t repeat_window_ms;
 } gc_backends_conf_t;
 
 /* A server's own report of its load; lags by some hundred ms. */
@@ -104,10 +105,12 @@
 void gc_backend_report(gc_backend_t *backend, struct timespec now,
 		       const gc_load_t *load);
 
-/* A first request for the service, which earns a share of a repeat. */
-void gc_backends_count_request(gc_backends_t *backends, gc_str_t service);
+/* A first request for the service, which allows a part of a repeat. */
+void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
+			       gc_str_t service);
 /* Takes one repeat from the service's budget; false if it is used up. */
-bool gc_backends_take_repeat(gc_backends_t *backends, gc_str_t service);
+bool gc_backends_take_repeat(gc_backends_t *backends, struct timespec now,
+			     gc_str_t service);
 
 gc_str_t gc_backend_id(const gc_backend_t *backend);
 gc_str_t gc_backend_address(const gc_backend_t *backend);
--- a/lib/carrier.c
+++ b/lib/carrier.c
@@ -82,6 +82,7 @@
 		.liveness = {KEEPALIVE_S, UNACKED_MS},
 		.repeat_ratio = settings->repeat_ratio,
 		.repeat_slack = settings->repeat_slack,
+		.repeat_window_ms = settings->repeat_window_ms,
 	};
 
 	carrier->ev = tevent_context_init(carrier);
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -114,7 +114,9 @@
 	gc_timer_set(exchange->limit_timer, exchange->limit_ms -
 						    elapsed_ms(exchange) +
 						    LIMIT_SLACK_MS);
-	gc_backends_count_request(relay->backends, exchange->service);
+	gc_backends_count_request(relay->backends,
+				  gc_clock_now(relay->conf.clock),
+				  exchange->service);
 	next_attempt(exchange);
 }
 
@@ -527,7 +529,7 @@
 		return;
 	}
 	if (next == GC_NEXT_RETRY && repeat &&
-	    !gc_backends_take_repeat(relay->backends, exchange->service))
+	    !gc_backends_take_repeat(relay->backends, now, exchange->service))
 		next = end == GC_END_FAILED
 			       ? GC_NEXT_PASS
 			       : gc_attempts_give_up(&exchange->attempts);
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -79,6 +79,7 @@
 		.random = conf->random,
 		.repeat_ratio = conf->repeat_ratio,
 		.repeat_slack = conf->repeat_slack,
+		.repeat_window_ms = conf->repeat_window_ms,
 	};
 
 	relay->conf = *conf;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -36,6 +36,7 @@
 	gc_socket_liveness_t liveness;
 	double repeat_ratio; /* see gc_backends_conf_t */
 	uint32_t repeat_slack;
+	int64_t repeat_window_ms;
 } gc_relay_conf_t;
 
 gc_relay_t *gc_relay_create(TALLOC_CTX *mem, const gc_relay_conf_t *conf);
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -89,6 +89,9 @@
 	settings->repeat_ratio = number(reader, "repeat_ratio", 0.8, 0, 10);
 	settings->repeat_slack =
 		(uint32_t)number(reader, "repeat_slack", 300, 0, 1e9);
+	settings->repeat_window_ms =
+		(int64_t)(1000 *
+			  number(reader, "repeat_window_s", 10, 1, 3600));
 	settings->address_ttl_s =
 		(uint32_t)number(reader, "address_ttl_s", 2, 1, 3600);
 	settings->lease_ms =
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -26,6 +26,7 @@
 	int64_t stop_grace_ms; /* 8000: from SIGTERM to the end */
 	double repeat_ratio; /* 0.8: repeats per request, fleet-wide */
 	uint32_t repeat_slack; /* 300: repeats beyond it */
+	int64_t repeat_window_ms; /* 10000: for both; "repeat_window_s" */
 	uint32_t address_ttl_s; /* 2 */
 	int64_t lease_ms; /* 3000: of the daemon's entry in the store */
 	gc_log_level_t log_level;
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -28,7 +28,8 @@
 	gc_backends_conf_t conf = {.failure_domain = GC_STR_LIT("a"),
 				   .random = &random,
 				   .repeat_ratio = 0.8,
-				   .repeat_slack = 100};
+				   .repeat_slack = 100,
+				   .repeat_window_ms = 10000};
 
 	random = (gc_random_t){unit_next_random, state};
 	return gc_backends_create(NULL, &conf);
@@ -313,23 +314,28 @@
 }
 END_TEST
 
-/* All daemons together stay below ratio x requests + slack. */
+/*
+ * All daemons together stay below ratio x requests + slack, and a daemon whose
+ * streams break all at once may go on with all of them: seen with 99 daemons,
+ * whose parts of the slack were below two repeats.
+ */
 START_TEST(test_repeat_budget_is_shared)
 {
+	const gc_str_t service = GC_STR_LIT("s");
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
 	gc_backends_t *backends = create(&state);
 	unsigned int repeats = 0;
 
 	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
-	for (int i = 0; i < 1000; i++) {
-		gc_backends_count_request(backends, GC_STR_LIT("s"));
-		while (gc_backends_take_repeat(backends, GC_STR_LIT("s")))
-			repeats++;
-	}
-	ck_assert_uint_gt(repeats, 500);
-	ck_assert_uint_le(repeats, 800 + 100 / 4);
+	gc_backends_sync(backends, servers, N_SERVERS, 0, 2, 99);
+	for (int i = 0; i < 20; i++)
+		gc_backends_count_request(backends, unit_at(i * 300), service);
+	while (gc_backends_take_repeat(backends, unit_at(6000), service))
+		repeats++;
+	ck_assert_uint_ge(repeats, 10);
+	ck_assert_uint_le(repeats, 16 + 100 / 99);
+	ck_assert(!gc_backends_take_repeat(backends, unit_at(9000), service));
 	talloc_free(backends);
 }
 END_TEST
