--- a/core/backends.c
+++ b/core/backends.c
@@ -38,9 +38,9 @@
 #define MOVED_MS 5000
 /* Answers over which the failure rate is smoothed. */
 #define RATE_ANSWERS 16.0
-/* Part of the fleet's allowed repeats that daemons use; the rest is a margin
- * for windows that cut a burst of failures from its requests. */
-#define BUDGET_MARGIN 0.75
+/* Part of the fleet's allowed repeats that daemons use. The rest covers that
+ * requests are counted over one part more than the window. */
+#define BUDGET_MARGIN 0.9
 
 typedef struct service {
 	struct service *next;
