--- a/core/roster.c
+++ b/core/roster.c
@@ -70,6 +70,7 @@
 	item->entry.id = gc_str_dup(item, entry->id);
 	item->entry.service = gc_str_dup(item, entry->service);
 	item->entry.address = gc_str_dup(item, entry->address);
+	item->entry.peer_address = gc_str_dup(item, entry->peer_address);
 	item->entry.failure_domain = gc_str_dup(item, entry->failure_domain);
 	item->listed = true;
 	if (*link && compare((*link)->entry.id, entry->id) == 0)
--- a/core/roster.h
+++ b/core/roster.h
@@ -20,6 +20,7 @@
 	gc_str_t id;
 	gc_str_t service; /* empty for a daemon */
 	gc_str_t address; /* IP:PORT */
+	gc_str_t peer_address; /* IP:PORT for other daemons; may be empty */
 	gc_str_t failure_domain;
 	uint32_t slots; /* requests that run at once */
 	int64_t started_ms; /* wall clock; tells incarnations apart */
--- a/core/routes.c
+++ b/core/routes.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 #include "core/routes.h"
+#include "core/strhash.h"
 
 #define STRING_BLOCK 4096 /* bytes */
 
@@ -24,8 +25,6 @@
 };
 
 static void routes_clear(gpointer data);
-static guint str_hash(gconstpointer key);
-static gboolean str_equal(gconstpointer a, gconstpointer b);
 static gc_str_t keep(gc_routes_t *routes, gc_str_t s);
 static gc_str_t *keep_boxed(gc_routes_t *routes, gc_str_t s);
 static void free_route(gpointer data);
@@ -39,12 +38,13 @@
 	routes->strings = g_string_chunk_new(STRING_BLOCK);
 	routes->version = version;
 	routes->limits = default_limits;
-	routes->hosts = g_hash_table_new_full(
-		str_hash, str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-	routes->services =
-		g_hash_table_new_full(str_hash, str_equal, g_free, g_free);
-	routes->keys =
-		g_hash_table_new_full(str_hash, str_equal, g_free, g_free);
+	routes->hosts =
+		g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	routes->services = g_hash_table_new_full(gc_str_hash, gc_str_equal,
+						 g_free, g_free);
+	routes->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
+					     g_free);
 	return routes;
 }
 
@@ -69,21 +69,6 @@
 	g_string_chunk_free(routes->strings);
 }
 
-static guint str_hash(gconstpointer key)
-{
-	const gc_str_t *s = key;
-	guint hash = 5381;
-
-	for (size_t i = 0; i < s->len; i++)
-		hash = hash * 33 + (unsigned char)s->data[i];
-	return hash;
-}
-
-static gboolean str_equal(gconstpointer a, gconstpointer b)
-{
-	return gc_str_eq(*(const gc_str_t *)a, *(const gc_str_t *)b);
-}
-
 static gc_str_t keep(gc_routes_t *routes, gc_str_t s)
 {
 	const char *data = g_string_chunk_insert_len(routes->strings, s.data,
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -14,13 +14,19 @@
 #include "lib/fleet.h"
 #include "lib/log.h"
 #include "lib/mailbox.h"
+#include "lib/peers_watch.h"
 #include "platform/platform.h"
 
 /* A call to the store that takes longer has failed. */
 #define STORE_TIMEOUT_MS 700
-/* Longest wait of a watch. One of them and a timeout fit into the age at
- * which keys are no longer admitted; each costs a call. */
-#define WATCH_MS 1600
+/* Longest wait of a watch. Two of them, one by the daemon that is asked and
+ * one by this one, and two timeouts fit into the age at which keys are no
+ * longer admitted. */
+#define WATCH_MS 900
+/* The same for a call to another daemon of the failure domain. */
+#define PEER_TIMEOUT_MS 400
+/* A daemon whose knowledge is older is not asked for a while. */
+#define PEER_AGE_MS 1600
 /* Log lines; three for each request at the size of docs/CAPACITY.md, where
  * a daemon serves about 13 a second, and room for a burst. */
 #define MAX_LINES_PER_S 200
@@ -34,6 +40,7 @@
 	gc_timers_t *timers;
 	gc_mailbox_t *mailbox;
 	gc_httpc_t *http;
+	gc_peers_watch_t *peers;
 	gc_fleet_t *fleet;
 	gc_desk_t *desk;
 	gc_carrier_t *carrier;
@@ -147,6 +154,7 @@
 		.adapter = &gc_platform_adapter,
 		.self = {.id = gc_str(settings->instance),
 			 .address = gc_str(settings->caller_address),
+			 .peer_address = gc_str(settings->peer_address),
 			 .failure_domain = gc_str(settings->failure_domain)},
 		.watch_ms = WATCH_MS,
 		.lease_ms = settings->lease_ms,
@@ -156,7 +164,19 @@
 		.ctx = routed,
 	};
 
+	gc_peers_watch_conf_t peers = {
+		.clock = &gc_clock_system,
+		.self = gc_str(settings->instance),
+		.failure_domain = gc_str(settings->failure_domain),
+		.timeout_ms = PEER_TIMEOUT_MS,
+		.max_age_ms = PEER_AGE_MS,
+	};
+
 	routed->http = gc_httpc_create(routed, routed->ev);
+	peers.http = routed->http;
+	if (settings->peer.address)
+		routed->peers = gc_peers_watch_create(routed, &peers);
+	conf.peers = routed->peers;
 	conf.store = gc_platform_store(routed, routed->http, settings->store,
 				       STORE_TIMEOUT_MS);
 	routed->fleet = gc_fleet_create(routed, &conf);
@@ -167,6 +187,8 @@
 	routed_t *routed = ctx;
 
 	gc_carrier_set_view(routed->carrier, view);
+	if (routed->desk)
+		gc_desk_changed(routed->desk);
 }
 
 static bool start_desk(routed_t *routed, GError **err)
@@ -188,8 +210,8 @@
 	routed->desk = gc_desk_create(routed, &conf);
 	return gc_desk_listen(routed->desk, &settings->ready, err) &&
 	       gc_desk_listen(routed->desk, &settings->addresses, err) &&
-	       (!settings->metrics.address ||
-		gc_desk_listen(routed->desk, &settings->metrics, err));
+	       (!settings->peer.address ||
+		gc_desk_listen(routed->desk, &settings->peer, err));
 }
 
 static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -2,20 +2,33 @@
 #include "lib/desk.h"
 #include "lib/front.h"
 #include "lib/metrics.h"
+#include "lib/peers_watch.h"
 
 /* Addresses in one answer; callers use no more. */
 #define MAX_ADDRESSES 64
 /* With fewer daemons in the caller's failure domain, all are named. */
 #define LEAST_LOCAL  2
 #define METRICS_PATH "/metrics"
+/* Longest wait of another daemon for changes. */
+#define MAX_WAIT_MS 30000
 /* Questions are small and come on short connections. */
 #define MAX_HEAD_BYTES 8192
 #define MAX_BODY_BYTES 1024
 #define HEADER_MS      3000
 #define IDLE_MS	       15000
 
+/* A daemon that waits for changes. */
+typedef struct waiter {
+	gc_desk_t *desk;
+	struct waiter *prev, *next;
+	gc_caller_t *caller;
+	uint64_t after;
+	gc_timer_t *timer;
+} waiter_t;
+
 struct gc_desk {
 	gc_desk_conf_t conf;
+	waiter_t *waiters;
 	bool stopping;
 };
 
@@ -31,11 +44,18 @@
 		      gc_str_t *addresses);
 static size_t sample(const gc_desk_t *desk, gc_str_t *addresses, size_t n);
 static void answer_metrics(gc_caller_t *caller);
+static void wait_for_changes(gc_desk_t *desk, gc_caller_t *caller,
+			     gc_str_t target);
+static bool query_number(gc_str_t target, const char *name, uint64_t *number);
+static int waiter_destructor(waiter_t *waiter);
+static void answer_waiter(waiter_t *waiter);
+static void on_waited(void *ctx);
+static void on_drained(void *ctx, gc_caller_t *caller);
 
 static const gc_front_ops_t front_ops = {
 	.request = on_request,
 	.gone = on_gone,
-	.drained = on_gone,
+	.drained = on_drained,
 	.limits = get_limits,
 };
 
@@ -59,8 +79,15 @@
 	desk->stopping = true;
 }
 
-/* Every answer is given at once, so there is nothing to end. */
 static void on_gone(void *ctx, gc_caller_t *caller)
+{
+	waiter_t *waiter = gc_caller_data(caller);
+
+	talloc_free(waiter);
+}
+
+/* Answers are given whole. */
+static void on_drained(void *ctx, gc_caller_t *caller)
 {
 }
 
@@ -85,6 +112,8 @@
 				 GC_STR_EMPTY, GC_STR_EMPTY);
 	else if (path_is(target, desk->conf.adapter->addresses_path))
 		answer_addresses(desk, caller, target);
+	else if (path_is(target, GC_PEERS_WATCH_PATH))
+		wait_for_changes(desk, caller, target);
 	else if (path_is(target, METRICS_PATH))
 		answer_metrics(caller);
 	else
@@ -189,3 +218,96 @@
 			 (gc_str_t){text->str, text->len});
 	g_string_free(text, TRUE);
 }
+
+static void wait_for_changes(gc_desk_t *desk, gc_caller_t *caller,
+			     gc_str_t target)
+{
+	uint64_t after;
+	uint64_t wait_ms;
+	waiter_t *waiter;
+
+	if (!query_number(target, "after=", &after) ||
+	    !query_number(target, "wait_ms=", &wait_ms) ||
+	    wait_ms > MAX_WAIT_MS) {
+		gc_caller_answer(caller, 400, GC_STR_EMPTY, GC_STR_EMPTY);
+		return;
+	}
+	waiter = talloc_zero(desk, waiter_t);
+	waiter->desk = desk;
+	waiter->caller = caller;
+	waiter->after = after;
+	waiter->timer =
+		gc_timer_create(waiter, desk->conf.timers, on_waited, waiter);
+	waiter->next = desk->waiters;
+	if (desk->waiters)
+		desk->waiters->prev = waiter;
+	desk->waiters = waiter;
+	talloc_set_destructor(waiter, waiter_destructor);
+	gc_caller_set_data(caller, waiter);
+	if (gc_feed_revision(gc_fleet_feed(desk->conf.fleet)) > after)
+		answer_waiter(waiter);
+	else
+		gc_timer_set(waiter->timer, (int64_t)wait_ms);
+}
+
+static bool query_number(gc_str_t target, const char *name, uint64_t *number)
+{
+	g_autofree char *text = g_strndup(target.data, target.len);
+	const char *at = strstr(text, name);
+	char *after;
+
+	if (!at)
+		return false;
+	*number = g_ascii_strtoull(at + strlen(name), &after, 10);
+	return after != at + strlen(name);
+}
+
+static int waiter_destructor(waiter_t *waiter)
+{
+	if (waiter->prev)
+		waiter->prev->next = waiter->next;
+	else
+		waiter->desk->waiters = waiter->next;
+	if (waiter->next)
+		waiter->next->prev = waiter->prev;
+	return 0;
+}
+
+static void answer_waiter(waiter_t *waiter)
+{
+	gc_desk_t *desk = waiter->desk;
+	gc_caller_t *caller = waiter->caller;
+	int64_t age_ms = gc_confirmed_age_ms(desk->conf.confirmed,
+					     gc_clock_now(desk->conf.clock));
+	g_autofree char *text = NULL;
+
+	if (age_ms >= 0)
+		text = gc_peers_watch_answer(gc_fleet_feed(desk->conf.fleet),
+					     waiter->after, age_ms);
+	gc_caller_set_data(caller, NULL);
+	talloc_free(waiter);
+	if (text)
+		gc_caller_answer(
+			caller, 200,
+			GC_STR_LIT("Content-Type: application/json\r\n"),
+			gc_str(text));
+	else
+		gc_caller_answer(caller, 410, GC_STR_EMPTY, GC_STR_EMPTY);
+}
+
+static void on_waited(void *ctx)
+{
+	answer_waiter(ctx);
+}
+
+void gc_desk_changed(gc_desk_t *desk)
+{
+	uint64_t revision = gc_feed_revision(gc_fleet_feed(desk->conf.fleet));
+	waiter_t *next;
+
+	for (waiter_t *waiter = desk->waiters; waiter; waiter = next) {
+		next = waiter->next;
+		if (revision > waiter->after)
+			answer_waiter(waiter);
+	}
+}
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -1,6 +1,6 @@
 /*
  * The control thread's small listener: readiness, callers' questions where to
- * connect, metrics.
+ * connect, metrics, other daemons' questions what has changed in the store.
  */
 #ifndef GC_LIB_DESK_H
 #define GC_LIB_DESK_H
@@ -34,6 +34,8 @@
 gc_desk_t *gc_desk_create(TALLOC_CTX *mem, const gc_desk_conf_t *conf);
 /* Listens; all listeners answer all questions. Errors: GC_ERR_IO. */
 bool gc_desk_listen(gc_desk_t *desk, const gc_listen_t *listen, GError **err);
+/* The fleet's knowledge has changed: answers daemons that wait for it. */
+void gc_desk_changed(gc_desk_t *desk);
 /* Not ready any more, and not among the addresses. */
 void gc_desk_set_stopping(gc_desk_t *desk);
 
--- a/lib/events.h
+++ b/lib/events.h
@@ -64,6 +64,7 @@
 	GC_EVENT_SERVER_GONE = 1605,
 	GC_EVENT_SERVER_UNREADABLE = 1606,
 	GC_EVENT_LEAVE_FAILED = 1607,
+	GC_EVENT_PEER_WATCH_FAILED = 1608,
 
 	/* 1700-1799: stand-ins; 1700 is reserved for their start */
 	GC_EVENT_STANDIN_STOPPING = 1701,
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -6,6 +6,7 @@
 #include "lib/fleet.h"
 #include "lib/log.h"
 #include "lib/metrics.h"
+#include "lib/peers_watch.h"
 
 /* Keys of daemons in the store; the rest of the key is the daemon's name. */
 #define DAEMONS_PREFIX "goldcrest/daemons/"
@@ -20,6 +21,8 @@
 #define SHORT_WAIT_PART 4
 /* Clocks of the store and the daemon may run this much apart in a wait. */
 #define WAIT_SLACK_MS 50
+/* Deletions that peers can still hear of. */
+#define MAX_DELETED 512
 /* A renewal is sent this many times within the lease. */
 #define RENEWALS 3
 
@@ -29,6 +32,7 @@
 	uint64_t config_revision;
 	gc_roster_t *servers;
 	gc_roster_t *daemons;
+	gc_feed_t *feed;
 	gc_fleet_view_t *view;
 	uint64_t revision; /* of the store, up to which changes are known */
 	bool listed; /* the first list is complete */
@@ -68,6 +72,8 @@
 static void start_watch(gc_fleet_t *fleet);
 static void on_watch(void *ctx, const gc_store_items_t *items,
 		     const GError *err);
+static void on_peer_watch(void *ctx, const gc_store_items_t *items,
+			  const GError *err);
 static struct timespec proven_at(const gc_fleet_t *fleet,
 				 const gc_store_items_t *items);
 static void on_next_call(void *ctx);
@@ -89,7 +95,6 @@
 static void on_renewed(void *ctx, uint64_t id, const GError *err);
 static void on_left(void *ctx, uint64_t id, const GError *err);
 static void renew_later(gc_fleet_t *fleet, bool ok);
-static void count_call(gc_fleet_t *fleet);
 
 gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf)
 {
@@ -98,6 +103,7 @@
 	fleet->conf = *conf;
 	fleet->servers = gc_roster_create(fleet, conf->lapse_grace_ms);
 	fleet->daemons = gc_roster_create(fleet, conf->lapse_grace_ms);
+	fleet->feed = gc_feed_create(fleet, MAX_DELETED);
 	fleet->retry_ms = RETRY_MS;
 	fleet->own_key = talloc_asprintf(fleet, "%s%.*s", DAEMONS_PREFIX,
 					 GC_STR_ARG(conf->self.id));
@@ -144,6 +150,11 @@
 	g_string_chunk_free(box->strings);
 }
 
+const gc_feed_t *gc_fleet_feed(const gc_fleet_t *fleet)
+{
+	return fleet->feed;
+}
+
 gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet)
 {
 	return fleet->view;
@@ -174,6 +185,9 @@
 	view->n_daemons = adder.n;
 	gc_fleet_view_unref(fleet->view);
 	fleet->view = view;
+	if (fleet->conf.peers)
+		gc_peers_watch_set_daemons(fleet->conf.peers, view->daemons,
+					   view->n_daemons);
 	fleet->conf.publish(fleet->conf.ctx, view);
 }
 
@@ -186,6 +200,7 @@
 	copy->id = keep(adder->strings, entry->id);
 	copy->service = keep(adder->strings, entry->service);
 	copy->address = keep(adder->strings, entry->address);
+	copy->peer_address = keep(adder->strings, entry->peer_address);
 	copy->failure_domain = keep(adder->strings, entry->failure_domain);
 }
 
@@ -196,18 +211,13 @@
 			  s.len};
 }
 
-static void count_call(gc_fleet_t *fleet)
-{
-	gc_counter_add(fleet->calls, 1);
-	fleet->call_started = gc_clock_now(fleet->conf.clock);
-}
-
 static void start_list(gc_fleet_t *fleet)
 {
 	fleet->listed = false;
 	gc_roster_begin_list(fleet->servers);
 	gc_roster_begin_list(fleet->daemons);
-	count_call(fleet);
+	gc_counter_add(fleet->calls, 1);
+	fleet->call_started = gc_clock_now(fleet->conf.clock);
 	fleet->conf.store.ops->list(fleet->conf.store.store, GC_STR_EMPTY,
 				    on_list, fleet);
 }
@@ -224,10 +234,14 @@
 		call_failed(fleet, err);
 		return;
 	}
-	for (size_t i = 0; i < items->n; i++)
-		take_item(fleet, &items->items[i]);
-	if (fleet->revision == 0)
+	if (fleet->revision == 0) {
 		fleet->revision = items->revision;
+		gc_feed_restart(fleet->feed, items->revision);
+	}
+	for (size_t i = 0; i < items->n; i++) {
+		gc_feed_add(fleet->feed, &items->items[i]);
+		take_item(fleet, &items->items[i]);
+	}
 	if (items->more && items->n > 0) {
 		gc_counter_add(fleet->calls, 1);
 		fleet->conf.store.ops->list(fleet->conf.store.store,
@@ -247,13 +261,31 @@
 
 static void start_watch(gc_fleet_t *fleet)
 {
-	count_call(fleet);
+	fleet->call_started = gc_clock_now(fleet->conf.clock);
 	fleet->wait_ms = fleet->changed ? fleet->conf.watch_ms / SHORT_WAIT_PART
 					: fleet->conf.watch_ms;
+	if (fleet->conf.peers &&
+	    gc_peers_watch(fleet->conf.peers, fleet->revision, fleet->wait_ms,
+			   on_peer_watch, fleet))
+		return;
+	gc_counter_add(fleet->calls, 1);
 	fleet->conf.store.ops->watch(fleet->conf.store.store, fleet->revision,
 				     fleet->wait_ms, on_watch, fleet);
 }
 
+/* A daemon that can't tell says nothing of the store, which is asked next. */
+static void on_peer_watch(void *ctx, const gc_store_items_t *items,
+			  const GError *err)
+{
+	if (!err) {
+		on_watch(ctx, items, NULL);
+		return;
+	}
+	gc_log_error(GC_LOG_DEBUG, GC_EVENT_PEER_WATCH_FAILED,
+		     "another daemon can't tell the changes", err);
+	start_watch(ctx);
+}
+
 static void on_watch(void *ctx, const gc_store_items_t *items,
 		     const GError *err)
 {
@@ -266,10 +298,13 @@
 	}
 	regained(fleet);
 	fleet->changed = items->n > 0;
-	for (size_t i = 0; i < items->n; i++)
+	for (size_t i = 0; i < items->n; i++) {
+		gc_feed_add(fleet->feed, &items->items[i]);
 		changed |= take_item(fleet, &items->items[i]);
+	}
 	if (items->revision > fleet->revision)
 		fleet->revision = items->revision;
+	gc_feed_advance(fleet->feed, fleet->revision);
 	confirm(fleet, proven_at(fleet, items));
 	if (changed)
 		publish(fleet);
@@ -291,8 +326,9 @@
 				       gc_clock_now(fleet->conf.clock));
 
 	if (items->n > 0 || waited < fleet->wait_ms)
-		return fleet->call_started;
-	return gc_add_ms(fleet->call_started, fleet->wait_ms - WAIT_SLACK_MS);
+		return gc_add_ms(fleet->call_started, -items->age_ms);
+	return gc_add_ms(fleet->call_started,
+			 fleet->wait_ms - WAIT_SLACK_MS - items->age_ms);
 }
 
 static void on_next_call(void *ctx)
@@ -341,10 +377,11 @@
  */
 static void confirm(gc_fleet_t *fleet, struct timespec at)
 {
-	if (!fleet->listed || !fleet->routes)
-		return;
-	atomic_store(fleet->conf.confirmed,
-		     at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000);
+	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
+
+	if (fleet->listed && fleet->routes &&
+	    ms > atomic_load(fleet->conf.confirmed))
+		atomic_store(fleet->conf.confirmed, ms);
 }
 
 int64_t gc_confirmed_age_ms(const gc_confirmed_t *confirmed,
@@ -452,6 +489,7 @@
 {
 	json_t *json;
 	const char *address;
+	const char *peer = "";
 	const char *domain;
 
 	if (item->deleted) {
@@ -460,11 +498,12 @@
 		return;
 	}
 	json = json_loadb(item->value.data, item->value.len, 0, NULL);
-	if (json_unpack(json, "{s:s,s:s}", "address", &address,
-			"failure_domain", &domain) == 0) {
+	if (json_unpack(json, "{s:s,s?s,s:s}", "address", &address, "peer",
+			&peer, "failure_domain", &domain) == 0) {
 		gc_entry_t entry = {
 			.id = id,
 			.address = gc_str(address),
+			.peer_address = gc_str(peer),
 			.failure_domain = gc_str(domain),
 		};
 
@@ -530,10 +569,12 @@
 static void write_entry(gc_fleet_t *fleet)
 {
 	const gc_entry_t *self = &fleet->conf.self;
-	json_t *json = json_pack("{s:s#,s:s#}", "address", self->address.data,
-				 (int)self->address.len, "failure_domain",
-				 self->failure_domain.data,
-				 (int)self->failure_domain.len);
+	json_t *json =
+		json_pack("{s:s#,s:s#,s:s#}", "address", self->address.data,
+			  (int)self->address.len, "peer",
+			  self->peer_address.data, (int)self->peer_address.len,
+			  "failure_domain", self->failure_domain.data,
+			  (int)self->failure_domain.len);
 	char *text = json_dumps(json, JSON_COMPACT);
 
 	fleet->conf.store.ops->put(fleet->conf.store.store,
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -15,6 +15,7 @@
 #include <tevent.h>
 
 #include "core/clock.h"
+#include "core/feed.h"
 #include "core/place.h"
 #include "core/roster.h"
 #include "core/routes.h"
@@ -48,6 +49,11 @@
 	const gc_clock_t *clock;
 	const gc_random_t *random;
 	gc_store_t store;
+	/*
+	 * Asks other daemons instead of the store where it can; may be NULL.
+	 * Belongs to the fleet's user.
+	 */
+	struct gc_peers_watch *peers;
 	const gc_adapter_t *adapter;
 	gc_entry_t self; /* this daemon; its address is the callers' one */
 	int64_t watch_ms; /* longest wait of a watch */
@@ -60,6 +66,8 @@
 } gc_fleet_conf_t;
 
 gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf);
+/* What is known of the store, for daemons that ask this one. */
+const gc_feed_t *gc_fleet_feed(const gc_fleet_t *fleet);
 /* The newest view; never NULL. */
 gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet);
 /* Takes the own entry away. */
--- /dev/null
+++ b/lib/peers_watch.c
@@ -0,0 +1,204 @@
+/* Changes of the store from and for other daemons, as JSON. */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "core/error.h"
+#include "core/watchers.h"
+#include "lib/peers_watch.h"
+
+/* After a failure the store itself is asked for this long. */
+#define DIRECT_MS   1500
+#define LONGEST_URL 160
+
+struct gc_peers_watch {
+	gc_peers_watch_conf_t conf;
+	const gc_entry_t *daemons;
+	size_t n_daemons;
+	unsigned int turn; /* failures so far */
+	struct timespec direct_until;
+	gc_store_items_done_t done; /* of the call in progress */
+	void *ctx;
+	uint64_t after;
+};
+
+static void on_answer(void *ctx, int status, gc_str_t body, bool sent,
+		      const GError *err);
+static void fail(gc_peers_watch_t *peers, const char *why);
+static bool read_answer(TALLOC_CTX *mem, const json_t *json,
+			gc_store_items_t *items);
+static bool read_item(TALLOC_CTX *mem, const json_t *json,
+		      gc_store_item_t *item);
+static void add_item(void *ctx, const gc_store_item_t *item);
+
+gc_peers_watch_t *gc_peers_watch_create(TALLOC_CTX *mem,
+					const gc_peers_watch_conf_t *conf)
+{
+	gc_peers_watch_t *peers = talloc_zero(mem, gc_peers_watch_t);
+
+	peers->conf = *conf;
+	return peers;
+}
+
+void gc_peers_watch_set_daemons(gc_peers_watch_t *peers,
+				const gc_entry_t *daemons, size_t n)
+{
+	peers->daemons = daemons;
+	peers->n_daemons = n;
+}
+
+bool gc_peers_watch(gc_peers_watch_t *peers, uint64_t after, int64_t wait_ms,
+		    gc_store_items_done_t done, void *ctx)
+{
+	struct timespec now = gc_clock_now(peers->conf.clock);
+	char url[LONGEST_URL];
+	gc_http_call_conf_t conf = {
+		.method = "GET",
+		.url = url,
+		.peer = "daemon",
+		.connect_timeout_ms = peers->conf.timeout_ms,
+		.timeout_ms = peers->conf.timeout_ms + (long)wait_ms,
+	};
+	const gc_http_call_ops_t ops = {.done = on_answer};
+	ssize_t at =
+		gc_watchers_choose(peers->daemons, peers->n_daemons,
+				   peers->conf.self, peers->conf.failure_domain,
+				   peers->turn);
+
+	if (at < 0 || peers->daemons[at].peer_address.len == 0 ||
+	    gc_ms_between(now, peers->direct_until) > 0)
+		return false;
+	snprintf(url, sizeof(url),
+		 "http://%.*s" GC_PEERS_WATCH_PATH "?after=%" G_GUINT64_FORMAT
+		 "&wait_ms=%" G_GINT64_FORMAT,
+		 GC_STR_ARG(peers->daemons[at].peer_address), after, wait_ms);
+	peers->done = done;
+	peers->ctx = ctx;
+	peers->after = after;
+	gc_httpc_start(peers->conf.http, &conf, &ops, peers);
+	return true;
+}
+
+static void on_answer(void *ctx, int status, gc_str_t body, bool sent,
+		      const GError *err)
+{
+	gc_peers_watch_t *peers = ctx;
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_store_items_t items = {0};
+	json_t *json = NULL;
+
+	if (!err && status == 200)
+		json = json_loadb(body.data, body.len, 0, NULL);
+	if (err)
+		fail(peers, err->message);
+	else if (!read_answer(mem, json, &items))
+		fail(peers, "the daemon can't tell the changes");
+	else if (items.age_ms > peers->conf.max_age_ms)
+		fail(peers, "the daemon's knowledge is old");
+	else
+		peers->done(peers->ctx, &items, NULL);
+	json_decref(json);
+	talloc_free(mem);
+}
+
+/*
+ * No error for the caller: an answer without news, as old as can be, makes it
+ * ask again, and then the store itself.
+ */
+static void fail(gc_peers_watch_t *peers, const char *why)
+{
+	GError *err = NULL;
+
+	peers->turn++;
+	peers->direct_until =
+		gc_add_ms(gc_clock_now(peers->conf.clock), DIRECT_MS);
+	gc_error_set(&err, GC_ERR_UNAVAILABLE, "changes", "daemon", "%s", why);
+	peers->done(peers->ctx, NULL, err);
+	g_error_free(err);
+}
+
+static bool read_answer(TALLOC_CTX *mem, const json_t *json,
+			gc_store_items_t *items)
+{
+	const json_t *list = json_object_get(json, "items");
+	const json_t *age = json_object_get(json, "age_ms");
+	const json_t *revision = json_object_get(json, "revision");
+	gc_store_item_t *read;
+	size_t i;
+	json_t *item;
+
+	if (!json_is_array(list) || !json_is_integer(age) ||
+	    !json_is_integer(revision) || json_integer_value(age) < 0)
+		return false;
+	read = talloc_array(mem, gc_store_item_t, json_array_size(list) + 1);
+	json_array_foreach (list, i, item) {
+		if (!read_item(mem, item, &read[i]))
+			return false;
+	}
+	items->items = read;
+	items->n = json_array_size(list);
+	items->revision = (uint64_t)json_integer_value(revision);
+	items->age_ms = json_integer_value(age);
+	return true;
+}
+
+static bool read_item(TALLOC_CTX *mem, const json_t *json,
+		      gc_store_item_t *item)
+{
+	const json_t *key = json_object_get(json, "key");
+	const json_t *value = json_object_get(json, "value");
+	gsize len = 0;
+	guchar *bytes;
+
+	if (!json_is_string(key))
+		return false;
+	*item = (gc_store_item_t){
+		.key = {json_string_value(key), json_string_length(key)},
+		.value = GC_STR_EMPTY,
+		.revision = (uint64_t)json_integer_value(
+			json_object_get(json, "revision")),
+		.deleted = !value,
+	};
+	if (!json_is_string(value))
+		return item->deleted;
+	bytes = g_base64_decode(json_string_value(value), &len);
+	item->value = gc_str_dup(mem, (gc_str_t){(const char *)bytes, len});
+	g_free(bytes);
+	return true;
+}
+
+char *gc_peers_watch_answer(const gc_feed_t *feed, uint64_t after,
+			    int64_t age_ms)
+{
+	json_t *list = json_array();
+	json_t *answer;
+	char *text;
+	char *copy;
+
+	if (!gc_feed_since(feed, after, add_item, list)) {
+		json_decref(list);
+		return NULL;
+	}
+	answer = json_pack("{s:I,s:I,s:o}", "revision",
+			   (json_int_t)gc_feed_revision(feed), "age_ms",
+			   (json_int_t)age_ms, "items", list);
+	text = json_dumps(answer, JSON_COMPACT);
+	json_decref(answer);
+	copy = g_strdup(text);
+	free(text);
+	return copy;
+}
+
+static void add_item(void *ctx, const gc_store_item_t *item)
+{
+	json_t *json = json_pack("{s:s#,s:I}", "key", item->key.data,
+				 (int)item->key.len, "revision",
+				 (json_int_t)item->revision);
+	g_autofree char *value = NULL;
+
+	if (!item->deleted) {
+		value = g_base64_encode((const guchar *)item->value.data,
+					item->value.len);
+		json_object_set_new(json, "value", json_string(value));
+	}
+	json_array_append_new(ctx, json);
+}
--- /dev/null
+++ b/lib/peers_watch.h
@@ -0,0 +1,52 @@
+/*
+ * Watches the store through another daemon of the failure domain, so that the
+ * calls to the store don't grow with the daemons.
+ */
+#ifndef GC_LIB_PEERS_WATCH_H
+#define GC_LIB_PEERS_WATCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+
+#include "core/clock.h"
+#include "core/feed.h"
+#include "core/roster.h"
+#include "lib/httpc.h"
+#include "lib/store.h"
+
+/* Where daemons ask: GET PATH?after=REVISION&wait_ms=N */
+#define GC_PEERS_WATCH_PATH "/peer/changes"
+
+typedef struct gc_peers_watch gc_peers_watch_t;
+
+typedef struct gc_peers_watch_conf {
+	gc_httpc_t *http;
+	const gc_clock_t *clock;
+	gc_str_t self;
+	gc_str_t failure_domain;
+	long timeout_ms; /* beyond the wait */
+	int64_t max_age_ms; /* an answer that is older is of no use */
+} gc_peers_watch_conf_t;
+
+gc_peers_watch_t *gc_peers_watch_create(TALLOC_CTX *mem,
+					const gc_peers_watch_conf_t *conf);
+/* The serving daemons, in the order of ids. Valid until the next call. */
+void gc_peers_watch_set_daemons(gc_peers_watch_t *peers,
+				const gc_entry_t *daemons, size_t n);
+/*
+ * Asks a watcher what changed after the revision. False if the store itself
+ * is to be asked: this daemon is a watcher, or a watcher failed lately.
+ */
+bool gc_peers_watch(gc_peers_watch_t *peers, uint64_t after, int64_t wait_ms,
+		    gc_store_items_done_t done, void *ctx);
+
+/*
+ * The answer of a watcher: JSON text, or NULL if changes after the revision
+ * may be unknown here. Free with g_free.
+ */
+char *gc_peers_watch_answer(const gc_feed_t *feed, uint64_t after,
+			    int64_t age_ms);
+
+#endif
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -77,7 +77,8 @@
 	endpoint(reader, "caller", true, &settings->caller);
 	endpoint(reader, "ready", true, &settings->ready);
 	endpoint(reader, "addresses", true, &settings->addresses);
-	endpoint(reader, "metrics", false, &settings->metrics);
+	endpoint(reader, "peer", false, &settings->peer);
+	settings->peer_address = text(reader, "peer", false);
 	settings->config_in_force_ms = (int64_t)number(
 		reader, "config_in_force_ms", 2000, 200, 600000);
 	settings->revoke_ms =
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -17,7 +17,8 @@
 	gc_listen_t caller; /* routed requests */
 	gc_listen_t ready; /* health checks of the surroundings */
 	gc_listen_t addresses; /* callers' questions where to connect */
-	gc_listen_t metrics; /* no address: not served */
+	gc_listen_t peer; /* other daemons, metrics; no address: none */
+	const char *peer_address; /* IP:PORT that other daemons are told */
 	const char *caller_address; /* IP:PORT that callers are told */
 	const char *store; /* IP:PORT */
 	int64_t config_in_force_ms; /* 2000 */
--- a/lib/store.h
+++ b/lib/store.h
@@ -11,21 +11,16 @@
 
 #include <glib.h>
 
+#include "core/feed.h"
 #include "core/str.h"
 
-/* An item as it was written, or its deletion. */
-typedef struct gc_store_item {
-	gc_str_t key;
-	gc_str_t value;
-	uint64_t revision;
-	bool deleted;
-} gc_store_item_t;
-
 typedef struct gc_store_items {
 	const gc_store_item_t *items;
 	size_t n;
 	uint64_t revision; /* of the store; a watch goes on after it */
 	bool more; /* a further page follows the last key */
+	/* How old the answer was when it was given; 0 for the store itself. */
+	int64_t age_ms;
 } gc_store_items_t;
 
 /*
--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -59,9 +59,10 @@
 start_routed() {
 	FRONT=127.0.0.1:$(free_port)
 	DESK=127.0.0.1:$(free_port)
+	PEER=127.0.0.1:$(free_port)
 	cat >"$1.json" <<-END
 	{"mode":"routed","instance":"$1","failure_domain":"a",
-	 "caller":"$FRONT","ready":"$DESK","addresses":"127.0.0.1:0",
+	 "caller":"$FRONT","ready":"$DESK","addresses":"127.0.0.1:0","peer":"$PEER",
 	 "store":"$STORE","config_in_force_ms":2000,"revoke_ms":5000,
 	 "contact_ms":3000,"stop_grace_s":4,"log_level":"debug"$2}
 	END
