--- a/lib/carrier.c
+++ b/lib/carrier.c
@@ -154,7 +154,10 @@
 
 	carrier->stop_started = gc_clock_now(carrier->clock);
 	gc_front_set_closing(carrier->front);
-	gc_relay_set_stopping(carrier->relay);
+	gc_relay_set_stopping(
+		carrier->relay,
+		gc_add_ms(carrier->stop_started,
+			  carrier->settings->stop_grace_ms - STOP_MARGIN_MS));
 	gc_timer_set(carrier->stop_timer, STOP_POLL_MS);
 }
 
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -127,9 +127,10 @@
 	return rank;
 }
 
-void gc_relay_set_stopping(gc_relay_t *relay)
+void gc_relay_set_stopping(gc_relay_t *relay, struct timespec end)
 {
 	relay->stopping = true;
+	relay->stop_at = end;
 }
 
 size_t gc_relay_open(const gc_relay_t *relay)
@@ -250,13 +251,14 @@
 		if (refusal)
 			return refusal;
 	}
-	if (relay->stopping && exchange->route->kind == GC_ROUTE_STREAM)
+	set_limits(exchange);
+	if (relay->stopping &&
+	    gc_ms_between(now, relay->stop_at) < exchange->limit_ms)
 		return &stopping;
 	exchange->view = gc_fleet_view_ref(relay->view);
 	exchange->service = gc_route_pick(
 		exchange->route,
 		relay->conf.random->next(relay->conf.random->ctx));
-	set_limits(exchange);
 	return NULL;
 }
 
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -42,8 +42,11 @@
 gc_relay_t *gc_relay_create(TALLOC_CTX *mem, const gc_relay_conf_t *conf);
 /* Takes a new view; a reference is taken. */
 void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view);
-/* New streams are refused from now on; the daemon is stopping. */
-void gc_relay_set_stopping(gc_relay_t *relay);
+/*
+ * The daemon stops at `end`: requests that may not be answered before it are
+ * refused from now on.
+ */
+void gc_relay_set_stopping(gc_relay_t *relay, struct timespec end);
 /* Requests in progress, also those whose caller has left. */
 size_t gc_relay_open(const gc_relay_t *relay);
 
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -14,6 +14,7 @@
 	gc_exchange_t *open;
 	size_t n_open;
 	bool stopping;
+	struct timespec stop_at;
 };
 
 /* Starts the attempts of an admitted request. */
--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -75,7 +75,7 @@
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$DESK/v1/ready")" = 200 ]; }
 
 # ask PATH [CURL OPTION...]: sends a request with a fresh id. HOST and AUTH
-# change the host and the value of Authorization.
+# change the host and the value of Authorization, DEADLINE the caller's (ms).
 ask() {
 	local path=$1
 	shift
@@ -83,6 +83,6 @@
 		-H "Host: ${HOST-h.example}" \
 		-H "Goldcrestfield-Request-Id: r$(date +%N)" \
 		-H "Authorization:${AUTH- Token key-1}" \
-		-H 'Goldcrestfield-Deadline-Ms: 3000' "$@"
+		-H "Goldcrestfield-Deadline-Ms: ${DEADLINE-3000}" "$@"
 }
 status() { ask "$@" -o /dev/null; }
--- a/regress/routed_stop.t
+++ b/regress/routed_stop.t
@@ -76,7 +76,7 @@
   $ sleep 0.1; kill -TERM $d1_pid; sleep 0.1
   $ curl -s -o /dev/null -w '%{http_code}\n' "http://$DESK/v1/ready"
   503
-  $ status /draft/ok
+  $ DEADLINE=9000 status /draft/ok
   503
   $ ask /look/ok -D head.txt -o /dev/null; grep -o 'Connection: close' head.txt
   200
@@ -89,3 +89,15 @@
   200
   $ tail -n 1 d1.log | grep -o '"message":"stopped"'
   "message":"stopped"
+
+A stream that does not end keeps the daemon until the end of its grace period;
+what may not be answered before that is refused as not run, not cut.
+
+  $ start_routed d2
+  $ ask /draft/mute >mute.out & sleep 0.3; kill -TERM $d2_pid; sleep 1
+  $ status /book/ok
+  200
+  $ sleep 1.7; ask /book/ok | grep -o '"code":"stopping"\|not_run\|^503'
+  "code":"stopping"
+  not_run
+  503
