--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -55,6 +55,7 @@
 static bool start_desk(routed_t *routed, GError **err);
 static void start_fleet(routed_t *routed);
 static void publish(void *ctx, gc_fleet_view_t *view);
+static void on_confirmed(void *ctx, int64_t at_ms);
 static void init_log(const routed_t *routed);
 static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
 		    int signum, int count, void *info, void *ctx);
@@ -114,7 +115,6 @@
 		.settings = routed->settings,
 		.adapter = &gc_platform_adapter,
 		.clock = &gc_clock_system,
-		.confirmed = &routed->confirmed,
 		.seed = random_seed(),
 	};
 
@@ -161,6 +161,7 @@
 		.lapse_grace_ms = LAPSE_GRACE_MS,
 		.confirmed = &routed->confirmed,
 		.publish = publish,
+		.on_confirmed = on_confirmed,
 		.ctx = routed,
 	};
 
@@ -187,6 +188,13 @@
 	routed_t *routed = ctx;
 
 	gc_carrier_set_view(routed->carrier, view);
+}
+
+static void on_confirmed(void *ctx, int64_t at_ms)
+{
+	routed_t *routed = ctx;
+
+	gc_carrier_confirm(routed->carrier, at_ms);
 	if (routed->desk)
 		gc_desk_changed(routed->desk);
 }
--- a/lib/carrier.c
+++ b/lib/carrier.c
@@ -28,6 +28,7 @@
 	gc_mailbox_t *mailbox;
 	gc_front_t *front;
 	gc_relay_t *relay;
+	gc_confirmed_t confirmed; /* of the relay's view */
 	GRand *rand;
 	gc_random_t random;
 	GThread *thread;
@@ -42,6 +43,7 @@
 			 GError **err);
 static gpointer run(gpointer data);
 static void take_view(void *ctx, void *message);
+static void take_confirmed(void *ctx, void *message);
 static void take_stop(void *ctx, void *message);
 static void take_end(void *ctx, void *message);
 static void on_stop_poll(void *ctx);
@@ -72,7 +74,7 @@
 		.clock = conf->clock,
 		.random = &carrier->random,
 		.adapter = conf->adapter,
-		.confirmed = conf->confirmed,
+		.confirmed = &carrier->confirmed,
 		.instance = gc_str(settings->instance),
 		.failure_domain = gc_str(settings->failure_domain),
 		.deny_age_ms = settings->config_in_force_ms,
@@ -140,6 +142,24 @@
 	gc_fleet_view_unref(message);
 }
 
+/* In the order of the views, so that the time never goes with an older one. */
+void gc_carrier_confirm(gc_carrier_t *carrier, int64_t at_ms)
+{
+	int64_t *message = g_new(int64_t, 1);
+
+	*message = at_ms;
+	gc_mailbox_post(carrier->mailbox, take_confirmed, message);
+}
+
+static void take_confirmed(void *ctx, void *message)
+{
+	gc_carrier_t *carrier = ctx;
+	int64_t *at_ms = message;
+
+	atomic_store(&carrier->confirmed, *at_ms);
+	g_free(at_ms);
+}
+
 void gc_carrier_stop(gc_carrier_t *carrier, void (*stopped)(void *ctx),
 		     void *ctx)
 {
--- a/lib/carrier.h
+++ b/lib/carrier.h
@@ -14,7 +14,6 @@
 	const gc_routed_settings_t *settings;
 	const gc_adapter_t *adapter;
 	const gc_clock_t *clock;
-	const gc_confirmed_t *confirmed;
 	uint32_t seed; /* of the thread's random source */
 } gc_carrier_conf_t;
 
@@ -23,6 +22,8 @@
 uint16_t gc_carrier_port(const gc_carrier_t *carrier);
 /* Safe from every thread. */
 void gc_carrier_set_view(gc_carrier_t *carrier, gc_fleet_view_t *view);
+/* The last view that was set was the newest one at this monotonic time. */
+void gc_carrier_confirm(gc_carrier_t *carrier, int64_t at_ms);
 /*
  * Serves on until nothing is open or the grace period ends, then calls
  * stopped(ctx) in the traffic thread.
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -253,8 +253,8 @@
 	fleet->listed = true;
 	gc_roster_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
 	gc_roster_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
-	confirm(fleet, fleet->call_started);
 	publish(fleet);
+	confirm(fleet, fleet->call_started);
 	on_expiry(fleet);
 	start_watch(fleet);
 }
@@ -305,9 +305,9 @@
 	if (items->revision > fleet->revision)
 		fleet->revision = items->revision;
 	gc_feed_advance(fleet->feed, fleet->revision);
-	confirm(fleet, proven_at(fleet, items));
 	if (changed)
 		publish(fleet);
+	confirm(fleet, proven_at(fleet, items));
 	on_expiry(fleet);
 	if (items->n > 0)
 		gc_timer_set(fleet->next_call, GATHER_MS);
@@ -379,9 +379,12 @@
 {
 	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
 
-	if (fleet->listed && fleet->routes &&
-	    ms > atomic_load(fleet->conf.confirmed))
+	if (!fleet->listed || !fleet->routes)
+		return;
+	if (ms > atomic_load(fleet->conf.confirmed))
 		atomic_store(fleet->conf.confirmed, ms);
+	fleet->conf.on_confirmed(fleet->conf.ctx,
+				 atomic_load(fleet->conf.confirmed));
 }
 
 int64_t gc_confirmed_age_ms(const gc_confirmed_t *confirmed,
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -62,6 +62,12 @@
 	gc_confirmed_t *confirmed;
 	/* A new view; takes a reference if it keeps it. */
 	void (*publish)(void *ctx, gc_fleet_view_t *view);
+	/*
+	 * The last published view was certainly the newest one at this
+	 * monotonic time. Always after publish: who pairs the time with an
+	 * older view would admit revoked keys.
+	 */
+	void (*on_confirmed)(void *ctx, int64_t at_ms);
 	void *ctx;
 } gc_fleet_conf_t;
 
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -12,6 +12,8 @@
  * looks; well below an eighth of the shortest objectives seen. */
 #define FIRST_CONFIG_MS	     150
 #define FIRST_CONFIG_STEP_MS 5
+/* The least time until a repeat after a refusal for an outage. */
+#define OUTAGE_RETRY_MS 900
 /* Limits until the operator's are known. */
 #define FIRST_HEADER_BYTES 16384
 #define FIRST_BODY_BYTES   4194304
@@ -29,6 +31,7 @@
 static void try_admit(gc_exchange_t *exchange);
 static bool wait_for_configuration(gc_exchange_t *exchange);
 static void on_configuration_timer(void *ctx);
+static int64_t outage_retry_ms(const gc_route_t *route);
 static const gc_refusal_t *admit(gc_exchange_t *exchange);
 static const gc_refusal_t *check_key(gc_exchange_t *exchange, int64_t age_ms);
 static gc_exchange_t *create(gc_relay_t *relay, gc_caller_t *caller,
@@ -165,6 +168,7 @@
 	gc_relay_t *relay = exchange->relay;
 	gc_caller_t *caller = exchange->caller;
 	const gc_refusal_t *refusal = admit(exchange);
+	gc_refusal_t told;
 
 	if (!refusal) {
 		gc_exchange_run(exchange);
@@ -172,12 +176,26 @@
 	}
 	if (refusal == &no_configuration && wait_for_configuration(exchange))
 		return;
+	told = *refusal;
+	if (refusal == &stale_configuration)
+		told.retry_after_ms = outage_retry_ms(exchange->route);
 	gc_caller_set_data(caller, NULL);
-	gc_relay_refuse(relay, caller, exchange->id, exchange->account,
-			refusal);
+	gc_relay_refuse(relay, caller, exchange->id, exchange->account, &told);
 	talloc_free(exchange);
 }
 
+/*
+ * An outage lasts for seconds, and callers try again once or twice: an early
+ * repeat would find it still there. Half of the objective is left for the
+ * answer.
+ */
+static int64_t outage_retry_ms(const gc_route_t *route)
+{
+	int64_t ms = route ? route->objective_ms / 2 : 0;
+
+	return ms > OUTAGE_RETRY_MS ? ms : OUTAGE_RETRY_MS;
+}
+
 /*
  * A daemon that has just started knows the configuration within some ms; a
  * refusal would cost the caller one of its tries.
--- /dev/null
+++ b/regress/check_fleet.c
@@ -0,0 +1,184 @@
+/*
+ * Guards against a confirmation that is paired with an older configuration,
+ * which admits revoked keys, and against one that is younger than the answer
+ * that proves it.
+ */
+#include "core/error.h"
+#include "lib/fleet.h"
+#include "platform/platform.h"
+#include "regress/unit.h"
+
+#define WATCH_MS 900
+
+/* A store whose answers the test gives. */
+typedef struct fake {
+	gc_store_items_done_t done; /* of the call in progress */
+	void *ctx;
+	int64_t now_ms;
+	gc_confirmed_t confirmed;
+	int64_t confirmed_at_publish;
+	uint64_t version; /* of the last view */
+	uint64_t version_at_confirm;
+	int64_t last_confirmed;
+} fake_t;
+
+static void start_call(fake_t *fake, gc_store_items_done_t done, void *ctx)
+{
+	fake->done = done;
+	fake->ctx = ctx;
+}
+
+static void fake_list(void *store, gc_str_t after, gc_store_items_done_t done,
+		      void *ctx)
+{
+	start_call(store, done, ctx);
+}
+
+static void fake_watch(void *store, uint64_t after, int64_t wait_ms,
+		       gc_store_items_done_t done, void *ctx)
+{
+	start_call(store, done, ctx);
+}
+
+static void fake_lease(void *store, int64_t ttl_ms, gc_store_done_t done,
+		       void *ctx)
+{
+}
+
+static const gc_store_ops_t fake_ops = {
+	.list = fake_list,
+	.watch = fake_watch,
+	.lease = fake_lease,
+};
+
+static struct timespec fake_now(void *ctx)
+{
+	const fake_t *fake = ctx;
+
+	return unit_at(fake->now_ms);
+}
+
+static int64_t ms_of(struct timespec t)
+{
+	return t.tv_sec * INT64_C(1000) + t.tv_nsec / 1000000;
+}
+
+static void on_view(void *ctx, gc_fleet_view_t *view)
+{
+	fake_t *fake = ctx;
+
+	fake->confirmed_at_publish = atomic_load(&fake->confirmed);
+	if (view->routes)
+		fake->version = gc_routes_version(view->routes);
+}
+
+static void on_confirmed(void *ctx, int64_t at_ms)
+{
+	fake_t *fake = ctx;
+
+	fake->version_at_confirm = fake->version;
+	fake->last_confirmed = at_ms;
+}
+
+static void answer(fake_t *fake, uint64_t revision, const char *config)
+{
+	gc_store_item_t item = {GC_STR_LIT("op/config"), gc_str(config),
+				revision, false};
+	gc_store_items_t items = {
+		.items = &item, .n = config ? 1 : 0, .revision = revision};
+
+	fake->done(fake->ctx, &items, NULL);
+}
+
+static gc_fleet_t *start(TALLOC_CTX *mem, fake_t *fake, gc_clock_t *clock)
+{
+	struct tevent_context *ev = tevent_context_init(mem);
+	gc_fleet_conf_t conf = {
+		.ev = ev,
+		.timers = gc_timers_create(mem, ev),
+		.clock = clock,
+		.store = {&fake_ops, fake},
+		.adapter = &gc_platform_adapter,
+		.self = {.id = GC_STR_LIT("d1")},
+		.watch_ms = WATCH_MS,
+		.lease_ms = 3000,
+		.lapse_grace_ms = 2500,
+		.confirmed = &fake->confirmed,
+		.publish = on_view,
+		.on_confirmed = on_confirmed,
+		.ctx = fake,
+	};
+
+	*clock = (gc_clock_t){fake_now, fake_now, fake};
+	return gc_fleet_create(mem, &conf);
+}
+
+/* Seen with 15 daemons: a key was admitted 8 s after it had been revoked. */
+START_TEST(test_view_comes_before_its_confirmation)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	fake.now_ms = 10;
+	answer(&fake, 5, "{\"version\":1}");
+	ck_assert_int_eq(fake.confirmed_at_publish, 0);
+	ck_assert_uint_eq(fake.version_at_confirm, 1);
+	ck_assert_int_eq(fake.last_confirmed, ms_of(unit_at(0)));
+	fake.now_ms = 8000;
+	answer(&fake, 6, "{\"version\":2}");
+	ck_assert_int_eq(fake.confirmed_at_publish, ms_of(unit_at(0)));
+	ck_assert_uint_eq(fake.version_at_confirm, 2);
+	talloc_free(mem);
+}
+END_TEST
+
+START_TEST(test_what_an_answer_proves)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	fake.now_ms = 10;
+	answer(&fake, 5, "{\"version\":1}");
+	/* A watch that waited out proves nearly its end, however late. */
+	fake.now_ms = 9000;
+	answer(&fake, 5, NULL);
+	ck_assert_int_le(fake.last_confirmed, ms_of(unit_at(10 + WATCH_MS)));
+	ck_assert_int_gt(fake.last_confirmed, ms_of(unit_at(WATCH_MS / 2)));
+	/* One that ended early proves its start. */
+	fake.now_ms = 9100;
+	answer(&fake, 5, NULL);
+	ck_assert_int_eq(fake.last_confirmed, ms_of(unit_at(9000)));
+	talloc_free(mem);
+}
+END_TEST
+
+START_TEST(test_versions_never_go_back)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	answer(&fake, 5, "{\"version\":7}");
+	fake.now_ms = 1000;
+	answer(&fake, 6, "{\"version\":3}");
+	ck_assert_uint_eq(fake.version, 7);
+	talloc_free(mem);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_view_comes_before_its_confirmation,
+		test_what_an_answer_proves,
+		test_versions_never_go_back,
+		NULL,
+	};
+
+	return unit_run("fleet", tests);
+}
