--- a/regress/docs.py
+++ b/regress/docs.py
@@ -6,7 +6,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SOURCE_DIRS = ["core", "lib", "goldcrestd", "goldcrestctl", "goldcrestcall",
-               "standins"]
+               "standins", "platform"]
 
 faults = []
 
@@ -141,6 +141,25 @@
     compare("setting", code, listed, "lib/settings.c", "docs/OPERATIONS.md")
 
 
+def check_routed_settings():
+    table = read("lib/routed_settings.c")
+    code = require("routed settings", re.findall(
+        r'(?:text|endpoint|number)\(\s*reader,\s*"(\w+)"', table))
+    code.append("mode")
+    man = []
+    for line in read("goldcrestd/goldcrestd-routed.conf.5").splitlines():
+        if line.startswith(".It Va "):
+            man.append(line[len(".It Va "):].split(" Pq ")[0])
+    compare("routed setting", code, man, "lib/routed_settings.c",
+            "goldcrestd-routed.conf.5")
+    text = read("docs/OPERATIONS.md")
+    section = text[text.index("### Routed settings"):]
+    section = section[:section.index("\n## ")]
+    listed = re.findall(r"^\| `(\w+)` \|", section, re.M)
+    compare("routed setting", code, listed, "lib/routed_settings.c",
+            "docs/OPERATIONS.md")
+
+
 def check_links():
     pages = ["README.md"] + sorted(
         "docs/" + name for name in os.listdir(os.path.join(ROOT, "docs"))
@@ -159,6 +178,7 @@
     check_events()
     check_metrics()
     check_settings()
+    check_routed_settings()
     check_links()
     for fault in faults:
         print(fault)
