--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -340,8 +340,9 @@
 		&exchange->relay->conf.adapter->headers;
 	int status = gc_message_status(answer);
 
+	exchange->moved = status == 421;
 	exchange->refused =
-		status == 421 || gc_message_find(answer, names->not_run).data;
+		exchange->moved || gc_message_find(answer, names->not_run).data;
 	exchange->good = !exchange->refused && status >= 200 && status < 300 &&
 			 gc_message_find(answer, names->mac).data;
 	if (exchange->head_sent)
@@ -355,6 +356,9 @@
 {
 	gc_exchange_t *exchange = ctx;
 
+	/* What a caller that has left may not hear need not be kept. */
+	if (!exchange->caller)
+		return;
 	if (exchange->good && exchange->events)
 		take_events(exchange, data);
 	else if (exchange->head_sent && !exchange->events)
@@ -363,7 +367,7 @@
 		g_byte_array_append(exchange->body, (const guint8 *)data.data,
 				    (guint)data.len);
 	if (exchange->good && !exchange->events && !exchange->head_sent &&
-	    exchange->caller && exchange->body->len > COLLECT_BYTES) {
+	    exchange->body->len > COLLECT_BYTES) {
 		gc_caller_begin(exchange->caller, exchange->status,
 				(gc_str_t){exchange->head->str,
 					   exchange->head->len});
@@ -424,8 +428,6 @@
 
 static void pass_bytes(gc_exchange_t *exchange, gc_str_t data)
 {
-	if (!exchange->caller)
-		return;
 	gc_caller_chunk(exchange->caller, data);
 	if (exchange->call &&
 	    gc_caller_pending(exchange->caller) > MAX_PENDING_BYTES)
--- a/regress/routed_requests.t
+++ b/regress/routed_requests.t
@@ -102,7 +102,12 @@
 
   $ operator '{"key":"servers/app1","remove":true}'
   $ operator "{\"key\":\"servers/old\",\"value\":{\"service\":\"app\",\"address\":\"127.0.0.1:$(cat app1.ports)\",\"zone\":\"a\",\"slots\":4,\"state\":\"ready\"}}"
-  $ sleep 0.3; for i in 1 2 3; do status /book/ok; done
+  $ sleep 0.3; for i in 1 2 3; do status /book/ok; sleep 0.2; done
   200
   200
   200
+
+It is asked once, then left alone until its entry is gone.
+
+  $ grep '"event":1114' d1.log | grep -c '"server":"old"'
+  1
