--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -43,6 +43,7 @@
 	gc_str_t copy_from_name; /* ADDRESS/ID of that copy */
 	struct timespec heard; /* last byte of the attempt */
 	bool heard_any; /* an event of the attempt came */
+	bool paused; /* its server is not read, as the caller is slow */
 	struct timespec passed; /* last event to the caller */
 	int64_t first_ms; /* after arrival, of the first event */
 	int64_t pause_ms; /* longest between two events */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -49,6 +49,7 @@
 static void count_pause(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
 static void pass_bytes(gc_exchange_t *exchange, gc_str_t data);
+static void pause_server(gc_exchange_t *exchange, bool pause);
 static void take_whole_stream(gc_exchange_t *exchange);
 static void attempt_ended(gc_exchange_t *exchange, gc_attempt_end_t end,
 			  const char *why);
@@ -229,6 +230,7 @@
 	gc_exchange_start_copy(exchange);
 	exchange->heard = now;
 	exchange->heard_any = false;
+	exchange->paused = false;
 	exchange->good = false;
 	exchange->refused = false;
 	g_byte_array_set_size(exchange->body, 0);
@@ -299,7 +301,8 @@
 	int64_t limit = silent_limit_ms(exchange);
 	int64_t silent = gc_ms_between(exchange->heard, now);
 
-	if (!exchange->call)
+	/* A server that is not read gets its time again when it is. */
+	if (!exchange->call || exchange->paused)
 		return;
 	if (silent < limit) {
 		gc_timer_set(exchange->silence_timer, limit - silent);
@@ -429,15 +432,26 @@
 static void pass_bytes(gc_exchange_t *exchange, gc_str_t data)
 {
 	gc_caller_chunk(exchange->caller, data);
-	if (exchange->call &&
-	    gc_caller_pending(exchange->caller) > MAX_PENDING_BYTES)
-		gc_call_pause(exchange->call, true);
+	if (gc_caller_pending(exchange->caller) > MAX_PENDING_BYTES)
+		pause_server(exchange, true);
+}
+
+static void pause_server(gc_exchange_t *exchange, bool pause)
+{
+	if (!exchange->call || exchange->paused == pause)
+		return;
+	exchange->paused = pause;
+	gc_call_pause(exchange->call, pause);
+	/* The time in which it was not read is no silence. */
+	exchange->heard = gc_clock_now(exchange->relay->conf.clock);
+	if (!pause && exchange->route->kind != GC_ROUTE_ONCE)
+		gc_timer_set(exchange->silence_timer,
+			     silent_limit_ms(exchange));
 }
 
 void gc_exchange_drained(gc_exchange_t *exchange)
 {
-	if (exchange->call)
-		gc_call_pause(exchange->call, false);
+	pause_server(exchange, false);
 }
 
 static void on_whole(void *ctx, const gc_message_t *answer)
--- a/lib/front.c
+++ b/lib/front.c
@@ -31,6 +31,7 @@
 	void *data;
 	struct timespec arrived; /* first byte of the request */
 	struct timespec touched; /* last byte or answer */
+	uint64_t sent_before; /* bytes, at the last look of the timer */
 	gc_timer_t *timer;
 	gc_request_limits_t limits;
 	bool chunked;
@@ -64,6 +65,7 @@
 static void next_request(gc_caller_t *caller);
 static void linger(gc_caller_t *caller);
 static void arm(gc_caller_t *caller);
+static bool is_reading_answer(gc_caller_t *caller);
 static void on_timer(void *ctx);
 static int64_t time_left(const gc_caller_t *caller);
 static void send_head(gc_caller_t *caller, int status, gc_str_t head,
@@ -424,12 +426,24 @@
 	return limit - gc_ms_between(from, now);
 }
 
+/* True if the caller took some of a pending answer since the last look. */
+static bool is_reading_answer(gc_caller_t *caller)
+{
+	uint64_t sent = gc_socket_sent(caller->sock);
+	bool progress = sent > caller->sent_before;
+
+	caller->sent_before = sent;
+	return progress && gc_socket_pending(caller->sock) > 0;
+}
+
 static void on_timer(void *ctx)
 {
 	gc_caller_t *caller = ctx;
 
 	if (caller->state == CALLER_SERVING)
 		return;
+	if (is_reading_answer(caller))
+		caller->touched = gc_clock_now(caller->front->clock);
 	if (time_left(caller) > 0)
 		arm(caller);
 	else if (caller->state == CALLER_READING)
--- a/regress/routed_streams.t
+++ b/regress/routed_streams.t
@@ -49,3 +49,26 @@
   $ ask /draft/mute --max-time 0.3 >/dev/null; sleep 0.3
   $ echo $(($(count runs) - RUNS)) $(($(count abandoned) - LEFT))
   1 1
+
+A caller that reads slowly gets the whole stream from one run: its pause is not
+taken for a silence of the server.
+
+  $ cat >slow.py <<END
+  > import socket, sys, time
+  > host, port = sys.argv[1].split(":")
+  > s = socket.socket()
+  > s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+  > s.connect((host, int(port)))
+  > s.sendall(b"POST /draft/big HTTP/1.1\\r\\nHost: h.example\\r\\n"
+  >           b"Goldcrestfield-Request-Id: slow\\r\\nConnection: close\\r\\n"
+  >           b"Authorization: Token key-1\\r\\nContent-Length: 0\\r\\n\\r\\n")
+  > data = s.recv(4096)
+  > time.sleep(1.5)
+  > while part := s.recv(1 << 20):
+  >     data += part
+  > print(data.count(b"id: "), data.endswith(b"\\r\\n0\\r\\n\\r\\n"))
+  > END
+  $ RUNS=$(count runs)
+  $ python3 slow.py $FRONT; echo $(($(count runs) - RUNS))
+  200 True
+  1
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -20,6 +20,7 @@
                request; others answer ("once-cut")
   die          an engine leaves after its third event ("once-die")
   mute         an engine falls silent after its third event ("once-mute")
+  big          an engine sends 200 events of 60 kB without a pause
 GET /stats tells the runs by request id, the copies and the abandoned runs.
 """
 
@@ -151,12 +152,14 @@
                                         "Content-Type": "text/event-stream"})
         writer.write(wire.head(200, headers))
         gone = asyncio.ensure_future(reader.read(1))
-        for n in range(last + 1, EVENTS + 1):
-            await asyncio.wait([gone], timeout=EVENT_S)
+        big = how == "big"
+        for n in range(last + 1, (200 if big else EVENTS) + 1):
+            await asyncio.wait([gone], timeout=0 if big else EVENT_S)
             if gone.done():
                 self.abandoned.append(n)
                 return False
-            event = f"id: {n}\ndata: token {n}\n\n".encode()
+            token = "x" * 60000 if big else f"token {n}"
+            event = f"id: {n}\ndata: {token}\n\n".encode()
             if n == 4 and how == "die":
                 writer.write(b"%x\r\n" % len(event) + event[:9])
                 await writer.drain()
