--- a/lib/peers_watch.c
+++ b/lib/peers_watch.c
@@ -100,10 +100,7 @@
 	talloc_free(mem);
 }
 
-/*
- * No error for the caller: an answer without news, as old as can be, makes it
- * ask again, and then the store itself.
- */
+/* The store is asked next, and another watcher after a while. */
 static void fail(gc_peers_watch_t *peers, const char *why)
 {
 	GError *err = NULL;
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -15,6 +15,7 @@
 static void fill(gc_entry_t *servers);
 static void sync_all(gc_backends_t *backends, const gc_entry_t *servers,
 		     size_t n);
+static gc_backends_t *start(uint64_t *state, gc_entry_t *servers);
 static gc_backend_t *choose(gc_backends_t *backends, int64_t ms);
 static gc_backend_t *find(gc_backends_t *backends, const char *id);
 static bool in_domain(const gc_backend_t *backend, const char *domain);
@@ -62,6 +63,16 @@
 	gc_backends_sync(backends, servers, n, 0, 2, 4);
 }
 
+/* Knows all servers. */
+static gc_backends_t *start(uint64_t *state, gc_entry_t *servers)
+{
+	gc_backends_t *backends = create(state);
+
+	fill(servers);
+	sync_all(backends, servers, N_SERVERS);
+	return backends;
+}
+
 static gc_backend_t *choose(gc_backends_t *backends, int64_t ms)
 {
 	return gc_backends_choose(backends, unit_at(ms), GC_STR_LIT("s"), NULL);
@@ -91,10 +102,8 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	for (int i = 0; i < PER_DOMAIN; i++) {
 		gc_backend_t *backend = choose(backends, 0);
 
@@ -162,10 +171,8 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	gc_backend_failed(find(backends, "a0"), unit_at(0), GC_END_BROKEN);
 	ck_assert(in_domain(choose(backends, 1), "a"));
 	gc_backend_failed(find(backends, "a1"), unit_at(1), GC_END_SILENT);
@@ -180,11 +187,9 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 	gc_backend_t *bad;
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	bad = find(backends, "a0");
 	for (int i = 0; i < 5; i++)
 		gc_backend_failed(bad, unit_at(i), GC_END_BROKEN);
@@ -199,10 +204,8 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	for (int i = 0; i < N_SERVERS; i++)
 		gc_backend_failed(find(backends, names[i]), unit_at(0),
 				  GC_END_BROKEN);
@@ -219,12 +222,10 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 	gc_backend_t *run;
 	gc_backend_t *copy;
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	run = find(backends, "a0");
 	for (int i = 0; i < 2 * PER_DOMAIN; i++) {
 		copy = gc_backends_choose_copy(backends, unit_at(0), run, NULL);
@@ -269,12 +270,10 @@
 	const gc_load_t idle = {0};
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 	gc_backend_t *set[2];
 	gc_backend_set_t both = {set, 2};
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	set[0] = find(backends, "a0");
 	set[1] = find(backends, "b0");
 	gc_backend_report(set[0], unit_at(0), &busy);
@@ -292,11 +291,9 @@
 {
 	gc_entry_t servers[N_SERVERS];
 	uint64_t state = 1;
-	gc_backends_t *backends = create(&state);
+	gc_backends_t *backends = start(&state, servers);
 	gc_backend_t *bad;
 
-	fill(servers);
-	sync_all(backends, servers, N_SERVERS);
 	bad = find(backends, "a0");
 	gc_backend_failed(bad, unit_at(0), GC_END_BROKEN);
 	for (int i = 0; i < 50; i++) {
