--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -28,7 +28,8 @@
     @staticmethod
     def reset(writer):
         sock = writer.get_extra_info("socket")
-        if sock is not None:
+        # A connection that has just been closed has no descriptor left.
+        if sock is not None and sock.fileno() >= 0:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                             struct.pack("ii", 1, 0))
         writer.transport.abort()
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -45,6 +45,8 @@
         self.random = random.Random(seed)
         self.folder = folder
         self.processes = {}
+        self.started = []  # all of them, to end each by its id
+        self.restarting = set()  # daemons
         self.broken = []
         self.booked = set()  # ids of non-idempotent requests
         self.refused = set()  # of these, ids that were promised not to have run
@@ -67,6 +69,7 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 *args, cwd=self.folder, stdout=log, stderr=log,
                 env=dict(os.environ, PYTHONDONTWRITEBYTECODE="1"))
+        self.started.append(self.processes[name])
 
     async def port_of(self, name):
         for _ in range(200):
@@ -175,12 +178,14 @@
             await self.post("/operator", {"key": f"servers/{server}",
                                           "remove": True})
         elif kind in ("kill daemon", "stop daemon"):
-            process = self.processes[daemon]
             self.send_signal(daemon, signal.SIGKILL if kind == "kill daemon"
                              else signal.SIGTERM)
-            await process.wait()
-            if self.processes[daemon] is process:
+            # Several signals may hit one process, which is replaced once.
+            if daemon not in self.restarting:
+                self.restarting.add(daemon)
+                await self.processes[daemon].wait()
                 await self.start_daemon(daemon, zone)
+                self.restarting.discard(daemon)
         elif kind == "pause daemon":
             self.send_signal(daemon, signal.SIGSTOP)
             await asyncio.sleep(for_s)
@@ -308,7 +313,7 @@
         self.check_runs()
 
     async def end(self):
-        for process in self.processes.values():
+        for process in self.started:
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
@@ -320,6 +325,8 @@
     soak = Soak(args.seed, folder)
     try:
         await soak.main(args.seconds)
+    except Exception as error:  # of the soak itself; told, then the end
+        soak.fail(f"the soak failed: {error!r}")
     finally:
         await soak.end()
     for text in soak.broken:
@@ -331,7 +338,9 @@
     if args.verbose:
         print(dict(sorted(soak.counts.items())))
     print(f"seed {args.seed}: {len(soak.broken)} promises broken")
-    return 1 if soak.broken else 0
+    sys.stdout.flush()
+    # Clients may still wait for daemons that are gone.
+    os._exit(1 if soak.broken else 0)
 
 
 def main():
@@ -340,7 +349,7 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
-    sys.exit(asyncio.run(run(parser.parse_args())))
+    asyncio.run(run(parser.parse_args()))
 
 
 main()
