--- a/core/routes.c
+++ b/core/routes.c
@@ -14,6 +14,7 @@
 	GHashTable *services; /* gc_str_t: gc_route_service_t */
 	GHashTable *keys; /* gc_str_t: gc_str_t of the account */
 	size_t n_routes;
+	bool keys_required;
 };
 
 /* In force until the operator sets others. */
@@ -151,6 +152,16 @@
 	routes->limits = *limits;
 }
 
+void gc_routes_require_keys(gc_routes_t *routes)
+{
+	routes->keys_required = true;
+}
+
+bool gc_routes_needs_key(const gc_routes_t *routes, const gc_route_t *route)
+{
+	return routes->keys_required && !route->anonymous;
+}
+
 uint64_t gc_routes_version(const gc_routes_t *routes)
 {
 	return routes->version;
--- a/core/routes.h
+++ b/core/routes.h
@@ -67,6 +67,8 @@
 void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account);
 void gc_routes_set_limits(gc_routes_t *routes,
 			  const gc_request_limits_t *limits);
+/* Requests need a key, except on anonymous routes. Without it none does. */
+void gc_routes_require_keys(gc_routes_t *routes);
 
 uint64_t gc_routes_version(const gc_routes_t *routes);
 const gc_request_limits_t *gc_routes_limits(const gc_routes_t *routes);
@@ -78,6 +80,8 @@
 /* The account that holds the key; false if none does. */
 bool gc_routes_account(const gc_routes_t *routes, gc_str_t key,
 		       gc_str_t *account);
+/* True if a request on the route needs a key. */
+bool gc_routes_needs_key(const gc_routes_t *routes, const gc_route_t *route);
 const gc_route_service_t *gc_routes_service(const gc_routes_t *routes,
 					    gc_str_t name);
 /*
--- a/lib/carrier.c
+++ b/lib/carrier.c
@@ -47,6 +47,7 @@
 static void take_stop(void *ctx, void *message);
 static void take_end(void *ctx, void *message);
 static void on_stop_poll(void *ctx);
+static int64_t admit_age_ms(const gc_routed_settings_t *settings);
 static uint64_t next_random(void *ctx);
 
 gc_carrier_t *gc_carrier_create(const gc_carrier_conf_t *conf, GError **err)
@@ -78,8 +79,7 @@
 		.instance = gc_str(settings->instance),
 		.failure_domain = gc_str(settings->failure_domain),
 		.deny_age_ms = settings->config_in_force_ms,
-		.admit_age_ms =
-			(int64_t)(ADMIT_AGE_PART * (double)settings->revoke_ms),
+		.admit_age_ms = admit_age_ms(settings),
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.liveness = {KEEPALIVE_S, UNACKED_MS},
 		.repeat_ratio = settings->repeat_ratio,
@@ -108,6 +108,13 @@
 	return carrier->front != NULL;
 }
 
+static int64_t admit_age_ms(const gc_routed_settings_t *settings)
+{
+	if (!settings->revoke_strictly)
+		return INT64_MAX;
+	return (int64_t)(ADMIT_AGE_PART * (double)settings->revoke_ms);
+}
+
 static uint64_t next_random(void *ctx)
 {
 	uint64_t high = g_rand_int(ctx);
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -260,7 +260,7 @@
 	if (!exchange->route)
 		return age_ms > relay->conf.deny_age_ms ? &stale_configuration
 							: &no_route;
-	if (!exchange->route->anonymous) {
+	if (gc_routes_needs_key(relay->view->routes, exchange->route)) {
 		const gc_refusal_t *refusal = check_key(exchange, age_ms);
 
 		if (refusal)
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -21,6 +21,7 @@
 		     gc_listen_t *listen);
 static double number(reader_t *reader, const char *name, double other,
 		     double least, double most);
+static bool flag(reader_t *reader, const char *name, bool other);
 static void problem(reader_t *reader, const char *name, const char *what);
 
 bool gc_routed_settings_asked(const char *path)
@@ -83,6 +84,7 @@
 		reader, "config_in_force_ms", 2000, 200, 600000);
 	settings->revoke_ms =
 		(int64_t)number(reader, "revoke_ms", 5000, 500, 600000);
+	settings->revoke_strictly = flag(reader, "revoke_strictly", true);
 	settings->contact_ms =
 		(int64_t)number(reader, "contact_ms", 3000, 500, 600000);
 	settings->stop_grace_ms =
@@ -168,3 +170,14 @@
 	problem(reader, name, range);
 	return other;
 }
+
+static bool flag(reader_t *reader, const char *name, bool other)
+{
+	const json_t *value = json_object_get(reader->json, name);
+
+	if (!value || json_is_null(value))
+		return other;
+	if (!json_is_boolean(value))
+		problem(reader, name, "neither true nor false");
+	return json_is_true(value);
+}
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -23,6 +23,8 @@
 	const char *store; /* IP:PORT */
 	int64_t config_in_force_ms; /* 2000 */
 	int64_t revoke_ms; /* 5000: keys are refused this long after */
+	/* Whether they end also where nothing is heard of the store: true. */
+	bool revoke_strictly;
 	int64_t contact_ms; /* 3000: not ready without contact for so long */
 	int64_t stop_grace_ms; /* 8000: from SIGTERM to the end */
 	double repeat_ratio; /* 0.8: repeats per request, fleet-wide */
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -62,6 +62,29 @@
 }
 END_TEST
 
+/* Without accounts in the record, requests carry no keys. */
+START_TEST(test_keys_are_needed_only_with_accounts)
+{
+	static const char *const texts[] = {
+		"{\"version\":1,\"routes\":[{\"host\":\"h\",\"path_prefix\":"
+		"\"/\",\"kind\":\"idempotent\",\"service\":\"s\"}]}",
+		"{\"version\":1,\"routes\":[{\"host\":\"h\",\"path_prefix\":"
+		"\"/\",\"kind\":\"idempotent\",\"service\":\"s\"}],"
+		"\"tenants\":[]}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		gc_routes_t *routes =
+			gc_platform_read_routes(gc_str(texts[i]), NULL);
+		const gc_route_t *route =
+			gc_routes_find(routes, gc_str("h"), gc_str("/x"));
+
+		ck_assert(gc_routes_needs_key(routes, route) == (i == 1));
+		gc_routes_unref(routes);
+	}
+}
+END_TEST
+
 START_TEST(test_unreadable_config)
 {
 	static const char *const texts[] = {"", "[]", "{\"version\":\"7\"}",
@@ -176,9 +199,13 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_routes,	test_unreadable_config,
-		test_servers,	test_load_report,
-		test_addresses, test_copy_orders,
+		test_keys_are_needed_only_with_accounts,
+		test_routes,
+		test_unreadable_config,
+		test_servers,
+		test_load_report,
+		test_addresses,
+		test_copy_orders,
 		NULL,
 	};
 
--- a/regress/routed_config.t
+++ b/regress/routed_config.t
@@ -77,3 +77,12 @@
   $ grep -o '"message":"the store [^"]*"' d1.log | sort | uniq -c | awk '{ print $2, $3, $4, $5, $6 }'
   "message":"the store can be read"
   "message":"the store can't be read"
+
+Where revocation is not strict, a daemon without contact serves on.
+
+  $ start_routed d3 ',"revoke_strictly":false'
+  $ store_fault '{"mode":"silent"}'; sleep 5.5; status /look/ok
+  200
+  $ echo '{"mode":"routed","revoke_strictly":"no"}' >bad.json
+  $ goldcrestd -n -f bad.json 2>&1 | grep revoke
+  revoke_strictly: neither true nor false
