Count refused requests for the repeat budget

The operator's rule counts all requests that callers send to a service.

Change: a request counts once its route is known, unless its key is wrong. routed_config.t sends a request again in an outage; it got 500 before.

--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -104,9 +104,6 @@
 	gc_timer_set(exchange->limit_timer,
 		     exchange->limit_ms - gc_exchange_elapsed_ms(exchange) +
 			     LIMIT_SLACK_MS);
-	gc_backends_count_request(relay->backends,
-				  gc_clock_now(relay->conf.clock),
-				  exchange->service);
 	next_attempt(exchange);
 }
 
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -250,6 +250,7 @@
 	gc_str_t target = gc_message_target(request);
 	struct timespec now = gc_clock_now(relay->conf.clock);
 	int64_t age_ms = gc_confirmed_age_ms(relay->conf.confirmed, now);
+	const gc_refusal_t *refusal = NULL;
 	const char *query;
 	gc_str_t path = target;
 
@@ -266,20 +267,23 @@
 	if (!exchange->route)
 		return age_ms > relay->conf.deny_age_ms ? &stale_configuration
 							: &no_route;
-	if (gc_routes_needs_key(relay->view->routes, exchange->route)) {
-		const gc_refusal_t *refusal = check_key(exchange, age_ms);
-
-		if (refusal)
-			return refusal;
-	}
-	set_limits(exchange);
-	if (relay->stopping &&
-	    gc_ms_between(now, relay->stop_at) < exchange->limit_ms)
-		return &stopping;
+	if (gc_routes_needs_key(relay->view->routes, exchange->route))
+		refusal = check_key(exchange, age_ms);
+	if (refusal == &wrong_key)
+		return refusal;
 	exchange->view = gc_fleet_view_ref(relay->view);
 	exchange->service = gc_route_pick(
 		exchange->route,
 		relay->conf.random->next(relay->conf.random->ctx));
+	/* The budget allows repeats for all requests that callers send to the
+	 * service, also for those that this daemon can't admit. */
+	gc_backends_count_request(relay->backends, now, exchange->service);
+	if (refusal)
+		return refusal;
+	set_limits(exchange);
+	if (relay->stopping &&
+	    gc_ms_between(now, relay->stop_at) < exchange->limit_ms)
+		return &stopping;
 	return NULL;
 }
 
--- a/regress/routed_config.t
+++ b/regress/routed_config.t
@@ -80,9 +80,20 @@
 
 Where revocation is not strict, a daemon without contact serves on.
 
-  $ start_routed d3 ',"revoke_strictly":false'
-  $ store_fault '{"mode":"silent"}'; sleep 5.5; status /look/ok
+  $ start_server app2 app b
+  $ start_routed d3 ',"revoke_strictly":false'; d3_front=$FRONT
+  $ start_routed d4 ',"repeat_slack":0'
+  $ store_fault '{"mode":"silent"}'; sleep 5.5; FRONT=$d3_front status /look/ok
   200
+
+The budget for repeats counts requests that could not be admitted, so that the
+others can still be sent again.
+
+  $ for i in 1 2 3 4; do status /look/ok; done | uniq -c
+        4 503
+  $ AUTH= status /open/once-fail
+  200
+
   $ echo '{"mode":"routed","revoke_strictly":"no"}' >bad.json
   $ goldcrestd -n -f bad.json 2>&1 | grep revoke
   revoke_strictly: neither true nor false
