Find servers by hash table, so that a change costs no square

A program that only takes up changes showed why: core/backends compared each server with each other one, and core/roster walked a list for each entry.

Change: backends by id and newest starts by address in hash tables, the roster as a tree in the order of ids with a list of lapsed entries, the feed walked from its end. check_scale.c bounds a change of 60 servers at the size of CAPACITY.md by 11 ms (4.4 % of a core, four changes a second).

--- a/core/backends.c
+++ b/core/backends.c
@@ -3,6 +3,7 @@
 
 #include "core/backends_private.h"
 #include "core/clock.h"
+#include "core/strhash.h"
 
 /* First ejection after a broken connection; doubles with each failure in a
  * row. Short, because a server that restarts is back in about a second. */
@@ -28,8 +29,10 @@
 static service_t *find_service(gc_backends_t *backends, gc_str_t name);
 static gc_budget_conf_t budget_conf(const gc_backends_t *backends);
 static domain_t *find_domain(gc_backends_t *backends, const gc_entry_t *entry);
-static bool superseded(const gc_entry_t *servers, size_t n, size_t i);
+static GHashTable *newest_starts(const gc_entry_t *servers, size_t n);
+static bool superseded(GHashTable *newest, const gc_entry_t *entry);
 static gc_backend_t *find(gc_backends_t *backends, const gc_entry_t *entry);
+static int backends_destructor(gc_backends_t *backends);
 static void update(gc_backend_t *backend, const gc_entry_t *entry);
 static void remove_unlisted(gc_backends_t *backends);
 static void assign_homes(gc_backends_t *backends, size_t rank,
@@ -47,9 +50,18 @@
 	backends->conf.failure_domain =
 		gc_str_dup(backends, conf->failure_domain);
 	backends->n_daemons = 1;
+	backends->last = &backends->first;
+	backends->by_id = g_hash_table_new(gc_str_hash, gc_str_equal);
+	talloc_set_destructor(backends, backends_destructor);
 	return backends;
 }
 
+static int backends_destructor(gc_backends_t *backends)
+{
+	g_hash_table_unref(backends->by_id);
+	return 0;
+}
+
 static service_t *find_service(gc_backends_t *backends, gc_str_t name)
 {
 	service_t *service;
@@ -94,50 +106,61 @@
 void gc_backends_sync(gc_backends_t *backends, const gc_entry_t *servers,
 		      size_t n, size_t rank, size_t n_local, size_t n_daemons)
 {
+	GHashTable *newest = newest_starts(servers, n);
 	gc_backend_t *backend;
 
 	backends->n_daemons = n_daemons > 0 ? n_daemons : 1;
 	for (backend = backends->first; backend; backend = backend->next)
 		backend->listed = false;
 	for (size_t i = 0; i < n; i++) {
-		if (superseded(servers, n, i))
+		if (superseded(newest, &servers[i]))
 			continue;
 		backend = find(backends, &servers[i]);
 		update(backend, &servers[i]);
 	}
+	g_hash_table_unref(newest);
 	remove_unlisted(backends);
 	assign_homes(backends, rank, n_local > 0 ? n_local : 1);
 }
 
+/* The entry that started last, by address. */
+static GHashTable *newest_starts(const gc_entry_t *servers, size_t n)
+{
+	GHashTable *newest = g_hash_table_new(gc_str_hash, gc_str_equal);
+
+	for (size_t i = 0; i < n; i++) {
+		const gc_entry_t *known =
+			g_hash_table_lookup(newest, &servers[i].address);
+
+		if (!known || known->started_ms < servers[i].started_ms)
+			g_hash_table_replace(newest,
+					     (gpointer)&servers[i].address,
+					     (gpointer)&servers[i]);
+	}
+	return newest;
+}
+
 /*
  * A server that crashed and started again has another entry at the same
  * address; the old one stays until it expires.
  */
-static bool superseded(const gc_entry_t *servers, size_t n, size_t i)
+static bool superseded(GHashTable *newest, const gc_entry_t *entry)
 {
-	for (size_t j = 0; j < n; j++)
-		if (servers[j].started_ms > servers[i].started_ms &&
-		    servers[i].started_ms > 0 &&
-		    gc_str_eq(servers[j].address, servers[i].address))
-			return true;
-	return false;
+	const gc_entry_t *last = g_hash_table_lookup(newest, &entry->address);
+
+	return entry->started_ms > 0 && last->started_ms > entry->started_ms;
 }
 
 /* A new address or start time means another incarnation: a new object. */
 static gc_backend_t *find(gc_backends_t *backends, const gc_entry_t *entry)
 {
-	gc_backend_t **link = &backends->first;
-	gc_backend_t *backend;
+	gc_backend_t *backend =
+		g_hash_table_lookup(backends->by_id, &entry->id);
 
-	for (; *link; link = &(*link)->next) {
-		backend = *link;
-		if (!backend->listed &&
-		    gc_str_eq(backend->entry.id, entry->id) &&
-		    gc_str_eq(backend->entry.address, entry->address) &&
-		    gc_str_eq(backend->entry.service, entry->service) &&
-		    backend->entry.started_ms == entry->started_ms)
-			return backend;
-	}
+	if (backend && gc_str_eq(backend->entry.address, entry->address) &&
+	    gc_str_eq(backend->entry.service, entry->service) &&
+	    backend->entry.started_ms == entry->started_ms)
+		return backend;
 	backend = talloc_zero(NULL, gc_backend_t);
 	backend->n_refs = 1;
 	backend->owner = backends;
@@ -150,7 +173,9 @@
 	backend->service = find_service(backends, entry->service);
 	backend->domain = find_domain(backends, entry);
 	backend->failure_rate = backend->service->failure_rate;
-	*link = backend;
+	*backends->last = backend;
+	backends->last = &backend->next;
+	g_hash_table_replace(backends->by_id, &backend->entry.id, backend);
 	return backend;
 }
 
@@ -174,8 +199,13 @@
 		}
 		*link = backend->next;
 		backend->owner = NULL;
+		if (g_hash_table_lookup(backends->by_id, &backend->entry.id) ==
+		    backend)
+			g_hash_table_remove(backends->by_id,
+					    &backend->entry.id);
 		gc_backend_unref(backend);
 	}
+	backends->last = link;
 }
 
 /*
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -2,6 +2,8 @@
 #ifndef GC_CORE_BACKENDS_PRIVATE_H
 #define GC_CORE_BACKENDS_PRIVATE_H
 
+#include <glib.h>
+
 #include "core/backends.h"
 #include "core/budget.h"
 
@@ -46,6 +48,8 @@
 struct gc_backends {
 	gc_backends_conf_t conf;
 	gc_backend_t *first;
+	gc_backend_t **last; /* the link that ends the list */
+	GHashTable *by_id; /* gc_str_t of the entry: gc_backend_t */
 	service_t *services;
 	domain_t *domains;
 	size_t n_daemons; /* in all failure domains, at least 1 */
--- a/core/feed.c
+++ b/core/feed.c
@@ -125,10 +125,15 @@
 		   void (*fn)(void *ctx, const gc_store_item_t *item),
 		   void *ctx)
 {
+	const entry_t *entry = feed->last;
+
 	if (after < feed->oldest)
 		return false;
-	for (const entry_t *entry = feed->first; entry; entry = entry->next)
-		if (entry->item.revision > after)
-			fn(ctx, &entry->item);
+	if (!entry || entry->item.revision <= after)
+		return true;
+	while (entry->prev && entry->prev->item.revision > after)
+		entry = entry->prev;
+	for (; entry; entry = entry->next)
+		fn(ctx, &entry->item);
 	return true;
 }
--- a/core/roster.c
+++ b/core/roster.c
@@ -1,69 +1,87 @@
 /* Entries of the store, with a grace period for lapsed ones. */
-#include <stdlib.h>
+#include <glib.h>
 
 #include "core/clock.h"
 #include "core/roster.h"
 
 typedef struct item {
-	struct item *next; /* in the order of ids */
 	gc_entry_t entry;
 	bool listed; /* since gc_roster_begin_list */
 	bool missing;
+	struct item *prev, *next; /* among the missing ones */
 	struct timespec drop_at; /* if missing */
 } item_t;
 
 struct gc_roster {
-	item_t *first;
-	size_t count;
+	GTree *items; /* gc_str_t of the entry's id: item_t */
+	item_t *missing;
 	int64_t grace_ms;
 	bool regained;
 	struct timespec regained_at;
 };
 
-static item_t **find(gc_roster_t *roster, gc_str_t id);
-static int compare(gc_str_t a, gc_str_t b);
-static void drop(gc_roster_t *roster, item_t **link);
+typedef struct visit {
+	void (*fn)(void *ctx, const gc_entry_t *entry);
+	void *ctx;
+} visit_t;
+
+typedef struct list_end {
+	gc_roster_t *roster;
+	struct timespec now;
+} list_end_t;
+
+static int roster_destructor(gc_roster_t *roster);
+static gint compare(gconstpointer a, gconstpointer b, gpointer ctx);
+static void drop(gc_roster_t *roster, item_t *item);
+static void set_missing(gc_roster_t *roster, item_t *item,
+			struct timespec drop_at);
+static gboolean unlist(gpointer key, gpointer value, gpointer ctx);
+static gboolean end_item(gpointer key, gpointer value, gpointer ctx);
+static gboolean visit(gpointer key, gpointer value, gpointer ctx);
 
 gc_roster_t *gc_roster_create(TALLOC_CTX *mem, int64_t grace_ms)
 {
 	gc_roster_t *roster = talloc_zero(mem, gc_roster_t);
 
 	roster->grace_ms = grace_ms;
+	roster->items = g_tree_new_full(compare, NULL, NULL, NULL);
+	talloc_set_destructor(roster, roster_destructor);
 	return roster;
 }
 
-/* The link to the item, or to the place where it belongs. */
-static item_t **find(gc_roster_t *roster, gc_str_t id)
+static int roster_destructor(gc_roster_t *roster)
 {
-	item_t **link = &roster->first;
-
-	while (*link && compare((*link)->entry.id, id) < 0)
-		link = &(*link)->next;
-	return link;
+	g_tree_unref(roster->items);
+	return 0;
 }
 
-static int compare(gc_str_t a, gc_str_t b)
+static gint compare(gconstpointer a, gconstpointer b, gpointer ctx)
 {
-	size_t len = a.len < b.len ? a.len : b.len;
-	int diff = len > 0 ? memcmp(a.data, b.data, len) : 0;
+	const gc_str_t *x = a;
+	const gc_str_t *y = b;
+	size_t len = x->len < y->len ? x->len : y->len;
+	int diff = len > 0 ? memcmp(x->data, y->data, len) : 0;
 
-	if (diff != 0 || a.len == b.len)
+	if (diff != 0 || x->len == y->len)
 		return diff;
-	return a.len < b.len ? -1 : 1;
+	return x->len < y->len ? -1 : 1;
 }
 
-static void drop(gc_roster_t *roster, item_t **link)
+static void drop(gc_roster_t *roster, item_t *item)
 {
-	item_t *item = *link;
-
-	*link = item->next;
-	roster->count--;
+	if (item->prev)
+		item->prev->next = item->next;
+	else if (item->missing)
+		roster->missing = item->next;
+	if (item->next)
+		item->next->prev = item->prev;
+	g_tree_remove(roster->items, &item->entry.id);
 	talloc_free(item);
 }
 
 void gc_roster_put(gc_roster_t *roster, const gc_entry_t *entry)
 {
-	item_t **link = find(roster, entry->id);
+	item_t *known = g_tree_lookup(roster->items, &entry->id);
 	item_t *item = talloc_zero(roster, item_t);
 
 	item->entry = *entry;
@@ -73,50 +91,75 @@
 	item->entry.peer_address = gc_str_dup(item, entry->peer_address);
 	item->entry.failure_domain = gc_str_dup(item, entry->failure_domain);
 	item->listed = true;
-	if (*link && compare((*link)->entry.id, entry->id) == 0)
-		drop(roster, link);
-	item->next = *link;
-	*link = item;
-	roster->count++;
+	if (known)
+		drop(roster, known);
+	g_tree_insert(roster->items, &item->entry.id, item);
 }
 
 void gc_roster_remove(gc_roster_t *roster, struct timespec now, gc_str_t id)
 {
-	item_t **link = find(roster, id);
+	item_t *item = g_tree_lookup(roster->items, &id);
 
-	if (!*link || compare((*link)->entry.id, id) != 0)
+	if (!item)
 		return;
 	if (!roster->regained ||
-	    gc_ms_between(roster->regained_at, now) >= roster->grace_ms) {
-		drop(roster, link);
+	    gc_ms_between(roster->regained_at, now) >= roster->grace_ms)
+		drop(roster, item);
+	else
+		set_missing(roster, item,
+			    gc_add_ms(roster->regained_at, roster->grace_ms));
+}
+
+static void set_missing(gc_roster_t *roster, item_t *item,
+			struct timespec drop_at)
+{
+	item->drop_at = drop_at;
+	if (item->missing)
 		return;
-	}
-	(*link)->missing = true;
-	(*link)->drop_at = gc_add_ms(roster->regained_at, roster->grace_ms);
+	item->missing = true;
+	item->next = roster->missing;
+	if (item->next)
+		item->next->prev = item;
+	roster->missing = item;
 }
 
 void gc_roster_drop(gc_roster_t *roster, gc_str_t id)
 {
-	item_t **link = find(roster, id);
+	item_t *item = g_tree_lookup(roster->items, &id);
 
-	if (*link && compare((*link)->entry.id, id) == 0)
-		drop(roster, link);
+	if (item)
+		drop(roster, item);
 }
 
 void gc_roster_begin_list(gc_roster_t *roster)
 {
-	for (item_t *item = roster->first; item; item = item->next)
-		item->listed = false;
+	g_tree_foreach(roster->items, unlist, NULL);
+}
+
+static gboolean unlist(gpointer key, gpointer value, gpointer ctx)
+{
+	item_t *item = value;
+
+	item->listed = false;
+	return FALSE;
 }
 
 void gc_roster_end_list(gc_roster_t *roster, struct timespec now)
 {
-	for (item_t *item = roster->first; item; item = item->next) {
-		if (item->listed || item->missing)
-			continue;
-		item->missing = true;
-		item->drop_at = gc_add_ms(now, roster->grace_ms);
-	}
+	list_end_t end = {roster, now};
+
+	g_tree_foreach(roster->items, end_item, &end);
+}
+
+static gboolean end_item(gpointer key, gpointer value, gpointer ctx)
+{
+	const list_end_t *end = ctx;
+	item_t *item = value;
+
+	if (!item->listed && !item->missing)
+		set_missing(end->roster, item,
+			    gc_add_ms(end->now, end->roster->grace_ms));
+	return FALSE;
 }
 
 void gc_roster_regained(gc_roster_t *roster, struct timespec now)
@@ -128,22 +171,19 @@
 bool gc_roster_expire(gc_roster_t *roster, struct timespec now,
 		      int64_t *next_ms)
 {
-	item_t **link = &roster->first;
+	item_t *next;
 	bool dropped = false;
 
 	*next_ms = -1;
-	while (*link) {
-		int64_t left = gc_ms_between(now, (*link)->drop_at);
+	for (item_t *item = roster->missing; item; item = next) {
+		int64_t left = gc_ms_between(now, item->drop_at);
 
-		if (!(*link)->missing) {
-			link = &(*link)->next;
-		} else if (left <= 0) {
-			drop(roster, link);
+		next = item->next;
+		if (left <= 0) {
+			drop(roster, item);
 			dropped = true;
-		} else {
-			if (*next_ms < 0 || left < *next_ms)
-				*next_ms = left;
-			link = &(*link)->next;
+		} else if (*next_ms < 0 || left < *next_ms) {
+			*next_ms = left;
 		}
 	}
 	return dropped;
@@ -151,12 +191,22 @@
 
 size_t gc_roster_count(const gc_roster_t *roster)
 {
-	return roster->count;
+	return (size_t)g_tree_nnodes(roster->items);
 }
 
 void gc_roster_each(const gc_roster_t *roster,
 		    void (*fn)(void *ctx, const gc_entry_t *entry), void *ctx)
 {
-	for (const item_t *item = roster->first; item; item = item->next)
-		fn(ctx, &item->entry);
+	visit_t each = {fn, ctx};
+
+	g_tree_foreach(roster->items, visit, &each);
+}
+
+static gboolean visit(gpointer key, gpointer value, gpointer ctx)
+{
+	const visit_t *each = ctx;
+	const item_t *item = value;
+
+	each->fn(each->ctx, &item->entry);
+	return FALSE;
 }
--- /dev/null
+++ b/regress/check_scale.c
@@ -0,0 +1,122 @@
+/*
+ * Guards against work that grows with the square of the fleet. A sweep with
+ * 300 daemons and 3,000 backend servers ended without a result, as each change
+ * of one server took every daemon 18 ms.
+ *
+ * The bound comes from the size that docs/CAPACITY.md names: 6,000 servers,
+ * 2,300 daemons, control within 4.4 % of a core. A daemon takes up changes at
+ * most four times a second, so one of them has 11 ms.
+ */
+#include <stdio.h>
+#include <time.h>
+
+#include "core/backends.h"
+#include "core/feed.h"
+#include "lib/fleet_view.h"
+#include "regress/unit.h"
+
+#define N_SERVERS 6000
+#define N_DAEMONS 2300
+#define N_DOMAINS 29
+/* A rack's worth of servers changes at once. */
+#define N_CHANGES  60
+#define CHANGE_MS  11.0
+#define N_ATTEMPTS 5 /* the least counts: others may run on the machine */
+/* Daemons of one failure domain that ask one watcher. */
+#define N_ASKERS (N_DAEMONS / N_DOMAINS / 2)
+
+static double cpu_ms(void);
+static void put(gc_roster_t *roster, gc_feed_t *feed, const char *kind,
+		unsigned int i, int64_t started_ms);
+static void ignore(void *ctx, const gc_store_item_t *item);
+
+static uint64_t revision;
+
+static double cpu_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+/* Ids are in no order of addresses or failure domains, as on the platform. */
+static void put(gc_roster_t *roster, gc_feed_t *feed, const char *kind,
+		unsigned int i, int64_t started_ms)
+{
+	char id[32];
+	char address[32];
+	char domain[16];
+	gc_entry_t entry = {.service = GC_STR_LIT("llm"),
+			    .slots = 12,
+			    .started_ms = started_ms};
+	gc_store_item_t item = {.value = GC_STR_LIT("{}"),
+				.revision = ++revision};
+
+	snprintf(id, sizeof(id), "%s-%08x", kind, i * 2654435761u);
+	snprintf(address, sizeof(address), "10.%u.%u.%u:8000", i % N_DOMAINS,
+		 i / 250, i % 250);
+	snprintf(domain, sizeof(domain), "zone-%u", i % N_DOMAINS);
+	entry.id = gc_str(id);
+	entry.address = gc_str(address);
+	entry.failure_domain = gc_str(domain);
+	gc_roster_put(roster, &entry);
+	item.key = gc_str(id);
+	gc_feed_add(feed, &item);
+	gc_feed_advance(feed, revision);
+}
+
+static void ignore(void *ctx, const gc_store_item_t *item)
+{
+}
+
+START_TEST(test_a_change_in_a_large_fleet)
+{
+	uint64_t state = 1;
+	const gc_random_t random = {unit_next_random, &state};
+	const gc_backends_conf_t conf = {.failure_domain = GC_STR_LIT("zone-3"),
+					 .random = &random,
+					 .repeat_ratio = 0.8,
+					 .repeat_slack = 240,
+					 .repeat_window_ms = 10000};
+	gc_roster_t *servers = gc_roster_create(NULL, 2500);
+	gc_roster_t *daemons = gc_roster_create(NULL, 2500);
+	gc_feed_t *feed = gc_feed_create(NULL, 512);
+	gc_backends_t *backends = gc_backends_create(NULL, &conf);
+	double least = 0;
+
+	for (unsigned int i = 0; i < N_SERVERS; i++)
+		put(servers, feed, "server", i, 1);
+	for (unsigned int i = 0; i < N_DAEMONS; i++)
+		put(daemons, feed, "daemon", i, 0);
+	for (unsigned int i = 0; i <= N_ATTEMPTS; i++) {
+		double start = cpu_ms();
+		uint64_t known = revision;
+		gc_fleet_view_t *view;
+
+		for (unsigned int j = 0; j < N_CHANGES; j++)
+			put(servers, feed, "server", i * N_CHANGES + j, i + 2);
+		for (unsigned int j = 0; j < N_ASKERS; j++)
+			ck_assert(gc_feed_since(feed, known, ignore, NULL));
+		view = gc_fleet_view_create(NULL, servers, daemons);
+		gc_backends_sync(backends, view->servers, view->n_servers, 3,
+				 79, view->n_daemons);
+		gc_fleet_view_unref(view);
+		/* The first one makes all the objects. */
+		if (i > 0 && (least <= 0 || cpu_ms() - start < least))
+			least = cpu_ms() - start;
+	}
+	ck_assert_double_le(least, CHANGE_MS);
+	talloc_free(backends);
+	talloc_free(feed);
+	talloc_free(daemons);
+	talloc_free(servers);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {test_a_change_in_a_large_fleet, NULL};
+
+	return unit_run("scale", tests);
+}
