Call the store once for each peer that can't tell

In an outage for all, each daemon called every 0.4 s.

Change: core/sources decides between peer, store and pause.

What is left in outages are renewals of leases, which cost the whole price while they fail.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 
 #include "core/error.h"
+#include "core/sources.h"
 #include "lib/events.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
@@ -11,9 +12,6 @@
 
 /* Keys of daemons in the store; the rest of the key is the daemon's name. */
 #define DAEMONS_PREFIX "goldcrest/daemons/"
-/* Pause after a failed call; doubles up to the longest. */
-#define RETRY_MS     100
-#define RETRY_MAX_MS 400
 /* A pause collects the changes of one cause, such as the restart of many
  * servers, into one call; an eighth of the time until changes are in force. */
 #define GATHER_MS 250
@@ -39,7 +37,7 @@
 	bool changed; /* the last answer had changes */
 	int64_t wait_ms; /* of the watch in progress */
 	struct timespec call_started;
-	int64_t retry_ms;
+	gc_sources_t sources;
 	gc_timer_t *next_call;
 	gc_timer_t *expiry;
 	gc_presence_t *presence;
@@ -56,6 +54,8 @@
 		     const GError *err);
 static void on_peer_watch(void *ctx, const gc_store_items_t *items,
 			  const GError *err);
+static bool has_peer(const gc_fleet_t *fleet);
+static void take_changes(gc_fleet_t *fleet, const gc_store_items_t *items);
 static struct timespec proven_at(const gc_fleet_t *fleet,
 				 const gc_store_items_t *items);
 static void on_next_call(void *ctx);
@@ -86,7 +86,6 @@
 	fleet->servers = gc_roster_create(fleet, conf->lapse_grace_ms);
 	fleet->daemons = gc_roster_create(fleet, conf->lapse_grace_ms);
 	fleet->feed = gc_feed_create(fleet, MAX_DELETED);
-	fleet->retry_ms = RETRY_MS;
 	fleet->calls = gc_counter("goldcrest_store_calls_total",
 				  "Calls to the store.", NULL, NULL);
 	fleet->next_call =
@@ -167,6 +166,8 @@
 					    on_list, fleet);
 		return;
 	}
+	gc_sources_store_answered(&fleet->sources,
+				  gc_clock_now(fleet->conf.clock));
 	regained(fleet);
 	fleet->listed = true;
 	gc_roster_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
@@ -177,43 +178,75 @@
 	start_watch(fleet);
 }
 
+static bool has_peer(const gc_fleet_t *fleet)
+{
+	return fleet->conf.peers &&
+	       gc_peers_watch_possible(fleet->conf.peers, fleet->sources.turn);
+}
+
 static void start_watch(gc_fleet_t *fleet)
 {
-	fleet->call_started = gc_clock_now(fleet->conf.clock);
+	struct timespec now = gc_clock_now(fleet->conf.clock);
+	int64_t wait_ms;
+
+	fleet->call_started = now;
 	fleet->wait_ms = fleet->changed ? fleet->conf.watch_ms / SHORT_WAIT_PART
 					: fleet->conf.watch_ms;
-	if (fleet->conf.peers &&
-	    gc_peers_watch(fleet->conf.peers, fleet->revision, fleet->wait_ms,
-			   on_peer_watch, fleet))
-		return;
-	gc_counter_add(fleet->calls, 1);
-	fleet->conf.store.ops->watch(fleet->conf.store.store, fleet->revision,
-				     fleet->wait_ms, on_watch, fleet);
+	switch (gc_sources_next(&fleet->sources, now, has_peer(fleet),
+				&wait_ms)) {
+	case GC_SOURCE_PEER:
+		gc_peers_watch(fleet->conf.peers, fleet->sources.turn,
+			       fleet->revision, fleet->wait_ms, on_peer_watch,
+			       fleet);
+		break;
+	case GC_SOURCE_STORE:
+		gc_counter_add(fleet->calls, 1);
+		fleet->conf.store.ops->watch(fleet->conf.store.store,
+					     fleet->revision, fleet->wait_ms,
+					     on_watch, fleet);
+		break;
+	case GC_SOURCE_NONE:
+		gc_timer_set(fleet->next_call, wait_ms);
+		break;
+	}
 }
 
 /* A daemon that can't tell says nothing of the store, which is asked next. */
 static void on_peer_watch(void *ctx, const gc_store_items_t *items,
 			  const GError *err)
 {
+	gc_fleet_t *fleet = ctx;
+
 	if (!err) {
-		on_watch(ctx, items, NULL);
+		take_changes(fleet, items);
 		return;
 	}
 	gc_log_error(GC_LOG_DEBUG, GC_EVENT_PEER_WATCH_FAILED,
 		     "another daemon can't tell the changes", err);
-	start_watch(ctx);
+	gc_sources_peer_failed(&fleet->sources, gc_clock_now(fleet->conf.clock),
+			       g_error_matches(err, GC_ERROR,
+					       GC_ERR_UNAVAILABLE));
+	start_watch(fleet);
 }
 
 static void on_watch(void *ctx, const gc_store_items_t *items,
 		     const GError *err)
 {
 	gc_fleet_t *fleet = ctx;
-	bool changed = false;
 
 	if (err) {
 		call_failed(fleet, err);
 		return;
 	}
+	gc_sources_store_answered(&fleet->sources,
+				  gc_clock_now(fleet->conf.clock));
+	take_changes(fleet, items);
+}
+
+static void take_changes(gc_fleet_t *fleet, const gc_store_items_t *items)
+{
+	bool changed = false;
+
 	regained(fleet);
 	fleet->changed = items->n > 0;
 	for (size_t i = 0; i < items->n; i++) {
@@ -261,6 +294,8 @@
 
 static void call_failed(gc_fleet_t *fleet, const GError *err)
 {
+	int64_t pause;
+
 	/* The history is gone: everything is read again. */
 	if (g_error_matches(err, GC_ERROR, GC_ERR_LOST) || !fleet->listed) {
 		fleet->listed = false;
@@ -271,15 +306,19 @@
 			     "the store can't be read", err);
 	if (!g_error_matches(err, GC_ERROR, GC_ERR_LOST))
 		fleet->in_contact = false;
-	gc_timer_set(fleet->next_call, fleet->retry_ms);
-	fleet->retry_ms = MIN(fleet->retry_ms * 2, RETRY_MAX_MS);
+	pause = gc_sources_store_failed(&fleet->sources,
+					gc_clock_now(fleet->conf.clock),
+					fleet->listed && has_peer(fleet));
+	if (fleet->listed)
+		start_watch(fleet);
+	else
+		gc_timer_set(fleet->next_call, pause);
 }
 
 static void regained(gc_fleet_t *fleet)
 {
 	struct timespec now = gc_clock_now(fleet->conf.clock);
 
-	fleet->retry_ms = RETRY_MS;
 	if (fleet->in_contact)
 		return;
 	fleet->in_contact = true;
--- a/lib/peers_watch.c
+++ b/lib/peers_watch.c
@@ -6,16 +6,12 @@
 #include "core/watchers.h"
 #include "lib/peers_watch.h"
 
-/* After a failure the store itself is asked for this long. */
-#define DIRECT_MS   1500
 #define LONGEST_URL 160
 
 struct gc_peers_watch {
 	gc_peers_watch_conf_t conf;
 	const gc_entry_t *daemons;
 	size_t n_daemons;
-	unsigned int turn; /* failures so far */
-	struct timespec direct_until;
 	gc_store_items_done_t done; /* of the call in progress */
 	void *ctx;
 	uint64_t after;
@@ -23,7 +19,9 @@
 
 static void on_answer(void *ctx, int status, gc_str_t body, bool sent,
 		      const GError *err);
-static void fail(gc_peers_watch_t *peers, const char *why);
+static const gc_entry_t *choose(const gc_peers_watch_t *peers,
+				unsigned int turn);
+static void fail(gc_peers_watch_t *peers, gc_errcode_t code, const char *why);
 static bool read_answer(TALLOC_CTX *mem, const json_t *json,
 			gc_store_items_t *items);
 static bool read_item(TALLOC_CTX *mem, const json_t *json,
@@ -46,10 +44,27 @@
 	peers->n_daemons = n;
 }
 
-bool gc_peers_watch(gc_peers_watch_t *peers, uint64_t after, int64_t wait_ms,
-		    gc_store_items_done_t done, void *ctx)
+static const gc_entry_t *choose(const gc_peers_watch_t *peers,
+				unsigned int turn)
 {
-	struct timespec now = gc_clock_now(peers->conf.clock);
+	ssize_t at = gc_watchers_choose(peers->daemons, peers->n_daemons,
+					peers->conf.self,
+					peers->conf.failure_domain, turn);
+
+	if (at < 0 || peers->daemons[at].peer_address.len == 0)
+		return NULL;
+	return &peers->daemons[at];
+}
+
+bool gc_peers_watch_possible(const gc_peers_watch_t *peers, unsigned int turn)
+{
+	return choose(peers, turn) != NULL;
+}
+
+void gc_peers_watch(gc_peers_watch_t *peers, unsigned int turn, uint64_t after,
+		    int64_t wait_ms, gc_store_items_done_t done, void *ctx)
+{
+	const gc_entry_t *watcher = choose(peers, turn);
 	char url[LONGEST_URL];
 	gc_http_call_conf_t conf = {
 		.method = "GET",
@@ -59,23 +74,15 @@
 		.timeout_ms = peers->conf.timeout_ms + (long)wait_ms,
 	};
 	const gc_http_call_ops_t ops = {.done = on_answer};
-	ssize_t at =
-		gc_watchers_choose(peers->daemons, peers->n_daemons,
-				   peers->conf.self, peers->conf.failure_domain,
-				   peers->turn);
 
-	if (at < 0 || peers->daemons[at].peer_address.len == 0 ||
-	    gc_ms_between(now, peers->direct_until) > 0)
-		return false;
 	snprintf(url, sizeof(url),
 		 "http://%.*s" GC_PEERS_WATCH_PATH "?after=%" G_GUINT64_FORMAT
 		 "&wait_ms=%" G_GINT64_FORMAT,
-		 GC_STR_ARG(peers->daemons[at].peer_address), after, wait_ms);
+		 GC_STR_ARG(watcher->peer_address), after, wait_ms);
 	peers->done = done;
 	peers->ctx = ctx;
 	peers->after = after;
 	gc_httpc_start(peers->conf.http, &conf, &ops, peers);
-	return true;
 }
 
 static void on_answer(void *ctx, int status, gc_str_t body, bool sent,
@@ -89,26 +96,24 @@
 	if (!err && status == 200)
 		json = json_loadb(body.data, body.len, 0, NULL);
 	if (err)
-		fail(peers, err->message);
+		fail(peers, GC_ERR_IO, err->message);
 	else if (!read_answer(mem, json, &items))
-		fail(peers, "the daemon can't tell the changes");
+		fail(peers, GC_ERR_UNAVAILABLE,
+		     "the daemon can't tell the changes");
 	else if (items.age_ms > peers->conf.max_age_ms)
-		fail(peers, "the daemon's knowledge is old");
+		fail(peers, GC_ERR_UNAVAILABLE,
+		     "the daemon's knowledge is old");
 	else
 		peers->done(peers->ctx, &items, NULL);
 	json_decref(json);
 	talloc_free(mem);
 }
 
-/* The store is asked next, and another watcher after a while. */
-static void fail(gc_peers_watch_t *peers, const char *why)
+static void fail(gc_peers_watch_t *peers, gc_errcode_t code, const char *why)
 {
 	GError *err = NULL;
 
-	peers->turn++;
-	peers->direct_until =
-		gc_add_ms(gc_clock_now(peers->conf.clock), DIRECT_MS);
-	gc_error_set(&err, GC_ERR_UNAVAILABLE, "changes", "daemon", "%s", why);
+	gc_error_set(&err, code, "changes", "daemon", "%s", why);
 	peers->done(peers->ctx, NULL, err);
 	g_error_free(err);
 }
--- a/lib/peers_watch.h
+++ b/lib/peers_watch.h
@@ -35,12 +35,15 @@
 /* The serving daemons, in the order of ids. Valid until the next call. */
 void gc_peers_watch_set_daemons(gc_peers_watch_t *peers,
 				const gc_entry_t *daemons, size_t n);
+/* True if there is a watcher to ask at this turn; false at a watcher itself. */
+bool gc_peers_watch_possible(const gc_peers_watch_t *peers, unsigned int turn);
 /*
- * Asks a watcher what changed after the revision. False if the store itself
- * is to be asked: this daemon is a watcher, or a watcher failed lately.
+ * Asks a watcher what changed after the revision; `turn` selects one, see
+ * gc_watchers_choose. Errors: GC_ERR_IO if it gave no answer, GC_ERR_UNAVAILABLE
+ * if it can't tell or what it knows is old. Only if it is possible.
  */
-bool gc_peers_watch(gc_peers_watch_t *peers, uint64_t after, int64_t wait_ms,
-		    gc_store_items_done_t done, void *ctx);
+void gc_peers_watch(gc_peers_watch_t *peers, unsigned int turn, uint64_t after,
+		    int64_t wait_ms, gc_store_items_done_t done, void *ctx);
 
 /*
  * The answer of a watcher: JSON text, or NULL if changes after the revision
