--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -324,6 +324,8 @@
 	fleet->in_contact = true;
 	gc_roster_regained(fleet->servers, now);
 	gc_roster_regained(fleet->daemons, now);
+	if (fleet->presence)
+		gc_presence_store_found(fleet->presence);
 	gc_log(GC_LOG_INFO, GC_EVENT_STORE_FOUND, "the store can be read",
 	       NULL);
 }
--- a/lib/presence.c
+++ b/lib/presence.c
@@ -10,8 +10,10 @@
 
 /* A renewal is sent this many times within the lease. */
 #define RENEWALS 3
-/* Pause after a failed call. */
-#define RETRY_MAX_MS 400
+/* Pause after a failed call; doubles up to the longest. Two calls fit into
+ * the rest of the lease, and all daemons call at once while the store is away. */
+#define RETRY_MS     400
+#define RETRY_MAX_MS 3200
 
 struct gc_presence {
 	gc_presence_conf_t conf;
@@ -19,6 +21,8 @@
 	uint64_t lease; /* 0: none */
 	bool entry_written;
 	bool leaving;
+	bool calling; /* a call is in progress */
+	int64_t retry_ms; /* pause after the next failure */
 	char *own_key;
 	gc_metric_t *calls;
 };
@@ -37,6 +41,7 @@
 	gc_presence_t *presence = talloc_zero(mem, gc_presence_t);
 
 	presence->conf = *conf;
+	presence->retry_ms = RETRY_MS;
 	presence->own_key =
 		talloc_asprintf(presence, "%s%.*s", conf->key_prefix,
 				GC_STR_ARG(conf->self.id));
@@ -55,6 +60,7 @@
 
 	if (presence->leaving)
 		return;
+	presence->calling = true;
 	gc_counter_add(presence->calls, 1);
 	if (presence->lease == 0)
 		ops->lease(presence->conf.store.store, presence->conf.lease_ms,
@@ -122,10 +128,21 @@
 
 static void renew_later(gc_presence_t *presence, bool ok)
 {
+	presence->calling = false;
 	if (presence->leaving)
 		return;
-	gc_timer_set(presence->renewal,
-		     ok ? presence->conf.lease_ms / RENEWALS : RETRY_MAX_MS);
+	gc_timer_set(presence->renewal, ok ? presence->conf.lease_ms / RENEWALS
+					   : presence->retry_ms);
+	presence->retry_ms =
+		ok ? RETRY_MS : MIN(presence->retry_ms * 2, RETRY_MAX_MS);
+}
+
+void gc_presence_store_found(gc_presence_t *presence)
+{
+	if (presence->calling || presence->retry_ms == RETRY_MS)
+		return;
+	presence->retry_ms = RETRY_MS;
+	gc_timer_set(presence->renewal, 0);
 }
 
 void gc_presence_leave(gc_presence_t *presence)
--- a/lib/presence.h
+++ b/lib/presence.h
@@ -23,6 +23,8 @@
 /* Writes the entry, and again whenever its lease has ended. */
 gc_presence_t *gc_presence_create(TALLOC_CTX *mem,
 				  const gc_presence_conf_t *conf);
+/* The store can be read again; a call that waits for its return is made. */
+void gc_presence_store_found(gc_presence_t *presence);
 /* Takes the entry away. */
 void gc_presence_leave(gc_presence_t *presence);
 
