--- a/lib/log.c
+++ b/lib/log.c
@@ -32,7 +32,8 @@
 
 static GMutex log_lock;
 
-static bool take_place(gc_log_level_t level, unsigned int *dropped);
+static bool is_kept(gc_log_level_t level, unsigned int event);
+static bool take_place(bool kept, unsigned int *dropped);
 static void write_line(const char *line, size_t len);
 static void write_json(gc_log_level_t level, unsigned int event,
 		       const char *time, const char *message, va_list fields);
@@ -68,7 +69,8 @@
 	unsigned int dropped = 0;
 	va_list fields;
 
-	if (level < log_state.level || !take_place(level, &dropped))
+	if (level < log_state.level ||
+	    !take_place(is_kept(level, event), &dropped))
 		return;
 	if (dropped > 0) {
 		g_autofree char *count = g_strdup_printf("%u", dropped);
@@ -91,8 +93,17 @@
 	log_state.max_per_s = max_per_s;
 }
 
+/* Start, stop, settings and dependencies: few lines, and those that explain
+ * the seconds in which others are dropped. */
+static bool is_kept(gc_log_level_t level, unsigned int event)
+{
+	return level >= GC_LOG_WARNING ||
+	       (event >= GC_EVENT_STARTED && event <= GC_EVENT_LINES_DROPPED) ||
+	       (event >= GC_EVENT_STORE_LOST && event <= GC_EVENT_ROUTES_TAKEN);
+}
+
 /* False if the line has to be dropped; *dropped is to be told of now. */
-static bool take_place(gc_log_level_t level, unsigned int *dropped)
+static bool take_place(bool kept, unsigned int *dropped)
 {
 	int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
 	bool ok;
@@ -106,7 +117,7 @@
 		*dropped = log_state.n_dropped;
 		log_state.n_dropped = 0;
 	}
-	ok = level >= GC_LOG_WARNING || log_state.n_lines < log_state.max_per_s;
+	ok = kept || log_state.n_lines < log_state.max_per_s;
 	if (ok)
 		log_state.n_lines++;
 	else
--- a/lib/log.h
+++ b/lib/log.h
@@ -23,7 +23,8 @@
 /*
  * From now on lines go to standard output, and no call blocks: a line is
  * dropped if the reader is behind, and debug and info lines beyond
- * max_per_s too. Dropped lines are counted and told of by one event.
+ * max_per_s too, but for those on start, stop, settings and dependencies.
+ * Dropped lines are counted and told of by one event.
  */
 void gc_log_to_stdout(unsigned int max_per_s);
 
