Run scripted tests side by side

Ports for daemons were taken from the range that the kernel gives to outgoing connections, so that one of these could take a port before its daemon did.

Change: run.sh runs half as many scripts at once as there are processors, and counts their results in order. Ports are chosen below that range.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -51,8 +51,20 @@
 	 \"tenants\":[{\"name\":\"north\",\"api_keys\":[\"key-1\"${2-,\"key-2\"}]}]}}"
 }
 
+# Below the ports that the kernel gives to outgoing connections: one of those
+# could take the port before the daemon does.
 free_port() {
-	python3 -c 'import socket; s=socket.socket(); s.bind(("127.0.0.1",0)); print(s.getsockname()[1])'
+	python3 -c '
+import random, socket
+while True:
+    port = random.randrange(15000, 32000)
+    with socket.socket() as s:
+        try:
+            s.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+    print(port)
+    break'
 }
 
 # start_routed NAME [MEMBERS]: sets NAME_pid, FRONT, DESK, CALL.
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs the test programs and the scripted runs, each of them once, and ends
-# with "N passed, N failed". Tests named in KNOWN-RED.txt ("test: NAME" lines)
+# with "N passed, N failed". Scripted runs go side by side, JOBS at a time; half
+# of the processors by default, as most of them start several programs. Tests named in KNOWN-RED.txt ("test: NAME" lines)
 # are run and printed, but not counted as failures.
 set -u
 
@@ -11,8 +12,10 @@
 export PATH="$root/goldcrestd:$root/goldcrestctl:$root/goldcrestcall:$root/standins/engine:$root/standins/platform:$root/standins/backend:$root/bench:$PATH"
 passed=0
 failed=0
-out=$(mktemp)
-trap 'rm -f "$out"' EXIT
+jobs=${JOBS:-$((($(nproc) + 1) / 2))}
+dir=$(mktemp -d)
+out=$dir/out
+trap 'rm -rf "$dir"' EXIT
 
 known_red() {
 	[ -f "$root/KNOWN-RED.txt" ] &&
@@ -47,9 +50,15 @@
 	timeout 300 "./$program" >"$out" 2>&1
 	count "$(basename "$program")" $? "$(tests_in)"
 done
+export dir
+printf '%s\n' $scripts | xargs -P "$jobs" -n 1 sh -c '
+	timeout 300 cram3 --shell=/bin/bash "$0" >"$dir/$0.out" 2>&1
+	echo $? >"$dir/$0.status"'
 for script in $scripts; do
-	timeout 300 cram3 --shell=/bin/bash "$script" >"$out" 2>&1
-	count "$script" $? 1
+	out=$dir/$script.out
+	# A run that left no status has not ended well.
+	status=$(cat "$dir/$script.status" 2>/dev/null) || status=1
+	count "$script" "$status" 1
 done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -35,9 +35,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Soak:
