Find out a replaced failure domain by two servers

Cause: servers that crash while the store is away are replaced at their addresses, and the daemon knows the old ones only. A load report also ended the ejection of a server whose address was taken over, as a report does not tell who gave it.

Change: two moved servers of a failure domain within 5 s make its others the last choice until they answer or the store tells of newer ones; reports no longer end such an ejection. Three cases in check_backends.c.

Ruled out: naming the server in questions for its load.

--- a/core/backends.c
+++ b/core/backends.c
@@ -20,6 +20,8 @@
 /* A server whose address was taken over is left alone until it is removed
  * from the store. */
 #define MOVED_MS 5000
+/* So many of them within that time make the rest of their domain suspect. */
+#define DOMAIN_MOVES 2
 /* Answers over which the failure rate is smoothed. */
 #define RATE_ANSWERS 16.0
 /* Part of the fleet's allowed repeats that daemons use. The rest covers that
@@ -39,6 +41,8 @@
 			 size_t n_daemons);
 static void eject(gc_backend_t *backend, struct timespec now);
 static void suspect_domain(gc_backend_t *backend, struct timespec now);
+static void count_move(gc_backend_t *backend, struct timespec now);
+static void end_ejection(gc_backend_t *backend);
 static void count_answer(gc_backend_t *backend, double failed);
 
 gc_backends_t *gc_backends_create(TALLOC_CTX *mem,
@@ -173,6 +177,7 @@
 	backend->service = find_service(backends, entry->service);
 	backend->domain = find_domain(backends, entry);
 	backend->failure_rate = backend->service->failure_rate;
+	backend->known_after = backends->n_moves;
 	*backends->last = backend;
 	backends->last = &backend->next;
 	g_hash_table_replace(backends->by_id, &backend->entry.id, backend);
@@ -279,6 +284,13 @@
 }
 
 void gc_backend_alive(gc_backend_t *backend)
+{
+	if (backend->owner)
+		backend->known_after = backend->owner->n_moves;
+	end_ejection(backend);
+}
+
+static void end_ejection(gc_backend_t *backend)
 {
 	backend->failures = 0;
 	backend->ejected = false;
@@ -292,8 +304,7 @@
 		backend->full_until = gc_add_ms(now, FULL_MS);
 		break;
 	case GC_END_MOVED:
-		backend->ejected = true;
-		backend->ejected_until = gc_add_ms(now, MOVED_MS);
+		count_move(backend, now);
 		break;
 	case GC_END_FAILED:
 		count_answer(backend, 1);
@@ -313,7 +324,37 @@
 	backend->load = *load;
 	backend->reported = true;
 	backend->reported_at = now;
-	gc_backend_alive(backend);
+	/* A report does not tell which incarnation gave it. */
+	end_ejection(backend);
+}
+
+/*
+ * A failure domain that crashed while the store was away has new servers at
+ * all its addresses. Each one that is found out costs a repeat.
+ */
+static void count_move(gc_backend_t *backend, struct timespec now)
+{
+	domain_t *domain = backend->domain;
+
+	backend->moved = true;
+	backend->moved_until = gc_add_ms(now, MOVED_MS);
+	if (!backend->owner)
+		return;
+	if (domain->n_moved > 0 &&
+	    gc_ms_between(domain->moved_at, now) > MOVED_MS)
+		domain->n_moved = 0;
+	domain->n_moved++;
+	domain->moved_at = now;
+	domain->last_move = ++backend->owner->n_moves;
+}
+
+bool gc_backend_maybe_moved(const gc_backend_t *backend, struct timespec now)
+{
+	const domain_t *domain = backend->domain;
+
+	return domain->n_moved >= DOMAIN_MOVES &&
+	       gc_ms_between(domain->moved_at, now) <= MOVED_MS &&
+	       backend->known_after < domain->last_move;
 }
 
 static void eject(gc_backend_t *backend, struct timespec now)
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -9,6 +9,7 @@
 #define MEMORY_SCORE  6.0 /* memory that is nearly used up */
 #define COPY_SCORE    0.3 /* each copy of a run's memory */
 #define FAILURE_SCORE 6.0 /* of the excess failure rate */
+#define MOVED_SCORE   8.0 /* it has probably been replaced */
 #define JITTER_SCORE  0.1
 /* A copy in the domain of its run is lost with it when the domain fails. */
 #define SHARED_FATE_SCORE 100.0
@@ -158,6 +159,8 @@
 		value += FOREIGN_SCORE;
 	if (excess > 0)
 		value += FAILURE_SCORE * excess;
+	if (gc_backend_maybe_moved(backend, now))
+		value += MOVED_SCORE;
 	if (gc_ms_between(now, backend->full_until) > 0)
 		value += backend->entry.slots;
 	return value + JITTER_SCORE * jitter(backends);
@@ -190,6 +193,8 @@
 {
 	if (!any_live(backend, now) || domain_ejected(backend, now))
 		return false;
+	if (backend->moved && gc_ms_between(now, backend->moved_until) > 0)
+		return false;
 	return !backend->ejected ||
 	       gc_ms_between(now, backend->ejected_until) <= 0;
 }
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -22,6 +22,9 @@
 	unsigned int n_failed; /* servers, since failed_at */
 	struct timespec ejected_until;
 	bool ejected;
+	unsigned int n_moved; /* servers, since moved_at */
+	struct timespec moved_at;
+	uint64_t last_move; /* number of the newest one */
 } domain_t;
 
 struct gc_backend {
@@ -39,6 +42,9 @@
 	double failure_rate; /* smoothed */
 	bool ejected;
 	struct timespec ejected_until;
+	bool moved; /* another server answers at its address */
+	struct timespec moved_until;
+	uint64_t known_after; /* it was there after this many moves */
 	struct timespec full_until;
 	gc_load_t load; /* as reported */
 	bool reported;
@@ -52,9 +58,15 @@
 	GHashTable *by_id; /* gc_str_t of the entry: gc_backend_t */
 	service_t *services;
 	domain_t *domains;
+	uint64_t n_moves; /* of all servers so far */
 	size_t n_daemons; /* in all failure domains, at least 1 */
 };
 
+/*
+ * True if servers of its failure domain turned out to have been replaced and
+ * nothing was heard of this one since.
+ */
+bool gc_backend_maybe_moved(const gc_backend_t *backend, struct timespec now);
 /* True if the server is in this daemon's failure domain. */
 bool gc_backends_local(const gc_backends_t *backends,
 		       const gc_backend_t *backend);
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -311,6 +311,65 @@
 }
 END_TEST
 
+/*
+ * A failure domain that restarts while the store is away: two servers that
+ * were replaced are enough to try the others elsewhere. Seen with 70 servers,
+ * of which each daemon asked one after the other until its repeats were used
+ * up, and broke off streams.
+ */
+START_TEST(test_replaced_domain_is_found_out_by_two)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = start(&state, servers);
+	gc_backend_t *third = find(backends, "a2");
+
+	gc_backend_failed(find(backends, "a0"), unit_at(0), GC_END_MOVED);
+	ck_assert(in_domain(choose(backends, 10), "a"));
+	gc_backend_failed(find(backends, "a1"), unit_at(10), GC_END_MOVED);
+	for (int i = 0; i < 20; i++)
+		ck_assert(!in_domain(choose(backends, 20 + i), "a"));
+	/* A load report does not tell who gave it; an answer does. */
+	gc_backend_report(third, unit_at(50), &(gc_load_t){0});
+	ck_assert(!in_domain(choose(backends, 60), "a"));
+	gc_backend_succeeded(third);
+	ck_assert_ptr_eq(choose(backends, 70), third);
+	talloc_free(backends);
+}
+END_TEST
+
+/* An entry that the store tells of later names a server that is there. */
+START_TEST(test_new_server_in_a_replaced_domain_is_used)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = start(&state, servers);
+
+	gc_backend_failed(find(backends, "a0"), unit_at(0), GC_END_MOVED);
+	gc_backend_failed(find(backends, "a1"), unit_at(0), GC_END_MOVED);
+	servers[0].id = gc_str("a9");
+	servers[0].started_ms = 2;
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_str_eq(gc_backend_id(choose(backends, 10)).data, "a9");
+	talloc_free(backends);
+}
+END_TEST
+
+/* A report ended the ejection of a server whose address was taken over. */
+START_TEST(test_moved_server_stays_out)
+{
+	gc_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = start(&state, servers);
+	gc_backend_t *moved = find(backends, "a0");
+
+	gc_backend_failed(moved, unit_at(0), GC_END_MOVED);
+	gc_backend_report(moved, unit_at(10), &(gc_load_t){0});
+	ck_assert(!gc_backend_usable(moved, unit_at(20)));
+	talloc_free(backends);
+}
+END_TEST
+
 /*
  * All daemons together stay below ratio x requests + slack, and a daemon whose
  * streams break all at once may go on with all of them: seen with 99 daemons,
@@ -350,6 +409,9 @@
 		test_restarted_server_replaces_its_old_entry,
 		test_reports_beat_own_counts,
 		test_candidates_are_distinct_and_usable,
+		test_replaced_domain_is_found_out_by_two,
+		test_new_server_in_a_replaced_domain_is_used,
+		test_moved_server_stays_out,
 		test_repeat_budget_is_shared,
 		NULL,
 	};
