Place streams in all failure domains

Cause: a stream went to a server of the daemon's own failure domain if it could.

Change: streams and copies choose among all failure domains, and each daemon is dealt servers of the whole fleet. One assertion of test_reports_beat_own_counts relied on the nearer server and now relies on the own work.

--- a/core/backends.c
+++ b/core/backends.c
@@ -37,8 +37,8 @@
 static int backends_destructor(gc_backends_t *backends);
 static void update(gc_backend_t *backend, const gc_entry_t *entry);
 static void remove_unlisted(gc_backends_t *backends);
-static void assign_homes(gc_backends_t *backends, size_t rank,
-			 size_t n_daemons);
+static void assign_homes(gc_backends_t *backends, const gc_rank_t *rank);
+static bool deal(size_t n_servers, size_t *at, size_t rank, size_t n_daemons);
 static void eject(gc_backend_t *backend, struct timespec now);
 static void suspect_domain(gc_backend_t *backend, struct timespec now);
 static void count_move(gc_backend_t *backend, struct timespec now);
@@ -108,12 +108,12 @@
 }
 
 void gc_backends_sync(gc_backends_t *backends, const gc_entry_t *servers,
-		      size_t n, size_t rank, size_t n_local, size_t n_daemons)
+		      size_t n, const gc_rank_t *rank)
 {
 	GHashTable *newest = newest_starts(servers, n);
 	gc_backend_t *backend;
 
-	backends->n_daemons = n_daemons > 0 ? n_daemons : 1;
+	backends->n_daemons = MAX(rank->n_all, 1);
 	for (backend = backends->first; backend; backend = backend->next)
 		backend->listed = false;
 	for (size_t i = 0; i < n; i++) {
@@ -124,7 +124,7 @@
 	}
 	g_hash_table_unref(newest);
 	remove_unlisted(backends);
-	assign_homes(backends, rank, n_local > 0 ? n_local : 1);
+	assign_homes(backends, rank);
 }
 
 /* The entry that started last, by address. */
@@ -213,31 +213,39 @@
 	backends->last = link;
 }
 
-/*
- * Deals the servers of the own failure domain out to its daemons. Where there
- * are fewer servers than daemons, all of them are everybody's.
- */
-static void assign_homes(gc_backends_t *backends, size_t rank, size_t n_daemons)
+/* Deals the servers out to the daemons, near ones and all of them. */
+static void assign_homes(gc_backends_t *backends, const gc_rank_t *rank)
 {
 	for (const service_t *service = backends->services; service;
 	     service = service->next) {
 		size_t n_local = 0;
+		size_t n = 0;
+		size_t local_at = 0;
 		size_t at = 0;
 
-		for (gc_backend_t *b = backends->first; b; b = b->next)
-			if (b->service == service &&
-			    gc_backends_local(backends, b))
-				n_local++;
 		for (gc_backend_t *b = backends->first; b; b = b->next) {
 			if (b->service != service)
 				continue;
+			n++;
+			n_local += gc_backends_local(backends, b);
+		}
+		for (gc_backend_t *b = backends->first; b; b = b->next) {
+			if (b->service != service)
+				continue;
+			b->share = deal(n, &at, rank->all, rank->n_all);
 			b->home = gc_backends_local(backends, b) &&
-				  (n_local < n_daemons ||
-				   at++ % n_daemons == rank);
+				  deal(n_local, &local_at, rank->local,
+				       rank->n_local);
 		}
 	}
 }
 
+/* Where there are fewer servers than daemons, all of them are everybody's. */
+static bool deal(size_t n_servers, size_t *at, size_t rank, size_t n_daemons)
+{
+	return n_servers < n_daemons || (*at)++ % MAX(n_daemons, 1) == rank;
+}
+
 bool gc_backends_local(const gc_backends_t *backends,
 		       const gc_backend_t *backend)
 {
--- a/core/backends.h
+++ b/core/backends.h
@@ -49,16 +49,23 @@
 
 gc_backends_t *gc_backends_create(TALLOC_CTX *mem,
 				  const gc_backends_conf_t *conf);
+/* This daemon's place among the daemons, in the order of their ids. */
+typedef struct gc_rank {
+	size_t local; /* in its failure domain, from 0 */
+	size_t n_local; /* daemons of the failure domain */
+	size_t all; /* in the fleet, from 0 */
+	size_t n_all; /* daemons of the fleet, which share the repeat budget */
+} gc_rank_t;
+
 /*
- * Takes the servers that exist, in the order of ids. rank and n_local place
- * this daemon among those of its failure domain: each daemon prefers other
- * servers, so that daemons that cannot see each other's requests rarely meet.
- * n_daemons is the size of the fleet, which shares the repeat budget.
+ * Takes the servers that exist, in the order of ids. Each daemon prefers other
+ * servers, by its rank, so that daemons that cannot see each other's requests
+ * rarely meet.
  */
 void gc_backends_sync(gc_backends_t *backends, const gc_entry_t *servers,
-		      size_t n, size_t rank, size_t n_local, size_t n_daemons);
+		      size_t n, const gc_rank_t *rank);
 /*
- * The best server of the service, or NULL. Servers in `avoid` and draining
+ * The best server of the service, or NULL; a near one if possible. Servers in `avoid` and draining
  * ones are never chosen, ejected ones only if no other is left.
  */
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
@@ -66,7 +73,9 @@
 				 const gc_backend_set_t *avoid);
 /*
  * Servers of the service that are worth a question for their load, the best
- * first; at most max. Returns their number.
+ * first; at most max. Returns their number. They are of all failure domains:
+ * if a daemon's streams were in one, its loss would break them all and use up
+ * the daemon's part of the repeat budget.
  */
 size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
 			      gc_str_t service, const gc_backend_set_t *avoid,
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -26,6 +26,10 @@
 			  gc_str_t service, const gc_backend_set_t *avoid,
 			  accept_t accept);
 static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend);
+static double near_score(const gc_backends_t *backends,
+			 const gc_backend_t *backend, struct timespec now);
+static double spread_score(const gc_backends_t *backends,
+			   const gc_backend_t *backend, struct timespec now);
 static double score(const gc_backends_t *backends, const gc_backend_t *backend,
 		    struct timespec now);
 static double load_score(const gc_backend_t *backend, struct timespec now);
@@ -57,7 +61,7 @@
 		if (!gc_str_eq(b->entry.service, service) || !accept(b, now) ||
 		    in_set(avoid, b))
 			continue;
-		value = score(backends, b, now);
+		value = near_score(backends, b, now);
 		if (chosen && value >= least)
 			continue;
 		chosen = b;
@@ -81,7 +85,7 @@
 		if (!gc_str_eq(b->entry.service, service) ||
 		    !gc_backend_usable(b, now) || in_set(avoid, b))
 			continue;
-		value = score(backends, b, now) +
+		value = spread_score(backends, b, now) +
 			CANDIDATE_JITTER * jitter(backends);
 		for (at = n; at > 0 && scores[at - 1] > value; at--) {
 			if (at == max)
@@ -105,7 +109,7 @@
 	double least = 0;
 
 	for (size_t i = 0; i < set->n; i++) {
-		double value = score(backends, set->list[i], now);
+		double value = spread_score(backends, set->list[i], now);
 
 		if (chosen && value >= least)
 			continue;
@@ -124,7 +128,7 @@
 	double least = 0;
 
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
-		double value = score(backends, b, now);
+		double value = spread_score(backends, b, now);
 
 		if (b == run || b->service != run->service ||
 		    !gc_backend_usable(b, now) || in_set(avoid, b))
@@ -147,16 +151,33 @@
 	return false;
 }
 
-static double score(const gc_backends_t *backends, const gc_backend_t *backend,
-		    struct timespec now)
+/* Plain requests are short: the way to a server counts. */
+static double near_score(const gc_backends_t *backends,
+			 const gc_backend_t *backend, struct timespec now)
 {
-	double excess = backend->failure_rate - backend->service->failure_rate;
-	double value = load_score(backend, now) + COPY_SCORE * backend->copies;
+	double value = score(backends, backend, now);
 
 	if (!gc_backends_local(backends, backend))
 		value += REMOTE_SCORE;
 	else if (!backend->home)
 		value += FOREIGN_SCORE;
+	return value;
+}
+
+/* Streams last for seconds: it counts that they don't break together. */
+static double spread_score(const gc_backends_t *backends,
+			   const gc_backend_t *backend, struct timespec now)
+{
+	return score(backends, backend, now) +
+	       (backend->share ? 0 : FOREIGN_SCORE);
+}
+
+static double score(const gc_backends_t *backends, const gc_backend_t *backend,
+		    struct timespec now)
+{
+	double excess = backend->failure_rate - backend->service->failure_rate;
+	double value = load_score(backend, now) + COPY_SCORE * backend->copies;
+
 	if (excess > 0)
 		value += FAILURE_SCORE * excess;
 	if (gc_backend_maybe_moved(backend, now))
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -35,7 +35,8 @@
 	service_t *service;
 	domain_t *domain;
 	bool listed;
-	bool home; /* this daemon prefers it */
+	bool home; /* this daemon prefers it in its failure domain */
+	bool share; /* this daemon prefers it among all */
 	uint32_t in_flight;
 	uint32_t copies;
 	unsigned int failures; /* in a row */
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -40,7 +40,7 @@
 static bool key_of(const gc_exchange_t *exchange, gc_str_t *key);
 static int64_t number_header(const gc_message_t *request, const char *name,
 			     int64_t other);
-static size_t rank_of(const gc_relay_t *relay, size_t *n_local);
+static gc_rank_t rank_of(const gc_relay_t *relay);
 
 const gc_front_ops_t gc_relay_front_ops = {
 	.request = on_request,
@@ -102,32 +102,30 @@
 
 void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view)
 {
-	size_t n_local;
-	size_t rank;
+	gc_rank_t rank;
 
 	gc_fleet_view_unref(relay->view);
 	relay->view = gc_fleet_view_ref(view);
-	rank = rank_of(relay, &n_local);
-	gc_backends_sync(relay->backends, view->servers, view->n_servers, rank,
-			 n_local, view->n_daemons);
+	rank = rank_of(relay);
+	gc_backends_sync(relay->backends, view->servers, view->n_servers,
+			 &rank);
 }
 
-/* This daemon's place among the daemons of its failure domain. */
-static size_t rank_of(const gc_relay_t *relay, size_t *n_local)
+static gc_rank_t rank_of(const gc_relay_t *relay)
 {
 	const gc_fleet_view_t *view = relay->view;
-	size_t rank = 0;
+	gc_rank_t rank = {.n_all = view->n_daemons};
 
-	*n_local = 0;
 	for (size_t i = 0; i < view->n_daemons; i++) {
 		const gc_entry_t *daemon = &view->daemons[i];
-
-		if (!gc_str_eq(daemon->failure_domain,
-			       relay->conf.failure_domain))
-			continue;
-		if (gc_str_eq(daemon->id, relay->conf.instance))
-			rank = *n_local;
-		(*n_local)++;
+		bool local = gc_str_eq(daemon->failure_domain,
+				       relay->conf.failure_domain);
+
+		if (gc_str_eq(daemon->id, relay->conf.instance)) {
+			rank.all = i;
+			rank.local = rank.n_local;
+		}
+		rank.n_local += local;
 	}
 	return rank;
 }
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -60,7 +60,7 @@
 static void sync_all(gc_backends_t *backends, const gc_entry_t *servers,
 		     size_t n)
 {
-	gc_backends_sync(backends, servers, n, 0, 2, 4);
+	gc_backends_sync(backends, servers, n, &(gc_rank_t){0, 2, 0, 4});
 }
 
 /* Knows all servers. */
@@ -127,7 +127,8 @@
 	for (size_t rank = 0; rank < 2; rank++) {
 		gc_backends_t *backends = create(&state[rank]);
 
-		gc_backends_sync(backends, servers, N_SERVERS, rank, 2, 2);
+		gc_backends_sync(backends, servers, N_SERVERS,
+				 &(gc_rank_t){rank, 2, rank, 2});
 		for (int i = 0; i < 2; i++) {
 			first[rank][i] = choose(backends, 0);
 			gc_backend_begin(first[rank][i]);
@@ -280,13 +281,51 @@
 	gc_backend_report(set[1], unit_at(0), &idle);
 	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(10), &both),
 			 set[1]);
-	/* An old report counts no more. */
+	/* An old report counts no more, the own work does. */
+	gc_backend_begin(set[1]);
 	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(2000), &both),
 			 set[0]);
 	talloc_free(backends);
 }
 END_TEST
 
+/*
+ * Seen with 117 daemons: the streams of each were in its own failure domain,
+ * all broke with it, and the daemon's few repeats did not suffice to go on with
+ * them. No domain holds much more than its third.
+ */
+START_TEST(test_streams_are_in_all_domains)
+{
+	gc_entry_t servers[N_SERVERS];
+	unsigned int n[3] = {0};
+
+	fill(servers);
+	for (uint64_t seed = 0; seed < 10; seed++) {
+		uint64_t state = seed;
+		gc_backends_t *backends = create(&state);
+
+		sync_all(backends, servers, N_SERVERS);
+		for (int i = 0; i < 2 * 3; i++) {
+			gc_backend_t *c[3];
+			gc_backend_set_t set = {c, 0};
+			gc_backend_t *chosen;
+
+			set.n = gc_backends_candidates(backends, unit_at(i),
+						       GC_STR_LIT("s"), NULL, c,
+						       3);
+			chosen =
+				gc_backends_best_of(backends, unit_at(i), &set);
+			gc_backend_begin(chosen);
+			n[gc_backend_domain(chosen).data[0] - 'a']++;
+		}
+		talloc_free(backends);
+	}
+	/* A third each; half would be too much. */
+	for (int i = 0; i < 3; i++)
+		ck_assert_uint_lt(n[i], 10 * 2 * 3 / 2);
+}
+END_TEST
+
 START_TEST(test_candidates_are_distinct_and_usable)
 {
 	gc_entry_t servers[N_SERVERS];
@@ -384,7 +423,8 @@
 	unsigned int repeats = 0;
 
 	fill(servers);
-	gc_backends_sync(backends, servers, N_SERVERS, 0, 2, 99);
+	gc_backends_sync(backends, servers, N_SERVERS,
+			 &(gc_rank_t){0, 2, 0, 99});
 	for (int i = 0; i < 20; i++)
 		gc_backends_count_request(backends, unit_at(i * 300), service);
 	while (gc_backends_take_repeat(backends, unit_at(6000), service))
@@ -408,6 +448,7 @@
 		test_copies_are_elsewhere,
 		test_restarted_server_replaces_its_old_entry,
 		test_reports_beat_own_counts,
+		test_streams_are_in_all_domains,
 		test_candidates_are_distinct_and_usable,
 		test_replaced_domain_is_found_out_by_two,
 		test_new_server_in_a_replaced_domain_is_used,
--- a/regress/check_scale.c
+++ b/regress/check_scale.c
@@ -99,8 +99,8 @@
 		for (unsigned int j = 0; j < N_ASKERS; j++)
 			ck_assert(gc_feed_since(feed, known, ignore, NULL));
 		view = gc_fleet_view_create(NULL, servers, daemons);
-		gc_backends_sync(backends, view->servers, view->n_servers, 3,
-				 79, view->n_daemons);
+		gc_backends_sync(backends, view->servers, view->n_servers,
+				 &(gc_rank_t){3, 79, 100, N_DAEMONS});
 		gc_fleet_view_unref(view);
 		/* The first one makes all the objects. */
 		if (i > 0 && (least <= 0 || cpu_ms() - start < least))
