Let a peer's answer end the pauses of an outage

Cause: read from the diff: after an outage that a watcher told the end of, the pause before the next call to the store stayed at 3.2 s until the store itself had answered, and one needless call followed a peer that had not known.

Change: a peer's answer resets both. A case in check_sources.c.

--- a/core/sources.c
+++ b/core/sources.c
@@ -53,6 +53,12 @@
 		gc_add_ms(now, answered ? IGNORANT_PEER_MS : SILENT_PEER_MS);
 }
 
+void gc_sources_peer_answered(gc_sources_t *sources)
+{
+	sources->store_first = false;
+	sources->store_pause_ms = 0;
+}
+
 void gc_sources_store_answered(gc_sources_t *sources, struct timespec now)
 {
 	sources->store_pause_ms = 0;
--- a/core/sources.h
+++ b/core/sources.h
@@ -35,6 +35,7 @@
 /* answered: it said that it can't tell the changes, or knows old ones only. */
 void gc_sources_peer_failed(gc_sources_t *sources, struct timespec now,
 			    bool answered);
+void gc_sources_peer_answered(gc_sources_t *sources);
 void gc_sources_store_answered(gc_sources_t *sources, struct timespec now);
 /* Returns the pause before the next call to the store, ms. */
 int64_t gc_sources_store_failed(gc_sources_t *sources, struct timespec now,
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -218,6 +218,7 @@
 	gc_fleet_t *fleet = ctx;
 
 	if (!err) {
+		gc_sources_peer_answered(&fleet->sources);
 		take_changes(fleet, items);
 		return;
 	}
--- a/regress/check_sources.c
+++ b/regress/check_sources.c
@@ -42,11 +42,13 @@
 	case GC_SOURCE_PEER:
 		tally->peer_calls++;
 		at += world->peer_answers ? ANSWER_MS : SILENCE_MS;
-		if (world->peer_answers && world->peer_knows)
-			*seen = at;
-		else
+		if (!world->peer_answers || !world->peer_knows) {
 			gc_sources_peer_failed(sources, unit_at(at),
 					       world->peer_answers);
+			return at;
+		}
+		gc_sources_peer_answered(sources);
+		*seen = at;
 		return at;
 	case GC_SOURCE_STORE:
 		tally->store_calls++;
@@ -155,6 +157,22 @@
 }
 END_TEST
 
+/* Pauses of an outage that is over don't count in the next one. */
+START_TEST(test_peer_tells_the_end_of_an_outage)
+{
+	gc_sources_t sources = {0};
+	int64_t first = gc_sources_store_failed(&sources, unit_at(0), true);
+
+	for (int i = 0; i < 5; i++)
+		ck_assert_int_ge(gc_sources_store_failed(&sources, unit_at(i),
+							 true),
+				 first);
+	gc_sources_peer_answered(&sources);
+	ck_assert_int_eq(gc_sources_store_failed(&sources, unit_at(100), true),
+			 first);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -164,6 +182,7 @@
 		test_watchers_turned_away,
 		test_silent_peer_is_left_alone,
 		test_one_call_for_an_ignorant_peer,
+		test_peer_tells_the_end_of_an_outage,
 		NULL,
 	};
 
