Reserve the ports of a fleet

A port was chosen, tried and let go before its program took it, so two fleets could get the same one; the start of a stand-in was taken for good when anybody answered at its port.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -23,24 +24,42 @@
 START_TIMEOUT_S = 10
 
 
+# Ports of this process's fleets, each with the socket that reserves it.
+_reserved = {}
+_reserved_lock = threading.Lock()
+
+
 def free_ports(count):
-    """Ports that were free a moment ago, from below the range that the kernel
-    gives to outgoing connections: a daemon that is started again after a kill
-    must not find its port taken by one of them."""
+    """Ports from below the range that the kernel gives to outgoing
+    connections: a daemon that is started again after a kill must not find its
+    port taken by one of them. A UDP socket on the same port, open until
+    release_ports, keeps other fleets of the machine from choosing it too."""
     ports = []
     while len(ports) < count:
-        port = random.randrange(10000, 32000)
-        with socket.socket() as s:
-            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
+        port = random.randrange(20000, 32000)
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            reservation.bind(("127.0.0.1", port))
+            with socket.socket() as s:
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in ports:
-            ports.append(port)
+        except OSError:
+            reservation.close()
+            continue
+        with _reserved_lock:
+            _reserved[port] = reservation
+        ports.append(port)
     return ports
 
 
+def release_ports(ports):
+    with _reserved_lock:
+        for port in ports:
+            reservation = _reserved.pop(port, None)
+            if reservation:
+                reservation.close()
+
+
 def http(method, url, body=None, headers=None, timeout=5):
     """Returns (status, parsed JSON or text)."""
     data = None if body is None else json.dumps(body).encode()
@@ -109,6 +128,9 @@
                     "--port", str(port)] + args)
         wait_for(name, lambda: socket.create_connection(
             ("127.0.0.1", port), timeout=1).close() is None)
+        # Another program may have answered at the port.
+        if self.processes[name].poll() is not None:
+            raise RuntimeError(f"{name}: ended at its start, see its log")
 
     def register(self, name, service, labels, state="live"):
         entry = {"ID": name, "Name": service, "Address": "127.0.0.1",
@@ -222,6 +244,7 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        release_ports(self.ports.values())
 
 
 def report(process, timeout):
--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -57,7 +57,7 @@
 	python3 -c '
 import random, socket
 while True:
-    port = random.randrange(15000, 32000)
+    port = random.randrange(10000, 20000)
     with socket.socket() as s:
         try:
             s.bind(("127.0.0.1", port))
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -37,7 +37,7 @@
 def free_port():
     """A port below those that the kernel gives to outgoing connections."""
     while True:
-        port = random.randrange(15000, 32000)
+        port = random.randrange(10000, 20000)
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
