--- a/core/event_sequencer.c
+++ b/core/event_sequencer.c
@@ -17,6 +17,7 @@
 static bool emit_if_next(gc_event_sequencer_t *sequencer, gc_str_t event,
 			 gc_event_sequencer_emit_t emit, void *ctx,
 			 GError **err);
+static bool has_data(gc_str_t event);
 static bool parse_event_id(gc_str_t event, int64_t *id);
 
 gc_event_sequencer_t *gc_event_sequencer_create(TALLOC_CTX *mem,
@@ -92,6 +93,9 @@
 {
 	int64_t id;
 
+	/* Comments and blank lines between events. */
+	if (!has_data(event))
+		return true;
 	if (!parse_event_id(event, &id)) {
 		gc_error_set(err, GC_ERR_PROTOCOL, "stream", NULL,
 			     "event without a valid id");
@@ -112,6 +116,21 @@
 	return true;
 }
 
+/* True if a line is neither blank nor a comment. */
+static bool has_data(gc_str_t event)
+{
+	bool line_start = true;
+
+	for (size_t i = 0; i < event.len; i++) {
+		char c = event.data[i];
+
+		if (line_start && c != ':' && c != '\n' && c != '\r')
+			return true;
+		line_start = c == '\n';
+	}
+	return false;
+}
+
 static bool parse_event_id(gc_str_t event, int64_t *id)
 {
 	const char *line = event.data;
--- a/core/event_sequencer.h
+++ b/core/event_sequencer.h
@@ -27,6 +27,7 @@
 /*
  * Emits each complete event with the next id and skips those with ids up to
  * the last one emitted. If there is none yet, the first event may have any id.
+ * Comments between events are dropped.
  * Errors:
  * GC_ERR_PROTOCOL for a gap or an event without a valid id, GC_ERR_TOO_LARGE
  * for an event that is too long; the bytes from there on are discarded.
--- a/lib/backend_query.c
+++ b/lib/backend_query.c
@@ -1,6 +1,9 @@
 /* Short queries to a backend server. */
 #include "lib/backend_query.h"
 
+/* The responses are small JSON objects. */
+#define MAX_RESPONSE_BYTES 65536
+
 struct gc_backend_query {
 	gc_backend_query_conf_t conf;
 	gc_call_t *call;
@@ -87,8 +90,16 @@
 {
 	gc_backend_query_t *query = ctx;
 
-	g_byte_array_append(query->body, (const guint8 *)data.data,
-			    (guint)data.len);
+	if (query->body->len + data.len <= MAX_RESPONSE_BYTES) {
+		g_byte_array_append(query->body, (const guint8 *)data.data,
+				    (guint)data.len);
+		return;
+	}
+	gc_call_cancel(query->call);
+	query->call = NULL;
+	query->status = 0;
+	query->end = GC_END_BROKEN;
+	gc_timer_set(query->timer, 0);
 }
 
 /* The timer makes the final callback, outside the callbacks of the call. */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -69,6 +69,9 @@
 	int response_status;
 	GByteArray *response_body;
 	bool success; /* 2xx with an authentication code */
+	/* The response names this request, so that it can't be a late copy of a
+	 * response to another one. */
+	bool identified;
 	bool not_run; /* the server states that it did not run the request */
 	bool misdirected; /* 421: another server has the address now */
 
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -29,6 +29,8 @@
 /* Responses up to this size are received completely before any byte is
  * forwarded, so that an incomplete one can be retried. */
 #define MAX_BUFFERED_RESPONSE_BYTES 65536
+/* A response that reports a failure is forwarded up to this size. */
+#define MAX_FAILURE_RESPONSE_BYTES 262144
 /* Bytes not yet sent to a slow caller above which its server isn't read. */
 #define MAX_UNSENT_BYTES 131072
 /* Maximum number of servers whose load is queried before an attempt. */
@@ -48,6 +50,7 @@
 static void on_body(void *ctx, gc_str_t data);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
+static void begin_forwarding(gc_exchange_t *exchange);
 static void forward_events(gc_exchange_t *exchange, gc_str_t data);
 static void record_event_gap(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
@@ -342,6 +345,9 @@
 	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
 	gc_backend_t *other;
 
+	/* The caller has a part of this server's body. */
+	if (exchange->head_sent && !exchange->sequencer)
+		return false;
 	if (exchange->copy_holder && exchange->received_event &&
 	    gc_backend_usable(exchange->copy_holder, now))
 		return true;
@@ -357,12 +363,17 @@
 		&exchange->relay->conf.adapter->headers;
 	int status = gc_http_message_status(response);
 
-	exchange->misdirected = status == 421;
+	exchange->identified =
+		exchange->id.len == 0 ||
+		gc_http_message_find_header(response, names->request_id).data;
+	exchange->misdirected = exchange->identified && status == 421;
 	exchange->not_run =
 		exchange->misdirected ||
-		gc_http_message_find_header(response, names->not_run).data;
+		(exchange->identified &&
+		 gc_http_message_find_header(response, names->not_run).data);
 	exchange->success =
-		!exchange->not_run && status >= 200 && status < 300 &&
+		exchange->identified && !exchange->not_run && status >= 200 &&
+		status < 300 &&
 		gc_http_message_find_header(response, names->mac).data;
 	if (exchange->head_sent)
 		return;
@@ -378,28 +389,43 @@
 	/* Nothing is forwarded to a caller that has disconnected. */
 	if (!exchange->caller)
 		return;
-	if (exchange->success && exchange->sequencer)
+	if (exchange->success && exchange->sequencer) {
 		forward_events(exchange, data);
-	else if (exchange->head_sent && !exchange->sequencer)
+		return;
+	}
+	if (!exchange->sequencer)
+		exchange->last_activity =
+			gc_clock_now(exchange->relay->conf.clock);
+	if (exchange->head_sent && !exchange->sequencer) {
 		forward_bytes(exchange, data);
-	else
-		g_byte_array_append(exchange->response_body,
-				    (const guint8 *)data.data, (guint)data.len);
-	if (exchange->success && !exchange->sequencer && !exchange->head_sent &&
+		return;
+	}
+	g_byte_array_append(exchange->response_body, (const guint8 *)data.data,
+			    (guint)data.len);
+	if (exchange->success &&
 	    exchange->response_body->len > MAX_BUFFERED_RESPONSE_BYTES) {
-		gc_caller_conn_begin_stream(
-			exchange->caller, exchange->response_status,
-			(gc_str_t){exchange->response_head->str,
-				   exchange->response_head->len});
-		exchange->head_sent = true;
-		forward_bytes(
-			exchange,
-			(gc_str_t){(const char *)exchange->response_body->data,
-				   exchange->response_body->len});
-		g_byte_array_set_size(exchange->response_body, 0);
+		begin_forwarding(exchange);
+	} else if (exchange->response_body->len > MAX_FAILURE_RESPONSE_BYTES) {
+		cancel_call(exchange);
+		finish_attempt(exchange, GC_END_BROKEN,
+			       "the failure response is too long");
 	}
 }
 
+/* The body is too long to be received completely before it is forwarded. */
+static void begin_forwarding(gc_exchange_t *exchange)
+{
+	GByteArray *body = exchange->response_body;
+
+	gc_caller_conn_begin_stream(exchange->caller, exchange->response_status,
+				    (gc_str_t){exchange->response_head->str,
+					       exchange->response_head->len});
+	exchange->head_sent = true;
+	forward_bytes(exchange,
+		      (gc_str_t){(const char *)body->data, body->len});
+	g_byte_array_set_size(body, 0);
+}
+
 static void forward_events(gc_exchange_t *exchange, gc_str_t data)
 {
 	g_autoptr(GString) complete_events = g_string_new(NULL);
@@ -482,7 +508,10 @@
 
 	/* The upstream frees the call after this callback. */
 	exchange->call = NULL;
-	if (exchange->not_run) {
+	if (!exchange->identified) {
+		finish_attempt(exchange, GC_END_BROKEN,
+			       "the response doesn't name the request");
+	} else if (exchange->not_run) {
 		finish_attempt(exchange,
 			       exchange->misdirected ? GC_END_REPLACED
 						     : GC_END_REFUSED,
@@ -558,6 +587,9 @@
 		talloc_free(exchange);
 		return;
 	}
+	/* Another response can't continue a body that isn't a stream. */
+	if (exchange->head_sent && !exchange->sequencer)
+		decision = GC_DECISION_FAIL;
 	if (decision != GC_DECISION_RETRY)
 		exchange->limit_reached =
 			exchange->attempts.may_have_run &&
--- a/lib/peers_watch.c
+++ b/lib/peers_watch.c
@@ -76,6 +76,7 @@
 		.peer = "daemon",
 		.connect_timeout_ms = peers->conf.timeout_ms,
 		.timeout_ms = peers->conf.timeout_ms + (long)wait_ms,
+		.max_body = GC_STORE_MAX_RESPONSE_BYTES,
 	};
 	const gc_http_call_ops_t ops = {.done = on_response};
 
--- a/lib/store.h
+++ b/lib/store.h
@@ -11,6 +11,9 @@
 #include "core/change_log.h"
 #include "core/str.h"
 
+/* Longest response of the store or of another daemon that is read, bytes. */
+#define GC_STORE_MAX_RESPONSE_BYTES ((size_t)8 << 20)
+
 typedef struct gc_store_items {
 	const gc_store_item_t *items;
 	size_t n;
--- /dev/null
+++ b/standins/routed/bad_responses.py
@@ -0,0 +1,97 @@
+"""Responses that violate HTTP or belong to another request. Each function
+writes one and returns whether the connection is kept."""
+
+import asyncio
+
+import wire
+
+ENDLESS_CHUNK = b"x" * 65536
+# About 100 MB a second: more than the memory of a daemon within its limits.
+ENDLESS_INTERVAL_S = 0.0005
+# The endless responses stop here, so that a fault can't fill the disk or the
+# memory of the machine.
+ENDLESS_MAX_BYTES = 400 << 20
+LARGE_BODY_BYTES = 200000
+
+
+def head(headers, framing, status=200):
+    return wire.response_head(status, {**headers, **framing})
+
+
+def cut_points(headers):
+    """Responses that break off, by name."""
+    chunked = head(headers, {"Transfer-Encoding": "chunked"})
+    sized = head(headers, {"Content-Length": "12"})
+    large = head(headers, {"Content-Length": str(LARGE_BODY_BYTES)})
+    large_chunked = chunked + b"%x\r\n" % LARGE_BODY_BYTES
+    return {
+        "cuthead": sized[:40],
+        "cutbody": sized + b"half",
+        "cutsize": chunked + b"6\r\nwhole\n\r\n1",
+        "cutchunk": chunked + b"6\r\nwho",
+        "cutlast": chunked + b"6\r\nwhole\n\r\n",
+        "cuttrailer": chunked + b"6\r\nwhole\n\r\n0\r\nX-Sum: 1",
+        # More than a daemon buffers: the caller has the head already.
+        "cutlarge": large + b"y" * (LARGE_BODY_BYTES // 2),
+        "cutlargechunk": large_chunked + b"y" * (LARGE_BODY_BYTES // 2),
+    }
+
+
+def endless_starts(headers):
+    """Starts of responses that go on without an end, by name."""
+    chunked = head(headers, {"Transfer-Encoding": "chunked"})
+    failed = head(headers, {"Transfer-Encoding": "chunked"}, 500)
+    return {
+        "endlessbytes": b"",
+        "endlesshead": b"HTTP/1.1 200 OK\r\nX-Long: ",
+        "endlessext": chunked + b"1;ext=",
+        "endlesstrailer": chunked + b"0\r\nX-Long: ",
+        "endlessbody": head(headers, {}),
+        "endlessfail": failed,
+        "endlessinterim": b"",
+    }
+
+
+def endless_part(name):
+    if name == "endlessfail":
+        return b"10000\r\n" + ENDLESS_CHUNK + b"\r\n"
+    if name == "endlessinterim":
+        return b"HTTP/1.1 102 Processing\r\n\r\n" * 2000
+    return ENDLESS_CHUNK
+
+
+async def write_cut(writer, text):
+    writer.write(text)
+    await writer.drain()
+    # Everything sent so far arrives before the end of the connection.
+    await asyncio.sleep(0.05)
+    return False
+
+
+async def write_endless(writer, name, start):
+    """Returns the number of bytes that were taken until the peer closed."""
+    n = len(start)
+    try:
+        writer.write(start)
+        while n < ENDLESS_MAX_BYTES:
+            part = endless_part(name)
+            writer.write(part)
+            await writer.drain()
+            n += len(part)
+            await asyncio.sleep(ENDLESS_INTERVAL_S)
+    except ConnectionError:
+        pass
+    return n
+
+
+async def write_trickle(writer, headers):
+    """A body of which one byte arrives now and then."""
+    try:
+        writer.write(head(headers, {"Content-Length": "1000"}))
+        for _ in range(1000):
+            writer.write(b"x")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+    except ConnectionError:
+        pass
+    return False
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -15,12 +15,27 @@
   extra        sends the response twice
   unframed     sends a response without a length
   slow         responds after 400 ms
+  copylate     responds; sends a second copy before the response to the next
+               request on the connection
+  copyidle     responds; sends a second copy 50 ms later
+  bare         sends a success without a request id, with a MAC
+  bareshed     sends a 503 "not executed" without a request id and executes
+               the request
+  cut*         the responses that break off, in bad_responses.py
+  endless*     the responses that don't end, in bad_responses.py
+  trickle      sends a byte of the body each 100 ms
   hang         does not respond
   once-NAME    behaves as NAME on the first server that gets the request, and
                as "ok" on others
 These apply to engines:
   die          closes the connection during the fourth event
   mute         sends nothing after the third event
+  trickle      sends a byte each 100 ms after the third event, but no event
+  comments     sends a comment each 100 ms after the third event, but no event
+  steady       sends an event each 300 ms with a comment before it
+  endlessevent sends an event without an end after the third one
+  cutend       closes the connection after the last event, without the end of
+               the body
   big          sends 200 events of 60 kB without a pause
 GET /stats returns the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
@@ -35,6 +50,7 @@
 import time
 import urllib.request
 
+import bad_responses
 import wire
 
 EVENT_COUNT = 8
@@ -50,6 +66,8 @@
         self.copy_requests = []
         self.abandoned = []
         self.seen = []
+        self.late_copies = {}  # by connection
+        self.endless_bytes = []
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -81,7 +99,8 @@
         if request.path == "/stats":
             writer.write(wire.json_response(200, {
                 "runs": self.runs, "orders": self.copy_requests,
-                "abandoned": self.abandoned, "seen": self.seen}))
+                "abandoned": self.abandoned, "seen": self.seen,
+                "endless": self.endless_bytes}))
             return True
         if request.path == "/v1/report":
             writer.write(wire.json_response(200, {
@@ -96,6 +115,9 @@
             writer.write(wire.response(421, b"", {
                 HEADER_PREFIX + "Instance-Id": self.id}))
             return True
+        copy = self.late_copies.pop(writer, None)
+        if copy:
+            writer.write(copy)
         return await self.execute(request, reader, writer)
 
     async def execute(self, request, reader, writer):
@@ -149,6 +171,31 @@
             return False
         elif behaviour == "slow":
             await asyncio.sleep(0.4)
+        elif behaviour == "copylate":
+            self.late_copies[writer] = response
+        elif behaviour == "copyidle":
+            writer.write(response)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        elif behaviour == "bare":
+            response = wire.response(200, b"not yours\n", {
+                HEADER_PREFIX + "Response-Seal": "seal"})
+        elif behaviour == "bareshed":
+            response = wire.response(503, b"", {
+                HEADER_PREFIX + "Not-Executed": "1"})
+        elif behaviour.startswith("cut"):
+            return await bad_responses.write_cut(
+                writer, bad_responses.cut_points(
+                    self.response_headers(request))[behaviour])
+        elif behaviour.startswith("endless"):
+            start = bad_responses.endless_starts(
+                self.response_headers(request))[behaviour]
+            self.endless_bytes.append(await bad_responses.write_endless(
+                writer, behaviour, start))
+            return False
+        elif behaviour == "trickle":
+            return await bad_responses.write_trickle(
+                writer, self.response_headers(request))
         elif behaviour == "hang":
             await asyncio.sleep(3600)
         writer.write(response)
@@ -181,8 +228,18 @@
                 await asyncio.wait([disconnected], timeout=30)
                 self.abandoned.append(n)
                 return False
+            if n == 4 and behaviour in ("trickle", "comments", "endlessevent"):
+                await self.write_without_event(behaviour, disconnected, writer)
+                self.abandoned.append(n)
+                return False
+            if behaviour == "steady":
+                writer.write(b"5\r\n: w\n\n\r\n")
+                await asyncio.sleep(0.27)
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
+        if behaviour == "cutend":
+            disconnected.cancel()
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         disconnected.cancel()
@@ -193,6 +250,20 @@
         return False
 
 
+    async def write_without_event(self, behaviour, disconnected, writer):
+        parts = {"trickle": (b"x", 0.1), "comments": (b": wait\n\n", 0.1),
+                 "endlessevent": (b"data: " + b"x" * 4096 + b"\n", 0)}
+        part, interval_s = parts[behaviour]
+        writer.write(b"7\r\nid: 4\nd\r\n" if behaviour == "trickle" else b"")
+        try:
+            while not disconnected.done():
+                writer.write(b"%x\r\n" % len(part) + part + b"\r\n")
+                await writer.drain()
+                await asyncio.wait([disconnected], timeout=interval_s)
+        except ConnectionError:
+            pass
+
+
 async def main():
     server = Server(sys.argv[1:])
     _, port = await wire.listen(server.handle, sys.argv[1])
