--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -108,13 +108,19 @@
 	listener->closing = true;
 }
 
+void gc_caller_listener_stop_accepting(gc_caller_listener_t *listener)
+{
+	gc_listener_close(listener->tcp_listener);
+}
+
 size_t gc_caller_listener_count_busy(const gc_caller_listener_t *listener)
 {
 	size_t n = 0;
 
 	for (const gc_caller_conn_t *c = listener->conns; c; c = c->next)
 		if (c->state == CONN_READING || c->state == CONN_SERVING ||
-		    gc_socket_unsent_bytes(c->sock) > 0)
+		    gc_socket_unsent_bytes(c->sock) > 0 ||
+		    (c->state == CONN_IDLE && gc_socket_has_unread(c->sock)))
 			n++;
 	return n;
 }
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -50,7 +50,12 @@
 uint16_t gc_caller_listener_port(const gc_caller_listener_t *listener);
 /* From now on, each connection is closed after its response. */
 void gc_caller_listener_set_closing(gc_caller_listener_t *listener);
-/* Connections with an unanswered request or unsent response bytes. */
+/* Accepts the connections that wait, then refuses new ones. */
+void gc_caller_listener_stop_accepting(gc_caller_listener_t *listener);
+/*
+ * Connections with an unanswered request, bytes of one that were not read yet,
+ * or unsent response bytes.
+ */
 size_t gc_caller_listener_count_busy(const gc_caller_listener_t *listener);
 
 /* The handler's object for the request in progress. */
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,6 +22,8 @@
  * long at most.
  */
 #define MIN_RUN_INTERVAL_US 2000
+/* Bounds the time spent on connections that arrive without a pause. */
+#define MAX_ACCEPT_RUNS 100
 
 typedef enum response_state {
 	RESPONSE_NONE,
@@ -39,6 +42,7 @@
 	bool run_pending;
 	int64_t last_run_us; /* monotonic */
 	bool stopping;
+	bool closing; /* each response closes its connection */
 	int listen_fd;
 	size_t max_body;
 	uint16_t port;
@@ -81,6 +85,7 @@
 			     struct tevent_immediate *im, void *ctx);
 static void on_run_timer(struct tevent_context *ev, struct tevent_timer *te,
 			 struct timeval now, void *ctx);
+static void accept_waiting(gc_httpd_t *httpd);
 static void run_mhd(gc_httpd_t *httpd);
 static void arm_timeout_timer(gc_httpd_t *httpd);
 static void schedule_run(gc_httpd_t *httpd);
@@ -175,15 +180,41 @@
 	return httpd->port;
 }
 
+void gc_httpd_set_closing(gc_httpd_t *httpd)
+{
+	httpd->closing = true;
+}
+
 void gc_httpd_stop_accepting(gc_httpd_t *httpd)
 {
-	if (httpd->listen_fd < 0)
-		httpd->listen_fd = MHD_quiesce_daemon(httpd->mhd);
+	if (httpd->listen_fd >= 0)
+		return;
+	accept_waiting(httpd);
+	httpd->listen_fd = MHD_quiesce_daemon(httpd->mhd);
 	/* Refuses new connections, so that clients try elsewhere at once. */
 	if (httpd->listen_fd >= 0)
 		shutdown(httpd->listen_fd, SHUT_RDWR);
 }
 
+/* Connections that wait are reset when the listening socket is shut down. */
+static void accept_waiting(gc_httpd_t *httpd)
+{
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(httpd->mhd, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd poll_fd = {.events = POLLIN};
+
+	if (!info)
+		return;
+	poll_fd.fd = info->listen_fd;
+	for (int i = 0; i < MAX_ACCEPT_RUNS && poll(&poll_fd, 1, 0) > 0; i++)
+		run_mhd(httpd);
+}
+
+void gc_httpd_read_pending(gc_httpd_t *httpd)
+{
+	run_mhd(httpd);
+}
+
 unsigned int gc_httpd_open_requests(const gc_httpd_t *httpd)
 {
 	return httpd->open_requests;
@@ -487,6 +518,8 @@
 	req->response = response;
 	req->status = status;
 	MHD_add_response_header(response, "Content-Type", type);
+	if (req->httpd->closing)
+		MHD_add_response_header(response, "Connection", "close");
 	for (GSList *h = req->headers; h; h = h->next->next)
 		MHD_add_response_header(response, h->next->data, h->data);
 }
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -48,8 +48,13 @@
 			    GError **err);
 void gc_httpd_destroy(gc_httpd_t *httpd);
 uint16_t gc_httpd_port(const gc_httpd_t *httpd);
-/* Stops accepting connections; open ones are still served. */
+/* From now on, each connection is closed after its response. */
+void gc_httpd_set_closing(gc_httpd_t *httpd);
+/* Accepts the connections that wait, then refuses new ones; open ones are
+ * still served. */
 void gc_httpd_stop_accepting(gc_httpd_t *httpd);
+/* Reads the requests that have arrived by now. */
+void gc_httpd_read_pending(gc_httpd_t *httpd);
 /* Number of requests whose response isn't complete yet. */
 unsigned int gc_httpd_open_requests(const gc_httpd_t *httpd);
 
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -14,6 +14,9 @@
 #define DRAIN_POLL_MS 100
 /* Least draining time, for callers that still use this daemon's address. */
 #define MIN_DRAIN_MS 2500
+/* From then on, no connection is accepted. The requests of those that were
+ * accepted last have arrived by the end of this time. */
+#define LAST_REQUESTS_MS 300
 /* Part of the grace period reserved for the shutdown of the process. */
 #define SHUTDOWN_RESERVE_MS 500
 /* Fraction of revoke_ms after which requests with a key are refused. The rest
@@ -35,6 +38,8 @@
 	GThread *thread;
 	gc_timer_t *drain_timer;
 	struct timespec drain_started;
+	bool refuses_connections;
+	int64_t refused_since_ms; /* after drain_started */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
 	bool exiting;
@@ -198,14 +203,26 @@
 	gc_routed_traffic_t *traffic = ctx;
 	int64_t ms = gc_ms_between(traffic->drain_started,
 				   gc_clock_now(traffic->clock));
+	int64_t end_ms = traffic->settings->stop_grace_ms - SHUTDOWN_RESERVE_MS;
 	bool idle = gc_relay_in_flight(traffic->relay) == 0 &&
 		    gc_caller_listener_count_busy(traffic->listener) == 0;
 
-	if ((idle && ms >= MIN_DRAIN_MS) ||
-	    ms >= traffic->settings->stop_grace_ms - SHUTDOWN_RESERVE_MS)
-		traffic->stopped(traffic->stopped_ctx);
-	else
+	if (!traffic->refuses_connections &&
+	    ((idle && ms >= MIN_DRAIN_MS) || ms >= end_ms - LAST_REQUESTS_MS)) {
+		gc_caller_listener_stop_accepting(traffic->listener);
+		traffic->refuses_connections = true;
+		traffic->refused_since_ms = ms;
+	}
+	if (ms < end_ms &&
+	    (!idle || !traffic->refuses_connections ||
+	     ms < traffic->refused_since_ms + LAST_REQUESTS_MS)) {
 		gc_timer_set(traffic->drain_timer, DRAIN_POLL_MS);
+		return;
+	}
+	/* A request that arrived while the process ends would be cut off. */
+	if (idle)
+		TALLOC_FREE(traffic->listener);
+	traffic->stopped(traffic->stopped_ctx);
 }
 
 static void handle_exit(void *ctx, void *message)
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -61,6 +62,7 @@
 static int listener_destructor(gc_listener_t *listener);
 static bool open_listener(gc_listener_t *listener, const char *address,
 			  uint16_t port);
+static int accept_next(const gc_listener_t *listener);
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *ctx);
 
@@ -343,6 +345,13 @@
 	return sock->unsent ? sock->unsent->len : 0;
 }
 
+bool gc_socket_has_unread(const gc_socket_t *sock)
+{
+	struct pollfd poll_fd = {.fd = sock->fd, .events = POLLIN};
+
+	return !sock->destroyed && poll(&poll_fd, 1, 0) > 0;
+}
+
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock)
 {
 	return sock->sent;
@@ -407,23 +416,41 @@
 static int listener_destructor(gc_listener_t *listener)
 {
 	TALLOC_FREE(listener->fde);
-	close(listener->fd);
+	if (listener->fd >= 0)
+		close(listener->fd);
 	return 0;
 }
 
+void gc_listener_close(gc_listener_t *listener)
+{
+	int fd;
+
+	if (listener->fd < 0)
+		return;
+	TALLOC_FREE(listener->fde);
+	while ((fd = accept_next(listener)) >= 0)
+		listener->accept(listener->ctx, fd);
+	close(listener->fd);
+	listener->fd = -1;
+}
+
 uint16_t gc_listener_port(const gc_listener_t *listener)
 {
 	return listener->port;
 }
 
+static int accept_next(const gc_listener_t *listener)
+{
+	return accept4(listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *ctx)
 {
 	gc_listener_t *listener = ctx;
 
 	for (int i = 0; i < ACCEPT_BURST; i++) {
-		int fd = accept4(listener->fd, NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = accept_next(listener);
 
 		if (fd < 0)
 			return;
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -57,6 +57,8 @@
 void gc_socket_shutdown_write(gc_socket_t *sock);
 /* Bytes that the kernel has not accepted yet. */
 size_t gc_socket_unsent_bytes(const gc_socket_t *sock);
+/* True if received bytes or the peer's close were not read yet. */
+bool gc_socket_has_unread(const gc_socket_t *sock);
 /* Bytes that the kernel has accepted since the connection was opened. */
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock);
 /* Stops or resumes reading (back-pressure). */
@@ -70,6 +72,8 @@
 				  const char *address, uint16_t port,
 				  gc_listener_accept_t accept, void *ctx,
 				  GError **err);
+/* Accepts all waiting connections, then refuses new ones. */
+void gc_listener_close(gc_listener_t *listener);
 uint16_t gc_listener_port(const gc_listener_t *listener);
 
 #endif
--- a/lib/traffic.c
+++ b/lib/traffic.c
@@ -9,6 +9,8 @@
 
 /* Interval of a stopping thread's checks for open requests. */
 #define STOP_POLL_INTERVAL_MS 50
+/* Time in which the requests of the connections accepted last arrive. */
+#define LAST_REQUESTS_MS 200
 /* Time for sending the responses of aborted jobs before the listener closes. */
 #define ABORT_FLUSH_MS 1000
 /* Minimum interval of reports on the engines in use to the control thread. */
@@ -41,6 +43,8 @@
 	bool jobs_aborted;
 	bool quit;
 	struct timespec stop_deadline;
+	bool refuses_connections;
+	struct timespec refused_since; /* valid if refuses_connections */
 	void (*stopped_cb)(void *ctx);
 	void *stopped_cb_ctx;
 	/* Result of init_thread for the creating thread, guarded by lock. */
@@ -86,6 +90,7 @@
 			       struct tevent_timer *te, struct timeval now,
 			       void *ctx);
 static void arm_stop_poll_timer(gc_traffic_t *traffic);
+static bool is_idle(const gc_traffic_t *traffic);
 static void abort_jobs(gc_traffic_t *traffic);
 static void on_queue_timer(struct tevent_context *ev, struct tevent_timer *te,
 			   struct timeval now, void *ctx);
@@ -302,6 +307,7 @@
 	stop_message_t *stop = message;
 
 	traffic->stopping = true;
+	gc_httpd_set_closing(traffic->httpd);
 	traffic->stop_deadline = gc_add_ms(gc_clock_now(traffic->conf.clock),
 					   stop->grace_s * INT64_C(1000));
 	traffic->stopped_cb = stop->done;
@@ -323,22 +329,38 @@
 			       void *ctx)
 {
 	gc_traffic_t *traffic = ctx;
-	int64_t overdue_ms = gc_ms_between(traffic->stop_deadline,
-					   gc_clock_now(traffic->conf.clock));
-	/* An action's job remains when its caller has disconnected. */
-	bool idle = gc_httpd_open_requests(traffic->httpd) == 0 &&
-		    traffic->n_jobs == 0;
-
+	struct timespec time = gc_clock_now(traffic->conf.clock);
+	int64_t overdue_ms = gc_ms_between(traffic->stop_deadline, time);
+	bool idle = is_idle(traffic);
+
+	if ((idle || overdue_ms >= 0) && !traffic->refuses_connections) {
+		gc_httpd_stop_accepting(traffic->httpd);
+		traffic->refuses_connections = true;
+		traffic->refused_since = time;
+		idle = false;
+	}
 	if (!idle && overdue_ms >= 0 && !traffic->jobs_aborted)
 		abort_jobs(traffic);
-	if (!idle && overdue_ms < ABORT_FLUSH_MS) {
+	if (overdue_ms < ABORT_FLUSH_MS &&
+	    (!idle ||
+	     gc_ms_between(traffic->refused_since, time) < LAST_REQUESTS_MS)) {
 		arm_stop_poll_timer(traffic);
 		return;
 	}
-	gc_httpd_stop_accepting(traffic->httpd);
+	/* A request that arrived while the process ends would be cut off. */
+	if (idle)
+		TALLOC_FREE(traffic->httpd);
 	traffic->stopped_cb(traffic->stopped_cb_ctx);
 }
 
+static bool is_idle(const gc_traffic_t *traffic)
+{
+	gc_httpd_read_pending(traffic->httpd);
+	/* An action's job remains when its caller has disconnected. */
+	return gc_httpd_open_requests(traffic->httpd) == 0 &&
+	       traffic->n_jobs == 0;
+}
+
 static void abort_jobs(gc_traffic_t *traffic)
 {
 	gc_traffic_job_t *next;
