--- a/goldcrestctl/objects.c
+++ b/goldcrestctl/objects.c
@@ -128,8 +128,11 @@
 	if (argc != 2 || !add_members(options, members)) {
 		clear_options(options);
 		json_decref(members);
-		return ctl_usage_error("%s: expected set NAME and options",
-				       section);
+		/* add_members has reported its error. */
+		return argc == 2 ? CTL_USAGE
+				 : ctl_usage_error("%s: expected set NAME and "
+						   "options",
+						   section);
 	}
 	clear_options(options);
 	object_path = g_strconcat(section, ".", argv[1], NULL);
--- a/goldcrestd/daemon.c
+++ b/goldcrestd/daemon.c
@@ -56,6 +56,7 @@
 static void on_traffic_stopped(void *ctx);
 static void count_stopped(void *ctx, void *message);
 static void init_log(const daemon_t *daemon);
+static gc_log_level_t log_level(const daemon_t *daemon);
 static uint64_t random_seed(void);
 static uint64_t next_random(void *ctx);
 
@@ -98,9 +99,13 @@
 static void init_log(const daemon_t *daemon)
 {
 	gc_log_init("goldcrestd", daemon->settings->instance,
-		    daemon->settings->log_json,
-		    daemon->options->verbose ? GC_LOG_DEBUG
-					     : daemon->settings->log_level);
+		    daemon->settings->log_json, log_level(daemon));
+}
+
+static gc_log_level_t log_level(const daemon_t *daemon)
+{
+	return daemon->options->verbose ? GC_LOG_DEBUG
+					: daemon->settings->log_level;
 }
 
 static bool start(daemon_t *daemon, GError **err)
@@ -270,7 +275,7 @@
 	daemon->settings->n_operator_keys = new_settings->n_operator_keys;
 	talloc_steal(daemon->settings, new_settings->operator_keys);
 	talloc_free(new_settings);
-	init_log(daemon);
+	gc_log_set_level(log_level(daemon));
 	gc_log(GC_LOG_INFO, GC_EVENT_SETTINGS_READ, "settings read again",
 	       NULL);
 }
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -58,6 +58,7 @@
 static void publish(void *ctx, gc_fleet_view_t *view);
 static void on_confirmed(void *ctx, int64_t at_ms);
 static void init_log(const routed_daemon_t *daemon);
+static gc_log_level_t log_level(const routed_daemon_t *daemon);
 static void on_stop(struct tevent_context *ev, struct tevent_signal *se,
 		    int signum, int count, void *info, void *ctx);
 static void on_reload(struct tevent_context *ev, struct tevent_signal *se,
@@ -106,8 +107,13 @@
 {
 	gc_log_to_stdout(MAX_LOG_LINES_PER_S);
 	gc_log_init("goldcrestd", daemon->settings->instance, true,
-		    daemon->options->verbose ? GC_LOG_DEBUG
-					     : daemon->settings->log_level);
+		    log_level(daemon));
+}
+
+static gc_log_level_t log_level(const routed_daemon_t *daemon)
+{
+	return daemon->options->verbose ? GC_LOG_DEBUG
+					: daemon->settings->log_level;
 }
 
 static bool start(routed_daemon_t *daemon, GError **err)
@@ -273,7 +279,7 @@
 	}
 	daemon->settings->log_level = new_settings->log_level;
 	talloc_free(new_settings);
-	init_log(daemon);
+	gc_log_set_level(log_level(daemon));
 	gc_log(GC_LOG_INFO, GC_EVENT_SETTINGS_READ, "settings read again",
 	       NULL);
 }
--- a/lib/client.c
+++ b/lib/client.c
@@ -34,6 +34,7 @@
 static void on_retry(struct tevent_context *ev, struct tevent_timer *te,
 		     struct timeval now, void *ctx);
 static void serve_waiters(gc_client_t *client);
+static void call_waiter(waiter_t *waiter, const char *address);
 static void expire_waiters(gc_client_t *client);
 static const char *choose_address(gc_client_t *client, const char *avoid);
 
@@ -180,35 +181,42 @@
 
 static void serve_waiters(gc_client_t *client)
 {
-	waiter_t *waiter = client->addresses->waiters;
-
-	client->addresses->waiters = NULL;
-	while (waiter) {
-		waiter_t *next = waiter->next;
+	struct gc_client_addresses *list = client->addresses;
+	waiter_t *waiter;
 
-		waiter->done(waiter->ctx, choose_address(client, NULL));
-		talloc_free(waiter);
-		waiter = next;
+	/* A callback may cancel other waiters. */
+	while (list->n > 0 && (waiter = list->waiters) != NULL) {
+		list->waiters = waiter->next;
+		call_waiter(waiter, choose_address(client, NULL));
 	}
 }
 
+/* Frees the waiter. */
+static void call_waiter(waiter_t *waiter, const char *address)
+{
+	gc_client_address_done_t done = waiter->done;
+	void *ctx = waiter->ctx;
+
+	talloc_free(waiter);
+	done(ctx, address);
+}
+
 static void expire_waiters(gc_client_t *client)
 {
 	struct timespec now = gc_clock_now(client->conf.clock);
-	waiter_t *waiter = client->addresses->waiters;
+	waiter_t **pos = &client->addresses->waiters;
 
-	client->addresses->waiters = NULL;
-	while (waiter) {
-		waiter_t *next = waiter->next;
+	while (*pos) {
+		waiter_t *waiter = *pos;
 
 		if (gc_ms_between(now, waiter->deadline) > 0) {
-			waiter->next = client->addresses->waiters;
-			client->addresses->waiters = waiter;
-		} else {
-			waiter->done(waiter->ctx, NULL);
-			talloc_free(waiter);
+			pos = &waiter->next;
+			continue;
 		}
-		waiter = next;
+		*pos = waiter->next;
+		call_waiter(waiter, NULL);
+		/* The callback may have cancelled other waiters. */
+		pos = &client->addresses->waiters;
 	}
 }
 
--- a/lib/client_generate.c
+++ b/lib/client_generate.c
@@ -165,7 +165,7 @@
 		g_string_append_len(gen->error_body, data.data, data.len);
 		return;
 	}
-	if (gc_sse_feed(gen->sse, data) || gen->stream_err)
+	if (gen->stream_err || gc_sse_feed(gen->sse, data) || gen->stream_err)
 		return;
 	gc_error_set(&gen->stream_err, GC_ERR_PROTOCOL, "stream", gen->url,
 		     "event exceeds the size limit");
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -271,6 +271,8 @@
 	const char *found = strstr(text, name);
 	char *end;
 
+	while (found && found > text && found[-1] != '?' && found[-1] != '&')
+		found = strstr(found + 1, name);
 	if (!found)
 		return false;
 	*number = g_ascii_strtoull(found + strlen(name), &end, 10);
--- a/lib/engine_client.c
+++ b/lib/engine_client.c
@@ -77,7 +77,7 @@
 		.peer = client->peer,
 		.headers = headers,
 		.body = gc_str(text),
-		.send_once = true,
+		.single_use = true,
 	};
 
 	client->call =
@@ -97,6 +97,7 @@
 	gc_http_call_conf_t call_conf = {
 		.method = "GET",
 		.peer = client->peer,
+		.single_use = true,
 	};
 
 	call_conf.url =
@@ -185,6 +186,7 @@
 	gc_http_call_conf_t call_conf = {
 		.method = "DELETE",
 		.peer = client->peer,
+		.single_use = true,
 		.timeout_ms = CANCEL_TIMEOUT_MS,
 	};
 
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -41,6 +41,7 @@
 
 static int exchange_destructor(gc_exchange_t *exchange);
 static void start_next_attempt(gc_exchange_t *exchange);
+static void end_without_time(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
@@ -148,11 +149,7 @@
 	gc_backend_t *backend;
 
 	if (left_ms <= 0 || exchange->n_tried == GC_EXCHANGE_MAX_TRIED) {
-		exchange->limit_reached = left_ms <= 0 ? "time" : "attempts";
-		gc_exchange_give_up(
-			exchange,
-			gc_attempts_final_decision(&exchange->attempts),
-			GC_END_TIMED_OUT);
+		end_without_time(exchange);
 		return;
 	}
 	if (exchange->resume_holder &&
@@ -172,6 +169,16 @@
 		wait_for_server(exchange);
 }
 
+/* Ends a request that has no time or no servers left to try. */
+static void end_without_time(gc_exchange_t *exchange)
+{
+	exchange->limit_reached =
+		exchange->n_tried < GC_EXCHANGE_MAX_TRIED ? "time" : "attempts";
+	gc_exchange_give_up(exchange,
+			    gc_attempts_final_decision(&exchange->attempts),
+			    GC_END_TIMED_OUT);
+}
+
 /* True if a load probe was started; its completion starts the attempt. */
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now)
 {
@@ -206,6 +213,8 @@
 {
 	gc_exchange_t *exchange = ctx;
 	gc_load_probe_t *probe = exchange->load_probe;
+	int64_t left_ms =
+		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
 	gc_backend_set_t responded = gc_load_probe_responded(probe);
 	gc_backend_t *backend =
 		gc_backends_best_of(exchange->relay->backends,
@@ -213,10 +222,10 @@
 				    &responded);
 
 	exchange->load_probe = NULL;
-	if (backend)
-		start_attempt(exchange, backend,
-			      exchange->time_limit_ms -
-				      gc_exchange_elapsed_ms(exchange));
+	if (left_ms <= 0)
+		end_without_time(exchange);
+	else if (backend)
+		start_attempt(exchange, backend, left_ms);
 	else
 		wait_for_server(exchange);
 	gc_load_probe_destroy(probe);
--- a/lib/filter_action.c
+++ b/lib/filter_action.c
@@ -212,7 +212,6 @@
 		.headers = headers,
 		.body = call->body,
 		.timeout_ms = ACTION_TIMEOUT_MS,
-		.send_once = true,
 	};
 
 	headers[n_headers++] =
@@ -238,11 +237,15 @@
 	}
 	if (err && sent) {
 		call->http_call = NULL;
+		/* All servers but the last one can still be asked. */
+		call->tried[0] = call->server->name;
+		call->n_tried = 1;
 		start_status_request(call);
 		return;
 	}
 	if (err && gc_service_call_choose_server(call)) {
-		dispatch_action(call); /* nothing was sent to the last server */
+		/* Nothing was sent to the last server. */
+		on_claim_granted(call);
 		return;
 	}
 	if (err) {
--- a/lib/filter_service.c
+++ b/lib/filter_service.c
@@ -280,6 +280,7 @@
 	full_conf.peer = talloc_strndup(call, call->server->name.data,
 					call->server->name.len);
 	full_conf.connect_timeout_ms = CONNECT_TIMEOUT_MS;
+	full_conf.single_use = true;
 	full_conf.max_body = gc_traffic_settings(call->traffic)->max_body_bytes;
 	return gc_httpc_start(gc_traffic_http_client(call->traffic), &full_conf,
 			      &ops, call);
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -490,21 +490,21 @@
 {
 	gc_fleet_t *fleet = ctx;
 	struct timespec now = gc_clock_now(fleet->conf.clock);
-	int64_t next_server_ms; /* until the next expiry; -1: none */
+	int64_t next_ms; /* until the next expiry; -1: none */
 	int64_t next_daemon_ms;
 	bool removed;
 
 	/* Entries are kept while the store is unreachable. */
 	if (!fleet->store_reachable)
 		return;
-	removed = gc_registry_expire(fleet->servers, now, &next_server_ms);
+	removed = gc_registry_expire(fleet->servers, now, &next_ms);
 	removed |= gc_registry_expire(fleet->daemons, now, &next_daemon_ms);
 	if (removed)
 		publish(fleet);
-	if (next_server_ms >= 0)
-		gc_timer_set(fleet->expiry_timer, next_server_ms + 1);
-	else if (next_daemon_ms >= 0)
-		gc_timer_set(fleet->expiry_timer, next_daemon_ms + 1);
+	if (next_ms < 0 || (next_daemon_ms >= 0 && next_daemon_ms < next_ms))
+		next_ms = next_daemon_ms;
+	if (next_ms >= 0)
+		gc_timer_set(fleet->expiry_timer, next_ms + 1);
 }
 
 void gc_fleet_unregister(gc_fleet_t *fleet)
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -145,7 +145,9 @@
 	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
-			 conf->send_once ? 1L : 0L);
+			 conf->send_once || conf->single_use ? 1L : 0L);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+			 conf->single_use ? 1L : 0L);
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 conf->connect_timeout_ms ? conf->connect_timeout_ms
 						  : DEFAULT_CONNECT_TIMEOUT_MS);
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -28,6 +28,12 @@
 	 * send_once the call opens a new connection.
 	 */
 	bool send_once;
+	/*
+	 * Closes the connection after the call. Responses of some peers don't
+	 * name their request; a second copy that arrives late on a connection
+	 * in use again would be taken for the next response. Implies send_once.
+	 */
+	bool single_use;
 	/*
 	 * Most bytes of the response body that are collected; 0: no limit. A
 	 * longer body ends the call with GC_ERR_TOO_LARGE and the body up to
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -230,6 +230,7 @@
 		.body = GC_STR_EMPTY,
 		.connect_timeout_ms = kv->timeout_ms,
 		.timeout_ms = kv->timeout_ms,
+		.bytes = find_byte_metric(kv, key),
 	};
 
 	request->write_done = done;
--- a/lib/log.c
+++ b/lib/log.c
@@ -1,6 +1,7 @@
 /* Numbered log events, one line each, with a rate limit on standard output. */
 #include <poll.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -22,7 +23,7 @@
 	char program[32];
 	char instance[64];
 	bool json;
-	gc_log_level_t level;
+	atomic_int level; /* gc_log_level_t; may change while threads log */
 	unsigned int max_lines_per_s; /* 0: to standard error, no limit */
 	/* The members below are guarded by log_lock. */
 	int64_t current_second; /* monotonic; the second of n_lines */
@@ -48,7 +49,12 @@
 	g_strlcpy(log_state.instance, instance ? instance : "",
 		  sizeof(log_state.instance));
 	log_state.json = json;
-	log_state.level = level;
+	gc_log_set_level(level);
+}
+
+void gc_log_set_level(gc_log_level_t level)
+{
+	atomic_store(&log_state.level, level);
 }
 
 bool gc_log_level_parse(const char *name, gc_log_level_t *level)
@@ -69,7 +75,7 @@
 	unsigned int dropped = 0;
 	va_list fields;
 
-	if (level < log_state.level ||
+	if ((int)level < atomic_load(&log_state.level) ||
 	    !admit_line(is_exempt(level, event), &dropped))
 		return;
 	if (dropped > 0) {
--- a/lib/log.h
+++ b/lib/log.h
@@ -15,11 +15,13 @@
 
 /*
  * Sets up the process's log on standard error. program and instance (NULL for
- * none) are copied. json selects one JSON object per line instead of text. May
- * be called again to change the level or the format.
+ * none) are copied. json selects one JSON object per line instead of text. Called
+ * before there are other threads.
  */
 void gc_log_init(const char *program, const char *instance, bool json,
 		 gc_log_level_t level);
+/* Safe while other threads log. */
+void gc_log_set_level(gc_log_level_t level);
 
 /*
  * Switches the log to standard output and makes all calls non-blocking. A line
--- a/lib/metrics.c
+++ b/lib/metrics.c
@@ -70,7 +70,8 @@
 				const char *help, const char *label_name,
 				const char *label_value)
 {
-	char *key = g_strconcat(name, "\x01", label_value, NULL);
+	char *key = g_strconcat(name, "\x01", label_name ? label_name : "",
+				"\x01", label_value, NULL);
 	gc_metric_t *metric;
 
 	g_mutex_lock(&registry_lock);
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -62,13 +62,15 @@
 	if (registration->removing)
 		return;
 	registration->call_in_flight = true;
+	if (registration->lease != 0 && !registration->entry_written) {
+		write_entry(registration);
+		return;
+	}
 	gc_counter_add(registration->store_calls, 1);
 	if (registration->lease == 0)
 		ops->lease(registration->conf.store.store,
 			   registration->conf.lease_ms, on_lease_granted,
 			   registration);
-	else if (!registration->entry_written)
-		write_entry(registration);
 	else
 		ops->renew(registration->conf.store.store, registration->lease,
 			   on_renewed, registration);
@@ -100,6 +102,7 @@
 			  (int)self->failure_domain.len);
 	char *text = json_dumps(json, JSON_COMPACT);
 
+	gc_counter_add(registration->store_calls, 1);
 	registration->conf.store.ops->put(registration->conf.store.store,
 					  gc_str(registration->key),
 					  gc_str(text), registration->lease,
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -207,6 +207,7 @@
 	gc_caller_conn_set_data(caller, NULL);
 	gc_relay_refuse(relay, caller, exchange->id, exchange->account,
 			&response);
+	gc_fleet_view_unref(exchange->view);
 	talloc_free(exchange);
 }
 
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -132,7 +132,7 @@
 	char *address;
 	char *colon;
 	struct in_addr ip;
-	unsigned long port;
+	guint64 port;
 
 	if (!json_is_string(value)) {
 		if (required || (value && !json_is_null(value)))
@@ -146,8 +146,9 @@
 		return;
 	}
 	*colon = '\0';
-	port = strtoul(colon + 1, NULL, 10);
-	if (inet_pton(AF_INET, address, &ip) != 1 || port > UINT16_MAX) {
+	if (inet_pton(AF_INET, address, &ip) != 1 ||
+	    !g_ascii_string_to_unsigned(colon + 1, 10, 0, UINT16_MAX, &port,
+					NULL)) {
 		add_error(reader, name, "not IP:PORT");
 		return;
 	}
--- a/regress/control_operators.t
+++ b/regress/control_operators.t
@@ -57,6 +57,9 @@
   428
   $ curl -s -o out -w '%{http_code}\n' $d1_ops/v1/config -H 'Authorization: Bearer x'
   401
+  $ ctl $d1_ops pool set p --kind engine --selector '[]'
+  goldcrestctl: --selector: not an object
+  [2]
   $ ctl $d1_ops frobnicate
   goldcrestctl: unknown command "frobnicate"
   [2]
--- a/regress/routed_peers.t
+++ b/regress/routed_peers.t
@@ -8,6 +8,8 @@
   $ start_server app1 app a
   $ for d in d1 d2 d3 d4 d5 d6; do start_routed $d; eval "${d}_addr=$CALLER_ADDR"; done
   $ sleep 2
+  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/changes?xafter=1&wait_ms=1"
+  400
 
 Two of the six daemons watch the store; the others get changes from them.
 
--- a/regress/routed_stop.t
+++ b/regress/routed_stop.t
@@ -11,7 +11,7 @@
 
   $ cat >bad.json <<END
   > {"mode":"routed","instance":"","caller":"nowhere","ready":"127.0.0.1:1",
-  >  "store":7,"revoke_ms":"soon","log_level":"loud"}
+  >  "peer":"127.0.0.1:80x","store":7,"revoke_ms":"soon","log_level":"loud"}
   > END
   $ goldcrestd -n -f bad.json
   goldcrestd: bad.json:
@@ -20,6 +20,7 @@
   store: a string is missing
   caller: not IP:PORT
   addresses: IP:PORT is missing
+  peer: not IP:PORT
   revoke_ms: not a number from 500 to 600000
   log_level: not debug, info, warning or error
   [1]
