--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -77,9 +77,13 @@
         body = json.dumps({"key": f"servers/{self.id}", "value": value})
         urllib.request.urlopen(self.store + "/operator", body.encode())
 
+    @staticmethod
+    def request_id(request):
+        return request.headers.get(HEADER_PREFIX.lower() + "request-id", "")
+
     def response_headers(self, request, **extra):
-        headers = {HEADER_PREFIX + "Request-Id": request.headers.get(
-            HEADER_PREFIX.lower() + "request-id", ""),
+        headers = {
+            HEADER_PREFIX + "Request-Id": self.request_id(request),
             HEADER_PREFIX + "Response-Seal": f"seal-{self.id}",
             "Keep-Alive": "timeout=5"}
         headers.update(extra)
@@ -113,6 +117,7 @@
         target = request.headers.get(HEADER_PREFIX.lower() + "target-instance")
         if target != self.id:
             writer.write(wire.response(421, b"", {
+                HEADER_PREFIX + "Request-Id": self.request_id(request),
                 HEADER_PREFIX + "Instance-Id": self.id}))
             return True
         copy = self.late_copies.pop(writer, None)
@@ -121,7 +126,7 @@
         return await self.execute(request, reader, writer)
 
     async def execute(self, request, reader, writer):
-        run_id = request.headers.get(HEADER_PREFIX.lower() + "request-id", "")
+        run_id = self.request_id(request)
         behaviour = request.path.rsplit("/", 1)[1].split("-")
         if behaviour[0] == "once":
             first = not os.path.exists(f"ran.{run_id}")
@@ -130,6 +135,7 @@
             behaviour = behaviour[1:] if first else ["ok"]
         if behaviour[0] == "shed":
             writer.write(wire.response(503, b"", {
+                HEADER_PREFIX + "Request-Id": run_id,
                 HEADER_PREFIX + "Not-Executed": "1"}))
             return True
         self.runs.append(run_id)
