--- a/core/backends.c
+++ b/core/backends.c
@@ -1,5 +1,6 @@
 /* State of the backend servers as known to one daemon. */
 #include <glib.h>
+#include <xxhash.h>
 
 #include "core/backends_private.h"
 #include "core/clock.h"
@@ -185,6 +186,7 @@
 	backend->n_refs = 1;
 	backend->owner = backends;
 	backend->entry.id = gc_str_dup(backend, entry->id);
+	backend->id_hash = XXH64(entry->id.data, entry->id.len, 0);
 	backend->entry.service = gc_str_dup(backend, entry->service);
 	backend->entry.address = gc_str_dup(backend, entry->address);
 	backend->entry.failure_domain =
@@ -235,7 +237,7 @@
 static void assign_preferred(gc_backends_t *backends,
 			     const gc_daemon_rank_t *rank)
 {
-	for (const service_t *service = backends->services; service;
+	for (service_t *service = backends->services; service;
 	     service = service->next) {
 		size_t n_local = 0;
 		size_t n = 0;
@@ -248,6 +250,7 @@
 			n++;
 			n_local += gc_backend_is_local(backends, b);
 		}
+		service->n_servers = n;
 		for (gc_backend_t *b = backends->first; b; b = b->next) {
 			if (b->service != service)
 				continue;
--- a/core/backends.h
+++ b/core/backends.h
@@ -46,6 +46,12 @@
 	size_t n;
 } gc_backend_set_t;
 
+/* The prompt of a stream. */
+typedef struct gc_prompt {
+	uint64_t hash;
+	bool resumed; /* the caller has events: a server has read the prompt */
+} gc_prompt_t;
+
 gc_backends_t *gc_backends_create(TALLOC_CTX *mem,
 				  const gc_backends_conf_t *conf);
 /* Index of this daemon among the daemons in the order of their ids. */
@@ -76,13 +82,18 @@
  * Stores the servers of the service to be asked for their load, best first, at
  * most max, and returns their number. They come from all failure domains: if
  * all streams of a daemon ran in one domain, the loss of that domain would
- * break them all and use up the daemon's part of the retry budget.
+ * break them all and use up the daemon's part of the retry budget. Each
+ * prompt (NULL: unknown) has servers that all daemons prefer for it, so that a
+ * repeat of the request finds its prompt read there, also after the daemon that
+ * sent it first has died.
  */
 size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
-			      gc_str_t service, const gc_backend_set_t *avoid,
+			      gc_str_t service, const gc_prompt_t *prompt,
+			      const gc_backend_set_t *avoid,
 			      gc_backend_t **candidates, size_t max);
 /* The best server of a set by its current score; NULL if the set is empty. */
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
+				  const gc_prompt_t *prompt,
 				  const gc_backend_set_t *set);
 /*
  * The server that should hold the copy of a run's KV cache: one with few copies
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -1,4 +1,6 @@
 /* Chooses backend servers; the one with the lowest score is the best. */
+#include <xxhash.h>
+
 #include "core/backends_private.h"
 #include "core/clock.h"
 
@@ -21,6 +23,12 @@
  * flight. */
 #define CANDIDATE_JITTER 1.0
 
+/* Mean distance between two servers that are next to each other in the order
+ * of a prompt's preference. */
+#define AFFINITY_SCORE 0.5
+/* The same if a server has probably read the prompt. */
+#define RESUMED_AFFINITY_SCORE 2.0
+
 typedef bool (*filter_t)(const gc_backend_t *backend, struct timespec now);
 
 static gc_backend_t *find_best(gc_backends_t *backends, struct timespec now,
@@ -30,7 +38,10 @@
 static double request_score(const gc_backends_t *backends,
 			    const gc_backend_t *backend, struct timespec now);
 static double stream_score(const gc_backends_t *backends,
-			   const gc_backend_t *backend, struct timespec now);
+			   const gc_backend_t *backend, struct timespec now,
+			   const gc_prompt_t *prompt);
+static double affinity_score(const gc_backend_t *backend,
+			     const gc_prompt_t *prompt);
 static double base_score(const gc_backends_t *backends,
 			 const gc_backend_t *backend, struct timespec now);
 static double load_score(const gc_backend_t *backend, struct timespec now);
@@ -73,7 +84,8 @@
 }
 
 size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
-			      gc_str_t service, const gc_backend_set_t *avoid,
+			      gc_str_t service, const gc_prompt_t *prompt,
+			      const gc_backend_set_t *avoid,
 			      gc_backend_t **candidates, size_t max)
 {
 	double scores[GC_CANDIDATES_MAX];
@@ -87,8 +99,9 @@
 		if (!gc_str_eq(b->entry.service, service) ||
 		    !gc_backend_usable(b, now) || in_set(avoid, b))
 			continue;
-		score = stream_score(backends, b, now) +
-			CANDIDATE_JITTER * random_unit(backends);
+		score = stream_score(backends, b, now, prompt);
+		if (!prompt)
+			score += CANDIDATE_JITTER * random_unit(backends);
 		for (index = n; index > 0 && scores[index - 1] > score;
 		     index--) {
 			if (index == max)
@@ -106,13 +119,15 @@
 }
 
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
+				  const gc_prompt_t *prompt,
 				  const gc_backend_set_t *set)
 {
 	gc_backend_t *chosen = NULL;
 	double lowest_score = 0;
 
 	for (size_t i = 0; i < set->n; i++) {
-		double score = stream_score(backends, set->list[i], now);
+		double score =
+			stream_score(backends, set->list[i], now, prompt);
 
 		if (chosen && score >= lowest_score)
 			continue;
@@ -131,7 +146,7 @@
 	double lowest_score = 0;
 
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
-		double score = stream_score(backends, b, now);
+		double score = stream_score(backends, b, now, NULL);
 
 		if (b == run_backend || b->service != run_backend->service ||
 		    !gc_backend_usable(b, now) || in_set(avoid, b))
@@ -170,10 +185,26 @@
 /* Streams last for seconds. They are spread over all failure domains, so that
  * they don't all break at once. */
 static double stream_score(const gc_backends_t *backends,
-			   const gc_backend_t *backend, struct timespec now)
+			   const gc_backend_t *backend, struct timespec now,
+			   const gc_prompt_t *prompt)
+{
+	double score = base_score(backends, backend, now);
+
+	if (prompt)
+		return score + affinity_score(backend, prompt);
+	return score + (backend->preferred ? 0 : NOT_PREFERRED_SCORE);
+}
+
+/* The same in all daemons; spreads the prompts evenly over the servers. */
+static double affinity_score(const gc_backend_t *backend,
+			     const gc_prompt_t *prompt)
 {
-	return base_score(backends, backend, now) +
-	       (backend->preferred ? 0 : NOT_PREFERRED_SCORE);
+	uint64_t hash =
+		XXH64(&prompt->hash, sizeof(prompt->hash), backend->id_hash);
+
+	return (prompt->resumed ? RESUMED_AFFINITY_SCORE : AFFINITY_SCORE) *
+	       (double)backend->service->n_servers * (double)(hash >> 11) /
+	       9007199254740992.0;
 }
 
 static double base_score(const gc_backends_t *backends,
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -12,6 +12,7 @@
 	gc_str_t name;
 	gc_retry_window_t retries;
 	double failure_rate; /* moving average over all servers */
+	size_t n_servers;
 } service_t;
 
 /* The servers of one service in one failure domain. */
@@ -33,6 +34,7 @@
 	gc_backend_t *next;
 	unsigned int n_refs;
 	gc_registry_entry_t entry;
+	uint64_t id_hash;
 	service_t *service;
 	domain_t *domain;
 	bool listed;
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -28,6 +28,7 @@
 	const char *mac; /* authenticates a server's response */
 	const char *copy_to; /* address of the server to copy the KV cache to */
 	const char *copy_from; /* ADDRESS/ID of the copy to resume from */
+	const char *prompt; /* the parts of a prompt, see prompt_id */
 	const char *auth_scheme; /* before the key in Authorization */
 	/* Removed from callers' requests; ended by NULL. */
 	const char *const *internal;
@@ -59,6 +60,9 @@
 				 gc_str_t *handle);
 	/* Path of the DELETE request for such a copy; free with g_free. */
 	char *(*write_copy_delete_path)(gc_str_t handle);
+	/* Id of the part of a prompt that only its request or session has; empty
+	 * if there is none. */
+	gc_str_t (*prompt_id)(gc_str_t prompt);
 	/* False if the report is not a JSON object. */
 	bool (*read_load)(gc_str_t report, gc_backend_load_t *load);
 	/* target: path and query of a request. Strings are allocated in mem. */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -26,6 +26,7 @@
 	gc_str_t service;
 	gc_str_t account; /* empty on an anonymous route */
 	gc_str_t id;
+	const gc_prompt_t *prompt; /* NULL if unknown */
 	bool head_request; /* its method is HEAD */
 	struct timespec arrived;
 	int64_t deadline_ms; /* after arrival, set by the caller */
@@ -40,6 +41,7 @@
 	gc_load_probe_t *load_probe; /* in progress, before an attempt */
 	gc_call_t *call; /* the attempt in progress, or NULL */
 	gc_backend_t *backend; /* server of the attempt in progress */
+	struct timespec attempt_started;
 	/* Server that gets a copy of the run's KV cache, or NULL. */
 	gc_backend_t *copy_holder;
 	/* ADDRESS/ID of the copy; see gc_header_names_t.copy_from. */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -1,6 +1,8 @@
 /* Attempts of one routed request, and forwarding of the response. */
 #include <stdlib.h>
 
+#include <xxhash.h>
+
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
@@ -34,11 +36,12 @@
 /* Bytes not yet sent to a slow caller above which its server isn't read. */
 #define MAX_UNSENT_BYTES 131072
 /* Maximum number of servers whose load is queried before an attempt. */
-#define LOAD_PROBE_SERVERS 3
+#define LOAD_PROBE_SERVERS 4
 /* A load report takes about a round trip; a server that does not report in time
  * isn't chosen. */
 #define LOAD_PROBE_TIMEOUT_MS 40
 
+static const gc_prompt_t *create_prompt(gc_exchange_t *exchange, bool resumed);
 static int exchange_destructor(gc_exchange_t *exchange);
 static void start_next_attempt(gc_exchange_t *exchange);
 static void end_without_time(gc_exchange_t *exchange);
@@ -104,6 +107,7 @@
 		g_autofree char *text =
 			last.data ? g_strndup(last.data, last.len) : NULL;
 
+		exchange->prompt = create_prompt(exchange, text && *text);
 		exchange->sequencer = gc_event_sequencer_create(
 			exchange, text && *text
 					  ? g_ascii_strtoll(text, NULL, 10)
@@ -116,6 +120,21 @@
 	start_next_attempt(exchange);
 }
 
+static const gc_prompt_t *create_prompt(gc_exchange_t *exchange, bool resumed)
+{
+	const gc_adapter_t *adapter = exchange->relay->conf.adapter;
+	gc_str_t id = adapter->prompt_id(gc_http_message_find_header(
+		exchange->request, adapter->headers.prompt));
+	gc_prompt_t *prompt;
+
+	if (id.len == 0)
+		return NULL;
+	prompt = talloc(exchange, gc_prompt_t);
+	prompt->hash = XXH64(id.data, id.len, 0);
+	prompt->resumed = resumed;
+	return prompt;
+}
+
 static int exchange_destructor(gc_exchange_t *exchange)
 {
 	gc_relay_t *relay = exchange->relay;
@@ -201,7 +220,8 @@
 	if (!service || !service->reports_load)
 		return false;
 	n = gc_backends_candidates(relay->backends, now, exchange->service,
-				   &tried, candidates, LOAD_PROBE_SERVERS);
+				   exchange->prompt, &tried, candidates,
+				   LOAD_PROBE_SERVERS);
 	if (n < 2)
 		return false;
 	/* Not a child of the exchange, which on_load_probe_done may free. */
@@ -219,7 +239,7 @@
 	gc_backend_t *backend =
 		gc_backends_best_of(exchange->relay->backends,
 				    gc_clock_now(exchange->relay->conf.clock),
-				    &responded);
+				    exchange->prompt, &responded);
 
 	exchange->load_probe = NULL;
 	if (left_ms <= 0)
@@ -245,6 +265,7 @@
 	exchange->tried[exchange->n_tried++] = gc_backend_ref(backend);
 	gc_backend_add_request(backend);
 	gc_exchange_start_copy(exchange);
+	exchange->attempt_started = now;
 	exchange->last_activity = now;
 	exchange->received_event = false;
 	exchange->read_paused = false;
@@ -362,7 +383,8 @@
 		return true;
 	return exchange->n_tried < GC_EXCHANGE_MAX_TRIED &&
 	       gc_backends_candidates(exchange->relay->backends, now,
-				      exchange->service, &tried, &other, 1) > 0;
+				      exchange->service, exchange->prompt,
+				      &tried, &other, 1) > 0;
 }
 
 static void on_head(void *ctx, const gc_http_message_t *response)
@@ -580,13 +602,17 @@
 		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
 	g_autofree char *status =
 		g_strdup_printf("%d", exchange->response_status);
+	g_autofree char *after_ms =
+		g_strdup_printf("%" G_GINT64_FORMAT,
+				gc_ms_between(exchange->attempt_started, now));
 	bool uses_budget;
 	gc_retry_decision_t decision;
 
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ATTEMPT_ENDED, "attempt failed",
 	       "request", exchange->id.data, "server",
 	       gc_backend_id(exchange->backend).data, "reason", reason,
-	       "status", status, NULL);
+	       "status", status, "after_ms", after_ms, "events",
+	       exchange->received_event ? "yes" : "no", NULL);
 	gc_backend_record_failure(exchange->backend, now, end);
 	gc_exchange_set_resume_copy(exchange);
 	release_attempt(exchange);
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -287,11 +287,13 @@
 	set[1] = find_backend(backends, "b0");
 	gc_backend_record_load(set[0], unit_at(0), &busy);
 	gc_backend_record_load(set[1], unit_at(0), &idle);
-	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(10), &both),
+	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(10), NULL,
+					     &both),
 			 set[1]);
 	/* The report is too old, so only the daemon's own requests count. */
 	gc_backend_add_request(set[1]);
-	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(2000), &both),
+	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(2000), NULL,
+					     &both),
 			 set[0]);
 	talloc_free(backends);
 }
@@ -320,10 +322,10 @@
 			gc_backend_t *chosen;
 
 			set.n = gc_backends_candidates(backends, unit_at(i),
-						       GC_STR_LIT("s"), NULL, c,
-						       3);
-			chosen =
-				gc_backends_best_of(backends, unit_at(i), &set);
+						       GC_STR_LIT("s"), NULL,
+						       NULL, c, 3);
+			chosen = gc_backends_best_of(backends, unit_at(i), NULL,
+						     &set);
 			gc_backend_add_request(chosen);
 			n[gc_backend_domain(chosen).data[0] - 'a']++;
 		}
@@ -349,7 +351,7 @@
 
 		ck_assert_uint_eq(gc_backends_candidates(backends, unit_at(1),
 							 GC_STR_LIT("s"), NULL,
-							 c, 3),
+							 NULL, c, 3),
 				  3);
 		ck_assert(c[0] != c[1] && c[1] != c[2] && c[0] != c[2]);
 		for (int j = 0; j < 3; j++)
