--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -7,6 +7,7 @@
 
 #include "core/attempts.h"
 #include "core/event_sequencer.h"
+#include "core/silence.h"
 #include "lib/backend_query.h"
 #include "lib/load_probe.h"
 #include "lib/refusal.h"
@@ -60,6 +61,8 @@
 	 */
 	struct timespec last_activity;
 	bool received_event; /* from this attempt */
+	gc_silence_t silence; /* before the first event of this attempt */
+	gc_backend_query_t *silence_query; /* load query in progress, or NULL */
 	bool read_paused; /* back-pressure: the caller reads slowly */
 	struct timespec last_forwarded; /* last event to the caller */
 	int64_t first_event_ms; /* after arrival */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -22,6 +22,11 @@
  * of target_latency_ms; and the interval of checks for one. */
 #define SERVER_WAIT_FRACTION 0.125
 #define SERVER_POLL_MS	     25
+/* Time for the load report of a server that has sent no event. Longer than
+ * LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a prompt. */
+#define SILENCE_QUERY_TIMEOUT_MS 300
+/* Pause between such reports, as a fraction of the limit. */
+#define SILENCE_QUERY_FRACTION 0.25
 /* A timer that fires this late shows that the daemon itself was stalled. */
 #define DAEMON_STALL_MS 150
 /* Interval of checks for another server while the inactive one is kept. */
@@ -68,6 +73,10 @@
 static int64_t inactivity_limit_ms(const gc_exchange_t *exchange);
 static void on_inactivity(void *ctx);
 static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now);
+static void leave_silent_server(gc_exchange_t *exchange);
+static void start_silence_query(gc_exchange_t *exchange);
+static void on_silence_report(void *ctx, int status, gc_str_t response,
+			      gc_attempt_end_t end);
 static void on_retry(void *ctx);
 
 static const gc_call_ops_t call_ops = {
@@ -268,6 +277,7 @@
 	exchange->attempt_started = now;
 	exchange->last_activity = now;
 	exchange->received_event = false;
+	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
 	exchange->success = false;
 	exchange->not_run = false;
@@ -364,11 +374,63 @@
 		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
 		return;
 	}
+	if (exchange->sequencer && !exchange->received_event)
+		start_silence_query(exchange);
+	else
+		leave_silent_server(exchange);
+}
+
+static void leave_silent_server(gc_exchange_t *exchange)
+{
 	cancel_call(exchange);
 	finish_attempt(exchange, GC_END_TIMED_OUT,
 		       "the server sent nothing within the inactivity limit");
 }
 
+static void start_silence_query(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_backend_query_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.method = "GET",
+		.path = relay->conf.adapter->load_path,
+		.body = GC_STR_EMPTY,
+		.timeout_ms = SILENCE_QUERY_TIMEOUT_MS,
+		.done = on_silence_report,
+		.ctx = exchange,
+	};
+
+	if (!exchange->silence_query)
+		exchange->silence_query = gc_backend_query_start(
+			exchange, &conf, exchange->backend);
+}
+
+static void on_silence_report(void *ctx, int status, gc_str_t response,
+			      gc_attempt_end_t end)
+{
+	gc_exchange_t *exchange = ctx;
+	gc_backend_load_t load;
+	int64_t wait_ms;
+	bool reported =
+		status == 200 &&
+		exchange->relay->conf.adapter->read_load(response, &load);
+
+	/* The query frees itself after this callback. */
+	talloc_steal(NULL, exchange->silence_query);
+	exchange->silence_query = NULL;
+	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
+		leave_silent_server(exchange);
+		return;
+	}
+	wait_ms = (int64_t)(SILENCE_QUERY_FRACTION *
+			    (double)inactivity_limit_ms(exchange));
+	exchange->last_activity =
+		gc_add_ms(gc_clock_now(exchange->relay->conf.clock),
+			  wait_ms - inactivity_limit_ms(exchange));
+	gc_timer_set(exchange->inactivity_timer, wait_ms);
+}
+
 /* Without another server the inactive one is kept: it may only be slow. */
 static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now)
 {
@@ -470,6 +532,10 @@
 		record_event_gap(exchange);
 		if (!exchange->received_event) {
 			exchange->received_event = true;
+			if (exchange->silence_query)
+				gc_backend_query_destroy(
+					exchange->silence_query);
+			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_timer_set(exchange->inactivity_timer,
 				     inactivity_limit_ms(exchange));
@@ -647,6 +713,9 @@
 static void release_attempt(gc_exchange_t *exchange)
 {
 	gc_timer_stop(exchange->inactivity_timer);
+	if (exchange->silence_query)
+		gc_backend_query_destroy(exchange->silence_query);
+	exchange->silence_query = NULL;
 	gc_exchange_stop_copy(exchange);
 	if (exchange->backend) {
 		gc_backend_remove_request(exchange->backend);
--- a/regress/routed_streams.t
+++ b/regress/routed_streams.t
@@ -8,6 +8,8 @@
   $ start_routed d1
   $ ids() { grep -o 'id: [0-9]*\|^[0-9]*$' | tr '\n' ' '; echo; }
 
+  $ count() { for s in llm1 llm2 llm3; do stats $s | python3 -c "import json,sys; print(len(json.load(sys.stdin)['$1']))"; done | awk '{ n += $1 } END { print n }'; }
+
   $ send_request /draft/ok | ids
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
 
@@ -36,6 +38,18 @@
   $ grep '"message":"request answered"' d1.log | tail -n 1 | grep -o '"pause_ms":"[0-9]*"' | tr -dc 0-9 | awk '{ print ($1 > 300 && $1 < 700) }'
   1
 
+A server without a first event after target_latency_ms (2000) is kept while it
+reports prompts that wait, and left if it reports none.
+
+  $ RUNS=$(count runs)
+  $ DEADLINE=9000 send_request /draft/wait | ids; echo $(($(count runs) - RUNS))
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  1
+  $ DEADLINE=9000 send_request /draft/once-lost | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ grep '"message":"request answered"' d1.log | tail -n 1 | grep -o '"first_ms":"[0-9]*"' | tr -dc 0-9 | awk '{ print ($1 > 2000 && $1 < 3200) }'
+  1
+
 All servers die: the stream is aborted and does not appear complete.
 
   $ send_request /draft/die >die.out; echo "curl: $?"; ids <die.out
@@ -44,7 +58,6 @@
 
 When the caller disconnects, its run is cancelled at once.
 
-  $ count() { for s in llm1 llm2 llm3; do stats $s | python3 -c "import json,sys; print(len(json.load(sys.stdin)['$1']))"; done | awk '{ n += $1 } END { print n }'; }
   $ RUNS=$(count runs) LEFT=$(count abandoned)
   $ send_request /draft/mute --max-time 0.3 >/dev/null; sleep 0.3
   $ echo $(($(count runs) - RUNS)) $(($(count abandoned) - LEFT))
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -34,6 +34,8 @@
   comments     sends a comment each 100 ms after the third event, but no event
   steady       sends an event each 300 ms with a comment before it
   endlessevent sends an event without an end after the third one
+  wait         sends its first event after 3.5 s and reports a queue until then
+  lost         sends no event and reports no queue
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
@@ -68,6 +70,7 @@
         self.seen = []
         self.late_copies = {}  # by connection
         self.endless_bytes = []
+        self.queued = 0
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -108,7 +111,7 @@
             return True
         if request.path == "/v1/report":
             writer.write(wire.json_response(200, {
-                "running": 0, "queued": 0, "kv_used": 0, "kv_total": 1000}))
+                "running": 0, "queued": self.queued, "kv_used": 0, "kv_total": 1000}))
             return True
         if request.path == "/v1/kv-move":
             self.copy_requests.append(request.json())
@@ -215,6 +218,13 @@
             "Content-Type": "text/event-stream"})
         writer.write(wire.response_head(200, headers))
         disconnected = asyncio.ensure_future(reader.read(1))
+        if behaviour in ("wait", "lost"):
+            self.queued += behaviour == "wait"
+            await asyncio.wait([disconnected], timeout=3.5)
+            self.queued -= behaviour == "wait"
+            if behaviour == "lost":
+                self.abandoned.append(0)
+                return False
         big = behaviour == "big"
         for n in range(last + 1, (200 if big else EVENT_COUNT) + 1):
             await asyncio.wait([disconnected],
