--- a/core/backends.h
+++ b/core/backends.h
@@ -38,7 +38,9 @@
 typedef struct gc_backend_load {
 	uint32_t running;
 	uint32_t queued; /* waiting or in prefill */
-	double kv_used_fraction; /* KV cache in use, not evictable; 0 to 1 */
+	/* KV cache, in tokens; kv_used is not evictable. kv_total 0: unknown. */
+	int64_t kv_used;
+	int64_t kv_total;
 } gc_backend_load_t;
 
 typedef struct gc_backend_set {
@@ -50,6 +52,8 @@
 typedef struct gc_prompt {
 	uint64_t hash;
 	bool resumed; /* the caller has events: a server has read the prompt */
+	int64_t tokens; /* of the prompt; 0: unknown */
+	int64_t max_output_tokens;
 } gc_prompt_t;
 
 gc_backends_t *gc_backends_create(TALLOC_CTX *mem,
@@ -95,6 +99,13 @@
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
 				  const gc_prompt_t *prompt,
 				  const gc_backend_set_t *set);
+/*
+ * False if the server's latest report shows that its memory is too small for
+ * the stream beside those that run or wait there. A server that runs out of
+ * memory preempts streams and reads their prompts again later.
+ */
+bool gc_backend_has_room(const gc_backend_t *backend, struct timespec now,
+			 const gc_prompt_t *prompt);
 /*
  * The server that should hold the copy of a run's KV cache: one with few copies
  * and, if possible, in another failure domain than `run_backend`, the server of
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -13,6 +13,7 @@
 #define FAILURE_SCORE	    6.0 /* per failure rate of 1 above the service's */
 #define REPLACED_SCORE	    8.0 /* the server has probably been replaced */
 #define JITTER_SCORE	    0.1
+#define NO_ROOM_SCORE	    100.0 /* memory too small for the stream */
 /* A copy in the failure domain of its run is lost together with the run. */
 #define SAME_DOMAIN_COPY_SCORE 100.0
 /* Older load reports are ignored. */
@@ -45,6 +46,7 @@
 static double base_score(const gc_backends_t *backends,
 			 const gc_backend_t *backend, struct timespec now);
 static double load_score(const gc_backend_t *backend, struct timespec now);
+static bool has_recent_report(const gc_backend_t *backend, struct timespec now);
 static double random_unit(const gc_backends_t *backends);
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now);
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now);
@@ -190,6 +192,8 @@
 {
 	double score = base_score(backends, backend, now);
 
+	if (prompt && !gc_backend_has_room(backend, now, prompt))
+		score += NO_ROOM_SCORE;
 	if (prompt)
 		return score + affinity_score(backend, prompt);
 	return score + (backend->preferred ? 0 : NOT_PREFERRED_SCORE);
@@ -229,15 +233,35 @@
 	double own = backend->in_flight;
 	double reported;
 
-	if (!backend->reported ||
-	    gc_ms_between(backend->reported_at, now) > REPORT_MAX_AGE_MS)
+	if (!has_recent_report(backend, now))
 		return own;
 	reported = backend->load.running + QUEUED_SCORE * backend->load.queued;
-	if (backend->load.kv_used_fraction > KV_USED_FRACTION_HIGH)
+	if ((double)backend->load.kv_used >
+	    KV_USED_FRACTION_HIGH * (double)backend->load.kv_total)
 		reported += KV_CACHE_FULL_SCORE;
 	return reported > own ? reported : own;
 }
 
+bool gc_backend_has_room(const gc_backend_t *backend, struct timespec now,
+			 const gc_prompt_t *prompt)
+{
+	const gc_backend_load_t *load = &backend->load;
+	int64_t needed = prompt->tokens + prompt->max_output_tokens;
+	/* The requests that run get half of their output on average. */
+	int64_t growth = load->running * prompt->max_output_tokens / 2;
+
+	if (!has_recent_report(backend, now) || load->kv_total == 0)
+		return true;
+	return load->kv_used + growth + (load->queued + 1) * needed <=
+	       load->kv_total;
+}
+
+static bool has_recent_report(const gc_backend_t *backend, struct timespec now)
+{
+	return backend->reported &&
+	       gc_ms_between(backend->reported_at, now) <= REPORT_MAX_AGE_MS;
+}
+
 /* Uniform in [0, 1). */
 static double random_unit(const gc_backends_t *backends)
 {
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -29,6 +29,7 @@
 	const char *copy_to; /* address of the server to copy the KV cache to */
 	const char *copy_from; /* ADDRESS/ID of the copy to resume from */
 	const char *prompt; /* the parts of a prompt, see prompt_id */
+	const char *token_counts; /* see read_token_counts */
 	const char *auth_scheme; /* before the key in Authorization */
 	/* Removed from callers' requests; ended by NULL. */
 	const char *const *internal;
@@ -63,6 +64,9 @@
 	/* Id of the part of a prompt that only its request or session has; empty
 	 * if there is none. */
 	gc_str_t (*prompt_id)(gc_str_t prompt);
+	/* Tokens of a prompt and the most of its output; false if not given. */
+	bool (*read_token_counts)(gc_str_t header, int64_t *prompt,
+				  int64_t *output);
 	/* False if the report is not a JSON object. */
 	bool (*read_load)(gc_str_t report, gc_backend_load_t *load);
 	/* target: path and query of a request. Strings are allocated in mem. */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -108,6 +108,8 @@
 void gc_exchange_give_up(gc_exchange_t *exchange, gc_retry_decision_t decision,
 			 gc_attempt_end_t end);
 void gc_exchange_respond(gc_exchange_t *exchange);
+/* No server has room for the stream. */
+void gc_exchange_refuse_overload(gc_exchange_t *exchange);
 void gc_exchange_log_end(const gc_exchange_t *exchange, gc_request_end_t end,
 			 const char *message);
 /* Timer callback for the time limit; ctx is the exchange. */
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -6,6 +6,11 @@
 /* Least Retry-After of a refusal. */
 #define REFUSAL_RETRY_AFTER_MS 250
 
+/* Range of Retry-After while all servers are full, as a part of the route's
+ * target latency. */
+#define OVERLOAD_RETRY_MIN_PERCENT 20
+#define OVERLOAD_RETRY_MAX_PERCENT 50
+
 static void refuse_request(gc_exchange_t *exchange,
 			   const gc_refusal_t *refusal);
 
@@ -95,6 +100,31 @@
 	talloc_free(exchange);
 }
 
+/* Spreads the callers over a time in which they can still be served within the
+ * target latency. */
+void gc_exchange_refuse_overload(gc_exchange_t *exchange)
+{
+	const gc_random_t *random = exchange->relay->conf.random;
+	int64_t target_ms = exchange->route->target_latency_ms;
+	int64_t min_ms = MAX(target_ms * OVERLOAD_RETRY_MIN_PERCENT / 100,
+			     REFUSAL_RETRY_AFTER_MS);
+	int64_t span_ms = target_ms * OVERLOAD_RETRY_MAX_PERCENT / 100 - min_ms;
+	gc_refusal_t overloaded = {
+		.status = 503,
+		.code = "overloaded",
+		.message = "no backend server has room for the stream",
+		.retry_after_ms = min_ms,
+		.not_run = true,
+	};
+
+	if (span_ms > 0)
+		overloaded.retry_after_ms +=
+			(int64_t)(random->next(random->ctx) %
+				  (uint64_t)span_ms);
+	exchange->limit_reached = "room";
+	refuse_request(exchange, &overloaded);
+}
+
 void gc_exchange_log_end(const gc_exchange_t *exchange, gc_request_end_t end,
 			 const char *message)
 {
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -22,6 +22,8 @@
  * of target_latency_ms; and the interval of checks for one. */
 #define SERVER_WAIT_FRACTION 0.125
 #define SERVER_POLL_MS	     25
+/* Interval of checks for a server with room, each a load probe. */
+#define ROOM_POLL_MS 100
 /* Time for the load report of a server that has sent no event. Longer than
  * LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a prompt. */
 #define SILENCE_QUERY_TIMEOUT_MS 300
@@ -54,6 +56,9 @@
 static void on_load_probe_done(void *ctx);
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms);
+static bool may_start(const gc_exchange_t *exchange,
+		      const gc_backend_t *backend);
+static void wait_for_room(gc_exchange_t *exchange);
 static void wait_for_server(gc_exchange_t *exchange);
 static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
@@ -138,7 +143,11 @@
 
 	if (id.len == 0)
 		return NULL;
-	prompt = talloc(exchange, gc_prompt_t);
+	prompt = talloc_zero(exchange, gc_prompt_t);
+	adapter->read_token_counts(
+		gc_http_message_find_header(exchange->request,
+					    adapter->headers.token_counts),
+		&prompt->tokens, &prompt->max_output_tokens);
 	prompt->hash = XXH64(id.data, id.len, 0);
 	prompt->resumed = resumed;
 	return prompt;
@@ -253,6 +262,8 @@
 	exchange->load_probe = NULL;
 	if (left_ms <= 0)
 		end_without_time(exchange);
+	else if (backend && !may_start(exchange, backend))
+		wait_for_room(exchange);
 	else if (backend)
 		start_attempt(exchange, backend, left_ms);
 	else
@@ -260,6 +271,29 @@
 	gc_load_probe_destroy(probe);
 }
 
+/* What has begun goes before what is new: its caller has a part of it. */
+static bool may_start(const gc_exchange_t *exchange,
+		      const gc_backend_t *backend)
+{
+	return !exchange->prompt || exchange->prompt->resumed ||
+	       exchange->head_sent || exchange->attempts.sent > 0 ||
+	       gc_backend_has_room(backend,
+				   gc_clock_now(exchange->relay->conf.clock),
+				   exchange->prompt);
+}
+
+static void wait_for_room(gc_exchange_t *exchange)
+{
+	double max_wait_ms = SERVER_WAIT_FRACTION *
+			     (double)exchange->route->target_latency_ms;
+
+	if ((double)gc_exchange_elapsed_ms(exchange) < max_wait_ms) {
+		gc_timer_set(exchange->retry_timer, ROOM_POLL_MS);
+		return;
+	}
+	gc_exchange_refuse_overload(exchange);
+}
+
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms)
 {
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -154,7 +154,7 @@
 		&load));
 	ck_assert_uint_eq(load.running, 12);
 	ck_assert_uint_eq(load.queued, 1);
-	ck_assert_double_eq(load.kv_used_fraction, 0.5);
+	ck_assert_int_eq(load.kv_used * 2, load.kv_total);
 	ck_assert(!gc_platform_read_load(gc_str("busy"), &load));
 }
 END_TEST
--- a/regress/routed_streams.t
+++ b/regress/routed_streams.t
@@ -50,6 +50,25 @@
   $ grep '"message":"request answered"' d1.log | tail -n 1 | grep -o '"first_ms":"[0-9]*"' | tr -dc 0-9 | awk '{ print ($1 > 2000 && $1 < 3200) }'
   1
 
+No server has memory for a new stream: it is refused as not run within an eighth
+of target_latency_ms, with a time to come back. A resumed one is served.
+
+  $ memory() { for s in llm1 llm2 llm3; do curl -s "http://127.0.0.1:$(cat $s.ports)/memory" -d "{\"used\":$1}" >/dev/null; done; }
+  $ new_stream() { send_request /draft/ok -H 'Goldcrestfield-Prompt-Prefix: 5c1e07a2:100,91bd:300' -H 'Goldcrestfield-Token-Counts: 400,200' "$@"; }
+  $ RUNS=$(count runs)
+  $ memory 500; new_stream -D head.txt -w '%{http_code} %{time_total}\n' >full.out; echo $(($(count runs) - RUNS))
+  0
+  $ grep -o '"code":"overloaded"\|"run":"not_run"' full.out; tail -n 1 full.out | awk '{ print $1, ($2 < 0.6) }'
+  "code":"overloaded"
+  "run":"not_run"
+  503 1
+  $ grep -i -o 'retry-after: [0-9.]*' head.txt | awk '{ print ($2 >= 0.4 && $2 <= 1.0) }'
+  1
+  $ new_stream -H 'Last-Event-Id: 5' | ids
+  id: 6 id: 7 id: 8 200 
+  $ memory 300; new_stream | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
 All servers die: the stream is aborted and does not appear complete.
 
   $ send_request /draft/die >die.out; echo "curl: $?"; ids <die.out
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -39,6 +39,7 @@
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
+POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
 GET /stats returns the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
 ("abandoned") and headers of executed requests ("seen").
@@ -71,6 +72,7 @@
         self.late_copies = {}  # by connection
         self.endless_bytes = []
         self.queued = 0
+        self.kv_used = 0
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -109,9 +111,14 @@
                 "abandoned": self.abandoned, "seen": self.seen,
                 "endless": self.endless_bytes}))
             return True
+        if request.path == "/memory":
+            self.kv_used = request.json()["used"]
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/v1/report":
             writer.write(wire.json_response(200, {
-                "running": 0, "queued": self.queued, "kv_used": 0, "kv_total": 1000}))
+                "running": 0, "queued": self.queued,
+                "kv_used": self.kv_used, "kv_total": 1000}))
             return True
         if request.path == "/v1/kv-move":
             self.copy_requests.append(request.json())
