--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -86,6 +86,17 @@
 	gc_timer_t *copy_timer; /* checks and renews the copy */
 } gc_exchange_t;
 
+/*
+ * Chooses a server for the next attempt (exchange_choose.c) and starts it, or
+ * waits for one, or ends the request, which frees the exchange.
+ */
+void gc_exchange_start_next_attempt(gc_exchange_t *exchange);
+/* Timer callback of retry_timer; ctx is the exchange. */
+void gc_exchange_on_retry(void *ctx);
+/* Sends the request to the server (exchange_run.c); may free the exchange. */
+void gc_exchange_start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
+			       int64_t left_ms);
+
 /*
  * Copies of a run's KV cache (exchange_copy.c). gc_exchange_start_copy chooses
  * the server that receives the copy, before the attempt is sent.
