--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -104,23 +104,19 @@
  * target latency. */
 void gc_exchange_refuse_overload(gc_exchange_t *exchange)
 {
-	const gc_random_t *random = exchange->relay->conf.random;
 	int64_t target_ms = exchange->route->target_latency_ms;
 	int64_t min_ms = MAX(target_ms * OVERLOAD_RETRY_MIN_PERCENT / 100,
 			     REFUSAL_RETRY_AFTER_MS);
-	int64_t span_ms = target_ms * OVERLOAD_RETRY_MAX_PERCENT / 100 - min_ms;
 	gc_refusal_t overloaded = {
 		.status = 503,
 		.code = "overloaded",
 		.message = "no backend server has room for the stream",
 		.retry_after_ms = min_ms,
+		.retry_spread_ms =
+			target_ms * OVERLOAD_RETRY_MAX_PERCENT / 100 - min_ms,
 		.not_run = true,
 	};
 
-	if (span_ms > 0)
-		overloaded.retry_after_ms +=
-			(int64_t)(random->next(random->ctx) %
-				  (uint64_t)span_ms);
 	exchange->limit_reached = "room";
 	refuse_request(exchange, &overloaded);
 }
--- a/lib/refusal.c
+++ b/lib/refusal.c
@@ -48,10 +48,13 @@
 				       GC_STR_ARG(id));
 	if (refusal->retry_after_ms > 0) {
 		int64_t ms = refusal->retry_after_ms;
+		int64_t spread_ms = refusal->retry_spread_ms > 0
+					    ? refusal->retry_spread_ms
+					    : RETRY_JITTER_MS;
 
 		ms += (int64_t)(relay->conf.random->next(
 					relay->conf.random->ctx) %
-				RETRY_JITTER_MS);
+				(uint64_t)spread_ms);
 		g_string_append_printf(head,
 				       "Retry-After: %" G_GINT64_FORMAT
 				       ".%03" G_GINT64_FORMAT "\r\n",
--- a/lib/refusal.h
+++ b/lib/refusal.h
@@ -29,6 +29,7 @@
 	const char *code; /* machine-readable, for the caller */
 	const char *message; /* for the caller and the log */
 	int64_t retry_after_ms; /* least Retry-After; 0: no such header */
+	int64_t retry_spread_ms; /* added at random; 0: a default */
 	bool not_run; /* tells the caller that its request was not run */
 	/* For the log: limit that prevented a further attempt, or NULL. */
 	const char *limit_reached;
