--- a/core/change_source.c
+++ b/core/change_source.c
@@ -98,13 +98,22 @@
 void gc_change_source_peer_answered(gc_change_source_t *source, int64_t age_ms)
 {
 	source->peer_age_ms = age_ms;
+	source->peer_lacks_history = false;
 	source->ask_store_next = false;
 	source->store_backoff_ms = 0;
 }
 
+void gc_change_source_peer_lacks_history(gc_change_source_t *source)
+{
+	source->peer_lacks_history = true;
+	source->store_backoff_ms =
+		MIN(source->store_backoff_ms, BACKOFF_MAX_MS);
+}
+
 void gc_change_source_store_answered(gc_change_source_t *source,
 				     struct timespec now)
 {
+	source->peer_lacks_history = false;
 	source->store_backoff_ms = 0;
 	if (source->ask_store_next && !source->peer_unresponsive)
 		source->peers_not_before = now;
@@ -114,7 +123,8 @@
 int64_t gc_change_source_store_failed(gc_change_source_t *source,
 				      struct timespec now, bool has_peer)
 {
-	bool peer_reports = has_peer && !source->peer_unresponsive;
+	bool peer_reports = has_peer && !source->peer_unresponsive &&
+			    !source->peer_lacks_history;
 	int64_t backoff =
 		MAX(source->store_backoff_ms * 2,
 		    peer_reports ? BACKOFF_WITH_PEER_MIN_MS : BACKOFF_MIN_MS);
--- a/core/change_source.h
+++ b/core/change_source.h
@@ -39,6 +39,9 @@
 	unsigned int n_peer_failures; /* so far; selects the next peer */
 	bool ask_store_next; /* after a peer failed; for one call */
 	bool peer_unresponsive; /* the last peer that failed did not answer */
+	/* The last peer that failed does not know all changes since this
+	 * daemon's revision: only the store can help. */
+	bool peer_lacks_history;
 	struct timespec peers_not_before; /* no peer is asked earlier */
 	struct timespec store_not_before; /* the store is not asked earlier */
 	int64_t store_backoff_ms; /* pause after a failure of the store, or 0 */
@@ -53,6 +56,7 @@
 				       struct timespec now, bool has_peer,
 				       int64_t *wait_ms);
 /* answered: the peer answered, but without changes that are recent enough. */
+void gc_change_source_peer_lacks_history(gc_change_source_t *source);
 void gc_change_source_peer_failed(gc_change_source_t *source,
 				  struct timespec now, bool answered);
 /* age_ms: of the peer's state when it answered. */
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -250,7 +250,9 @@
 		     "watch through another daemon failed", err);
 	gc_change_source_peer_failed(
 		&fleet->source, gc_clock_now(fleet->conf.clock),
-		g_error_matches(err, GC_ERROR, GC_ERR_UNAVAILABLE));
+		!g_error_matches(err, GC_ERROR, GC_ERR_IO));
+	if (g_error_matches(err, GC_ERROR, GC_ERR_LOST))
+		gc_change_source_peer_lacks_history(&fleet->source);
 	start_watch(fleet);
 }
 
--- a/lib/peers_watch.c
+++ b/lib/peers_watch.c
@@ -103,7 +103,7 @@
 	if (err)
 		report_error(peers, GC_ERR_IO, err->message);
 	else if (!parse_response(mem, json, &items))
-		report_error(peers, GC_ERR_UNAVAILABLE,
+		report_error(peers, GC_ERR_LOST,
 			     "no valid list of changes in the response");
 	else if (items.age_ms > peers->conf.max_age_ms)
 		report_error(
--- a/lib/peers_watch.h
+++ b/lib/peers_watch.h
@@ -49,8 +49,8 @@
  * Asks a watcher for the changes after the revision and calls done once.
  * n_failures counts the peers that have failed so far and selects the watcher,
  * see gc_watchers_choose. Call only if gc_peers_watch_has_peer is true for it.
- * Errors: GC_ERR_IO if no response came, GC_ERR_UNAVAILABLE if the watcher does
- * not know all changes or its state is older than max_age_ms.
+ * Errors: GC_ERR_IO if no response came, GC_ERR_LOST if the watcher does not know
+ * all changes, GC_ERR_UNAVAILABLE if its state is older than max_age_ms.
  */
 void gc_peers_watch(gc_peers_watch_t *peers, unsigned int n_failures,
 		    uint64_t after, int64_t wait_ms, gc_store_items_done_t done,
--- a/regress/check_change_source.c
+++ b/regress/check_change_source.c
@@ -235,12 +235,32 @@
 }
 END_TEST
 
+/*
+ * Seen on veredas-pitch scale-2: a daemon was cut off from the store while its
+ * history was discarded. No peer knew the changes since its revision, but as they
+ * answered it asked the store only every 3.2 s, and applied a change 3.6 s late.
+ */
+START_TEST(test_store_is_asked_often_if_peers_lack_the_history)
+{
+	gc_change_source_t source = {0};
+
+	for (int64_t now = 0; now < 20000; now += 400) {
+		gc_change_source_peer_failed(&source, unit_at(now), true);
+		gc_change_source_peer_lacks_history(&source);
+		ck_assert_int_le(gc_change_source_store_failed(
+					 &source, unit_at(now), true),
+				 400);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_store_is_not_called_while_peers_answer,
 		test_outage_of_the_store_for_all_daemons,
 		test_waits_follow_from_the_bounds,
+		test_store_is_asked_often_if_peers_lack_the_history,
 		test_peer_without_the_store_delays_a_change_by_its_age_only,
 		test_watcher_retries_the_store_in_an_outage,
 		test_outage_of_the_store_for_watchers_only,
