--- a/core/watchers.c
+++ b/core/watchers.c
@@ -62,23 +62,26 @@
 			   unsigned int n_failures)
 {
 	size_t max = gc_watchers_count(n);
-	g_autofree size_t *watchers = g_new(size_t, max + 1);
-	g_autofree size_t *local = g_new(size_t, max + 1);
+	size_t *watchers = g_new(size_t, max + 1);
+	size_t *local = g_new(size_t, max + 1);
 	size_t n_watchers = select_watchers(daemons, n, watchers, max);
 	size_t n_local = 0;
 	uint64_t choice = XXH64(self.data, self.len, 0) + n_failures;
+	bool watches = n_watchers == 0;
+	ssize_t chosen = -1;
 
-	if (n_watchers == 0)
-		return -1;
 	for (size_t i = 0; i < n_watchers; i++) {
 		const gc_registry_entry_t *watcher = &daemons[watchers[i]];
 
-		if (gc_str_eq(watcher->id, self))
-			return -1;
+		watches |= gc_str_eq(watcher->id, self);
 		if (gc_str_eq(watcher->failure_domain, failure_domain))
 			local[n_local++] = watchers[i];
 	}
-	if (n_failures == 0 && n_local > 0)
-		return (ssize_t)local[choice % n_local];
-	return (ssize_t)watchers[choice % n_watchers];
+	if (!watches && n_failures == 0 && n_local > 0)
+		chosen = (ssize_t)local[choice % n_local];
+	else if (!watches)
+		chosen = (ssize_t)watchers[choice % n_watchers];
+	g_free(watchers);
+	g_free(local);
+	return chosen;
 }
