--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -25,6 +25,8 @@
   endless*     the responses that don't end, in bad_responses.py
   trickle      sends a byte of the body each 100 ms
   hang         does not respond
+  pause        sends nothing for a second (engines: after the third
+               event that it sends), then the rest
   once-NAME    behaves as NAME on the first server that gets the request, and
                as "ok" on others
 These apply to engines:
@@ -58,6 +60,7 @@
 
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.03
+PAUSE_S = 1
 HEADER_PREFIX = "Goldcrestfield-"
 
 
@@ -214,6 +217,8 @@
                 writer, self.response_headers(request))
         elif behaviour == "hang":
             await asyncio.sleep(3600)
+        elif behaviour == "pause":
+            await asyncio.sleep(PAUSE_S)
         writer.write(response)
         await writer.drain()
         return True
@@ -247,6 +252,8 @@
                 writer.transport.abort()
                 disconnected.cancel()
                 return False
+            if n == last + 4 and behaviour == "pause":
+                await asyncio.wait([disconnected], timeout=PAUSE_S)
             if n == 4 and behaviour == "mute":
                 await asyncio.wait([disconnected], timeout=30)
                 self.abandoned.append(n)
