Leave a silent server only if the request can go on elsewhere

Cause: on_inactivity() ended the attempt first and asked afterwards whether the request may be repeated, has attempts and retry budget left (gc_attempts_decide, gc_backends_take_retry). If not, what was sound was aborted.

Now both are asked before the connection is closed, after the load report too. A server that can't be replaced is kept until the time limit; the check is repeated every 50 ms, so that a retry that comes free is used.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -47,6 +47,15 @@
 	       attempts->sent < 2 * max;
 }
 
+bool gc_attempts_may_leave(const gc_attempts_t *attempts, int64_t left_ms)
+{
+	gc_attempts_t after = *attempts;
+	bool uses_budget;
+
+	return gc_attempts_decide(&after, GC_END_TIMED_OUT, left_ms,
+				  &uses_budget) == GC_DECISION_RETRY;
+}
+
 gc_retry_decision_t gc_attempts_final_decision(const gc_attempts_t *attempts)
 {
 	return attempts->may_have_run ? GC_DECISION_FAIL : GC_DECISION_REFUSE;
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -45,6 +45,11 @@
 gc_retry_decision_t gc_attempts_decide(gc_attempts_t *attempts,
 				       gc_attempt_end_t end, int64_t left_ms,
 				       bool *uses_budget);
+/*
+ * True if the request could be sent to another server after an attempt that the
+ * daemon ends because its server is silent.
+ */
+bool gc_attempts_may_leave(const gc_attempts_t *attempts, int64_t left_ms);
 /* The decision when no further attempt can be made. */
 gc_retry_decision_t gc_attempts_final_decision(const gc_attempts_t *attempts);
 
--- a/core/backends.c
+++ b/core/backends.c
@@ -444,6 +444,15 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
+bool gc_backends_has_retry(gc_backends_t *backends, struct timespec now,
+			   gc_str_t service)
+{
+	gc_retry_window_conf_t conf = retry_conf(backends);
+
+	return gc_retry_window_has(
+		&find_or_add_service(backends, service)->retries, &conf, now);
+}
+
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
 			    gc_str_t service)
 {
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -57,6 +57,8 @@
 static int64_t inactivity_limit_ms(const gc_exchange_t *exchange);
 static void on_inactivity(void *ctx);
 static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now);
+static bool has_other_server(const gc_exchange_t *exchange,
+			     struct timespec now);
 static void leave_silent_server(gc_exchange_t *exchange);
 static void start_silence_query(gc_exchange_t *exchange);
 static void on_silence_report(void *ctx, int status, gc_str_t response,
@@ -285,7 +287,12 @@
 	talloc_steal(NULL, exchange->silence_query);
 	exchange->silence_query = NULL;
 	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
-		leave_silent_server(exchange);
+		if (can_fail_over(exchange,
+				  gc_clock_now(exchange->relay->conf.clock)))
+			leave_silent_server(exchange);
+		else
+			gc_timer_set(exchange->inactivity_timer,
+				     FAILOVER_POLL_MS);
 		return;
 	}
 	wait_ms = (int64_t)(SILENCE_QUERY_FRACTION *
@@ -296,20 +303,36 @@
 	gc_timer_set(exchange->inactivity_timer, wait_ms);
 }
 
-/* Without another server the inactive one is kept: it may only be slow. */
+/*
+ * A silent server may only be slow, so it is kept until the time limit unless
+ * the request can go on elsewhere: it may be repeated, and attempts, retry
+ * budget and another server are left.
+ */
 static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now)
 {
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
-	gc_backend_t *other;
+	gc_relay_t *relay = exchange->relay;
+	int64_t left_ms =
+		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
 
 	/* The caller has a part of this server's body. */
 	if (exchange->head_sent && !exchange->sequencer)
 		return false;
+	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
+	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
+	    !gc_backends_has_retry(relay->backends, now, exchange->service))
+		return false;
+	return has_other_server(exchange, now);
+}
+
+static bool has_other_server(const gc_exchange_t *exchange, struct timespec now)
+{
+	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_t *other;
+
 	if (exchange->copy_holder && exchange->received_event &&
 	    gc_backend_usable(exchange->copy_holder, now))
 		return true;
-	return exchange->n_tried < GC_EXCHANGE_MAX_TRIED &&
-	       gc_backends_candidates(exchange->relay->backends, now,
+	return gc_backends_candidates(exchange->relay->backends, now,
 				      exchange->service, exchange->prompt,
 				      &tried, &other, 1) > 0;
 }
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -106,6 +106,31 @@
 }
 END_TEST
 
+/* A silent server may not be left if its request could not go on. */
+START_TEST(test_silent_server_is_left_only_for_another_attempt)
+{
+	const gc_route_t once = {.kind = GC_ROUTE_STREAM, .max_attempts = 4};
+	const gc_route_t resumable = {
+		.kind = GC_ROUTE_STREAM, .resumable = true, .max_attempts = 1};
+	const gc_route_t idempotent = {.kind = GC_ROUTE_IDEMPOTENT,
+				       .max_attempts = 2};
+	gc_attempts_t attempts = {.route = &once};
+
+	gc_attempts_count_sent(&attempts);
+	ck_assert(!gc_attempts_may_leave(&attempts, LEFT_MS));
+	attempts = (gc_attempts_t){.route = &resumable};
+	gc_attempts_count_sent(&attempts);
+	ck_assert(gc_attempts_may_leave(&attempts, LEFT_MS));
+	ck_assert(!gc_attempts_may_leave(&attempts, 1));
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
+			 GC_DECISION_FAIL);
+	attempts = (gc_attempts_t){.route = &idempotent};
+	end_attempt(&attempts, GC_END_TIMED_OUT);
+	gc_attempts_count_sent(&attempts);
+	ck_assert(!gc_attempts_may_leave(&attempts, LEFT_MS));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -114,6 +139,7 @@
 		test_idempotent_is_retried_up_to_the_limit,
 		test_lost_servers_of_a_stream_do_not_count,
 		test_no_retry_without_time_left,
+		test_silent_server_is_left_only_for_another_attempt,
 		NULL,
 	};
 
--- a/regress/check_retry_window.c
+++ b/regress/check_retry_window.c
@@ -25,8 +25,11 @@
 			gc_retry_window_count_request(&window, &conf, now);
 			requests[i]++;
 		}
-		while (gc_retry_window_take(&window, &conf, now))
+		while (gc_retry_window_has(&window, &conf, now)) {
+			ck_assert(gc_retry_window_take(&window, &conf, now));
 			retries[i]++;
+		}
+		ck_assert(!gc_retry_window_take(&window, &conf, now));
 	}
 	/* Requests of the window or of the one that starts half a window
 	 * earlier, whichever has more. */
