Read a request that waits on an idle connection before closing it

Callers got a reset, neither an answer nor a refusal, for a whole request that they had sent within the idle timeout.

Cause: when a stalled daemon goes on, its timers may fire before its sockets are read. The timer of an idle connection closed it although the request lay in the socket's buffer, which resets the connection.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -11,6 +11,9 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Longest wait for the caller to close after the last response. */
 #define LINGER_TIMEOUT_MS 2000
+/* Delay of the close of an idle connection on which a request was received but
+ * not read: the event loop reads it first. */
+#define UNREAD_RECHECK_MS 20
 /* Initial buffer size for the status line and the added headers. */
 #define HEAD_BUFFER_BYTES 256
 
@@ -463,6 +466,8 @@
 	else if (conn->state == CONN_READING)
 		reject_request(conn, 408,
 			       "the request was not received in time");
+	else if (conn->state == CONN_IDLE && gc_socket_has_unread(conn->sock))
+		gc_timer_set(conn->timer, UNREAD_RECHECK_MS);
 	else
 		close_conn(conn, false);
 }
