Let a raised idle timeout hold for connections that are idle

Callers got a closed connection for a request that they sent within the idle timeout in force: a connection kept the timeout of its last request. After a change that raises it, the daemon closed such connections too early, and a request could cross the close.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -71,6 +71,7 @@
 static void start_lingering(gc_caller_conn_t *conn);
 static void arm_timer(gc_caller_conn_t *conn);
 static bool made_send_progress(gc_caller_conn_t *conn);
+static void raise_idle_timeout(gc_caller_conn_t *conn);
 static void on_timer(void *ctx);
 static int64_t time_left_ms(const gc_caller_conn_t *conn);
 static void send_head(gc_caller_conn_t *conn, int status, gc_str_t head,
@@ -453,6 +454,17 @@
 	return progress && gc_socket_unsent_bytes(conn->sock) > 0;
 }
 
+/* Callers use a longer idle timeout as soon as it is in force. A shorter one
+ * holds from the next request. */
+static void raise_idle_timeout(gc_caller_conn_t *conn)
+{
+	gc_request_limits_t limits =
+		conn->listener->ops.limits(conn->listener->ctx);
+
+	conn->limits.idle_timeout_ms =
+		MAX(conn->limits.idle_timeout_ms, limits.idle_timeout_ms);
+}
+
 static void on_timer(void *ctx)
 {
 	gc_caller_conn_t *conn = ctx;
@@ -461,6 +473,8 @@
 		return;
 	if (made_send_progress(conn))
 		conn->last_activity = gc_clock_now(conn->listener->clock);
+	if (conn->state == CONN_IDLE)
+		raise_idle_timeout(conn);
 	if (time_left_ms(conn) > 0)
 		arm_timer(conn);
 	else if (conn->state == CONN_READING)
