Count silent servers as attempts of a stream

A stream that left silent servers ran on up to twice as many servers as its route's max_attempts allows: with 1 on 2, with 2 on 3. Servers that a stream loses don't count, and a timeout was taken for a loss, although a server that is only silent is sound.

gc_attempts_decide() counts only broken connections and replaced servers as lost.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -21,8 +21,7 @@
 	if (end != GC_END_UNREACHABLE && end != GC_END_REFUSED &&
 	    end != GC_END_REPLACED)
 		attempts->may_have_run = true;
-	if (end == GC_END_BROKEN || end == GC_END_TIMED_OUT ||
-	    end == GC_END_REPLACED)
+	if (end == GC_END_BROKEN || end == GC_END_REPLACED)
 		attempts->lost++;
 	if (attempts->may_have_run && !gc_route_allows_rerun(attempts->route))
 		return end == GC_END_FAILED ? GC_DECISION_FORWARD
@@ -35,7 +34,8 @@
 }
 
 /* Servers that a stream lost don't count against the operator's limit, but a
- * stream is sent to at most twice as many servers as that limit. */
+ * stream is sent to at most twice as many servers as that limit. A silent
+ * server counts, as it may be sound. */
 static bool may_try_another(const gc_attempts_t *attempts)
 {
 	uint32_t max = attempts->route->max_attempts;
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -31,7 +31,7 @@
 typedef struct gc_attempts {
 	const gc_route_t *route;
 	uint32_t sent; /* servers that got at least a byte of the request */
-	uint32_t lost; /* of these, lost, timed out or replaced */
+	uint32_t lost; /* of these, lost or replaced */
 	bool may_have_run;
 } gc_attempts_t;
 
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -112,6 +112,8 @@
 	const gc_route_t once = {.kind = GC_ROUTE_STREAM, .max_attempts = 4};
 	const gc_route_t resumable = {
 		.kind = GC_ROUTE_STREAM, .resumable = true, .max_attempts = 1};
+	const gc_route_t resumable_twice = {
+		.kind = GC_ROUTE_STREAM, .resumable = true, .max_attempts = 2};
 	const gc_route_t idempotent = {.kind = GC_ROUTE_IDEMPOTENT,
 				       .max_attempts = 2};
 	gc_attempts_t attempts = {.route = &once};
@@ -120,6 +122,8 @@
 	ck_assert(!gc_attempts_may_leave(&attempts, LEFT_MS));
 	attempts = (gc_attempts_t){.route = &resumable};
 	gc_attempts_count_sent(&attempts);
+	ck_assert(!gc_attempts_may_leave(&attempts, LEFT_MS));
+	attempts.route = &resumable_twice;
 	ck_assert(gc_attempts_may_leave(&attempts, LEFT_MS));
 	ck_assert(!gc_attempts_may_leave(&attempts, 1));
 	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
--- a/regress/routed_silence.t
+++ b/regress/routed_silence.t
@@ -4,7 +4,8 @@
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
   $ put_config ',{"name":"once","host":"h.example","path_prefix":"/once/","kind":"streaming","service":"llm","max_attempts":4,"timeout_ms":9000,"target_latency_ms":2000,"target_gap_ms":700},
-  > {"name":"single","host":"h.example","path_prefix":"/single/","kind":"streaming","service":"llm","resumable":true,"max_attempts":1,"timeout_ms":9000,"target_latency_ms":2000,"target_gap_ms":700}'
+  > {"name":"single","host":"h.example","path_prefix":"/single/","kind":"streaming","service":"llm","resumable":true,"max_attempts":1,"timeout_ms":9000,"target_latency_ms":2000,"target_gap_ms":700},
+  > {"name":"double","host":"h.example","path_prefix":"/double/","kind":"streaming","service":"llm","resumable":true,"max_attempts":2,"timeout_ms":9000,"target_latency_ms":2000,"target_gap_ms":700}'
   $ start_server app1 app a; start_server app2 app a; start_server app3 app a
   $ start_server llm1 llm a engine; start_server llm2 llm b engine; start_server llm3 llm c engine
   $ start_routed d1
@@ -17,11 +18,15 @@
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
   1
 
-All servers fall silent: the stream leaves the first ones, and stays at the one
-after which the route's attempts are used up.
+All servers fall silent: a silent server counts as an attempt (max_attempts 1,
+2), and the stream stays at the last one that the route allows.
 
-  $ DEADLINE=9000 send_request /single/pause | ids
+  $ RUNS=$(runs); DEADLINE=9000 send_request /single/pause | ids; echo $(($(runs) - RUNS))
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  1
+  $ RUNS=$(runs); DEADLINE=9000 send_request /double/pause | ids; echo $(($(runs) - RUNS))
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  2
 
 A plain answer that may be asked for twice (max_attempts 2) stays at its second
 server until the time limit.
