Count the wait for a server from the end of the last attempt

A stream or plain request that had left a silent server failed at once with 502 and seconds of time left, if the other servers were silent at that moment: with six servers, one of which lost the stream while the five others stood still for 1.2 s.

Cause: the longest wait, an eighth of the target latency, counted from the arrival of the request, so after a silence it was over before the wait began. Load probes to all servers ran into their timeout of 40 ms.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -43,6 +43,7 @@
 	gc_call_t *call; /* the attempt in progress, or NULL */
 	gc_backend_t *backend; /* server of the attempt in progress */
 	struct timespec attempt_started;
+	struct timespec attempt_ended; /* of the last one, if any */
 	/* Server that gets a copy of the run's KV cache, or NULL. */
 	gc_backend_t *copy_holder;
 	/* ADDRESS/ID of the copy; see gc_header_names_t.copy_from. */
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -139,7 +139,11 @@
 	gc_exchange_refuse_overload(exchange);
 }
 
-/* The wait is short: an early refusal is better than a late one. */
+/*
+ * The wait is short: an early refusal is better than a late one. It counts from
+ * the end of the last attempt, so that a request that left a server late can
+ * still wait for others that are silent for a moment.
+ */
 static void wait_for_server(gc_exchange_t *exchange)
 {
 	double max_wait_ms =
@@ -148,9 +152,9 @@
 			: SERVER_WAIT_FRACTION *
 				  (double)exchange->route->target_latency_ms;
 	int64_t waited_ms =
-		exchange->head_sent
+		exchange->n_tried > 0
 			? gc_ms_between(
-				  exchange->last_activity,
+				  exchange->attempt_ended,
 				  gc_clock_now(exchange->relay->conf.clock))
 			: gc_exchange_elapsed_ms(exchange);
 
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -567,6 +567,7 @@
 	       gc_backend_id(exchange->backend).data, "reason", reason,
 	       "status", status, "after_ms", after_ms, "events",
 	       exchange->received_event ? "yes" : "no", NULL);
+	exchange->attempt_ended = now;
 	gc_backend_record_failure(exchange->backend, now, end);
 	gc_exchange_set_resume_copy(exchange);
 	release_attempt(exchange);
--- a/regress/routed_silence.t
+++ b/regress/routed_silence.t
@@ -45,3 +45,15 @@
   $ RUNS=$(runs); status /look/pause; echo $(($(runs) - RUNS))
   200
   1
+
+A server loses a stream while the others are silent for a second: the stream
+waits for them, as it has time left.
+
+  $ start_server llm4 llm d engine; start_server llm5 llm a engine; start_server llm6 llm b engine
+  $ start_routed d3
+  $ holder() { grep '"message":"attempt started"' d3.log | tail -n 1 | grep -o '"server":"[a-z0-9]*"' | cut -d'"' -f4; }
+  $ (DEADLINE=9000 send_request /draft/once-lost >lost.out) & lost_pid=$!; sleep 1.8
+  $ HOLDER=$(holder); for s in llm1 llm2 llm3 llm4 llm5 llm6; do [ $s = "$HOLDER" ] || eval kill -STOP \$${s}_pid; done
+  $ sleep 1.2; for s in llm1 llm2 llm3 llm4 llm5 llm6; do eval kill -CONT \$${s}_pid; done
+  $ wait $lost_pid; ids <lost.out
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
