Answer pipelined requests that were received before a planned stop

Callers that send requests ahead of the responses lost a request at a planned stop: it got neither an answer nor a refusal.

Cause: while the listener is closing, the response to the request in progress announced the close and ended the connection, though the next request was read already or waited in the socket.

A stop now closes a connection with the response after which nothing more has been received. Closes that the caller asked for, and those after an unreadable request, stay as they are. routed_stop_requests.t, with a slow request and a second one behind it, fails before in both cases: one response instead of two.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -74,6 +74,7 @@
 static void raise_idle_timeout(gc_caller_conn_t *conn);
 static void on_timer(void *ctx);
 static int64_t time_left_ms(const gc_caller_conn_t *conn);
+static bool has_next_request(const gc_caller_conn_t *conn);
 static void send_head(gc_caller_conn_t *conn, int status, gc_str_t head,
 		      const char *framing);
 
@@ -243,8 +244,6 @@
 		strcmp(gc_http_message_method(conn->message), "HEAD") == 0;
 	if (!gc_http_message_keep_alive(conn->message))
 		conn->close_after_response = true;
-	if (listener->closing)
-		conn->close_after_response = true;
 	listener->ops.request(listener->ctx, conn, conn->message);
 }
 
@@ -313,13 +312,19 @@
 	finish_response(conn);
 }
 
+/* True if bytes of a further request have been received. */
+static bool has_next_request(const gc_caller_conn_t *conn)
+{
+	return conn->pipelined->len > 0 || gc_socket_has_unread(conn->sock);
+}
+
 static void send_head(gc_caller_conn_t *conn, int status, gc_str_t head,
 		      const char *framing)
 {
 	g_autoptr(GString) text =
 		g_string_sized_new(HEAD_BUFFER_BYTES + head.len);
 
-	if (conn->listener->closing)
+	if (conn->listener->closing && !has_next_request(conn))
 		conn->close_after_response = true;
 	g_string_printf(text, "HTTP/1.1 %d %s\r\n", status,
 			http_status_str((enum http_status)status));
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -48,7 +48,10 @@
 	const gc_clock_t *clock, const char *address, uint16_t port,
 	const gc_caller_listener_ops_t *ops, void *ctx, GError **err);
 uint16_t gc_caller_listener_port(const gc_caller_listener_t *listener);
-/* From now on, each connection is closed after its response. */
+/*
+ * From now on, each connection is closed after the response to the last request
+ * that was received on it.
+ */
 void gc_caller_listener_set_closing(gc_caller_listener_t *listener);
 /* Accepts the connections that wait, then refuses new ones. */
 void gc_caller_listener_stop_accepting(gc_caller_listener_t *listener);
