Read whole responses in routed_idle.t

The test took the first bytes of a connection for a response. The test now reads each response by its length, which checks more.

--- a/regress/routed_idle.t
+++ b/regress/routed_idle.t
@@ -13,10 +13,24 @@
   > request = (b"GET /look/ok HTTP/1.1\r\nHost: h.example\r\n"
   >            b"Goldcrestfield-Request-Id: r%d\r\n"
   >            b"Authorization: Token key-1\r\n\r\n")
+  > def read_response(s):
+  >     data = b""
+  >     while b"\r\n\r\n" not in data:
+  >         part = s.recv(65536)
+  >         if not part:
+  >             return "closed"
+  >         data += part
+  >     head, _, body = data.partition(b"\r\n\r\n")
+  >     length = int(head.lower().split(b"content-length:")[1].split()[0])
+  >     while len(body) < length:
+  >         part = s.recv(65536)
+  >         assert part, "truncated"
+  >         body += part
+  >     return data[:12].decode()
   > s = socket.create_connection((host, int(port)))
   > s.settimeout(5)
   > s.sendall(request % 1)
-  > assert b"200" in s.recv(65536)[:12]
+  > assert "200" in read_response(s)
   > time.sleep(idle_s - 0.3)
   > os.kill(pid, signal.SIGSTOP)
   > time.sleep(0.6)
@@ -24,7 +38,7 @@
   > time.sleep(0.1)
   > os.kill(pid, signal.SIGCONT)
   > try:
-  >     print(s.recv(65536)[:12].decode() or "closed")
+  >     print(read_response(s))
   > except ConnectionResetError:
   >     print("reset")
   > END
@@ -42,14 +56,28 @@
   > request = (b"GET /look/ok HTTP/1.1\r\nHost: h.example\r\n"
   >            b"Goldcrestfield-Request-Id: r%d\r\n"
   >            b"Authorization: Token key-1\r\n\r\n")
+  > def read_response(s):
+  >     data = b""
+  >     while b"\r\n\r\n" not in data:
+  >         part = s.recv(65536)
+  >         if not part:
+  >             return "closed"
+  >         data += part
+  >     head, _, body = data.partition(b"\r\n\r\n")
+  >     length = int(head.lower().split(b"content-length:")[1].split()[0])
+  >     while len(body) < length:
+  >         part = s.recv(65536)
+  >         assert part, "truncated"
+  >         body += part
+  >     return data[:12].decode()
   > s = socket.create_connection((host, int(port)))
   > s.settimeout(5)
   > s.sendall(request % 3)
-  > assert b"200" in s.recv(65536)[:12]
+  > assert "200" in read_response(s)
   > time.sleep(float(sys.argv[2]))
   > try:
   >     s.sendall(request % 4)
-  >     print(s.recv(65536)[:12].decode() or "closed")
+  >     print(read_response(s))
   > except OSError:
   >     print("reset")
   > END
