Respond to the requests in flight at the end of the grace period

Callers whose requests were still in flight when the grace period of a planned stop ended saw their connection close: no answer, no refusal, no log line.

Cause: the listener was freed with the process. Its connections were closed before their exchanges had ended.

At the end of the grace period each exchange now ends as it does at its time limit: 503 not_run if it was never sent, 504 if it may have run, an aborted stream if the head was sent, with the usual line 1110, 1111 or 1112 and limit "stop". The responses may be sent for 200 ms of the 500 ms that are reserved for the shutdown. Requests that are read then are refused, as the time of the stop has passed. routed_stop_requests.t fails before: no response (curl: 000) to a request that waits for a server and to one that hangs, and none of the three log lines.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -125,6 +125,8 @@
 			 const char *message);
 /* Timer callback for the time limit; ctx is the exchange. */
 void gc_exchange_on_time_limit(void *ctx);
+/* Ends a request at the end of the daemon's grace period. */
+void gc_exchange_on_stop(gc_exchange_t *exchange);
 /* True for statuses from which callers conclude that a request did not run. */
 bool gc_status_means_not_run(int status);
 /* Milliseconds since the request arrived. */
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -13,6 +13,9 @@
 
 static void refuse_request(gc_exchange_t *exchange,
 			   const gc_refusal_t *refusal);
+static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
+			   const gc_refusal_t *not_run,
+			   const gc_refusal_t *in_doubt);
 
 int64_t gc_exchange_elapsed_ms(const gc_exchange_t *exchange)
 {
@@ -157,13 +160,37 @@
 		.code = "timeout",
 		.message = "the backend server did not respond in time",
 	};
-	gc_exchange_t *exchange = ctx;
 
+	end_unfinished(ctx, "time", &not_run, &timed_out);
+}
+
+void gc_exchange_on_stop(gc_exchange_t *exchange)
+{
+	static const gc_refusal_t not_run = {
+		.status = 503,
+		.code = "stopping",
+		.message = "the daemon stopped before the request was sent",
+		.retry_after_ms = REFUSAL_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+	static const gc_refusal_t in_doubt = {
+		.status = 504,
+		.code = "stopped",
+		.message = "the daemon stopped before the server responded",
+	};
+
+	end_unfinished(exchange, "stop", &not_run, &in_doubt);
+}
+
+static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
+			   const gc_refusal_t *not_run,
+			   const gc_refusal_t *in_doubt)
+{
 	if (!exchange->caller) {
 		talloc_free(exchange);
 		return;
 	}
-	exchange->limit_reached = "time";
+	exchange->limit_reached = limit_reached;
 	if (exchange->head_sent) {
 		gc_exchange_give_up(exchange, GC_DECISION_FAIL,
 				    GC_END_TIMED_OUT);
@@ -171,6 +198,6 @@
 	}
 	refuse_request(exchange,
 		       exchange->attempts.may_have_run || exchange->call
-			       ? &timed_out
-			       : &not_run);
+			       ? in_doubt
+			       : not_run);
 }
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -160,6 +160,13 @@
 	relay->stop_at = end;
 }
 
+/* A request that this makes the listener read next is refused at once. */
+void gc_relay_end_requests(gc_relay_t *relay)
+{
+	while (relay->exchanges)
+		gc_exchange_on_stop(relay->exchanges);
+}
+
 size_t gc_relay_in_flight(const gc_relay_t *relay)
 {
 	return relay->n_exchanges;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -48,6 +48,11 @@
  * `end` are refused.
  */
 void gc_relay_set_stopping(gc_relay_t *relay, struct timespec end);
+/*
+ * Ends the requests in flight, at the `end` of gc_relay_set_stopping: each is
+ * refused, failed, or aborted if its response has begun.
+ */
+void gc_relay_end_requests(gc_relay_t *relay);
 /* Requests in flight, including those whose caller has disconnected. */
 size_t gc_relay_in_flight(const gc_relay_t *relay);
 
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -19,6 +19,10 @@
 #define LAST_REQUESTS_MS 300
 /* Part of the grace period reserved for the shutdown of the process. */
 #define SHUTDOWN_RESERVE_MS 500
+/* Part of the reserve in which the responses to the requests that were still in
+ * flight are sent, and the interval of checks for their end. */
+#define LAST_RESPONSES_MS      200
+#define LAST_RESPONSES_POLL_MS 10
 /* Fraction of revoke_ms after which requests with a key are refused. The rest
  * covers the time from the sending of a request to the check of its key. */
 #define ADMIT_AGE_FRACTION 0.9
@@ -39,6 +43,7 @@
 	gc_timer_t *drain_timer;
 	struct timespec drain_started;
 	bool refuses_connections;
+	bool requests_ended; /* at the end of the grace period */
 	int64_t refused_since_ms; /* after drain_started */
 	void (*stopped)(void *ctx);
 	void *stopped_ctx;
@@ -54,6 +59,7 @@
 static void handle_stop(void *ctx, void *message);
 static void handle_exit(void *ctx, void *message);
 static void on_drain_poll(void *ctx);
+static bool is_idle(const gc_routed_traffic_t *traffic);
 static uint64_t next_random(void *ctx);
 
 gc_routed_traffic_t *
@@ -203,8 +209,7 @@
 	int64_t ms = gc_ms_between(traffic->drain_started,
 				   gc_clock_now(traffic->clock));
 	int64_t end_ms = traffic->settings->stop_grace_ms - SHUTDOWN_RESERVE_MS;
-	bool idle = gc_relay_in_flight(traffic->relay) == 0 &&
-		    gc_caller_listener_count_busy(traffic->listener) == 0;
+	bool idle = is_idle(traffic);
 
 	if (!traffic->refuses_connections &&
 	    ((idle && ms >= MIN_DRAIN_MS) || ms >= end_ms - LAST_REQUESTS_MS)) {
@@ -218,12 +223,27 @@
 		gc_timer_set(traffic->drain_timer, DRAIN_POLL_MS);
 		return;
 	}
+	if (!idle && !traffic->requests_ended) {
+		gc_relay_end_requests(traffic->relay);
+		traffic->requests_ended = true;
+		idle = is_idle(traffic);
+	}
+	if (!idle && ms < end_ms + LAST_RESPONSES_MS) {
+		gc_timer_set(traffic->drain_timer, LAST_RESPONSES_POLL_MS);
+		return;
+	}
 	/* A request that arrived while the process ends would be cut off. */
 	if (idle)
 		TALLOC_FREE(traffic->listener);
 	traffic->stopped(traffic->stopped_ctx);
 }
 
+static bool is_idle(const gc_routed_traffic_t *traffic)
+{
+	return gc_relay_in_flight(traffic->relay) == 0 &&
+	       gc_caller_listener_count_busy(traffic->listener) == 0;
+}
+
 static void handle_exit(void *ctx, void *message)
 {
 	gc_routed_traffic_t *traffic = ctx;
--- a/regress/routed_stop_requests.t
+++ b/regress/routed_stop_requests.t
@@ -46,3 +46,36 @@
   HTTP/1.1 200 OK
   HTTP/1.1 200 OK
   Connection: close
+
+At the end of the grace period, each request in flight gets a response: a
+refusal if it was not sent, a failure if it may have run. A response that has
+begun is aborted. The process ends within its grace period.
+
+  $ put_config ',
+  >  {"name":"wait","host":"h.example","path_prefix":"/wait/",
+  >   "kind":"idempotent","service":"none","max_attempts":2,
+  >   "timeout_ms":30000,"target_latency_ms":60000},
+  >  {"name":"long","host":"h.example","path_prefix":"/long/",
+  >   "kind":"non_idempotent","service":"app","max_attempts":2,
+  >   "timeout_ms":30000}'
+  $ start_server llm1 llm a engine
+  $ start_routed d3
+  $ code() { sed -n 's/.*"code":"\([a-z_]*\)".*"run":"\([a-z_]*\)".*/\1 \2/p' "$1"; tail -n 1 "$1"; }
+  $ DEADLINE=20000; send_request /wait/ok >wait.out & wait_pid=$!
+  $ send_request /long/hang >long.out & long_pid=$!
+  $ send_request /draft/mute >mute.out & mute_pid=$!
+  $ sleep 0.3; kill -TERM $d3_pid; started=$(date +%s%N)
+  $ wait $wait_pid; wait $long_pid; wait $mute_pid
+  [18]
+  $ code wait.out; code long.out; tail -n 1 mute.out
+  stopping not_run
+  503
+  stopped in_doubt
+  504
+  200
+  $ wait $d3_pid; echo $(($(date +%s%N) - started < 4000000000))
+  1
+  $ grep -o '"event":111[0-2],.*"limit":"stop"' d3.log | grep -o '"event":[0-9]*' | sort
+  "event":1110
+  "event":1111
+  "event":1112
