Skip idle server connections with unread data or an unread close

Callers got 502 for a request that must not be repeated and that was never run, after the daemon had been stalled.

Cause: the request was sent on an idle connection whose FIN, or unsolicited bytes, waited unread. The kernel accepted the request, so it counted as one that may have run.

Such connections are now closed and skipped when one is taken for a request.

--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -114,11 +114,18 @@
 static conn_t *take_idle(gc_upstream_t *upstream, const gc_backend_t *backend)
 {
 	struct timespec now = gc_clock_now(upstream->conf.clock);
+	conn_t *next;
 
-	for (conn_t *conn = upstream->idle; conn; conn = conn->next) {
+	for (conn_t *conn = upstream->idle; conn; conn = next) {
+		next = conn->next;
 		if (conn->backend != backend ||
 		    gc_ms_between(now, conn->idle_until) <= 0)
 			continue;
+		/* The server's close or unsolicited bytes. */
+		if (gc_socket_has_unread(conn->sock)) {
+			close_conn(conn);
+			continue;
+		}
 		unlink_idle(conn);
 		return conn;
 	}
--- /dev/null
+++ b/regress/routed_stall.t
@@ -0,0 +1,65 @@
+Guards against verdicts that a daemon which was stalled gives before it has read
+what arrived meanwhile.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server app1 app a
+  $ start_routed d1
+  $ cat >caller.py <<'EOF'
+  > import os, signal, socket, sys, time, urllib.request
+  > host, port = sys.argv[1].split(":")
+  > pid = int(sys.argv[2])
+  > def connect():
+  >     s = socket.create_connection((host, int(port)))
+  >     s.settimeout(5)
+  >     return s
+  > def request(method, path, name):
+  >     return (b"%s %s HTTP/1.1\r\nHost: h.example\r\n"
+  >             b"Goldcrestfield-Request-Id: %s%d\r\n"
+  >             b"Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n"
+  >             % (method, path, name, pid))
+  > def status(s):
+  >     data = b""
+  >     try:
+  >         while b"\r\n\r\n" not in data:
+  >             part = s.recv(65536)
+  >             if not part:
+  >                 return "closed"
+  >             data += part
+  >         head, _, body = data.partition(b"\r\n\r\n")
+  >         length = int(head.lower().split(b"content-length:")[1].split()[0])
+  >         while len(body) < length:
+  >             body += s.recv(65536)
+  >     except ConnectionResetError:
+  >         return "reset"
+  >     return data[9:12].decode()
+  > def stop():
+  >     os.kill(pid, signal.SIGSTOP)
+  > def resume():
+  >     os.kill(pid, signal.SIGCONT)
+  > def post(server, path, body=b"{}"):
+  >     with open(server + ".ports") as f:
+  >         url = "http://127.0.0.1:%s%s" % (f.read().strip(), path)
+  >     urllib.request.urlopen(url, body).close()
+  > EOF
+
+A request is not sent on an idle connection that the server has closed. The
+request of the caller arrives before that close and is read first.
+
+  $ cat >dropped.py <<'EOF'
+  > from caller import *
+  > s = connect()
+  > s.sendall(request(b"POST", b"/book/ok", b"first"))
+  > print(status(s))
+  > stop()
+  > s.sendall(request(b"POST", b"/book/ok", b"second"))
+  > time.sleep(0.1)
+  > post("app1", "/drop")
+  > time.sleep(0.1)
+  > resume()
+  > print(status(s))
+  > EOF
+  $ PYTHONDONTWRITEBYTECODE=1 python3 dropped.py $CALLER_ADDR $d1_pid
+  200
+  200
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -41,6 +41,7 @@
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
+POST /drop closes the other connections.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
 GET /stats returns the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
@@ -54,6 +55,7 @@
 import sys
 import time
 import urllib.request
+import weakref
 
 import bad_responses
 import wire
@@ -76,6 +78,7 @@
         self.endless_bytes = []
         self.queued = 0
         self.kv_used = 0
+        self.writers = weakref.WeakSet()
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -108,6 +111,13 @@
         return wire.response(200, body, self.response_headers(request))
 
     async def handle(self, request, reader, writer):
+        self.writers.add(writer)
+        if request.path == "/drop":
+            for other in list(self.writers):
+                if other is not writer:
+                    other.close()
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/stats":
             writer.write(wire.json_response(200, {
                 "runs": self.runs, "orders": self.copy_requests,
