Read the rest of a request that waits in the socket before a 408

Callers got 408 though the daemon had received the whole request within the header timeout.

Cause: the timer of a connection fires before its socket is read, when the daemon was stalled and an earlier timer was due already.

A request whose time is over while unread data waits gets another 20 ms, as an idle connection does, but once per request: a caller that sends a byte at a time is refused 20 ms later at most. routed_stall.t fails before in two of two runs: 408 instead of 200.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -11,8 +11,8 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Longest wait for the caller to close after the last response. */
 #define LINGER_TIMEOUT_MS 2000
-/* Delay of the close of an idle connection on which a request was received but
- * not read: the event loop reads it first. */
+/* Delay of the end of a connection's time on which data was received but not
+ * read: the event loop reads it first. */
 #define UNREAD_RECHECK_MS 20
 /* Initial buffer size for the status line and the added headers. */
 #define HEAD_BUFFER_BYTES 256
@@ -42,6 +42,7 @@
 	bool responding; /* a response has been started */
 	bool head_request;
 	bool close_after_response;
+	bool extended; /* the time for the request, by UNREAD_RECHECK_MS */
 };
 
 struct gc_caller_listener {
@@ -72,6 +73,8 @@
 static void arm_timer(gc_caller_conn_t *conn);
 static bool made_send_progress(gc_caller_conn_t *conn);
 static void raise_idle_timeout(gc_caller_conn_t *conn);
+static bool may_extend(const gc_caller_conn_t *conn);
+static void extend(gc_caller_conn_t *conn);
 static void on_timer(void *ctx);
 static int64_t time_left_ms(const gc_caller_conn_t *conn);
 static bool has_next_request(const gc_caller_conn_t *conn);
@@ -215,6 +218,7 @@
 	gc_http_message_set_limits(conn->message, &limits);
 	conn->arrived = conn->last_activity;
 	conn->state = CONN_READING;
+	conn->extended = false;
 	arm_timer(conn);
 }
 
@@ -470,6 +474,20 @@
 		MAX(conn->limits.idle_timeout_ms, limits.idle_timeout_ms);
 }
 
+/* Once per request, so that a caller that sends a byte at a time gains little
+ * time. */
+static bool may_extend(const gc_caller_conn_t *conn)
+{
+	return conn->state == CONN_IDLE ||
+	       (conn->state == CONN_READING && !conn->extended);
+}
+
+static void extend(gc_caller_conn_t *conn)
+{
+	conn->extended = true;
+	gc_timer_set(conn->timer, UNREAD_RECHECK_MS);
+}
+
 static void on_timer(void *ctx)
 {
 	gc_caller_conn_t *conn = ctx;
@@ -482,11 +500,11 @@
 		raise_idle_timeout(conn);
 	if (time_left_ms(conn) > 0)
 		arm_timer(conn);
+	else if (may_extend(conn) && gc_socket_has_unread(conn->sock))
+		extend(conn);
 	else if (conn->state == CONN_READING)
 		reject_request(conn, 408,
 			       "the request was not received in time");
-	else if (conn->state == CONN_IDLE && gc_socket_has_unread(conn->sock))
-		gc_timer_set(conn->timer, UNREAD_RECHECK_MS);
 	else
 		close_conn(conn, false);
 }
--- a/regress/routed_stall.t
+++ b/regress/routed_stall.t
@@ -63,3 +63,37 @@
   $ PYTHONDONTWRITEBYTECODE=1 python3 dropped.py $CALLER_ADDR $d1_pid
   200
   200
+
+A request whose rest arrived within the header timeout (400 ms) is served, though
+the timer of an earlier, incomplete request makes the daemon look at its timers
+first. That request and one of which a byte arrives now and then are refused.
+
+  $ cat >rest.py <<'EOF'
+  > from caller import *
+  > text = request(b"GET", b"/look/ok", b"rest")
+  > incomplete = connect()
+  > incomplete.sendall(text[:20])
+  > time.sleep(0.25)
+  > s = connect()
+  > s.sendall(text[:20])
+  > time.sleep(0.05)
+  > stop()
+  > time.sleep(0.2)
+  > s.sendall(text[20:])
+  > time.sleep(0.4)
+  > resume()
+  > print(status(s), status(incomplete))
+  > s = connect()
+  > start = time.monotonic()
+  > s.settimeout(0.01)
+  > for c in text:
+  >     s.sendall(bytes([c]))
+  >     try:
+  >         print(s.recv(12).decode(), time.monotonic() - start < 0.8)
+  >         break
+  >     except TimeoutError:
+  >         pass
+  > EOF
+  $ PYTHONDONTWRITEBYTECODE=1 python3 rest.py $CALLER_ADDR $d1_pid
+  200 408
+  HTTP/1.1 408 True
