Read answers to load queries that wait in the socket before a verdict

Requests were sent to a full server although sound ones had room, after the daemon had been stalled for longer than the time of a load query.

Cause: the timer of the query fires before the answer is read. The query counts as a failure of the server, which is ejected, and two of them eject the failure domain.

--- a/lib/backend_query.c
+++ b/lib/backend_query.c
@@ -8,6 +8,7 @@
 	gc_backend_query_conf_t conf;
 	gc_call_t *call;
 	gc_timer_t *timer;
+	bool extended; /* its time, by timeout_ms */
 	int status;
 	GByteArray *body;
 	gc_attempt_end_t end; /* used if no complete response was received */
@@ -126,6 +127,14 @@
 	gc_backend_query_t *query = ctx;
 	gc_str_t body = {(const char *)query->body->data, query->body->len};
 
+	/* The daemon was stalled: an answer is read by the event loop, and a
+	 * server that has just connected has its whole time to answer. */
+	if (query->call && !query->extended &&
+	    gc_call_has_unread(query->call)) {
+		query->extended = true;
+		gc_timer_set(query->timer, query->conf.timeout_ms);
+		return;
+	}
 	if (query->call) {
 		gc_call_cancel(query->call);
 		query->call = NULL;
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -347,7 +347,10 @@
 
 bool gc_socket_has_unread(const gc_socket_t *sock)
 {
-	struct pollfd poll_fd = {.fd = sock->fd, .events = POLLIN};
+	struct pollfd poll_fd = {
+		.fd = sock->fd,
+		.events = sock->connecting ? POLLOUT : POLLIN,
+	};
 
 	return !sock->destroyed && poll(&poll_fd, 1, 0) > 0;
 }
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -57,7 +57,10 @@
 void gc_socket_shutdown_write(gc_socket_t *sock);
 /* Bytes that the kernel has not accepted yet. */
 size_t gc_socket_unsent_bytes(const gc_socket_t *sock);
-/* True if received bytes or the peer's close were not read yet. */
+/*
+ * True if the result of the connect, received bytes or the peer's close were
+ * not read yet.
+ */
 bool gc_socket_has_unread(const gc_socket_t *sock);
 /* Bytes that the kernel has accepted since the connection was opened. */
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock);
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -410,6 +410,11 @@
 	gc_socket_set_paused(call->conn->sock, paused);
 }
 
+bool gc_call_has_unread(const gc_call_t *call)
+{
+	return gc_socket_has_unread(call->conn->sock);
+}
+
 uint64_t gc_upstream_connections_made(const gc_upstream_t *upstream)
 {
 	return upstream->connections_made;
--- a/regress/routed_stall.t
+++ b/regress/routed_stall.t
@@ -97,3 +97,21 @@
   $ PYTHONDONTWRITEBYTECODE=1 python3 rest.py $CALLER_ADDR $d1_pid
   200 408
   HTTP/1.1 408 True
+
+Load reports that have arrived when their time (40 ms) is over count, though the
+daemon looks at its timers first. Otherwise the sound servers llm1 and llm2 and
+their failure domain are ejected and the request goes to llm3, which is full.
+
+  $ start_server llm1 llm a engine; start_server llm2 llm a engine
+  $ start_server llm3 llm b engine
+  $ cat >reports.py <<'EOF'
+  > from caller import *
+  > post("llm3", "/memory", b'{"used":999}')
+  > for server in ("llm1", "llm2"):
+  >     post(server, "/stall", b'{"pid":%d}' % pid)
+  > EOF
+  $ sleep 0.3; PYTHONDONTWRITEBYTECODE=1 python3 reports.py $CALLER_ADDR $d1_pid
+  $ status /draft/ok
+  200
+  $ field llm3 runs
+  []
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -42,6 +42,8 @@
                the body
   big          sends 200 events of 60 kB without a pause
 POST /drop closes the other connections.
+POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
+query, answers the query after 100 ms and resumes the process 100 ms later.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
 GET /stats returns the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
@@ -63,6 +65,7 @@
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.03
 PAUSE_S = 1
+STALL_S = 0.2
 HEADER_PREFIX = "Goldcrestfield-"
 
 
@@ -78,6 +81,7 @@
         self.endless_bytes = []
         self.queued = 0
         self.kv_used = 0
+        self.stall_pid = None
         self.writers = weakref.WeakSet()
 
     def register(self, port, state="ready"):
@@ -128,7 +132,19 @@
             self.kv_used = request.json()["used"]
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path == "/stall":
+            self.stall_pid = request.json()["pid"]
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/v1/report":
+            pid, self.stall_pid = self.stall_pid, None
+            if pid:
+                # The daemon has connected to the other servers by then.
+                await asyncio.sleep(0.01)
+                os.kill(pid, signal.SIGSTOP)
+                asyncio.get_running_loop().call_later(
+                    STALL_S, os.kill, pid, signal.SIGCONT)
+                await asyncio.sleep(STALL_S / 2)
             writer.write(wire.json_response(200, {
                 "running": 0, "queued": self.queued,
                 "kv_used": self.kv_used, "kv_total": 1000}))
