See the result of a connect before counting it as timed out

Sound servers counted as unreachable and were ejected, two of them with their failure domain, when the daemon was stalled while it connected.

Cause: the timer of the connect fires before the loop sees that the socket is writable.

A connect whose time is over gets another 20 ms, once, if its result waits. check_upstream, where an earlier timer makes the loop look at its timers before the connect, fails before: the call failed instead of completing.

--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -12,6 +12,8 @@
 #define DEFAULT_KEEP_ALIVE_MS 300
 /* Interval at which expired idle connections are closed. */
 #define IDLE_SWEEP_MS 1000
+/* Extension of a connect whose result was not read in time. */
+#define UNREAD_RECHECK_MS 20
 
 typedef struct conn conn_t;
 
@@ -36,6 +38,7 @@
 	gc_call_t *call; /* NULL while idle */
 	struct timespec idle_until;
 	bool connected;
+	bool connect_extended; /* its time, by UNREAD_RECHECK_MS */
 	bool idle;
 	bool in_callback;
 	bool closed;
@@ -220,6 +223,12 @@
 {
 	conn_t *conn = ctx;
 
+	/* The daemon was stalled; the event loop reads the result first. */
+	if (!conn->connect_extended && gc_socket_has_unread(conn->sock)) {
+		conn->connect_extended = true;
+		gc_timer_set(conn->connect_timer, UNREAD_RECHECK_MS);
+		return;
+	}
 	conn->in_callback = true;
 	fail_call(conn, "connect timed out");
 	end_callback(conn);
--- /dev/null
+++ b/regress/check_upstream.c
@@ -0,0 +1,197 @@
+/*
+ * Guards against verdicts on a backend server that are given before the result
+ * of its connect or its answer has been read.
+ */
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "lib/upstream.h"
+#include "regress/unit.h"
+
+#define CONNECT_TIMEOUT_MS 50
+/* No call of these tests takes longer. */
+#define TEST_TIMEOUT_MS 3000
+
+typedef struct test {
+	struct tevent_context *ev;
+	gc_timers_t *timers;
+	gc_upstream_t *upstream;
+	gc_backends_t *backends;
+	gc_backend_t *backend;
+	int listener;
+	bool timed_out;
+	/* Outcome of the call. */
+	bool done;
+	bool completed;
+	gc_attempt_end_t end;
+	GString *body;
+} test_t;
+
+static test_t *start_test(uint64_t *state);
+static void end_test(test_t *test);
+static gc_call_t *start_call(test_t *test, size_t body_bytes);
+static void run_until_done(test_t *test);
+static void set_flag(void *ctx);
+static void on_head(void *ctx, const gc_http_message_t *response);
+static void on_body(void *ctx, gc_str_t data);
+static void on_complete(void *ctx, const gc_http_message_t *response);
+static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
+
+static const gc_call_ops_t call_ops = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.failed = on_failed,
+};
+
+static test_t *start_test(uint64_t *state)
+{
+	static gc_random_t random;
+	struct sockaddr_in sin = {.sin_family = AF_INET,
+				  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t len = sizeof(sin);
+	test_t *test = talloc_zero(NULL, test_t);
+	gc_upstream_conf_t conf = {.clock = &gc_clock_system,
+				   .id_header = "Request-Id",
+				   .connect_timeout_ms = CONNECT_TIMEOUT_MS};
+	gc_backends_conf_t backends_conf = {.failure_domain = GC_STR_LIT("a"),
+					    .random = &random};
+	gc_registry_entry_t entry = {.id = GC_STR_LIT("a0"),
+				     .service = GC_STR_LIT("s"),
+				     .failure_domain = GC_STR_LIT("a"),
+				     .slots = 8,
+				     .started_ms = 1};
+
+	random = (gc_random_t){unit_next_random, state};
+	test->listener = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(test->listener, (struct sockaddr *)&sin, len), 0);
+	ck_assert_int_eq(listen(test->listener, 8), 0);
+	getsockname(test->listener, (struct sockaddr *)&sin, &len);
+	entry.address = gc_str(
+		talloc_asprintf(test, "127.0.0.1:%u", ntohs(sin.sin_port)));
+	test->ev = tevent_context_init(test);
+	test->timers = gc_timers_create(test, test->ev);
+	conf.ev = test->ev;
+	conf.timers = test->timers;
+	test->upstream = gc_upstream_create(test, &conf);
+	test->backends = gc_backends_create(test, &backends_conf);
+	gc_backends_sync(test->backends, &entry, 1,
+			 &(gc_daemon_rank_t){0, 1, 0, 1});
+	test->backend = gc_backends_choose(test->backends, unit_at(0),
+					   GC_STR_LIT("s"), NULL);
+	ck_assert_ptr_nonnull(test->backend);
+	test->body = g_string_new(NULL);
+	return test;
+}
+
+static void end_test(test_t *test)
+{
+	close(test->listener);
+	g_string_free(test->body, TRUE);
+	TALLOC_FREE(test->upstream);
+	talloc_free(test);
+}
+
+static gc_call_t *start_call(test_t *test, size_t body_bytes)
+{
+	GString *text = g_string_new(NULL);
+	gc_call_t *call;
+
+	g_string_printf(text, "POST / HTTP/1.1\r\nContent-Length: %zu\r\n\r\n",
+			body_bytes);
+	for (size_t i = 0; i < body_bytes; i++)
+		g_string_append_c(text, 'x');
+	test->done = false;
+	test->completed = false;
+	call = gc_upstream_start(test->upstream, test->backend,
+				 (gc_str_t){text->str, text->len},
+				 GC_STR_LIT("r1"), false, &call_ops, test);
+	g_string_free(text, TRUE);
+	ck_assert_ptr_nonnull(call);
+	return call;
+}
+
+static void run_until_done(test_t *test)
+{
+	gc_timer_t *timer =
+		gc_timer_create(test, test->timers, set_flag, &test->timed_out);
+
+	gc_timer_set(timer, TEST_TIMEOUT_MS);
+	while (!test->done && !test->timed_out)
+		tevent_loop_once(test->ev);
+	ck_assert(!test->timed_out);
+	gc_timer_destroy(timer);
+}
+
+static void set_flag(void *ctx)
+{
+	*(bool *)ctx = true;
+}
+
+static void on_head(void *ctx, const gc_http_message_t *response)
+{
+}
+
+static void on_body(void *ctx, gc_str_t data)
+{
+	test_t *test = ctx;
+
+	g_string_append_len(test->body, data.data, (gssize)data.len);
+}
+
+static void on_complete(void *ctx, const gc_http_message_t *response)
+{
+	test_t *test = ctx;
+
+	test->done = true;
+	test->completed = true;
+}
+
+static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason)
+{
+	test_t *test = ctx;
+
+	test->done = true;
+	test->end = end;
+}
+
+/* An earlier timer makes the loop look at its timers before the connect. */
+START_TEST(test_connect_during_stall)
+{
+	static const char response[] = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+				       "Content-Length: 2\r\n\r\nok";
+	uint64_t state = 1;
+	test_t *test = start_test(&state);
+	bool early = false;
+	gc_timer_t *timer =
+		gc_timer_create(test, test->timers, set_flag, &early);
+	int sock;
+
+	gc_timer_set(timer, 1);
+	g_usleep(5000);
+	start_call(test, 0);
+	g_usleep(2 * CONNECT_TIMEOUT_MS * 1000);
+	sock = accept(test->listener, NULL, NULL);
+	ck_assert_int_ge(sock, 0);
+	ck_assert_int_eq(send(sock, response, strlen(response), 0),
+			 (ssize_t)strlen(response));
+	run_until_done(test);
+	ck_assert(early);
+	ck_assert(test->completed);
+	ck_assert_str_eq(test->body->str, "ok");
+	close(sock);
+	end_test(test);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_connect_during_stall,
+		NULL,
+	};
+
+	return unit_run("upstream", tests);
+}
