Receive the response of a server that closes before it has read the body

Callers got 502, or a repeat of the request, although a server had sent a complete answer: it closed the connection without reading a long body.

Cause: the send error was reported before the receive buffer was read.

After EPIPE or ECONNRESET on a connection to a server of which a part of the request was sent, writing stops and the received data is read to its end before the error is reported. Both errors mean that the connection has ended, so that reading ends, too. The unsent bytes remain, by which the connection is never reused; an end of data after a send error is no orderly close, so a response without a length doesn't count as complete. Connections of callers are closed at once, as before. check_upstream fails before: the call failed instead of completing. Truncated and unframed early responses fail before and after.

--- a/lib/socket.c
+++ b/lib/socket.c
@@ -28,6 +28,7 @@
 	GByteArray *unsent; /* NULL if there are no unsent bytes */
 	uint64_t sent; /* bytes that the kernel has accepted */
 	int send_error; /* errno of the failed send; 0: none */
+	bool outgoing; /* opened by gc_socket_connect */
 	bool connecting;
 	bool paused;
 	bool in_callback;
@@ -53,6 +54,7 @@
 		  uint16_t flags, void *ctx);
 static void finish_connect(gc_socket_t *sock);
 static void read_available(gc_socket_t *sock);
+static bool may_hold_response(const gc_socket_t *sock);
 static void write_buffered(gc_socket_t *sock);
 static size_t try_write(gc_socket_t *sock, gc_str_t data);
 static void update_flags(gc_socket_t *sock);
@@ -87,6 +89,7 @@
 		return NULL;
 	}
 	sock = create_socket(mem, ev, fd, ops, ctx);
+	sock->outgoing = true;
 	sock->connecting = true;
 	update_flags(sock);
 	return sock;
@@ -202,7 +205,7 @@
 
 	if (!sock->paused && !sock->connecting)
 		flags |= TEVENT_FD_READ;
-	if (sock->connecting || sock->unsent)
+	if (sock->connecting || (sock->unsent && sock->send_error == 0))
 		flags |= TEVENT_FD_WRITE;
 	if (tevent_fd_get_flags(sock->fde) != flags)
 		tevent_fd_set_flags(sock->fde, flags);
@@ -252,7 +255,10 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n <= 0)
+	/* After a send error, the end of the data is no orderly close. */
+	if (n <= 0 && sock->send_error != 0)
+		report_closed(sock, sock->send_error);
+	else if (n <= 0)
 		report_closed(sock, n < 0 ? errno : 0);
 	else
 		sock->ops.received(sock->ctx, (gc_str_t){buffer, (size_t)n});
@@ -265,13 +271,28 @@
 	sock->ops.closed(sock->ctx, error);
 }
 
+/*
+ * True if the peer has closed the connection while a request was sent: it may
+ * have answered before. Reading such a socket ends with the received data.
+ */
+static bool may_hold_response(const gc_socket_t *sock)
+{
+	return sock->outgoing && sock->sent > 0 &&
+	       (sock->send_error == EPIPE || sock->send_error == ECONNRESET);
+}
+
 static void write_buffered(gc_socket_t *sock)
 {
 	gc_str_t data = {(const char *)sock->unsent->data, sock->unsent->len};
 	size_t n = try_write(sock, data);
 
 	if (sock->send_error != 0) {
-		report_closed(sock, sock->send_error);
+		/* The unsent bytes stay, which tells the owner that the
+		 * connection can't be used again. */
+		if (may_hold_response(sock))
+			update_flags(sock);
+		else
+			report_closed(sock, sock->send_error);
 		return;
 	}
 	g_byte_array_remove_range(sock->unsent, 0, (guint)n);
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -51,7 +51,11 @@
 /* Replaces the callbacks and their ctx. */
 void gc_socket_set_ops(gc_socket_t *sock, const gc_socket_ops_t *ops,
 		       void *ctx);
-/* Sends what the kernel accepts and buffers the rest. */
+/*
+ * Sends what the kernel accepts and buffers the rest. If the peer of an outgoing
+ * connection closes it before it has taken all, what it sent before is received
+ * first, and closed reports the error; the unsent bytes remain.
+ */
 void gc_socket_send(gc_socket_t *sock, gc_str_t data);
 /* Closes the sending side; call it when gc_socket_unsent_bytes is 0. */
 void gc_socket_shutdown_write(gc_socket_t *sock);
--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -11,6 +11,10 @@
 #include "regress/unit.h"
 
 #define CONNECT_TIMEOUT_MS 50
+/* More than the buffers of both sockets hold. */
+#define LONG_BODY_BYTES (32 << 20)
+/* Time to fill these buffers. */
+#define SEND_MS 100
 /* No call of these tests takes longer. */
 #define TEST_TIMEOUT_MS 3000
 
@@ -33,6 +37,7 @@
 static void end_test(test_t *test);
 static gc_call_t *start_call(test_t *test, size_t body_bytes);
 static void run_until_done(test_t *test);
+static void respond_early(test_t *test, const char *response);
 static void set_flag(void *ctx);
 static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
@@ -186,10 +191,76 @@
 }
 END_TEST
 
+/* The server answers a long request and closes without reading it. */
+static void respond_early(test_t *test, const char *response)
+{
+	bool sent = false;
+	gc_timer_t *timer =
+		gc_timer_create(test, test->timers, set_flag, &sent);
+	char buffer[1024];
+	int sock;
+
+	start_call(test, LONG_BODY_BYTES);
+	gc_timer_set(timer, SEND_MS);
+	while (!sent)
+		tevent_loop_once(test->ev);
+	gc_timer_destroy(timer);
+	sock = accept(test->listener, NULL, NULL);
+	ck_assert_int_ge(sock, 0);
+	ck_assert_int_gt(recv(sock, buffer, sizeof(buffer), 0), 0);
+	ck_assert_int_eq(send(sock, response, strlen(response), 0),
+			 (ssize_t)strlen(response));
+	close(sock);
+	run_until_done(test);
+}
+
+START_TEST(test_early_response_is_received)
+{
+	uint64_t state = 1;
+	test_t *test = start_test(&state);
+
+	respond_early(test, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+			    "Keep-Alive: timeout=5\r\n"
+			    "Content-Length: 2\r\n\r\nok");
+	ck_assert(test->completed);
+	ck_assert_str_eq(test->body->str, "ok");
+	/* The connection is not used again. */
+	start_call(test, 0);
+	ck_assert_uint_eq(gc_upstream_connections_made(test->upstream), 2);
+	end_test(test);
+}
+END_TEST
+
+/* Neither a truncated response nor one that ends with the connection counts as
+ * complete. */
+START_TEST(test_incomplete_early_response_fails)
+{
+	static const char *const responses[] = {
+		"",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		"Content-Length: 3\r\n\r\nok",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+
+		respond_early(test, responses[i]);
+		ck_assert(!test->completed);
+		ck_assert_int_eq(test->end, GC_END_BROKEN);
+		end_test(test);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_connect_during_stall,
+		test_early_response_is_received,
+		test_incomplete_early_response_fails,
 		NULL,
 	};
 
