--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -12,6 +12,8 @@
 #define DEFAULT_KEEP_ALIVE_MS 300
 /* Interval at which expired idle connections are closed. */
 #define IDLE_SWEEP_MS 1000
+/* Extension of a connect whose result was not read in time. */
+#define UNREAD_RECHECK_MS 20
 
 typedef struct conn conn_t;
 
@@ -36,6 +38,7 @@
 	gc_call_t *call; /* NULL while idle */
 	struct timespec idle_until;
 	bool connected;
+	bool connect_extended; /* its time, by UNREAD_RECHECK_MS */
 	bool idle;
 	bool in_callback;
 	bool closed;
@@ -114,11 +117,18 @@
 static conn_t *take_idle(gc_upstream_t *upstream, const gc_backend_t *backend)
 {
 	struct timespec now = gc_clock_now(upstream->conf.clock);
+	conn_t *next;
 
-	for (conn_t *conn = upstream->idle; conn; conn = conn->next) {
+	for (conn_t *conn = upstream->idle; conn; conn = next) {
+		next = conn->next;
 		if (conn->backend != backend ||
 		    gc_ms_between(now, conn->idle_until) <= 0)
 			continue;
+		/* The server's close or unsolicited bytes. */
+		if (gc_socket_has_unread(conn->sock)) {
+			close_conn(conn);
+			continue;
+		}
 		unlink_idle(conn);
 		return conn;
 	}
@@ -213,6 +223,12 @@
 {
 	conn_t *conn = ctx;
 
+	/* The daemon was stalled; the event loop reads the result first. */
+	if (!conn->connect_extended && gc_socket_has_unread(conn->sock)) {
+		conn->connect_extended = true;
+		gc_timer_set(conn->connect_timer, UNREAD_RECHECK_MS);
+		return;
+	}
 	conn->in_callback = true;
 	fail_call(conn, "connect timed out");
 	end_callback(conn);
@@ -403,6 +419,11 @@
 	gc_socket_set_paused(call->conn->sock, paused);
 }
 
+bool gc_call_has_unread(const gc_call_t *call)
+{
+	return gc_socket_has_unread(call->conn->sock);
+}
+
 uint64_t gc_upstream_connections_made(const gc_upstream_t *upstream)
 {
 	return upstream->connections_made;
