Find the parts of prompts that crash backend servers

Callers see sound streams end on one server after another: a stream whose server crashes is sent to the next one, which crashes too, and no daemon remembers what crashed a server. This module decides from crash reports which requests are not sent; nothing uses it yet.

--- /dev/null
+++ b/core/crash_suspects.c
@@ -0,0 +1,384 @@
+/* Parts of prompts under which backend servers crash. */
+#include <stdbool.h>
+
+#include "core/clock.h"
+#include "core/crash_suspects.h"
+
+/* Reports that contain a part before requests with it are refused. */
+#define MIN_REPORTS 3
+/* Reports before other daemons are told of a service, so that they don't count
+ * those reports. */
+#define MIN_REPORTS_TO_TELL 2
+/* Servers that crash within this time may have one cause that lies outside
+ * their prompts. */
+#define SAME_EVENT_MS 300
+#define REPORT_AGE_MS 600000
+/* Pause before and between trials of a refused part. */
+#define TRIAL_INTERVAL_MS 30000
+
+#define MAX_REPORTS 256
+#define MAX_SERVED  4096
+#define MAX_TRIALS  64
+
+typedef struct report {
+	gc_crash_report_t report;
+	struct timespec arrived;
+	uint64_t revision;
+	/* Bits by index in report.parts. */
+	uint32_t served_here; /* served by this daemon afterwards */
+	uint32_t served_elsewhere; /* as other daemons say */
+	uint32_t told; /* take_served has returned the part */
+} report_t;
+
+typedef struct served {
+	uint64_t part;
+	uint64_t revision;
+} served_t;
+
+typedef struct trial {
+	uint64_t part;
+	struct timespec at;
+	bool used;
+} trial_t;
+
+/* The reports that count for a part. */
+typedef struct evidence {
+	size_t n;
+	struct timespec newest; /* arrival */
+	/* Parts of all of these reports, without those that were served. */
+	gc_prompt_parts_t suspects;
+} evidence_t;
+
+struct gc_crash_suspects {
+	size_t rank;
+	size_t n_daemons;
+	report_t reports[MAX_REPORTS]; /* ring, oldest first */
+	size_t first_report;
+	size_t n_reports;
+	served_t served[MAX_SERVED]; /* ring, by other daemons */
+	size_t next_served;
+	size_t n_served;
+	trial_t trials[MAX_TRIALS];
+	/* A part was served since take_served last returned all. */
+	bool newly_served;
+};
+
+static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now);
+static report_t *report_at(gc_crash_suspects_t *suspects, size_t i);
+static int find_part(const gc_prompt_parts_t *parts, uint64_t part);
+static bool contains_all(const gc_prompt_parts_t *parts,
+			 const gc_prompt_parts_t *others);
+static bool is_same_event(const int64_t *at_ms, size_t n, int64_t other_ms);
+static evidence_t collect_evidence(gc_crash_suspects_t *suspects,
+				   uint64_t part);
+static gc_prompt_parts_t unserved_parts(const report_t *report);
+static void keep_common(gc_prompt_parts_t *parts,
+			const gc_prompt_parts_t *others);
+static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
+		       uint64_t part);
+static uint64_t served_revision(const gc_crash_suspects_t *suspects,
+				uint64_t part);
+static bool take_told(gc_crash_suspects_t *suspects, uint64_t part);
+
+gc_crash_suspects_t *gc_crash_suspects_create(TALLOC_CTX *mem)
+{
+	gc_crash_suspects_t *suspects = talloc_zero(mem, gc_crash_suspects_t);
+
+	suspects->n_daemons = 1;
+	return suspects;
+}
+
+void gc_crash_suspects_set_rank(gc_crash_suspects_t *suspects, size_t rank,
+				size_t n_daemons)
+{
+	suspects->rank = rank;
+	suspects->n_daemons = n_daemons > 0 ? n_daemons : 1;
+}
+
+void gc_crash_suspects_add_report(gc_crash_suspects_t *suspects,
+				  struct timespec now,
+				  const gc_crash_report_t *report,
+				  uint64_t revision)
+{
+	report_t *added;
+
+	drop_expired(suspects, now);
+	for (size_t i = 0; i < suspects->n_reports; i++)
+		if (report_at(suspects, i)->report.id == report->id)
+			return;
+	if (suspects->n_reports == MAX_REPORTS) {
+		suspects->first_report =
+			(suspects->first_report + 1) % MAX_REPORTS;
+		suspects->n_reports--;
+	}
+	added = report_at(suspects, suspects->n_reports++);
+	*added = (report_t){
+		.report = *report,
+		.arrived = now,
+		.revision = revision,
+	};
+	if (added->report.parts.n > GC_PROMPT_PARTS_MAX)
+		added->report.parts.n = GC_PROMPT_PARTS_MAX;
+	if (revision == 0)
+		return;
+	for (size_t i = 0; i < added->report.parts.n; i++)
+		if (served_revision(suspects, added->report.parts.ids[i]) >
+		    revision)
+			added->served_elsewhere |= 1U << i;
+}
+
+static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now)
+{
+	while (suspects->n_reports > 0 &&
+	       gc_ms_between(report_at(suspects, 0)->arrived, now) >=
+		       REPORT_AGE_MS) {
+		suspects->first_report =
+			(suspects->first_report + 1) % MAX_REPORTS;
+		suspects->n_reports--;
+	}
+}
+
+static report_t *report_at(gc_crash_suspects_t *suspects, size_t i)
+{
+	return &suspects->reports[(suspects->first_report + i) % MAX_REPORTS];
+}
+
+/* Index of the part, or -1. */
+static int find_part(const gc_prompt_parts_t *parts, uint64_t part)
+{
+	for (size_t i = 0; i < parts->n; i++)
+		if (parts->ids[i] == part)
+			return (int)i;
+	return -1;
+}
+
+static uint64_t served_revision(const gc_crash_suspects_t *suspects,
+				uint64_t part)
+{
+	for (size_t i = 0; i < suspects->n_served; i++)
+		if (suspects->served[i].part == part)
+			return suspects->served[i].revision;
+	return 0;
+}
+
+void gc_crash_suspects_add_served(gc_crash_suspects_t *suspects,
+				  struct timespec now, uint64_t part,
+				  uint64_t revision)
+{
+	served_t *entry = NULL;
+
+	drop_expired(suspects, now);
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		report_t *report = report_at(suspects, i);
+		int index = find_part(&report->report.parts, part);
+
+		if (index >= 0 &&
+		    (report->revision == 0 || revision > report->revision))
+			report->served_elsewhere |= 1U << index;
+	}
+	for (size_t i = 0; !entry && i < suspects->n_served; i++)
+		if (suspects->served[i].part == part)
+			entry = &suspects->served[i];
+	if (!entry) {
+		entry = &suspects->served[suspects->next_served];
+		suspects->next_served =
+			(suspects->next_served + 1) % MAX_SERVED;
+		if (suspects->n_served < MAX_SERVED)
+			suspects->n_served++;
+		*entry = (served_t){.part = part};
+	}
+	if (revision > entry->revision)
+		entry->revision = revision;
+}
+
+void gc_crash_suspects_record_served(gc_crash_suspects_t *suspects,
+				     struct timespec now,
+				     const gc_prompt_parts_t *parts)
+{
+	drop_expired(suspects, now);
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		report_t *report = report_at(suspects, i);
+
+		if (gc_us_between(report->arrived, now) <= 0)
+			continue;
+		for (size_t j = 0; j < parts->n; j++) {
+			int index =
+				find_part(&report->report.parts, parts->ids[j]);
+
+			if (index < 0 || report->served_here & (1U << index))
+				continue;
+			report->served_here |= 1U << index;
+			suspects->newly_served = true;
+		}
+	}
+}
+
+size_t gc_crash_suspects_take_served(gc_crash_suspects_t *suspects,
+				     struct timespec now, uint64_t *parts,
+				     size_t max)
+{
+	size_t n = 0;
+
+	if (!suspects->newly_served)
+		return 0;
+	drop_expired(suspects, now);
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		const report_t *report = report_at(suspects, i);
+
+		for (size_t j = 0; j < report->report.parts.n && n < max; j++)
+			if ((report->served_here & ~report->told) & (1U << j) &&
+			    take_told(suspects, report->report.parts.ids[j]))
+				parts[n++] = report->report.parts.ids[j];
+	}
+	suspects->newly_served = n == max;
+	return n;
+}
+
+/*
+ * True if the others must be told of the part's service, and marks it as told.
+ * They may count reports that this daemon doesn't, as the service was here.
+ */
+static bool take_told(gc_crash_suspects_t *suspects, uint64_t part)
+{
+	int64_t at_ms[MAX_REPORTS];
+	report_t *newest = NULL;
+	int newest_index = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		report_t *report = report_at(suspects, i);
+		int index = find_part(&report->report.parts, part);
+
+		if (index < 0 || report->served_elsewhere & (1U << index))
+			continue;
+		newest = report;
+		newest_index = index;
+		if (!is_same_event(at_ms, n, report->report.at_ms))
+			at_ms[n++] = report->report.at_ms;
+	}
+	if (n < MIN_REPORTS_TO_TELL ||
+	    !((newest->served_here & ~newest->told) & (1U << newest_index)))
+		return false;
+	newest->told |= 1U << newest_index;
+	return true;
+}
+
+static bool is_same_event(const int64_t *at_ms, size_t n, int64_t other_ms)
+{
+	for (size_t i = 0; i < n; i++)
+		if (other_ms >= at_ms[i] - SAME_EVENT_MS &&
+		    other_ms <= at_ms[i] + SAME_EVENT_MS)
+			return true;
+	return false;
+}
+
+gc_prompt_verdict_t gc_crash_suspects_judge(gc_crash_suspects_t *suspects,
+					    struct timespec now,
+					    const gc_prompt_parts_t *parts)
+{
+	/* Stands for all suspects of the request, so that the daemons agree on
+	 * who tries it. */
+	uint64_t key = UINT64_MAX;
+	struct timespec newest = {0};
+	bool blocked = false;
+
+	drop_expired(suspects, now);
+	if (suspects->n_reports < MIN_REPORTS)
+		return GC_PROMPT_SEND;
+	for (size_t i = 0; i < parts->n; i++) {
+		evidence_t evidence = collect_evidence(suspects, parts->ids[i]);
+
+		if (evidence.n < MIN_REPORTS ||
+		    !contains_all(parts, &evidence.suspects))
+			continue;
+		if (!blocked || gc_us_between(newest, evidence.newest) > 0)
+			newest = evidence.newest;
+		blocked = true;
+		for (size_t j = 0; j < evidence.suspects.n; j++)
+			if (evidence.suspects.ids[j] < key)
+				key = evidence.suspects.ids[j];
+	}
+	if (!blocked)
+		return GC_PROMPT_SEND;
+	if (gc_ms_between(newest, now) >= TRIAL_INTERVAL_MS &&
+	    key % suspects->n_daemons == suspects->rank &&
+	    take_trial(suspects, now, key))
+		return GC_PROMPT_TRY;
+	return GC_PROMPT_REFUSE;
+}
+
+static evidence_t collect_evidence(gc_crash_suspects_t *suspects, uint64_t part)
+{
+	int64_t at_ms[MAX_REPORTS];
+	evidence_t evidence = {0};
+
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		const report_t *report = report_at(suspects, i);
+		gc_prompt_parts_t unserved = unserved_parts(report);
+
+		if (find_part(&unserved, part) < 0 ||
+		    is_same_event(at_ms, evidence.n, report->report.at_ms))
+			continue;
+		if (evidence.n == 0)
+			evidence.suspects = unserved;
+		else
+			keep_common(&evidence.suspects, &unserved);
+		at_ms[evidence.n++] = report->report.at_ms;
+		evidence.newest = report->arrived;
+	}
+	return evidence;
+}
+
+/* The parts that this report counts for. */
+static gc_prompt_parts_t unserved_parts(const report_t *report)
+{
+	const gc_prompt_parts_t *parts = &report->report.parts;
+	gc_prompt_parts_t unserved = {.n = 0};
+
+	for (size_t i = 0; i < parts->n; i++)
+		if (!((report->served_here | report->served_elsewhere) &
+		      (1U << i)))
+			unserved.ids[unserved.n++] = parts->ids[i];
+	return unserved;
+}
+
+static void keep_common(gc_prompt_parts_t *parts,
+			const gc_prompt_parts_t *others)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < parts->n; i++)
+		if (find_part(others, parts->ids[i]) >= 0)
+			parts->ids[n++] = parts->ids[i];
+	parts->n = n;
+}
+
+static bool contains_all(const gc_prompt_parts_t *parts,
+			 const gc_prompt_parts_t *others)
+{
+	for (size_t i = 0; i < others->n; i++)
+		if (find_part(parts, others->ids[i]) < 0)
+			return false;
+	return true;
+}
+
+/* False if the part was tried recently or too many parts were. */
+static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
+		       uint64_t part)
+{
+	trial_t *free_trial = NULL;
+
+	for (size_t i = 0; i < MAX_TRIALS; i++) {
+		trial_t *trial = &suspects->trials[i];
+
+		if (!trial->used ||
+		    gc_ms_between(trial->at, now) >= TRIAL_INTERVAL_MS)
+			free_trial = trial;
+		else if (trial->part == part)
+			return false;
+	}
+	if (!free_trial)
+		return false;
+	*free_trial = (trial_t){.part = part, .at = now, .used = true};
+	return true;
+}
--- /dev/null
+++ b/regress/check_crash_suspects.c
@@ -0,0 +1,334 @@
+/*
+ * Load pattern: requests with one deadly part come at any daemon, and each
+ * crashes the server that answers it, together with sound streams there. Guards
+ * against such requests that go on to crash servers, and against sound requests
+ * that are refused because they share a part with deadly ones or were on servers
+ * that crashed for another reason.
+ */
+#include "core/crash_suspects.h"
+#include "regress/unit.h"
+
+/* Longer than the time within which crashes are one event. */
+#define APART_MS 400
+
+enum { COMMON = 100, DEADLY = 201, OTHER = 302 };
+
+static gc_crash_suspects_t *suspects;
+static uint64_t next_id;
+
+static gc_prompt_parts_t parts_of(uint64_t a, uint64_t b)
+{
+	gc_prompt_parts_t parts = {.ids = {a, b}, .n = b ? 2 : 1};
+
+	return parts;
+}
+
+static void start(void)
+{
+	talloc_free(suspects);
+	suspects = gc_crash_suspects_create(NULL);
+	next_id = 1;
+}
+
+/* The report's time of day is that of its arrival. */
+static void report(int64_t ms, uint64_t a, uint64_t b, uint64_t revision)
+{
+	gc_crash_report_t report = {
+		.id = next_id++,
+		.at_ms = 1000000 + ms,
+		.parts = parts_of(a, b),
+	};
+
+	gc_crash_suspects_add_report(suspects, unit_at(ms), &report, revision);
+}
+
+static void crash_three_times(uint64_t a, uint64_t b)
+{
+	for (int i = 0; i < 3; i++)
+		report(i * APART_MS, a, b, 0);
+}
+
+static gc_prompt_verdict_t judge(int64_t ms, uint64_t a, uint64_t b)
+{
+	gc_prompt_parts_t parts = parts_of(a, b);
+
+	return gc_crash_suspects_judge(suspects, unit_at(ms), &parts);
+}
+
+static void serve(int64_t ms, uint64_t a, uint64_t b)
+{
+	gc_prompt_parts_t parts = parts_of(a, b);
+
+	gc_crash_suspects_record_served(suspects, unit_at(ms), &parts);
+}
+
+START_TEST(test_third_crash_blocks)
+{
+	start();
+	report(0, DEADLY, 0, 0);
+	report(APART_MS, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_PROMPT_SEND);
+	report(2 * APART_MS, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1000, OTHER, DEADLY), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1000, OTHER, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_known_report_is_ignored)
+{
+	gc_crash_report_t same = {
+		.id = 7, .at_ms = 0, .parts = parts_of(DEADLY, 0)};
+
+	start();
+	for (int i = 0; i < 5; i++) {
+		same.at_ms = i * APART_MS;
+		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
+					     &same, (uint64_t)i);
+	}
+	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_mass_crash_counts_once)
+{
+	start();
+	for (int i = 0; i < 20; i++)
+		report(i * 15, COMMON, 0, 0);
+	ck_assert_int_eq(judge(400, COMMON, 0), GC_PROMPT_SEND);
+	report(301, COMMON, 0, 0);
+	ck_assert_int_eq(judge(400, COMMON, 0), GC_PROMPT_SEND);
+	report(602, COMMON, 0, 0);
+	ck_assert_int_eq(judge(700, COMMON, 0), GC_PROMPT_REFUSE);
+}
+END_TEST
+
+/* A late report belongs to the event of its time of day. */
+START_TEST(test_late_report_of_same_event_counts_once)
+{
+	gc_crash_report_t late = {.at_ms = 1000000,
+				  .parts = parts_of(COMMON, 0)};
+
+	start();
+	for (int i = 0; i < 4; i++) {
+		late.id = (uint64_t)i + 50;
+		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
+					     &late, 0);
+	}
+	ck_assert_int_eq(judge(3000, COMMON, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_request_without_all_suspects_is_sent)
+{
+	start();
+	crash_three_times(COMMON, DEADLY);
+	ck_assert_int_eq(judge(1000, COMMON, DEADLY), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, COMMON, 0), GC_PROMPT_SEND);
+	/* Nothing tells yet which of both is deadly. */
+	ck_assert_int_eq(judge(1000, DEADLY, OTHER), GC_PROMPT_SEND);
+	serve(1001, COMMON, OTHER);
+	ck_assert_int_eq(judge(1002, DEADLY, OTHER), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1002, COMMON, DEADLY), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1002, COMMON, OTHER), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_deadly_part_in_different_company)
+{
+	start();
+	report(0, COMMON, DEADLY, 0);
+	report(APART_MS, OTHER, DEADLY, 0);
+	report(2 * APART_MS, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(1000, DEADLY, 999), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_service_clears_only_earlier_reports)
+{
+	start();
+	crash_three_times(COMMON, 0);
+	/* Not later than the newest report. */
+	serve(2 * APART_MS, COMMON, 0);
+	report(3 * APART_MS, COMMON, 0, 0);
+	report(4 * APART_MS, COMMON, 0, 0);
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_REFUSE);
+	serve(2001, COMMON, 0);
+	ck_assert_int_eq(judge(2002, COMMON, 0), GC_PROMPT_SEND);
+	report(3000, COMMON, 0, 0);
+	report(4000, COMMON, 0, 0);
+	ck_assert_int_eq(judge(4001, COMMON, 0), GC_PROMPT_SEND);
+	report(5000, COMMON, 0, 0);
+	ck_assert_int_eq(judge(5001, COMMON, 0), GC_PROMPT_REFUSE);
+}
+END_TEST
+
+START_TEST(test_service_elsewhere_goes_by_revision)
+{
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		report((int64_t)i * APART_MS, COMMON, 0, 10 + i);
+	gc_crash_suspects_add_served(suspects, unit_at(1000), COMMON, 10);
+	ck_assert_int_eq(judge(1001, COMMON, 0), GC_PROMPT_REFUSE);
+	gc_crash_suspects_add_served(suspects, unit_at(1002), COMMON, 11);
+	ck_assert_int_eq(judge(1003, COMMON, 0), GC_PROMPT_SEND);
+	/* Read from the store after a service that came later. */
+	gc_crash_suspects_add_served(suspects, unit_at(1004), COMMON, 20);
+	for (uint64_t i = 0; i < 3; i++)
+		report(2000 + (int64_t)i * APART_MS, COMMON, 0, 17 + i);
+	ck_assert_int_eq(judge(4000, COMMON, 0), GC_PROMPT_SEND);
+	for (uint64_t i = 0; i < 3; i++)
+		report(5000 + (int64_t)i * APART_MS, COMMON, 0, 20 + i);
+	ck_assert_int_eq(judge(7000, COMMON, 0), GC_PROMPT_REFUSE);
+}
+END_TEST
+
+START_TEST(test_service_elsewhere_clears_local_reports)
+{
+	start();
+	crash_three_times(COMMON, 0);
+	gc_crash_suspects_add_served(suspects, unit_at(1000), COMMON, 1);
+	ck_assert_int_eq(judge(1001, COMMON, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_reports_expire)
+{
+	start();
+	crash_three_times(DEADLY, 0);
+	/* The owner of the trials is another daemon. */
+	gc_crash_suspects_set_rank(suspects, (DEADLY + 1) % 2, 2);
+	ck_assert_int_eq(judge(599999, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(600000, DEADLY, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_trial_every_30_s)
+{
+	start();
+	crash_three_times(DEADLY, 0);
+	ck_assert_int_eq(judge(30799, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(30800, DEADLY, 0), GC_PROMPT_TRY);
+	ck_assert_int_eq(judge(30801, DEADLY, 0), GC_PROMPT_REFUSE);
+	report(31500, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(61499, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(61500, DEADLY, 0), GC_PROMPT_TRY);
+	serve(62000, DEADLY, 0);
+	ck_assert_int_eq(judge(62001, DEADLY, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+START_TEST(test_one_daemon_tries)
+{
+	int n_tries = 0;
+
+	for (size_t rank = 0; rank < 5; rank++) {
+		start();
+		gc_crash_suspects_set_rank(suspects, rank, 5);
+		crash_three_times(COMMON, DEADLY);
+		n_tries += judge(40000, COMMON, DEADLY) == GC_PROMPT_TRY;
+	}
+	ck_assert_int_eq(n_tries, 1);
+	start();
+	gc_crash_suspects_set_rank(suspects, 0, 0);
+	crash_three_times(DEADLY, 0);
+	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_PROMPT_TRY);
+}
+END_TEST
+
+START_TEST(test_service_is_told_once_per_report)
+{
+	uint64_t told[4];
+
+	start();
+	report(0, COMMON, DEADLY, 0);
+	serve(10, COMMON, 0);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(11),
+							told, 4),
+			  0);
+	report(APART_MS, COMMON, DEADLY, 0);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(500),
+							told, 4),
+			  0);
+	serve(501, COMMON, OTHER);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(502),
+							told, 4),
+			  1);
+	ck_assert_uint_eq(told[0], COMMON);
+	serve(503, COMMON, OTHER);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(504),
+							told, 4),
+			  0);
+	report(1000, COMMON, DEADLY, 0);
+	serve(1001, COMMON, 0);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(1002),
+							told, 4),
+			  1);
+}
+END_TEST
+
+START_TEST(test_service_is_not_told_after_another_daemon)
+{
+	uint64_t told[4];
+
+	start();
+	report(0, COMMON, 0, 5);
+	report(APART_MS, COMMON, 0, 6);
+	serve(500, COMMON, 0);
+	gc_crash_suspects_add_served(suspects, unit_at(501), COMMON, 7);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(502),
+							told, 4),
+			  0);
+}
+END_TEST
+
+/* Memory is bounded; the newest reports and services stay. */
+START_TEST(test_oldest_go_first)
+{
+	start();
+	crash_three_times(DEADLY, 0);
+	for (int i = 0; i < 254; i++)
+		report(2000 + i, 5000 + (uint64_t)i, 0, 0);
+	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_PROMPT_SEND);
+	for (int i = 0; i < 3; i++)
+		report(3000 + i * APART_MS, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(4000, DEADLY, 0), GC_PROMPT_REFUSE);
+
+	start();
+	for (uint64_t i = 0; i < 5000; i++)
+		gc_crash_suspects_add_served(suspects, unit_at(0), 10000 + i,
+					     100);
+	for (uint64_t i = 0; i < 3; i++) {
+		report((int64_t)i * APART_MS, 10000, 0, 10 + i);
+		report((int64_t)i * APART_MS, 14999, 0, 10 + i);
+	}
+	ck_assert_int_eq(judge(1000, 10000, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1000, 14999, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
+int main(void)
+{
+	const TTest *const tests[] = {
+		test_third_crash_blocks,
+		test_known_report_is_ignored,
+		test_mass_crash_counts_once,
+		test_late_report_of_same_event_counts_once,
+		test_request_without_all_suspects_is_sent,
+		test_deadly_part_in_different_company,
+		test_service_clears_only_earlier_reports,
+		test_service_elsewhere_goes_by_revision,
+		test_service_elsewhere_clears_local_reports,
+		test_reports_expire,
+		test_trial_every_30_s,
+		test_one_daemon_tries,
+		test_service_is_told_once_per_report,
+		test_service_is_not_told_after_another_daemon,
+		test_oldest_go_first,
+		NULL,
+	};
+
+	return unit_run("crash_suspects", tests);
+}
