Don't send prompts that crash servers from one server to the next

What callers saw: sound streams broke off on one server after another, as each server that began to answer a certain prompt crashed, and its stream was sent to the next one. Cause: no daemon remembers what crashed a server.

Change: when a stream's connection breaks before its first event, the server is asked for its load. If it gives none, the shared parts of the prompt are recorded as suspects, and a stream with parts that have crashed servers three times is refused with 503 as not run (502 if it was sent). An event clears the parts of its prompt. Callbacks of the relay hand reports and services to whoever tells the other daemons; nothing is connected to them yet.

--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -64,6 +64,9 @@
 	/* Id of the part of a prompt that only its request or session has; empty
 	 * if there is none. */
 	gc_str_t (*prompt_id)(gc_str_t prompt);
+	/* Stores the ids of the other parts, at most max, and returns their
+	 * number. */
+	size_t (*shared_parts)(gc_str_t prompt, gc_str_t *ids, size_t max);
 	/* Tokens of a prompt and the most of its output; false if not given. */
 	bool (*read_token_counts)(gc_str_t header, int64_t *prompt,
 				  int64_t *output);
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -6,6 +6,7 @@
 #define GC_LIB_EXCHANGE_H
 
 #include "core/attempts.h"
+#include "core/crash_suspects.h"
 #include "core/event_sequencer.h"
 #include "core/silence.h"
 #include "lib/backend_query.h"
@@ -28,6 +29,9 @@
 	gc_str_t account; /* empty on an anonymous route */
 	gc_str_t id;
 	const gc_prompt_t *prompt; /* NULL if unknown */
+	gc_prompt_parts_t prompt_parts; /* empty if not a stream */
+	/* The next attempt finds out whether the prompt crashes servers. */
+	bool prompt_trial;
 	bool head_request; /* its method is HEAD */
 	struct timespec arrived;
 	int64_t deadline_ms; /* after arrival, set by the caller */
@@ -110,6 +114,18 @@
 /* Timer callback; ctx is the exchange. */
 void gc_exchange_on_copy_timer(void *ctx);
 
+/*
+ * Prompts that crash servers (exchange_crash.c). gc_exchange_check_prompt is
+ * to be called before each attempt; false: the prompt must not be sent, the
+ * request has ended and the exchange is freed. gc_exchange_check_crash is to be
+ * called when an attempt has failed, with its server still set.
+ */
+void gc_exchange_read_prompt_parts(gc_exchange_t *exchange);
+bool gc_exchange_check_prompt(gc_exchange_t *exchange);
+void gc_exchange_check_crash(gc_exchange_t *exchange, gc_attempt_end_t end);
+/* To be called at the first event of an attempt. */
+void gc_exchange_record_served(gc_exchange_t *exchange);
+
 /*
  * End of a request (exchange_end.c). All but gc_exchange_log_end free the
  * exchange. gc_exchange_give_up ends a request whose attempts failed: it
@@ -119,6 +135,8 @@
 void gc_exchange_give_up(gc_exchange_t *exchange, gc_retry_decision_t decision,
 			 gc_attempt_end_t end);
 void gc_exchange_respond(gc_exchange_t *exchange);
+/* Sends the refusal; no response has begun. */
+void gc_exchange_refuse(gc_exchange_t *exchange, const gc_refusal_t *refusal);
 /* No server has room for the stream. */
 void gc_exchange_refuse_overload(gc_exchange_t *exchange);
 void gc_exchange_log_end(const gc_exchange_t *exchange, gc_request_end_t end,
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -16,6 +16,8 @@
 static void end_without_time(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
+static void start_at(gc_exchange_t *exchange, gc_backend_t *backend,
+		     int64_t left_ms);
 static bool may_start(const gc_exchange_t *exchange,
 		      const gc_backend_t *backend);
 static void wait_for_room(gc_exchange_t *exchange);
@@ -33,6 +35,8 @@
 		end_without_time(exchange);
 		return;
 	}
+	if (!gc_exchange_check_prompt(exchange))
+		return;
 	if (exchange->resume_holder &&
 	    gc_backend_usable(exchange->resume_holder, now)) {
 		gc_exchange_start_attempt(exchange, exchange->resume_holder,
@@ -107,13 +111,21 @@
 	exchange->load_probe = NULL;
 	if (left_ms <= 0)
 		end_without_time(exchange);
-	else if (backend && !may_start(exchange, backend))
-		wait_for_room(exchange);
-	else if (backend)
+	else if (gc_exchange_check_prompt(exchange))
+		start_at(exchange, backend, left_ms);
+	gc_load_probe_destroy(probe);
+}
+
+/* backend: the best of those that reported their load, or NULL. */
+static void start_at(gc_exchange_t *exchange, gc_backend_t *backend,
+		     int64_t left_ms)
+{
+	if (!backend)
+		wait_for_server(exchange);
+	else if (may_start(exchange, backend))
 		gc_exchange_start_attempt(exchange, backend, left_ms);
 	else
-		wait_for_server(exchange);
-	gc_load_probe_destroy(probe);
+		wait_for_room(exchange);
 }
 
 /* What has begun goes before what is new: its caller has a part of it. */
--- /dev/null
+++ b/lib/exchange_crash.c
@@ -0,0 +1,187 @@
+/* Prompts that crash backend servers. */
+#include <xxhash.h>
+
+#include "lib/log.h"
+#include "lib/log_events.h"
+#include "lib/metrics.h"
+#include "lib/relay_private.h"
+
+/* Time for the load report of a server that closed a connection. */
+#define CRASH_QUERY_TIMEOUT_MS 300
+/* The verdict stays for minutes unless a trial succeeds. */
+#define UNSAFE_PROMPT_RETRY_AFTER_MS 30000
+/* Services that the other daemons are told of at once. */
+#define MAX_SHARED_SERVED 16
+
+/* Finds out whether a server crashed. */
+typedef struct crash_check {
+	gc_relay_t *relay;
+	gc_crash_report_t report;
+	gc_str_t request;
+	gc_str_t server;
+} crash_check_t;
+
+static bool is_suspect(const gc_exchange_t *exchange);
+static void refuse_prompt(gc_exchange_t *exchange);
+static void on_crash_check_done(void *ctx, int status, gc_str_t response,
+				gc_attempt_end_t end);
+static char *format_parts(const gc_prompt_parts_t *parts);
+
+void gc_exchange_read_prompt_parts(gc_exchange_t *exchange)
+{
+	const gc_adapter_t *adapter = exchange->relay->conf.adapter;
+	gc_prompt_parts_t *parts = &exchange->prompt_parts;
+	gc_str_t ids[GC_PROMPT_PARTS_MAX];
+	uint64_t seed = XXH64(exchange->service.data, exchange->service.len, 0);
+	size_t n = adapter->shared_parts(
+		gc_http_message_find_header(exchange->request,
+					    adapter->headers.prompt),
+		ids, GC_PROMPT_PARTS_MAX);
+
+	for (size_t i = 0; i < n; i++)
+		parts->ids[parts->n++] = XXH64(ids[i].data, ids[i].len, seed);
+}
+
+/* A prompt that has had an event doesn't crash servers. */
+static bool is_suspect(const gc_exchange_t *exchange)
+{
+	return exchange->prompt_parts.n > 0 && !exchange->head_sent &&
+	       !(exchange->prompt && exchange->prompt->resumed);
+}
+
+bool gc_exchange_check_prompt(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+
+	if (!is_suspect(exchange) || exchange->prompt_trial)
+		return true;
+	switch (gc_crash_suspects_judge(relay->crash_suspects,
+					gc_clock_now(relay->conf.clock),
+					&exchange->prompt_parts)) {
+	case GC_PROMPT_TRY:
+		exchange->prompt_trial = true;
+		return true;
+	case GC_PROMPT_REFUSE:
+		refuse_prompt(exchange);
+		return false;
+	case GC_PROMPT_SEND:
+		break;
+	}
+	return true;
+}
+
+static void refuse_prompt(gc_exchange_t *exchange)
+{
+	static const gc_refusal_t unsafe = {
+		.status = 503,
+		.code = "unsafe_prompt",
+		.message = "backend servers crashed under this prompt",
+		.retry_after_ms = UNSAFE_PROMPT_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+	g_autofree char *parts = format_parts(&exchange->prompt_parts);
+
+	gc_log(GC_LOG_WARNING, GC_EVENT_PROMPT_BLOCKED, "prompt blocked",
+	       "request", exchange->id.data, "parts", parts, NULL);
+	gc_counter_add(gc_counter("goldcrest_prompts_blocked_total",
+				  "Requests not sent because their prompt "
+				  "crashes servers.",
+				  NULL, NULL),
+		       1);
+	exchange->limit_reached = "prompt";
+	if (exchange->attempts.may_have_run)
+		gc_exchange_give_up(exchange, GC_DECISION_FAIL, GC_END_BROKEN);
+	else
+		gc_exchange_refuse(exchange, &unsafe);
+}
+
+void gc_exchange_record_served(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	uint64_t told[MAX_SHARED_SERVED];
+	size_t n;
+
+	gc_crash_suspects_record_served(relay->crash_suspects, now,
+					&exchange->prompt_parts);
+	n = gc_crash_suspects_take_served(relay->crash_suspects, now, told,
+					  MAX_SHARED_SERVED);
+	for (size_t i = 0; i < n; i++)
+		if (relay->conf.share_served)
+			relay->conf.share_served(relay->conf.share_ctx,
+						 told[i]);
+}
+
+void gc_exchange_check_crash(gc_exchange_t *exchange, gc_attempt_end_t end)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_backend_query_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.method = "GET",
+		.path = relay->conf.adapter->load_path,
+		.body = GC_STR_EMPTY,
+		.timeout_ms = CRASH_QUERY_TIMEOUT_MS,
+		.done = on_crash_check_done,
+	};
+	crash_check_t *check;
+
+	if (end != GC_END_BROKEN || !is_suspect(exchange))
+		return;
+	/* The exchange may end before the query. */
+	check = talloc_zero(relay, crash_check_t);
+	check->relay = relay;
+	check->report.id = relay->conf.random->next(relay->conf.random->ctx);
+	check->report.at_ms = g_get_real_time() / 1000;
+	check->report.parts = exchange->prompt_parts;
+	check->request = gc_str_dup(check, exchange->id);
+	check->server = gc_str_dup(check, gc_backend_id(exchange->backend));
+	conf.ctx = check;
+	gc_backend_query_start(relay, &conf, exchange->backend);
+}
+
+static void on_crash_check_done(void *ctx, int status, gc_str_t response,
+				gc_attempt_end_t end)
+{
+	crash_check_t *check = ctx;
+	gc_relay_t *relay = check->relay;
+	g_autofree char *parts = format_parts(&check->report.parts);
+
+	if (status == 0) {
+		gc_log(GC_LOG_WARNING, GC_EVENT_SERVER_CRASHED,
+		       "server crashed under a request", "request",
+		       check->request.data, "server", check->server.data,
+		       "parts", parts, NULL);
+		gc_relay_add_crash(relay, &check->report, 0);
+		if (relay->conf.share_crash)
+			relay->conf.share_crash(relay->conf.share_ctx,
+						&check->report);
+	}
+	talloc_free(check);
+}
+
+/* Comma-separated; free with g_free. */
+static char *format_parts(const gc_prompt_parts_t *parts)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < parts->n; i++)
+		g_string_append_printf(text, "%s%016" G_GINT64_MODIFIER "x",
+				       i > 0 ? "," : "", parts->ids[i]);
+	return g_string_free(text, FALSE);
+}
+
+void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
+			uint64_t revision)
+{
+	gc_crash_suspects_add_report(relay->crash_suspects,
+				     gc_clock_now(relay->conf.clock), report,
+				     revision);
+}
+
+void gc_relay_add_served(gc_relay_t *relay, uint64_t part, uint64_t revision)
+{
+	gc_crash_suspects_add_served(relay->crash_suspects,
+				     gc_clock_now(relay->conf.clock), part,
+				     revision);
+}
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -11,9 +11,6 @@
 #define OVERLOAD_RETRY_MIN_PERCENT 20
 #define OVERLOAD_RETRY_MAX_PERCENT 50
 
-static void refuse_request(gc_exchange_t *exchange,
-			   const gc_refusal_t *refusal);
-
 int64_t gc_exchange_elapsed_ms(const gc_exchange_t *exchange)
 {
 	return gc_ms_between(exchange->arrived,
@@ -55,10 +52,11 @@
 	    !gc_status_means_not_run(exchange->response_status))
 		gc_exchange_respond(exchange);
 	else if (decision == GC_DECISION_REFUSE)
-		refuse_request(exchange, &not_run);
+		gc_exchange_refuse(exchange, &not_run);
 	else
-		refuse_request(exchange, end == GC_END_TIMED_OUT ? &timed_out
-								 : &incomplete);
+		gc_exchange_refuse(exchange, end == GC_END_TIMED_OUT
+						     ? &timed_out
+						     : &incomplete);
 }
 
 bool gc_status_means_not_run(int status)
@@ -87,7 +85,7 @@
 	talloc_free(exchange);
 }
 
-static void refuse_request(gc_exchange_t *exchange, const gc_refusal_t *refusal)
+void gc_exchange_refuse(gc_exchange_t *exchange, const gc_refusal_t *refusal)
 {
 	gc_caller_conn_t *caller = exchange->caller;
 	gc_refusal_t final_refusal = *refusal;
@@ -118,7 +116,7 @@
 	};
 
 	exchange->limit_reached = "room";
-	refuse_request(exchange, &overloaded);
+	gc_exchange_refuse(exchange, &overloaded);
 }
 
 void gc_exchange_log_end(const gc_exchange_t *exchange, gc_request_end_t end,
@@ -169,8 +167,8 @@
 				    GC_END_TIMED_OUT);
 		return;
 	}
-	refuse_request(exchange,
-		       exchange->attempts.may_have_run || exchange->call
-			       ? &timed_out
-			       : &not_run);
+	gc_exchange_refuse(exchange,
+			   exchange->attempts.may_have_run || exchange->call
+				   ? &timed_out
+				   : &not_run);
 }
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -102,6 +102,7 @@
 			last.data ? g_strndup(last.data, last.len) : NULL;
 
 		exchange->prompt = create_prompt(exchange, text && *text);
+		gc_exchange_read_prompt_parts(exchange);
 		exchange->sequencer = gc_event_sequencer_create(
 			exchange, text && *text
 					  ? g_ascii_strtoll(text, NULL, 10)
@@ -174,6 +175,7 @@
 	exchange->attempt_started = now;
 	exchange->last_activity = now;
 	exchange->received_event = false;
+	exchange->prompt_trial = false;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
 	exchange->success = false;
@@ -425,6 +427,7 @@
 					exchange->silence_query);
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
+			gc_exchange_record_served(exchange);
 			gc_timer_set(exchange->inactivity_timer,
 				     inactivity_limit_ms(exchange));
 		}
@@ -568,6 +571,7 @@
 	       "status", status, "after_ms", after_ms, "events",
 	       exchange->received_event ? "yes" : "no", NULL);
 	gc_backend_record_failure(exchange->backend, now, end);
+	gc_exchange_check_crash(exchange, end);
 	gc_exchange_set_resume_copy(exchange);
 	release_attempt(exchange);
 	decision = gc_attempts_decide(&exchange->attempts, end, left_ms,
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -114,6 +114,7 @@
 	relay->conf = *conf;
 	relay->upstream = gc_upstream_create(relay, &upstream_conf);
 	relay->backends = gc_backends_create(relay, &backends_conf);
+	relay->crash_suspects = gc_crash_suspects_create(relay);
 	talloc_set_destructor(relay, relay_destructor);
 	return relay;
 }
@@ -133,6 +134,7 @@
 	rank = daemon_rank(relay);
 	gc_backends_sync(relay->backends, view->servers, view->n_servers,
 			 &rank);
+	gc_crash_suspects_set_rank(relay->crash_suspects, rank.all, rank.n_all);
 }
 
 static gc_daemon_rank_t daemon_rank(const gc_relay_t *relay)
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -11,6 +11,7 @@
 
 #include "core/backends.h"
 #include "core/clock.h"
+#include "core/crash_suspects.h"
 #include "core/placement.h"
 #include "lib/adapter.h"
 #include "lib/caller_listener.h"
@@ -38,11 +39,20 @@
 	double repeat_ratio; /* see gc_backends_conf_t */
 	uint32_t repeat_slack;
 	int64_t repeat_window_ms;
+	/* Tell the other daemons that a server crashed under a request, or that
+	 * a part of a prompt was served; may be NULL. */
+	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
+	void (*share_served)(void *ctx, uint64_t part);
+	void *share_ctx;
 } gc_relay_conf_t;
 
 gc_relay_t *gc_relay_create(TALLOC_CTX *mem, const gc_relay_conf_t *conf);
 /* Replaces the fleet view; takes a reference. */
 void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view);
+/* What other daemons say; see gc_crash_suspects_add_report. */
+void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
+			uint64_t revision);
+void gc_relay_add_served(gc_relay_t *relay, uint64_t part, uint64_t revision);
 /*
  * The daemon stops at `end`: from now on, requests whose time limit lies after
  * `end` are refused.
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -2,6 +2,7 @@
 #ifndef GC_LIB_RELAY_PRIVATE_H
 #define GC_LIB_RELAY_PRIVATE_H
 
+#include "core/crash_suspects.h"
 #include "lib/exchange.h"
 #include "lib/refusal.h"
 #include "lib/relay.h"
@@ -10,6 +11,7 @@
 	gc_relay_conf_t conf;
 	gc_upstream_t *upstream;
 	gc_backends_t *backends;
+	gc_crash_suspects_t *crash_suspects;
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	size_t n_exchanges;
--- a/regress/check_mutation.c
+++ b/regress/check_mutation.c
@@ -234,6 +234,8 @@
 	int64_t prompt;
 	int64_t output;
 	gc_str_t id = adapter->prompt_id(bytes);
+	gc_str_t ids[4];
+	size_t n_ids = adapter->shared_parts(bytes, ids, 4);
 
 	gc_routes_unref(adapter->read_routes(bytes, NULL));
 	adapter->read_server(mem, GC_STR_LIT("i"), bytes, &entry, NULL);
@@ -242,6 +244,8 @@
 	adapter->read_address_query(mem, bytes, &query);
 	adapter->read_token_counts(bytes, &prompt, &output);
 	ck_assert_uint_le(id.len, bytes.len);
+	for (size_t i = 0; i < n_ids; i++)
+		ck_assert_uint_le(ids[i].len, bytes.len);
 	talloc_free(mem);
 }
 
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -198,6 +198,30 @@
 }
 END_TEST
 
+/* The last part is the request's own. */
+START_TEST(test_shared_parts)
+{
+	const gc_adapter_t *adapter = &gc_platform_adapter;
+	gc_str_t ids[3];
+
+	ck_assert_uint_eq(
+		adapter->shared_parts(gc_str("aa:100, b:5,own:3"), ids, 3), 2);
+	ck_assert(gc_str_eq(ids[0], gc_str("aa")));
+	ck_assert(gc_str_eq(ids[1], gc_str("b")));
+	ck_assert_uint_eq(adapter->shared_parts(gc_str("own:3"), ids, 3), 0);
+	ck_assert_uint_eq(adapter->shared_parts(GC_STR_EMPTY, ids, 3), 0);
+	ck_assert_uint_eq(adapter->shared_parts((gc_str_t){NULL, 0}, ids, 3),
+			  0);
+	ck_assert_uint_eq(
+		adapter->shared_parts(gc_str(",x,:4,a:1,,own:3"), ids, 3), 1);
+	ck_assert(gc_str_eq(ids[0], gc_str("a")));
+	ck_assert_uint_eq(adapter->shared_parts(gc_str("a:1,b:2,c:3,d:4,e:5"),
+						ids, 3),
+			  3);
+	ck_assert(gc_str_eq(ids[2], gc_str("c")));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -208,6 +232,7 @@
 		test_load_report,
 		test_address_query_and_response,
 		test_copy_requests,
+		test_shared_parts,
 		NULL,
 	};
 
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -41,6 +41,9 @@
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
+A stream whose prompt shares a part with the id "dead" or "deadN" crashes an
+engine after 400 ms, when it begins to answer: it sends the head, aborts all
+connections, refuses new ones for 2 s and adds its id to crashes.log.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
 GET /stats returns the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
@@ -50,6 +53,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import sys
 import time
@@ -61,6 +65,8 @@
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.03
 PAUSE_S = 1
+CRASH_AFTER_S = 0.4
+RESTART_S = 2
 HEADER_PREFIX = "Goldcrestfield-"
 
 
@@ -76,6 +82,10 @@
         self.endless_bytes = []
         self.queued = 0
         self.kv_used = 0
+        self.ports_file = args[0]
+        self.listener = None
+        self.port = 0
+        self.writers = set()
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -107,12 +117,35 @@
             "body": request.body.decode("latin-1")}).encode() + b"\n"
         return wire.response(200, body, self.response_headers(request))
 
+    @staticmethod
+    def is_deadly(request):
+        prefix = request.headers.get(HEADER_PREFIX.lower() + "prompt-prefix",
+                                     "")
+        return any(re.match(r"dead\d*:", part.strip())
+                   for part in prefix.split(",")[:-1])
+
+    async def crash(self, writer):
+        await writer.drain()
+        with open("crashes.log", "a", encoding="ascii") as f:
+            f.write(f"{self.id}\n")
+        self.listener.close()
+        for other in self.writers:
+            other.transport.abort()
+        self.writers.clear()
+        asyncio.get_running_loop().call_later(
+            RESTART_S, lambda: asyncio.ensure_future(self.listen()))
+
+    async def listen(self):
+        self.listener, self.port = await wire.listen(
+            self.handle, self.ports_file, self.port)
+
     async def handle(self, request, reader, writer):
+        self.writers.add(writer)
         if request.path == "/stats":
             writer.write(wire.json_response(200, {
                 "runs": self.runs, "orders": self.copy_requests,
                 "abandoned": self.abandoned, "seen": self.seen,
-                "endless": self.endless_bytes}))
+                "endless": self.endless_bytes, "queued": self.queued}))
             return True
         if request.path == "/memory":
             self.kv_used = request.json()["used"]
@@ -228,6 +261,11 @@
         headers = self.response_headers(request, **{
             "Transfer-Encoding": "chunked",
             "Content-Type": "text/event-stream"})
+        if self.is_deadly(request):
+            await asyncio.sleep(CRASH_AFTER_S)
+            writer.write(wire.response_head(200, headers))
+            await self.crash(writer)
+            return False
         writer.write(wire.response_head(200, headers))
         disconnected = asyncio.ensure_future(reader.read(1))
         if behaviour in ("wait", "lost"):
@@ -296,7 +334,8 @@
 
 async def main():
     server = Server(sys.argv[1:])
-    _, port = await wire.listen(server.handle, sys.argv[1])
+    await server.listen()
+    port = server.port
     server.register(port)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
