Check crash suspects of a fleet with random requests

Sound requests are never refused for the company of a deadly part, deadly ones stop after at most four, and one daemon at a time tries them again.

--- /dev/null
+++ b/regress/prop_crash_suspects.cc
@@ -0,0 +1,169 @@
+/*
+ * Guards a fleet of daemons that tell each other of crashes against sound
+ * requests that are refused for the company of a deadly part, and against deadly
+ * requests that are sent on and on.
+ */
+#include <vector>
+
+#include <talloc.h>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "core/clock.h"
+#include "core/crash_suspects.h"
+}
+
+namespace
+{
+
+constexpr uint64_t DEADLY = 7;
+/* Longer than the time within which crashes are one event. */
+constexpr int64_t MIN_STEP_MS = 301;
+constexpr int64_t TRIAL_INTERVAL_MS = 30000;
+/* Crashes until the part is blocked, and one that tells it from its company. */
+constexpr int MAX_SENT = 4;
+
+struct Fleet {
+	TALLOC_CTX *mem = talloc_new(nullptr);
+	std::vector<gc_crash_suspects_t *> daemons;
+	int64_t now_ms = 0;
+	uint64_t revision = 0;
+
+	explicit Fleet(size_t n);
+	~Fleet()
+	{
+		talloc_free(mem);
+	}
+	struct timespec now() const
+	{
+		return gc_add_ms({1000, 0}, now_ms);
+	}
+	void crash(size_t daemon, const gc_prompt_parts_t &parts);
+	void serve(size_t daemon, const gc_prompt_parts_t &parts);
+};
+
+Fleet::Fleet(size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		daemons.push_back(gc_crash_suspects_create(mem));
+		gc_crash_suspects_set_rank(daemons[i], i, n);
+	}
+}
+
+void Fleet::crash(size_t daemon, const gc_prompt_parts_t &parts)
+{
+	gc_crash_report_t report = {++revision, now_ms, parts};
+
+	for (size_t i = 0; i < daemons.size(); i++)
+		gc_crash_suspects_add_report(daemons[i], now(), &report,
+					     i == daemon ? 0 : revision);
+}
+
+void Fleet::serve(size_t daemon, const gc_prompt_parts_t &parts)
+{
+	uint64_t told[GC_PROMPT_PARTS_MAX];
+	size_t n;
+
+	gc_crash_suspects_record_served(daemons[daemon], now(), &parts);
+	n = gc_crash_suspects_take_served(daemons[daemon], now(), told,
+					  GC_PROMPT_PARTS_MAX);
+	for (size_t i = 0; i < n; i++) {
+		RC_ASSERT(told[i] != DEADLY);
+		revision++;
+		for (gc_crash_suspects_t *other : daemons)
+			gc_crash_suspects_add_served(other, now(), told[i],
+						     revision);
+	}
+}
+
+gc_prompt_parts_t make_parts(uint64_t common, bool deadly)
+{
+	gc_prompt_parts_t parts = {};
+
+	parts.ids[parts.n++] = common;
+	if (deadly)
+		parts.ids[parts.n++] = DEADLY;
+	return parts;
+}
+
+void check_fleet()
+{
+	Fleet fleet(*rc::gen::inRange<size_t>(1, 6));
+	int n_steps = *rc::gen::inRange(1, 100);
+	int64_t last_trial_ms = -TRIAL_INTERVAL_MS;
+	int n_sent = 0;
+
+	/* Short of the time after which reports are forgotten. */
+	for (int i = 0; i < n_steps && fleet.now_ms < 580000; i++) {
+		size_t daemon =
+			*rc::gen::inRange<size_t>(0, fleet.daemons.size());
+		bool deadly = *rc::gen::arbitrary<bool>();
+		/* On both sides of the deadly part's id. */
+		gc_prompt_parts_t parts = make_parts(
+			*rc::gen::elementOf(std::vector<uint64_t>{3, 5, 11}),
+			deadly);
+		gc_prompt_verdict_t verdict;
+
+		fleet.now_ms += *rc::gen::inRange<int64_t>(MIN_STEP_MS, 16000);
+		verdict = gc_crash_suspects_judge(fleet.daemons[daemon],
+						  fleet.now(), &parts);
+		if (!deadly) {
+			RC_ASSERT(verdict == GC_PROMPT_SEND);
+			fleet.serve(daemon, parts);
+			continue;
+		}
+		if (verdict == GC_PROMPT_REFUSE)
+			continue;
+		if (verdict == GC_PROMPT_TRY) {
+			RC_ASSERT(fleet.now_ms - last_trial_ms >=
+				  TRIAL_INTERVAL_MS);
+			last_trial_ms = fleet.now_ms;
+		} else {
+			RC_ASSERT(++n_sent <= MAX_SENT);
+		}
+		fleet.crash(daemon, parts);
+	}
+}
+
+/* A part that is sound, but was in three crashes, is served again. */
+void check_wrong_verdict_ends()
+{
+	Fleet fleet(*rc::gen::inRange<size_t>(1, 6));
+	gc_prompt_parts_t parts =
+		make_parts(*rc::gen::inRange<uint64_t>(100, 200), false);
+	size_t trying = 0;
+	int n_tried = 0;
+
+	for (int i = 0; i < 3; i++) {
+		fleet.now_ms += MIN_STEP_MS;
+		fleet.crash(0, parts);
+	}
+	for (gc_crash_suspects_t *daemon : fleet.daemons)
+		RC_ASSERT(gc_crash_suspects_judge(daemon, fleet.now(),
+						  &parts) == GC_PROMPT_REFUSE);
+	fleet.now_ms += TRIAL_INTERVAL_MS;
+	for (size_t i = 0; i < fleet.daemons.size(); i++)
+		if (gc_crash_suspects_judge(fleet.daemons[i], fleet.now(),
+					    &parts) == GC_PROMPT_TRY) {
+			n_tried++;
+			trying = i;
+		}
+	RC_ASSERT(n_tried == 1);
+	fleet.serve(trying, parts);
+	for (gc_crash_suspects_t *daemon : fleet.daemons)
+		RC_ASSERT(gc_crash_suspects_judge(daemon, fleet.now(),
+						  &parts) == GC_PROMPT_SEND);
+}
+
+} // namespace
+
+int main()
+{
+	bool ok = true;
+
+	ok &= rc::check("sound requests are sent, deadly ones stop",
+			check_fleet);
+	ok &= rc::check("a wrong verdict ends", check_wrong_verdict_ends);
+	return ok ? 0 : 1;
+}
