Notice refused connections to servers at once

What callers saw: a request to a server whose process had died went on elsewhere only after the connect timeout of 250 ms, and a crash was known that much later. Cause: tevent's epoll backend reports an error of a descriptor only to those who wait to read, and a socket that connects waited to write.

--- a/lib/socket.c
+++ b/lib/socket.c
@@ -200,7 +200,8 @@
 {
 	uint16_t flags = 0;
 
-	if (!sock->paused && !sock->connecting)
+	/* tevent reports a failed connect only to those who wait to read. */
+	if (!sock->paused || sock->connecting)
 		flags |= TEVENT_FD_READ;
 	if (sock->connecting || sock->unsent)
 		flags |= TEVENT_FD_WRITE;
@@ -214,12 +215,14 @@
 	gc_socket_t *sock = ctx;
 
 	sock->in_callback = true;
-	if (sock->connecting)
+	if (sock->connecting) {
 		finish_connect(sock);
-	else if (flags & TEVENT_FD_WRITE)
-		write_buffered(sock);
-	if (!sock->destroyed && (flags & TEVENT_FD_READ))
-		read_available(sock);
+	} else {
+		if (flags & TEVENT_FD_WRITE)
+			write_buffered(sock);
+		if (!sock->destroyed && (flags & TEVENT_FD_READ))
+			read_available(sock);
+	}
 	sock->in_callback = false;
 	if (sock->destroyed)
 		talloc_free(sock);
--- a/regress/routed_faults.t
+++ b/regress/routed_faults.t
@@ -114,3 +114,14 @@
   1
   $ for s in app1 app2; do field $s endless; done | tr -d '[]' | tr ',' '\n' | awk 'NF { n++; big += $1 > 300000000 } END { print n, big }'
   13 0
+
+A server whose process has died refuses connections: requests go on elsewhere at
+once, not after the time for a connect.
+
+  $ start_server app3 app a; await grep -q '"message":"backend server ready".*app3' d1.log
+  $ kill -9 $app3_pid; wait $app3_pid 2>/dev/null
+  [137]
+  $ for i in $(seq 40); do status /look/ok; done | sort | uniq -c | sed 's/^ *//'
+  40 200
+  $ grep '"message":"attempt failed"' d1.log | grep '"server":"app3"' | grep -o 'Connection refused\|connect timed out' | sort -u
+  Connection refused
