Write and read notices on crashes in the store

Daemons must learn from each other within about a second which parts of prompts crash servers. lib/crash_notices writes reports and notices of service to the store under a lease of its own and reads those of others.

At most 16 keys of reports for each daemon, one call at a time, at most 32 notices in the queue, failed writes repeated with growing pauses for 10 s, so that an outage of the store costs few calls and no memory. The order is kept: a service before a crash must not follow its report in the store, as it would clear the part. A notice of service is left out only if another daemon's follows all reports on the part, including this daemon's own that are still on their way. A lease that the store doesn't know is replaced at once, but a new one only after a pause.

--- /dev/null
+++ b/lib/crash_notices.c
@@ -0,0 +1,607 @@
+/* Notices on prompts that crash servers: encoding, writing and reading. */
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "core/error.h"
+#include "lib/crash_notices.h"
+#include "lib/log.h"
+#include "lib/log_events.h"
+#include "lib/metrics.h"
+
+/* The store's longest lease. */
+#define LEASE_MS 600000
+/* A lease is used for new notices while at least this much of it is left. */
+#define LEASE_MIN_LEFT_MS (LEASE_MS / 2)
+/* Keys of this daemon's reports, which are written in turn. */
+#define MAX_REPORT_KEYS 16
+#define MAX_QUEUED	32
+/* A notice that was not written for so long is given up. */
+#define MAX_AGE_MS 10000
+/* Delay of a retry after a failed call; doubles up to the maximum. */
+#define RETRY_DELAY_MS	   200
+#define RETRY_MAX_DELAY_MS 1600
+/* All daemons that serve a suspected part find that out at about the same time.
+ * Each waits a random time up to this one for a notice of another daemon. */
+#define MAX_SERVED_DELAY_MS 200
+#define HEX_DIGITS	    16 /* of a 64-bit number */
+/* End of the year 9999: sums with times up to it don't overflow. */
+#define MAX_TIME_OF_DAY_MS INT64_C(253402300799999)
+
+/* A notice to be written. */
+typedef struct notice {
+	char *key;
+	char *value;
+	bool is_report;
+	uint64_t report_id;
+	uint64_t part; /* that was served */
+	struct timespec made;
+	struct timespec due; /* not written before */
+	uint64_t newest_revision; /* of all notices known when it was made */
+	bool needless; /* removed after the call in flight */
+} notice_t;
+
+/* The last report that was made for a key. */
+typedef struct own_report {
+	gc_crash_report_t report;
+	bool pending; /* not yet read from the store nor given up */
+} own_report_t;
+
+struct gc_crash_notices {
+	gc_crash_notices_conf_t conf;
+	GQueue queue; /* of notice_t, oldest first */
+	gc_timer_t *timer;
+	bool call_in_flight; /* for the head of the queue */
+	bool stopped;
+	struct timespec retry_at;
+	int64_t retry_delay_ms; /* after the next failure */
+	char *last_error; /* of the calls since the last success; NULL: none */
+	uint64_t lease; /* id; 0: none */
+	struct timespec lease_requested;
+	bool lease_unused; /* nothing was written under it yet */
+	uint64_t sequence; /* of the next report */
+	own_report_t own_reports[MAX_REPORT_KEYS];
+	uint64_t newest_revision; /* of the notices read */
+	gc_metric_t *store_calls;
+};
+
+static int notices_destructor(gc_crash_notices_t *notices);
+static notice_t *enqueue(gc_crash_notices_t *notices, int64_t delay_ms);
+static void discard_oldest(gc_crash_notices_t *notices);
+static void remove_notice(gc_crash_notices_t *notices, notice_t *notice);
+static void give_up(gc_crash_notices_t *notices, notice_t *notice,
+		    const char *reason);
+static own_report_t *find_own_report(gc_crash_notices_t *notices, uint64_t id);
+static void discard_needless(gc_crash_notices_t *notices);
+static void on_timer(void *ctx);
+static void start_next_call(gc_crash_notices_t *notices);
+static void call_store(gc_crash_notices_t *notices, notice_t *notice,
+		       struct timespec now);
+static void on_lease_granted(void *ctx, uint64_t id, const GError *err);
+static void on_written(void *ctx, uint64_t id, const GError *err);
+static void retry_later(gc_crash_notices_t *notices, const char *error);
+static void receive_report(gc_crash_notices_t *notices,
+			   const gc_store_item_t *item);
+static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
+			   const gc_store_item_t *item);
+static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
+				 uint64_t revision);
+static bool own_report_pending(const gc_crash_notices_t *notices,
+			       uint64_t part);
+static bool has_part(const gc_prompt_parts_t *parts, uint64_t part);
+static void log_invalid(gc_str_t key, const char *error);
+static char *encode_served(gc_str_t instance);
+static bool is_served_value(gc_str_t value);
+static json_t *encode_parts(const gc_prompt_parts_t *parts);
+static bool decode_parts(const json_t *json, gc_prompt_parts_t *parts,
+			 GError **err);
+static bool parse_hex(gc_str_t digits, uint64_t *number);
+static bool parse_hex_json(const json_t *json, uint64_t *number);
+static bool invalid(GError **err, const char *message);
+static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
+
+gc_crash_notices_t *gc_crash_notices_create(TALLOC_CTX *mem,
+					    const gc_crash_notices_conf_t *conf)
+{
+	gc_crash_notices_t *notices = talloc_zero(mem, gc_crash_notices_t);
+
+	notices->conf = *conf;
+	notices->retry_delay_ms = RETRY_DELAY_MS;
+	g_queue_init(&notices->queue);
+	notices->store_calls = gc_counter("goldcrest_store_calls_total",
+					  "Calls to the store.", NULL, NULL);
+	notices->timer =
+		gc_timer_create(notices, conf->timers, on_timer, notices);
+	talloc_set_destructor(notices, notices_destructor);
+	return notices;
+}
+
+void gc_crash_notices_destroy(gc_crash_notices_t *notices)
+{
+	talloc_free(notices);
+}
+
+static int notices_destructor(gc_crash_notices_t *notices)
+{
+	g_queue_clear(&notices->queue);
+	g_free(notices->last_error);
+	return 0;
+}
+
+void gc_crash_notices_stop(gc_crash_notices_t *notices)
+{
+	notice_t *notice;
+
+	notices->stopped = true;
+	gc_timer_stop(notices->timer);
+	while ((notice = g_queue_pop_head(&notices->queue)) != NULL)
+		talloc_free(notice);
+}
+
+void gc_crash_notices_share_report(gc_crash_notices_t *notices,
+				   const gc_crash_report_t *report)
+{
+	unsigned int number = notices->sequence % MAX_REPORT_KEYS;
+	g_autofree char *value = NULL;
+	notice_t *notice;
+
+	if (notices->stopped || report->parts.n == 0)
+		return;
+	notices->sequence++;
+	notices->own_reports[number] = (own_report_t){*report, true};
+	/* Those before it must not delay it. */
+	for (GList *link = notices->queue.head; link; link = link->next)
+		((notice_t *)link->data)->due =
+			gc_clock_now(notices->conf.clock);
+	value = gc_crash_notices_encode_report(report);
+	notice = enqueue(notices, 0);
+	notice->is_report = true;
+	notice->report_id = report->id;
+	notice->key =
+		talloc_asprintf(notice,
+				GC_CRASH_NOTICES_REPORTS_PREFIX "%.*s/%u",
+				GC_STR_ARG(notices->conf.instance), number);
+	notice->value = talloc_strdup(notice, value);
+	start_next_call(notices);
+}
+
+void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t part)
+{
+	const gc_random_t *random = notices->conf.random;
+	g_autofree char *value = NULL;
+	notice_t *notice;
+
+	if (notices->stopped)
+		return;
+	value = encode_served(notices->conf.instance);
+	notice = enqueue(notices, (int64_t)(random->next(random->ctx) %
+					    (MAX_SERVED_DELAY_MS + 1)));
+	notice->part = part;
+	notice->key = talloc_asprintf(notice,
+				      GC_CRASH_NOTICES_SERVED_PREFIX
+				      "%016" G_GINT64_MODIFIER "x",
+				      part);
+	notice->value = talloc_strdup(notice, value);
+	start_next_call(notices);
+}
+
+/* Appends a notice, whose key and value the caller sets. */
+static notice_t *enqueue(gc_crash_notices_t *notices, int64_t delay_ms)
+{
+	notice_t *notice = talloc_zero(notices, notice_t);
+
+	if (notices->queue.length == MAX_QUEUED)
+		discard_oldest(notices);
+	notice->made = gc_clock_now(notices->conf.clock);
+	notice->due = gc_add_ms(notice->made, delay_ms);
+	notice->newest_revision = notices->newest_revision;
+	g_queue_push_tail(&notices->queue, notice);
+	return notice;
+}
+
+/* The notice of the call in flight stays, as its answer refers to it. */
+static void discard_oldest(gc_crash_notices_t *notices)
+{
+	give_up(notices,
+		g_queue_peek_nth(&notices->queue,
+				 notices->call_in_flight ? 1 : 0),
+		"too many notices are waiting");
+}
+
+static void remove_notice(gc_crash_notices_t *notices, notice_t *notice)
+{
+	g_queue_remove(&notices->queue, notice);
+	talloc_free(notice);
+}
+
+static void give_up(gc_crash_notices_t *notices, notice_t *notice,
+		    const char *reason)
+{
+	own_report_t *own;
+
+	gc_log(GC_LOG_WARNING, GC_EVENT_NOTICE_NOT_WRITTEN,
+	       "can't write a notice to the store", "key", notice->key, "error",
+	       reason, NULL);
+	if (notice->is_report) {
+		own = find_own_report(notices, notice->report_id);
+		if (own)
+			own->pending = false;
+	}
+	remove_notice(notices, notice);
+}
+
+static own_report_t *find_own_report(gc_crash_notices_t *notices, uint64_t id)
+{
+	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
+		if (notices->own_reports[i].pending &&
+		    notices->own_reports[i].report.id == id)
+			return &notices->own_reports[i];
+	}
+	return NULL;
+}
+
+static void on_timer(void *ctx)
+{
+	start_next_call(ctx);
+}
+
+static void start_next_call(gc_crash_notices_t *notices)
+{
+	struct timespec now = gc_clock_now(notices->conf.clock);
+	notice_t *head;
+	int64_t wait_ms;
+	int64_t left_ms;
+
+	if (notices->stopped || notices->call_in_flight)
+		return;
+	discard_needless(notices);
+	while ((head = g_queue_peek_head(&notices->queue)) != NULL) {
+		left_ms = MAX_AGE_MS - gc_ms_between(head->made, now);
+		if (left_ms > 0)
+			break;
+		give_up(notices, head,
+			notices->last_error ? notices->last_error
+					    : "waited too long for others");
+	}
+	if (!head) {
+		gc_timer_stop(notices->timer);
+		return;
+	}
+	wait_ms = MAX(gc_ms_between(now, head->due),
+		      gc_ms_between(now, notices->retry_at));
+	if (wait_ms > 0)
+		gc_timer_set(notices->timer, MIN(wait_ms, left_ms));
+	else
+		call_store(notices, head, now);
+}
+
+static void discard_needless(gc_crash_notices_t *notices)
+{
+	GList *next;
+
+	for (GList *link = notices->queue.head; link; link = next) {
+		next = link->next;
+		if (((notice_t *)link->data)->needless)
+			remove_notice(notices, link->data);
+	}
+}
+
+/* Writes the notice, or first requests a lease for it. */
+static void call_store(gc_crash_notices_t *notices, notice_t *notice,
+		       struct timespec now)
+{
+	const gc_store_t *store = &notices->conf.store;
+
+	if (notices->lease != 0 &&
+	    gc_ms_between(notices->lease_requested, now) >
+		    LEASE_MS - LEASE_MIN_LEFT_MS)
+		notices->lease = 0;
+	notices->call_in_flight = true;
+	gc_counter_add(notices->store_calls, 1);
+	if (notices->lease == 0) {
+		notices->lease_requested = now;
+		store->ops->lease(store->store, LEASE_MS, on_lease_granted,
+				  notices);
+	} else {
+		store->ops->put(store->store, gc_str(notice->key),
+				gc_str(notice->value), notices->lease,
+				on_written, notices);
+	}
+}
+
+static void on_lease_granted(void *ctx, uint64_t id, const GError *err)
+{
+	gc_crash_notices_t *notices = ctx;
+
+	notices->call_in_flight = false;
+	if (notices->stopped)
+		return;
+	if (err || id == 0) {
+		retry_later(notices,
+			    err ? err->message : "no lease in the response");
+		return;
+	}
+	notices->lease = id;
+	notices->lease_unused = true;
+	start_next_call(notices);
+}
+
+static void on_written(void *ctx, uint64_t id, const GError *err)
+{
+	gc_crash_notices_t *notices = ctx;
+	bool lease_unused = notices->lease_unused;
+
+	notices->call_in_flight = false;
+	if (notices->stopped)
+		return;
+	if (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) {
+		notices->lease = 0;
+		/* A new lease that is unknown too must not cause calls without
+		 * a pause. */
+		if (!lease_unused) {
+			start_next_call(notices);
+			return;
+		}
+	}
+	if (err) {
+		retry_later(notices, err->message);
+		return;
+	}
+	notices->lease_unused = false;
+	notices->retry_delay_ms = RETRY_DELAY_MS;
+	g_clear_pointer(&notices->last_error, g_free);
+	remove_notice(notices, g_queue_peek_head(&notices->queue));
+	start_next_call(notices);
+}
+
+static void retry_later(gc_crash_notices_t *notices, const char *error)
+{
+	g_free(notices->last_error);
+	notices->last_error = g_strdup(error);
+	notices->retry_at = gc_add_ms(gc_clock_now(notices->conf.clock),
+				      notices->retry_delay_ms);
+	notices->retry_delay_ms =
+		MIN(notices->retry_delay_ms * 2, RETRY_MAX_DELAY_MS);
+	start_next_call(notices);
+}
+
+void gc_crash_notices_receive(gc_crash_notices_t *notices,
+			      const gc_store_item_t *item)
+{
+	gc_str_t rest;
+
+	if (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX, &rest))
+		receive_report(notices, item);
+	else if (strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest))
+		receive_served(notices, rest, item);
+	else
+		log_invalid(item->key, "no key of a notice");
+}
+
+static void receive_report(gc_crash_notices_t *notices,
+			   const gc_store_item_t *item)
+{
+	g_autoptr(GError) err = NULL;
+	gc_crash_report_t report;
+	own_report_t *own;
+
+	if (!gc_crash_notices_decode_report(item->value, &report, &err)) {
+		log_invalid(item->key, err->message);
+		return;
+	}
+	notices->newest_revision =
+		MAX(notices->newest_revision, item->revision);
+	own = find_own_report(notices, report.id);
+	if (own) {
+		own->pending = false;
+		/* The answer to its write may have been lost. */
+		for (GList *link = notices->queue.head; link;
+		     link = link->next) {
+			notice_t *notice = link->data;
+
+			if (notice->is_report && notice->report_id == report.id)
+				notice->needless = true;
+		}
+		start_next_call(notices);
+	}
+	notices->conf.on_report(notices->conf.ctx, &report, item->revision);
+}
+
+static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
+			   const gc_store_item_t *item)
+{
+	uint64_t part;
+
+	if (!parse_hex(digits, &part)) {
+		log_invalid(item->key, "the part is not 16 hex digits");
+		return;
+	}
+	if (!is_served_value(item->value)) {
+		log_invalid(item->key, "instance must be a string");
+		return;
+	}
+	notices->newest_revision =
+		MAX(notices->newest_revision, item->revision);
+	mark_served_needless(notices, part, item->revision);
+	notices->conf.on_served(notices->conf.ctx, part, item->revision);
+}
+
+/*
+ * A notice in the store makes one that waits needless if it follows all reports
+ * on the part: those that were known when the waiting one was made, and this
+ * daemon's own, which may still be on their way to the store.
+ */
+static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
+				 uint64_t revision)
+{
+	if (own_report_pending(notices, part))
+		return;
+	for (GList *link = notices->queue.head; link; link = link->next) {
+		notice_t *notice = link->data;
+
+		if (!notice->is_report && notice->part == part &&
+		    revision > notice->newest_revision)
+			notice->needless = true;
+	}
+	start_next_call(notices);
+}
+
+static bool own_report_pending(const gc_crash_notices_t *notices, uint64_t part)
+{
+	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
+		const own_report_t *own = &notices->own_reports[i];
+
+		if (own->pending && has_part(&own->report.parts, part))
+			return true;
+	}
+	return false;
+}
+
+static bool has_part(const gc_prompt_parts_t *parts, uint64_t part)
+{
+	for (size_t i = 0; i < parts->n; i++) {
+		if (parts->ids[i] == part)
+			return true;
+	}
+	return false;
+}
+
+static void log_invalid(gc_str_t key, const char *error)
+{
+	g_autofree char *name = g_strndup(key.data, key.len);
+
+	gc_log(GC_LOG_WARNING, GC_EVENT_NOTICE_INVALID,
+	       "notice in the store is invalid", "key", name, "error", error,
+	       NULL);
+}
+
+char *gc_crash_notices_encode_report(const gc_crash_report_t *report)
+{
+	g_autofree char *id =
+		g_strdup_printf("%016" G_GINT64_MODIFIER "x", report->id);
+	json_t *json = json_pack("{s:s,s:I,s:o}", "id", id, "at_ms",
+				 (json_int_t)report->at_ms, "parts",
+				 encode_parts(&report->parts));
+	char *text = json_dumps(json, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(json);
+	return copy;
+}
+
+static json_t *encode_parts(const gc_prompt_parts_t *parts)
+{
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < parts->n; i++) {
+		g_autofree char *id = g_strdup_printf(
+			"%016" G_GINT64_MODIFIER "x", parts->ids[i]);
+
+		json_array_append_new(list, json_string(id));
+	}
+	return list;
+}
+
+bool gc_crash_notices_decode_report(gc_str_t value, gc_crash_report_t *report,
+				    GError **err)
+{
+	json_t *json = json_loadb(value.data, value.len, 0, NULL);
+	const json_t *at_ms = json_object_get(json, "at_ms");
+	bool valid = false;
+
+	*report = (gc_crash_report_t){.at_ms = json_integer_value(at_ms)};
+	if (!json_is_object(json))
+		invalid(err, "not a JSON object");
+	else if (!parse_hex_json(json_object_get(json, "id"), &report->id))
+		invalid(err, "id must be a string of 16 hex digits");
+	else if (!json_is_integer(at_ms) || report->at_ms < 0 ||
+		 report->at_ms > MAX_TIME_OF_DAY_MS)
+		invalid(err, "at_ms must be a time of day in ms");
+	else
+		valid = decode_parts(json_object_get(json, "parts"),
+				     &report->parts, err);
+	json_decref(json);
+	return valid;
+}
+
+static bool decode_parts(const json_t *json, gc_prompt_parts_t *parts,
+			 GError **err)
+{
+	size_t i;
+	json_t *id;
+
+	if (!json_is_array(json) || json_array_size(json) == 0 ||
+	    json_array_size(json) > GC_PROMPT_PARTS_MAX)
+		return invalid(err, "parts must be a list of 1 to " G_STRINGIFY(
+					    GC_PROMPT_PARTS_MAX) " strings");
+	json_array_foreach (json, i, id) {
+		if (!parse_hex_json(id, &parts->ids[i]))
+			return invalid(
+				err,
+				"a part must be a string of 16 hex digits");
+	}
+	parts->n = json_array_size(json);
+	return true;
+}
+
+static bool parse_hex_json(const json_t *json, uint64_t *number)
+{
+	return json_is_string(json) &&
+	       parse_hex((gc_str_t){json_string_value(json),
+				    json_string_length(json)},
+			 number);
+}
+
+/* Only lower-case digits, so that each part has one key. */
+static bool parse_hex(gc_str_t digits, uint64_t *number)
+{
+	*number = 0;
+	if (digits.len != HEX_DIGITS)
+		return false;
+	for (size_t i = 0; i < digits.len; i++) {
+		if (!g_ascii_isxdigit(digits.data[i]) ||
+		    g_ascii_isupper(digits.data[i]))
+			return false;
+		*number = *number << 4 |
+			  (uint64_t)g_ascii_xdigit_value(digits.data[i]);
+	}
+	return true;
+}
+
+static char *encode_served(gc_str_t instance)
+{
+	json_t *json = json_pack("{s:s#}", "instance", instance.data,
+				 (int)instance.len);
+	char *text = json_dumps(json, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(json);
+	return copy;
+}
+
+static bool is_served_value(gc_str_t value)
+{
+	json_t *json = json_loadb(value.data, value.len, 0, NULL);
+	bool valid = json_is_string(json_object_get(json, "instance"));
+
+	json_decref(json);
+	return valid;
+}
+
+static bool invalid(GError **err, const char *message)
+{
+	gc_error_set(err, GC_ERR_INVALID, "read notice", "store", "%s",
+		     message);
+	return false;
+}
+
+static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
+{
+	size_t len = strlen(prefix);
+
+	if (key.len < len || memcmp(key.data, prefix, len) != 0)
+		return false;
+	*rest = (gc_str_t){key.data + len, key.len - len};
+	return true;
+}
--- /dev/null
+++ b/lib/crash_notices.h
@@ -0,0 +1,68 @@
+/*
+ * Exchanges notices on prompts that crash backend servers with the other
+ * daemons, through the store. Belongs to the control thread.
+ */
+#ifndef GC_LIB_CRASH_NOTICES_H
+#define GC_LIB_CRASH_NOTICES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "core/clock.h"
+#include "core/crash_suspects.h"
+#include "core/placement.h"
+#include "core/str.h"
+#include "lib/store.h"
+#include "lib/timer.h"
+
+/* Key of a crash report: this prefix, the daemon's name, "/" and a number. */
+#define GC_CRASH_NOTICES_REPORTS_PREFIX "goldcrest/crashes/"
+/* Key of a notice that a part was served: this prefix and the part. */
+#define GC_CRASH_NOTICES_SERVED_PREFIX "goldcrest/served/"
+
+typedef struct gc_crash_notices gc_crash_notices_t;
+
+typedef struct gc_crash_notices_conf {
+	gc_timers_t *timers;
+	const gc_clock_t *clock;
+	const gc_random_t *random;
+	gc_store_t store;
+	gc_str_t instance; /* name of this daemon */
+	/* Called for each valid notice in the store, including this daemon's. */
+	void (*on_report)(void *ctx, const gc_crash_report_t *report,
+			  uint64_t revision);
+	void (*on_served)(void *ctx, uint64_t part, uint64_t revision);
+	void *ctx;
+} gc_crash_notices_conf_t;
+
+gc_crash_notices_t *
+gc_crash_notices_create(TALLOC_CTX *mem, const gc_crash_notices_conf_t *conf);
+/* The store must not answer a call of the notices afterwards. */
+void gc_crash_notices_destroy(gc_crash_notices_t *notices);
+/*
+ * Write a notice to the store, in the order of the calls. Failed writes are
+ * repeated for 10 s. A report without parts is not written.
+ */
+void gc_crash_notices_share_report(gc_crash_notices_t *notices,
+				   const gc_crash_report_t *report);
+/* Not written if another notice on the part comes from the store first. */
+void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t part);
+/*
+ * Reads an item under one of the prefixes, which must not be a deletion. An
+ * invalid one is logged and otherwise ignored.
+ */
+void gc_crash_notices_receive(gc_crash_notices_t *notices,
+			      const gc_store_item_t *item);
+/* Nothing is written any more. */
+void gc_crash_notices_stop(gc_crash_notices_t *notices);
+
+/* The value of a report in the store. Free with g_free. */
+char *gc_crash_notices_encode_report(const gc_crash_report_t *report);
+/* Errors: GC_ERR_INVALID. */
+bool gc_crash_notices_decode_report(gc_str_t value, gc_crash_report_t *report,
+				    GError **err);
+
+#endif
