Hand notices on crashes from the store to the daemon

The fleet passes items under the two prefixes to a callback, from lists, watches and peers alike; the change log and the peers' protocol carry any key. Deletions are the ends of leases and are left out. No view is published for a notice: it changes neither routes nor registries.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -3,6 +3,7 @@
 
 #include "core/change_source.h"
 #include "core/error.h"
+#include "lib/crash_notices.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
@@ -70,6 +71,7 @@
 			 const gc_store_item_t *item);
 static void apply_daemon(gc_fleet_t *fleet, gc_str_t id,
 			 const gc_store_item_t *item);
+static bool is_notice(const gc_store_item_t *item);
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
 static void advance_confirmed(gc_fleet_t *fleet, struct timespec at);
 static void on_expiry(void *ctx);
@@ -413,9 +415,21 @@
 		apply_daemon(fleet, id, item);
 		return true;
 	}
+	if (is_notice(item) && fleet->conf.notice)
+		fleet->conf.notice(fleet->conf.ctx, item);
 	return false;
 }
 
+static bool is_notice(const gc_store_item_t *item)
+{
+	gc_str_t rest;
+
+	return !item->deleted &&
+	       (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX,
+			     &rest) ||
+		strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest));
+}
+
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
 {
 	size_t len = strlen(prefix);
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -64,6 +64,12 @@
 	 * older view would admit revoked keys.
 	 */
 	void (*on_confirmed)(void *ctx, int64_t at_ms);
+	/*
+	 * Called with each item that is written under the prefixes of
+	 * lib/crash_notices.h. Their keys end with a lease, so deletions say
+	 * nothing and are left out. May be NULL.
+	 */
+	void (*notice)(void *ctx, const gc_store_item_t *item);
 	void *ctx;
 } gc_fleet_conf_t;
 
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "lib/fleet.h"
+#include "lib/peers_watch.h"
 #include "platform/platform.h"
 #include "regress/unit.h"
 
@@ -28,6 +29,11 @@
 	struct tevent_context *ev;
 	uint64_t seed;
 	gc_random_t random;
+	unsigned int n_views;
+	unsigned int n_notices;
+	char notice_key[48]; /* of the last one */
+	char notice_value[16];
+	uint64_t notice_revision;
 } fake_t;
 
 static void start_call(fake_t *fake, gc_store_items_done_t done, void *ctx)
@@ -83,6 +89,7 @@
 {
 	fake_t *fake = ctx;
 
+	fake->n_views++;
 	fake->confirmed_at_publish = atomic_load(&fake->confirmed);
 	if (view->routes)
 		fake->version = gc_routes_version(view->routes);
@@ -96,6 +103,18 @@
 	fake->last_confirmed = at_ms;
 }
 
+static void on_notice(void *ctx, const gc_store_item_t *item)
+{
+	fake_t *fake = ctx;
+
+	fake->n_notices++;
+	g_strlcpy(fake->notice_key, "", sizeof(fake->notice_key));
+	strncat(fake->notice_key, item->key.data, item->key.len);
+	g_strlcpy(fake->notice_value, "", sizeof(fake->notice_value));
+	strncat(fake->notice_value, item->value.data, item->value.len);
+	fake->notice_revision = item->revision;
+}
+
 static void respond(fake_t *fake, uint64_t revision, const char *config)
 {
 	gc_store_item_t item = {GC_STR_LIT("op/config"), gc_str(config),
@@ -122,6 +141,7 @@
 		.confirmed = &fake->confirmed,
 		.publish = on_view,
 		.on_confirmed = on_confirmed,
+		.notice = on_notice,
 		.ctx = fake,
 	};
 
@@ -240,6 +260,70 @@
 }
 END_TEST
 
+static void respond_item(fake_t *fake, const char *key, const char *value,
+			 uint64_t revision, uint64_t store_revision)
+{
+	gc_store_item_t item = {gc_str(key), gc_str(value), revision, !value};
+	gc_store_items_t items = {
+		.items = &item, .n = 1, .revision = store_revision};
+
+	fake->now_ms += 1000;
+	fake->done(fake->ctx, &items, NULL);
+}
+
+/* The next call starts after a pause. */
+static void wait_for_watch(fake_t *fake, uint64_t after)
+{
+	while (fake->watched_after != after)
+		tevent_loop_once(fake->ev);
+}
+
+/*
+ * Notices on crashes reach this daemon and, through it, those that watch it. A
+ * view for each of them would be work for the traffic thread without a change.
+ */
+START_TEST(test_notices_are_handed_on_without_a_view)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+	gc_fleet_t *fleet = start(mem, &fake, &clock);
+	g_autofree char *response = NULL;
+	unsigned int n_views;
+
+	/* In the first list: the item's revision, not the list's. */
+	respond_item(&fake, "goldcrest/crashes/d2/15", "first", 3, 5);
+	ck_assert_uint_eq(fake.n_notices, 1);
+	ck_assert_str_eq(fake.notice_key, "goldcrest/crashes/d2/15");
+	ck_assert_str_eq(fake.notice_value, "first");
+	ck_assert_uint_eq(fake.notice_revision, 3);
+	n_views = fake.n_views;
+	respond_item(&fake, "goldcrest/served/00000000000000aa", "{}", 7, 8);
+	ck_assert_uint_eq(fake.n_notices, 2);
+	ck_assert_str_eq(fake.notice_key, "goldcrest/served/00000000000000aa");
+	ck_assert_uint_eq(fake.notice_revision, 7);
+	/* A key that is written again is a new notice. */
+	wait_for_watch(&fake, 8);
+	respond_item(&fake, "goldcrest/crashes/d2/15", "second", 9, 9);
+	ck_assert_uint_eq(fake.n_notices, 3);
+	ck_assert_str_eq(fake.notice_value, "second");
+	ck_assert_uint_eq(fake.notice_revision, 9);
+	response = gc_peers_watch_response(gc_fleet_change_log(fleet), 5, 0);
+	ck_assert_ptr_nonnull(response);
+	ck_assert_ptr_nonnull(
+		strstr(response, "goldcrest/served/00000000000000aa"));
+	ck_assert_ptr_nonnull(strstr(response, "goldcrest/crashes/d2/15"));
+	wait_for_watch(&fake, 9);
+	respond_item(&fake, "goldcrest/crashes/d2/15", NULL, 10, 10);
+	/* Keys beside the prefixes are none. */
+	wait_for_watch(&fake, 10);
+	respond_item(&fake, "goldcrest/crashes", "x", 11, 11);
+	ck_assert_uint_eq(fake.n_notices, 3);
+	ck_assert_uint_eq(fake.n_views, n_views);
+	talloc_free(mem);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -247,6 +331,7 @@
 		test_confirmed_time_of_an_idle_watch,
 		test_older_version_is_ignored,
 		test_list_goes_on_at_the_page_that_failed,
+		test_notices_are_handed_on_without_a_view,
 		NULL,
 	};
 
