Pass notices on crashes between the two threads

The traffic thread finds crashes, the control thread talks to the store. Notices cross by the two mailboxes, which keep their order, in GLib memory as talloc is not thread-safe. A stopping daemon writes none.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -10,6 +10,7 @@
 #include "core/error.h"
 #include "goldcrestd.h"
 #include "lib/control_listener.h"
+#include "lib/crash_notices.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
@@ -33,6 +34,7 @@
 	gc_mailbox_t *mailbox;
 	gc_httpc_t *http;
 	gc_peers_watch_t *peers;
+	gc_crash_notices_t *notices;
 	gc_fleet_t *fleet;
 	gc_control_listener_t *control_listener;
 	gc_routed_traffic_t *traffic;
@@ -46,6 +48,15 @@
 static bool start(routed_daemon_t *daemon, GError **err);
 static bool start_control_listener(routed_daemon_t *daemon, GError **err);
 static void start_fleet(routed_daemon_t *daemon);
+static void start_notices(routed_daemon_t *daemon, gc_store_t store);
+static void share_crash(void *ctx, const gc_crash_report_t *report);
+static void handle_share_crash(void *ctx, void *message);
+static void share_served(void *ctx, uint64_t part);
+static void handle_share_served(void *ctx, void *message);
+static void on_notice(void *ctx, const gc_store_item_t *item);
+static void on_crash(void *ctx, const gc_crash_report_t *report,
+		     uint64_t revision);
+static void on_served(void *ctx, uint64_t part, uint64_t revision);
 static void publish(void *ctx, gc_fleet_view_t *view);
 static void on_confirmed(void *ctx, int64_t at_ms);
 static void init_log(const routed_daemon_t *daemon);
@@ -114,6 +125,9 @@
 		.adapter = &gc_platform_adapter,
 		.clock = &gc_clock_system,
 		.seed = random_seed(),
+		.share_crash = share_crash,
+		.share_served = share_served,
+		.share_ctx = daemon,
 	};
 
 	signal(SIGPIPE, SIG_IGN);
@@ -164,6 +178,7 @@
 		.confirmed = &daemon->confirmed,
 		.publish = publish,
 		.on_confirmed = on_confirmed,
+		.notice = on_notice,
 		.ctx = daemon,
 	};
 
@@ -182,9 +197,85 @@
 	conf.peers = daemon->peers;
 	conf.store = gc_platform_store(daemon, daemon->http, settings->store,
 				       (long)times.store_timeout);
+	start_notices(daemon, conf.store);
 	daemon->fleet = gc_fleet_create(daemon, &conf);
 }
 
+static void start_notices(routed_daemon_t *daemon, gc_store_t store)
+{
+	gc_crash_notices_conf_t conf = {
+		.timers = daemon->timers,
+		.clock = &gc_clock_system,
+		.random = &daemon->random,
+		.store = store,
+		.instance = gc_str(daemon->settings->instance),
+		.on_report = on_crash,
+		.on_served = on_served,
+		.ctx = daemon,
+	};
+
+	daemon->notices = gc_crash_notices_create(daemon, &conf);
+}
+
+/* Called in the traffic thread. */
+static void share_crash(void *ctx, const gc_crash_report_t *report)
+{
+	routed_daemon_t *daemon = ctx;
+	gc_crash_report_t *message = g_new(gc_crash_report_t, 1);
+
+	*message = *report;
+	gc_mailbox_post(daemon->mailbox, handle_share_crash, message);
+}
+
+static void handle_share_crash(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_crash_notices_share_report(daemon->notices, message);
+	g_free(message);
+}
+
+/* Called in the traffic thread. */
+static void share_served(void *ctx, uint64_t part)
+{
+	routed_daemon_t *daemon = ctx;
+	uint64_t *message = g_new(uint64_t, 1);
+
+	*message = part;
+	gc_mailbox_post(daemon->mailbox, handle_share_served, message);
+}
+
+static void handle_share_served(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+	uint64_t *part = message;
+
+	gc_crash_notices_share_served(daemon->notices, *part);
+	g_free(part);
+}
+
+static void on_notice(void *ctx, const gc_store_item_t *item)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_crash_notices_receive(daemon->notices, item);
+}
+
+static void on_crash(void *ctx, const gc_crash_report_t *report,
+		     uint64_t revision)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_add_crash(daemon->traffic, report, revision);
+}
+
+static void on_served(void *ctx, uint64_t part, uint64_t revision)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_add_served(daemon->traffic, part, revision);
+}
+
 static void publish(void *ctx, gc_fleet_view_t *view)
 {
 	routed_daemon_t *daemon = ctx;
@@ -238,6 +329,7 @@
 	gc_log(GC_LOG_INFO, GC_EVENT_STOPPING, "stopping", NULL);
 	gc_control_listener_set_stopping(daemon->control_listener);
 	gc_fleet_unregister(daemon->fleet);
+	gc_crash_notices_stop(daemon->notices);
 	gc_routed_traffic_stop(daemon->traffic, on_traffic_stopped, daemon);
 }
 
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -27,6 +27,16 @@
  * covers the time from the sending of a request to the check of its key. */
 #define ADMIT_AGE_FRACTION 0.9
 
+typedef struct crash_message {
+	gc_crash_report_t report;
+	uint64_t revision;
+} crash_message_t;
+
+typedef struct served_message {
+	uint64_t part;
+	uint64_t revision;
+} served_message_t;
+
 struct gc_routed_traffic {
 	const gc_routed_settings_t *settings;
 	const gc_clock_t *clock;
@@ -56,6 +66,8 @@
 static gpointer run(gpointer data);
 static void handle_view(void *ctx, void *message);
 static void handle_confirmed(void *ctx, void *message);
+static void handle_crash(void *ctx, void *message);
+static void handle_served(void *ctx, void *message);
 static void handle_stop(void *ctx, void *message);
 static void handle_exit(void *ctx, void *message);
 static void on_drain_poll(void *ctx);
@@ -99,6 +111,9 @@
 		.repeat_ratio = settings->repeat_ratio,
 		.repeat_slack = settings->repeat_slack,
 		.repeat_window_ms = settings->repeat_window_ms,
+		.share_crash = conf->share_crash,
+		.share_served = conf->share_served,
+		.share_ctx = conf->share_ctx,
 	};
 
 	traffic->ev = tevent_context_init(traffic);
@@ -182,6 +197,43 @@
 	g_free(at_ms);
 }
 
+void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
+				 const gc_crash_report_t *report,
+				 uint64_t revision)
+{
+	crash_message_t *message = g_new(crash_message_t, 1);
+
+	*message = (crash_message_t){*report, revision};
+	gc_mailbox_post(traffic->mailbox, handle_crash, message);
+}
+
+static void handle_crash(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+	crash_message_t *crash = message;
+
+	gc_relay_add_crash(traffic->relay, &crash->report, crash->revision);
+	g_free(crash);
+}
+
+void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t part,
+				  uint64_t revision)
+{
+	served_message_t *message = g_new(served_message_t, 1);
+
+	*message = (served_message_t){part, revision};
+	gc_mailbox_post(traffic->mailbox, handle_served, message);
+}
+
+static void handle_served(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+	served_message_t *served = message;
+
+	gc_relay_add_served(traffic->relay, served->part, served->revision);
+	g_free(served);
+}
+
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
 			    void (*stopped)(void *ctx), void *ctx)
 {
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "core/crash_suspects.h"
 #include "lib/adapter.h"
 #include "lib/fleet.h"
 #include "lib/routed_settings.h"
@@ -15,6 +16,10 @@
 	const gc_adapter_t *adapter;
 	const gc_clock_t *clock;
 	uint32_t seed; /* of the thread's random number generator */
+	/* Notices for the other daemons; called in the traffic thread. */
+	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
+	void (*share_served)(void *ctx, uint64_t part);
+	void *share_ctx;
 } gc_routed_traffic_conf_t;
 
 /* Opens the listener and starts the thread. Errors: GC_ERR_IO. */
@@ -33,6 +38,15 @@
  */
 void gc_routed_traffic_set_confirmed(gc_routed_traffic_t *traffic,
 				     int64_t at_ms);
+/*
+ * Notices of daemons, with their revisions in the store. They are handled in
+ * the order of the calls. May be called from any thread.
+ */
+void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
+				 const gc_crash_report_t *report,
+				 uint64_t revision);
+void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t part,
+				  uint64_t revision);
 /*
  * Starts draining: serves until no request is in flight or the grace period
  * ends, then calls stopped(ctx) in the traffic thread.
