Refuse a blocked prompt also if its caller resumes a stream

A request with a part that crashes servers and a Last-Event-Id went on from crash to crash (routed_crash.t: 4 more crashes and 502), as resumed streams were neither refused nor counted. A caller may send that header without having had an event.

Only a request that had events in this exchange is exempt. routed_crash.t failed before and passes.

--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -42,11 +42,11 @@
 		parts->ids[parts->n++] = XXH64(ids[i].data, ids[i].len, seed);
 }
 
-/* A prompt that has had an event doesn't crash servers. */
+/* A prompt that has had an event doesn't crash servers. That a caller resumes a
+ * stream proves no event. */
 static bool is_suspect(const gc_exchange_t *exchange)
 {
-	return exchange->prompt_parts.n > 0 && !exchange->head_sent &&
-	       !(exchange->prompt && exchange->prompt->resumed);
+	return exchange->prompt_parts.n > 0 && !exchange->head_sent;
 }
 
 bool gc_exchange_check_prompt(gc_exchange_t *exchange)
--- a/regress/routed_crash.t
+++ b/regress/routed_crash.t
@@ -34,11 +34,14 @@
   "run":"not_run"
   $ grep -i -o 'retry-after: [0-9.]*' head.txt | awk '{ print ($2 >= 30 && $2 <= 31) }'
   1
+  $ prompt /draft/ok aa:100,dead:50 -H 'Last-Event-Id: 2' -o /dev/null; crashes
+  503
+  3
   $ reports; grep -c '"message":"prompt blocked"' d1.log
   3
-  6
+  7
   $ curl -s "http://$CONTROL_ADDR/metrics" | grep '^goldcrest_prompts_blocked_total'
-  goldcrest_prompts_blocked_total 6
+  goldcrest_prompts_blocked_total 7
 
 Sound requests with the same first part are served, at first and later.
 
