Double the pause between trials of a prompt that crashes servers

A trial every 30 s costs a server each while such requests keep coming, and over two minutes sends more of them than the budget of three.

The pause doubles with each trial of the same parts, so that three fall into the first 210 s. check_crash_suspects failed before.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -13,7 +13,8 @@
  * their prompts. */
 #define SAME_EVENT_MS 300
 #define REPORT_AGE_MS 600000
-/* Pause before and between trials of a refused part. */
+/* Pause before the first trial of a refused part; doubles with each further
+ * one, as a trial may cost a server. */
 #define TRIAL_INTERVAL_MS 30000
 
 #define MAX_REPORTS 256
@@ -37,7 +38,8 @@
 
 typedef struct trial {
 	uint64_t part;
-	struct timespec at;
+	struct timespec at; /* of the last one */
+	int64_t pause_ms; /* until the next one */
 	bool used;
 } trial_t;
 
@@ -76,6 +78,8 @@
 			const gc_prompt_parts_t *others);
 static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
 		       uint64_t part);
+static trial_t *find_trial(gc_crash_suspects_t *suspects, struct timespec now,
+			   uint64_t part);
 static uint64_t served_revision(const gc_crash_suspects_t *suspects,
 				uint64_t part);
 static bool take_told(gc_crash_suspects_t *suspects, uint64_t part);
@@ -365,20 +369,40 @@
 /* False if the part was tried recently or too many parts were. */
 static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
 		       uint64_t part)
+{
+	trial_t *trial = find_trial(suspects, now, part);
+
+	if (!trial)
+		return false;
+	if (!trial->used)
+		*trial = (trial_t){
+			.part = part,
+			.pause_ms = TRIAL_INTERVAL_MS,
+			.used = true,
+		};
+	else if (gc_ms_between(trial->at, now) < trial->pause_ms)
+		return false;
+	trial->at = now;
+	trial->pause_ms *= 2;
+	return true;
+}
+
+/* The part's trials, or a free entry, or NULL. */
+static trial_t *find_trial(gc_crash_suspects_t *suspects, struct timespec now,
+			   uint64_t part)
 {
 	trial_t *free_trial = NULL;
 
 	for (size_t i = 0; i < MAX_TRIALS; i++) {
 		trial_t *trial = &suspects->trials[i];
 
-		if (!trial->used ||
-		    gc_ms_between(trial->at, now) >= TRIAL_INTERVAL_MS)
+		if (trial->used &&
+		    gc_ms_between(trial->at, now) >= REPORT_AGE_MS)
+			trial->used = false;
+		if (!trial->used)
 			free_trial = trial;
 		else if (trial->part == part)
-			return false;
+			return trial;
 	}
-	if (!free_trial)
-		return false;
-	*free_trial = (trial_t){.part = part, .at = now, .used = true};
-	return true;
+	return free_trial;
 }
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -205,7 +205,7 @@
 }
 END_TEST
 
-START_TEST(test_trial_every_30_s)
+START_TEST(test_pause_between_trials_doubles)
 {
 	start();
 	crash_three_times(DEADLY, 0);
@@ -213,10 +213,13 @@
 	ck_assert_int_eq(judge(30800, DEADLY, 0), GC_PROMPT_TRY);
 	ck_assert_int_eq(judge(30801, DEADLY, 0), GC_PROMPT_REFUSE);
 	report(31500, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(61499, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(61500, DEADLY, 0), GC_PROMPT_TRY);
-	serve(62000, DEADLY, 0);
-	ck_assert_int_eq(judge(62001, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(90799, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(90800, DEADLY, 0), GC_PROMPT_TRY);
+	report(91500, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(210799, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(210800, DEADLY, 0), GC_PROMPT_TRY);
+	serve(211000, DEADLY, 0);
+	ck_assert_int_eq(judge(211001, DEADLY, 0), GC_PROMPT_SEND);
 }
 END_TEST
 
@@ -322,7 +325,7 @@
 		test_service_elsewhere_goes_by_revision,
 		test_service_elsewhere_clears_local_reports,
 		test_reports_expire,
-		test_trial_every_30_s,
+		test_pause_between_trials_doubles,
 		test_one_daemon_tries,
 		test_service_is_told_once_per_report,
 		test_service_is_not_told_after_another_daemon,
