Wait longer for another daemon's notice that a part was served

In a trial of six daemons all five others wrote the same notice: the random wait of up to 200 ms was shorter than the 250 ms after which a daemon watches for changes again, so that none saw another's in time.

Each waits up to 600 ms.

--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -21,8 +21,9 @@
 #define RETRY_DELAY_MS	   200
 #define RETRY_MAX_DELAY_MS 1600
 /* All daemons that serve a suspected part find that out at about the same time.
- * Each waits a random time up to this one for a notice of another daemon. */
-#define MAX_SERVED_DELAY_MS 200
+ * Each waits a random time up to this one for a notice of another daemon,
+ * which takes the pause of a watch after a change and a little more. */
+#define MAX_SERVED_DELAY_MS 600
 #define HEX_DIGITS	    16 /* of a 64-bit number */
 /* End of the year 9999: sums with times up to it don't overflow. */
 #define MAX_TIME_OF_DAY_MS INT64_C(253402300799999)
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -12,7 +12,7 @@
 
 #define LEASE_MS	    600000
 #define MAX_QUEUED	    32
-#define MAX_SERVED_DELAY_MS 200
+#define MAX_SERVED_DELAY_MS 600
 #define MAX_AGE_MS	    10000
 #define PART		    UINT64_C(0xfedcba9876543210)
 #define PART_KEY	    "goldcrest/served/fedcba9876543210"
