Blame what all requests of a crash have in common with other crashes

Cause: a crash breaks off its sound neighbours too, and only the first report of a crash counted. If that was a neighbour's, dead was missing in the parts that the crashes have in common, and C alone was blamed.

The parts of all reports of one crash are united before they are compared with those of the other crashes. check_crash_suspects failed before.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -17,9 +17,10 @@
  * one, as a trial may cost a server. */
 #define TRIAL_INTERVAL_MS 30000
 
-#define MAX_REPORTS 256
-#define MAX_SERVED  4096
-#define MAX_TRIALS  64
+#define MAX_REPORTS   256
+#define MAX_SERVED    4096
+#define MAX_TRIALS    64
+#define MAX_SET_PARTS 64
 
 typedef struct report {
 	gc_crash_report_t report;
@@ -43,12 +44,19 @@
 	bool used;
 } trial_t;
 
-/* The reports that count for a part. */
+/* Parts of several requests. */
+typedef struct part_set {
+	uint64_t ids[MAX_SET_PARTS];
+	size_t n;
+} part_set_t;
+
+/* The crashes that count for a part. */
 typedef struct evidence {
 	size_t n;
-	struct timespec newest; /* arrival */
-	/* Parts of all of these reports, without those that were served. */
-	gc_prompt_parts_t suspects;
+	struct timespec newest; /* arrival of a report */
+	bool unshared; /* that report hasn't come from the store */
+	/* Parts that occur in each of these crashes and were not served. */
+	part_set_t suspects;
 } evidence_t;
 
 struct gc_crash_suspects {
@@ -68,14 +76,16 @@
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now);
 static report_t *report_at(gc_crash_suspects_t *suspects, size_t i);
 static int find_part(const gc_prompt_parts_t *parts, uint64_t part);
-static bool contains_all(const gc_prompt_parts_t *parts,
-			 const gc_prompt_parts_t *others);
+static bool contains_all(const gc_prompt_parts_t *parts, const part_set_t *set);
 static bool is_same_event(const int64_t *at_ms, size_t n, int64_t other_ms);
 static evidence_t collect_evidence(gc_crash_suspects_t *suspects,
 				   uint64_t part);
 static gc_prompt_parts_t unserved_parts(const report_t *report);
-static void keep_common(gc_prompt_parts_t *parts,
-			const gc_prompt_parts_t *others);
+static part_set_t parts_of_event(gc_crash_suspects_t *suspects, int64_t at_ms,
+				 uint64_t part);
+static void add_to_set(part_set_t *set, uint64_t part);
+static bool set_has(const part_set_t *set, uint64_t part);
+static void keep_common(part_set_t *set, const part_set_t *others);
 static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
 		       uint64_t part);
 static trial_t *find_trial(gc_crash_suspects_t *suspects, struct timespec now,
@@ -319,20 +329,61 @@
 	for (size_t i = 0; i < suspects->n_reports; i++) {
 		const report_t *report = report_at(suspects, i);
 		gc_prompt_parts_t unserved = unserved_parts(report);
+		part_set_t parts;
 
 		if (find_part(&unserved, part) < 0 ||
 		    is_same_event(at_ms, evidence.n, report->report.at_ms))
 			continue;
+		parts = parts_of_event(suspects, report->report.at_ms, part);
 		if (evidence.n == 0)
-			evidence.suspects = unserved;
+			evidence.suspects = parts;
 		else
-			keep_common(&evidence.suspects, &unserved);
+			keep_common(&evidence.suspects, &parts);
 		at_ms[evidence.n++] = report->report.at_ms;
 		evidence.newest = report->arrived;
+		evidence.unshared = report->revision == 0;
 	}
 	return evidence;
 }
 
+/*
+ * The unserved parts of all requests with `part` that a crash broke off: the
+ * one that caused it, and sound ones at the same server.
+ */
+static part_set_t parts_of_event(gc_crash_suspects_t *suspects, int64_t at_ms,
+				 uint64_t part)
+{
+	part_set_t set = {.n = 0};
+
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		const report_t *report = report_at(suspects, i);
+		gc_prompt_parts_t unserved;
+
+		if (!is_same_event(&at_ms, 1, report->report.at_ms))
+			continue;
+		unserved = unserved_parts(report);
+		if (find_part(&unserved, part) < 0)
+			continue;
+		for (size_t j = 0; j < unserved.n; j++)
+			add_to_set(&set, unserved.ids[j]);
+	}
+	return set;
+}
+
+static void add_to_set(part_set_t *set, uint64_t part)
+{
+	if (!set_has(set, part) && set->n < MAX_SET_PARTS)
+		set->ids[set->n++] = part;
+}
+
+static bool set_has(const part_set_t *set, uint64_t part)
+{
+	for (size_t i = 0; i < set->n; i++)
+		if (set->ids[i] == part)
+			return true;
+	return false;
+}
+
 /* The parts that this report counts for. */
 static gc_prompt_parts_t unserved_parts(const report_t *report)
 {
@@ -346,22 +397,20 @@
 	return unserved;
 }
 
-static void keep_common(gc_prompt_parts_t *parts,
-			const gc_prompt_parts_t *others)
+static void keep_common(part_set_t *set, const part_set_t *others)
 {
 	size_t n = 0;
 
-	for (size_t i = 0; i < parts->n; i++)
-		if (find_part(others, parts->ids[i]) >= 0)
-			parts->ids[n++] = parts->ids[i];
-	parts->n = n;
+	for (size_t i = 0; i < set->n; i++)
+		if (set_has(others, set->ids[i]))
+			set->ids[n++] = set->ids[i];
+	set->n = n;
 }
 
-static bool contains_all(const gc_prompt_parts_t *parts,
-			 const gc_prompt_parts_t *others)
+static bool contains_all(const gc_prompt_parts_t *parts, const part_set_t *set)
 {
-	for (size_t i = 0; i < others->n; i++)
-		if (find_part(parts, others->ids[i]) < 0)
+	for (size_t i = 0; i < set->n; i++)
+		if (find_part(parts, set->ids[i]) < 0)
 			return false;
 	return true;
 }
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -75,6 +75,19 @@
 }
 END_TEST
 
+START_TEST(test_sound_victims_of_a_crash_dont_blame_the_common_part)
+{
+	start();
+	for (int i = 0; i < 3; i++) {
+		report(i * APART_MS, COMMON, 0, 0);
+		report(i * APART_MS + 1, COMMON, DEADLY, 0);
+	}
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(2000, COMMON, OTHER), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(2000, COMMON, DEADLY), GC_PROMPT_REFUSE);
+}
+END_TEST
+
 START_TEST(test_known_report_is_ignored)
 {
 	gc_crash_report_t same = {
@@ -316,6 +329,7 @@
 {
 	const TTest *const tests[] = {
 		test_third_crash_blocks,
+		test_sound_victims_of_a_crash_dont_blame_the_common_part,
 		test_known_report_is_ignored,
 		test_mass_crash_counts_once,
 		test_late_report_of_same_event_counts_once,
