Let a daemon's own crash reports take their revision from the store

Deadly requests were sent again after a full list: an older notice that the part was served cleared the daemon's own reports, which kept revision 0 after they had come back from the store, so that any notice counted as later (review, shown by a unit test; check_crash_suspects fails without the change). A report that is known takes the revision.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -73,6 +73,8 @@
 	bool newly_served;
 };
 
+static void set_revision(const gc_crash_suspects_t *suspects, report_t *report,
+			 uint64_t revision);
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now);
 static report_t *report_at(gc_crash_suspects_t *suspects, size_t i);
 static int find_part(const gc_prompt_parts_t *parts, uint64_t part);
@@ -117,9 +119,14 @@
 	report_t *added;
 
 	drop_expired(suspects, now);
-	for (size_t i = 0; i < suspects->n_reports; i++)
-		if (report_at(suspects, i)->report.id == report->id)
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		report_t *known = report_at(suspects, i);
+
+		if (known->report.id == report->id) {
+			set_revision(suspects, known, revision);
 			return;
+		}
+	}
 	if (suspects->n_reports == MAX_REPORTS) {
 		suspects->first_report =
 			(suspects->first_report + 1) % MAX_REPORTS;
@@ -129,16 +136,23 @@
 	*added = (report_t){
 		.report = *report,
 		.arrived = now,
-		.revision = revision,
 	};
 	if (added->report.parts.n > GC_PROMPT_PARTS_MAX)
 		added->report.parts.n = GC_PROMPT_PARTS_MAX;
+	set_revision(suspects, added, revision);
+}
+
+/* Notices of services that are older than the report don't clear it. */
+static void set_revision(const gc_crash_suspects_t *suspects, report_t *report,
+			 uint64_t revision)
+{
 	if (revision == 0)
 		return;
-	for (size_t i = 0; i < added->report.parts.n; i++)
-		if (served_revision(suspects, added->report.parts.ids[i]) >
+	report->revision = revision;
+	for (size_t i = 0; i < report->report.parts.n; i++)
+		if (served_revision(suspects, report->report.parts.ids[i]) >
 		    revision)
-			added->served_elsewhere |= 1U << i;
+			report->served_elsewhere |= 1U << i;
 }
 
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now)
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -88,6 +88,31 @@
 }
 END_TEST
 
+START_TEST(test_own_report_takes_its_revision_from_the_store)
+{
+	gc_crash_report_t reports[3];
+
+	start();
+	for (int i = 0; i < 3; i++) {
+		reports[i] = (gc_crash_report_t){
+			.id = (uint64_t)i + 1,
+			.at_ms = i * APART_MS,
+			.parts = parts_of(DEADLY, 0),
+		};
+		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
+					     &reports[i], 0);
+	}
+	for (int i = 0; i < 3; i++)
+		gc_crash_suspects_add_report(suspects, unit_at(1000),
+					     &reports[i], 100 + (uint64_t)i);
+	/* An older notice, read again with a full list. */
+	gc_crash_suspects_add_served(suspects, unit_at(1100), DEADLY, 50);
+	ck_assert_int_eq(judge(1200, DEADLY, 0), GC_PROMPT_REFUSE);
+	gc_crash_suspects_add_served(suspects, unit_at(1300), DEADLY, 103);
+	ck_assert_int_eq(judge(1400, DEADLY, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
 START_TEST(test_known_report_is_ignored)
 {
 	gc_crash_report_t same = {
@@ -329,6 +354,7 @@
 {
 	const TTest *const tests[] = {
 		test_third_crash_blocks,
+		test_own_report_takes_its_revision_from_the_store,
 		test_sound_victims_of_a_crash_dont_blame_the_common_part,
 		test_known_report_is_ignored,
 		test_mass_crash_counts_once,
