Let a daemon try a prompt that only it knows to crash servers

If the newest report that counts has not come from the store, the daemon tries itself. Tests: a new one, which failed before. Two unit tests and the model of the property now give reports as the store does: the model left the writer's own report at revision 0 for good, though each daemon reads its notices back; what they assert is the same.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -309,6 +309,7 @@
 	uint64_t key = UINT64_MAX;
 	struct timespec newest = {0};
 	bool blocked = false;
+	bool unshared = false;
 
 	drop_expired(suspects, now);
 	if (suspects->n_reports < MIN_REPORTS)
@@ -319,8 +320,10 @@
 		if (evidence.n < MIN_REPORTS ||
 		    !contains_all(parts, &evidence.suspects))
 			continue;
-		if (!blocked || gc_us_between(newest, evidence.newest) > 0)
+		if (!blocked || gc_us_between(newest, evidence.newest) > 0) {
 			newest = evidence.newest;
+			unshared = evidence.unshared;
+		}
 		blocked = true;
 		for (size_t j = 0; j < evidence.suspects.n; j++)
 			if (evidence.suspects.ids[j] < key)
@@ -329,7 +332,7 @@
 	if (!blocked)
 		return GC_PROMPT_SEND;
 	if (gc_ms_between(newest, now) >= TRIAL_INTERVAL_MS &&
-	    key % suspects->n_daemons == suspects->rank &&
+	    (unshared || key % suspects->n_daemons == suspects->rank) &&
 	    take_trial(suspects, now, key))
 		return GC_PROMPT_TRY;
 	return GC_PROMPT_REFUSE;
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -235,7 +235,8 @@
 START_TEST(test_reports_expire)
 {
 	start();
-	crash_three_times(DEADLY, 0);
+	for (uint64_t i = 0; i < 3; i++)
+		report((int64_t)i * APART_MS, DEADLY, 0, 1 + i);
 	/* The owner of the trials is another daemon. */
 	gc_crash_suspects_set_rank(suspects, (DEADLY + 1) % 2, 2);
 	ck_assert_int_eq(judge(599999, DEADLY, 0), GC_PROMPT_REFUSE);
@@ -243,6 +244,16 @@
 }
 END_TEST
 
+START_TEST(test_reports_that_only_this_daemon_has_are_tried_by_it)
+{
+	start();
+	crash_three_times(DEADLY, 0);
+	gc_crash_suspects_set_rank(suspects, (DEADLY + 1) % 2, 2);
+	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_PROMPT_TRY);
+	ck_assert_int_eq(judge(40001, DEADLY, 0), GC_PROMPT_REFUSE);
+}
+END_TEST
+
 START_TEST(test_pause_between_trials_doubles)
 {
 	start();
@@ -268,7 +279,8 @@
 	for (size_t rank = 0; rank < 5; rank++) {
 		start();
 		gc_crash_suspects_set_rank(suspects, rank, 5);
-		crash_three_times(COMMON, DEADLY);
+		for (uint64_t i = 0; i < 3; i++)
+			report((int64_t)i * APART_MS, COMMON, DEADLY, 1 + i);
 		n_tries += judge(40000, COMMON, DEADLY) == GC_PROMPT_TRY;
 	}
 	ck_assert_int_eq(n_tries, 1);
@@ -365,6 +377,7 @@
 		test_service_elsewhere_goes_by_revision,
 		test_service_elsewhere_clears_local_reports,
 		test_reports_expire,
+		test_reports_that_only_this_daemon_has_are_tried_by_it,
 		test_pause_between_trials_doubles,
 		test_one_daemon_tries,
 		test_service_is_told_once_per_report,
--- a/regress/prop_crash_suspects.cc
+++ b/regress/prop_crash_suspects.cc
@@ -55,9 +55,10 @@
 {
 	gc_crash_report_t report = {++revision, now_ms, parts};
 
-	for (size_t i = 0; i < daemons.size(); i++)
-		gc_crash_suspects_add_report(daemons[i], now(), &report,
-					     i == daemon ? 0 : revision);
+	gc_crash_suspects_add_report(daemons[daemon], now(), &report, 0);
+	/* From the store, to the daemon that wrote it too. */
+	for (gc_crash_suspects_t *other : daemons)
+		gc_crash_suspects_add_report(other, now(), &report, revision);
 }
 
 void Fleet::serve(size_t daemon, const gc_prompt_parts_t &parts)
