Count crashes of a stream that had its events from an earlier server

What counts is whether the last server sent an event. routed_crash.t has such a stream and failed before (more than five crashes, no refusal).

--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -42,11 +42,12 @@
 		parts->ids[parts->n++] = XXH64(ids[i].data, ids[i].len, seed);
 }
 
-/* A prompt that has had an event doesn't crash servers. That a caller resumes a
- * stream proves no event. */
+/* A server that sent an event of the last attempt didn't crash under its prompt.
+ * That events came before, or that the caller resumes a stream, proves nothing
+ * about the last server. */
 static bool is_suspect(const gc_exchange_t *exchange)
 {
-	return exchange->prompt_parts.n > 0 && !exchange->head_sent;
+	return exchange->prompt_parts.n > 0 && !exchange->received_event;
 }
 
 bool gc_exchange_check_prompt(gc_exchange_t *exchange)
--- a/regress/routed_crash.t
+++ b/regress/routed_crash.t
@@ -75,6 +75,17 @@
   503
   [1]
 
+A request that has had events from its first server goes on to crash others
+without any: these count.
+
+  $ sleep 2.5; rm -f crashes.log; REPORTS=$(reports)
+  $ prompt /often/ok aa:100,late1:50 -o /dev/null; crashes | awk '{ print ($1 <= 5) }'
+  200
+  1
+  $ await have_reports $((REPORTS + 3)); rm crashes.log; prompt /often/ok aa:100,late1:50 -o /dev/null; test -e crashes.log
+  503
+  [1]
+
 All servers are lost at once while sound requests with a common part wait for
 their first event: that is one event and says nothing about the part.
 
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -43,7 +43,8 @@
   big          sends 200 events of 60 kB without a pause
 A stream whose prompt shares a part with the id "dead" or "deadN" crashes an
 engine after 400 ms, when it begins to answer: it sends the head, aborts all
-connections, refuses new ones for 2 s and adds its id to crashes.log.
+connections, refuses new ones for 2 s and adds its id to crashes.log. One with
+the id "late" or "lateN" crashes it at the fourth event.
 POST /drop closes the other connections.
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
 query, answers the query after 100 ms and resumes the process 100 ms later.
@@ -124,10 +125,10 @@
         return wire.response(200, body, self.response_headers(request))
 
     @staticmethod
-    def is_deadly(request):
+    def shares_part(request, name):
         prefix = request.headers.get(HEADER_PREFIX.lower() + "prompt-prefix",
                                      "")
-        return any(re.match(r"dead\d*:", part.strip())
+        return any(re.match(name + r"\d*:", part.strip())
                    for part in prefix.split(",")[:-1])
 
     async def crash(self, writer):
@@ -285,7 +286,7 @@
         headers = self.response_headers(request, **{
             "Transfer-Encoding": "chunked",
             "Content-Type": "text/event-stream"})
-        if self.is_deadly(request):
+        if self.shares_part(request, "dead"):
             await asyncio.sleep(CRASH_AFTER_S)
             writer.write(wire.response_head(200, headers))
             await self.crash(writer)
@@ -308,6 +309,10 @@
                 return False
             token = "x" * 60000 if big else f"token {n}"
             event = f"id: {n}\ndata: {token}\n\n".encode()
+            if n == 4 and self.shares_part(request, "late"):
+                await asyncio.sleep(CRASH_AFTER_S if last else 0)
+                await self.crash(writer)
+                return False
             if n == 4 and behaviour == "die":
                 writer.write(b"%x\r\n" % len(event) + event[:9])
                 await writer.drain()
