Believe a crash only while another server reports its load

The query is asked again after a broken connection, and up to four other servers are asked until one reports.

--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -10,21 +10,42 @@
 #define CRASH_QUERY_TIMEOUT_MS 300
 /* The verdict stays for minutes unless a trial succeeds. */
 #define UNSAFE_PROMPT_RETRY_AFTER_MS 30000
+/* Servers that are asked whether this daemon reaches any. */
+#define MAX_OTHERS 4
 /* Services that the other daemons are told of at once. */
 #define MAX_SHARED_SERVED 16
 
-/* Finds out whether a server crashed. */
+/*
+ * Finds out whether a server crashed: it gives no load report, while another
+ * server does. A daemon that is cut off gets none from any.
+ */
 typedef struct crash_check {
 	gc_relay_t *relay;
 	gc_crash_report_t report;
 	gc_str_t request;
-	gc_str_t server;
+	gc_str_t service;
+	gc_backend_t *server;
+	/* Others that are asked one after another until one reports. */
+	gc_backend_t *others[MAX_OTHERS];
+	size_t n_others;
+	bool asked_again;
+	bool server_reported;
+	bool other_reported;
+	unsigned int n_pending; /* queries */
 } crash_check_t;
 
 static bool is_suspect(const gc_exchange_t *exchange);
 static void refuse_prompt(gc_exchange_t *exchange);
-static void on_crash_check_done(void *ctx, int status, gc_str_t response,
-				gc_attempt_end_t end);
+static int crash_check_destructor(crash_check_t *check);
+static void query_load(crash_check_t *check, gc_backend_t *server,
+		       void (*done)(void *ctx, int status, gc_str_t response,
+				    gc_attempt_end_t end));
+static void on_server_report(void *ctx, int status, gc_str_t response,
+			     gc_attempt_end_t end);
+static void on_other_report(void *ctx, int status, gc_str_t response,
+			    gc_attempt_end_t end);
+static bool query_other(crash_check_t *check);
+static void end_query(crash_check_t *check);
 static char *format_parts(const gc_prompt_parts_t *parts);
 
 void gc_exchange_read_prompt_parts(gc_exchange_t *exchange)
@@ -116,43 +137,121 @@
 void gc_exchange_check_crash(gc_exchange_t *exchange, gc_attempt_end_t end)
 {
 	gc_relay_t *relay = exchange->relay;
-	gc_backend_query_conf_t conf = {
-		.upstream = relay->upstream,
-		.timers = relay->conf.timers,
-		.method = "GET",
-		.path = relay->conf.adapter->load_path,
-		.body = GC_STR_EMPTY,
-		.timeout_ms = CRASH_QUERY_TIMEOUT_MS,
-		.done = on_crash_check_done,
-	};
 	crash_check_t *check;
 
 	if (end != GC_END_BROKEN || !is_suspect(exchange))
 		return;
-	/* The exchange may end before the query. */
+	/* The exchange may end before the queries. */
 	check = talloc_zero(relay, crash_check_t);
 	check->relay = relay;
 	check->report.id = relay->conf.random->next(relay->conf.random->ctx);
 	check->report.at_ms = g_get_real_time() / 1000;
 	check->report.parts = exchange->prompt_parts;
 	check->request = gc_str_dup(check, exchange->id);
-	check->server = gc_str_dup(check, gc_backend_id(exchange->backend));
-	conf.ctx = check;
-	gc_backend_query_start(relay, &conf, exchange->backend);
+	check->service = gc_str_dup(check, exchange->service);
+	check->server = gc_backend_ref(exchange->backend);
+	talloc_set_destructor(check, crash_check_destructor);
+	query_load(check, check->server, on_server_report);
+	/* Without another server nothing speaks against a crash. */
+	check->other_reported = !query_other(check);
 }
 
-static void on_crash_check_done(void *ctx, int status, gc_str_t response,
-				gc_attempt_end_t end)
+/* False if there is no other server to ask. */
+static bool query_other(crash_check_t *check)
+{
+	gc_relay_t *relay = check->relay;
+	gc_backend_t *asked[MAX_OTHERS + 1] = {check->server};
+	gc_backend_set_t avoid = {asked, check->n_others + 1};
+	gc_backend_t *other;
+
+	for (size_t i = 0; i < check->n_others; i++)
+		asked[i + 1] = check->others[i];
+	if (check->n_others == MAX_OTHERS)
+		return false;
+	other = gc_backends_choose(relay->backends,
+				   gc_clock_now(relay->conf.clock),
+				   check->service, &avoid);
+	if (!other)
+		return false;
+	check->others[check->n_others++] = gc_backend_ref(other);
+	query_load(check, other, on_other_report);
+	return true;
+}
+
+static int crash_check_destructor(crash_check_t *check)
+{
+	gc_backend_unref(check->server);
+	for (size_t i = 0; i < check->n_others; i++)
+		gc_backend_unref(check->others[i]);
+	return 0;
+}
+
+static void query_load(crash_check_t *check, gc_backend_t *server,
+		       void (*done)(void *ctx, int status, gc_str_t response,
+				    gc_attempt_end_t end))
+{
+	gc_relay_t *relay = check->relay;
+	gc_backend_query_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.method = "GET",
+		.path = relay->conf.adapter->load_path,
+		.body = GC_STR_EMPTY,
+		.timeout_ms = CRASH_QUERY_TIMEOUT_MS,
+		.done = done,
+		.ctx = check,
+	};
+
+	check->n_pending++;
+	gc_backend_query_start(relay, &conf, server);
+}
+
+static void on_server_report(void *ctx, int status, gc_str_t response,
+			     gc_attempt_end_t end)
+{
+	crash_check_t *check = ctx;
+
+	/* It may have gone out on a connection that the server reset together
+	 * with the request's. */
+	if (status == 0 && end == GC_END_BROKEN && !check->asked_again) {
+		check->asked_again = true;
+		check->n_pending--;
+		query_load(check, check->server, on_server_report);
+		return;
+	}
+	check->server_reported = status != 0;
+	end_query(check);
+}
+
+static void on_other_report(void *ctx, int status, gc_str_t response,
+			    gc_attempt_end_t end)
 {
 	crash_check_t *check = ctx;
+
+	if (status != 0) {
+		check->other_reported = true;
+	} else {
+		gc_backend_record_failure(
+			check->others[check->n_others - 1],
+			gc_clock_now(check->relay->conf.clock), end);
+		query_other(check);
+	}
+	end_query(check);
+}
+
+static void end_query(crash_check_t *check)
+{
 	gc_relay_t *relay = check->relay;
-	g_autofree char *parts = format_parts(&check->report.parts);
+	g_autofree char *parts = NULL;
 
-	if (status == 0) {
+	if (--check->n_pending > 0)
+		return;
+	if (!check->server_reported && check->other_reported) {
+		parts = format_parts(&check->report.parts);
 		gc_log(GC_LOG_WARNING, GC_EVENT_SERVER_CRASHED,
 		       "server crashed under a request", "request",
-		       check->request.data, "server", check->server.data,
-		       "parts", parts, NULL);
+		       check->request.data, "server",
+		       gc_backend_id(check->server).data, "parts", parts, NULL);
 		gc_relay_add_crash(relay, &check->report, 0);
 		if (relay->conf.share_crash)
 			relay->conf.share_crash(relay->conf.share_ctx,
--- a/regress/routed_crash.t
+++ b/regress/routed_crash.t
@@ -87,7 +87,8 @@
   [1]
 
 All servers are lost at once while sound requests with a common part wait for
-their first event: that is one event and says nothing about the part.
+their first event. A daemon that can reach no server may be cut off itself: it
+reports no crash, and says nothing about the part.
 
   $ sleep 2.5; REPORTS=$(reports)
   $ for i in 1 2 3 4 5 6 7 8; do prompt /once/wait mm:100,nn:50 -o /dev/null & requests="$requests $!"; done >mass.out
@@ -97,10 +98,24 @@
   [137]
   $ wait $requests; sort mass.out | uniq -c | tr -s ' '
    8 502
-  $ await have_reports $((REPORTS + 8)); echo $(($(reports) - REPORTS))
-  8
+  $ sleep 1; echo $(($(reports) - REPORTS))
+  0
   $ start_server llm7 llm a engine; start_server llm8 llm a engine
   $ await grep -q '"message":"backend server ready".*llm8' d1.log
   $ prompt /draft/ok mm:100,nn:50 | grep -o 'id: 8\|unsafe_prompt\|^[0-9]*$'
   id: 8
   200
+
+A server that resets a stream and its other connections, but stays up, hasn't
+crashed.
+
+  $ REPORTS=$(reports)
+  $ for i in 1 2 3 4 5 6; do prompt /draft/resetall rr:100,ss:50 -o /dev/null; done
+  502
+  502
+  502
+  502
+  502
+  502
+  $ sleep 1; echo $(($(reports) - REPORTS))
+  0
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -45,6 +45,7 @@
 engine after 400 ms, when it begins to answer: it sends the head, aborts all
 connections, refuses new ones for 2 s and adds its id to crashes.log. One with
 the id "late" or "lateN" crashes it at the fourth event.
+  resetall     sends the head, resets the connection, and the others 3 ms later
 POST /drop closes the other connections.
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
 query, answers the query after 100 ms and resumes the process 100 ms later.
@@ -73,6 +74,7 @@
 STALL_S = 0.2
 CRASH_AFTER_S = 0.4
 RESTART_S = 2
+RESET_OTHERS_S = 0.003
 HEADER_PREFIX = "Goldcrestfield-"
 
 
@@ -293,6 +295,14 @@
             return False
         writer.write(wire.response_head(200, headers))
         disconnected = asyncio.ensure_future(reader.read(1))
+        if behaviour == "resetall":
+            await writer.drain()
+            disconnected.cancel()
+            writer.transport.abort()
+            await asyncio.sleep(RESET_OTHERS_S)
+            for other in list(self.writers):
+                other.transport.abort()
+            return False
         if behaviour in ("wait", "lost"):
             self.queued += behaviour == "wait"
             await asyncio.wait([disconnected], timeout=3.5)
