Take an unframed stream that ends before its first event for broken off

Callers got an empty stream as a complete answer when a server died after the head of an answer with neither a length nor chunks, as the end of the connection is the end of such a body.

Without any event, and without a length or chunks that say so, the stream has been broken off: it goes on elsewhere. Streams of that kind which end after an event, and inside one, are tested too; they were right.

--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -49,6 +49,8 @@
 static void append_event(void *ctx, gc_str_t event);
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data);
 static void set_server_paused(gc_exchange_t *exchange, bool paused);
+static bool is_cut_before_events(const gc_exchange_t *exchange,
+				 const gc_http_message_t *response);
 static void finish_stream(gc_exchange_t *exchange);
 static void finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
 			   const char *reason);
@@ -504,6 +506,10 @@
 			       exchange->misdirected ? GC_END_REPLACED
 						     : GC_END_REFUSED,
 			       "the server did not run the request");
+	} else if (exchange->success && exchange->sequencer &&
+		   is_cut_before_events(exchange, response)) {
+		finish_attempt(exchange, GC_END_BROKEN,
+			       "the stream ended before its first event");
 	} else if (exchange->success && exchange->sequencer) {
 		finish_stream(exchange);
 	} else if (exchange->success ||
@@ -521,6 +527,17 @@
 	}
 }
 
+/* The end of the connection alone doesn't tell an empty stream from a server
+ * that died after the head. */
+static bool is_cut_before_events(const gc_exchange_t *exchange,
+				 const gc_http_message_t *response)
+{
+	return gc_event_sequencer_last_id(exchange->sequencer) ==
+		       GC_EVENT_ID_NONE &&
+	       !gc_http_message_find_header(response, "content-length").data &&
+	       !gc_http_message_find_header(response, "transfer-encoding").data;
+}
+
 static void finish_stream(gc_exchange_t *exchange)
 {
 	gc_caller_conn_t *caller = exchange->caller;
--- a/regress/routed_faults.t
+++ b/regress/routed_faults.t
@@ -63,6 +63,14 @@
   $ send_request /draft/once-cutend | ids
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
 
+A stream with neither a length nor chunks ends with its connection. It has been
+broken off if it ends inside an event, or before the first one.
+
+  $ for end in plain once-plaincut once-empty; do send_request /draft/$end | ids; done
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
 A slow but sound stream with comments between its events is one run; a stalled
 one that sends bytes, comments or an endless event, but no event, goes on
 elsewhere within the longest gap (700 ms).
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -45,6 +45,9 @@
 engine after 400 ms, when it begins to answer: it sends the head, aborts all
 connections, refuses new ones for 2 s and adds its id to crashes.log. One with
 the id "late" or "lateN" crashes it at the fourth event.
+  plain        sends a body with neither a length nor chunks, closes at its end
+  plaincut     does so, but closes inside the fourth event
+  empty        does so, but closes after the head
   resetall     sends the head, resets the connection, and the others 3 ms later
 POST /drop closes the other connections.
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
@@ -293,8 +296,13 @@
             writer.write(wire.response_head(200, headers))
             await self.crash(writer)
             return False
+        if behaviour in ("empty", "plain", "plaincut"):
+            del headers["Transfer-Encoding"]
         writer.write(wire.response_head(200, headers))
         disconnected = asyncio.ensure_future(reader.read(1))
+        if behaviour == "empty":
+            disconnected.cancel()
+            return False
         if behaviour == "resetall":
             await writer.drain()
             disconnected.cancel()
@@ -342,12 +350,21 @@
             if behaviour == "steady":
                 writer.write(b"5\r\n: w\n\n\r\n")
                 await asyncio.sleep(0.27)
+            if behaviour in ("plain", "plaincut"):
+                cut = n == 4 and behaviour == "plaincut"
+                writer.write(event[:9] if cut else event)
+                await writer.drain()
+                if cut:
+                    disconnected.cancel()
+                    return False
+                continue
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
         if behaviour == "cutend":
             disconnected.cancel()
             return False
-        writer.write(b"0\r\n\r\n")
+        if behaviour != "plain":
+            writer.write(b"0\r\n\r\n")
         await writer.drain()
         disconnected.cancel()
         try:
