Keep each part of a prompt once

A sound part that a prompt names twice stayed refused after it had been served, as only its first entry was cleared (review, unit test; check_crash_suspects failed before).

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -1,6 +1,8 @@
 /* Parts of prompts under which backend servers crash. */
 #include <stdbool.h>
 
+#include <glib.h>
+
 #include "core/clock.h"
 #include "core/crash_suspects.h"
 
@@ -96,6 +98,12 @@
 				uint64_t part);
 static bool take_told(gc_crash_suspects_t *suspects, uint64_t part);
 
+void gc_prompt_parts_add(gc_prompt_parts_t *parts, uint64_t part)
+{
+	if (find_part(parts, part) < 0 && parts->n < GC_PROMPT_PARTS_MAX)
+		parts->ids[parts->n++] = part;
+}
+
 gc_crash_suspects_t *gc_crash_suspects_create(TALLOC_CTX *mem)
 {
 	gc_crash_suspects_t *suspects = talloc_zero(mem, gc_crash_suspects_t);
@@ -137,8 +145,9 @@
 		.report = *report,
 		.arrived = now,
 	};
-	if (added->report.parts.n > GC_PROMPT_PARTS_MAX)
-		added->report.parts.n = GC_PROMPT_PARTS_MAX;
+	added->report.parts.n = 0;
+	for (size_t i = 0; i < MIN(report->parts.n, GC_PROMPT_PARTS_MAX); i++)
+		gc_prompt_parts_add(&added->report.parts, report->parts.ids[i]);
 	set_revision(suspects, added, revision);
 }
 
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -28,6 +28,9 @@
 	size_t n;
 } gc_prompt_parts_t;
 
+/* Adds a part unless it is there or the list is full. */
+void gc_prompt_parts_add(gc_prompt_parts_t *parts, uint64_t part);
+
 /* A server crashed before the first event of a request. */
 typedef struct gc_crash_report {
 	uint64_t id; /* unique in the fleet */
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -60,7 +60,8 @@
 		ids, GC_PROMPT_PARTS_MAX);
 
 	for (size_t i = 0; i < n; i++)
-		parts->ids[parts->n++] = XXH64(ids[i].data, ids[i].len, seed);
+		gc_prompt_parts_add(parts,
+				    XXH64(ids[i].data, ids[i].len, seed));
 }
 
 /* A server that sent an event of the last attempt didn't crash under its prompt.
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -113,6 +113,16 @@
 }
 END_TEST
 
+START_TEST(test_service_clears_a_part_that_is_named_twice)
+{
+	start();
+	crash_three_times(COMMON, COMMON);
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_REFUSE);
+	serve(2001, COMMON, 0);
+	ck_assert_int_eq(judge(2002, COMMON, 0), GC_PROMPT_SEND);
+}
+END_TEST
+
 START_TEST(test_known_report_is_ignored)
 {
 	gc_crash_report_t same = {
@@ -366,6 +376,7 @@
 {
 	const TTest *const tests[] = {
 		test_third_crash_blocks,
+		test_service_clears_a_part_that_is_named_twice,
 		test_own_report_takes_its_revision_from_the_store,
 		test_sound_victims_of_a_crash_dont_blame_the_common_part,
 		test_known_report_is_ignored,
