Send nothing new to servers that say that they are leaving

A server that answered with "Server-Leaving: 1" went on to get requests and load queries until its entry in the store said "draining", which a daemon that has lost the store never learns.

The header is read from the head of every response, also to the daemon's own queries and also if the response answers an earlier request. It marks this incarnation of the server: it is not chosen for an attempt, a load query or a copy, nor as the holder that a stream resumes from, also if the service has no other server. A server that was chosen for its load report isn't used if it has begun to leave or drain since.

--- a/core/backends.c
+++ b/core/backends.c
@@ -365,6 +365,11 @@
 	end_ejection(backend);
 }
 
+void gc_backend_record_leaving(gc_backend_t *backend)
+{
+	backend->leaving = true;
+}
+
 /*
  * A failure domain that crashed while the store was unreachable has new servers
  * at all its addresses. Each request that reveals one of them costs a retry.
--- a/core/backends.h
+++ b/core/backends.h
@@ -76,8 +76,8 @@
 		      const gc_daemon_rank_t *rank);
 /*
  * The best server of the service, preferably in this daemon's failure domain,
- * or NULL. Servers in `avoid` (may be NULL) and draining ones are never chosen,
- * ejected or replaced ones only if no other is left.
+ * or NULL. Servers in `avoid` (may be NULL), draining and leaving ones are
+ * never chosen, ejected or replaced ones only if no other is left.
  */
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
@@ -95,7 +95,10 @@
 			      gc_str_t service, const gc_prompt_t *prompt,
 			      const gc_backend_set_t *avoid,
 			      gc_backend_t **candidates, size_t max);
-/* The best server of a set by its current score; NULL if the set is empty. */
+/*
+ * The best server of a set by its current score, except those that have begun
+ * to drain or leave or were removed since; NULL if there is none.
+ */
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
 				  const gc_prompt_t *prompt,
 				  const gc_backend_set_t *set);
@@ -116,8 +119,8 @@
 					     const gc_backend_t *run_backend,
 					     const gc_backend_set_t *avoid);
 /*
- * True if the server is listed and neither draining, replaced nor ejected, by
- * itself or with its failure domain.
+ * True if the server is listed and neither draining, leaving, replaced nor
+ * ejected, by itself or with its failure domain.
  */
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now);
 
@@ -141,6 +144,12 @@
 void gc_backend_record_load(gc_backend_t *backend, struct timespec now,
 			    const gc_backend_load_t *load);
 
+/*
+ * Records that the server said that it is leaving. It is never chosen again,
+ * whatever its entry says; a new incarnation is another object.
+ */
+void gc_backend_record_leaving(gc_backend_t *backend);
+
 /* Counts a first request, which adds repeat_ratio to the retry budget. */
 void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
 			       gc_str_t service);
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -131,6 +131,8 @@
 		double score =
 			stream_score(backends, set->list[i], now, prompt);
 
+		if (!accepts_requests(set->list[i], now))
+			continue;
 		if (chosen && score >= lowest_score)
 			continue;
 		chosen = set->list[i];
@@ -283,7 +285,7 @@
 
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now)
 {
-	return backend->owner && !backend->entry.draining;
+	return backend->owner && !backend->entry.draining && !backend->leaving;
 }
 
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now)
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -38,6 +38,7 @@
 	service_t *service;
 	domain_t *domain;
 	bool listed;
+	bool leaving; /* as it said itself */
 	bool preferred_local; /* preferred in this daemon's failure domain */
 	bool preferred; /* preferred among the servers of all domains */
 	uint32_t in_flight;
--- /dev/null
+++ b/lib/backend_signals.h
@@ -0,0 +1,19 @@
+/*
+ * What a backend server says about itself in the headers of its responses:
+ * that it is leaving.
+ */
+#ifndef GC_LIB_BACKEND_SIGNALS_H
+#define GC_LIB_BACKEND_SIGNALS_H
+
+#include "core/backends.h"
+#include "lib/http_message.h"
+
+/*
+ * Records the signals of a response whose head is complete; leaving_header is
+ * the name of that header. Invalid values are ignored.
+ */
+void gc_backend_read_signals(gc_backend_t *backend,
+			     const gc_http_message_t *response,
+			     const char *leaving_header);
+
+#endif
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -100,6 +100,7 @@
 		.timers = conf->timers,
 		.clock = conf->clock,
 		.id_header = conf->adapter->headers.request_id,
+		.leaving_header = conf->adapter->headers.leaving,
 		.connect_timeout_ms = conf->connect_timeout_ms,
 		.liveness = conf->liveness,
 	};
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -1,6 +1,7 @@
 /* HTTP/1.1 calls to backend servers over keep-alive connections. */
 #include <glib.h>
 
+#include "lib/backend_signals.h"
 #include "lib/upstream.h"
 
 /*
@@ -295,6 +296,9 @@
 
 	if (call->head_delivered || call->mismatched)
 		return;
+	/* A late response to an earlier request counts, too. */
+	gc_backend_read_signals(conn->backend, conn->message,
+				conn->upstream->conf.leaving_header);
 	call->mismatched = is_mismatched(conn);
 	if (call->mismatched)
 		return;
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -225,6 +225,64 @@
 }
 END_TEST
 
+/* Neither its entry nor a lack of other servers makes it chosen again. */
+START_TEST(test_leaving_server_is_never_chosen)
+{
+	gc_registry_entry_t servers[N_SERVERS];
+	gc_prompt_t prompt = {.hash = 7, .resumed = true};
+	gc_backend_t *candidates[GC_CANDIDATES_MAX];
+	uint64_t state = 1;
+	gc_backends_t *backends = create_with_servers(&state, servers);
+	gc_backend_t *run = find_backend(backends, names[0]);
+	gc_backend_t *leaving = find_backend(backends, names[N_SERVERS - 1]);
+	gc_backend_set_t responded = {&leaving, 1};
+
+	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(0), &prompt,
+					     &responded),
+			 leaving);
+	for (int i = 1; i < N_SERVERS; i++)
+		gc_backend_record_leaving(find_backend(backends, names[i]));
+	sync_all(backends, servers, N_SERVERS);
+	gc_backend_record_success(leaving);
+	ck_assert(!gc_backend_usable(leaving, unit_at(0)));
+	ck_assert_ptr_eq(choose_at(backends, 0), run);
+	ck_assert_ptr_null(
+		gc_backends_best_of(backends, unit_at(0), &prompt, &responded));
+	ck_assert_ptr_null(gc_backends_choose_copy_holder(backends, unit_at(0),
+							  run, NULL));
+	ck_assert_uint_eq(gc_backends_candidates(backends, unit_at(0),
+						 GC_STR_LIT("s"), &prompt, NULL,
+						 candidates, GC_CANDIDATES_MAX),
+			  1);
+	gc_backend_record_leaving(run);
+	ck_assert_ptr_null(choose_at(backends, 0));
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_new_incarnation_is_not_leaving)
+{
+	gc_registry_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create_with_servers(&state, servers);
+
+	for (int i = 0; i < N_SERVERS; i++)
+		gc_backend_record_leaving(find_backend(backends, names[i]));
+	servers[0].started_ms++;
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_str_eq(gc_backend_id(choose_at(backends, 0)).data, names[0]);
+	gc_backend_record_leaving(choose_at(backends, 0));
+	servers[1].address = GC_STR_LIT("127.0.0.1:2000");
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_str_eq(gc_backend_id(choose_at(backends, 0)).data, names[1]);
+	gc_backend_record_leaving(choose_at(backends, 0));
+	servers[2].id = GC_STR_LIT("d0");
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_str_eq(gc_backend_id(choose_at(backends, 0)).data, "d0");
+	talloc_free(backends);
+}
+END_TEST
+
 START_TEST(test_copies_are_in_another_domain)
 {
 	gc_registry_entry_t servers[N_SERVERS];
@@ -460,6 +518,8 @@
 		test_failed_domain_is_avoided,
 		test_one_failing_server_does_not_eject_its_domain,
 		test_ejected_servers_are_used_if_no_other_is_left,
+		test_leaving_server_is_never_chosen,
+		test_new_incarnation_is_not_leaving,
 		test_copies_are_in_another_domain,
 		test_restarted_server_replaces_its_old_entry,
 		test_recent_reports_override_own_counts,
--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -60,6 +60,7 @@
 	test_t *test = talloc_zero(NULL, test_t);
 	gc_upstream_conf_t conf = {.clock = &gc_clock_system,
 				   .id_header = "Request-Id",
+				   .leaving_header = "Server-Leaving",
 				   .connect_timeout_ms = CONNECT_TIMEOUT_MS};
 	gc_backends_conf_t backends_conf = {.failure_domain = GC_STR_LIT("a"),
 					    .random = &random};
@@ -255,12 +256,55 @@
 }
 END_TEST
 
+/* Also in a response that is discarded, as it answers another request. */
+START_TEST(test_leaving_server_is_recorded)
+{
+	static const struct {
+		const char *response;
+		bool leaving;
+	} cases[] = {
+		{"HTTP/1.1 200 OK\r\nserver-leaving: 1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 500 Error\r\nServer-Leaving: 1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Leaving: 1\r\n"
+		 "Content-Length: 0\r\n\r\n"
+		 "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving: 0\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving: 10\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving:\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+
+		respond_early(test, cases[i].response);
+		ck_assert(test->completed);
+		ck_assert(gc_backend_usable(test->backend, unit_at(0)) !=
+			  cases[i].leaving);
+		end_test(test);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_connect_during_stall,
 		test_early_response_is_received,
 		test_incomplete_early_response_fails,
+		test_leaving_server_is_recorded,
 		NULL,
 	};
 
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -48,7 +48,10 @@
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
 query, answers the query after 100 ms and resumes the process 100 ms later.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
-GET /stats returns the ids of executed requests ("runs"), the requests for
+POST /headers {NAME: VALUE} sets the headers that all responses get.
+SIGUSR1 and SIGUSR2 write its entry again, as draining or ready.
+GET /stats returns the number of requests of callers ("requests") and of others
+("queries") that arrived, the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
 ("abandoned") and headers of executed requests ("seen").
 """
@@ -79,10 +82,13 @@
     def __init__(self, args):
         self.id, self.service, self.zone, self.store = args[1:5]
         self.engine = len(args) > 5 and args[5] == "engine"
+        self.born = int(time.time() * 1000)
         self.runs = []
         self.copy_requests = []
         self.abandoned = []
         self.seen = []
+        self.n_requests = 0
+        self.n_queries = 0
         self.late_copies = {}  # by connection
         self.endless_bytes = []
         self.queued = 0
@@ -97,7 +103,7 @@
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
                  "zone": self.zone, "version": "v1", "slots": 4,
                  "state": state, "sequence": 1,
-                 "born": int(time.time() * 1000)}
+                 "born": self.born}
         body = json.dumps({"key": f"servers/{self.id}", "value": value})
         urllib.request.urlopen(self.store + "/operator", body.encode())
 
@@ -153,8 +159,13 @@
                     other.close()
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path == "/headers":
+            wire.common_headers = request.json()
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/stats":
             writer.write(wire.json_response(200, {
+                "requests": self.n_requests, "queries": self.n_queries,
                 "runs": self.runs, "orders": self.copy_requests,
                 "abandoned": self.abandoned, "seen": self.seen,
                 "endless": self.endless_bytes, "queued": self.queued}))
@@ -167,6 +178,10 @@
             self.stall_pid = request.json()["pid"]
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path.startswith(("/v1/report", "/v1/kv-")):
+            self.n_queries += 1
+        else:
+            self.n_requests += 1
         if request.path == "/v1/report":
             pid, self.stall_pid = self.stall_pid, None
             if pid:
@@ -365,6 +380,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, server.register, port, "draining")
+    loop.add_signal_handler(signal.SIGUSR2, server.register, port)
     await stop.wait()
 
 
--- a/standins/routed/wire.py
+++ b/standins/routed/wire.py
@@ -41,7 +41,12 @@
     return Request(method, target, headers, body)
 
 
+# Headers of all responses.
+common_headers = {}
+
+
 def response_head(status, headers):
+    headers = {**common_headers, **headers}
     reasons = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Failed",
                421: "Misdirected Request", 500: "Error", 503: "Busy"}
     lines = [f"HTTP/1.1 {status} {reasons.get(status, 'Status')}"]
