Send nothing to a server for the time of its 503's Retry-After

A server that refused a request with 503 and Retry-After was sent further requests, load queries and copy orders 60 ms later, as after any refusal, and callers were told to return after 250 ms while all servers of the service wanted nothing for seconds.

Retry-After of a 503 to any call, as a decimal number and up to 30 s, makes the server pause for this daemon, plus up to 250 ms at random so that the daemons don't return together. It isn't chosen, also if no other is left; no query goes to it, so a silent stream there is judged after the pause, and a connection that it closes isn't taken for a crash. If all servers of the service pause, a refusal names the first one's return, and is sent without the wait for a server if that is later. A new incarnation doesn't pause.

--- a/core/backends.c
+++ b/core/backends.c
@@ -28,6 +28,8 @@
 #define DOMAIN_MIN_REPLACEMENTS 2
 /* Length of the moving average of the failure rate, in answers. */
 #define FAILURE_RATE_ANSWERS 16.0
+/* Maximum of the random time that is added to a server's pause. */
+#define PAUSE_SPREAD_MS 250
 /* Part of the fleet's retry budget that daemons use. The rest compensates for
  * counting requests over one bucket more than the window. */
 #define BUDGET_FACTOR 0.9
@@ -370,6 +372,26 @@
 	backend->leaving = true;
 }
 
+void gc_backend_record_pause(gc_backend_t *backend, struct timespec now,
+			     int64_t ms)
+{
+	struct timespec until;
+
+	if (ms <= 0)
+		return;
+	if (backend->owner)
+		ms += (int64_t)(PAUSE_SPREAD_MS *
+				gc_backends_random_unit(backend->owner));
+	until = gc_add_ms(now, ms);
+	if (gc_ms_between(backend->paused_until, until) > 0)
+		backend->paused_until = until;
+}
+
+bool gc_backend_is_pausing(const gc_backend_t *backend, struct timespec now)
+{
+	return gc_ms_between(now, backend->paused_until) > 0;
+}
+
 /*
  * A failure domain that crashed while the store was unreachable has new servers
  * at all its addresses. Each request that reveals one of them costs a retry.
--- a/core/backends.h
+++ b/core/backends.h
@@ -76,8 +76,8 @@
 		      const gc_daemon_rank_t *rank);
 /*
  * The best server of the service, preferably in this daemon's failure domain,
- * or NULL. Servers in `avoid` (may be NULL), draining and leaving ones are
- * never chosen, ejected or replaced ones only if no other is left.
+ * or NULL. Servers in `avoid` (may be NULL), draining, leaving and pausing
+ * ones are never chosen, ejected or replaced ones only if no other is left.
  */
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
@@ -97,7 +97,7 @@
 			      gc_backend_t **candidates, size_t max);
 /*
  * The best server of a set by its current score, except those that have begun
- * to drain or leave or were removed since; NULL if there is none.
+ * to drain, leave or pause or were removed since; NULL if there is none.
  */
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
 				  const gc_prompt_t *prompt,
@@ -119,8 +119,8 @@
 					     const gc_backend_t *run_backend,
 					     const gc_backend_set_t *avoid);
 /*
- * True if the server is listed and neither draining, leaving, replaced nor
- * ejected, by itself or with its failure domain.
+ * True if the server is listed and neither draining, leaving, pausing, replaced
+ * nor ejected, by itself or with its failure domain.
  */
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now);
 
@@ -150,6 +150,22 @@
  */
 void gc_backend_record_leaving(gc_backend_t *backend);
 
+/*
+ * Records that the server wants nothing from this daemon for `ms`. A random
+ * time is added, so that the daemons don't all return at once. A pause that ends
+ * later is kept.
+ */
+void gc_backend_record_pause(gc_backend_t *backend, struct timespec now,
+			     int64_t ms);
+/* True if the server wants nothing from this daemon: no request, no query. */
+bool gc_backend_is_pausing(const gc_backend_t *backend, struct timespec now);
+/*
+ * Time in ms until the first server of the service accepts requests again, if
+ * all that would do so are pausing; otherwise 0.
+ */
+int64_t gc_backends_earliest_return(const gc_backends_t *backends,
+				    struct timespec now, gc_str_t service);
+
 /* Counts a first request, which adds repeat_ratio to the retry budget. */
 void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
 			       gc_str_t service);
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -47,7 +47,7 @@
 			 const gc_backend_t *backend, struct timespec now);
 static double load_score(const gc_backend_t *backend, struct timespec now);
 static bool has_recent_report(const gc_backend_t *backend, struct timespec now);
-static double random_unit(const gc_backends_t *backends);
+static bool stays(const gc_backend_t *backend);
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now);
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now);
 
@@ -103,7 +103,8 @@
 			continue;
 		score = stream_score(backends, b, now, prompt);
 		if (!prompt)
-			score += CANDIDATE_JITTER * random_unit(backends);
+			score += CANDIDATE_JITTER *
+				 gc_backends_random_unit(backends);
 		for (index = n; index > 0 && scores[index - 1] > score;
 		     index--) {
 			if (index == max)
@@ -225,7 +226,7 @@
 		score += REPLACED_SCORE;
 	if (gc_ms_between(now, backend->refused_until) > 0)
 		score += backend->entry.slots;
-	return score + JITTER_SCORE * random_unit(backends);
+	return score + JITTER_SCORE * gc_backends_random_unit(backends);
 }
 
 /* The greater of this daemon's own requests and a recent report, which covers
@@ -264,14 +265,31 @@
 	       gc_ms_between(backend->reported_at, now) <= REPORT_MAX_AGE_MS;
 }
 
-/* Uniform in [0, 1). */
-static double random_unit(const gc_backends_t *backends)
+double gc_backends_random_unit(const gc_backends_t *backends)
 {
 	const gc_random_t *random = backends->conf.random;
 
 	return (double)(random->next(random->ctx) >> 11) / 9007199254740992.0;
 }
 
+int64_t gc_backends_earliest_return(const gc_backends_t *backends,
+				    struct timespec now, gc_str_t service)
+{
+	int64_t earliest_ms = 0;
+
+	for (gc_backend_t *b = backends->first; b; b = b->next) {
+		int64_t ms = gc_ms_between(now, b->paused_until);
+
+		if (!gc_str_eq(b->entry.service, service) || !stays(b))
+			continue;
+		if (ms <= 0)
+			return 0;
+		if (earliest_ms == 0 || ms < earliest_ms)
+			earliest_ms = ms;
+	}
+	return earliest_ms;
+}
+
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now)
 {
 	if (!accepts_requests(backend, now) || is_domain_ejected(backend, now))
@@ -283,11 +301,16 @@
 	       gc_ms_between(now, backend->ejected_until) <= 0;
 }
 
-static bool accepts_requests(const gc_backend_t *backend, struct timespec now)
+static bool stays(const gc_backend_t *backend)
 {
 	return backend->owner && !backend->entry.draining && !backend->leaving;
 }
 
+static bool accepts_requests(const gc_backend_t *backend, struct timespec now)
+{
+	return stays(backend) && !gc_backend_is_pausing(backend, now);
+}
+
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now)
 {
 	return backend->domain->ejected &&
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -39,6 +39,7 @@
 	domain_t *domain;
 	bool listed;
 	bool leaving; /* as it said itself */
+	struct timespec paused_until;
 	bool preferred_local; /* preferred in this daemon's failure domain */
 	bool preferred; /* preferred among the servers of all domains */
 	uint32_t in_flight;
@@ -73,6 +74,8 @@
  */
 bool gc_backend_maybe_replaced(const gc_backend_t *backend,
 			       struct timespec now);
+/* Uniform in [0, 1). */
+double gc_backends_random_unit(const gc_backends_t *backends);
 /* True if the server is in this daemon's failure domain. */
 bool gc_backend_is_local(const gc_backends_t *backends,
 			 const gc_backend_t *backend);
--- a/lib/backend_signals.h
+++ b/lib/backend_signals.h
@@ -1,10 +1,12 @@
 /*
- * What a backend server says about itself in the headers of its responses:
- * that it is leaving.
+ * What a backend server says about itself in the headers of its responses: that
+ * it is leaving, or wants nothing from this daemon for a time.
  */
 #ifndef GC_LIB_BACKEND_SIGNALS_H
 #define GC_LIB_BACKEND_SIGNALS_H
 
+#include <time.h>
+
 #include "core/backends.h"
 #include "lib/http_message.h"
 
@@ -12,7 +14,7 @@
  * Records the signals of a response whose head is complete; leaving_header is
  * the name of that header. Invalid values are ignored.
  */
-void gc_backend_read_signals(gc_backend_t *backend,
+void gc_backend_read_signals(gc_backend_t *backend, struct timespec now,
 			     const gc_http_message_t *response,
 			     const char *leaving_header);
 
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -22,6 +22,7 @@
 		      const gc_backend_t *backend);
 static void wait_for_room(gc_exchange_t *exchange);
 static void wait_for_server(gc_exchange_t *exchange);
+static bool is_wait_useless(const gc_exchange_t *exchange, double max_wait_ms);
 
 void gc_exchange_start_next_attempt(gc_exchange_t *exchange)
 {
@@ -154,7 +155,8 @@
 /*
  * The wait is short: an early refusal is better than a late one. It counts from
  * the end of the last attempt, so that a request that left a server late can
- * still wait for others that are silent for a moment.
+ * still wait for others that are silent for a moment. There is none if all
+ * servers pause for longer.
  */
 static void wait_for_server(gc_exchange_t *exchange)
 {
@@ -170,7 +172,8 @@
 				  gc_clock_now(exchange->relay->conf.clock))
 			: gc_exchange_elapsed_ms(exchange);
 
-	if ((double)waited_ms < max_wait_ms) {
+	if ((double)waited_ms < max_wait_ms &&
+	    !is_wait_useless(exchange, max_wait_ms - (double)waited_ms)) {
 		gc_timer_set(exchange->retry_timer, SERVER_POLL_MS);
 		return;
 	}
@@ -180,6 +183,24 @@
 			    GC_END_UNREACHABLE);
 }
 
+/* What has begun waits in any case: a new server may appear, and its end would
+ * be a failure, not a refusal. */
+static bool is_wait_useless(const gc_exchange_t *exchange, double max_wait_ms)
+{
+	gc_relay_t *relay = exchange->relay;
+	int64_t left_ms =
+		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
+	int64_t return_ms =
+		gc_backends_earliest_return(relay->backends,
+					    gc_clock_now(relay->conf.clock),
+					    exchange->service);
+
+	return !exchange->head_sent &&
+	       gc_attempts_final_decision(&exchange->attempts) ==
+		       GC_DECISION_REFUSE &&
+	       (double)return_ms > MIN(max_wait_ms, (double)left_ms);
+}
+
 void gc_exchange_on_retry(void *ctx)
 {
 	gc_exchange_start_next_attempt(ctx);
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -111,7 +111,8 @@
 		.ctx = relay,
 	};
 
-	if (exchange->copy_handle.len == 0 || !exchange->backend)
+	if (exchange->copy_handle.len == 0 || !exchange->backend ||
+	    gc_backend_is_pausing(exchange->backend, current_time(exchange)))
 		return;
 	path = relay->conf.adapter->write_copy_delete_path(
 		exchange->copy_handle);
@@ -143,7 +144,8 @@
 	gc_backend_t *target = NULL;
 
 	gc_timer_set(exchange->copy_timer, COPY_CHECK_MS);
-	if (exchange->copy_request || !exchange->received_event)
+	if (exchange->copy_request || !exchange->received_event ||
+	    gc_backend_is_pausing(exchange->backend, now))
 		return;
 	if (!exchange->copy_holder ||
 	    !gc_backend_usable(exchange->copy_holder, now))
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -126,7 +126,10 @@
 	};
 	crash_check_t *check;
 
-	if (end != GC_END_BROKEN || !is_suspect(exchange))
+	/* A server that pauses can't be asked, and isn't taken for crashed. */
+	if (end != GC_END_BROKEN || !is_suspect(exchange) ||
+	    gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(relay->conf.clock)))
 		return;
 	/* The exchange may end before the query. */
 	check = talloc_zero(relay, crash_check_t);
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -11,6 +11,8 @@
 #define OVERLOAD_RETRY_MIN_PERCENT 20
 #define OVERLOAD_RETRY_MAX_PERCENT 50
 
+static void refuse_without_server(gc_exchange_t *exchange,
+				  const gc_refusal_t *refusal);
 static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
 			   const gc_refusal_t *not_run,
 			   const gc_refusal_t *in_doubt);
@@ -56,13 +58,30 @@
 	    !gc_status_means_not_run(exchange->response_status))
 		gc_exchange_respond(exchange);
 	else if (decision == GC_DECISION_REFUSE)
-		gc_exchange_refuse(exchange, &not_run);
+		refuse_without_server(exchange, &not_run);
 	else
 		gc_exchange_refuse(exchange, end == GC_END_TIMED_OUT
 						     ? &timed_out
 						     : &incomplete);
 }
 
+/* While all servers are pausing, the caller is to return after the first of
+ * them. */
+static void refuse_without_server(gc_exchange_t *exchange,
+				  const gc_refusal_t *refusal)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_refusal_t final_refusal = *refusal;
+	int64_t return_ms =
+		gc_backends_earliest_return(relay->backends,
+					    gc_clock_now(relay->conf.clock),
+					    exchange->service);
+
+	final_refusal.retry_after_ms =
+		MAX(final_refusal.retry_after_ms, return_ms);
+	gc_exchange_refuse(exchange, &final_refusal);
+}
+
 bool gc_status_means_not_run(int status)
 {
 	return status == 408 || status == 421 || status == 429 || status == 503;
@@ -195,8 +214,8 @@
 				    GC_END_TIMED_OUT);
 		return;
 	}
-	gc_exchange_refuse(exchange,
-			   exchange->attempts.may_have_run || exchange->call
-				   ? in_doubt
-				   : not_run);
+	if (exchange->attempts.may_have_run || exchange->call)
+		gc_exchange_refuse(exchange, in_doubt);
+	else
+		refuse_without_server(exchange, not_run);
 }
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -270,7 +270,11 @@
 		.ctx = exchange,
 	};
 
-	if (!exchange->silence_query)
+	/* A server that pauses is alive and busy; it is asked afterwards. */
+	if (gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(relay->conf.clock)))
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+	else if (!exchange->silence_query)
 		exchange->silence_query = gc_backend_query_start(
 			exchange, &conf, exchange->backend);
 }
@@ -288,6 +292,11 @@
 	/* The query frees itself after this callback. */
 	talloc_steal(NULL, exchange->silence_query);
 	exchange->silence_query = NULL;
+	if (gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(exchange->relay->conf.clock))) {
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+		return;
+	}
 	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
 		if (can_fail_over(exchange,
 				  gc_clock_now(exchange->relay->conf.clock)))
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -297,7 +297,9 @@
 	if (call->head_delivered || call->mismatched)
 		return;
 	/* A late response to an earlier request counts, too. */
-	gc_backend_read_signals(conn->backend, conn->message,
+	gc_backend_read_signals(conn->backend,
+				gc_clock_now(conn->upstream->conf.clock),
+				conn->message,
 				conn->upstream->conf.leaving_header);
 	call->mismatched = is_mismatched(conn);
 	if (call->mismatched)
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -283,6 +283,103 @@
 }
 END_TEST
 
+START_TEST(test_pausing_server_is_not_chosen)
+{
+	gc_registry_entry_t servers[N_SERVERS];
+	gc_prompt_t prompt = {.hash = 7, .resumed = true};
+	gc_backend_t *candidates[GC_CANDIDATES_MAX];
+	gc_str_t service = GC_STR_LIT("s");
+	uint64_t state = 1;
+	gc_backends_t *backends = create_with_servers(&state, servers);
+	gc_backend_t *run = find_backend(backends, names[0]);
+	gc_backend_t *pausing = find_backend(backends, names[1]);
+	gc_backend_set_t responded = {&pausing, 1};
+
+	for (int i = 1; i < N_SERVERS; i++)
+		gc_backend_record_pause(find_backend(backends, names[i]),
+					unit_at(0), 1500);
+	/* Neither a shorter pause nor an answer ends it. */
+	gc_backend_record_pause(pausing, unit_at(0), 100);
+	gc_backend_record_success(pausing);
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert(!gc_backend_usable(pausing, unit_at(1499)));
+	ck_assert(gc_backend_usable(pausing, unit_at(1750)));
+	ck_assert_ptr_eq(choose_at(backends, 1499), run);
+	ck_assert_ptr_null(gc_backends_best_of(backends, unit_at(1499), &prompt,
+					       &responded));
+	ck_assert_ptr_null(gc_backends_choose_copy_holder(
+		backends, unit_at(1499), run, NULL));
+	ck_assert_uint_eq(gc_backends_candidates(backends, unit_at(1499),
+						 service, &prompt, NULL,
+						 candidates, GC_CANDIDATES_MAX),
+			  1);
+	ck_assert_int_eq(
+		gc_backends_earliest_return(backends, unit_at(0), service), 0);
+	/* Ejection doesn't admit a server that pauses. */
+	gc_backend_record_pause(run, unit_at(0), 800);
+	gc_backend_record_failure(run, unit_at(0), GC_END_BROKEN);
+	ck_assert_ptr_null(choose_at(backends, 799));
+	ck_assert_ptr_eq(choose_at(backends, 1051), run);
+	talloc_free(backends);
+}
+END_TEST
+
+/* The first one that stays decides; others don't count. */
+START_TEST(test_earliest_return)
+{
+	gc_registry_entry_t servers[N_SERVERS];
+	gc_str_t service = GC_STR_LIT("s");
+	uint64_t state = 1;
+	gc_backends_t *backends = create_with_servers(&state, servers);
+	gc_backend_t *leaving = find_backend(backends, names[1]);
+	int64_t ms;
+
+	ck_assert_int_eq(
+		gc_backends_earliest_return(backends, unit_at(0), service), 0);
+	for (int i = 0; i < N_SERVERS; i++)
+		gc_backend_record_pause(find_backend(backends, names[i]),
+					unit_at(0), 3000 - 1000 * (i < 2));
+	gc_backend_record_leaving(leaving);
+	servers[0].draining = true;
+	sync_all(backends, servers, N_SERVERS);
+	ms = gc_backends_earliest_return(backends, unit_at(500), service);
+	ck_assert_int_ge(ms, 2500);
+	ck_assert_int_lt(ms, 2750);
+	/* A new incarnation accepts requests. */
+	servers[2].started_ms++;
+	sync_all(backends, servers, N_SERVERS);
+	ck_assert_int_eq(gc_backends_earliest_return(backends, unit_at(500),
+						     service),
+			 0);
+	ck_assert_str_eq(gc_backend_id(choose_at(backends, 500)).data,
+			 names[2]);
+	talloc_free(backends);
+}
+END_TEST
+
+START_TEST(test_pauses_end_at_different_times)
+{
+	gc_registry_entry_t servers[N_SERVERS];
+	uint64_t state = 1;
+	gc_backends_t *backends = create_with_servers(&state, servers);
+	gc_backend_t *backend[N_SERVERS];
+	int early = 0;
+
+	for (int i = 0; i < N_SERVERS; i++)
+		backend[i] = find_backend(backends, names[i]);
+	for (int i = 0; i < N_SERVERS; i++)
+		gc_backend_record_pause(backend[i], unit_at(0), 1000);
+	for (int i = 0; i < N_SERVERS; i++) {
+		ck_assert(gc_backend_is_pausing(backend[i], unit_at(999)));
+		ck_assert(!gc_backend_is_pausing(backend[i], unit_at(1250)));
+		early += !gc_backend_is_pausing(backend[i], unit_at(1125));
+	}
+	ck_assert_int_gt(early, 0);
+	ck_assert_int_lt(early, N_SERVERS);
+	talloc_free(backends);
+}
+END_TEST
+
 START_TEST(test_copies_are_in_another_domain)
 {
 	gc_registry_entry_t servers[N_SERVERS];
@@ -520,6 +617,9 @@
 		test_ejected_servers_are_used_if_no_other_is_left,
 		test_leaving_server_is_never_chosen,
 		test_new_incarnation_is_not_leaving,
+		test_pausing_server_is_not_chosen,
+		test_earliest_return,
+		test_pauses_end_at_different_times,
 		test_copies_are_in_another_domain,
 		test_restarted_server_replaces_its_old_entry,
 		test_recent_reports_override_own_counts,
--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -38,6 +38,7 @@
 static gc_call_t *start_call(test_t *test, size_t body_bytes);
 static void run_until_done(test_t *test);
 static void respond_early(test_t *test, const char *response);
+static void respond(test_t *test, const char *response);
 static void set_flag(void *ctx);
 static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
@@ -266,7 +267,7 @@
 		{"HTTP/1.1 200 OK\r\nserver-leaving: 1\r\n"
 		 "Content-Length: 0\r\n\r\n",
 		 true},
-		{"HTTP/1.1 500 Error\r\nServer-Leaving: 1\r\n"
+		{"HTTP/1.1 500 Error\r\nServer-Leaving: 1 \r\n"
 		 "Content-Length: 0\r\n\r\n",
 		 true},
 		{"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Leaving: 1\r\n"
@@ -298,6 +299,78 @@
 }
 END_TEST
 
+static void respond(test_t *test, const char *response)
+{
+	int sock;
+
+	start_call(test, 0);
+	sock = accept(test->listener, NULL, NULL);
+	ck_assert_int_ge(sock, 0);
+	ck_assert_int_eq(send(sock, response, strlen(response), 0),
+			 (ssize_t)strlen(response));
+	run_until_done(test);
+	close(sock);
+}
+
+START_TEST(test_pause_of_server)
+{
+	static const struct {
+		const char *status;
+		const char *retry_after;
+		int64_t pause_ms;
+	} cases[] = {
+		{"503 Busy", "1.5", 1500},
+		{"503 Busy", "2 \t", 2000},
+		{"503 Busy", "0.0004", 1},
+		{"503 Busy", "1000000000", 30000},
+		{"503 Busy", "0", 0},
+		{"503 Busy", "0.000", 0},
+		{"503 Busy", "-1", 0},
+		{"503 Busy", "abc", 0},
+		{"503 Busy", "1e9", 0},
+		{"503 Busy", "0x10", 0},
+		{"503 Busy", "1.2.3", 0},
+		{"503 Busy", "1,5", 0},
+		{"503 Busy", ".", 0},
+		{"503 Busy", "", 0},
+		{"503 Busy", "inf", 0},
+		{"503 Busy", "nan", 0},
+		{"503 Busy", "Wed, 21 Oct 2026 07:28:00 GMT", 0},
+		{"503 Busy", "1000000000000000000000000000000000", 0},
+		{"429 Busy", "5", 0},
+		{"500 Error", "5", 0},
+		{"200 OK", "5", 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+		g_autofree char *response =
+			g_strdup_printf("HTTP/1.1 %s\r\nRetry-After: %s\r\n"
+					"Content-Length: 0\r\n\r\n",
+					cases[i].status, cases[i].retry_after);
+		struct timespec before = gc_clock_now(&gc_clock_system);
+		struct timespec after;
+
+		respond(test, response);
+		ck_assert(test->completed);
+		after = gc_clock_now(&gc_clock_system);
+		ck_assert_msg(cases[i].pause_ms > 0 ||
+				      !gc_backend_is_pausing(test->backend,
+							     after),
+			      "%s %s", cases[i].status, cases[i].retry_after);
+		ck_assert(!gc_backend_is_pausing(
+			test->backend,
+			gc_add_ms(after, cases[i].pause_ms + 250)));
+		if (cases[i].pause_ms > 0)
+			ck_assert(gc_backend_is_pausing(
+				test->backend,
+				gc_add_ms(before, cases[i].pause_ms - 1)));
+		end_test(test);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -305,6 +378,7 @@
 		test_early_response_is_received,
 		test_incomplete_early_response_fails,
 		test_leaving_server_is_recorded,
+		test_pause_of_server,
 		NULL,
 	};
 
--- /dev/null
+++ b/regress/routed_pause.t
@@ -0,0 +1,100 @@
+Guards against requests and queries to servers that have refused one with 503 and
+Retry-After, before that time is over.
+
+  $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
+  $ start_store
+  $ put_config
+  $ start_server app1 app a; start_server app2 app a
+  $ start_server llm1 llm a engine; start_server llm2 llm b engine
+  $ start_routed d1
+  $ ids() { grep -o 'id: [0-9]*\|^[0-9]*$' | tr '\n' ' '; echo; }
+  $ repeat() { local n=$1; shift; for i in $(seq $n); do "$@"; done | sort | uniq -c | sed 's/^ *//'; }
+  $ busy() { local s=$1; shift; curl -s "http://127.0.0.1:$(cat $s.ports)/busy" -d "$*" >/dev/null; }
+  $ requests() { echo $(($(field app1 requests) + $(field app2 requests))); }
+  $ queries() { echo $(($(field llm1 queries) + $(field llm2 queries))); }
+  $ retry_after() { grep -i -o 'retry-after: [0-9.]*' head.txt | awk "{ print (\$2 >= $1 && \$2 <= $2) }"; }
+
+What isn't a time is ignored: both servers go on to get requests.
+
+  $ for value in 0 abc -1 1e9 'Wed, 21 Oct 2026 07:28:00 GMT'; do
+  >   for s in app1 app2; do busy $s "{\"retry_after\": \"$value\"}"; done
+  >   echo $(status /look/busy) $(status /look/busy) $(status /look/ok)
+  > done
+  503 503 200
+  503 503 200
+  503 503 200
+  503 503 200
+  503 503 200
+  $ for s in app1 app2; do busy $s "{}"; done; echo $(status /look/busy) $(status /look/ok)
+  503 200
+
+One server wants nothing for 1.5 s: the refused request and the next ones go to
+the other server, and it gets requests again afterwards.
+
+  $ busy app1 '{"retry_after": "1.5"}'; busy app2 '{"retry_after": "0"}'
+  $ BEFORE=$(field app1 requests); status /look/busy; repeat 20 status /look/ok
+  503
+  20 200
+  $ echo $(($(field app1 requests) - BEFORE))
+  1
+  $ sleep 1.8; repeat 20 status /look/ok; echo $(($(field app1 requests) - BEFORE > 2))
+  20 200
+  1
+
+Both want nothing: requests are refused with the time that is left.
+
+  $ busy app1 '{"retry_after": "4"}'; busy app2 '{"retry_after": "5"}'; status /look/busy
+  503
+  $ BEFORE=$(requests); sleep 0.5
+  $ send_request /look/ok -D head.txt -o /dev/null; retry_after 3.2 4.1
+  503
+  1
+  $ send_request /book/ok | grep -o not_run
+  not_run
+  $ repeat 9 status /book/ok; echo $(($(requests) - BEFORE))
+  9 503
+  0
+
+A new incarnation is free of it; the other server follows after its time.
+
+  $ start_server app3 app a; sleep 0.3; repeat 3 status /look/ok; echo $(($(requests) - BEFORE))
+  3 200
+  0
+  $ sleep 4; kill $app3_pid; operator '{"key":"servers/app3","remove":true}'; sleep 0.3; repeat 9 status /look/ok
+  9 200
+
+Streams: a server refuses load queries, and gets neither queries nor streams.
+
+  $ busy llm1 '{"retry_after": "1.5", "queries": true}'; status /draft/ok
+  200
+  $ BEFORE=$(field llm1 queries); RUNS=$(field llm1 requests); repeat 3 send_request /draft/ok -o /dev/null
+  3 200
+  $ echo $(($(field llm1 queries) - BEFORE)) $(($(field llm1 requests) - RUNS))
+  0 0
+
+Both do: streams are refused without the wait of 250 ms for a server.
+
+  $ busy llm2 '{"retry_after": "1.5"}'; sleep 1.5; busy llm2 '{"retry_after": "1.5", "queries": true}'; status /draft/ok
+  503
+  $ BEFORE=$(queries); send_request /draft/ok -D head.txt -w '%{http_code} %{time_total}\n' -o /dev/null | awk '{ print $1, ($2 < 0.15) }'; retry_after 0.7 2.1
+  503 1
+  1
+  $ repeat 5 status /draft/ok; echo $(($(queries) - BEFORE))
+  5 503
+  0
+  $ for s in llm1 llm2; do busy $s '{}'; done; sleep 1.8; send_request /draft/ok | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
+A running stream goes on while its server and the holder of its copy want nothing
+new: no copy to the third server is ordered before the end of that time.
+
+  $ start_server llm3 llm c engine; sleep 0.3
+  $ attempt() { grep '"message":"attempt started"' d1.log | tail -n 1 | grep -o "\"$1\":\"[a-z0-9]*\"" | cut -d'"' -f4; }
+  $ (send_request /draft/steady >steady.out) & steady_pid=$!; sleep 0.5
+  $ RUN=$(attempt server); COPY=$(attempt copy)
+  $ for s in $RUN $COPY; do busy $s '{"retry_after": "3", "queries": true}'; done; status /draft/ok
+  200
+  $ BEFORE=$(($(field $RUN queries) + $(field $COPY queries))); wait $steady_pid; ids <steady.out
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ echo $(($(field $RUN queries) + $(field $COPY queries) - BEFORE)) $(field $RUN orders)
+  0 []
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -7,6 +7,7 @@
 selects the behaviour:
   ok           responds with a description of the request
   fail         responds with status 500
+  busy         as shed, with the Retry-After that POST /busy sets
   shed         responds with status 503 without executing the request
   cut          closes the connection without a response
   short        sends a response truncated by 5 bytes
@@ -48,6 +49,8 @@
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
 query, answers the query after 100 ms and resumes the process 100 ms later.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
+POST /busy {"retry_after", "queries"} sets the Retry-After (text) of the
+behaviour "busy". With "queries", load queries are refused likewise.
 POST /headers {NAME: VALUE} sets the headers that all responses get.
 SIGUSR1 and SIGUSR2 write its entry again, as draining or ready.
 GET /stats returns the number of requests of callers ("requests") and of others
@@ -87,6 +90,8 @@
         self.copy_requests = []
         self.abandoned = []
         self.seen = []
+        self.retry_after = None
+        self.refuse_queries = False
         self.n_requests = 0
         self.n_queries = 0
         self.late_copies = {}  # by connection
@@ -119,6 +124,10 @@
         headers.update(extra)
         return headers
 
+    def busy_headers(self):
+        return {} if self.retry_after is None else {
+            "Retry-After": self.retry_after}
+
     def echo_response(self, request):
         body = json.dumps({
             "server": self.id, "method": request.method,
@@ -159,6 +168,12 @@
                     other.close()
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path == "/busy":
+            command = request.json()
+            self.retry_after = command.get("retry_after")
+            self.refuse_queries = command.get("queries", False)
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/headers":
             wire.common_headers = request.json()
             writer.write(wire.json_response(200, {}))
@@ -182,6 +197,9 @@
             self.n_queries += 1
         else:
             self.n_requests += 1
+        if request.path == "/v1/report" and self.refuse_queries:
+            writer.write(wire.response(503, b"", self.busy_headers()))
+            return True
         if request.path == "/v1/report":
             pid, self.stall_pid = self.stall_pid, None
             if pid:
@@ -218,8 +236,10 @@
             with open(f"ran.{run_id}", "w", encoding="ascii"):
                 pass
             behaviour = behaviour[1:] if first else ["ok"]
-        if behaviour[0] == "shed":
+        if behaviour[0] in ("shed", "busy"):
+            retry_after = self.busy_headers() if behaviour[0] == "busy" else {}
             writer.write(wire.response(503, b"", {
+                **retry_after,
                 HEADER_PREFIX + "Request-Id": run_id,
                 HEADER_PREFIX + "Not-Executed": "1"}))
             return True
