--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -38,6 +38,7 @@
 static gc_call_t *start_call(test_t *test, size_t body_bytes);
 static void run_until_done(test_t *test);
 static void respond_early(test_t *test, const char *response);
+static void respond(test_t *test, const char *response);
 static void set_flag(void *ctx);
 static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
@@ -60,6 +61,7 @@
 	test_t *test = talloc_zero(NULL, test_t);
 	gc_upstream_conf_t conf = {.clock = &gc_clock_system,
 				   .id_header = "Request-Id",
+				   .leaving_header = "Server-Leaving",
 				   .connect_timeout_ms = CONNECT_TIMEOUT_MS};
 	gc_backends_conf_t backends_conf = {.failure_domain = GC_STR_LIT("a"),
 					    .random = &random};
@@ -255,12 +257,128 @@
 }
 END_TEST
 
+/* Also in a response that is discarded, as it answers another request. */
+START_TEST(test_leaving_server_is_recorded)
+{
+	static const struct {
+		const char *response;
+		bool leaving;
+	} cases[] = {
+		{"HTTP/1.1 200 OK\r\nserver-leaving: 1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 500 Error\r\nServer-Leaving: 1 \r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Leaving: 1\r\n"
+		 "Content-Length: 0\r\n\r\n"
+		 "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 true},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving: 0\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving: 10\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+		{"HTTP/1.1 200 OK\r\nServer-Leaving:\r\n"
+		 "Content-Length: 0\r\n\r\n",
+		 false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+
+		respond_early(test, cases[i].response);
+		ck_assert(test->completed);
+		ck_assert(gc_backend_usable(test->backend, unit_at(0)) !=
+			  cases[i].leaving);
+		end_test(test);
+	}
+}
+END_TEST
+
+static void respond(test_t *test, const char *response)
+{
+	int sock;
+
+	start_call(test, 0);
+	sock = accept(test->listener, NULL, NULL);
+	ck_assert_int_ge(sock, 0);
+	ck_assert_int_eq(send(sock, response, strlen(response), 0),
+			 (ssize_t)strlen(response));
+	run_until_done(test);
+	close(sock);
+}
+
+START_TEST(test_pause_of_server)
+{
+	static const struct {
+		const char *status;
+		const char *retry_after;
+		int64_t pause_ms;
+	} cases[] = {
+		{"503 Busy", "1.5", 1500},
+		{"503 Busy", "2 \t", 2000},
+		{"503 Busy", "0.0004", 1},
+		{"503 Busy", "1000000000", 30000},
+		{"503 Busy", "0", 0},
+		{"503 Busy", "0.000", 0},
+		{"503 Busy", "-1", 0},
+		{"503 Busy", "abc", 0},
+		{"503 Busy", "1e9", 0},
+		{"503 Busy", "0x10", 0},
+		{"503 Busy", "1.2.3", 0},
+		{"503 Busy", "1,5", 0},
+		{"503 Busy", ".", 0},
+		{"503 Busy", "", 0},
+		{"503 Busy", "inf", 0},
+		{"503 Busy", "nan", 0},
+		{"503 Busy", "Wed, 21 Oct 2026 07:28:00 GMT", 0},
+		{"503 Busy", "1000000000000000000000000000000000", 0},
+		{"429 Busy", "5", 0},
+		{"500 Error", "5", 0},
+		{"200 OK", "5", 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+		g_autofree char *response =
+			g_strdup_printf("HTTP/1.1 %s\r\nRetry-After: %s\r\n"
+					"Content-Length: 0\r\n\r\n",
+					cases[i].status, cases[i].retry_after);
+		struct timespec before = gc_clock_now(&gc_clock_system);
+		struct timespec after;
+
+		respond(test, response);
+		ck_assert(test->completed);
+		after = gc_clock_now(&gc_clock_system);
+		ck_assert_msg(cases[i].pause_ms > 0 ||
+				      !gc_backend_is_pausing(test->backend,
+							     after),
+			      "%s %s", cases[i].status, cases[i].retry_after);
+		ck_assert(!gc_backend_is_pausing(
+			test->backend,
+			gc_add_ms(after, cases[i].pause_ms + 250)));
+		if (cases[i].pause_ms > 0)
+			ck_assert(gc_backend_is_pausing(
+				test->backend,
+				gc_add_ms(before, cases[i].pause_ms - 1)));
+		end_test(test);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_connect_during_stall,
 		test_early_response_is_received,
 		test_incomplete_early_response_fails,
+		test_leaving_server_is_recorded,
+		test_pause_of_server,
 		NULL,
 	};
 
