Let the store's stand-in go back to a copy

Nothing played a restore: the stand-in's revisions and leases never went back, and its answers had no Store-Era. POST /faults takes "checkpoint" and "restore"; a restore raises the era, cuts waiting watches and gives revisions and lease ids out again; a watch from a later revision gets 410. "omit_era" and "era_text" leave the header out or spoil it.

standin_server.py gave its entry a new "born" when it began to drain, which the platform does only at a start: it is the time of the start now.

--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -88,6 +88,7 @@
         self.queued = 0
         self.kv_used = 0
         self.stall_pid = None
+        self.born = int(time.time() * 1000)
         self.ports_file = args[0]
         self.listener = None
         self.port = 0
@@ -97,7 +98,7 @@
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
                  "zone": self.zone, "version": "v1", "slots": 4,
                  "state": state, "sequence": 1,
-                 "born": int(time.time() * 1000)}
+                 "born": self.born}
         body = json.dumps({"key": f"servers/{self.id}", "value": value})
         urllib.request.urlopen(self.store + "/operator", body.encode())
 
--- a/standins/routed/standin_store.py
+++ b/standins/routed/standin_store.py
@@ -7,7 +7,9 @@
   POST /operator {"key", "value" (JSON) or "remove": true}
       writes or removes an item, as operators and servers do
   POST /faults {"mode", "compact": true}
-      "compact" discards the history. The mode applies to further requests:
+      "compact" discards the history; "checkpoint" makes a copy of the store,
+      "restore" goes back to it and raises the era; the next "omit_era": N
+      responses lack the header Store-Era; "era_text" replaces its value. The mode applies to further requests:
       ok      no fault
       busy    status 503
       reset   closes the connection without a response
@@ -20,6 +22,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import signal
 import sys
@@ -41,6 +44,10 @@
         self.next_lease = 100
         self.change_event = asyncio.Event()
         self.mode = "ok"
+        self.era = 1
+        self.checkpoint = None
+        self.omit_era = 0
+        self.era_text = None
         self.call_counts = {}
 
     def put(self, key, value, lease=0):
@@ -77,10 +84,29 @@
             self.remove(key)
         return True
 
+    def make_checkpoint(self):
+        self.checkpoint = copy.deepcopy(
+            (self.revision, self.items, self.history, self.compacted_revision,
+             self.leases, self.next_lease))
+
+    def restore(self):
+        (self.revision, self.items, self.history, self.compacted_revision,
+         self.leases, self.next_lease) = copy.deepcopy(self.checkpoint)
+        now = time.monotonic()
+        self.leases = {n: (ttl_ms, now + ttl_ms / 1000)
+                       for n, (ttl_ms, _) in self.leases.items()}
+        self.era += 1
+        self.change_event.set()
+        self.change_event = asyncio.Event()
+
     async def watch(self, prefix, after, wait_ms):
+        """Returns None if a restore cuts the watch."""
         deadline = time.monotonic() + wait_ms / 1000
+        era = self.era
         while True:
-            if after < self.compacted_revision:
+            if self.era != era:
+                return None
+            if after < self.compacted_revision or after > self.revision:
                 return wire.json_response(410, {})
             events = [e for e in self.history if e["revision"] > after and
                       e["key"].startswith(prefix)]
@@ -171,8 +197,22 @@
             self.revision += 1
             self.change_event.set()
             self.change_event = asyncio.Event()
+        if command.get("checkpoint"):
+            self.make_checkpoint()
+        if command.get("restore"):
+            self.restore()
+        self.omit_era = command.get("omit_era", self.omit_era)
+        self.era_text = command.get("era_text", self.era_text)
         return wire.json_response(200, {})
 
+    def add_era(self, response):
+        if self.omit_era > 0:
+            self.omit_era -= 1
+            return response
+        status, rest = response.split(b"\r\n", 1)
+        era = self.era if self.era_text is None else self.era_text
+        return status + f"\r\nStore-Era: {era}\r\n".encode() + rest
+
     async def handle(self, request, reader, writer):
         if request.path == "/operator":
             response = self.handle_operator(request)
@@ -191,8 +231,10 @@
             response = await self.dispatch(request)
             if self.mode == "lost" and request.method != "GET":
                 await asyncio.sleep(3600)
-            if self.mode != "ok":
+            if self.mode != "ok" or response is None:
                 return False
+        if request.path not in ("/faults", "/stats"):
+            response = self.add_era(response)
         writer.write(response)
         await writer.drain()
         return True
