Keep leaving servers out of use after a restore of the store

Callers saw requests go to a server that was draining, or had left, once the store came back from a copy that lists it as ready: an entry of a list replaced the known one. gc_registry_put_listed() keeps an entry draining after a restore if the same start of the server was known as draining or removed; a change of the entry or a later start brings it back. Entries that the copy lacks get the grace period from the restore on, a second restore starts it anew.

--- a/core/registry.c
+++ b/core/registry.c
@@ -3,6 +3,10 @@
 
 #include "core/clock.h"
 #include "core/registry.h"
+#include "core/strhash.h"
+
+/* Removed entries that are known after a restore of the store. */
+#define MAX_DEPARTED 1024
 
 typedef struct item {
 	gc_registry_entry_t entry;
@@ -12,12 +16,21 @@
 	struct timespec remove_at; /* if missing */
 } item_t;
 
+/* The server of a removed entry. */
+typedef struct departed {
+	gc_str_t id;
+	int64_t started_ms;
+} departed_t;
+
 struct gc_registry {
 	GTree *items; /* gc_str_t of the entry's id: item_t */
 	item_t *missing;
 	int64_t grace_ms;
 	bool reconnected;
 	struct timespec reconnected_at;
+	bool restored; /* lists may be older than what is known */
+	GQueue departed; /* of departed_t, oldest first */
+	GHashTable *departed_by_id; /* gc_str_t: GList of the queue */
 };
 
 typedef struct visitor {
@@ -33,6 +46,8 @@
 static int registry_destructor(gc_registry_t *registry);
 static gint compare_ids(gconstpointer a, gconstpointer b, gpointer ctx);
 static void remove_item(gc_registry_t *registry, item_t *item);
+static void forget_departed(gc_registry_t *registry, gc_str_t id);
+static void remove_departed(gc_registry_t *registry, item_t *item);
 static void set_missing(gc_registry_t *registry, item_t *item,
 			struct timespec remove_at);
 static gboolean clear_listed(gpointer key, gpointer value, gpointer ctx);
@@ -45,6 +60,8 @@
 
 	registry->grace_ms = grace_ms;
 	registry->items = g_tree_new_full(compare_ids, NULL, NULL, NULL);
+	g_queue_init(&registry->departed);
+	registry->departed_by_id = g_hash_table_new(gc_str_hash, gc_str_equal);
 	talloc_set_destructor(registry, registry_destructor);
 	return registry;
 }
@@ -52,6 +69,8 @@
 static int registry_destructor(gc_registry_t *registry)
 {
 	g_tree_unref(registry->items);
+	g_hash_table_unref(registry->departed_by_id);
+	g_queue_clear(&registry->departed);
 	return 0;
 }
 
@@ -79,6 +98,55 @@
 	talloc_free(item);
 }
 
+/* Removes the item of a server that has left, and remembers the server. */
+static void remove_departed(gc_registry_t *registry, item_t *item)
+{
+	departed_t *departed = talloc_zero(registry, departed_t);
+
+	departed->id = gc_str_dup(departed, item->entry.id);
+	departed->started_ms = item->entry.started_ms;
+	remove_item(registry, item);
+	forget_departed(registry, departed->id);
+	if (registry->departed.length == MAX_DEPARTED)
+		forget_departed(
+			registry,
+			((departed_t *)registry->departed.head->data)->id);
+	g_queue_push_tail(&registry->departed, departed);
+	g_hash_table_insert(registry->departed_by_id, &departed->id,
+			    registry->departed.tail);
+}
+
+static void forget_departed(gc_registry_t *registry, gc_str_t id)
+{
+	GList *link = g_hash_table_lookup(registry->departed_by_id, &id);
+	departed_t *departed;
+
+	if (!link)
+		return;
+	departed = link->data;
+	g_hash_table_remove(registry->departed_by_id, &departed->id);
+	g_queue_delete_link(&registry->departed, link);
+	talloc_free(departed);
+}
+
+bool gc_registry_put_listed(gc_registry_t *registry,
+			    const gc_registry_entry_t *entry)
+{
+	const item_t *known = g_tree_lookup(registry->items, &entry->id);
+	const GList *link =
+		g_hash_table_lookup(registry->departed_by_id, &entry->id);
+	const departed_t *departed = link ? link->data : NULL;
+	gc_registry_entry_t put = *entry;
+
+	if (registry->restored &&
+	    ((known && known->entry.draining &&
+	      known->entry.started_ms == entry->started_ms) ||
+	     (departed && departed->started_ms == entry->started_ms)))
+		put.draining = true;
+	gc_registry_put(registry, &put);
+	return put.draining;
+}
+
 void gc_registry_put(gc_registry_t *registry, const gc_registry_entry_t *entry)
 {
 	item_t *old = g_tree_lookup(registry->items, &entry->id);
@@ -93,6 +161,7 @@
 	item->listed = true;
 	if (old)
 		remove_item(registry, old);
+	forget_departed(registry, entry->id);
 	g_tree_insert(registry->items, &item->entry.id, item);
 }
 
@@ -105,7 +174,7 @@
 		return;
 	if (!registry->reconnected ||
 	    gc_ms_between(registry->reconnected_at, now) >= registry->grace_ms)
-		remove_item(registry, item);
+		remove_departed(registry, item);
 	else
 		set_missing(registry, item,
 			    gc_add_ms(registry->reconnected_at,
@@ -170,6 +239,14 @@
 	registry->reconnected_at = now;
 }
 
+void gc_registry_store_restored(gc_registry_t *registry, struct timespec now)
+{
+	gc_registry_store_reconnected(registry, now);
+	registry->restored = true;
+	for (item_t *item = registry->missing; item; item = item->next)
+		item->remove_at = gc_add_ms(now, registry->grace_ms);
+}
+
 bool gc_registry_expire(gc_registry_t *registry, struct timespec now,
 			int64_t *next_ms)
 {
@@ -182,7 +259,7 @@
 
 		next = item->next;
 		if (left <= 0) {
-			remove_item(registry, item);
+			remove_departed(registry, item);
 			removed = true;
 		} else if (*next_ms < 0 || left < *next_ms) {
 			*next_ms = left;
--- a/core/registry.h
+++ b/core/registry.h
@@ -41,6 +41,14 @@
 			gc_str_t id);
 /* Removes an entry that has become unusable, without a grace period. */
 void gc_registry_remove_now(gc_registry_t *registry, gc_str_t id);
+/*
+ * The same for an entry of a full list. After a restore of the store the list may
+ * be older than what is known here: the entry of a server that was draining or
+ * removed since the same start counts as draining until it is put as a change.
+ * Returns true if the entry is draining.
+ */
+bool gc_registry_put_listed(gc_registry_t *registry,
+			    const gc_registry_entry_t *entry);
 /*
  * Starts a full list: each entry is put, then gc_registry_end_list called.
  * Entries that were not put are removed after the grace period.
@@ -50,6 +58,11 @@
 /* Records that the store, which was unreachable, answers again. */
 void gc_registry_store_reconnected(gc_registry_t *registry,
 				   struct timespec now);
+/*
+ * Records that the store went back to a copy: entries that it lacks have the
+ * grace period from now on to be written again.
+ */
+void gc_registry_store_restored(gc_registry_t *registry, struct timespec now);
 /*
  * Removes entries whose grace period is over; true if there were any. Sets
  * *next_ms to the time until the next call is due, -1 if none is.
