Forget leases when the store goes back to a copy

Other daemons and clients missed a daemon for as long as the renewals of its lease succeeded: after a restore its id is given out again, so that they renewed another daemon's lease, and the entry was believed to stand.

The registration and the notices forget their lease at a new era, don't count answers of an old one, and write under a new lease. A registered daemon can be told that the store lacks its entry. Notices are ordered over eras; a notice that a part was served, which may be the copy's, doesn't clear a later report.

--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -37,7 +37,7 @@
 	uint64_t part; /* that was served */
 	struct timespec made;
 	struct timespec due; /* not written before */
-	uint64_t newest_revision; /* of all notices known when it was made */
+	uint64_t newest_order; /* of all notices known when it was made */
 	bool needless; /* removed after the call in flight */
 } notice_t;
 
@@ -59,9 +59,18 @@
 	uint64_t lease; /* id; 0: none */
 	struct timespec lease_requested;
 	bool lease_unused; /* nothing was written under it yet */
+	uint64_t era; /* of the store: the newest one seen */
+	uint64_t call_era; /* the same when the call in flight was made */
 	uint64_t sequence; /* of the next report */
 	own_report_t own_reports[MAX_REPORT_KEYS];
-	uint64_t newest_revision; /* of the notices read */
+	/*
+	 * Revisions start anew in each era. Notices are ordered by their
+	 * revision and era_offset, which puts those of a new era last.
+	 */
+	uint64_t newest_order; /* of the notices read */
+	uint64_t era_offset;
+	uint64_t newest_revision; /* of the notices read, in any era */
+	uint64_t old_revision; /* the same at the start of this era */
 	gc_metric_t *store_calls;
 };
 
@@ -77,15 +86,18 @@
 static void start_next_call(gc_crash_notices_t *notices);
 static void call_store(gc_crash_notices_t *notices, notice_t *notice,
 		       struct timespec now);
-static void on_lease_granted(void *ctx, uint64_t id, const GError *err);
-static void on_written(void *ctx, uint64_t id, const GError *err);
+static void on_lease_granted(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err);
+static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
+static void take_era(gc_crash_notices_t *notices, uint64_t era);
 static void retry_later(gc_crash_notices_t *notices, const char *error);
 static void receive_report(gc_crash_notices_t *notices,
 			   const gc_store_item_t *item);
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item);
+static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision);
 static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
-				 uint64_t revision);
+				 uint64_t order);
 static bool own_report_pending(const gc_crash_notices_t *notices,
 			       uint64_t part);
 static bool has_part(const gc_prompt_parts_t *parts, uint64_t part);
@@ -194,7 +206,7 @@
 		discard_oldest(notices);
 	notice->made = gc_clock_now(notices->conf.clock);
 	notice->due = gc_add_ms(notice->made, delay_ms);
-	notice->newest_revision = notices->newest_revision;
+	notice->newest_order = notices->newest_order;
 	g_queue_push_tail(&notices->queue, notice);
 	return notice;
 }
@@ -297,6 +309,7 @@
 		    LEASE_MS - LEASE_MIN_LEFT_MS)
 		notices->lease = 0;
 	notices->call_in_flight = true;
+	notices->call_era = notices->era;
 	gc_counter_add(notices->store_calls, 1);
 	if (notices->lease == 0) {
 		notices->lease_requested = now;
@@ -309,13 +322,20 @@
 	}
 }
 
-static void on_lease_granted(void *ctx, uint64_t id, const GError *err)
+static void on_lease_granted(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err)
 {
 	gc_crash_notices_t *notices = ctx;
 
 	notices->call_in_flight = false;
+	take_era(notices, era);
 	if (notices->stopped)
 		return;
+	if (era != 0 ? era != notices->era
+		     : notices->call_era != notices->era) {
+		retry_later(notices, "the store was restored from a copy");
+		return;
+	}
 	if (err || id == 0) {
 		retry_later(notices,
 			    err ? err->message : "no lease in the response");
@@ -326,14 +346,20 @@
 	start_next_call(notices);
 }
 
-static void on_written(void *ctx, uint64_t id, const GError *err)
+static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err)
 {
 	gc_crash_notices_t *notices = ctx;
 	bool lease_unused = notices->lease_unused;
 
 	notices->call_in_flight = false;
+	take_era(notices, era);
 	if (notices->stopped)
 		return;
+	if (notices->call_era != notices->era ||
+	    (era != 0 && era != notices->era)) {
+		retry_later(notices, "the store was restored from a copy");
+		return;
+	}
 	if (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) {
 		notices->lease = 0;
 		/* A new lease that is unknown too must not cause calls without
@@ -354,6 +380,25 @@
 	start_next_call(notices);
 }
 
+static void take_era(gc_crash_notices_t *notices, uint64_t era)
+{
+	if (era == 0)
+		return;
+	gc_crash_notices_set_era(notices, era);
+	if (notices->conf.era_seen)
+		notices->conf.era_seen(notices->conf.ctx, era);
+}
+
+void gc_crash_notices_set_era(gc_crash_notices_t *notices, uint64_t era)
+{
+	if (era <= notices->era)
+		return;
+	notices->era = era;
+	notices->lease = 0;
+	notices->era_offset = notices->newest_order;
+	notices->old_revision = notices->newest_revision;
+}
+
 static void retry_later(gc_crash_notices_t *notices, const char *error)
 {
 	g_free(notices->last_error);
@@ -384,13 +429,13 @@
 	g_autoptr(GError) err = NULL;
 	gc_crash_report_t report;
 	own_report_t *own;
+	uint64_t order;
 
 	if (!gc_crash_notices_decode_report(item->value, &report, &err)) {
 		log_invalid(item->key, err->message);
 		return;
 	}
-	notices->newest_revision =
-		MAX(notices->newest_revision, item->revision);
+	order = add_notice(notices, item->revision);
 	own = find_own_report(notices, report.id);
 	if (own) {
 		own->pending = false;
@@ -404,13 +449,24 @@
 		}
 		start_next_call(notices);
 	}
-	notices->conf.on_report(notices->conf.ctx, &report, item->revision);
+	notices->conf.on_report(notices->conf.ctx, &report, order);
+}
+
+/* Returns the place of a notice in the order of all. */
+static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision)
+{
+	uint64_t order = notices->era_offset + revision;
+
+	notices->newest_revision = MAX(notices->newest_revision, revision);
+	notices->newest_order = MAX(notices->newest_order, order);
+	return order;
 }
 
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item)
 {
 	uint64_t part;
+	uint64_t order;
 
 	if (!parse_hex(digits, &part)) {
 		log_invalid(item->key, "the part is not 16 hex digits");
@@ -420,10 +476,16 @@
 		log_invalid(item->key, "instance must be a string");
 		return;
 	}
-	notices->newest_revision =
-		MAX(notices->newest_revision, item->revision);
-	mark_served_needless(notices, part, item->revision);
-	notices->conf.on_served(notices->conf.ctx, part, item->revision);
+	/*
+	 * It may be the copy's, older than the reports of the last era. A part
+	 * wrongly taken as served crashes servers; one that stays blocked is
+	 * tried after a while.
+	 */
+	if (item->revision <= notices->old_revision)
+		return;
+	order = add_notice(notices, item->revision);
+	mark_served_needless(notices, part, order);
+	notices->conf.on_served(notices->conf.ctx, part, order);
 }
 
 /*
@@ -432,7 +494,7 @@
  * daemon's own, which may still be on their way to the store.
  */
 static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
-				 uint64_t revision)
+				 uint64_t order)
 {
 	if (own_report_pending(notices, part))
 		return;
@@ -440,7 +502,7 @@
 		notice_t *notice = link->data;
 
 		if (!notice->is_report && notice->part == part &&
-		    revision > notice->newest_revision)
+		    order > notice->newest_order)
 			notice->needless = true;
 	}
 	start_next_call(notices);
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -31,10 +31,15 @@
 	const gc_random_t *random;
 	gc_store_t store;
 	gc_str_t instance; /* name of this daemon */
-	/* Called for each valid notice in the store, including this daemon's. */
+	/*
+	 * Called for each valid notice in the store, including this daemon's.
+	 * order rises with the revision, also when the store was restored.
+	 */
 	void (*on_report)(void *ctx, const gc_crash_report_t *report,
-			  uint64_t revision);
-	void (*on_served)(void *ctx, uint64_t part, uint64_t revision);
+			  uint64_t order);
+	void (*on_served)(void *ctx, uint64_t part, uint64_t order);
+	/* Called with the era of each response that names one; may be NULL. */
+	void (*era_seen)(void *ctx, uint64_t era);
 	void *ctx;
 } gc_crash_notices_conf_t;
 
@@ -56,6 +61,11 @@
  */
 void gc_crash_notices_receive(gc_crash_notices_t *notices,
 			      const gc_store_item_t *item);
+/*
+ * The store is in this era. After a change of it, the lease counts as gone, as
+ * its id may be another daemon's.
+ */
+void gc_crash_notices_set_era(gc_crash_notices_t *notices, uint64_t era);
 /* Nothing is written any more. */
 void gc_crash_notices_stop(gc_crash_notices_t *notices);
 
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -19,6 +19,8 @@
 	gc_registration_conf_t conf;
 	gc_timer_t *timer;
 	uint64_t lease; /* id; 0: none */
+	uint64_t era; /* of the store: the newest one seen */
+	uint64_t call_era; /* the same when the call in flight was made */
 	bool entry_written;
 	bool removing;
 	bool call_in_flight;
@@ -28,12 +30,18 @@
 };
 
 static void on_timer(void *ctx);
-static void on_lease_granted(void *ctx, uint64_t id, const GError *err);
+static void on_lease_granted(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err);
 static void write_entry(gc_registration_t *registration);
-static void on_entry_written(void *ctx, uint64_t id, const GError *err);
-static void on_renewed(void *ctx, uint64_t id, const GError *err);
-static void on_lease_ended(void *ctx, uint64_t id, const GError *err);
+static void on_entry_written(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err);
+static void on_renewed(void *ctx, uint64_t id, uint64_t era, const GError *err);
+static void on_lease_ended(void *ctx, uint64_t id, uint64_t era,
+			   const GError *err);
+static void take_era(gc_registration_t *registration, uint64_t era);
+static void repeat_call(gc_registration_t *registration, uint64_t era);
 static void schedule_next_call(gc_registration_t *registration, bool succeeded);
+static void call_now(gc_registration_t *registration);
 
 gc_registration_t *gc_registration_create(TALLOC_CTX *mem,
 					  const gc_registration_conf_t *conf)
@@ -62,6 +70,7 @@
 	if (registration->removing)
 		return;
 	registration->call_in_flight = true;
+	registration->call_era = registration->era;
 	if (registration->lease != 0 && !registration->entry_written) {
 		write_entry(registration);
 		return;
@@ -76,15 +85,23 @@
 			   on_renewed, registration);
 }
 
-static void on_lease_granted(void *ctx, uint64_t id, const GError *err)
+static void on_lease_granted(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err)
 {
 	gc_registration_t *registration = ctx;
 
+	take_era(registration, era);
+	if (era != 0 ? era != registration->era
+		     : registration->call_era != registration->era) {
+		repeat_call(registration, era);
+		return;
+	}
 	if (err || id == 0) {
 		schedule_next_call(registration, false);
 		return;
 	}
 	registration->lease = id;
+	registration->call_era = registration->era;
 	if (registration->removing)
 		gc_registration_remove(registration);
 	else
@@ -111,20 +128,33 @@
 	json_decref(json);
 }
 
-static void on_entry_written(void *ctx, uint64_t id, const GError *err)
+static void on_entry_written(void *ctx, uint64_t id, uint64_t era,
+			     const GError *err)
 {
 	gc_registration_t *registration = ctx;
 
+	take_era(registration, era);
+	if (registration->call_era != registration->era ||
+	    (era != 0 && era != registration->era)) {
+		repeat_call(registration, era);
+		return;
+	}
 	if (err && g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND))
 		registration->lease = 0;
 	registration->entry_written = !err;
 	schedule_next_call(registration, !err);
 }
 
-static void on_renewed(void *ctx, uint64_t id, const GError *err)
+static void on_renewed(void *ctx, uint64_t id, uint64_t era, const GError *err)
 {
 	gc_registration_t *registration = ctx;
 
+	take_era(registration, era);
+	if (registration->call_era != registration->era ||
+	    (era != 0 && era != registration->era)) {
+		repeat_call(registration, era);
+		return;
+	}
 	if (err && g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) {
 		registration->lease = 0;
 		registration->entry_written = false;
@@ -132,6 +162,60 @@
 	schedule_next_call(registration, !err);
 }
 
+/* Reports the era of a response; the lease is gone if it is a new one. */
+static void take_era(gc_registration_t *registration, uint64_t era)
+{
+	if (era == 0)
+		return;
+	gc_registration_set_era(registration, era);
+	if (registration->conf.era_seen)
+		registration->conf.era_seen(registration->conf.ctx, era);
+}
+
+/* The response belongs to an era that is over. */
+static void repeat_call(gc_registration_t *registration, uint64_t era)
+{
+	if (era != 0 && era < registration->era)
+		schedule_next_call(registration, false);
+	else
+		call_now(registration);
+}
+
+static void call_now(gc_registration_t *registration)
+{
+	registration->call_in_flight = false;
+	if (!registration->removing)
+		gc_timer_set(registration->timer, 0);
+}
+
+void gc_registration_set_era(gc_registration_t *registration, uint64_t era)
+{
+	if (era <= registration->era)
+		return;
+	registration->era = era;
+	registration->entry_written = false;
+	/* A first call without a lease needs no repetition. */
+	if (registration->lease == 0)
+		return;
+	registration->lease = 0;
+	if (!registration->call_in_flight)
+		call_now(registration);
+}
+
+bool gc_registration_is_written(const gc_registration_t *registration)
+{
+	return registration->entry_written;
+}
+
+void gc_registration_write_again(gc_registration_t *registration)
+{
+	if (!registration->entry_written)
+		return;
+	registration->entry_written = false;
+	if (!registration->call_in_flight)
+		call_now(registration);
+}
+
 static void schedule_next_call(gc_registration_t *registration, bool succeeded)
 {
 	registration->call_in_flight = false;
@@ -169,7 +253,8 @@
 	registration->lease = 0;
 }
 
-static void on_lease_ended(void *ctx, uint64_t id, const GError *err)
+static void on_lease_ended(void *ctx, uint64_t id, uint64_t era,
+			   const GError *err)
 {
 	if (err)
 		gc_log_error(GC_LOG_WARNING, GC_EVENT_LEAVE_FAILED,
--- a/lib/store.h
+++ b/lib/store.h
@@ -21,10 +21,15 @@
 	bool more; /* another page follows after the last key */
 	/* Age of the state when the response was sent; 0 from the store. */
 	int64_t age_ms;
+	/*
+	 * Rises when the store goes back to a copy; revisions and leases of two
+	 * eras don't compare. 0: the response doesn't tell.
+	 */
+	uint64_t era;
 } gc_store_items_t;
 
 /*
- * On an error err is set and items is NULL. GC_ERR_LOST: the store no longer
+ * On an error err is set, and of items only the era counts. GC_ERR_LOST: the store no longer
  * has the changes after the requested revision. items and err are valid only
  * during the callback.
  */
@@ -32,9 +37,10 @@
 				      const GError *err);
 /*
  * err as above; GC_ERR_NOT_FOUND: there is no such lease. id is the lease, 0 if
- * the response names none.
+ * the response names none. era as in gc_store_items_t.
  */
-typedef void (*gc_store_done_t)(void *ctx, uint64_t id, const GError *err);
+typedef void (*gc_store_done_t)(void *ctx, uint64_t id, uint64_t era,
+				const GError *err);
 
 typedef struct gc_store_ops {
 	/* Reads a page of items, ordered by key, after the key `after`. */
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -46,6 +46,7 @@
 	unsigned int n_served;
 	uint64_t part;
 	uint64_t revision;
+	uint64_t era; /* in the answers */
 } fixture_t;
 
 static void start_call(fixture_t *fixture, call_t call, gc_store_done_t done,
@@ -146,7 +147,7 @@
 {
 	ck_assert_int_ne(fixture->call, NO_CALL);
 	fixture->call = NO_CALL;
-	fixture->done(fixture->done_ctx, lease, NULL);
+	fixture->done(fixture->done_ctx, lease, fixture->era, NULL);
 }
 
 static void answer_error(fixture_t *fixture, gc_errcode_t code)
@@ -156,7 +157,7 @@
 	ck_assert_int_ne(fixture->call, NO_CALL);
 	fixture->call = NO_CALL;
 	gc_error_set(&err, code, "put", "store", "no answer");
-	fixture->done(fixture->done_ctx, 0, err);
+	fixture->done(fixture->done_ctx, 0, fixture->era, err);
 	g_error_free(err);
 }
 
@@ -722,6 +723,79 @@
 }
 END_TEST
 
+/* As advance(), by a notice whose revision tells that it is new. */
+static void advance_in_era(fixture_t *fixture, int64_t ms, uint64_t revision)
+{
+	fixture->now_ms += ms;
+	receive(fixture, "goldcrest/served/00000000000000ff",
+		"{\"instance\":\"d9\"}", revision);
+}
+
+/*
+ * Fault: after a restore another daemon may have this one's lease, so that
+ * notices end too early or late.
+ */
+START_TEST(test_lease_is_forgotten_in_a_new_era)
+{
+	fixture_t *fixture = start();
+
+	fixture->era = 1;
+	write_first(fixture, 7);
+	gc_crash_notices_set_era(fixture->notices, 2);
+	share_report(fixture, 2);
+	ck_assert_int_eq(fixture->call, LEASE_CALL);
+	fixture->era = 2;
+	answer(fixture, 7);
+	ck_assert_int_eq(fixture->call, PUT_CALL);
+	/* Written in another era than its lease: the notice is repeated. */
+	fixture->era = 3;
+	answer(fixture, 0);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+	advance_in_era(fixture, 200, 1000);
+	ck_assert_int_eq(fixture->call, LEASE_CALL);
+	/* A late answer. */
+	fixture->era = 2;
+	answer(fixture, 9);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+	advance_in_era(fixture, 400, 1001);
+	ck_assert_int_eq(fixture->call, LEASE_CALL);
+	fixture->era = 3;
+	answer(fixture, 8);
+	ck_assert_int_eq(fixture->call, PUT_CALL);
+	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_uint_eq(fixture->lease, 8);
+	answer(fixture, 0);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+	finish(fixture);
+}
+END_TEST
+
+/* Revisions are given out again: lower ones of a new era are later. */
+START_TEST(test_order_of_notices_over_eras)
+{
+	static const char served[] = "goldcrest/served/00000000000000aa";
+	static const char value[] = "{\"instance\":\"d2\"}";
+	gc_crash_report_t report = report_with(1, 1);
+	g_autofree char *text = gc_crash_notices_encode_report(&report);
+	fixture_t *fixture = start();
+
+	gc_crash_notices_set_era(fixture->notices, 1);
+	receive(fixture, served, value, 50);
+	ck_assert_uint_eq(fixture->revision, 50);
+	gc_crash_notices_set_era(fixture->notices, 2);
+	receive(fixture, "goldcrest/crashes/d2/1", text, 41);
+	ck_assert_uint_eq(fixture->n_reports, 1);
+	ck_assert_uint_gt(fixture->revision, 50);
+	/* Perhaps the copy's, which says nothing about later reports. */
+	receive(fixture, served, value, 45);
+	ck_assert_uint_eq(fixture->n_served, 1);
+	receive(fixture, served, value, 51);
+	ck_assert_uint_eq(fixture->n_served, 2);
+	ck_assert_uint_gt(fixture->revision, 91);
+	finish(fixture);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -743,6 +817,8 @@
 		test_order_of_notices_is_kept,
 		test_nothing_is_written_after_stop,
 		test_report_without_parts_is_not_written,
+		test_lease_is_forgotten_in_a_new_era,
+		test_order_of_notices_over_eras,
 		NULL,
 	};
 
