--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -105,6 +105,7 @@
         self.queued = 0
         self.kv_used = 0
         self.stall_pid = None
+        self.born = int(time.time() * 1000)
         self.ports_file = args[0]
         self.listener = None
         self.port = 0
