--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -350,12 +350,12 @@
 		start_list(fleet);
 		return;
 	}
-	if (!err && era == fleet->known_era) {
+	if (items && era == fleet->known_era) {
 		gc_change_source_peer_answered(&fleet->source, items->age_ms);
 		apply_changes(fleet, items);
 		return;
 	}
-	if (!err) {
+	if (items) {
 		/* The peer hasn't noticed the restore yet. */
 		gc_change_source_peer_failed(
 			&fleet->source, gc_clock_now(fleet->conf.clock), true);
@@ -435,15 +435,14 @@
 static void on_next_call(void *ctx)
 {
 	gc_fleet_t *fleet = ctx;
+	bool list_begun = fleet->list_complete || fleet->last_key->len > 0;
 
-	if (fleet->known_era != fleet->newest_era)
+	if (fleet->known_era != fleet->newest_era || !list_begun)
 		start_list(fleet);
 	else if (fleet->list_complete)
 		start_watch(fleet);
-	else if (fleet->last_key->len > 0)
-		request_page(fleet);
 	else
-		start_list(fleet);
+		request_page(fleet);
 }
 
 static void handle_store_error(gc_fleet_t *fleet, const GError *err)
