Revert "Keep half of the retry budget for requests whose server is lost"

A dark server is silent at first, and its streams waited for keepalive to report it.

The unit test of the share goes with it; the check that has and take agree stays.

--- a/core/backends.c
+++ b/core/backends.c
@@ -33,8 +33,6 @@
 /* Part of the fleet's retry budget that daemons use. The rest compensates for
  * counting requests over one bucket more than the window. */
 #define BUDGET_FACTOR 0.9
-/* Part of this daemon's budget up to which silent servers are left. */
-#define SILENCE_BUDGET_SHARE 0.5
 
 static service_t *find_or_add_service(gc_backends_t *backends, gc_str_t name);
 static gc_retry_window_conf_t retry_conf(const gc_backends_t *backends);
@@ -473,14 +471,13 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
-bool gc_backends_may_leave(gc_backends_t *backends, struct timespec now,
+bool gc_backends_has_retry(gc_backends_t *backends, struct timespec now,
 			   gc_str_t service)
 {
 	gc_retry_window_conf_t conf = retry_conf(backends);
 
 	return gc_retry_window_has(
-		&find_or_add_service(backends, service)->retries, &conf, now,
-		SILENCE_BUDGET_SHARE);
+		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
--- a/core/backends.h
+++ b/core/backends.h
@@ -169,11 +169,8 @@
 /* Counts a first request, which adds repeat_ratio to the retry budget. */
 void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
 			       gc_str_t service);
-/*
- * True if the service's retry budget allows to leave a server that is only
- * silent: a part of it is reserved for requests whose server is lost.
- */
-bool gc_backends_may_leave(gc_backends_t *backends, struct timespec now,
+/* False if the service's retry budget is used up. */
+bool gc_backends_has_retry(gc_backends_t *backends, struct timespec now,
 			   gc_str_t service);
 /* Takes one retry from the service's budget; false if it is used up. */
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
--- a/core/retry_window.c
+++ b/core/retry_window.c
@@ -45,20 +45,20 @@
 
 bool gc_retry_window_has(gc_retry_window_t *window,
 			 const gc_retry_window_conf_t *conf,
-			 struct timespec now, double share)
+			 struct timespec now)
 {
 	double allowed;
 
 	advance_window(window, conf, now);
 	allowed = conf->ratio * sum_counts(window->requests) + conf->slack;
-	return sum_counts(window->retries) + 1 <= share * allowed;
+	return sum_counts(window->retries) + 1 <= allowed;
 }
 
 bool gc_retry_window_take(gc_retry_window_t *window,
 			  const gc_retry_window_conf_t *conf,
 			  struct timespec now)
 {
-	if (!gc_retry_window_has(window, conf, now, 1.0))
+	if (!gc_retry_window_has(window, conf, now))
 		return false;
 	window->retries[window->newest % N_BUCKETS]++;
 	return true;
--- a/core/retry_window.h
+++ b/core/retry_window.h
@@ -31,10 +31,10 @@
 void gc_retry_window_count_request(gc_retry_window_t *window,
 				   const gc_retry_window_conf_t *conf,
 				   struct timespec now);
-/* False if this share of the budget is used up. */
+/* False if the budget is used up. */
 bool gc_retry_window_has(gc_retry_window_t *window,
 			 const gc_retry_window_conf_t *conf,
-			 struct timespec now, double share);
+			 struct timespec now);
 /* Takes one retry; false if the budget of the window is used up. */
 bool gc_retry_window_take(gc_retry_window_t *window,
 			  const gc_retry_window_conf_t *conf,
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -332,7 +332,7 @@
 		return false;
 	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
 	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
-	    !gc_backends_may_leave(relay->backends, now, exchange->service))
+	    !gc_backends_has_retry(relay->backends, now, exchange->service))
 		return false;
 	return has_other_server(exchange, now);
 }
--- a/regress/check_retry_window.c
+++ b/regress/check_retry_window.c
@@ -25,7 +25,7 @@
 			gc_retry_window_count_request(&window, &conf, now);
 			requests[i]++;
 		}
-		while (gc_retry_window_has(&window, &conf, now, 1.0)) {
+		while (gc_retry_window_has(&window, &conf, now)) {
 			ck_assert(gc_retry_window_take(&window, &conf, now));
 			retries[i]++;
 		}
@@ -65,27 +65,11 @@
 }
 END_TEST
 
-START_TEST(test_share_of_the_budget)
-{
-	gc_retry_window_t window = {0};
-
-	for (int i = 0; i < 6; i++)
-		gc_retry_window_count_request(&window, &conf, unit_at(0));
-	for (int used = 0; used < 6; used++) {
-		ck_assert(gc_retry_window_has(&window, &conf, unit_at(0),
-					      0.5) == (used < 3));
-		ck_assert(gc_retry_window_take(&window, &conf, unit_at(0)));
-	}
-	ck_assert(!gc_retry_window_has(&window, &conf, unit_at(0), 1.0));
-}
-END_TEST
-
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_retries_are_bounded_in_every_window,
 		test_old_requests_allow_no_retries,
-		test_share_of_the_budget,
 		NULL,
 	};
 
