--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -350,12 +350,13 @@
 		start_list(fleet);
 		return;
 	}
-	if (items && era == fleet->known_era) {
+	/* A failure may name the era, too. */
+	if (!err && items && era == fleet->known_era) {
 		gc_change_source_peer_answered(&fleet->source, items->age_ms);
 		apply_changes(fleet, items);
 		return;
 	}
-	if (items) {
+	if (!err) {
 		/* The peer hasn't noticed the restore yet. */
 		gc_change_source_peer_failed(
 			&fleet->source, gc_clock_now(fleet->conf.clock), true);
