Log a hash by which a request is recognized when it comes again

It now has the hash of service, account, method, target and body as well. BLAKE2b from libsodium, as requests are to be refused by it.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -5,6 +5,7 @@
 #include <sys/random.h>
 
 #include <curl/curl.h>
+#include <sodium.h>
 
 #include "core/change_source.h"
 #include "core/error.h"
@@ -133,6 +134,11 @@
 	};
 
 	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0) {
+		gc_error_set(err, GC_ERR_IO, "start", NULL,
+			     "can't initialize libsodium");
+		return false;
+	}
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	daemon->rand = g_rand_new_with_seed(random_seed());
 	daemon->random = (gc_random_t){next_random, daemon->rand};
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -28,6 +28,7 @@
 	gc_str_t service;
 	gc_str_t account; /* empty on an anonymous route */
 	gc_str_t id;
+	uint64_t hash; /* the same each time that the request comes */
 	const gc_prompt_t *prompt; /* NULL if unknown */
 	gc_prompt_parts_t prompt_parts; /* empty if not a stream */
 	/* The next attempt finds out whether the prompt crashes servers. */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -6,6 +6,7 @@
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
+#include "lib/request_hash.h"
 
 /* Added to the time limit, so that a response sent at the limit arrives. */
 #define TIME_LIMIT_SLACK_MS 100
@@ -87,6 +88,8 @@
 	gc_caller_conn_set_data(exchange->caller, exchange);
 	exchange->response_head = g_string_new(NULL);
 	exchange->response_body = g_byte_array_new();
+	exchange->hash = gc_request_hash(exchange->service, exchange->account,
+					 exchange->request);
 	exchange->time_limit_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_time_limit, exchange);
 	exchange->inactivity_timer =
@@ -588,11 +591,13 @@
 	g_autofree char *after_ms =
 		g_strdup_printf("%" G_GINT64_FORMAT,
 				gc_ms_between(exchange->attempt_started, now));
+	g_autofree char *hash =
+		g_strdup_printf("%016" G_GINT64_MODIFIER "x", exchange->hash);
 	bool uses_budget;
 	gc_retry_decision_t decision;
 
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ATTEMPT_ENDED, "attempt failed",
-	       "request", exchange->id.data, "server",
+	       "request", exchange->id.data, "hash", hash, "server",
 	       gc_backend_id(exchange->backend).data, "reason", reason,
 	       "status", status, "after_ms", after_ms, "events",
 	       exchange->received_event ? "yes" : "no", NULL);
--- /dev/null
+++ b/lib/request_hash.h
@@ -0,0 +1,19 @@
+/* Recognizes a request that comes again. */
+#ifndef GC_LIB_REQUEST_HASH_H
+#define GC_LIB_REQUEST_HASH_H
+
+#include <stdint.h>
+
+#include "core/str.h"
+#include "lib/http_message.h"
+
+/*
+ * Hash of the service, the client account, the method, the target with its
+ * query, and the body; request must be complete. The same in all daemons.
+ * Requests are refused by it, so it is cryptographic (BLAKE2b): a caller can't
+ * make a request that has the hash of another account's.
+ */
+uint64_t gc_request_hash(gc_str_t service, gc_str_t account,
+			 const gc_http_message_t *request);
+
+#endif
