Show that a request that ends servers is sent on and on

What callers saw: a lookup took down all three servers of its service, again and again, and all other requests of the service with it. The stand-in learns to end itself at the start of a request with a given path or body and to start again under a new start time; a crash of the other kinds does so now, too.

--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -42,10 +42,12 @@
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
-A stream whose prompt shares a part with the id "dead" or "deadN" crashes an
-engine after 400 ms, when it begins to answer: it sends the head, aborts all
-connections, refuses new ones for 2 s and adds its id to crashes.log. One with
-the id "late" or "lateN" crashes it at the fourth event.
+A server that crashes aborts all connections, adds its id to crashes.log and
+starts again after 2 s with a new start time. A request whose path ends in
+"crash" or whose body begins with "crash" crashes it 50 ms after it began to run
+it. A stream whose prompt shares a part with the id "dead" or "deadN" crashes an
+engine after 400 ms, when it has sent the head, and one with the id "late" or
+"lateN" at the fourth event.
   plain        sends a body with neither a length nor chunks, closes at its end
   plaincut     does so, but closes inside the fourth event
   empty        does so, but closes after the head
@@ -82,6 +84,7 @@
 PAUSE_S = 1
 STALL_S = 0.2
 CRASH_AFTER_S = 0.4
+CRASH_REQUEST_AFTER_S = 0.05
 RESTART_S = 2
 RESET_OTHERS_S = 0.003
 HEADER_PREFIX = "Goldcrestfield-"
@@ -161,12 +164,17 @@
             other.transport.abort()
         self.writers.clear()
         asyncio.get_running_loop().call_later(
-            RESTART_S, lambda: asyncio.ensure_future(self.listen()))
+            RESTART_S, lambda: asyncio.ensure_future(self.restart()))
 
     async def listen(self):
         self.listener, self.port = await wire.listen(
             self.handle, self.ports_file, self.port)
 
+    async def restart(self):
+        self.born = int(time.time() * 1000)
+        await self.listen()
+        self.register(self.port)
+
     async def handle(self, request, reader, writer):
         self.writers.add(writer)
         if request.path == "/drop":
@@ -259,6 +267,10 @@
                 request.headers[HEADER_PREFIX.lower() + "deadline-ms"]),
             "last": request.headers.get("last-event-id"),
             "from": request.headers.get("kv-from")})
+        if behaviour[0] == "crash" or request.body.startswith(b"crash"):
+            await asyncio.sleep(CRASH_REQUEST_AFTER_S)
+            await self.crash(writer)
+            return False
         if self.engine:
             return await self.stream_events(request, behaviour[0], reader,
                                             writer)
