--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -54,12 +54,12 @@
 static void on_notices_era(void *ctx, uint64_t era);
 static void share_crash(void *ctx, const gc_crash_report_t *report);
 static void handle_share_crash(void *ctx, void *message);
-static void share_served(void *ctx, uint64_t part);
+static void share_served(void *ctx, uint64_t trait);
 static void handle_share_served(void *ctx, void *message);
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void on_crash(void *ctx, const gc_crash_report_t *report,
 		     uint64_t revision);
-static void on_served(void *ctx, uint64_t part, uint64_t revision);
+static void on_served(void *ctx, uint64_t trait, uint64_t revision);
 static void publish(void *ctx, gc_fleet_view_t *view);
 static void on_confirmed(void *ctx, int64_t at_ms);
 static void init_log(const routed_daemon_t *daemon);
@@ -260,22 +260,22 @@
 }
 
 /* Called in the traffic thread. */
-static void share_served(void *ctx, uint64_t part)
+static void share_served(void *ctx, uint64_t trait)
 {
 	routed_daemon_t *daemon = ctx;
 	uint64_t *message = g_new(uint64_t, 1);
 
-	*message = part;
+	*message = trait;
 	gc_mailbox_post(daemon->mailbox, handle_share_served, message);
 }
 
 static void handle_share_served(void *ctx, void *message)
 {
 	routed_daemon_t *daemon = ctx;
-	uint64_t *part = message;
+	uint64_t *trait = message;
 
-	gc_crash_notices_share_served(daemon->notices, *part);
-	g_free(part);
+	gc_crash_notices_share_served(daemon->notices, *trait);
+	g_free(trait);
 }
 
 static void on_notice(void *ctx, const gc_store_item_t *item)
@@ -293,11 +293,11 @@
 	gc_routed_traffic_add_crash(daemon->traffic, report, revision);
 }
 
-static void on_served(void *ctx, uint64_t part, uint64_t revision)
+static void on_served(void *ctx, uint64_t trait, uint64_t revision)
 {
 	routed_daemon_t *daemon = ctx;
 
-	gc_routed_traffic_add_served(daemon->traffic, part, revision);
+	gc_routed_traffic_add_served(daemon->traffic, trait, revision);
 }
 
 static void publish(void *ctx, gc_fleet_view_t *view)
--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -20,7 +20,7 @@
 /* Delay of a retry after a failed call; doubles up to the maximum. */
 #define RETRY_DELAY_MS	   200
 #define RETRY_MAX_DELAY_MS 1600
-/* All daemons that serve a suspected part find that out at about the same time.
+/* All daemons that serve a suspected trait find that out at about the same time.
  * Each waits a random time up to this one for a notice of another daemon,
  * which takes the pause of a watch after a change and a little more. */
 #define MAX_SERVED_DELAY_MS 600
@@ -34,7 +34,7 @@
 	char *value;
 	bool is_report;
 	uint64_t report_id;
-	uint64_t part; /* that was served */
+	uint64_t trait; /* that was served */
 	struct timespec made;
 	struct timespec due; /* not written before */
 	uint64_t newest_order; /* of all notices known when it was made */
@@ -96,17 +96,17 @@
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item);
 static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision);
-static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
+static void mark_served_needless(gc_crash_notices_t *notices, uint64_t trait,
 				 uint64_t order);
 static bool own_report_pending(const gc_crash_notices_t *notices,
-			       uint64_t part);
-static bool has_part(const gc_prompt_parts_t *parts, uint64_t part);
+			       uint64_t trait);
+static bool has_trait(const gc_request_traits_t *traits, uint64_t trait);
 static void log_invalid(gc_str_t key, const char *error);
 static char *encode_served(gc_str_t instance);
 static bool is_served_value(gc_str_t value);
-static json_t *encode_parts(const gc_prompt_parts_t *parts);
-static bool decode_parts(const json_t *json, gc_prompt_parts_t *parts,
-			 GError **err);
+static json_t *encode_traits(const gc_request_traits_t *traits);
+static bool decode_traits(const json_t *json, gc_request_traits_t *traits,
+			  GError **err);
 static bool parse_hex(gc_str_t digits, uint64_t *number);
 static bool parse_hex_json(const json_t *json, uint64_t *number);
 static bool invalid(GError **err, const char *message);
@@ -157,7 +157,7 @@
 	g_autofree char *value = NULL;
 	notice_t *notice;
 
-	if (notices->stopped || report->parts.n == 0)
+	if (notices->stopped || report->traits.n == 0)
 		return;
 	notices->sequence++;
 	notices->own_reports[number] = (own_report_t){*report, true};
@@ -177,7 +177,7 @@
 	start_next_call(notices);
 }
 
-void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t part)
+void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t trait)
 {
 	const gc_random_t *random = notices->conf.random;
 	g_autofree char *value = NULL;
@@ -188,11 +188,11 @@
 	value = encode_served(notices->conf.instance);
 	notice = enqueue(notices, (int64_t)(random->next(random->ctx) %
 					    (MAX_SERVED_DELAY_MS + 1)));
-	notice->part = part;
+	notice->trait = trait;
 	notice->key = talloc_asprintf(notice,
 				      GC_CRASH_NOTICES_SERVED_PREFIX
 				      "%016" G_GINT64_MODIFIER "x",
-				      part);
+				      trait);
 	notice->value = talloc_strdup(notice, value);
 	start_next_call(notices);
 }
@@ -465,11 +465,11 @@
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item)
 {
-	uint64_t part;
+	uint64_t trait;
 	uint64_t order;
 
-	if (!parse_hex(digits, &part)) {
-		log_invalid(item->key, "the part is not 16 hex digits");
+	if (!parse_hex(digits, &trait)) {
+		log_invalid(item->key, "the trait is not 16 hex digits");
 		return;
 	}
 	if (!is_served_value(item->value)) {
@@ -477,52 +477,53 @@
 		return;
 	}
 	/*
-	 * It may be the copy's, older than the reports of the last era. A part
+	 * It may be the copy's, older than the reports of the last era. A trait
 	 * wrongly taken as served crashes servers; one that stays blocked is
 	 * tried after a while.
 	 */
 	if (item->revision <= notices->old_revision)
 		return;
 	order = add_notice(notices, item->revision);
-	mark_served_needless(notices, part, order);
-	notices->conf.on_served(notices->conf.ctx, part, order);
+	mark_served_needless(notices, trait, order);
+	notices->conf.on_served(notices->conf.ctx, trait, order);
 }
 
 /*
  * A notice in the store makes one that waits needless if it follows all reports
- * on the part: those that were known when the waiting one was made, and this
+ * on the trait: those that were known when the waiting one was made, and this
  * daemon's own, which may still be on their way to the store.
  */
-static void mark_served_needless(gc_crash_notices_t *notices, uint64_t part,
+static void mark_served_needless(gc_crash_notices_t *notices, uint64_t trait,
 				 uint64_t order)
 {
-	if (own_report_pending(notices, part))
+	if (own_report_pending(notices, trait))
 		return;
 	for (GList *link = notices->queue.head; link; link = link->next) {
 		notice_t *notice = link->data;
 
-		if (!notice->is_report && notice->part == part &&
+		if (!notice->is_report && notice->trait == trait &&
 		    order > notice->newest_order)
 			notice->needless = true;
 	}
 	start_next_call(notices);
 }
 
-static bool own_report_pending(const gc_crash_notices_t *notices, uint64_t part)
+static bool own_report_pending(const gc_crash_notices_t *notices,
+			       uint64_t trait)
 {
 	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
 		const own_report_t *own = &notices->own_reports[i];
 
-		if (own->pending && has_part(&own->report.parts, part))
+		if (own->pending && has_trait(&own->report.traits, trait))
 			return true;
 	}
 	return false;
 }
 
-static bool has_part(const gc_prompt_parts_t *parts, uint64_t part)
+static bool has_trait(const gc_request_traits_t *traits, uint64_t trait)
 {
-	for (size_t i = 0; i < parts->n; i++) {
-		if (parts->ids[i] == part)
+	for (size_t i = 0; i < traits->n; i++) {
+		if (traits->ids[i] == trait)
 			return true;
 	}
 	return false;
@@ -542,8 +543,8 @@
 	g_autofree char *id =
 		g_strdup_printf("%016" G_GINT64_MODIFIER "x", report->id);
 	json_t *json = json_pack("{s:s,s:I,s:o}", "id", id, "at_ms",
-				 (json_int_t)report->at_ms, "parts",
-				 encode_parts(&report->parts));
+				 (json_int_t)report->at_ms, "traits",
+				 encode_traits(&report->traits));
 	char *text = json_dumps(json, JSON_COMPACT);
 	char *copy = g_strdup(text);
 
@@ -552,13 +553,13 @@
 	return copy;
 }
 
-static json_t *encode_parts(const gc_prompt_parts_t *parts)
+static json_t *encode_traits(const gc_request_traits_t *traits)
 {
 	json_t *list = json_array();
 
-	for (size_t i = 0; i < parts->n; i++) {
+	for (size_t i = 0; i < traits->n; i++) {
 		g_autofree char *id = g_strdup_printf(
-			"%016" G_GINT64_MODIFIER "x", parts->ids[i]);
+			"%016" G_GINT64_MODIFIER "x", traits->ids[i]);
 
 		json_array_append_new(list, json_string(id));
 	}
@@ -581,29 +582,30 @@
 		 report->at_ms > MAX_TIME_OF_DAY_MS)
 		invalid(err, "at_ms must be a time of day in ms");
 	else
-		valid = decode_parts(json_object_get(json, "parts"),
-				     &report->parts, err);
+		valid = decode_traits(json_object_get(json, "traits"),
+				      &report->traits, err);
 	json_decref(json);
 	return valid;
 }
 
-static bool decode_parts(const json_t *json, gc_prompt_parts_t *parts,
-			 GError **err)
+static bool decode_traits(const json_t *json, gc_request_traits_t *traits,
+			  GError **err)
 {
 	size_t i;
 	json_t *id;
 
 	if (!json_is_array(json) || json_array_size(json) == 0 ||
-	    json_array_size(json) > GC_PROMPT_PARTS_MAX)
-		return invalid(err, "parts must be a list of 1 to " G_STRINGIFY(
-					    GC_PROMPT_PARTS_MAX) " strings");
+	    json_array_size(json) > GC_REQUEST_TRAITS_MAX)
+		return invalid(err,
+			       "traits must be a list of 1 to " G_STRINGIFY(
+				       GC_REQUEST_TRAITS_MAX) " strings");
 	json_array_foreach (json, i, id) {
-		if (!parse_hex_json(id, &parts->ids[i]))
+		if (!parse_hex_json(id, &traits->ids[i]))
 			return invalid(
 				err,
-				"a part must be a string of 16 hex digits");
+				"a trait must be a string of 16 hex digits");
 	}
-	parts->n = json_array_size(json);
+	traits->n = json_array_size(json);
 	return true;
 }
 
@@ -615,7 +617,7 @@
 			 number);
 }
 
-/* Only lower-case digits, so that each part has one key. */
+/* Only lower-case digits, so that each trait has one key. */
 static bool parse_hex(gc_str_t digits, uint64_t *number)
 {
 	*number = 0;
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -20,7 +20,7 @@
 
 /* Key of a crash report: this prefix, the daemon's name, "/" and a number. */
 #define GC_CRASH_NOTICES_REPORTS_PREFIX "goldcrest/crashes/"
-/* Key of a notice that a part was served: this prefix and the part. */
+/* Key of a notice that a trait was served: this prefix and the trait. */
 #define GC_CRASH_NOTICES_SERVED_PREFIX "goldcrest/served/"
 
 typedef struct gc_crash_notices gc_crash_notices_t;
@@ -37,7 +37,7 @@
 	 */
 	void (*on_report)(void *ctx, const gc_crash_report_t *report,
 			  uint64_t order);
-	void (*on_served)(void *ctx, uint64_t part, uint64_t order);
+	void (*on_served)(void *ctx, uint64_t trait, uint64_t order);
 	/* Called with the era of each response that names one; may be NULL. */
 	void (*era_seen)(void *ctx, uint64_t era);
 	void *ctx;
@@ -49,12 +49,12 @@
 void gc_crash_notices_destroy(gc_crash_notices_t *notices);
 /*
  * Write a notice to the store, in the order of the calls. Failed writes are
- * repeated for 10 s. A report without parts is not written.
+ * repeated for 10 s. A report without traits is not written.
  */
 void gc_crash_notices_share_report(gc_crash_notices_t *notices,
 				   const gc_crash_report_t *report);
-/* Not written if another notice on the part comes from the store first. */
-void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t part);
+/* Not written if another notice on the trait comes from the store first. */
+void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t trait);
 /*
  * Reads an item under one of the prefixes, which must not be a deletion. An
  * invalid one is logged and otherwise ignored.
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -36,7 +36,7 @@
 		end_without_time(exchange);
 		return;
 	}
-	if (!gc_exchange_check_prompt(exchange))
+	if (!gc_exchange_check_suspects(exchange))
 		return;
 	if (exchange->resume_holder &&
 	    gc_backend_usable(exchange->resume_holder, now)) {
@@ -112,7 +112,7 @@
 	exchange->load_probe = NULL;
 	if (left_ms <= 0)
 		end_without_time(exchange);
-	else if (gc_exchange_check_prompt(exchange))
+	else if (gc_exchange_check_suspects(exchange))
 		start_at(exchange, backend, left_ms);
 	gc_load_probe_destroy(probe);
 }
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -35,7 +35,7 @@
 } crash_check_t;
 
 static bool is_suspect(const gc_exchange_t *exchange);
-static void refuse_prompt(gc_exchange_t *exchange);
+static void refuse_suspect(gc_exchange_t *exchange);
 static int crash_check_destructor(crash_check_t *check);
 static void query_load(crash_check_t *check, gc_backend_t *server,
 		       void (*done)(void *ctx, int status, gc_str_t response,
@@ -46,22 +46,22 @@
 			    gc_attempt_end_t end);
 static bool query_other(crash_check_t *check);
 static void end_query(crash_check_t *check);
-static char *format_parts(const gc_prompt_parts_t *parts);
+static char *format_traits(const gc_request_traits_t *traits);
 
-void gc_exchange_read_prompt_parts(gc_exchange_t *exchange)
+void gc_exchange_read_traits(gc_exchange_t *exchange)
 {
 	const gc_adapter_t *adapter = exchange->relay->conf.adapter;
-	gc_prompt_parts_t *parts = &exchange->prompt_parts;
-	gc_str_t ids[GC_PROMPT_PARTS_MAX];
+	gc_request_traits_t *traits = &exchange->traits;
+	gc_str_t ids[GC_REQUEST_TRAITS_MAX];
 	uint64_t seed = XXH64(exchange->service.data, exchange->service.len, 0);
 	size_t n = adapter->shared_parts(
 		gc_http_message_find_header(exchange->request,
 					    adapter->headers.prompt),
-		ids, GC_PROMPT_PARTS_MAX);
+		ids, GC_REQUEST_TRAITS_MAX);
 
 	for (size_t i = 0; i < n; i++)
-		gc_prompt_parts_add(parts,
-				    XXH64(ids[i].data, ids[i].len, seed));
+		gc_request_traits_add(traits,
+				      XXH64(ids[i].data, ids[i].len, seed));
 }
 
 /* A server that sent an event of the last attempt didn't crash under its prompt.
@@ -69,31 +69,31 @@
  * about the last server. */
 static bool is_suspect(const gc_exchange_t *exchange)
 {
-	return exchange->prompt_parts.n > 0 && !exchange->received_event;
+	return exchange->traits.n > 0 && !exchange->received_event;
 }
 
-bool gc_exchange_check_prompt(gc_exchange_t *exchange)
+bool gc_exchange_check_suspects(gc_exchange_t *exchange)
 {
 	gc_relay_t *relay = exchange->relay;
 
-	if (!is_suspect(exchange) || exchange->prompt_trial)
+	if (!is_suspect(exchange) || exchange->suspect_trial)
 		return true;
 	switch (gc_crash_suspects_judge(relay->crash_suspects,
 					gc_clock_now(relay->conf.clock),
-					&exchange->prompt_parts)) {
-	case GC_PROMPT_TRY:
-		exchange->prompt_trial = true;
+					&exchange->traits)) {
+	case GC_SUSPECT_TRY:
+		exchange->suspect_trial = true;
 		return true;
-	case GC_PROMPT_REFUSE:
-		refuse_prompt(exchange);
+	case GC_SUSPECT_REFUSE:
+		refuse_suspect(exchange);
 		return false;
-	case GC_PROMPT_SEND:
+	case GC_SUSPECT_SEND:
 		break;
 	}
 	return true;
 }
 
-static void refuse_prompt(gc_exchange_t *exchange)
+static void refuse_suspect(gc_exchange_t *exchange)
 {
 	static const gc_refusal_t unsafe = {
 		.status = 503,
@@ -102,10 +102,10 @@
 		.retry_after_ms = UNSAFE_PROMPT_RETRY_AFTER_MS,
 		.not_run = true,
 	};
-	g_autofree char *parts = format_parts(&exchange->prompt_parts);
+	g_autofree char *traits = format_traits(&exchange->traits);
 
 	gc_log(GC_LOG_WARNING, GC_EVENT_PROMPT_BLOCKED, "prompt blocked",
-	       "request", exchange->id.data, "parts", parts, NULL);
+	       "request", exchange->id.data, "traits", traits, NULL);
 	gc_counter_add(gc_counter("goldcrest_prompts_blocked_total",
 				  "Requests not sent because their prompt "
 				  "crashes servers.",
@@ -126,7 +126,7 @@
 	size_t n;
 
 	gc_crash_suspects_record_served(relay->crash_suspects, now,
-					&exchange->prompt_parts);
+					&exchange->traits);
 	n = gc_crash_suspects_take_served(relay->crash_suspects, now, told,
 					  MAX_SHARED_SERVED);
 	for (size_t i = 0; i < n; i++)
@@ -150,7 +150,7 @@
 	check->relay = relay;
 	check->report.id = relay->conf.random->next(relay->conf.random->ctx);
 	check->report.at_ms = g_get_real_time() / 1000;
-	check->report.parts = exchange->prompt_parts;
+	check->report.traits = exchange->traits;
 	check->request = gc_str_dup(check, exchange->id);
 	check->service = gc_str_dup(check, exchange->service);
 	check->server = gc_backend_ref(exchange->backend);
@@ -246,16 +246,17 @@
 static void end_query(crash_check_t *check)
 {
 	gc_relay_t *relay = check->relay;
-	g_autofree char *parts = NULL;
+	g_autofree char *traits = NULL;
 
 	if (--check->n_pending > 0)
 		return;
 	if (!check->server_reported && check->other_reported) {
-		parts = format_parts(&check->report.parts);
+		traits = format_traits(&check->report.traits);
 		gc_log(GC_LOG_WARNING, GC_EVENT_SERVER_CRASHED,
 		       "server crashed under a request", "request",
 		       check->request.data, "server",
-		       gc_backend_id(check->server).data, "parts", parts, NULL);
+		       gc_backend_id(check->server).data, "traits", traits,
+		       NULL);
 		gc_relay_add_crash(relay, &check->report, 0);
 		if (relay->conf.share_crash)
 			relay->conf.share_crash(relay->conf.share_ctx,
@@ -265,13 +266,13 @@
 }
 
 /* Comma-separated; free with g_free. */
-static char *format_parts(const gc_prompt_parts_t *parts)
+static char *format_traits(const gc_request_traits_t *traits)
 {
 	GString *text = g_string_new(NULL);
 
-	for (size_t i = 0; i < parts->n; i++)
+	for (size_t i = 0; i < traits->n; i++)
 		g_string_append_printf(text, "%s%016" G_GINT64_MODIFIER "x",
-				       i > 0 ? "," : "", parts->ids[i]);
+				       i > 0 ? "," : "", traits->ids[i]);
 	return g_string_free(text, FALSE);
 }
 
@@ -283,9 +284,9 @@
 				     revision);
 }
 
-void gc_relay_add_served(gc_relay_t *relay, uint64_t part, uint64_t revision)
+void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision)
 {
 	gc_crash_suspects_add_served(relay->crash_suspects,
-				     gc_clock_now(relay->conf.clock), part,
+				     gc_clock_now(relay->conf.clock), trait,
 				     revision);
 }
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -107,7 +107,7 @@
 			last.data ? g_strndup(last.data, last.len) : NULL;
 
 		exchange->prompt = create_prompt(exchange, text && *text);
-		gc_exchange_read_prompt_parts(exchange);
+		gc_exchange_read_traits(exchange);
 		exchange->sequencer = gc_event_sequencer_create(
 			exchange, text && *text
 					  ? g_ascii_strtoll(text, NULL, 10)
@@ -180,7 +180,7 @@
 	exchange->attempt_started = now;
 	exchange->last_activity = now;
 	exchange->received_event = false;
-	exchange->prompt_trial = false;
+	exchange->suspect_trial = false;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
 	exchange->success = false;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -42,7 +42,7 @@
 	/* Tell the other daemons that a server crashed under a request, or that
 	 * a part of a prompt was served; may be NULL. */
 	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
-	void (*share_served)(void *ctx, uint64_t part);
+	void (*share_served)(void *ctx, uint64_t trait);
 	void *share_ctx;
 } gc_relay_conf_t;
 
@@ -52,7 +52,7 @@
 /* What other daemons say; see gc_crash_suspects_add_report. */
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
 			uint64_t revision);
-void gc_relay_add_served(gc_relay_t *relay, uint64_t part, uint64_t revision);
+void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision);
 /*
  * The daemon stops at `end`: from now on, requests whose time limit lies after
  * `end` are refused.
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -33,7 +33,7 @@
 } crash_message_t;
 
 typedef struct served_message {
-	uint64_t part;
+	uint64_t trait;
 	uint64_t revision;
 } served_message_t;
 
@@ -216,12 +216,12 @@
 	g_free(crash);
 }
 
-void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t part,
+void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
 				  uint64_t revision)
 {
 	served_message_t *message = g_new(served_message_t, 1);
 
-	*message = (served_message_t){part, revision};
+	*message = (served_message_t){trait, revision};
 	gc_mailbox_post(traffic->mailbox, handle_served, message);
 }
 
@@ -230,7 +230,7 @@
 	gc_routed_traffic_t *traffic = ctx;
 	served_message_t *served = message;
 
-	gc_relay_add_served(traffic->relay, served->part, served->revision);
+	gc_relay_add_served(traffic->relay, served->trait, served->revision);
 	g_free(served);
 }
 
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -18,7 +18,7 @@
 	uint32_t seed; /* of the thread's random number generator */
 	/* Notices for the other daemons; called in the traffic thread. */
 	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
-	void (*share_served)(void *ctx, uint64_t part);
+	void (*share_served)(void *ctx, uint64_t trait);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
 
@@ -45,7 +45,7 @@
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
 				 uint64_t revision);
-void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t part,
+void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
 				  uint64_t revision);
 /*
  * Starts draining: serves until no request is in flight or the grace period
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -1,7 +1,7 @@
 /*
  * Guards against notices on crashes that don't reach the other daemons although
  * the store can be written again, against calls to a store that is away without
- * pauses, and against a part that stays suspected because the notice of its
+ * pauses, and against a trait that stays suspected because the notice of its
  * service was left out wrongly.
  */
 #include <string.h>
@@ -44,7 +44,7 @@
 	unsigned int n_reports;
 	gc_crash_report_t report; /* the last one */
 	unsigned int n_served;
-	uint64_t part;
+	uint64_t trait;
 	uint64_t revision;
 	uint64_t era; /* in the answers */
 } fixture_t;
@@ -106,12 +106,12 @@
 	fixture->revision = revision;
 }
 
-static void on_served(void *ctx, uint64_t part, uint64_t revision)
+static void on_served(void *ctx, uint64_t trait, uint64_t revision)
 {
 	fixture_t *fixture = ctx;
 
 	fixture->n_served++;
-	fixture->part = part;
+	fixture->trait = trait;
 	fixture->revision = revision;
 }
 
@@ -161,12 +161,12 @@
 	g_error_free(err);
 }
 
-static gc_crash_report_t report_with(uint64_t id, uint64_t part)
+static gc_crash_report_t report_with(uint64_t id, uint64_t trait)
 {
 	return (gc_crash_report_t){
 		.id = id,
 		.at_ms = INT64_C(1796392898000),
-		.parts = {.ids = {OTHER_PART << 8, part}, .n = 2},
+		.traits = {.ids = {OTHER_PART << 8, trait}, .n = 2},
 	};
 }
 
@@ -235,28 +235,28 @@
 	gc_crash_report_t report = {
 		.id = UINT64_MAX,
 		.at_ms = INT64_C(1796392898123),
-		.parts = {.n = GC_PROMPT_PARTS_MAX},
+		.traits = {.n = GC_REQUEST_TRAITS_MAX},
 	};
 	uint64_t seed = 1;
 
-	for (size_t n = 1; n <= GC_PROMPT_PARTS_MAX; n++) {
+	for (size_t n = 1; n <= GC_REQUEST_TRAITS_MAX; n++) {
 		gc_crash_report_t decoded;
 		g_autoptr(GError) err = NULL;
 		g_autofree char *value = NULL;
 
-		report.parts.n = n;
+		report.traits.n = n;
 		for (size_t i = 0; i < n; i++)
-			report.parts.ids[i] = unit_next_random(&seed);
-		report.parts.ids[0] = n == 1 ? 0 : UINT64_MAX;
+			report.traits.ids[i] = unit_next_random(&seed);
+		report.traits.ids[0] = n == 1 ? 0 : UINT64_MAX;
 		value = gc_crash_notices_encode_report(&report);
 		ck_assert(gc_crash_notices_decode_report(gc_str(value),
 							 &decoded, &err));
 		ck_assert_uint_eq(decoded.id, report.id);
 		ck_assert_int_eq(decoded.at_ms, report.at_ms);
-		ck_assert_uint_eq(decoded.parts.n, n);
+		ck_assert_uint_eq(decoded.traits.n, n);
 		for (size_t i = 0; i < n; i++)
-			ck_assert_uint_eq(decoded.parts.ids[i],
-					  report.parts.ids[i]);
+			ck_assert_uint_eq(decoded.traits.ids[i],
+					  report.traits.ids[i]);
 		report.id = unit_next_random(&seed);
 	}
 }
@@ -264,7 +264,7 @@
 
 #define ID    "\"id\":\"0000000000000001\""
 #define AT    "\"at_ms\":1796392898000"
-#define PARTS "\"parts\":[\"00000000000000aa\"]"
+#define PARTS "\"traits\":[\"00000000000000aa\"]"
 #define PART8                                                             \
 	"\"00000000000000aa\",\"00000000000000aa\",\"00000000000000aa\"," \
 	"\"00000000000000aa\",\"00000000000000aa\",\"00000000000000aa\"," \
@@ -295,12 +295,12 @@
 		"{" ID ",\"at_ms\":253402300800000," PARTS "}",
 		"{" ID ",\"at_ms\":9223372036854775807," PARTS "}",
 		"{" ID ",\"at_ms\":9223372036854775808," PARTS "}",
-		"{" ID "," AT ",\"parts\":[]}",
-		"{" ID "," AT ",\"parts\":{}}",
-		"{" ID "," AT ",\"parts\":\"00000000000000aa\"}",
-		"{" ID "," AT ",\"parts\":[170]}",
-		"{" ID "," AT ",\"parts\":[\"aa\"]}",
-		"{" ID "," AT ",\"parts\":[" PART8 ",\"00000000000000aa\"]}",
+		"{" ID "," AT ",\"traits\":[]}",
+		"{" ID "," AT ",\"traits\":{}}",
+		"{" ID "," AT ",\"traits\":\"00000000000000aa\"}",
+		"{" ID "," AT ",\"traits\":[170]}",
+		"{" ID "," AT ",\"traits\":[\"aa\"]}",
+		"{" ID "," AT ",\"traits\":[" PART8 ",\"00000000000000aa\"]}",
 	};
 	fixture_t *fixture = start();
 
@@ -310,9 +310,9 @@
 			      values[i]);
 	}
 	receive(fixture, "goldcrest/crashes/d2/0",
-		"{" ID "," AT ",\"parts\":[" PART8 "]}", 5);
+		"{" ID "," AT ",\"traits\":[" PART8 "]}", 5);
 	ck_assert_uint_eq(fixture->n_reports, 1);
-	ck_assert_uint_eq(fixture->report.parts.n, GC_PROMPT_PARTS_MAX);
+	ck_assert_uint_eq(fixture->report.traits.n, GC_REQUEST_TRAITS_MAX);
 	ck_assert_uint_eq(fixture->revision, 5);
 	finish(fixture);
 }
@@ -341,7 +341,7 @@
 	ck_assert_uint_eq(fixture->n_reports, 0);
 	receive(fixture, PART_KEY, "{\"instance\":\"d2\"}", 6);
 	ck_assert_uint_eq(fixture->n_served, 1);
-	ck_assert_uint_eq(fixture->part, PART);
+	ck_assert_uint_eq(fixture->trait, PART);
 	ck_assert_uint_eq(fixture->revision, 6);
 	finish(fixture);
 }
@@ -374,7 +374,7 @@
 				g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
 			continue;
 		}
-		ck_assert_uint_le(decoded.parts.n, GC_PROMPT_PARTS_MAX);
+		ck_assert_uint_le(decoded.traits.n, GC_REQUEST_TRAITS_MAX);
 		again = gc_crash_notices_encode_report(&decoded);
 		ck_assert(gc_crash_notices_decode_report(gc_str(again), &report,
 							 &err));
@@ -621,7 +621,7 @@
 	ck_assert_int_eq(fixture->call, NO_CALL);
 	finish(fixture);
 
-	/* One on another part changes nothing. */
+	/* One on another trait changes nothing. */
 	fixture = start_with_waiting_served();
 	receive(fixture, "goldcrest/served/0000000000000001",
 		"{\"instance\":\"d2\"}", 11);
@@ -650,7 +650,7 @@
 
 /*
  * Another daemon's notice may precede this daemon's report in the store; the
- * others would go on to suspect the part.
+ * others would go on to suspect the trait.
  */
 START_TEST(test_served_notice_follows_own_report)
 {
@@ -712,7 +712,7 @@
 }
 END_TEST
 
-START_TEST(test_report_without_parts_is_not_written)
+START_TEST(test_report_without_traits_is_not_written)
 {
 	fixture_t *fixture = start();
 	const gc_crash_report_t report = {.id = 1, .at_ms = 1};
@@ -816,7 +816,7 @@
 		test_served_notice_follows_own_report,
 		test_order_of_notices_is_kept,
 		test_nothing_is_written_after_stop,
-		test_report_without_parts_is_not_written,
+		test_report_without_traits_is_not_written,
 		test_lease_is_forgotten_in_a_new_era,
 		test_order_of_notices_over_eras,
 		NULL,
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -1,8 +1,8 @@
 /*
- * Load pattern: requests with one deadly part come at any daemon, and each
+ * Load pattern: requests with one deadly trait come at any daemon, and each
  * crashes the server that answers it, together with sound streams there. Guards
  * against such requests that go on to crash servers, and against sound requests
- * that are refused because they share a part with deadly ones or were on servers
+ * that are refused because they share a trait with deadly ones or were on servers
  * that crashed for another reason.
  */
 #include "core/crash_suspects.h"
@@ -16,11 +16,11 @@
 static gc_crash_suspects_t *suspects;
 static uint64_t next_id;
 
-static gc_prompt_parts_t parts_of(uint64_t a, uint64_t b)
+static gc_request_traits_t traits_of(uint64_t a, uint64_t b)
 {
-	gc_prompt_parts_t parts = {.ids = {a, b}, .n = b ? 2 : 1};
+	gc_request_traits_t traits = {.ids = {a, b}, .n = b ? 2 : 1};
 
-	return parts;
+	return traits;
 }
 
 static void start(void)
@@ -36,7 +36,7 @@
 	gc_crash_report_t report = {
 		.id = next_id++,
 		.at_ms = 1000000 + ms,
-		.parts = parts_of(a, b),
+		.traits = traits_of(a, b),
 	};
 
 	gc_crash_suspects_add_report(suspects, unit_at(ms), &report, revision);
@@ -48,18 +48,18 @@
 		report(i * APART_MS, a, b, 0);
 }
 
-static gc_prompt_verdict_t judge(int64_t ms, uint64_t a, uint64_t b)
+static gc_suspect_verdict_t judge(int64_t ms, uint64_t a, uint64_t b)
 {
-	gc_prompt_parts_t parts = parts_of(a, b);
+	gc_request_traits_t traits = traits_of(a, b);
 
-	return gc_crash_suspects_judge(suspects, unit_at(ms), &parts);
+	return gc_crash_suspects_judge(suspects, unit_at(ms), &traits);
 }
 
 static void serve(int64_t ms, uint64_t a, uint64_t b)
 {
-	gc_prompt_parts_t parts = parts_of(a, b);
+	gc_request_traits_t traits = traits_of(a, b);
 
-	gc_crash_suspects_record_served(suspects, unit_at(ms), &parts);
+	gc_crash_suspects_record_served(suspects, unit_at(ms), &traits);
 }
 
 START_TEST(test_third_crash_blocks)
@@ -67,11 +67,11 @@
 	start();
 	report(0, DEADLY, 0, 0);
 	report(APART_MS, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_SUSPECT_SEND);
 	report(2 * APART_MS, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1000, OTHER, DEADLY), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1000, OTHER, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, DEADLY, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1000, OTHER, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1000, OTHER, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -82,9 +82,9 @@
 		report(i * APART_MS, COMMON, 0, 0);
 		report(i * APART_MS + 1, COMMON, DEADLY, 0);
 	}
-	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_SEND);
-	ck_assert_int_eq(judge(2000, COMMON, OTHER), GC_PROMPT_SEND);
-	ck_assert_int_eq(judge(2000, COMMON, DEADLY), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge(2000, COMMON, OTHER), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge(2000, COMMON, DEADLY), GC_SUSPECT_REFUSE);
 }
 END_TEST
 
@@ -97,7 +97,7 @@
 		reports[i] = (gc_crash_report_t){
 			.id = (uint64_t)i + 1,
 			.at_ms = i * APART_MS,
-			.parts = parts_of(DEADLY, 0),
+			.traits = traits_of(DEADLY, 0),
 		};
 		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
 					     &reports[i], 0);
@@ -107,9 +107,9 @@
 					     &reports[i], 100 + (uint64_t)i);
 	/* An older notice, read again with a full list. */
 	gc_crash_suspects_add_served(suspects, unit_at(1100), DEADLY, 50);
-	ck_assert_int_eq(judge(1200, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1200, DEADLY, 0), GC_SUSPECT_REFUSE);
 	gc_crash_suspects_add_served(suspects, unit_at(1300), DEADLY, 103);
-	ck_assert_int_eq(judge(1400, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1400, DEADLY, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -117,16 +117,16 @@
 {
 	start();
 	crash_three_times(COMMON, COMMON);
-	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_SUSPECT_REFUSE);
 	serve(2001, COMMON, 0);
-	ck_assert_int_eq(judge(2002, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(2002, COMMON, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
 START_TEST(test_known_report_is_ignored)
 {
 	gc_crash_report_t same = {
-		.id = 7, .at_ms = 0, .parts = parts_of(DEADLY, 0)};
+		.id = 7, .at_ms = 0, .traits = traits_of(DEADLY, 0)};
 
 	start();
 	for (int i = 0; i < 5; i++) {
@@ -134,7 +134,7 @@
 		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
 					     &same, (uint64_t)i);
 	}
-	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -143,11 +143,11 @@
 	start();
 	for (int i = 0; i < 20; i++)
 		report(i * 15, COMMON, 0, 0);
-	ck_assert_int_eq(judge(400, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(400, COMMON, 0), GC_SUSPECT_SEND);
 	report(301, COMMON, 0, 0);
-	ck_assert_int_eq(judge(400, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(400, COMMON, 0), GC_SUSPECT_SEND);
 	report(602, COMMON, 0, 0);
-	ck_assert_int_eq(judge(700, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(700, COMMON, 0), GC_SUSPECT_REFUSE);
 }
 END_TEST
 
@@ -155,7 +155,7 @@
 START_TEST(test_late_report_of_same_event_counts_once)
 {
 	gc_crash_report_t late = {.at_ms = 1000000,
-				  .parts = parts_of(COMMON, 0)};
+				  .traits = traits_of(COMMON, 0)};
 
 	start();
 	for (int i = 0; i < 4; i++) {
@@ -163,7 +163,7 @@
 		gc_crash_suspects_add_report(suspects, unit_at(i * APART_MS),
 					     &late, 0);
 	}
-	ck_assert_int_eq(judge(3000, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(3000, COMMON, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -171,15 +171,15 @@
 {
 	start();
 	crash_three_times(COMMON, DEADLY);
-	ck_assert_int_eq(judge(1000, COMMON, DEADLY), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_PROMPT_SEND);
-	ck_assert_int_eq(judge(1000, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, COMMON, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge(1000, COMMON, 0), GC_SUSPECT_SEND);
 	/* Nothing tells yet which of both is deadly. */
-	ck_assert_int_eq(judge(1000, DEADLY, OTHER), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, DEADLY, OTHER), GC_SUSPECT_SEND);
 	serve(1001, COMMON, OTHER);
-	ck_assert_int_eq(judge(1002, DEADLY, OTHER), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1002, COMMON, DEADLY), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1002, COMMON, OTHER), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1002, DEADLY, OTHER), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1002, COMMON, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1002, COMMON, OTHER), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -189,8 +189,8 @@
 	report(0, COMMON, DEADLY, 0);
 	report(APART_MS, OTHER, DEADLY, 0);
 	report(2 * APART_MS, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(1000, DEADLY, 999), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, DEADLY, 999), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1000, COMMON, OTHER), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -202,14 +202,14 @@
 	serve(2 * APART_MS, COMMON, 0);
 	report(3 * APART_MS, COMMON, 0, 0);
 	report(4 * APART_MS, COMMON, 0, 0);
-	ck_assert_int_eq(judge(2000, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(2000, COMMON, 0), GC_SUSPECT_REFUSE);
 	serve(2001, COMMON, 0);
-	ck_assert_int_eq(judge(2002, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(2002, COMMON, 0), GC_SUSPECT_SEND);
 	report(3000, COMMON, 0, 0);
 	report(4000, COMMON, 0, 0);
-	ck_assert_int_eq(judge(4001, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(4001, COMMON, 0), GC_SUSPECT_SEND);
 	report(5000, COMMON, 0, 0);
-	ck_assert_int_eq(judge(5001, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(5001, COMMON, 0), GC_SUSPECT_REFUSE);
 }
 END_TEST
 
@@ -219,17 +219,17 @@
 	for (uint64_t i = 0; i < 3; i++)
 		report((int64_t)i * APART_MS, COMMON, 0, 10 + i);
 	gc_crash_suspects_add_served(suspects, unit_at(1000), COMMON, 10);
-	ck_assert_int_eq(judge(1001, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(1001, COMMON, 0), GC_SUSPECT_REFUSE);
 	gc_crash_suspects_add_served(suspects, unit_at(1002), COMMON, 11);
-	ck_assert_int_eq(judge(1003, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1003, COMMON, 0), GC_SUSPECT_SEND);
 	/* Read from the store after a service that came later. */
 	gc_crash_suspects_add_served(suspects, unit_at(1004), COMMON, 20);
 	for (uint64_t i = 0; i < 3; i++)
 		report(2000 + (int64_t)i * APART_MS, COMMON, 0, 17 + i);
-	ck_assert_int_eq(judge(4000, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(4000, COMMON, 0), GC_SUSPECT_SEND);
 	for (uint64_t i = 0; i < 3; i++)
 		report(5000 + (int64_t)i * APART_MS, COMMON, 0, 20 + i);
-	ck_assert_int_eq(judge(7000, COMMON, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(7000, COMMON, 0), GC_SUSPECT_REFUSE);
 }
 END_TEST
 
@@ -238,7 +238,7 @@
 	start();
 	crash_three_times(COMMON, 0);
 	gc_crash_suspects_add_served(suspects, unit_at(1000), COMMON, 1);
-	ck_assert_int_eq(judge(1001, COMMON, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1001, COMMON, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -249,8 +249,8 @@
 		report((int64_t)i * APART_MS, DEADLY, 0, 1 + i);
 	/* The owner of the trials is another daemon. */
 	gc_crash_suspects_set_rank(suspects, (DEADLY + 1) % 2, 2);
-	ck_assert_int_eq(judge(599999, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(600000, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(599999, DEADLY, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(600000, DEADLY, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -259,8 +259,8 @@
 	start();
 	crash_three_times(DEADLY, 0);
 	gc_crash_suspects_set_rank(suspects, (DEADLY + 1) % 2, 2);
-	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_PROMPT_TRY);
-	ck_assert_int_eq(judge(40001, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_SUSPECT_TRY);
+	ck_assert_int_eq(judge(40001, DEADLY, 0), GC_SUSPECT_REFUSE);
 }
 END_TEST
 
@@ -268,17 +268,17 @@
 {
 	start();
 	crash_three_times(DEADLY, 0);
-	ck_assert_int_eq(judge(30799, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(30800, DEADLY, 0), GC_PROMPT_TRY);
-	ck_assert_int_eq(judge(30801, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(30799, DEADLY, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(30800, DEADLY, 0), GC_SUSPECT_TRY);
+	ck_assert_int_eq(judge(30801, DEADLY, 0), GC_SUSPECT_REFUSE);
 	report(31500, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(90799, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(90800, DEADLY, 0), GC_PROMPT_TRY);
+	ck_assert_int_eq(judge(90799, DEADLY, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(90800, DEADLY, 0), GC_SUSPECT_TRY);
 	report(91500, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(210799, DEADLY, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(210800, DEADLY, 0), GC_PROMPT_TRY);
+	ck_assert_int_eq(judge(210799, DEADLY, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(210800, DEADLY, 0), GC_SUSPECT_TRY);
 	serve(211000, DEADLY, 0);
-	ck_assert_int_eq(judge(211001, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(211001, DEADLY, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
@@ -291,13 +291,13 @@
 		gc_crash_suspects_set_rank(suspects, rank, 5);
 		for (uint64_t i = 0; i < 3; i++)
 			report((int64_t)i * APART_MS, COMMON, DEADLY, 1 + i);
-		n_tries += judge(40000, COMMON, DEADLY) == GC_PROMPT_TRY;
+		n_tries += judge(40000, COMMON, DEADLY) == GC_SUSPECT_TRY;
 	}
 	ck_assert_int_eq(n_tries, 1);
 	start();
 	gc_crash_suspects_set_rank(suspects, 0, 0);
 	crash_three_times(DEADLY, 0);
-	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_PROMPT_TRY);
+	ck_assert_int_eq(judge(40000, DEADLY, 0), GC_SUSPECT_TRY);
 }
 END_TEST
 
@@ -354,10 +354,10 @@
 	crash_three_times(DEADLY, 0);
 	for (int i = 0; i < 254; i++)
 		report(2000 + i, 5000 + (uint64_t)i, 0, 0);
-	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_SUSPECT_SEND);
 	for (int i = 0; i < 3; i++)
 		report(3000 + i * APART_MS, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(4000, DEADLY, 0), GC_PROMPT_REFUSE);
+	ck_assert_int_eq(judge(4000, DEADLY, 0), GC_SUSPECT_REFUSE);
 
 	start();
 	for (uint64_t i = 0; i < 5000; i++)
@@ -367,8 +367,8 @@
 		report((int64_t)i * APART_MS, 10000, 0, 10 + i);
 		report((int64_t)i * APART_MS, 14999, 0, 10 + i);
 	}
-	ck_assert_int_eq(judge(1000, 10000, 0), GC_PROMPT_REFUSE);
-	ck_assert_int_eq(judge(1000, 14999, 0), GC_PROMPT_SEND);
+	ck_assert_int_eq(judge(1000, 10000, 0), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge(1000, 14999, 0), GC_SUSPECT_SEND);
 }
 END_TEST
 
--- a/regress/prop_crash_suspects.cc
+++ b/regress/prop_crash_suspects.cc
@@ -1,6 +1,6 @@
 /*
  * Guards a fleet of daemons that tell each other of crashes against sound
- * requests that are refused for the company of a deadly part, and against deadly
+ * requests that are refused for the company of a deadly trait, and against deadly
  * requests that are sent on and on.
  */
 #include <vector>
@@ -21,7 +21,7 @@
 /* Longer than the time within which crashes are one event. */
 constexpr int64_t MIN_STEP_MS = 301;
 constexpr int64_t TRIAL_INTERVAL_MS = 30000;
-/* Crashes until the part is blocked, and one that tells it from its company. */
+/* Crashes until the trait is blocked, and one that tells it from its company. */
 constexpr int MAX_SENT = 4;
 
 struct Fleet {
@@ -39,8 +39,8 @@
 	{
 		return gc_add_ms({1000, 0}, now_ms);
 	}
-	void crash(size_t daemon, const gc_prompt_parts_t &parts);
-	void serve(size_t daemon, const gc_prompt_parts_t &parts);
+	void crash(size_t daemon, const gc_request_traits_t &traits);
+	void serve(size_t daemon, const gc_request_traits_t &traits);
 };
 
 Fleet::Fleet(size_t n)
@@ -51,9 +51,9 @@
 	}
 }
 
-void Fleet::crash(size_t daemon, const gc_prompt_parts_t &parts)
+void Fleet::crash(size_t daemon, const gc_request_traits_t &traits)
 {
-	gc_crash_report_t report = {++revision, now_ms, parts};
+	gc_crash_report_t report = {++revision, now_ms, traits};
 
 	gc_crash_suspects_add_report(daemons[daemon], now(), &report, 0);
 	/* From the store, to the daemon that wrote it too. */
@@ -61,14 +61,14 @@
 		gc_crash_suspects_add_report(other, now(), &report, revision);
 }
 
-void Fleet::serve(size_t daemon, const gc_prompt_parts_t &parts)
+void Fleet::serve(size_t daemon, const gc_request_traits_t &traits)
 {
-	uint64_t told[GC_PROMPT_PARTS_MAX];
+	uint64_t told[GC_REQUEST_TRAITS_MAX];
 	size_t n;
 
-	gc_crash_suspects_record_served(daemons[daemon], now(), &parts);
+	gc_crash_suspects_record_served(daemons[daemon], now(), &traits);
 	n = gc_crash_suspects_take_served(daemons[daemon], now(), told,
-					  GC_PROMPT_PARTS_MAX);
+					  GC_REQUEST_TRAITS_MAX);
 	for (size_t i = 0; i < n; i++) {
 		RC_ASSERT(told[i] != DEADLY);
 		revision++;
@@ -78,14 +78,14 @@
 	}
 }
 
-gc_prompt_parts_t make_parts(uint64_t common, bool deadly)
+gc_request_traits_t make_traits(uint64_t common, bool deadly)
 {
-	gc_prompt_parts_t parts = {};
+	gc_request_traits_t traits = {};
 
-	parts.ids[parts.n++] = common;
+	traits.ids[traits.n++] = common;
 	if (deadly)
-		parts.ids[parts.n++] = DEADLY;
-	return parts;
+		traits.ids[traits.n++] = DEADLY;
+	return traits;
 }
 
 void check_fleet()
@@ -100,61 +100,62 @@
 		size_t daemon =
 			*rc::gen::inRange<size_t>(0, fleet.daemons.size());
 		bool deadly = *rc::gen::arbitrary<bool>();
-		/* On both sides of the deadly part's id. */
-		gc_prompt_parts_t parts = make_parts(
+		/* On both sides of the deadly trait's id. */
+		gc_request_traits_t traits = make_traits(
 			*rc::gen::elementOf(std::vector<uint64_t>{3, 5, 11}),
 			deadly);
-		gc_prompt_verdict_t verdict;
+		gc_suspect_verdict_t verdict;
 
 		fleet.now_ms += *rc::gen::inRange<int64_t>(MIN_STEP_MS, 16000);
 		verdict = gc_crash_suspects_judge(fleet.daemons[daemon],
-						  fleet.now(), &parts);
+						  fleet.now(), &traits);
 		if (!deadly) {
-			RC_ASSERT(verdict == GC_PROMPT_SEND);
-			fleet.serve(daemon, parts);
+			RC_ASSERT(verdict == GC_SUSPECT_SEND);
+			fleet.serve(daemon, traits);
 			continue;
 		}
-		if (verdict == GC_PROMPT_REFUSE)
+		if (verdict == GC_SUSPECT_REFUSE)
 			continue;
-		if (verdict == GC_PROMPT_TRY) {
+		if (verdict == GC_SUSPECT_TRY) {
 			RC_ASSERT(fleet.now_ms - last_trial_ms >=
 				  TRIAL_INTERVAL_MS);
 			last_trial_ms = fleet.now_ms;
 		} else {
 			RC_ASSERT(++n_sent <= MAX_SENT);
 		}
-		fleet.crash(daemon, parts);
+		fleet.crash(daemon, traits);
 	}
 }
 
-/* A part that is sound, but was in three crashes, is served again. */
+/* A trait that is sound, but was in three crashes, is served again. */
 void check_wrong_verdict_ends()
 {
 	Fleet fleet(*rc::gen::inRange<size_t>(1, 6));
-	gc_prompt_parts_t parts =
-		make_parts(*rc::gen::inRange<uint64_t>(100, 200), false);
+	gc_request_traits_t traits =
+		make_traits(*rc::gen::inRange<uint64_t>(100, 200), false);
 	size_t trying = 0;
 	int n_tried = 0;
 
 	for (int i = 0; i < 3; i++) {
 		fleet.now_ms += MIN_STEP_MS;
-		fleet.crash(0, parts);
+		fleet.crash(0, traits);
 	}
 	for (gc_crash_suspects_t *daemon : fleet.daemons)
-		RC_ASSERT(gc_crash_suspects_judge(daemon, fleet.now(),
-						  &parts) == GC_PROMPT_REFUSE);
+		RC_ASSERT(
+			gc_crash_suspects_judge(daemon, fleet.now(), &traits) ==
+			GC_SUSPECT_REFUSE);
 	fleet.now_ms += TRIAL_INTERVAL_MS;
 	for (size_t i = 0; i < fleet.daemons.size(); i++)
 		if (gc_crash_suspects_judge(fleet.daemons[i], fleet.now(),
-					    &parts) == GC_PROMPT_TRY) {
+					    &traits) == GC_SUSPECT_TRY) {
 			n_tried++;
 			trying = i;
 		}
 	RC_ASSERT(n_tried == 1);
-	fleet.serve(trying, parts);
+	fleet.serve(trying, traits);
 	for (gc_crash_suspects_t *daemon : fleet.daemons)
 		RC_ASSERT(gc_crash_suspects_judge(daemon, fleet.now(),
-						  &parts) == GC_PROMPT_SEND);
+						  &traits) == GC_SUSPECT_SEND);
 }
 
 } // namespace
