--- a/core/backends.c
+++ b/core/backends.c
@@ -43,6 +43,7 @@
 static bool is_superseded(GHashTable *newest, const gc_registry_entry_t *entry);
 static gc_backend_t *find_or_add_backend(gc_backends_t *backends,
 					 const gc_registry_entry_t *entry);
+static uint64_t incarnation_of(const gc_registry_entry_t *entry);
 static int backends_destructor(gc_backends_t *backends);
 static void update_backend(gc_backend_t *backend,
 			   const gc_registry_entry_t *entry);
@@ -194,6 +195,7 @@
 	backend->entry.failure_domain =
 		gc_str_dup(backend, entry->failure_domain);
 	backend->entry.started_ms = entry->started_ms;
+	backend->incarnation = incarnation_of(entry);
 	backend->service = find_or_add_service(backends, entry->service);
 	backend->domain = find_or_add_domain(backends, entry);
 	backend->failure_rate = backend->service->failure_rate;
@@ -204,6 +206,14 @@
 	return backend;
 }
 
+static uint64_t incarnation_of(const gc_registry_entry_t *entry)
+{
+	uint64_t seed = XXH64(&entry->started_ms, sizeof(entry->started_ms), 0);
+
+	seed = XXH64(entry->address.data, entry->address.len, seed);
+	return XXH64(entry->id.data, entry->id.len, seed);
+}
+
 static void update_backend(gc_backend_t *backend,
 			   const gc_registry_entry_t *entry)
 {
@@ -489,6 +499,16 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
+bool gc_backend_is_leaving(const gc_backend_t *backend)
+{
+	return !backend->owner || backend->entry.draining || backend->leaving;
+}
+
+uint64_t gc_backend_incarnation(const gc_backend_t *backend)
+{
+	return backend->incarnation;
+}
+
 gc_str_t gc_backend_id(const gc_backend_t *backend)
 {
 	return backend->entry.id;
--- a/core/backends.h
+++ b/core/backends.h
@@ -82,6 +82,11 @@
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
 				 const gc_backend_set_t *avoid);
+/* A usable server of any other service, or NULL. */
+gc_backend_t *gc_backends_choose_elsewhere(gc_backends_t *backends,
+					   struct timespec now,
+					   gc_str_t service,
+					   const gc_backend_set_t *avoid);
 /*
  * Stores the servers of the service to be asked for their load, best first, at
  * most max, and returns their number. They come from all failure domains: if
@@ -176,6 +181,10 @@
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
 			    gc_str_t service);
 
+/* True if the server is draining, leaving or removed. */
+bool gc_backend_is_leaving(const gc_backend_t *backend);
+/* Hash of the id, the address and the start time, the same in all daemons. */
+uint64_t gc_backend_incarnation(const gc_backend_t *backend);
 gc_str_t gc_backend_id(const gc_backend_t *backend);
 gc_str_t gc_backend_address(const gc_backend_t *backend);
 gc_str_t gc_backend_domain(const gc_backend_t *backend);
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -47,7 +47,6 @@
 			 const gc_backend_t *backend, struct timespec now);
 static double load_score(const gc_backend_t *backend, struct timespec now);
 static bool has_recent_report(const gc_backend_t *backend, struct timespec now);
-static bool stays(const gc_backend_t *backend);
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now);
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now);
 
@@ -85,6 +84,23 @@
 	return chosen;
 }
 
+gc_backend_t *gc_backends_choose_elsewhere(gc_backends_t *backends,
+					   struct timespec now,
+					   gc_str_t service,
+					   const gc_backend_set_t *avoid)
+{
+	gc_backend_t *chosen = NULL;
+
+	for (gc_backend_t *b = backends->first; b; b = b->next) {
+		if (gc_str_eq(b->entry.service, service) ||
+		    !gc_backend_usable(b, now) || in_set(avoid, b))
+			continue;
+		if (!chosen || b->in_flight < chosen->in_flight)
+			chosen = b;
+	}
+	return chosen;
+}
+
 size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
 			      gc_str_t service, const gc_prompt_t *prompt,
 			      const gc_backend_set_t *avoid,
@@ -280,7 +296,8 @@
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
 		int64_t ms = gc_ms_between(now, b->paused_until);
 
-		if (!gc_str_eq(b->entry.service, service) || !stays(b))
+		if (!gc_str_eq(b->entry.service, service) ||
+		    gc_backend_is_leaving(b))
 			continue;
 		if (ms <= 0)
 			return 0;
@@ -301,14 +318,10 @@
 	       gc_ms_between(now, backend->ejected_until) <= 0;
 }
 
-static bool stays(const gc_backend_t *backend)
-{
-	return backend->owner && !backend->entry.draining && !backend->leaving;
-}
-
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now)
 {
-	return stays(backend) && !gc_backend_is_pausing(backend, now);
+	return !gc_backend_is_leaving(backend) &&
+	       !gc_backend_is_pausing(backend, now);
 }
 
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now)
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -35,6 +35,7 @@
 	unsigned int n_refs;
 	gc_registry_entry_t entry;
 	uint64_t id_hash;
+	uint64_t incarnation; /* see gc_backend_incarnation */
 	service_t *service;
 	domain_t *domain;
 	bool listed;
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -1,45 +1,59 @@
 /*
- * Finds the traits of prompts under which backend servers crash, and decides
- * which requests are still sent. A request with such a trait crashes each server
- * that gets it, together with all other work there. Not thread-safe.
+ * Finds what requests under which backend servers crash have in common, and
+ * decides which requests are still sent. Such a request crashes each server that
+ * begins to run it, together with all other work there. Not thread-safe.
  *
- * Daemons exchange two kinds of notices through the store: crash reports, and
- * notices that a suspected trait has been served. A trait that crashes servers
- * does so each time, so a trait that was served after a crash didn't cause it.
+ * Daemons exchange two kinds of notices through the store: reports of requests
+ * that crashes broke off, and notices that a suspected trait has been served. A
+ * trait that crashes servers does so each time, so one that was served after a
+ * crash didn't cause it.
  */
 #ifndef GC_CORE_CRASH_SUSPECTS_H
 #define GC_CORE_CRASH_SUSPECTS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 #include <time.h>
 
 #include <talloc.h>
 
-/* Further traits of a prompt are ignored. */
-#define GC_REQUEST_TRAITS_MAX 8
+/* Further parts of a prompt are ignored. */
+#define GC_REQUEST_PARTS_MAX 8
 
 typedef struct gc_crash_suspects gc_crash_suspects_t;
 
-/* The traits of a prompt that other requests may share: hashes of the service
- * and of the trait's id. */
+/* What a request has in common with its repeats and with other requests. */
 typedef struct gc_request_traits {
-	uint64_t ids[GC_REQUEST_TRAITS_MAX];
-	size_t n;
+	uint64_t request; /* hash of the whole request; 0: unknown */
+	/* Hashes of the service and the id of each part of the prompt that other
+	 * prompts may share. */
+	uint64_t parts[GC_REQUEST_PARTS_MAX];
+	size_t n_parts;
 } gc_request_traits_t;
 
-/* Adds a trait unless it is there or the list is full. */
-void gc_request_traits_add(gc_request_traits_t *traits, uint64_t trait);
+/* Adds a part unless it is there or the list is full. */
+void gc_request_traits_add_part(gc_request_traits_t *traits, uint64_t part);
 
-/* A server crashed before the first event of a request. */
+/* A crash broke off a request to which the server had sent nothing yet. */
 typedef struct gc_crash_report {
 	uint64_t id; /* unique in the fleet */
+	/* Hash of the server's incarnation: one that ended is one crash, however
+	 * many requests of any daemons it broke off. */
+	uint64_t server;
+	/* Hash of the server's service and failure domain. */
+	uint64_t domain;
 	int64_t at_ms; /* time of day of the daemon that reports it */
+	/* The request was sent to this server after a crash of another. */
+	bool resent;
 	gc_request_traits_t traits;
 } gc_crash_report_t;
 
 typedef enum gc_suspect_verdict {
 	GC_SUSPECT_SEND,
+	/* Depends on losses of which it isn't known yet whether they are crashes:
+	 * to be asked again. */
+	GC_SUSPECT_WAIT,
 	/* Crashed servers, and is tried again by this daemon alone: a service
 	 * ends a wrong verdict. */
 	GC_SUSPECT_TRY,
@@ -52,19 +66,28 @@
 void gc_crash_suspects_set_rank(gc_crash_suspects_t *suspects, size_t rank,
 				size_t n_daemons);
 /*
- * Adds a report; one that is known is ignored. The time of the report, not its
- * arrival, tells it from others of the same event. revision: of the report in the
+ * Adds a report; one that is known is ignored. revision: of the report in the
  * store; 0: of this daemon, not yet read from the store.
  */
 void gc_crash_suspects_add_report(gc_crash_suspects_t *suspects,
 				  struct timespec now,
 				  const gc_crash_report_t *report,
 				  uint64_t revision);
+/*
+ * The same for a request that was just lost, until it is known whether the
+ * server crashed; gc_crash_suspects_settle then keeps or removes the report.
+ */
+void gc_crash_suspects_add_loss(gc_crash_suspects_t *suspects,
+				struct timespec now,
+				const gc_crash_report_t *report);
+void gc_crash_suspects_settle(gc_crash_suspects_t *suspects, uint64_t id,
+			      bool crashed);
 /* Another daemon says that the trait has been served. */
 void gc_crash_suspects_add_served(gc_crash_suspects_t *suspects,
 				  struct timespec now, uint64_t trait,
 				  uint64_t revision);
-/* A server sent the first event of a request with these traits. */
+/* A server ran a request with these traits: it responded, or sent the first
+ * event of a stream. */
 void gc_crash_suspects_record_served(gc_crash_suspects_t *suspects,
 				     struct timespec now,
 				     const gc_request_traits_t *traits);
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -52,7 +52,7 @@
 static void start_notices(routed_daemon_t *daemon, gc_store_t store);
 static void on_fleet_era(void *ctx, uint64_t era);
 static void on_notices_era(void *ctx, uint64_t era);
-static void share_crash(void *ctx, const gc_crash_report_t *report);
+static void share_crash(void *ctx, const gc_crash_report_t *reports, size_t n);
 static void handle_share_crash(void *ctx, void *message);
 static void share_served(void *ctx, uint64_t trait);
 static void handle_share_served(void *ctx, void *message);
@@ -242,21 +242,24 @@
 }
 
 /* Called in the traffic thread. */
-static void share_crash(void *ctx, const gc_crash_report_t *report)
+static void share_crash(void *ctx, const gc_crash_report_t *reports, size_t n)
 {
 	routed_daemon_t *daemon = ctx;
-	gc_crash_report_t *message = g_new(gc_crash_report_t, 1);
+	GArray *message = g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
 
-	*message = *report;
+	g_array_append_vals(message, reports, (guint)n);
 	gc_mailbox_post(daemon->mailbox, handle_share_crash, message);
 }
 
 static void handle_share_crash(void *ctx, void *message)
 {
 	routed_daemon_t *daemon = ctx;
+	GArray *reports = message;
 
-	gc_crash_notices_share_report(daemon->notices, message);
-	g_free(message);
+	gc_crash_notices_share_reports(daemon->notices,
+				       (const gc_crash_report_t *)reports->data,
+				       reports->len);
+	g_array_unref(reports);
 }
 
 /* Called in the traffic thread. */
--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -15,8 +15,16 @@
 /* Keys of this daemon's reports, which are written in turn. */
 #define MAX_REPORT_KEYS 16
 #define MAX_QUEUED	32
-/* A notice that was not written for so long is given up. */
+/* Reports of one notice. */
+#define MAX_NOTICE_REPORTS 64
+/* A notice of a service that was not written for so long is given up: it only
+ * spares others a trial. */
 #define MAX_AGE_MS 10000
+/* The same for reports. Outages of the store last for seconds to minutes. */
+#define MAX_REPORTS_AGE_MS 300000
+/* Reports of this age are written again to a store that was restored: the copy
+ * is some seconds old. */
+#define RESTORED_AGE_MS 60000
 /* Delay of a retry after a failed call; doubles up to the maximum. */
 #define RETRY_DELAY_MS	   200
 #define RETRY_MAX_DELAY_MS 1600
@@ -31,21 +39,22 @@
 /* A notice to be written. */
 typedef struct notice {
 	char *key;
-	char *value;
-	bool is_report;
-	uint64_t report_id;
+	char *value; /* of a notice of a service */
+	GArray *reports; /* of gc_crash_report_t; NULL: of a service */
 	uint64_t trait; /* that was served */
+	bool sent; /* a call was made for it, whose answer may be lost */
 	struct timespec made;
 	struct timespec due; /* not written before */
 	uint64_t newest_order; /* of all notices known when it was made */
 	bool needless; /* removed after the call in flight */
 } notice_t;
 
-/* The last report that was made for a key. */
-typedef struct own_report {
-	gc_crash_report_t report;
+/* The last reports that were made for a key. */
+typedef struct own_reports {
+	GArray *reports; /* of gc_crash_report_t; NULL: none */
+	struct timespec made;
 	bool pending; /* not yet read from the store nor given up */
-} own_report_t;
+} own_reports_t;
 
 struct gc_crash_notices {
 	gc_crash_notices_conf_t conf;
@@ -61,8 +70,8 @@
 	bool lease_unused; /* nothing was written under it yet */
 	uint64_t era; /* of the store: the newest one seen */
 	uint64_t call_era; /* the same when the call in flight was made */
-	uint64_t sequence; /* of the next report */
-	own_report_t own_reports[MAX_REPORT_KEYS];
+	uint64_t sequence; /* of the next notice with reports */
+	own_reports_t own_reports[MAX_REPORT_KEYS];
 	/*
 	 * Revisions start anew in each era. Notices are ordered by their
 	 * revision and era_offset, which puts those of a new era last.
@@ -80,7 +89,15 @@
 static void remove_notice(gc_crash_notices_t *notices, notice_t *notice);
 static void give_up(gc_crash_notices_t *notices, notice_t *notice,
 		    const char *reason);
-static own_report_t *find_own_report(gc_crash_notices_t *notices, uint64_t id);
+static int notice_destructor(notice_t *notice);
+static notice_t *notice_with_room(const gc_crash_notices_t *notices);
+static notice_t *enqueue_reports(gc_crash_notices_t *notices, size_t number);
+static own_reports_t *find_own_reports(gc_crash_notices_t *notices,
+				       uint64_t id);
+static uint64_t first_id(const GArray *reports);
+static int64_t max_age_ms(const notice_t *notice);
+static void change_era(gc_crash_notices_t *notices, uint64_t era);
+static void write_reports_again(gc_crash_notices_t *notices);
 static void discard_needless(gc_crash_notices_t *notices);
 static void on_timer(void *ctx);
 static void start_next_call(gc_crash_notices_t *notices);
@@ -91,8 +108,8 @@
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
 static void take_era(gc_crash_notices_t *notices, uint64_t era);
 static void retry_later(gc_crash_notices_t *notices, const char *error);
-static void receive_report(gc_crash_notices_t *notices,
-			   const gc_store_item_t *item);
+static void receive_reports(gc_crash_notices_t *notices,
+			    const gc_store_item_t *item);
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item);
 static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision);
@@ -104,9 +121,12 @@
 static void log_invalid(gc_str_t key, const char *error);
 static char *encode_served(gc_str_t instance);
 static bool is_served_value(gc_str_t value);
-static json_t *encode_traits(const gc_request_traits_t *traits);
-static bool decode_traits(const json_t *json, gc_request_traits_t *traits,
+static json_t *encode_report(const gc_crash_report_t *report);
+static json_t *encode_hex(uint64_t number);
+static bool decode_report(const json_t *json, gc_crash_report_t *report,
 			  GError **err);
+static bool decode_parts(const json_t *json, gc_request_traits_t *traits,
+			 GError **err);
 static bool parse_hex(gc_str_t digits, uint64_t *number);
 static bool parse_hex_json(const json_t *json, uint64_t *number);
 static bool invalid(GError **err, const char *message);
@@ -136,6 +156,9 @@
 static int notices_destructor(gc_crash_notices_t *notices)
 {
 	g_queue_clear(&notices->queue);
+	for (size_t i = 0; i < MAX_REPORT_KEYS; i++)
+		if (notices->own_reports[i].reports)
+			g_array_unref(notices->own_reports[i].reports);
 	g_free(notices->last_error);
 	return 0;
 }
@@ -150,31 +173,62 @@
 		talloc_free(notice);
 }
 
-void gc_crash_notices_share_report(gc_crash_notices_t *notices,
-				   const gc_crash_report_t *report)
-{
-	unsigned int number = notices->sequence % MAX_REPORT_KEYS;
-	g_autofree char *value = NULL;
-	notice_t *notice;
-
-	if (notices->stopped || report->traits.n == 0)
-		return;
-	notices->sequence++;
-	notices->own_reports[number] = (own_report_t){*report, true};
-	/* Those before it must not delay it. */
+void gc_crash_notices_share_reports(gc_crash_notices_t *notices,
+				    const gc_crash_report_t *reports, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		notice_t *notice;
+
+		if (notices->stopped || (reports[i].traits.request == 0 &&
+					 reports[i].traits.n_parts == 0))
+			continue;
+		notice = notice_with_room(notices);
+		if (!notice) {
+			size_t number = notices->sequence++ % MAX_REPORT_KEYS;
+			own_reports_t *own = &notices->own_reports[number];
+
+			if (own->reports)
+				g_array_unref(own->reports);
+			*own = (own_reports_t){
+				.reports =
+					g_array_new(FALSE, FALSE,
+						    sizeof(gc_crash_report_t)),
+				.made = gc_clock_now(notices->conf.clock),
+				.pending = true,
+			};
+			notice = enqueue_reports(notices, number);
+		}
+		g_array_append_val(notice->reports, reports[i]);
+	}
+	/* Those before them must not delay them. */
 	for (GList *link = notices->queue.head; link; link = link->next)
 		((notice_t *)link->data)->due =
 			gc_clock_now(notices->conf.clock);
-	value = gc_crash_notices_encode_report(report);
-	notice = enqueue(notices, 0);
-	notice->is_report = true;
-	notice->report_id = report->id;
+	start_next_call(notices);
+}
+
+/* The last notice if more reports can go with it, or NULL. */
+static notice_t *notice_with_room(const gc_crash_notices_t *notices)
+{
+	notice_t *last = g_queue_peek_tail((GQueue *)&notices->queue);
+
+	return last && last->reports && !last->sent &&
+			       last->reports->len < MAX_NOTICE_REPORTS
+		       ? last
+		       : NULL;
+}
+
+/* Appends a notice with the reports that were made for a key. */
+static notice_t *enqueue_reports(gc_crash_notices_t *notices, size_t number)
+{
+	notice_t *notice = enqueue(notices, 0);
+
+	notice->reports = g_array_ref(notices->own_reports[number].reports);
 	notice->key =
 		talloc_asprintf(notice,
-				GC_CRASH_NOTICES_REPORTS_PREFIX "%.*s/%u",
+				GC_CRASH_NOTICES_REPORTS_PREFIX "%.*s/%zu",
 				GC_STR_ARG(notices->conf.instance), number);
-	notice->value = talloc_strdup(notice, value);
-	start_next_call(notices);
+	return notice;
 }
 
 void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t trait)
@@ -202,6 +256,7 @@
 {
 	notice_t *notice = talloc_zero(notices, notice_t);
 
+	talloc_set_destructor(notice, notice_destructor);
 	if (notices->queue.length == MAX_QUEUED)
 		discard_oldest(notices);
 	notice->made = gc_clock_now(notices->conf.clock);
@@ -211,6 +266,13 @@
 	return notice;
 }
 
+static int notice_destructor(notice_t *notice)
+{
+	if (notice->reports)
+		g_array_unref(notice->reports);
+	return 0;
+}
+
 /* The notice of the call in flight stays, as its answer refers to it. */
 static void discard_oldest(gc_crash_notices_t *notices)
 {
@@ -229,29 +291,42 @@
 static void give_up(gc_crash_notices_t *notices, notice_t *notice,
 		    const char *reason)
 {
-	own_report_t *own;
+	own_reports_t *own;
 
 	gc_log(GC_LOG_WARNING, GC_EVENT_NOTICE_NOT_WRITTEN,
 	       "can't write a notice to the store", "key", notice->key, "error",
 	       reason, NULL);
-	if (notice->is_report) {
-		own = find_own_report(notices, notice->report_id);
+	if (notice->reports) {
+		own = find_own_reports(notices, first_id(notice->reports));
 		if (own)
 			own->pending = false;
 	}
 	remove_notice(notices, notice);
 }
 
-static own_report_t *find_own_report(gc_crash_notices_t *notices, uint64_t id)
+/* Those not yet read from the store whose first report has the id, or NULL. */
+static own_reports_t *find_own_reports(gc_crash_notices_t *notices, uint64_t id)
 {
 	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
-		if (notices->own_reports[i].pending &&
-		    notices->own_reports[i].report.id == id)
-			return &notices->own_reports[i];
+		own_reports_t *own = &notices->own_reports[i];
+
+		if (own->pending && own->reports->len > 0 &&
+		    first_id(own->reports) == id)
+			return own;
 	}
 	return NULL;
 }
 
+static uint64_t first_id(const GArray *reports)
+{
+	return g_array_index(reports, gc_crash_report_t, 0).id;
+}
+
+static int64_t max_age_ms(const notice_t *notice)
+{
+	return notice->reports ? MAX_REPORTS_AGE_MS : MAX_AGE_MS;
+}
+
 static void on_timer(void *ctx)
 {
 	start_next_call(ctx);
@@ -268,7 +343,7 @@
 		return;
 	discard_needless(notices);
 	while ((head = g_queue_peek_head(&notices->queue)) != NULL) {
-		left_ms = MAX_AGE_MS - gc_ms_between(head->made, now);
+		left_ms = max_age_ms(head) - gc_ms_between(head->made, now);
 		if (left_ms > 0)
 			break;
 		give_up(notices, head,
@@ -303,6 +378,7 @@
 		       struct timespec now)
 {
 	const gc_store_t *store = &notices->conf.store;
+	g_autofree char *reports = NULL;
 
 	if (notices->lease != 0 &&
 	    gc_ms_between(notices->lease_requested, now) >
@@ -316,9 +392,15 @@
 		store->ops->lease(store->store, LEASE_MS, on_lease_granted,
 				  notices);
 	} else {
+		notice->sent = true;
+		if (notice->reports)
+			reports = gc_crash_notices_encode_reports(
+				(const gc_crash_report_t *)
+					notice->reports->data,
+				notice->reports->len);
 		store->ops->put(store->store, gc_str(notice->key),
-				gc_str(notice->value), notices->lease,
-				on_written, notices);
+				gc_str(reports ? reports : notice->value),
+				notices->lease, on_written, notices);
 	}
 }
 
@@ -384,19 +466,51 @@
 {
 	if (era == 0)
 		return;
-	gc_crash_notices_set_era(notices, era);
+	change_era(notices, era);
 	if (notices->conf.era_seen)
 		notices->conf.era_seen(notices->conf.ctx, era);
 }
 
 void gc_crash_notices_set_era(gc_crash_notices_t *notices, uint64_t era)
 {
+	change_era(notices, era);
+	start_next_call(notices);
+}
+
+static void change_era(gc_crash_notices_t *notices, uint64_t era)
+{
+	bool restored = notices->era != 0;
+
 	if (era <= notices->era)
 		return;
 	notices->era = era;
 	notices->lease = 0;
 	notices->era_offset = notices->newest_order;
 	notices->old_revision = notices->newest_revision;
+	if (restored)
+		write_reports_again(notices);
+}
+
+/* The copy may lack the last ones; others may have started since. */
+static void write_reports_again(gc_crash_notices_t *notices)
+{
+	struct timespec now = gc_clock_now(notices->conf.clock);
+
+	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
+		own_reports_t *own = &notices->own_reports[i];
+		bool queued = false;
+
+		if (!own->reports ||
+		    gc_ms_between(own->made, now) > RESTORED_AGE_MS)
+			continue;
+		for (GList *link = notices->queue.head; link; link = link->next)
+			queued |= ((notice_t *)link->data)->reports ==
+				  own->reports;
+		if (queued)
+			continue;
+		own->pending = true;
+		enqueue_reports(notices, i);
+	}
 }
 
 static void retry_later(gc_crash_notices_t *notices, const char *error)
@@ -416,27 +530,28 @@
 	gc_str_t rest;
 
 	if (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX, &rest))
-		receive_report(notices, item);
+		receive_reports(notices, item);
 	else if (strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest))
 		receive_served(notices, rest, item);
 	else
 		log_invalid(item->key, "no key of a notice");
 }
 
-static void receive_report(gc_crash_notices_t *notices,
-			   const gc_store_item_t *item)
+static void receive_reports(gc_crash_notices_t *notices,
+			    const gc_store_item_t *item)
 {
 	g_autoptr(GError) err = NULL;
-	gc_crash_report_t report;
-	own_report_t *own;
+	g_autoptr(GArray) reports =
+		g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
+	own_reports_t *own;
 	uint64_t order;
 
-	if (!gc_crash_notices_decode_report(item->value, &report, &err)) {
+	if (!gc_crash_notices_decode_reports(item->value, reports, &err)) {
 		log_invalid(item->key, err->message);
 		return;
 	}
 	order = add_notice(notices, item->revision);
-	own = find_own_report(notices, report.id);
+	own = find_own_reports(notices, first_id(reports));
 	if (own) {
 		own->pending = false;
 		/* The answer to its write may have been lost. */
@@ -444,12 +559,15 @@
 		     link = link->next) {
 			notice_t *notice = link->data;
 
-			if (notice->is_report && notice->report_id == report.id)
+			if (notice->reports == own->reports)
 				notice->needless = true;
 		}
 		start_next_call(notices);
 	}
-	notices->conf.on_report(notices->conf.ctx, &report, order);
+	for (guint i = 0; i < reports->len; i++)
+		notices->conf.on_report(
+			notices->conf.ctx,
+			&g_array_index(reports, gc_crash_report_t, i), order);
 }
 
 /* Returns the place of a notice in the order of all. */
@@ -501,7 +619,7 @@
 	for (GList *link = notices->queue.head; link; link = link->next) {
 		notice_t *notice = link->data;
 
-		if (!notice->is_report && notice->trait == trait &&
+		if (!notice->reports && notice->trait == trait &&
 		    order > notice->newest_order)
 			notice->needless = true;
 	}
@@ -512,21 +630,25 @@
 			       uint64_t trait)
 {
 	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
-		const own_report_t *own = &notices->own_reports[i];
-
-		if (own->pending && has_trait(&own->report.traits, trait))
-			return true;
+		const own_reports_t *own = &notices->own_reports[i];
+
+		for (guint j = 0; own->pending && j < own->reports->len; j++)
+			if (has_trait(&g_array_index(own->reports,
+						     gc_crash_report_t, j)
+					       .traits,
+				      trait))
+				return true;
 	}
 	return false;
 }
 
 static bool has_trait(const gc_request_traits_t *traits, uint64_t trait)
 {
-	for (size_t i = 0; i < traits->n; i++) {
-		if (traits->ids[i] == trait)
+	for (size_t i = 0; i < traits->n_parts; i++) {
+		if (traits->parts[i] == trait)
 			return true;
 	}
-	return false;
+	return traits->request == trait;
 }
 
 static void log_invalid(gc_str_t key, const char *error)
@@ -538,74 +660,116 @@
 	       NULL);
 }
 
-char *gc_crash_notices_encode_report(const gc_crash_report_t *report)
+char *gc_crash_notices_encode_reports(const gc_crash_report_t *reports,
+				      size_t n)
 {
-	g_autofree char *id =
-		g_strdup_printf("%016" G_GINT64_MODIFIER "x", report->id);
-	json_t *json = json_pack("{s:s,s:I,s:o}", "id", id, "at_ms",
-				 (json_int_t)report->at_ms, "traits",
-				 encode_traits(&report->traits));
-	char *text = json_dumps(json, JSON_COMPACT);
-	char *copy = g_strdup(text);
-
+	json_t *list = json_array();
+	json_t *json = json_pack("{s:o}", "reports", list);
+	char *text;
+	char *copy;
+
+	for (size_t i = 0; i < n; i++)
+		json_array_append_new(list, encode_report(&reports[i]));
+	text = json_dumps(json, JSON_COMPACT);
+	copy = g_strdup(text);
 	free(text);
 	json_decref(json);
 	return copy;
 }
 
-static json_t *encode_traits(const gc_request_traits_t *traits)
+static json_t *encode_report(const gc_crash_report_t *report)
 {
-	json_t *list = json_array();
+	json_t *parts = json_array();
 
-	for (size_t i = 0; i < traits->n; i++) {
-		g_autofree char *id = g_strdup_printf(
-			"%016" G_GINT64_MODIFIER "x", traits->ids[i]);
+	for (size_t i = 0; i < report->traits.n_parts; i++)
+		json_array_append_new(parts,
+				      encode_hex(report->traits.parts[i]));
+	return json_pack("{s:o,s:o,s:o,s:I,s:b,s:o,s:o}", "id",
+			 encode_hex(report->id), "server",
+			 encode_hex(report->server), "domain",
+			 encode_hex(report->domain), "at_ms",
+			 (json_int_t)report->at_ms, "resent", report->resent,
+			 "request", encode_hex(report->traits.request), "parts",
+			 parts);
+}
 
-		json_array_append_new(list, json_string(id));
-	}
-	return list;
+static json_t *encode_hex(uint64_t number)
+{
+	g_autofree char *digits =
+		g_strdup_printf("%016" G_GINT64_MODIFIER "x", number);
+
+	return json_string(digits);
 }
 
-bool gc_crash_notices_decode_report(gc_str_t value, gc_crash_report_t *report,
-				    GError **err)
+bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
+				     GError **err)
 {
 	json_t *json = json_loadb(value.data, value.len, 0, NULL);
-	const json_t *at_ms = json_object_get(json, "at_ms");
-	bool valid = false;
-
-	*report = (gc_crash_report_t){.at_ms = json_integer_value(at_ms)};
-	if (!json_is_object(json))
-		invalid(err, "not a JSON object");
-	else if (!parse_hex_json(json_object_get(json, "id"), &report->id))
-		invalid(err, "id must be a string of 16 hex digits");
-	else if (!json_is_integer(at_ms) || report->at_ms < 0 ||
-		 report->at_ms > MAX_TIME_OF_DAY_MS)
-		invalid(err, "at_ms must be a time of day in ms");
-	else
-		valid = decode_traits(json_object_get(json, "traits"),
-				      &report->traits, err);
+	const json_t *list = json_object_get(json, "reports");
+	guint known = reports->len;
+	bool valid = json_is_array(list) && json_array_size(list) > 0 &&
+		     json_array_size(list) <= MAX_NOTICE_REPORTS;
+
+	if (!valid)
+		invalid(err, "not an object with a list of 1 to " G_STRINGIFY(
+				     MAX_NOTICE_REPORTS) " reports");
+	for (size_t i = 0; valid && i < json_array_size(list); i++) {
+		gc_crash_report_t report;
+
+		valid = decode_report(json_array_get(list, i), &report, err);
+		g_array_append_val(reports, report);
+	}
+	if (!valid)
+		g_array_set_size(reports, known);
 	json_decref(json);
 	return valid;
 }
 
-static bool decode_traits(const json_t *json, gc_request_traits_t *traits,
+static bool decode_report(const json_t *json, gc_crash_report_t *report,
 			  GError **err)
+{
+	const json_t *at_ms = json_object_get(json, "at_ms");
+
+	*report = (gc_crash_report_t){
+		.at_ms = json_integer_value(at_ms),
+		.resent = json_is_true(json_object_get(json, "resent")),
+	};
+	if (!json_is_object(json))
+		return invalid(err, "a report must be an object");
+	if (!parse_hex_json(json_object_get(json, "id"), &report->id) ||
+	    !parse_hex_json(json_object_get(json, "server"), &report->server) ||
+	    !parse_hex_json(json_object_get(json, "domain"), &report->domain) ||
+	    !parse_hex_json(json_object_get(json, "request"),
+			    &report->traits.request))
+		return invalid(err, "id, server, domain and request must be "
+				    "strings of 16 hex digits");
+	if (!json_is_integer(at_ms) || report->at_ms < 0 ||
+	    report->at_ms > MAX_TIME_OF_DAY_MS)
+		return invalid(err, "at_ms must be a time of day in ms");
+	if (!decode_parts(json_object_get(json, "parts"), &report->traits, err))
+		return false;
+	return report->traits.request != 0 || report->traits.n_parts > 0 ||
+	       invalid(err, "a report must have a request or a part");
+}
+
+static bool decode_parts(const json_t *json, gc_request_traits_t *traits,
+			 GError **err)
 {
 	size_t i;
 	json_t *id;
 
-	if (!json_is_array(json) || json_array_size(json) == 0 ||
-	    json_array_size(json) > GC_REQUEST_TRAITS_MAX)
+	if (!json_is_array(json) ||
+	    json_array_size(json) > GC_REQUEST_PARTS_MAX)
 		return invalid(err,
-			       "traits must be a list of 1 to " G_STRINGIFY(
-				       GC_REQUEST_TRAITS_MAX) " strings");
+			       "parts must be a list of up to " G_STRINGIFY(
+				       GC_REQUEST_PARTS_MAX) " strings");
 	json_array_foreach (json, i, id) {
-		if (!parse_hex_json(id, &traits->ids[i]))
+		if (!parse_hex_json(id, &traits->parts[i]))
 			return invalid(
 				err,
-				"a trait must be a string of 16 hex digits");
+				"a part must be a string of 16 hex digits");
 	}
-	traits->n = json_array_size(json);
+	traits->n_parts = json_array_size(json);
 	return true;
 }
 
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -18,8 +18,9 @@
 #include "lib/store.h"
 #include "lib/timer.h"
 
-/* Key of a crash report: this prefix, the daemon's name, "/" and a number. */
-#define GC_CRASH_NOTICES_REPORTS_PREFIX "goldcrest/crashes/"
+/* Key of a notice with crash reports: this prefix, the daemon's name, "/" and a
+ * number. */
+#define GC_CRASH_NOTICES_REPORTS_PREFIX "goldcrest/crashed/"
 /* Key of a notice that a trait was served: this prefix and the trait. */
 #define GC_CRASH_NOTICES_SERVED_PREFIX "goldcrest/served/"
 
@@ -49,10 +50,12 @@
 void gc_crash_notices_destroy(gc_crash_notices_t *notices);
 /*
  * Write a notice to the store, in the order of the calls. Failed writes are
- * repeated for 10 s. A report without traits is not written.
+ * repeated while the notice is of use to others. Reports that come while the
+ * store answers share one notice, so that a crash of many servers costs a daemon
+ * a few writes. Those without traits are left out.
  */
-void gc_crash_notices_share_report(gc_crash_notices_t *notices,
-				   const gc_crash_report_t *report);
+void gc_crash_notices_share_reports(gc_crash_notices_t *notices,
+				    const gc_crash_report_t *reports, size_t n);
 /* Not written if another notice on the trait comes from the store first. */
 void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t trait);
 /*
@@ -63,16 +66,18 @@
 			      const gc_store_item_t *item);
 /*
  * The store is in this era. After a change of it, the lease counts as gone, as
- * its id may be another daemon's.
+ * its id may be another daemon's, and the last reports are written again.
  */
 void gc_crash_notices_set_era(gc_crash_notices_t *notices, uint64_t era);
 /* Nothing is written any more. */
 void gc_crash_notices_stop(gc_crash_notices_t *notices);
 
-/* The value of a report in the store. Free with g_free. */
-char *gc_crash_notices_encode_report(const gc_crash_report_t *report);
-/* Errors: GC_ERR_INVALID. */
-bool gc_crash_notices_decode_report(gc_str_t value, gc_crash_report_t *report,
-				    GError **err);
+/* The value of a notice with reports. Free with g_free. */
+char *gc_crash_notices_encode_reports(const gc_crash_report_t *reports,
+				      size_t n);
+/* Appends the reports of such a value to an array of gc_crash_report_t. Errors:
+ * GC_ERR_INVALID; nothing is appended then. */
+bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
+				     GError **err);
 
 #endif
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -28,11 +28,11 @@
 	gc_str_t service;
 	gc_str_t account; /* empty on an anonymous route */
 	gc_str_t id;
-	uint64_t hash; /* the same each time that the request comes */
 	const gc_prompt_t *prompt; /* NULL if unknown */
-	gc_request_traits_t traits; /* empty if not a stream */
-	/* The next attempt finds out whether the prompt crashes servers. */
+	gc_request_traits_t traits;
+	/* The next attempt finds out whether the request crashes servers. */
 	bool suspect_trial;
+	unsigned int n_losses; /* servers that may have crashed under it */
 	bool head_request; /* its method is HEAD */
 	struct timespec arrived;
 	int64_t deadline_ms; /* after arrival, set by the caller */
@@ -117,15 +117,17 @@
 void gc_exchange_on_copy_timer(void *ctx);
 
 /*
- * Prompts that crash servers (exchange_crash.c). gc_exchange_check_suspects is
- * to be called before each attempt; false: the prompt must not be sent, the
- * request has ended and the exchange is freed. gc_exchange_check_crash is to be
- * called when an attempt has failed, with its server still set.
+ * Requests that crash servers (exchange_crash.c). gc_exchange_check_suspects is
+ * to be called before each attempt; false: the request must not be sent now. It
+ * waits for retry_timer, or it has ended and the exchange is freed.
+ * gc_exchange_record_loss is to be called when an attempt has failed, with its
+ * server still set.
  */
 void gc_exchange_read_traits(gc_exchange_t *exchange);
 bool gc_exchange_check_suspects(gc_exchange_t *exchange);
-void gc_exchange_check_crash(gc_exchange_t *exchange, gc_attempt_end_t end);
-/* To be called at the first event of an attempt. */
+void gc_exchange_record_loss(gc_exchange_t *exchange, gc_attempt_end_t end);
+/* To be called when a server has run the request: at the first event of a
+ * stream, or with a complete response. */
 void gc_exchange_record_served(gc_exchange_t *exchange);
 
 /*
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -6,7 +6,6 @@
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
-#include "lib/request_hash.h"
 
 /* Added to the time limit, so that a response sent at the limit arrives. */
 #define TIME_LIMIT_SLACK_MS 100
@@ -88,8 +87,7 @@
 	gc_caller_conn_set_data(exchange->caller, exchange);
 	exchange->response_head = g_string_new(NULL);
 	exchange->response_body = g_byte_array_new();
-	exchange->hash = gc_request_hash(exchange->service, exchange->account,
-					 exchange->request);
+	gc_exchange_read_traits(exchange);
 	exchange->time_limit_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_time_limit, exchange);
 	exchange->inactivity_timer =
@@ -107,7 +105,6 @@
 			last.data ? g_strndup(last.data, last.len) : NULL;
 
 		exchange->prompt = create_prompt(exchange, text && *text);
-		gc_exchange_read_traits(exchange);
 		exchange->sequencer = gc_event_sequencer_create(
 			exchange, text && *text
 					  ? g_ascii_strtoll(text, NULL, 10)
@@ -510,6 +507,9 @@
 
 	/* The upstream frees the call after this callback. */
 	exchange->call = NULL;
+	if (exchange->identified && !exchange->not_run &&
+	    (!exchange->sequencer || exchange->response_status >= 300))
+		gc_exchange_record_served(exchange);
 	if (!exchange->identified) {
 		finish_attempt(exchange, GC_END_BROKEN,
 			       "the response doesn't name the request");
@@ -591,8 +591,8 @@
 	g_autofree char *after_ms =
 		g_strdup_printf("%" G_GINT64_FORMAT,
 				gc_ms_between(exchange->attempt_started, now));
-	g_autofree char *hash =
-		g_strdup_printf("%016" G_GINT64_MODIFIER "x", exchange->hash);
+	g_autofree char *hash = g_strdup_printf("%016" G_GINT64_MODIFIER "x",
+						exchange->traits.request);
 	bool uses_budget;
 	gc_retry_decision_t decision;
 
@@ -603,7 +603,7 @@
 	       exchange->received_event ? "yes" : "no", NULL);
 	exchange->attempt_ended = now;
 	gc_backend_record_failure(exchange->backend, now, end);
-	gc_exchange_check_crash(exchange, end);
+	gc_exchange_record_loss(exchange, end);
 	gc_exchange_set_resume_copy(exchange);
 	release_attempt(exchange);
 	decision = gc_attempts_decide(&exchange->attempts, end, left_ms,
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -112,10 +112,22 @@
 		.repeat_window_ms = conf->repeat_window_ms,
 	};
 
+	gc_crash_checks_conf_t checks_conf = {
+		.timers = conf->timers,
+		.clock = conf->clock,
+		.adapter = conf->adapter,
+		.confirmed = conf->confirmed,
+		.settled = gc_relay_on_losses_settled,
+		.ctx = relay,
+	};
+
 	relay->conf = *conf;
 	relay->upstream = gc_upstream_create(relay, &upstream_conf);
 	relay->backends = gc_backends_create(relay, &backends_conf);
 	relay->crash_suspects = gc_crash_suspects_create(relay);
+	checks_conf.upstream = relay->upstream;
+	checks_conf.backends = relay->backends;
+	relay->crash_checks = gc_crash_checks_create(relay, &checks_conf);
 	talloc_set_destructor(relay, relay_destructor);
 	return relay;
 }
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -39,9 +39,10 @@
 	double repeat_ratio; /* see gc_backends_conf_t */
 	uint32_t repeat_slack;
 	int64_t repeat_window_ms;
-	/* Tell the other daemons that a server crashed under a request, or that
-	 * a part of a prompt was served; may be NULL. */
-	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
+	/* Tell the other daemons that a server crashed under requests, or that
+	 * a trait of a request was served; may be NULL. */
+	void (*share_crash)(void *ctx, const gc_crash_report_t *reports,
+			    size_t n);
 	void (*share_served)(void *ctx, uint64_t trait);
 	void *share_ctx;
 } gc_relay_conf_t;
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -3,6 +3,7 @@
 #define GC_LIB_RELAY_PRIVATE_H
 
 #include "core/crash_suspects.h"
+#include "lib/crash_checks.h"
 #include "lib/exchange.h"
 #include "lib/refusal.h"
 #include "lib/relay.h"
@@ -12,6 +13,7 @@
 	gc_upstream_t *upstream;
 	gc_backends_t *backends;
 	gc_crash_suspects_t *crash_suspects;
+	gc_crash_checks_t *crash_checks;
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	size_t n_exchanges;
@@ -21,6 +23,10 @@
 
 /* Starts the attempts of an admitted request. */
 void gc_exchange_run(gc_exchange_t *exchange);
+/* Callback of crash_checks; ctx is the relay. */
+void gc_relay_on_losses_settled(void *ctx, const gc_backend_t *server,
+				bool crashed, const gc_crash_loss_t *losses,
+				size_t n);
 /* To be called when the caller has disconnected; may free the exchange. */
 void gc_exchange_on_disconnect(gc_exchange_t *exchange);
 /* To be called when the kernel has accepted all bytes sent to the caller. */
--- a/lib/request_hash.c
+++ b/lib/request_hash.c
@@ -5,7 +5,7 @@
 
 static void add_field(crypto_generichash_state *state, gc_str_t field);
 
-uint64_t gc_request_hash(gc_str_t service, gc_str_t account,
+uint64_t gc_request_hash(gc_str_t service, gc_str_t account, gc_str_t prompt,
 			 const gc_http_message_t *request)
 {
 	crypto_generichash_state state;
@@ -17,6 +17,7 @@
 	add_field(&state, account);
 	add_field(&state, gc_str(gc_http_message_method(request)));
 	add_field(&state, gc_http_message_target(request));
+	add_field(&state, prompt);
 	add_field(&state, gc_http_message_body(request));
 	crypto_generichash_final(&state, hash, sizeof(hash));
 	for (size_t i = 0; i < sizeof(number); i++)
--- a/lib/request_hash.h
+++ b/lib/request_hash.h
@@ -9,11 +9,12 @@
 
 /*
  * Hash of the service, the client account, the method, the target with its
- * query, and the body; request must be complete. The same in all daemons.
+ * query, the prompt's parts as a header names them, and the body; request must
+ * be complete. The same in all daemons.
  * Requests are refused by it, so it is cryptographic (BLAKE2b): a caller can't
  * make a request that has the hash of another account's.
  */
-uint64_t gc_request_hash(gc_str_t service, gc_str_t account,
+uint64_t gc_request_hash(gc_str_t service, gc_str_t account, gc_str_t prompt,
 			 const gc_http_message_t *request);
 
 #endif
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -17,7 +17,8 @@
 	const gc_clock_t *clock;
 	uint32_t seed; /* of the thread's random number generator */
 	/* Notices for the other daemons; called in the traffic thread. */
-	void (*share_crash)(void *ctx, const gc_crash_report_t *report);
+	void (*share_crash)(void *ctx, const gc_crash_report_t *reports,
+			    size_t n);
 	void (*share_served)(void *ctx, uint64_t trait);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -14,6 +14,8 @@
 #define MAX_QUEUED	    32
 #define MAX_SERVED_DELAY_MS 600
 #define MAX_AGE_MS	    10000
+#define MAX_REPORTS_AGE_MS  300000
+#define NOTICE_REPORTS	    64
 #define PART		    UINT64_C(0xfedcba9876543210)
 #define PART_KEY	    "goldcrest/served/fedcba9876543210"
 #define OTHER_PART	    UINT64_C(0x1)
@@ -39,7 +41,7 @@
 	void *done_ctx;
 	int64_t ttl_ms;
 	char key[64];
-	char value[512];
+	char value[32768];
 	uint64_t lease;
 	unsigned int n_reports;
 	gc_crash_report_t report; /* the last one */
@@ -165,8 +167,12 @@
 {
 	return (gc_crash_report_t){
 		.id = id,
+		.server = 5,
+		.domain = 6,
 		.at_ms = INT64_C(1796392898000),
-		.traits = {.ids = {OTHER_PART << 8, trait}, .n = 2},
+		.traits = {.request = 7,
+			   .parts = {OTHER_PART << 8, trait},
+			   .n_parts = 2},
 	};
 }
 
@@ -174,7 +180,35 @@
 {
 	gc_crash_report_t report = report_with(id, PART);
 
-	gc_crash_notices_share_report(fixture->notices, &report);
+	gc_crash_notices_share_reports(fixture->notices, &report, 1);
+}
+
+/* As many as one notice holds, with the ids from first_id on. */
+static void share_full_notice(fixture_t *fixture, uint64_t first_id)
+{
+	gc_crash_report_t reports[NOTICE_REPORTS];
+
+	for (uint64_t i = 0; i < NOTICE_REPORTS; i++)
+		reports[i] = report_with(first_id + i, PART);
+	gc_crash_notices_share_reports(fixture->notices, reports,
+				       NOTICE_REPORTS);
+}
+
+/* The reports of a notice; NULL if they can't be read. */
+static GArray *decode(gc_str_t value, GError **err)
+{
+	GArray *reports = g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
+
+	if (gc_crash_notices_decode_reports(value, reports, err))
+		return reports;
+	ck_assert_uint_eq(reports->len, 0);
+	g_array_unref(reports);
+	return NULL;
+}
+
+static gc_crash_report_t report_at(const GArray *reports, guint i)
+{
+	return g_array_index(reports, gc_crash_report_t, i);
 }
 
 static void receive(fixture_t *fixture, const char *key, const char *value,
@@ -227,48 +261,63 @@
 	ck_assert_int_eq(fixture->call, PUT_CALL);
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
-	receive(fixture, "goldcrest/crashes/d1/0", fixture->value, 10);
+	receive(fixture, "goldcrest/crashed/d1/0", fixture->value, 10);
 }
 
-START_TEST(test_report_round_trip)
+START_TEST(test_reports_round_trip)
 {
-	gc_crash_report_t report = {
-		.id = UINT64_MAX,
-		.at_ms = INT64_C(1796392898123),
-		.traits = {.n = GC_REQUEST_TRAITS_MAX},
-	};
+	gc_crash_report_t reports[GC_REQUEST_PARTS_MAX + 1];
+	g_autoptr(GArray) decoded = NULL;
+	g_autoptr(GError) err = NULL;
+	g_autofree char *value = NULL;
 	uint64_t seed = 1;
 
-	for (size_t n = 1; n <= GC_REQUEST_TRAITS_MAX; n++) {
-		gc_crash_report_t decoded;
-		g_autoptr(GError) err = NULL;
-		g_autofree char *value = NULL;
-
-		report.traits.n = n;
+	for (size_t n = 0; n < G_N_ELEMENTS(reports); n++) {
+		reports[n] = (gc_crash_report_t){
+			.id = n == 0 ? UINT64_MAX : unit_next_random(&seed),
+			.server = unit_next_random(&seed),
+			.domain = unit_next_random(&seed),
+			.at_ms = INT64_C(1796392898123),
+			.resent = n % 2,
+			.traits = {.request = n == 2 ? 0 : n + 1, .n_parts = n},
+		};
 		for (size_t i = 0; i < n; i++)
-			report.traits.ids[i] = unit_next_random(&seed);
-		report.traits.ids[0] = n == 1 ? 0 : UINT64_MAX;
-		value = gc_crash_notices_encode_report(&report);
-		ck_assert(gc_crash_notices_decode_report(gc_str(value),
-							 &decoded, &err));
-		ck_assert_uint_eq(decoded.id, report.id);
-		ck_assert_int_eq(decoded.at_ms, report.at_ms);
-		ck_assert_uint_eq(decoded.traits.n, n);
+			reports[n].traits.parts[i] = unit_next_random(&seed);
+	}
+	value = gc_crash_notices_encode_reports(reports, G_N_ELEMENTS(reports));
+	decoded = decode(gc_str(value), &err);
+	ck_assert_ptr_nonnull(decoded);
+	ck_assert_uint_eq(decoded->len, G_N_ELEMENTS(reports));
+	for (guint n = 0; n < decoded->len; n++) {
+		gc_crash_report_t report = report_at(decoded, n);
+
+		ck_assert_uint_eq(report.id, reports[n].id);
+		ck_assert_uint_eq(report.server, reports[n].server);
+		ck_assert_uint_eq(report.domain, reports[n].domain);
+		ck_assert_int_eq(report.at_ms, reports[n].at_ms);
+		ck_assert_int_eq(report.resent, reports[n].resent);
+		ck_assert_uint_eq(report.traits.request,
+				  reports[n].traits.request);
+		ck_assert_uint_eq(report.traits.n_parts, n);
 		for (size_t i = 0; i < n; i++)
-			ck_assert_uint_eq(decoded.traits.ids[i],
-					  report.traits.ids[i]);
-		report.id = unit_next_random(&seed);
+			ck_assert_uint_eq(report.traits.parts[i],
+					  reports[n].traits.parts[i]);
 	}
 }
 END_TEST
 
-#define ID    "\"id\":\"0000000000000001\""
-#define AT    "\"at_ms\":1796392898000"
-#define PARTS "\"traits\":[\"00000000000000aa\"]"
+#define ID     "\"id\":\"0000000000000001\""
+#define SERVER "\"server\":\"0000000000000002\""
+#define DOMAIN "\"domain\":\"0000000000000003\""
+#define AT     "\"at_ms\":1796392898000"
+#define HASH   "\"request\":\"0000000000000004\""
+#define PARTS  "\"parts\":[\"00000000000000aa\"]"
 #define PART8                                                             \
 	"\"00000000000000aa\",\"00000000000000aa\",\"00000000000000aa\"," \
 	"\"00000000000000aa\",\"00000000000000aa\",\"00000000000000aa\"," \
 	"\"00000000000000aa\",\"00000000000000aa\""
+#define START ID "," SERVER "," DOMAIN ","
+#define GOOD  START AT "," HASH "," PARTS
 
 START_TEST(test_invalid_reports_are_ignored)
 {
@@ -280,39 +329,71 @@
 		"null",
 		"17",
 		"{}",
-		"{" AT "," PARTS "}",
-		"{" ID "," PARTS "}",
-		"{" ID "," AT "}",
-		"{\"id\":1," AT "," PARTS "}",
-		"{\"id\":\"1\"," AT "," PARTS "}",
-		"{\"id\":\"00000000000000001\"," AT "," PARTS "}",
-		"{\"id\":\"000000000000000A\"," AT "," PARTS "}",
-		"{\"id\":\"0x00000000000001\"," AT "," PARTS "}",
-		"{\"id\":\"-000000000000001\"," AT "," PARTS "}",
-		"{" ID ",\"at_ms\":\"1796392898000\"," PARTS "}",
-		"{" ID ",\"at_ms\":1.5," PARTS "}",
-		"{" ID ",\"at_ms\":-1," PARTS "}",
-		"{" ID ",\"at_ms\":253402300800000," PARTS "}",
-		"{" ID ",\"at_ms\":9223372036854775807," PARTS "}",
-		"{" ID ",\"at_ms\":9223372036854775808," PARTS "}",
-		"{" ID "," AT ",\"traits\":[]}",
-		"{" ID "," AT ",\"traits\":{}}",
-		"{" ID "," AT ",\"traits\":\"00000000000000aa\"}",
-		"{" ID "," AT ",\"traits\":[170]}",
-		"{" ID "," AT ",\"traits\":[\"aa\"]}",
-		"{" ID "," AT ",\"traits\":[" PART8 ",\"00000000000000aa\"]}",
+		"{" GOOD "}",
+		"{\"reports\":{" GOOD "}}",
+		"{\"reports\":[]}",
+	};
+	static const char *const reports[] = {
+		"17",
+		"{}",
+		SERVER "," DOMAIN "," AT "," HASH "," PARTS,
+		ID "," DOMAIN "," AT "," HASH "," PARTS,
+		ID "," SERVER "," AT "," HASH "," PARTS,
+		START HASH "," PARTS,
+		START AT "," PARTS,
+		START AT "," HASH,
+		START AT ",\"request\":4," PARTS,
+		START AT ",\"request\":\"0000000000000000\",\"parts\":[]",
+		"\"id\":1," SERVER "," DOMAIN "," AT "," HASH "," PARTS,
+		"\"id\":\"1\"," SERVER "," DOMAIN "," AT "," HASH "," PARTS,
+		"\"id\":\"00000000000000001\"," SERVER "," DOMAIN "," AT
+		"," HASH "," PARTS,
+		"\"id\":\"000000000000000A\"," SERVER "," DOMAIN "," AT "," HASH
+		"," PARTS,
+		"\"id\":\"0x00000000000001\"," SERVER "," DOMAIN "," AT "," HASH
+		"," PARTS,
+		"\"id\":\"-000000000000001\"," SERVER "," DOMAIN "," AT "," HASH
+		"," PARTS,
+		START "\"at_ms\":\"1796392898000\"," HASH "," PARTS,
+		START "\"at_ms\":1.5," HASH "," PARTS,
+		START "\"at_ms\":-1," HASH "," PARTS,
+		START "\"at_ms\":253402300800000," HASH "," PARTS,
+		START "\"at_ms\":9223372036854775807," HASH "," PARTS,
+		START "\"at_ms\":9223372036854775808," HASH "," PARTS,
+		START AT "," HASH ",\"parts\":{}",
+		START AT "," HASH ",\"parts\":\"00000000000000aa\"",
+		START AT "," HASH ",\"parts\":[170]",
+		START AT "," HASH ",\"parts\":[\"aa\"]",
+		START AT "," HASH ",\"parts\":[" PART8 ",\"00000000000000aa\"]",
 	};
 	fixture_t *fixture = start();
+	GString *many = g_string_new("{\"reports\":[{" GOOD "}");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
-		receive(fixture, "goldcrest/crashes/d2/0", values[i], 5);
+		receive(fixture, "goldcrest/crashed/d2/0", values[i], 5);
 		ck_assert_msg(fixture->n_reports == 0, "accepted: %s",
 			      values[i]);
 	}
-	receive(fixture, "goldcrest/crashes/d2/0",
-		"{" ID "," AT ",\"traits\":[" PART8 "]}", 5);
+	/* One that can't be read spoils the notice, as its order is unknown. */
+	for (size_t i = 0; i < G_N_ELEMENTS(reports); i++) {
+		g_autofree char *value = g_strdup_printf(
+			"{\"reports\":[{" GOOD "},{%s}]}", reports[i]);
+
+		receive(fixture, "goldcrest/crashed/d2/0", value, 5);
+		ck_assert_msg(fixture->n_reports == 0, "accepted: %s", value);
+	}
+	for (int i = 0; i < NOTICE_REPORTS; i++)
+		g_string_append(many, ",{" GOOD "}");
+	g_string_append(many, "]}");
+	receive(fixture, "goldcrest/crashed/d2/0", many->str, 5);
+	ck_assert_uint_eq(fixture->n_reports, 0);
+	g_string_free(many, TRUE);
+	receive(fixture, "goldcrest/crashed/d2/0",
+		"{\"reports\":[{" START AT "," HASH ",\"parts\":[" PART8 "]}]}",
+		5);
 	ck_assert_uint_eq(fixture->n_reports, 1);
-	ck_assert_uint_eq(fixture->report.traits.n, GC_REQUEST_TRAITS_MAX);
+	ck_assert_uint_eq(fixture->report.traits.n_parts, GC_REQUEST_PARTS_MAX);
+	ck_assert_uint_eq(fixture->report.traits.request, 4);
 	ck_assert_uint_eq(fixture->revision, 5);
 	finish(fixture);
 }
@@ -350,9 +431,11 @@
 /* Whatever is accepted can be written and read again. */
 START_TEST(test_mutated_reports)
 {
-	gc_crash_report_t report =
-		report_with(UINT64_C(0x0123456789abcdef), PART);
-	g_autofree char *value = gc_crash_notices_encode_report(&report);
+	gc_crash_report_t shared[] = {
+		report_with(UINT64_C(0x0123456789abcdef), PART),
+		report_with(2, OTHER_PART),
+	};
+	g_autofree char *value = gc_crash_notices_encode_reports(shared, 2);
 	size_t len = strlen(value);
 	uint64_t seed = 20261204;
 
@@ -360,7 +443,8 @@
 		g_autofree char *bytes = g_strndup(value, len);
 		g_autofree char *again = NULL;
 		g_autoptr(GError) err = NULL;
-		gc_crash_report_t decoded;
+		g_autoptr(GArray) decoded = NULL;
+		g_autoptr(GArray) twice = NULL;
 		size_t n = len;
 
 		for (uint64_t i = unit_next_random(&seed) % 3; i < 3; i++)
@@ -368,18 +452,28 @@
 				(char)unit_next_random(&seed);
 		if (unit_next_random(&seed) % 4 == 0)
 			n = unit_next_random(&seed) % len;
-		if (!gc_crash_notices_decode_report((gc_str_t){bytes, n},
-						    &decoded, &err)) {
+		decoded = decode((gc_str_t){bytes, n}, &err);
+		if (!decoded) {
 			ck_assert(
 				g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
 			continue;
 		}
-		ck_assert_uint_le(decoded.traits.n, GC_REQUEST_TRAITS_MAX);
-		again = gc_crash_notices_encode_report(&decoded);
-		ck_assert(gc_crash_notices_decode_report(gc_str(again), &report,
-							 &err));
-		ck_assert_uint_eq(report.id, decoded.id);
-		ck_assert_int_eq(report.at_ms, decoded.at_ms);
+		again = gc_crash_notices_encode_reports(
+			(const gc_crash_report_t *)decoded->data, decoded->len);
+		twice = decode(gc_str(again), &err);
+		ck_assert_ptr_nonnull(twice);
+		ck_assert_uint_eq(twice->len, decoded->len);
+		for (guint i = 0; i < twice->len; i++) {
+			gc_crash_report_t a = report_at(decoded, i);
+			gc_crash_report_t b = report_at(twice, i);
+
+			ck_assert_uint_le(a.traits.n_parts,
+					  GC_REQUEST_PARTS_MAX);
+			ck_assert_uint_eq(a.id, b.id);
+			ck_assert_uint_eq(a.server, b.server);
+			ck_assert_int_eq(a.at_ms, b.at_ms);
+			ck_assert_uint_eq(a.traits.request, b.traits.request);
+		}
 	}
 }
 END_TEST
@@ -396,20 +490,20 @@
 	fixture->now_ms += 700;
 	answer(fixture, 7);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/0");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/0");
 	ck_assert_uint_eq(fixture->lease, 7);
 	answer(fixture, 0);
 	fixture->now_ms = LEASE_MS / 2;
 	share_report(fixture, 2);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
 	ck_assert_uint_eq(fixture->lease, 7);
 	answer(fixture, 0);
 	fixture->now_ms++;
 	share_report(fixture, 3);
 	ck_assert_int_eq(fixture->call, LEASE_CALL);
 	answer(fixture, 8);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/2");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/2");
 	ck_assert_uint_eq(fixture->lease, 8);
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
@@ -426,9 +520,9 @@
 		share_report(fixture, id);
 		answer(fixture, 0);
 	}
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/15");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/15");
 	share_report(fixture, 17);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/0");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/0");
 	finish(fixture);
 }
 END_TEST
@@ -443,7 +537,7 @@
 	ck_assert_int_eq(fixture->call, LEASE_CALL);
 	answer(fixture, 8);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
 	ck_assert_uint_eq(fixture->lease, 8);
 	/* A store that knows no lease is not called without pauses. */
 	answer_error(fixture, GC_ERR_NOT_FOUND);
@@ -473,12 +567,12 @@
 	/* The timer alone starts it. */
 	ck_assert_int_ge(wait_for_call(fixture, 1000), 199);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
 	ck_assert_str_eq(fixture->value, value);
 	ck_assert_uint_eq(fixture->lease, 7);
 	/* Unless the notice has come from the store. */
 	answer_error(fixture, GC_ERR_IO);
-	receive(fixture, "goldcrest/crashes/d1/1", value, 11);
+	receive(fixture, "goldcrest/crashed/d1/1", value, 11);
 	ck_assert_uint_eq(fixture->n_reports, 2);
 	advance(fixture, 1600);
 	ck_assert_int_eq(fixture->call, NO_CALL);
@@ -495,7 +589,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(delays_ms); i++) {
 		ck_assert_int_eq(fixture->call, LEASE_CALL);
 		answer_error(fixture, i % 2 ? GC_ERR_IO : GC_ERR_UNAVAILABLE);
-		/* A further notice starts no call earlier. */
+		/* A further report starts no call earlier. */
 		if (i == 1)
 			share_report(fixture, 2);
 		advance(fixture, delays_ms[i] - 1);
@@ -503,10 +597,14 @@
 		advance(fixture, 1);
 	}
 	answer(fixture, 7);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/0");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/0");
+	ck_assert_ptr_nonnull(strstr(fixture->value, "0000000000000001"));
+	ck_assert_ptr_nonnull(strstr(fixture->value, "0000000000000002"));
 	answer(fixture, 0);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_int_eq(fixture->call, NO_CALL);
 	/* The first delay again, after a success. */
+	share_report(fixture, 3);
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
 	answer_error(fixture, GC_ERR_OVERLOADED);
 	advance(fixture, 200);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
@@ -516,27 +614,77 @@
 }
 END_TEST
 
-START_TEST(test_notice_is_given_up_after_its_age)
+/* Fails all calls until a notice has the age. */
+static void fail_calls_until(fixture_t *fixture, int64_t end_ms)
 {
-	fixture_t *fixture = start();
-	unsigned int n_calls;
-
-	share_report(fixture, 1);
-	while (fixture->now_ms < MAX_AGE_MS - 1) {
+	while (fixture->now_ms < end_ms) {
 		if (fixture->call != NO_CALL)
 			answer_error(fixture, GC_ERR_IO);
 		advance(fixture, 1);
 	}
 	if (fixture->call != NO_CALL)
 		answer_error(fixture, GC_ERR_IO);
-	share_report(fixture, 2);
+}
+
+/* Shares a report when the first notice is 1 ms younger than its longest age,
+ * and expects that only the new one is written, with the key. */
+static void check_first_notice_is_given_up(fixture_t *fixture, const char *key)
+{
+	unsigned int n_calls;
+
+	share_report(fixture, 9);
 	n_calls = fixture->n_calls;
-	/* Only the second one is left. */
 	advance(fixture, 1);
 	advance(fixture, 1600);
 	ck_assert_uint_eq(fixture->n_calls, n_calls + 1);
-	answer(fixture, 7);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	if (fixture->call == LEASE_CALL)
+		answer(fixture, 8);
+	ck_assert_str_eq(fixture->key, key);
+	ck_assert_ptr_nonnull(strstr(fixture->value, "0000000000000009"));
+	answer(fixture, 0);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+}
+
+START_TEST(test_notice_is_given_up_after_its_age)
+{
+	fixture_t *fixture = start();
+
+	write_first(fixture, 7);
+	gc_crash_notices_share_served(fixture->notices, PART);
+	fail_calls_until(fixture, MAX_AGE_MS - 1);
+	check_first_notice_is_given_up(fixture, "goldcrest/crashed/d1/1");
+	finish(fixture);
+}
+END_TEST
+
+/* Reports outlast an outage of the store of some minutes. */
+START_TEST(test_reports_are_given_up_after_their_age)
+{
+	fixture_t *fixture = start();
+
+	write_first(fixture, 7);
+	share_report(fixture, 2);
+	fail_calls_until(fixture, MAX_REPORTS_AGE_MS - 1);
+	check_first_notice_is_given_up(fixture, "goldcrest/crashed/d1/2");
+	finish(fixture);
+}
+END_TEST
+
+/* A crash of many servers costs few writes. */
+START_TEST(test_reports_share_a_notice_while_the_store_answers)
+{
+	fixture_t *fixture = start();
+	g_autoptr(GArray) reports = NULL;
+
+	write_first(fixture, 7);
+	share_report(fixture, 2);
+	ck_assert_int_eq(fixture->call, PUT_CALL);
+	for (uint64_t id = 3; id < 33; id++)
+		share_report(fixture, id);
+	answer(fixture, 0);
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/2");
+	reports = decode(gc_str(fixture->value), NULL);
+	ck_assert_uint_eq(reports->len, 30);
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
 	finish(fixture);
@@ -547,20 +695,21 @@
 {
 	const uint64_t n_shared = 40;
 	fixture_t *fixture = start();
-	uint64_t expected = 1;
+	uint64_t expected = 0;
 	unsigned int n_written = 0;
 
-	for (uint64_t id = 1; id <= n_shared; id++)
-		share_report(fixture, id);
+	for (uint64_t i = 0; i < n_shared; i++)
+		share_full_notice(fixture, i * NOTICE_REPORTS);
 	answer(fixture, 7);
 	while (fixture->call == PUT_CALL) {
-		gc_crash_report_t report;
+		g_autoptr(GArray) reports =
+			decode(gc_str(fixture->value), NULL);
 
-		ck_assert(gc_crash_notices_decode_report(gc_str(fixture->value),
-							 &report, NULL));
-		ck_assert_uint_eq(report.id, expected);
+		ck_assert_ptr_nonnull(reports);
+		ck_assert_uint_eq(report_at(reports, 0).id,
+				  expected * NOTICE_REPORTS);
 		/* The first one stays, as its call is in flight. */
-		expected = n_written == 0 ? n_shared - MAX_QUEUED + 2
+		expected = n_written == 0 ? n_shared - MAX_QUEUED + 1
 					  : expected + 1;
 		n_written++;
 		answer(fixture, 0);
@@ -669,7 +818,7 @@
 	ck_assert_int_eq(fixture->call, PUT_CALL);
 	ck_assert_str_eq(fixture->key, PART_KEY);
 	answer_error(fixture, GC_ERR_IO);
-	receive(fixture, "goldcrest/crashes/d1/1", value, 13);
+	receive(fixture, "goldcrest/crashed/d1/1", value, 13);
 	receive(fixture, PART_KEY, "{\"instance\":\"d2\"}", 14);
 	advance(fixture, 1600);
 	ck_assert_int_eq(fixture->call, NO_CALL);
@@ -687,7 +836,7 @@
 	ck_assert_str_eq(fixture->key, PART_KEY);
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
 	finish(fixture);
@@ -717,7 +866,7 @@
 	fixture_t *fixture = start();
 	const gc_crash_report_t report = {.id = 1, .at_ms = 1};
 
-	gc_crash_notices_share_report(fixture->notices, &report);
+	gc_crash_notices_share_reports(fixture->notices, &report, 1);
 	ck_assert_uint_eq(fixture->n_calls, 0);
 	finish(fixture);
 }
@@ -741,9 +890,10 @@
 
 	fixture->era = 1;
 	write_first(fixture, 7);
+	/* The copy may lack the last reports, which are written again. */
 	gc_crash_notices_set_era(fixture->notices, 2);
-	share_report(fixture, 2);
 	ck_assert_int_eq(fixture->call, LEASE_CALL);
+	share_report(fixture, 2);
 	fixture->era = 2;
 	answer(fixture, 7);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
@@ -762,7 +912,9 @@
 	fixture->era = 3;
 	answer(fixture, 8);
 	ck_assert_int_eq(fixture->call, PUT_CALL);
-	ck_assert_str_eq(fixture->key, "goldcrest/crashes/d1/1");
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/0");
+	ck_assert_ptr_nonnull(strstr(fixture->value, "0000000000000001"));
+	ck_assert_ptr_nonnull(strstr(fixture->value, "0000000000000002"));
 	ck_assert_uint_eq(fixture->lease, 8);
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
@@ -770,20 +922,33 @@
 }
 END_TEST
 
+START_TEST(test_old_reports_are_not_written_again_in_a_new_era)
+{
+	fixture_t *fixture = start();
+
+	fixture->era = 1;
+	write_first(fixture, 7);
+	fixture->now_ms += 60001;
+	gc_crash_notices_set_era(fixture->notices, 2);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+	finish(fixture);
+}
+END_TEST
+
 /* Revisions are given out again: lower ones of a new era are later. */
 START_TEST(test_order_of_notices_over_eras)
 {
 	static const char served[] = "goldcrest/served/00000000000000aa";
 	static const char value[] = "{\"instance\":\"d2\"}";
 	gc_crash_report_t report = report_with(1, 1);
-	g_autofree char *text = gc_crash_notices_encode_report(&report);
+	g_autofree char *text = gc_crash_notices_encode_reports(&report, 1);
 	fixture_t *fixture = start();
 
 	gc_crash_notices_set_era(fixture->notices, 1);
 	receive(fixture, served, value, 50);
 	ck_assert_uint_eq(fixture->revision, 50);
 	gc_crash_notices_set_era(fixture->notices, 2);
-	receive(fixture, "goldcrest/crashes/d2/1", text, 41);
+	receive(fixture, "goldcrest/crashed/d2/1", text, 41);
 	ck_assert_uint_eq(fixture->n_reports, 1);
 	ck_assert_uint_gt(fixture->revision, 50);
 	/* Perhaps the copy's, which says nothing about later reports. */
@@ -799,7 +964,7 @@
 int main(void)
 {
 	const TTest *const tests[] = {
-		test_report_round_trip,
+		test_reports_round_trip,
 		test_invalid_reports_are_ignored,
 		test_invalid_served_notices_are_ignored,
 		test_mutated_reports,
@@ -809,6 +974,8 @@
 		test_write_without_answer_is_repeated,
 		test_store_away_then_back,
 		test_notice_is_given_up_after_its_age,
+		test_reports_are_given_up_after_their_age,
+		test_reports_share_a_notice_while_the_store_answers,
 		test_oldest_notices_leave_a_full_queue,
 		test_served_notice_is_written_soon,
 		test_timer_writes_served_notice,
@@ -818,6 +985,7 @@
 		test_nothing_is_written_after_stop,
 		test_report_without_traits_is_not_written,
 		test_lease_is_forgotten_in_a_new_era,
+		test_old_reports_are_not_written_again_in_a_new_era,
 		test_order_of_notices_over_eras,
 		NULL,
 	};
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -8,7 +8,7 @@
 #include "core/crash_suspects.h"
 #include "regress/unit.h"
 
-/* Longer than the time within which crashes are one event. */
+/* Longer than the time within which crashes can be one event. */
 #define APART_MS 400
 
 enum { COMMON = 100, DEADLY = 201, OTHER = 302 };
@@ -18,7 +18,7 @@
 
 static gc_request_traits_t traits_of(uint64_t a, uint64_t b)
 {
-	gc_request_traits_t traits = {.ids = {a, b}, .n = b ? 2 : 1};
+	gc_request_traits_t traits = {.parts = {a, b}, .n_parts = b ? 2 : 1};
 
 	return traits;
 }
@@ -31,10 +31,13 @@
 }
 
 /* The report's time of day is that of its arrival. */
-static void report(int64_t ms, uint64_t a, uint64_t b, uint64_t revision)
+static void report_at(int64_t ms, uint64_t server, uint64_t domain, uint64_t a,
+		      uint64_t b, uint64_t revision)
 {
 	gc_crash_report_t report = {
 		.id = next_id++,
+		.server = server,
+		.domain = domain,
 		.at_ms = 1000000 + ms,
 		.traits = traits_of(a, b),
 	};
@@ -42,6 +45,12 @@
 	gc_crash_suspects_add_report(suspects, unit_at(ms), &report, revision);
 }
 
+/* Of another server of one failure domain each time. */
+static void report(int64_t ms, uint64_t a, uint64_t b, uint64_t revision)
+{
+	report_at(ms, 1000 + next_id, 1, a, b, revision);
+}
+
 static void crash_three_times(uint64_t a, uint64_t b)
 {
 	for (int i = 0; i < 3; i++)
@@ -79,8 +88,9 @@
 {
 	start();
 	for (int i = 0; i < 3; i++) {
-		report(i * APART_MS, COMMON, 0, 0);
-		report(i * APART_MS + 1, COMMON, DEADLY, 0);
+		report_at(i * APART_MS, 50 + (uint64_t)i, 1, COMMON, 0, 0);
+		report_at(i * APART_MS + 1, 50 + (uint64_t)i, 1, COMMON, DEADLY,
+			  0);
 	}
 	ck_assert_int_eq(judge(2000, COMMON, 0), GC_SUSPECT_SEND);
 	ck_assert_int_eq(judge(2000, COMMON, OTHER), GC_SUSPECT_SEND);
@@ -96,6 +106,7 @@
 	for (int i = 0; i < 3; i++) {
 		reports[i] = (gc_crash_report_t){
 			.id = (uint64_t)i + 1,
+			.server = (uint64_t)i + 50,
 			.at_ms = i * APART_MS,
 			.traits = traits_of(DEADLY, 0),
 		};
@@ -151,11 +162,11 @@
 }
 END_TEST
 
-/* A late report belongs to the event of its time of day. */
+/* A late report belongs to the crash of its server. */
 START_TEST(test_late_report_of_same_event_counts_once)
 {
-	gc_crash_report_t late = {.at_ms = 1000000,
-				  .traits = traits_of(COMMON, 0)};
+	gc_crash_report_t late = {
+		.server = 5, .at_ms = 1000000, .traits = traits_of(COMMON, 0)};
 
 	start();
 	for (int i = 0; i < 4; i++) {
@@ -347,17 +358,218 @@
 }
 END_TEST
 
-/* Memory is bounded; the newest reports and services stay. */
-START_TEST(test_oldest_go_first)
+/* Sends of a whole request; server n is in failure domain n % 3. */
+static gc_request_traits_t request_traits(uint64_t request)
+{
+	return (gc_request_traits_t){.request = request};
+}
+
+static uint64_t lose(int64_t ms, uint64_t server, uint64_t request, bool resent,
+		     int64_t clock_error_ms)
+{
+	gc_crash_report_t report = {
+		.id = next_id++,
+		.server = server,
+		.domain = server % 3,
+		.at_ms = 1000000 + ms + clock_error_ms,
+		.resent = resent,
+		.traits = request_traits(request),
+	};
+
+	gc_crash_suspects_add_loss(suspects, unit_at(ms), &report);
+	return report.id;
+}
+
+static void crash(int64_t ms, uint64_t server, uint64_t request, bool resent)
+{
+	gc_crash_suspects_settle(suspects, lose(ms, server, request, resent, 0),
+				 true);
+}
+
+static gc_suspect_verdict_t judge_request(int64_t ms, uint64_t request)
+{
+	gc_request_traits_t traits = request_traits(request);
+
+	return gc_crash_suspects_judge(suspects, unit_at(ms), &traits);
+}
+
+static void serve_request(int64_t ms, uint64_t request)
+{
+	gc_request_traits_t traits = request_traits(request);
+
+	gc_crash_suspects_record_served(suspects, unit_at(ms), &traits);
+}
+
+/* As in the record: two servers within 100 ms under one request, then a third
+ * under its repeat. */
+START_TEST(test_servers_that_end_within_100_ms_count_each)
+{
+	start();
+	crash(0, 1, DEADLY, false);
+	crash(84, 2, DEADLY, true);
+	ck_assert_int_eq(judge_request(85, DEADLY), GC_SUSPECT_SEND);
+	crash(200, 3, DEADLY, false);
+	ck_assert_int_eq(judge_request(201, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge_request(201, OTHER), GC_SUSPECT_SEND);
+}
+END_TEST
+
+START_TEST(test_servers_of_one_domain_count_each_as_request_goes_on)
+{
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 50, 3 * i, DEADLY, i > 0);
+	ck_assert_int_eq(judge_request(200, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+/* Several daemons lose the same server, and their clocks differ. */
+START_TEST(test_reports_on_one_server_count_once)
+{
+	start();
+	for (int i = 0; i < 9; i++)
+		gc_crash_suspects_settle(
+			suspects, lose(i, 1, DEADLY, false, i * 2000), true);
+	ck_assert_int_eq(judge_request(100, DEADLY), GC_SUSPECT_SEND);
+}
+END_TEST
+
+START_TEST(test_reports_with_one_wrong_time_count_each)
+{
+	start();
+	for (int i = 0; i < 3; i++)
+		gc_crash_suspects_settle(suspects,
+					 lose(i * 5000, (uint64_t)i + 1, DEADLY,
+					      false, -i * 5000),
+					 true);
+	ck_assert_int_eq(judge_request(20000, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+/* Deadly prompts that come at one moment, in different domains. */
+START_TEST(test_burst_of_deadly_prompts_counts_each_server)
+{
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		report_at(0, 10 + i, i, DEADLY, 0, 0);
+	ck_assert_int_eq(judge(1, DEADLY, 0), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+/* A request that many callers ask for while a failure domain is lost. */
+START_TEST(test_lost_domain_does_not_block_a_hot_request)
+{
+	start();
+	for (uint64_t i = 0; i < 10; i++)
+		crash((int64_t)i * 10, 3 * i, i % 2 ? DEADLY : 400 + i, false);
+	ck_assert_int_eq(judge_request(200, DEADLY), GC_SUSPECT_SEND);
+}
+END_TEST
+
+/* Any daemon tries it, as the other one was in more crashes. */
+START_TEST(test_neighbour_of_a_deadly_request_is_tried_soon)
+{
+	start();
+	gc_crash_suspects_set_rank(suspects, (OTHER + 1) % 2, 2);
+	for (uint64_t i = 0; i < 3; i++) {
+		crash((int64_t)i * 1000, i, DEADLY, false);
+		crash((int64_t)i * 1000, i, OTHER, false);
+	}
+	crash(3000, 3, DEADLY, false);
+	ck_assert_int_eq(judge_request(3001, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge_request(5001, OTHER), GC_SUSPECT_TRY);
+	serve_request(5002, OTHER);
+	ck_assert_int_eq(judge_request(5003, OTHER), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge_request(5003, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+/* Nothing tells which of both it is: one is tried soon. */
+START_TEST(test_doubt_between_two_requests_ends_soon)
+{
+	start();
+	for (uint64_t i = 0; i < 3; i++) {
+		crash((int64_t)i * 1000, i, DEADLY, false);
+		crash((int64_t)i * 1000, i, OTHER, false);
+	}
+	ck_assert_int_eq(judge_request(4999, OTHER), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge_request(5000, OTHER), GC_SUSPECT_TRY);
+	serve_request(5100, OTHER);
+	ck_assert_int_eq(judge_request(5101, OTHER), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge_request(5101, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+START_TEST(test_two_deadly_requests_at_once)
+{
+	start();
+	for (uint64_t i = 0; i < 6; i++)
+		crash((int64_t)i * 100, i, i % 2 ? DEADLY : OTHER, false);
+	ck_assert_int_eq(judge_request(1000, DEADLY), GC_SUSPECT_REFUSE);
+	ck_assert_int_eq(judge_request(1000, OTHER), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+/* The second attempt follows a loss at once, its check takes longer. */
+START_TEST(test_request_waits_while_its_losses_are_checked)
+{
+	uint64_t id;
+
+	start();
+	crash(0, 1, DEADLY, false);
+	crash(100, 2, DEADLY, true);
+	id = lose(200, 3, DEADLY, false, 0);
+	ck_assert_int_eq(judge_request(202, DEADLY), GC_SUSPECT_WAIT);
+	gc_crash_suspects_settle(suspects, id, false);
+	ck_assert_int_eq(judge_request(300, DEADLY), GC_SUSPECT_SEND);
+	id = lose(400, 4, DEADLY, false, 0);
+	gc_crash_suspects_settle(suspects, id, true);
+	ck_assert_int_eq(judge_request(401, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
+START_TEST(test_served_request_is_cleared)
+{
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 1000, i, OTHER, false);
+	ck_assert_int_eq(judge_request(2500, OTHER), GC_SUSPECT_REFUSE);
+	serve_request(2600, OTHER);
+	ck_assert_int_eq(judge_request(2601, OTHER), GC_SUSPECT_SEND);
+	crash(3000, 4, OTHER, false);
+	crash(4000, 5, OTHER, false);
+	ck_assert_int_eq(judge_request(4001, OTHER), GC_SUSPECT_SEND);
+}
+END_TEST
+
+START_TEST(test_trials_end_after_three_crashes)
+{
+	int n_trials = 0;
+
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 1000, i, DEADLY, false);
+	for (int64_t ms = 3000; ms < 590000; ms += 1000) {
+		if (judge_request(ms, DEADLY) != GC_SUSPECT_TRY)
+			continue;
+		n_trials++;
+		crash(ms + 100, 1000 + (uint64_t)ms, DEADLY, false);
+	}
+	ck_assert_int_eq(n_trials, 3);
+}
+END_TEST
+
+/* Memory is bounded; what recurs and the newest reports and services stay. */
+START_TEST(test_reports_that_recur_stay)
 {
 	start();
 	crash_three_times(DEADLY, 0);
-	for (int i = 0; i < 254; i++)
+	for (int i = 0; i < 5000; i++)
 		report(2000 + i, 5000 + (uint64_t)i, 0, 0);
-	ck_assert_int_eq(judge(3000, DEADLY, 0), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge(8000, DEADLY, 0), GC_SUSPECT_REFUSE);
 	for (int i = 0; i < 3; i++)
-		report(3000 + i * APART_MS, DEADLY, 0, 0);
-	ck_assert_int_eq(judge(4000, DEADLY, 0), GC_SUSPECT_REFUSE);
+		report(9000 + i * APART_MS, OTHER, 0, 0);
+	ck_assert_int_eq(judge(11000, OTHER, 0), GC_SUSPECT_REFUSE);
 
 	start();
 	for (uint64_t i = 0; i < 5000; i++)
@@ -393,7 +605,19 @@
 		test_one_daemon_tries,
 		test_service_is_told_once_per_report,
 		test_service_is_not_told_after_another_daemon,
-		test_oldest_go_first,
+		test_reports_that_recur_stay,
+		test_servers_that_end_within_100_ms_count_each,
+		test_servers_of_one_domain_count_each_as_request_goes_on,
+		test_reports_on_one_server_count_once,
+		test_reports_with_one_wrong_time_count_each,
+		test_burst_of_deadly_prompts_counts_each_server,
+		test_lost_domain_does_not_block_a_hot_request,
+		test_neighbour_of_a_deadly_request_is_tried_soon,
+		test_doubt_between_two_requests_ends_soon,
+		test_two_deadly_requests_at_once,
+		test_request_waits_while_its_losses_are_checked,
+		test_served_request_is_cleared,
+		test_trials_end_after_three_crashes,
 		NULL,
 	};
 
--- a/regress/check_request_hash.c
+++ b/regress/check_request_hash.c
@@ -15,7 +15,9 @@
 	gc_http_message_feed(request, gc_str(text));
 	ck_assert_int_eq(gc_http_message_state(request),
 			 GC_HTTP_MESSAGE_COMPLETE);
-	hash = gc_request_hash(gc_str(service), gc_str(account), request);
+	hash = gc_request_hash(gc_str(service), gc_str(account),
+			       gc_http_message_find_header(request, "x-prompt"),
+			       request);
 	talloc_free(request);
 	return hash;
 }
@@ -50,6 +52,10 @@
 		hash_of("app", "", POST("/a?b=1", "", "body")),
 		hash_of("app", "north", POST("/a?b=2", "", "body")),
 		hash_of("app", "north", POST("/a", "", "body")),
+		hash_of("app", "north",
+			POST("/a?b=1", "X-Prompt: aa:1,bb:2\r\n", "body")),
+		hash_of("app", "north",
+			POST("/a?b=1", "X-Prompt: aa:1,cc:2\r\n", "body")),
 		hash_of("app", "north", POST("/a?b=1", "", "bodz")),
 		hash_of("app", "north",
 			"PUT /a?b=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4"
--- a/regress/prop_crash_suspects.cc
+++ b/regress/prop_crash_suspects.cc
@@ -53,7 +53,12 @@
 
 void Fleet::crash(size_t daemon, const gc_request_traits_t &traits)
 {
-	gc_crash_report_t report = {++revision, now_ms, traits};
+	gc_crash_report_t report = {};
+
+	report.id = ++revision;
+	report.server = revision;
+	report.at_ms = now_ms;
+	report.traits = traits;
 
 	gc_crash_suspects_add_report(daemons[daemon], now(), &report, 0);
 	/* From the store, to the daemon that wrote it too. */
@@ -63,12 +68,12 @@
 
 void Fleet::serve(size_t daemon, const gc_request_traits_t &traits)
 {
-	uint64_t told[GC_REQUEST_TRAITS_MAX];
+	uint64_t told[GC_REQUEST_PARTS_MAX];
 	size_t n;
 
 	gc_crash_suspects_record_served(daemons[daemon], now(), &traits);
 	n = gc_crash_suspects_take_served(daemons[daemon], now(), told,
-					  GC_REQUEST_TRAITS_MAX);
+					  GC_REQUEST_PARTS_MAX);
 	for (size_t i = 0; i < n; i++) {
 		RC_ASSERT(told[i] != DEADLY);
 		revision++;
@@ -82,9 +87,9 @@
 {
 	gc_request_traits_t traits = {};
 
-	traits.ids[traits.n++] = common;
+	traits.parts[traits.n_parts++] = common;
 	if (deadly)
-		traits.ids[traits.n++] = DEADLY;
+		traits.parts[traits.n_parts++] = DEADLY;
 	return traits;
 }
 
@@ -158,6 +163,130 @@
 						  &traits) == GC_SUSPECT_SEND);
 }
 
+/* A report on its way to a daemon. */
+struct Message {
+	int64_t at_ms;
+	size_t daemon;
+	gc_crash_report_t report;
+	uint64_t revision;
+};
+
+constexpr uint64_t SOUND_REQUESTS = 4;
+constexpr int MAX_TRIALS = 3;
+constexpr int64_t MAX_DELAY_MS = 600;
+
+gc_request_traits_t request_traits(uint64_t request)
+{
+	gc_request_traits_t traits = {};
+
+	traits.request = request;
+	return traits;
+}
+
+/*
+ * One or two deadly requests come at daemons whose clocks differ, whose reports
+ * take up to MAX_DELAY_MS, and which restart. Sound ones run beside them.
+ */
+void check_whole_requests()
+{
+	Fleet fleet(*rc::gen::inRange<size_t>(1, 6));
+	uint64_t n_deadly = *rc::gen::inRange<uint64_t>(1, 3);
+	std::vector<int64_t> clock_errors;
+	std::vector<Message> messages;
+	std::vector<gc_crash_report_t> reports;
+	std::vector<int> n_crashes(n_deadly);
+	std::vector<int> n_trials(n_deadly);
+	std::vector<int64_t> blocked_ms(n_deadly, INT64_MAX / 2);
+	int n_steps = *rc::gen::inRange(1, 150);
+
+	for (size_t i = 0; i < fleet.daemons.size(); i++)
+		clock_errors.push_back(*rc::gen::inRange(-5000, 5000));
+	for (int i = 0; i < n_steps && fleet.now_ms < 580000; i++) {
+		size_t daemon =
+			*rc::gen::inRange<size_t>(0, fleet.daemons.size());
+		uint64_t deadly = *rc::gen::inRange<uint64_t>(0, n_deadly);
+		gc_request_traits_t traits = request_traits(1000 + deadly);
+		bool resent = false;
+
+		fleet.now_ms += *rc::gen::inRange<int64_t>(0, 9000);
+		for (auto &message : messages)
+			if (message.at_ms <= fleet.now_ms)
+				gc_crash_suspects_add_report(
+					fleet.daemons[message.daemon],
+					fleet.now(), &message.report,
+					message.revision);
+		messages.erase(std::remove_if(messages.begin(), messages.end(),
+					      [&](const Message &message) {
+						      return message.at_ms <=
+							     fleet.now_ms;
+					      }),
+			       messages.end());
+		if (*rc::gen::inRange(0, 10) == 0) {
+			/* A daemon that starts reads all reports. */
+			gc_crash_suspects_t *fresh =
+				gc_crash_suspects_create(fleet.mem);
+
+			gc_crash_suspects_set_rank(fresh, daemon,
+						   fleet.daemons.size());
+			for (size_t j = 0; j < reports.size(); j++)
+				gc_crash_suspects_add_report(
+					fresh, fleet.now(), &reports[j], j + 1);
+			fleet.daemons[daemon] = fresh;
+		}
+		/* Two attempts, the second one at once. */
+		for (int attempt = 0; attempt < 2; attempt++) {
+			gc_suspect_verdict_t verdict = gc_crash_suspects_judge(
+				fleet.daemons[daemon], fleet.now(), &traits);
+			uint64_t server = ++fleet.revision;
+			int64_t delay_ms =
+				*rc::gen::inRange<int64_t>(0, MAX_DELAY_MS);
+
+			RC_ASSERT(verdict != GC_SUSPECT_WAIT);
+			if (verdict == GC_SUSPECT_REFUSE)
+				break;
+			if (verdict == GC_SUSPECT_TRY)
+				n_trials[deadly]++;
+			else
+				RC_ASSERT(fleet.now_ms <=
+					  blocked_ms[deadly] + MAX_DELAY_MS);
+			n_crashes[deadly]++;
+			if (n_crashes[deadly] == 3)
+				blocked_ms[deadly] = fleet.now_ms;
+			for (uint64_t request = 0; request <= SOUND_REQUESTS;
+			     request++) {
+				gc_crash_report_t report = {};
+
+				if (request > 0 && *rc::gen::arbitrary<bool>())
+					continue;
+				report.id = server * 16 + request;
+				report.server = server;
+				report.domain = server % 3;
+				report.at_ms = 1000000 + fleet.now_ms +
+					       clock_errors[daemon];
+				report.resent = resent && request == 0;
+				report.traits =
+					request == 0 ? traits
+						     : request_traits(2000 +
+								      request);
+				gc_crash_suspects_add_report(
+					fleet.daemons[daemon], fleet.now(),
+					&report, 0);
+				reports.push_back(report);
+				for (size_t j = 0; j < fleet.daemons.size();
+				     j++)
+					messages.push_back(
+						{fleet.now_ms + delay_ms, j,
+						 report, reports.size()});
+			}
+			resent = true;
+			if (verdict == GC_SUSPECT_TRY)
+				break;
+		}
+	}
+	for (uint64_t i = 0; i < n_deadly; i++)
+		RC_ASSERT(n_trials[i] <= MAX_TRIALS);
+}
+
 } // namespace
 
 int main()
@@ -167,5 +296,7 @@
 	ok &= rc::check("sound requests are sent, deadly ones stop",
 			check_fleet);
 	ok &= rc::check("a wrong verdict ends", check_wrong_verdict_ends);
+	ok &= rc::check("requests that crash servers stop",
+			check_whole_requests);
 	return ok ? 0 : 1;
 }
