--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -18,6 +18,10 @@
 /* Number of such servers that points to an outside cause. */
 #define MASS_SERVERS  3
 #define REPORT_AGE_MS 600000
+/* The same for reports on a trait that is refused. */
+#define KEPT_AGE_MS (INT64_C(24) * 60 * 60 * 1000)
+/* Interval at which they are told again; shorter than the notices last. */
+#define TELL_AGAIN_MS 240000
 /* Pause before the first trial of a refused trait; doubles with each further
  * one, as a trial may cost a server. */
 #define TRIAL_INTERVAL_MS 30000
@@ -29,6 +33,7 @@
 #define MAX_REPORTS    1024
 #define MAX_SERVED     4096
 #define MAX_TRIALS     64
+#define MAX_KEPT       64
 #define MAX_SET_TRAITS 64
 /* Crashes of one trait that are looked at, from the oldest. */
 #define MAX_CRASHES 32
@@ -38,7 +43,9 @@
 typedef struct report {
 	gc_crash_report_t report;
 	struct timespec arrived;
+	struct timespec expires;
 	uint64_t revision;
+	bool kept; /* it counts for a trait that is refused */
 	bool pending; /* it isn't known yet whether the server crashed */
 	/* Bits by index of the trait, see trait_at. */
 	uint32_t served_here; /* served by this daemon afterwards */
@@ -58,6 +65,12 @@
 	bool used;
 } trial_t;
 
+/* A refused trait that this daemon told the others of again. */
+typedef struct kept {
+	uint64_t trait; /* 0: unused */
+	struct timespec told_at;
+} kept_t;
+
 /* Traits of several requests. */
 typedef struct trait_set {
 	uint64_t ids[MAX_SET_TRAITS];
@@ -95,11 +108,13 @@
 	size_t n_daemons;
 	report_t reports[MAX_REPORTS]; /* in the order of arrival */
 	size_t n_reports;
+	struct timespec expired_at; /* when expired reports were dropped */
 	GHashTable *counts; /* trait_count_t by trait */
 	served_t served[MAX_SERVED]; /* ring, by other daemons */
 	size_t next_served;
 	size_t n_served;
 	trial_t trials[MAX_TRIALS];
+	kept_t kept[MAX_KEPT];
 	/* A trait was served since take_served last returned all. */
 	bool newly_served;
 };
@@ -118,6 +133,10 @@
 static void set_revision(const gc_crash_suspects_t *suspects, report_t *report,
 			 uint64_t revision);
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now);
+static bool keep_trait(gc_crash_suspects_t *suspects, struct timespec now,
+		       gc_crash_evidence_t *kept);
+static bool is_to_be_told(gc_crash_suspects_t *suspects, struct timespec now,
+			  uint64_t trait);
 static int find_trait(const gc_request_traits_t *traits, uint64_t trait);
 static bool contains_all(const gc_request_traits_t *traits,
 			 const trait_set_t *set);
@@ -244,6 +263,7 @@
 	*added = (report_t){
 		.report = *report,
 		.arrived = now,
+		.expires = gc_add_ms(now, REPORT_AGE_MS),
 	};
 	added->report.traits.n_parts = 0;
 	for (size_t i = 0;
@@ -326,10 +346,108 @@
 
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now)
 {
-	while (suspects->n_reports > 0 &&
-	       gc_ms_between(suspects->reports[0].arrived, now) >=
-		       REPORT_AGE_MS)
-		remove_report(suspects, 0);
+	if (gc_ms_between(suspects->expired_at, now) <= 0)
+		return;
+	suspects->expired_at = now;
+	for (size_t i = suspects->n_reports; i-- > 0;)
+		if (gc_ms_between(now, suspects->reports[i].expires) <= 0)
+			remove_report(suspects, i);
+}
+
+void gc_crash_suspects_extend(gc_crash_suspects_t *suspects,
+			      struct timespec now, uint64_t id, int64_t ms)
+{
+	report_t *report = find_report(suspects, id);
+	struct timespec expires = gc_add_ms(now, MIN(MAX(ms, 0), KEPT_AGE_MS));
+
+	if (report && gc_ms_between(report->expires, expires) > 0)
+		report->expires = expires;
+}
+
+size_t gc_crash_suspects_keep(gc_crash_suspects_t *suspects,
+			      struct timespec now,
+			      gc_crash_evidence_t *evidence, size_t max)
+{
+	g_autofree uint64_t *traits = NULL;
+	GHashTableIter iter;
+	trait_count_t *count;
+	size_t n_recurring = 0;
+	size_t n = 0;
+
+	drop_expired(suspects, now);
+	traits = g_new(uint64_t, g_hash_table_size(suspects->counts) + 1);
+	g_hash_table_iter_init(&iter, suspects->counts);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&count))
+		if (count->n >= MIN_CRASHES)
+			traits[n_recurring++] = count->trait;
+	for (size_t i = 0; i < n_recurring; i++) {
+		gc_crash_evidence_t kept = {.trait = traits[i]};
+
+		if (!keep_trait(suspects, now, &kept))
+			continue;
+		if (n < max && is_to_be_told(suspects, now, traits[i]))
+			evidence[n++] = kept;
+	}
+	return n;
+}
+
+/* False if the trait isn't refused. Fills the rest of *kept. */
+static bool keep_trait(gc_crash_suspects_t *suspects, struct timespec now,
+		       gc_crash_evidence_t *kept)
+{
+	evidence_t evidence;
+
+	collect_evidence(suspects, kept->trait, &evidence);
+	if (count_crashes(suspects, &evidence, true) < MIN_CRASHES)
+		return false;
+	for (size_t i = 0; i < suspects->n_reports; i++) {
+		report_t *report = &suspects->reports[i];
+		crash_t *crash = find_crash(&evidence, report->report.server);
+
+		if (!crash || report->pending ||
+		    !is_unserved(report, kept->trait))
+			continue;
+		/* One report tells of each crash. */
+		crash->server = 0;
+		if (!report->kept)
+			gc_crash_suspects_extend(suspects, report->arrived,
+						 report->report.id,
+						 KEPT_AGE_MS);
+		report->kept = true;
+		if (kept->n == GC_CRASH_EVIDENCE_MAX)
+			continue;
+		kept->reports[kept->n++] = report->report;
+		kept->left_ms =
+			MAX(kept->left_ms, gc_ms_between(now, report->expires));
+	}
+	return true;
+}
+
+/* True for one daemon of the fleet, at most every TELL_AGAIN_MS. */
+static bool is_to_be_told(gc_crash_suspects_t *suspects, struct timespec now,
+			  uint64_t trait)
+{
+	kept_t *entry = NULL;
+
+	if (trait % suspects->n_daemons != suspects->rank)
+		return false;
+	for (size_t i = 0; i < MAX_KEPT; i++) {
+		kept_t *kept = &suspects->kept[i];
+
+		if (kept->trait == trait) {
+			if (gc_ms_between(kept->told_at, now) < TELL_AGAIN_MS)
+				return false;
+			entry = kept;
+			break;
+		}
+		if (!entry ||
+		    (entry->trait != 0 &&
+		     (kept->trait == 0 ||
+		      gc_ms_between(kept->told_at, entry->told_at) > 0)))
+			entry = kept;
+	}
+	*entry = (kept_t){trait, now};
+	return true;
 }
 
 /* Index of the trait, or -1. */
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -18,6 +18,9 @@
 
 #include <talloc.h>
 
+/* Reports of different crashes that gc_crash_suspects_keep returns for a trait:
+ * three, and those of trials. */
+#define GC_CRASH_EVIDENCE_MAX 8
 /* Further parts of a prompt are ignored. */
 #define GC_REQUEST_PARTS_MAX 8
 
@@ -73,6 +76,9 @@
 				  struct timespec now,
 				  const gc_crash_report_t *report,
 				  uint64_t revision);
+/* A known report stays for at least this time. */
+void gc_crash_suspects_extend(gc_crash_suspects_t *suspects,
+			      struct timespec now, uint64_t id, int64_t ms);
 /*
  * The same for a request that was just lost, until it is known whether the
  * server crashed; gc_crash_suspects_settle then keeps or removes the report.
@@ -98,6 +104,23 @@
 size_t gc_crash_suspects_take_served(gc_crash_suspects_t *suspects,
 				     struct timespec now, uint64_t *traits,
 				     size_t max);
+/* The crashes for which a trait is refused, to be told again to daemons that
+ * start. */
+typedef struct gc_crash_evidence {
+	uint64_t trait;
+	gc_crash_report_t reports[GC_CRASH_EVIDENCE_MAX];
+	size_t n;
+	int64_t left_ms; /* until they are forgotten */
+} gc_crash_evidence_t;
+
+/*
+ * To be called every minute or so: keeps the evidence on refused traits for a
+ * day, and stores what this daemon has to tell again, at most max. Returns the
+ * number.
+ */
+size_t gc_crash_suspects_keep(gc_crash_suspects_t *suspects,
+			      struct timespec now,
+			      gc_crash_evidence_t *evidence, size_t max);
 /*
  * Decides whether a request with these traits is sent. GC_SUSPECT_TRY is returned
  * once per trial.
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -55,10 +55,12 @@
 static void share_crash(void *ctx, const gc_crash_report_t *reports, size_t n);
 static void handle_share_crash(void *ctx, void *message);
 static void share_served(void *ctx, uint64_t trait);
+static void share_kept(void *ctx, const gc_crash_evidence_t *evidence);
+static void handle_share_kept(void *ctx, void *message);
 static void handle_share_served(void *ctx, void *message);
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void on_crash(void *ctx, const gc_crash_report_t *report,
-		     uint64_t revision);
+		     uint64_t revision, int64_t kept_ms);
 static void on_served(void *ctx, uint64_t trait, uint64_t revision);
 static void publish(void *ctx, gc_fleet_view_t *view);
 static void on_confirmed(void *ctx, int64_t at_ms);
@@ -130,6 +132,7 @@
 		.seed = random_seed(),
 		.share_crash = share_crash,
 		.share_served = share_served,
+		.share_kept = share_kept,
 		.share_ctx = daemon,
 	};
 
@@ -281,6 +284,24 @@
 	g_free(trait);
 }
 
+/* Called in the traffic thread. */
+static void share_kept(void *ctx, const gc_crash_evidence_t *evidence)
+{
+	routed_daemon_t *daemon = ctx;
+	gc_crash_evidence_t *message = g_new(gc_crash_evidence_t, 1);
+
+	*message = *evidence;
+	gc_mailbox_post(daemon->mailbox, handle_share_kept, message);
+}
+
+static void handle_share_kept(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_crash_notices_share_kept(daemon->notices, message);
+	g_free(message);
+}
+
 static void on_notice(void *ctx, const gc_store_item_t *item)
 {
 	routed_daemon_t *daemon = ctx;
@@ -289,11 +310,11 @@
 }
 
 static void on_crash(void *ctx, const gc_crash_report_t *report,
-		     uint64_t revision)
+		     uint64_t revision, int64_t kept_ms)
 {
 	routed_daemon_t *daemon = ctx;
 
-	gc_routed_traffic_add_crash(daemon->traffic, report, revision);
+	gc_routed_traffic_add_crash(daemon->traffic, report, revision, kept_ms);
 }
 
 static void on_served(void *ctx, uint64_t trait, uint64_t revision)
--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -207,6 +207,25 @@
 	start_next_call(notices);
 }
 
+void gc_crash_notices_share_kept(gc_crash_notices_t *notices,
+				 const gc_crash_evidence_t *evidence)
+{
+	g_autofree char *value = NULL;
+	notice_t *notice;
+
+	if (notices->stopped || evidence->n == 0)
+		return;
+	value = gc_crash_notices_encode_reports(evidence->reports, evidence->n,
+						evidence->left_ms);
+	notice = enqueue(notices, 0);
+	notice->key = talloc_asprintf(notice,
+				      GC_CRASH_NOTICES_KEPT_PREFIX
+				      "%016" G_GINT64_MODIFIER "x",
+				      evidence->trait);
+	notice->value = talloc_strdup(notice, value);
+	start_next_call(notices);
+}
+
 /* The last notice if more reports can go with it, or NULL. */
 static notice_t *notice_with_room(const gc_crash_notices_t *notices)
 {
@@ -397,7 +416,7 @@
 			reports = gc_crash_notices_encode_reports(
 				(const gc_crash_report_t *)
 					notice->reports->data,
-				notice->reports->len);
+				notice->reports->len, 0);
 		store->ops->put(store->store, gc_str(notice->key),
 				gc_str(reports ? reports : notice->value),
 				notices->lease, on_written, notices);
@@ -529,7 +548,8 @@
 {
 	gc_str_t rest;
 
-	if (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX, &rest))
+	if (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX, &rest) ||
+	    strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &rest))
 		receive_reports(notices, item);
 	else if (strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest))
 		receive_served(notices, rest, item);
@@ -545,13 +565,15 @@
 		g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
 	own_reports_t *own;
 	uint64_t order;
+	int64_t kept_ms;
 
-	if (!gc_crash_notices_decode_reports(item->value, reports, &err)) {
+	if (!gc_crash_notices_decode_reports(item->value, reports, &kept_ms,
+					     &err)) {
 		log_invalid(item->key, err->message);
 		return;
 	}
 	order = add_notice(notices, item->revision);
-	own = find_own_reports(notices, first_id(reports));
+	own = kept_ms > 0 ? NULL : find_own_reports(notices, first_id(reports));
 	if (own) {
 		own->pending = false;
 		/* The answer to its write may have been lost. */
@@ -565,9 +587,10 @@
 		start_next_call(notices);
 	}
 	for (guint i = 0; i < reports->len; i++)
-		notices->conf.on_report(
-			notices->conf.ctx,
-			&g_array_index(reports, gc_crash_report_t, i), order);
+		notices->conf.on_report(notices->conf.ctx,
+					&g_array_index(reports,
+						       gc_crash_report_t, i),
+					order, kept_ms);
 }
 
 /* Returns the place of a notice in the order of all. */
@@ -661,7 +684,7 @@
 }
 
 char *gc_crash_notices_encode_reports(const gc_crash_report_t *reports,
-				      size_t n)
+				      size_t n, int64_t kept_ms)
 {
 	json_t *list = json_array();
 	json_t *json = json_pack("{s:o}", "reports", list);
@@ -670,6 +693,8 @@
 
 	for (size_t i = 0; i < n; i++)
 		json_array_append_new(list, encode_report(&reports[i]));
+	if (kept_ms > 0)
+		json_object_set_new(json, "kept_ms", json_integer(kept_ms));
 	text = json_dumps(json, JSON_COMPACT);
 	copy = g_strdup(text);
 	free(text);
@@ -702,10 +727,11 @@
 }
 
 bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
-				     GError **err)
+				     int64_t *kept_ms, GError **err)
 {
 	json_t *json = json_loadb(value.data, value.len, 0, NULL);
 	const json_t *list = json_object_get(json, "reports");
+	const json_t *kept = json_object_get(json, "kept_ms");
 	guint known = reports->len;
 	bool valid = json_is_array(list) && json_array_size(list) > 0 &&
 		     json_array_size(list) <= MAX_NOTICE_REPORTS;
@@ -713,6 +739,9 @@
 	if (!valid)
 		invalid(err, "not an object with a list of 1 to " G_STRINGIFY(
 				     MAX_NOTICE_REPORTS) " reports");
+	*kept_ms = json_integer_value(kept);
+	if (valid && kept && (!json_is_integer(kept) || *kept_ms < 0))
+		valid = invalid(err, "kept_ms must be a time in ms");
 	for (size_t i = 0; valid && i < json_array_size(list); i++) {
 		gc_crash_report_t report;
 
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -24,6 +24,10 @@
 /* Key of a notice that a trait was served: this prefix and the trait. */
 #define GC_CRASH_NOTICES_SERVED_PREFIX "goldcrest/served/"
 
+/* Key of a notice that repeats the reports on a refused trait: this prefix and
+ * the trait. */
+#define GC_CRASH_NOTICES_KEPT_PREFIX "goldcrest/kept/"
+
 typedef struct gc_crash_notices gc_crash_notices_t;
 
 typedef struct gc_crash_notices_conf {
@@ -34,10 +38,11 @@
 	gc_str_t instance; /* name of this daemon */
 	/*
 	 * Called for each valid notice in the store, including this daemon's.
-	 * order rises with the revision, also when the store was restored.
+	 * order rises with the revision, also when the store was restored. A
+	 * report is to be kept for kept_ms; 0: the usual time.
 	 */
 	void (*on_report)(void *ctx, const gc_crash_report_t *report,
-			  uint64_t order);
+			  uint64_t order, int64_t kept_ms);
 	void (*on_served)(void *ctx, uint64_t trait, uint64_t order);
 	/* Called with the era of each response that names one; may be NULL. */
 	void (*era_seen)(void *ctx, uint64_t era);
@@ -56,6 +61,8 @@
  */
 void gc_crash_notices_share_reports(gc_crash_notices_t *notices,
 				    const gc_crash_report_t *reports, size_t n);
+void gc_crash_notices_share_kept(gc_crash_notices_t *notices,
+				 const gc_crash_evidence_t *evidence);
 /* Not written if another notice on the trait comes from the store first. */
 void gc_crash_notices_share_served(gc_crash_notices_t *notices, uint64_t trait);
 /*
@@ -72,12 +79,13 @@
 /* Nothing is written any more. */
 void gc_crash_notices_stop(gc_crash_notices_t *notices);
 
-/* The value of a notice with reports. Free with g_free. */
+/* The value of a notice with reports; kept_ms as in on_report. Free with
+ * g_free. */
 char *gc_crash_notices_encode_reports(const gc_crash_report_t *reports,
-				      size_t n);
+				      size_t n, int64_t kept_ms);
 /* Appends the reports of such a value to an array of gc_crash_report_t. Errors:
  * GC_ERR_INVALID; nothing is appended then. */
 bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
-				     GError **err);
+				     int64_t *kept_ms, GError **err);
 
 #endif
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -13,6 +13,8 @@
 #define VERDICT_POLL_MS 25
 /* Services that the other daemons are told of at once. */
 #define MAX_SHARED_SERVED 16
+/* Refused traits that they are told of again at once. */
+#define MAX_SHARED_KEPT 8
 
 static bool is_suspect(const gc_exchange_t *exchange);
 static void refuse_suspect(gc_exchange_t *exchange);
@@ -196,11 +198,30 @@
 }
 
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
-			uint64_t revision)
+			uint64_t revision, int64_t kept_ms)
 {
-	gc_crash_suspects_add_report(relay->crash_suspects,
-				     gc_clock_now(relay->conf.clock), report,
+	struct timespec now = gc_clock_now(relay->conf.clock);
+
+	gc_crash_suspects_add_report(relay->crash_suspects, now, report,
 				     revision);
+	if (kept_ms > 0)
+		gc_crash_suspects_extend(relay->crash_suspects, now, report->id,
+					 kept_ms);
+}
+
+void gc_relay_on_keep_timer(void *ctx)
+{
+	gc_relay_t *relay = ctx;
+	gc_crash_evidence_t evidence[MAX_SHARED_KEPT];
+	size_t n = gc_crash_suspects_keep(relay->crash_suspects,
+					  gc_clock_now(relay->conf.clock),
+					  evidence, MAX_SHARED_KEPT);
+
+	for (size_t i = 0; i < n; i++)
+		if (relay->conf.share_kept)
+			relay->conf.share_kept(relay->conf.share_ctx,
+					       &evidence[i]);
+	gc_timer_set(relay->keep_timer, GC_KEEP_INTERVAL_MS);
 }
 
 void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision)
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -548,7 +548,9 @@
 	return !item->deleted &&
 	       (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX,
 			     &rest) ||
-		strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest));
+		strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX,
+			     &rest) ||
+		strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &rest));
 }
 
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -128,6 +128,9 @@
 	checks_conf.upstream = relay->upstream;
 	checks_conf.backends = relay->backends;
 	relay->crash_checks = gc_crash_checks_create(relay, &checks_conf);
+	relay->keep_timer = gc_timer_create(relay, conf->timers,
+					    gc_relay_on_keep_timer, relay);
+	gc_timer_set(relay->keep_timer, GC_KEEP_INTERVAL_MS);
 	talloc_set_destructor(relay, relay_destructor);
 	return relay;
 }
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -44,15 +44,18 @@
 	void (*share_crash)(void *ctx, const gc_crash_report_t *reports,
 			    size_t n);
 	void (*share_served)(void *ctx, uint64_t trait);
+	/* Tell daemons that start later why requests are refused; may be NULL. */
+	void (*share_kept)(void *ctx, const gc_crash_evidence_t *evidence);
 	void *share_ctx;
 } gc_relay_conf_t;
 
 gc_relay_t *gc_relay_create(TALLOC_CTX *mem, const gc_relay_conf_t *conf);
 /* Replaces the fleet view; takes a reference. */
 void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view);
-/* What other daemons say; see gc_crash_suspects_add_report. */
+/* What other daemons say; see gc_crash_suspects_add_report. The report is kept
+ * for kept_ms; 0: the usual time. */
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
-			uint64_t revision);
+			uint64_t revision, int64_t kept_ms);
 void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision);
 /*
  * The daemon stops at `end`: from now on, requests whose time limit lies after
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -14,6 +14,7 @@
 	gc_backends_t *backends;
 	gc_crash_suspects_t *crash_suspects;
 	gc_crash_checks_t *crash_checks;
+	gc_timer_t *keep_timer; /* for what is known of crashes */
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	size_t n_exchanges;
@@ -23,6 +24,10 @@
 
 /* Starts the attempts of an admitted request. */
 void gc_exchange_run(gc_exchange_t *exchange);
+/* Interval of keep_timer. */
+#define GC_KEEP_INTERVAL_MS 60000
+/* Callback of keep_timer; ctx is the relay. */
+void gc_relay_on_keep_timer(void *ctx);
 /* Callback of crash_checks; ctx is the relay. */
 void gc_relay_on_losses_settled(void *ctx, const gc_backend_t *server,
 				bool crashed, const gc_crash_loss_t *losses,
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -30,6 +30,7 @@
 typedef struct crash_message {
 	gc_crash_report_t report;
 	uint64_t revision;
+	int64_t kept_ms;
 } crash_message_t;
 
 typedef struct served_message {
@@ -113,6 +114,7 @@
 		.repeat_window_ms = settings->repeat_window_ms,
 		.share_crash = conf->share_crash,
 		.share_served = conf->share_served,
+		.share_kept = conf->share_kept,
 		.share_ctx = conf->share_ctx,
 	};
 
@@ -199,11 +201,11 @@
 
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
-				 uint64_t revision)
+				 uint64_t revision, int64_t kept_ms)
 {
 	crash_message_t *message = g_new(crash_message_t, 1);
 
-	*message = (crash_message_t){*report, revision};
+	*message = (crash_message_t){*report, revision, kept_ms};
 	gc_mailbox_post(traffic->mailbox, handle_crash, message);
 }
 
@@ -212,7 +214,8 @@
 	gc_routed_traffic_t *traffic = ctx;
 	crash_message_t *crash = message;
 
-	gc_relay_add_crash(traffic->relay, &crash->report, crash->revision);
+	gc_relay_add_crash(traffic->relay, &crash->report, crash->revision,
+			   crash->kept_ms);
 	g_free(crash);
 }
 
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -19,6 +19,7 @@
 	/* Notices for the other daemons; called in the traffic thread. */
 	void (*share_crash)(void *ctx, const gc_crash_report_t *reports,
 			    size_t n);
+	void (*share_kept)(void *ctx, const gc_crash_evidence_t *evidence);
 	void (*share_served)(void *ctx, uint64_t trait);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
@@ -45,7 +46,7 @@
  */
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
-				 uint64_t revision);
+				 uint64_t revision, int64_t kept_ms);
 void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
 				  uint64_t revision);
 /*
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -48,6 +48,7 @@
 	unsigned int n_served;
 	uint64_t trait;
 	uint64_t revision;
+	int64_t kept_ms; /* of the last report */
 	uint64_t era; /* in the answers */
 } fixture_t;
 
@@ -99,13 +100,14 @@
 }
 
 static void on_report(void *ctx, const gc_crash_report_t *report,
-		      uint64_t revision)
+		      uint64_t revision, int64_t kept_ms)
 {
 	fixture_t *fixture = ctx;
 
 	fixture->n_reports++;
 	fixture->report = *report;
 	fixture->revision = revision;
+	fixture->kept_ms = kept_ms;
 }
 
 static void on_served(void *ctx, uint64_t trait, uint64_t revision)
@@ -198,8 +200,9 @@
 static GArray *decode(gc_str_t value, GError **err)
 {
 	GArray *reports = g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
+	int64_t kept_ms;
 
-	if (gc_crash_notices_decode_reports(value, reports, err))
+	if (gc_crash_notices_decode_reports(value, reports, &kept_ms, err))
 		return reports;
 	ck_assert_uint_eq(reports->len, 0);
 	g_array_unref(reports);
@@ -284,7 +287,8 @@
 		for (size_t i = 0; i < n; i++)
 			reports[n].traits.parts[i] = unit_next_random(&seed);
 	}
-	value = gc_crash_notices_encode_reports(reports, G_N_ELEMENTS(reports));
+	value = gc_crash_notices_encode_reports(reports, G_N_ELEMENTS(reports),
+						0);
 	decoded = decode(gc_str(value), &err);
 	ck_assert_ptr_nonnull(decoded);
 	ck_assert_uint_eq(decoded->len, G_N_ELEMENTS(reports));
@@ -435,7 +439,7 @@
 		report_with(UINT64_C(0x0123456789abcdef), PART),
 		report_with(2, OTHER_PART),
 	};
-	g_autofree char *value = gc_crash_notices_encode_reports(shared, 2);
+	g_autofree char *value = gc_crash_notices_encode_reports(shared, 2, 0);
 	size_t len = strlen(value);
 	uint64_t seed = 20261204;
 
@@ -459,7 +463,8 @@
 			continue;
 		}
 		again = gc_crash_notices_encode_reports(
-			(const gc_crash_report_t *)decoded->data, decoded->len);
+			(const gc_crash_report_t *)decoded->data, decoded->len,
+			0);
 		twice = decode(gc_str(again), &err);
 		ck_assert_ptr_nonnull(twice);
 		ck_assert_uint_eq(twice->len, decoded->len);
@@ -719,6 +724,35 @@
 }
 END_TEST
 
+/* A daemon that starts much later still learns why a request is refused. */
+START_TEST(test_evidence_is_told_again)
+{
+	fixture_t *fixture = start();
+	gc_crash_evidence_t evidence = {
+		.trait = PART,
+		.reports = {report_with(1, PART), report_with(2, PART)},
+		.n = 2,
+		.left_ms = 86400000,
+	};
+
+	write_first(fixture, 7);
+	gc_crash_notices_share_kept(fixture->notices, &evidence);
+	ck_assert_int_eq(fixture->call, PUT_CALL);
+	ck_assert_str_eq(fixture->key, "goldcrest/kept/fedcba9876543210");
+	answer(fixture, 0);
+	receive(fixture, fixture->key, fixture->value, 20);
+	ck_assert_uint_eq(fixture->n_reports, 3);
+	ck_assert_uint_eq(fixture->report.id, 2);
+	ck_assert_int_eq(fixture->kept_ms, 86400000);
+	receive(fixture, fixture->key,
+		"{\"kept_ms\":-1,\"reports\":[{" GOOD "}]}", 21);
+	receive(fixture, fixture->key,
+		"{\"kept_ms\":\"1\",\"reports\":[{" GOOD "}]}", 22);
+	ck_assert_uint_eq(fixture->n_reports, 3);
+	finish(fixture);
+}
+END_TEST
+
 START_TEST(test_served_notice_is_written_soon)
 {
 	for (uint64_t seed = 0; seed < 50; seed++) {
@@ -941,7 +975,7 @@
 	static const char served[] = "goldcrest/served/00000000000000aa";
 	static const char value[] = "{\"instance\":\"d2\"}";
 	gc_crash_report_t report = report_with(1, 1);
-	g_autofree char *text = gc_crash_notices_encode_reports(&report, 1);
+	g_autofree char *text = gc_crash_notices_encode_reports(&report, 1, 0);
 	fixture_t *fixture = start();
 
 	gc_crash_notices_set_era(fixture->notices, 1);
@@ -977,6 +1011,7 @@
 		test_reports_are_given_up_after_their_age,
 		test_reports_share_a_notice_while_the_store_answers,
 		test_oldest_notices_leave_a_full_queue,
+		test_evidence_is_told_again,
 		test_served_notice_is_written_soon,
 		test_timer_writes_served_notice,
 		test_served_notice_of_another_daemon,
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -559,6 +559,85 @@
 }
 END_TEST
 
+enum { DAY_MS = 24 * 60 * 60 * 1000 };
+
+/* The daemons restart one after the other: each has what the store has. */
+START_TEST(test_three_trials_in_a_day_across_restarts)
+{
+	gc_crash_evidence_t evidence[4];
+	size_t n_told = 0;
+	int n_trials = 0;
+
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 1000, i, DEADLY, false);
+	for (int64_t ms = 60000; ms < DAY_MS; ms += 60000) {
+		size_t n = gc_crash_suspects_keep(suspects, unit_at(ms),
+						  evidence, 4);
+
+		if (n > 0) {
+			n_told++;
+			ck_assert_uint_eq(n, 1);
+			ck_assert_uint_eq(evidence[0].trait, DEADLY);
+			ck_assert_uint_eq(evidence[0].n, 3 + (size_t)n_trials);
+			ck_assert_int_gt(evidence[0].left_ms, 0);
+			ck_assert_int_le(evidence[0].left_ms, DAY_MS);
+		}
+		if (n > 0 && ms % 720000 == 0) {
+			start();
+			next_id = 1000 + (uint64_t)ms;
+			for (size_t i = 0; i < evidence[0].n; i++) {
+				gc_crash_suspects_add_report(
+					suspects, unit_at(ms),
+					&evidence[0].reports[i], i + 1);
+				gc_crash_suspects_extend(
+					suspects, unit_at(ms),
+					evidence[0].reports[i].id,
+					evidence[0].left_ms);
+			}
+		}
+		switch (judge_request(ms + 1, DEADLY)) {
+		case GC_SUSPECT_TRY:
+			n_trials++;
+			crash(ms + 100, 1000 + (uint64_t)ms, DEADLY, false);
+			break;
+		case GC_SUSPECT_REFUSE:
+			break;
+		default:
+			ck_abort_msg("sent after %d min", (int)(ms / 60000));
+		}
+	}
+	ck_assert_int_eq(n_trials, 3);
+	/* Often enough that no notice ends before the next one. */
+	ck_assert_uint_ge(n_told, DAY_MS / 300000);
+}
+END_TEST
+
+START_TEST(test_one_daemon_tells_of_a_refused_request_again)
+{
+	gc_crash_evidence_t evidence[4];
+	size_t n = 0;
+
+	for (size_t rank = 0; rank < 5; rank++) {
+		start();
+		gc_crash_suspects_set_rank(suspects, rank, 5);
+		for (uint64_t i = 0; i < 3; i++)
+			crash((int64_t)i * 1000, i, DEADLY, false);
+		crash(4000, 8, OTHER, false);
+		n += gc_crash_suspects_keep(suspects, unit_at(60000), evidence,
+					    4);
+	}
+	ck_assert_uint_eq(n, 1);
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 1000, i, DEADLY, false);
+	serve_request(5000, DEADLY);
+	ck_assert_uint_eq(gc_crash_suspects_keep(suspects, unit_at(60000),
+						 evidence, 4),
+			  0);
+}
+END_TEST
+
 /* Memory is bounded; what recurs and the newest reports and services stay. */
 START_TEST(test_reports_that_recur_stay)
 {
@@ -618,6 +697,8 @@
 		test_request_waits_while_its_losses_are_checked,
 		test_served_request_is_cleared,
 		test_trials_end_after_three_crashes,
+		test_three_trials_in_a_day_across_restarts,
+		test_one_daemon_tells_of_a_refused_request_again,
 		NULL,
 	};
 
