Give the soak test modes: crashing requests, restores, leaving servers

Each mode is off unless named, so that the series of the kept seeds stays: a request that ends each server (at most three ends by each daemon, none in the last seconds), the store going back to a copy, servers that say that they leave, refuse with a time, send bodies without length, or nothing for a second.

--- a/regress/soak.t
+++ b/regress/soak.t
@@ -10,3 +10,10 @@
 
   $ python3 "$TOP/regress/soak/soak.py" --seed 33 --seconds 8
   seed 33: 0 violations
+
+A request that ends each server comes at all daemons; and all modes together.
+
+  $ python3 "$TOP/regress/soak/soak.py" --seed 1 --seconds 8 --modes crash
+  seed 1: 0 violations
+  $ python3 "$TOP/regress/soak/soak.py" --seed 12 --seconds 8 --modes crash,restore,leaving,busy,unframed,silent
+  seed 12: 0 violations
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -5,11 +5,17 @@
 processes, their connections and the store, and checks the guarantees of the
 routed mode by what callers and servers observe.
 
-usage: soak.py [--seed N] [--seconds N] [--keep] [--verbose]
-
-The same seed gives the same series of faults. Prints the violations and their
-number; the exit status is 0 if there was none. Logs are kept with --keep or
-after a violation.
+usage: soak.py [--seed N] [--seconds N] [--modes MODE,...] [--keep] [--verbose]
+
+The same seed and modes give the same series of faults. Prints the violations
+and their number; the exit status is 0 if there was none. Logs are kept with
+--keep or after a violation. Modes add faults:
+  crash     a request that ends each server that runs it comes at all daemons
+  restore   the store goes back to a copy; the operator and servers write again
+  leaving   servers say that they leave, go on for a while, and end
+  busy      servers refuse with a time to come back
+  unframed  responses end with their connection, some inside an event
+  silent    servers send nothing for a second
 """
 
 import argparse
@@ -32,6 +38,15 @@
 DAEMONS = 4
 CLIENTS = 12
 EVENTS_PER_STREAM = 8  # as sent by the stand-in server
+# Behaviours of servers that clients ask for in a mode, by route.
+BEHAVIOURS = {
+    "busy": {"look": ["busy"], "book": ["busy"], "draft": ["busy"]},
+    "unframed": {"look": ["unframed"], "draft": ["plain", "plaincut", "empty"]},
+    "silent": {"look": ["pause"], "book": ["pause"], "draft": ["pause"]}}
+MODES = ["crash", "restore", "leaving", *BEHAVIOURS]
+CRASH_INTERVAL_S = 0.5
+# Each daemon counts at least its own crashes while the store is away.
+MAX_CRASHES = 3 * DAEMONS
 REVOKE_LIMIT_S = 5.0  # a revoked key is refused after this time
 # Responses that guarantee that the request was not executed.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -53,8 +68,9 @@
 class Soak:
     """The processes of a soak test, its counters and its violations."""
 
-    def __init__(self, seed, directory):
+    def __init__(self, seed, modes, directory):
         self.random = random.Random(seed)
+        self.modes = modes
         self.directory = directory
         self.processes = {}
         self.all_processes = []  # also replaced ones, to kill each by its id
@@ -111,7 +127,17 @@
         await asyncio.sleep(1.5)
 
     async def post_to_store(self, path, value):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.store)
+        await self.post(self.store, path, value)
+
+    async def post_to_server(self, proxy, path, value):
+        try:
+            await self.post(proxy.target_port, path, value)
+        except (OSError, asyncio.IncompleteReadError):
+            pass  # it crashed or was killed
+
+    @staticmethod
+    async def post(port, path, value):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
         body = json.dumps(value).encode()
         writer.write(f"POST {path} HTTP/1.1\r\nHost: s\r\nContent-Length: "
                      f"{len(body)}\r\n\r\n".encode() + body)
@@ -148,6 +174,10 @@
             (["engine"] if service == "llm" else []))
         proxy = await Proxy(await self.port_of(name)).start()
         self.servers[name] = (service, zone, proxy)
+        await self.register_server(name)
+
+    async def register_server(self, name):
+        service, zone, proxy = self.servers[name]
         await self.post_to_store("/operator", {
             "key": f"servers/{name}", "value": {
                 "service": service, "zone": zone, "slots": 8, "state": "ready",
@@ -182,19 +212,36 @@
         kind = self.random.choice([
             "kill server", "kill daemon", "stop daemon", "pause daemon",
             "proxy server", "proxy store", "proxy caller", "store", "config",
-            "revoke"])
+            "revoke"] + [mode for mode in self.modes
+                         if mode in ("restore", "leaving", "busy")])
         daemon = self.random.choice(sorted(self.daemons))
         zone, _, store_proxy, caller_proxy = self.daemons[daemon]
         server = self.random.choice(sorted(self.servers))
         mode = self.random.choice(["slow", "silent", "one-way", "reset"])
         for_s = self.random.uniform(0.3, 3.0)
-        if kind == "kill server":
-            service, server_zone, _ = self.servers.pop(server)
+        if kind in ("kill server", "leaving"):
+            service, server_zone, proxy = self.servers.pop(server)
+            if kind == "leaving":
+                await self.post_to_server(proxy, "/headers",
+                                          {"Server-Leaving": "1"})
+                await asyncio.sleep(for_s)
             self.send_signal(server, signal.SIGKILL)
             await self.start_server(service, server_zone)
             await asyncio.sleep(1.2)
             await self.post_to_store("/operator", {"key": f"servers/{server}",
                                                    "remove": True})
+        elif kind == "restore":
+            await self.post_to_store("/faults", {"mode": "ok",
+                                                 "checkpoint": True})
+            await asyncio.sleep(for_s)
+            await self.post_to_store("/faults", {"mode": "ok",
+                                                 "restore": True})
+            await self.put_config()
+            for name in sorted(self.servers):
+                await self.register_server(name)
+        elif kind == "busy":
+            await self.post_to_server(self.servers[server][2], "/busy",
+                                      {"retry_after": f"{for_s / 2:.1f}"})
         elif kind in ("kill daemon", "stop daemon"):
             self.send_signal(daemon, signal.SIGKILL if kind == "kill daemon"
                              else signal.SIGTERM)
@@ -240,11 +287,14 @@
         while not self.stop:
             n_requests += 1
             route = rng.choice(["look", "book", "draft"])
+            behaviour = rng.choice(["ok"] + [
+                name for mode in self.modes
+                for name in BEHAVIOURS.get(mode, {}).get(route, [])])
             key = rng.choice(["key-1", "key-1", "key-2"])
             daemon = rng.choice(sorted(self.daemons))
             try:
                 await asyncio.wait_for(self.send_request(
-                    route, f"c{number}-{n_requests}", key,
+                    route, behaviour, f"c{number}-{n_requests}", key,
                     self.daemons[daemon][3].port), 12)
             except (OSError, asyncio.TimeoutError, EOFError, ValueError):
                 self.count("no response")
@@ -253,15 +303,37 @@
     def count(self, outcome):
         self.counts[outcome] = self.counts.get(outcome, 0) + 1
 
-    async def send_request(self, route, run_id, key, port):
+    async def run_deadly_client(self):
+        n_requests = 0
+        while not self.stop:
+            n_requests += 1
+            daemon = self.random.choice(sorted(self.daemons))
+            try:
+                await asyncio.wait_for(self.send_request(
+                    "look", "ok", f"deadly-{n_requests}", "key-1",
+                    self.daemons[daemon][3].port, b"crash"), 12)
+            except (OSError, asyncio.TimeoutError, EOFError, ValueError):
+                self.count("no response")
+            await asyncio.sleep(CRASH_INTERVAL_S)
+
+    def n_crashes(self):
+        try:
+            with open(self.path("crashes.log"), encoding="ascii") as f:
+                return len(f.readlines())
+        except FileNotFoundError:
+            return 0
+
+    async def send_request(self, route, behaviour, run_id, key, port,
+                           body=None):
         sent_at = time.monotonic()
         if route == "book":
             self.booked.add(run_id)
-        body = f"body of {run_id}".encode()
+        body = body or f"body of {run_id}".encode()
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
             writer.write((
-                f"POST /{route}/ok HTTP/1.1\r\nHost: h.example\r\n"
+                f"POST /{route}/{behaviour} HTTP/1.1\r\n"
+                f"Host: h.example\r\n"
                 f"{HEADER_PREFIX}Request-Id: {run_id}\r\n"
                 f"{HEADER_PREFIX}Deadline-Ms: 9000\r\n"
                 f"Authorization: Token {key}\r\nConnection: close\r\n"
@@ -272,9 +344,11 @@
         finally:
             writer.close()
         self.count(str(status))
-        self.check_response(route, run_id, key, sent_at, status, head, data)
+        self.check_response(route, behaviour, run_id, key, sent_at, status,
+                            head, data)
 
-    def check_response(self, route, run_id, key, sent_at, status, head, data):
+    def check_response(self, route, behaviour, run_id, key, sent_at, status,
+                       head, data):
         if status in NOT_EXECUTED_STATUSES and route == "book":
             self.reported_not_executed.add(run_id)
         if status != 200:
@@ -290,6 +364,9 @@
             self.add_violation(f"{run_id}: response to another request")
         if route == "draft":
             self.check_stream(run_id, data)
+        elif behaviour == "unframed":
+            if data != b"unframed\n":
+                self.add_violation(f"{run_id}: a part of a body as a whole")
         elif json.loads(data)["body"] != f"body of {run_id}":
             self.add_violation(f"{run_id}: response to another body")
 
@@ -325,10 +402,17 @@
         await self.start()
         clients = [asyncio.ensure_future(self.run_client(i))
                    for i in range(CLIENTS)]
+        if "crash" in self.modes:
+            clients.append(asyncio.ensure_future(self.run_deadly_client()))
         await self.inject_faults(seconds)
         await asyncio.sleep(4)
         successes_before = self.counts.get("200", 0)
+        crashes_before = self.n_crashes()
         await asyncio.sleep(2)
+        n_crashes = self.counts["servers crashed"] = self.n_crashes()
+        if n_crashes > MAX_CRASHES or n_crashes > max(3, crashes_before):
+            self.add_violation(f"one request crashed {n_crashes} servers, "
+                               f"{crashes_before} before the last 2 s")
         if self.counts.get("200", 0) == successes_before:
             self.add_violation("no request succeeds after the last fault")
         self.stop = True
@@ -345,7 +429,7 @@
 
 async def run_soak(args):
     directory = tempfile.mkdtemp(prefix="goldcrest-soak-")
-    soak = Soak(args.seed, directory)
+    soak = Soak(args.seed, args.modes, directory)
     try:
         await soak.main(args.seconds)
     except Exception as error:  # of the soak test itself
@@ -366,10 +450,18 @@
     os._exit(1 if soak.violations else 0)
 
 
+def parse_modes(text):
+    modes = text.split(",")
+    if set(modes) - set(MODES):
+        raise argparse.ArgumentTypeError(f"modes: {', '.join(MODES)}")
+    return modes
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--modes", default=[], type=parse_modes)
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     asyncio.run(run_soak(parser.parse_args()))
