--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -348,9 +348,9 @@
 	unsigned int n_views;
 
 	/* In the first list: the item's revision, not the list's. */
-	respond_item(&fake, "goldcrest/crashes/d2/15", "first", 3, 5);
+	respond_item(&fake, "goldcrest/crashed/d2/15", "first", 3, 5);
 	ck_assert_uint_eq(fake.n_notices, 1);
-	ck_assert_str_eq(fake.notice_key, "goldcrest/crashes/d2/15");
+	ck_assert_str_eq(fake.notice_key, "goldcrest/crashed/d2/15");
 	ck_assert_str_eq(fake.notice_value, "first");
 	ck_assert_uint_eq(fake.notice_revision, 3);
 	n_views = fake.n_views;
@@ -360,7 +360,7 @@
 	ck_assert_uint_eq(fake.notice_revision, 7);
 	/* A key that is written again is a new notice. */
 	wait_for_watch(&fake, 8);
-	respond_item(&fake, "goldcrest/crashes/d2/15", "second", 9, 9);
+	respond_item(&fake, "goldcrest/crashed/d2/15", "second", 9, 9);
 	ck_assert_uint_eq(fake.n_notices, 3);
 	ck_assert_str_eq(fake.notice_value, "second");
 	ck_assert_uint_eq(fake.notice_revision, 9);
@@ -368,12 +368,12 @@
 	ck_assert_ptr_nonnull(response);
 	ck_assert_ptr_nonnull(
 		strstr(response, "goldcrest/served/00000000000000aa"));
-	ck_assert_ptr_nonnull(strstr(response, "goldcrest/crashes/d2/15"));
+	ck_assert_ptr_nonnull(strstr(response, "goldcrest/crashed/d2/15"));
 	wait_for_watch(&fake, 9);
-	respond_item(&fake, "goldcrest/crashes/d2/15", NULL, 10, 10);
+	respond_item(&fake, "goldcrest/crashed/d2/15", NULL, 10, 10);
 	/* Keys beside the prefixes are none. */
 	wait_for_watch(&fake, 10);
-	respond_item(&fake, "goldcrest/crashes", "x", 11, 11);
+	respond_item(&fake, "goldcrest/crashed", "x", 11, 11);
 	ck_assert_uint_eq(fake.n_notices, 3);
 	ck_assert_uint_eq(fake.n_views, n_views);
 	talloc_free(mem);
--- a/regress/routed_peers.t
+++ b/regress/routed_peers.t
@@ -24,10 +24,10 @@
 A notice on a crash reaches all of them within 1.2 s, and a daemon that starts
 later in its first list; an invalid one is logged.
 
-  $ operator '{"key":"goldcrest/crashes/d9/0","value":"no report"}'
+  $ operator '{"key":"goldcrest/crashed/d9/0","value":"no report"}'
   $ sleep 1.2; grep -l '"event": *1609' d[1-6].log | wc -l
   6
-  $ start_routed d7; grep '"event": *1609' d7.log | grep -c '"goldcrest/crashes/d9/0"'
+  $ start_routed d7; grep '"event": *1609' d7.log | grep -c '"goldcrest/crashed/d9/0"'
   1
   $ kill_9 $d7_pid
 
