Don't take a connection that timed out for a crashed server

What callers would see: a request that many ask for is refused after its servers were cut off three times, though they are sound.

Cause: any lost connection was asked about, and a server that is cut off gives no load report while others do. But only a server or its host closes or resets a connection; one that ends by a timeout or an unreachable network shows nothing of it. Such attempts end as GC_END_CUT, which is treated as before but never as a crash.

Loopback connections don't time out, so check_attempts only covers what follows from the new end.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -21,7 +21,7 @@
 	if (end != GC_END_UNREACHABLE && end != GC_END_REFUSED &&
 	    end != GC_END_REPLACED)
 		attempts->may_have_run = true;
-	if (end == GC_END_BROKEN || end == GC_END_REPLACED)
+	if (end == GC_END_BROKEN || end == GC_END_CUT || end == GC_END_REPLACED)
 		attempts->lost++;
 	if (attempts->may_have_run && !gc_route_allows_rerun(attempts->route))
 		return end == GC_END_FAILED ? GC_DECISION_FORWARD
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -17,7 +17,8 @@
 	GC_END_REFUSED, /* the server says that it did not run the request */
 	GC_END_REPLACED, /* another server answers at the address; not run */
 	GC_END_FAILED, /* a complete answer that reports a failure */
-	GC_END_BROKEN, /* connection lost or answer damaged */
+	GC_END_BROKEN, /* the server closed the connection; damaged answer */
+	GC_END_CUT, /* the network or the host failed: no sign of the server */
 	GC_END_TIMED_OUT, /* no data within the timeout */
 } gc_attempt_end_t;
 
--- a/core/backends.c
+++ b/core/backends.c
@@ -357,6 +357,7 @@
 		break;
 	case GC_END_UNREACHABLE:
 	case GC_END_BROKEN:
+	case GC_END_CUT:
 	case GC_END_TIMED_OUT:
 		eject(backend, now);
 		count_domain_failure(backend, now);
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -1,4 +1,5 @@
 /* HTTP/1.1 calls to backend servers over keep-alive connections. */
+#include <errno.h>
 #include <glib.h>
 
 #include "lib/backend_signals.h"
@@ -66,7 +67,9 @@
 static void deliver_head(conn_t *conn);
 static void deliver_body(conn_t *conn);
 static void complete_call(conn_t *conn, size_t surplus_bytes);
-static void fail_call(conn_t *conn, const char *reason);
+static void fail_call(conn_t *conn, gc_attempt_end_t sent_end,
+		      const char *reason);
+static gc_attempt_end_t end_of_error(int error);
 static bool is_mismatched(const conn_t *conn);
 static int64_t reuse_ms(const gc_http_message_t *response);
 static void end_callback(conn_t *conn);
@@ -231,7 +234,7 @@
 		return;
 	}
 	conn->in_callback = true;
-	fail_call(conn, "connect timed out");
+	fail_call(conn, GC_END_BROKEN, "connect timed out");
 	end_callback(conn);
 }
 
@@ -269,7 +272,8 @@
 		if (conn->call->head_delivered)
 			deliver_body(conn);
 		if (conn->call)
-			fail_call(conn, gc_http_message_error(conn->message));
+			fail_call(conn, GC_END_BROKEN,
+				  gc_http_message_error(conn->message));
 		return false;
 	}
 	if (state < GC_HTTP_MESSAGE_BODY)
@@ -391,22 +395,33 @@
 		}
 	}
 	if (conn->call)
-		fail_call(conn, error == 0 ? "the server closed the connection"
-					   : g_strerror(error));
+		fail_call(conn, end_of_error(error),
+			  error == 0 ? "the server closed the connection"
+				     : g_strerror(error));
 	else
 		close_conn(conn);
 	end_callback(conn);
 }
 
-static void fail_call(conn_t *conn, const char *reason)
+/* Only a server, or its host, closes or resets a connection. */
+static gc_attempt_end_t end_of_error(int error)
+{
+	return error == 0 || error == ECONNRESET || error == EPIPE
+		       ? GC_END_BROKEN
+		       : GC_END_CUT;
+}
+
+/* sent_end: the attempt's end if the server got a part of the request. */
+static void fail_call(conn_t *conn, gc_attempt_end_t sent_end,
+		      const char *reason)
 {
 	gc_call_t *call = conn->call;
 	bool not_sent = !conn->connected ||
 			gc_socket_sent_bytes(conn->sock) == call->sent_before;
 
 	conn->call = NULL;
-	call->ops.failed(call->ctx,
-			 not_sent ? GC_END_UNREACHABLE : GC_END_BROKEN, reason);
+	call->ops.failed(call->ctx, not_sent ? GC_END_UNREACHABLE : sent_end,
+			 reason);
 	talloc_free(call);
 	close_conn(conn);
 }
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -25,9 +25,9 @@
 	const gc_route_t route = {.kind = GC_ROUTE_NON_IDEMPOTENT,
 				  .max_attempts = 5};
 	const gc_attempt_end_t ran[] = {GC_END_FAILED, GC_END_BROKEN,
-					GC_END_TIMED_OUT};
+					GC_END_CUT, GC_END_TIMED_OUT};
 
-	for (size_t i = 0; i < 3; i++) {
+	for (size_t i = 0; i < 4; i++) {
 		gc_attempts_t attempts = {.route = &route};
 		gc_retry_decision_t decision = end_attempt(&attempts, ran[i]);
 
@@ -80,7 +80,8 @@
 	gc_attempts_t attempts = {.route = &route};
 
 	for (int i = 0; i < 3; i++)
-		ck_assert_int_eq(end_attempt(&attempts, GC_END_BROKEN),
+		ck_assert_int_eq(end_attempt(&attempts, i % 2 ? GC_END_CUT
+							      : GC_END_BROKEN),
 				 GC_DECISION_RETRY);
 	ck_assert_int_eq(end_attempt(&attempts, GC_END_BROKEN),
 			 GC_DECISION_FAIL);
