End a generation of the own protocol under which three engines ended

What callers saw: a prompt that ends each engine that begins it took down every engine in reach, up to max_attempts (32), and all other generations with them.

Cause: the same as in the routed mode: each failed attempt counted as the engine's own. Now engines that closed the connection after the start request and before a response, or that lost a run without a token, are counted; the third one ends the generation, in doubt. One that can't be connected to isn't counted, so that generations outlive the loss of a failure domain, and none is ended while another attempt of it is live.

There is still no memory across generations.

--- a/core/stream.h
+++ b/core/stream.h
@@ -124,7 +124,8 @@
 		      uint64_t tokens);
 /*
  * The attempt failed and its connection is closed. GC_ERR_IO or
- * GC_ERR_TIMEOUT: connection lost; GC_ERR_NOT_FOUND: run unknown to the
+ * GC_ERR_TIMEOUT: connection lost; GC_ERR_LOST: connection lost after the
+ * start request and before a response; GC_ERR_NOT_FOUND: run unknown to the
  * engine; GC_ERR_OVERLOADED: refused; GC_ERR_PROTOCOL: invalid response.
  */
 void gc_stream_on_error(gc_stream_t *stream, uint32_t attempt,
--- a/core/stream_event.c
+++ b/core/stream_event.c
@@ -182,6 +182,19 @@
 	       g_error_matches(err, GC_ERROR, GC_ERR_TIMEOUT);
 }
 
+/*
+ * True if the engine closed the connection after the start request, or lost a
+ * run that had produced no token and was attached to again.
+ */
+static bool has_ended_engine(const attempt_t *lost, const GError *err)
+{
+	if (!lost->attached)
+		return g_error_matches(err, GC_ERROR, GC_ERR_LOST);
+	return lost->n_reattached > 0 && !lost->has_produced &&
+	       (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND) ||
+		is_connection_error(err));
+}
+
 void gc_stream_handle_error(gc_stream_t *s, attempt_t *a, const GError *err)
 {
 	/* The engine has not failed if it no longer knows an attached run. */
@@ -218,5 +231,12 @@
 		if (lost.run[0])
 			s->ops->cancel(s->ctx, lost.number, true);
 	}
+	s->n_engines_ended += has_ended_engine(&lost, err);
+	if (s->n_engines_ended >= MAX_ENGINES_ENDED && !s->ended &&
+	    !gc_stream_other_attempt(s, a)) {
+		gc_stream_fail(s, GC_ERR_UNAVAILABLE, "attempt",
+			       "engines ended before the first token");
+		return;
+	}
 	gc_stream_failover(s);
 }
--- a/core/stream_private.h
+++ b/core/stream_private.h
@@ -14,6 +14,9 @@
 #include "core/error.h"
 #include "core/stream.h"
 
+/* Engines that end with a run before its first token, until the generation is
+ * taken for the cause. */
+#define MAX_ENGINES_ENDED 3
 /* Reattachments to a run after lost connections, without a token in between. */
 #define MAX_REATTACHES	 1
 #define ERR_RUN_MISMATCH "tokens of the run differ from the delivered tokens"
@@ -54,6 +57,7 @@
 	attempt_t hedge;
 	uint32_t last_attempt_number;
 	uint32_t n_runs_started;
+	uint32_t n_engines_ended; /* with a run that had produced no token */
 
 	/* Tokens held, concatenated, with the end offset of each. */
 	char *token_bytes;
--- a/lib/engine_client.c
+++ b/lib/engine_client.c
@@ -244,6 +244,10 @@
 	else if (!sent && !client->is_attach)
 		gc_error_set(&own_err, GC_ERR_UNAVAILABLE, "connect",
 			     client->peer, "%s", err->message);
+	else if (!client->is_attach && !client->has_run_id &&
+		 g_error_matches(err, GC_ERROR, GC_ERR_IO))
+		gc_error_set(&own_err, GC_ERR_LOST, "start", client->peer, "%s",
+			     err->message);
 	report_error(client, own_err ? own_err : err);
 	g_clear_error(&own_err);
 }
--- a/standins/engine/run.c
+++ b/standins/engine/run.c
@@ -65,6 +65,7 @@
 static void finish_run(run_t *run);
 static gint compare_runs(gconstpointer a, gconstpointer b, gpointer data);
 static void begin_prefill(run_t *run);
+static bool is_deadly(const run_t *run);
 static void start_queued(engine_t *engine);
 static void schedule_step(run_t *run, int64_t due_us);
 static void on_step(struct tevent_context *ev, struct tevent_timer *te,
@@ -269,6 +270,8 @@
 	uint64_t cached = cache_cached_tokens(engine->cache, &run->block_chain);
 	uint64_t uncached = run->block_chain.tokens - cached;
 
+	if (is_deadly(run))
+		_exit(EXIT_FAILURE);
 	run->state = RUN_PREFILL;
 	run->due_us = standin_monotonic_us();
 	engine->running++;
@@ -279,6 +282,15 @@
 					   engine_options.prefill_us_per_token);
 }
 
+static bool is_deadly(const run_t *run)
+{
+	const char *prompt =
+		json_string_value(json_object_get(run->request, "prompt"));
+
+	return engine_options.crash_on &&
+	       strstr(prompt, engine_options.crash_on);
+}
+
 static void schedule_step(run_t *run, int64_t due_us)
 {
 	int64_t now = standin_monotonic_us();
--- a/standins/engine/standin-engine.c
+++ b/standins/engine/standin-engine.c
@@ -47,6 +47,8 @@
 	{"check-fencing", 0, 0, G_OPTION_ARG_NONE,
 	 &engine_options.check_fencing,
 	 "Refuse orders with a stale fencing token", NULL},
+	{"crash-on", 0, 0, G_OPTION_ARG_STRING, &engine_options.crash_on,
+	 "Exit at the start of a run whose prompt contains TEXT", "TEXT"},
 	{0},
 };
 
--- a/standins/engine/standin-engine.h
+++ b/standins/engine/standin-engine.h
@@ -19,6 +19,7 @@
 	gint event_lag_ms;
 	gint event_loss; /* every Nth event is omitted; 0: none */
 	gboolean check_fencing;
+	char *crash_on; /* NULL: never */
 	gchar *run_base; /* prefix of run ids; NULL: name and random number */
 } engine_options_t;
 
