Take an unframed rest of a stream without an event for broken off

What callers saw: a stream that went on at another server, or that the caller resumed, ended as complete although its last events were missing.

Cause: an unframed answer that ends before its first event was known to be cut only if the stream had had no event from any server. It is now judged by this attempt's events.

--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -539,15 +539,13 @@
 	}
 }
 
-/* The end of the connection alone doesn't tell an empty stream from a server
- * that died after the head. */
+/* The end of the connection alone doesn't tell an empty stream, or an empty rest
+ * of one, from a server that died after the head. */
 static bool is_cut_before_events(const gc_exchange_t *exchange,
 				 const gc_http_message_t *response)
 {
-	return gc_event_sequencer_last_id(exchange->sequencer) ==
-		       GC_EVENT_ID_NONE &&
-	       !gc_http_message_find_header(response, "content-length").data &&
-	       !gc_http_message_find_header(response, "transfer-encoding").data;
+	return !exchange->received_event &&
+	       gc_http_message_body_until_close(response);
 }
 
 static void finish_stream(gc_exchange_t *exchange)
--- a/regress/routed_faults.t
+++ b/regress/routed_faults.t
@@ -71,6 +71,11 @@
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
 
+So has an empty rest of one that the caller resumes.
+
+  $ send_request /draft/once-empty -H 'Last-Event-Id: 3' | ids
+  id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
 A slow but sound stream with comments between its events is one run; a stalled
 one that sends bytes, comments or an endless event, but no event, goes on
 elsewhere within the longest gap (700 ms).
