Ask a server whether it ended with a response that has no length

What callers saw: a stream that ended as complete after some of its events, and a part of a body as a whole response.

Cause: a response with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that ends in order. An end between two events, or anywhere in a plain body, could not be told from the regular one. Now the server's load report at that moment tells; without one the attempt is broken off: a stream goes on elsewhere, a lookup is repeated, others end with 502.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -68,7 +68,9 @@
 	struct timespec last_activity;
 	bool received_event; /* from this attempt */
 	gc_silence_t silence; /* before the first event of this attempt */
-	gc_backend_query_t *silence_query; /* load query in progress, or NULL */
+	/* Load query in progress, on a silent server or at an uncertain end of a
+	 * response, or NULL. */
+	gc_backend_query_t *silence_query;
 	bool read_paused; /* back-pressure: the caller reads slowly */
 	struct timespec last_forwarded; /* last event to the caller */
 	int64_t first_event_ms; /* after arrival */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -18,8 +18,9 @@
 #define FIRST_EVENT_FRACTION 1.0
 /* For routes without target_latency_ms or target_gap_ms. */
 #define DEFAULT_INACTIVITY_MS 5000
-/* Time for the load report of a server that has sent no event. Longer than
- * LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a prompt. */
+/* Time for the load report of a server that has sent no event, or whose response
+ * may be cut. Longer than LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a
+ * prompt. */
 #define SILENCE_QUERY_TIMEOUT_MS 300
 /* Pause between such reports, as a fraction of the limit. */
 #define SILENCE_QUERY_FRACTION 0.25
@@ -51,6 +52,11 @@
 static void set_server_paused(gc_exchange_t *exchange, bool paused);
 static bool is_cut_before_events(const gc_exchange_t *exchange,
 				 const gc_http_message_t *response);
+static bool is_end_uncertain(const gc_exchange_t *exchange,
+			     const gc_http_message_t *response);
+static void start_end_query(gc_exchange_t *exchange);
+static void on_end_report(void *ctx, int status, gc_str_t response,
+			  gc_attempt_end_t end);
 static void finish_stream(gc_exchange_t *exchange);
 static void finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
 			   const char *reason);
@@ -63,6 +69,10 @@
 			     struct timespec now);
 static void leave_silent_server(gc_exchange_t *exchange);
 static void start_silence_query(gc_exchange_t *exchange);
+static void start_load_query(gc_exchange_t *exchange,
+			     void (*done)(void *ctx, int status,
+					  gc_str_t response,
+					  gc_attempt_end_t end));
 static void on_silence_report(void *ctx, int status, gc_str_t response,
 			      gc_attempt_end_t end);
 
@@ -259,6 +269,21 @@
 }
 
 static void start_silence_query(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+
+	/* A server that pauses is alive and busy; it is asked afterwards. */
+	if (gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(relay->conf.clock)))
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+	else if (!exchange->silence_query)
+		start_load_query(exchange, on_silence_report);
+}
+
+static void start_load_query(gc_exchange_t *exchange,
+			     void (*done)(void *ctx, int status,
+					  gc_str_t response,
+					  gc_attempt_end_t end))
 {
 	gc_relay_t *relay = exchange->relay;
 	gc_backend_query_conf_t conf = {
@@ -268,17 +293,12 @@
 		.path = relay->conf.adapter->load_path,
 		.body = GC_STR_EMPTY,
 		.timeout_ms = SILENCE_QUERY_TIMEOUT_MS,
-		.done = on_silence_report,
+		.done = done,
 		.ctx = exchange,
 	};
 
-	/* A server that pauses is alive and busy; it is asked afterwards. */
-	if (gc_backend_is_pausing(exchange->backend,
-				  gc_clock_now(relay->conf.clock)))
-		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
-	else if (!exchange->silence_query)
-		exchange->silence_query = gc_backend_query_start(
-			exchange, &conf, exchange->backend);
+	exchange->silence_query =
+		gc_backend_query_start(exchange, &conf, exchange->backend);
 }
 
 static void on_silence_report(void *ctx, int status, gc_str_t response,
@@ -522,6 +542,8 @@
 		   is_cut_before_events(exchange, response)) {
 		finish_attempt(exchange, GC_END_BROKEN,
 			       "the stream ended before its first event");
+	} else if (exchange->success && is_end_uncertain(exchange, response)) {
+		start_end_query(exchange);
 	} else if (exchange->success && exchange->sequencer) {
 		finish_stream(exchange);
 	} else if (exchange->success ||
@@ -548,6 +570,49 @@
 	       gc_http_message_body_until_close(response);
 }
 
+/*
+ * A response that ends with its connection may be whole, or its server may have
+ * ended. One that leaves or pauses can't be asked.
+ */
+static bool is_end_uncertain(const gc_exchange_t *exchange,
+			     const gc_http_message_t *response)
+{
+	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
+
+	return gc_http_message_body_until_close(response) &&
+	       !exchange->head_request &&
+	       !gc_backend_is_leaving(exchange->backend) &&
+	       !gc_backend_is_pausing(exchange->backend, now);
+}
+
+/* Asks the server for its load, which tells that it is still there. */
+static void start_end_query(gc_exchange_t *exchange)
+{
+	gc_timer_stop(exchange->inactivity_timer);
+	if (exchange->silence_query)
+		gc_backend_query_destroy(exchange->silence_query);
+	start_load_query(exchange, on_end_report);
+}
+
+static void on_end_report(void *ctx, int status, gc_str_t response,
+			  gc_attempt_end_t end)
+{
+	gc_exchange_t *exchange = ctx;
+
+	/* The query frees itself after this callback. */
+	talloc_steal(NULL, exchange->silence_query);
+	exchange->silence_query = NULL;
+	if (status == 0) {
+		finish_attempt(exchange, GC_END_BROKEN,
+			       "the server ended with the response");
+	} else if (exchange->sequencer) {
+		finish_stream(exchange);
+	} else {
+		gc_backend_record_success(exchange->backend);
+		gc_exchange_respond(exchange);
+	}
+}
+
 static void finish_stream(gc_exchange_t *exchange)
 {
 	gc_caller_conn_t *caller = exchange->caller;
--- a/regress/routed_faults.t
+++ b/regress/routed_faults.t
@@ -138,3 +138,15 @@
   40 200
   $ grep '"message":"attempt failed"' d1.log | grep '"server":"app3"' | grep -o 'Connection refused\|connect timed out' | sort -u
   Connection refused
+
+A server that ends between two events, or inside a body without length, closes
+its connection in order: that must not pass as the end of the response.
+
+  $ send_request /draft/once-plaindie | ids
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ send_request /look/once-unframeddie | grep -o '"target": "[^"]*"\|^[0-9]*$'
+  "target": "/look/once-unframeddie"
+  200
+  $ send_request /book/unframeddie | grep -o '"run":"[a-z_]*"\|^[0-9]*$'
+  "run":"in_doubt"
+  502
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -15,6 +15,7 @@
   late         sends a response to another request before the right one
   extra        sends the response twice
   unframed     sends a response without a length
+  unframeddie  sends a part of one, closes the connection and crashes
   slow         responds after 400 ms
   copylate     responds; sends a second copy before the response to the next
                request on the connection
@@ -51,6 +52,7 @@
   plain        sends a body with neither a length nor chunks, closes at its end
   plaincut     does so, but closes inside the fourth event
   empty        does so, but closes after the head
+  plaindie     does so, but closes after the third event and crashes
   resetall     sends the head, resets the connection, and the others 3 ms later
 POST /drop closes the other connections.
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
@@ -166,6 +168,11 @@
         asyncio.get_running_loop().call_later(
             RESTART_S, lambda: asyncio.ensure_future(self.restart()))
 
+    async def close_and_crash(self, writer):
+        self.writers.discard(writer)
+        await self.crash(writer)
+        writer.close()
+
     async def listen(self):
         self.listener, self.port = await wire.listen(
             self.handle, self.ports_file, self.port)
@@ -299,6 +306,11 @@
             headers = self.response_headers(request)
             writer.write(wire.response_head(200, headers) + b"unframed\n")
             return False
+        elif behaviour == "unframeddie":
+            headers = self.response_headers(request)
+            writer.write(wire.response_head(200, headers) + b"unfr")
+            await self.close_and_crash(writer)
+            return False
         elif behaviour == "slow":
             await asyncio.sleep(0.4)
         elif behaviour == "copylate":
@@ -344,7 +356,7 @@
             writer.write(wire.response_head(200, headers))
             await self.crash(writer)
             return False
-        if behaviour in ("empty", "plain", "plaincut"):
+        if behaviour in ("empty", "plain", "plaincut", "plaindie"):
             del headers["Transfer-Encoding"]
         writer.write(wire.response_head(200, headers))
         disconnected = asyncio.ensure_future(reader.read(1))
@@ -398,7 +410,11 @@
             if behaviour == "steady":
                 writer.write(b"5\r\n: w\n\n\r\n")
                 await asyncio.sleep(0.27)
-            if behaviour in ("plain", "plaincut"):
+            if behaviour == "plaindie" and n == 4:
+                disconnected.cancel()
+                await self.close_and_crash(writer)
+                return False
+            if behaviour in ("plain", "plaincut", "plaindie"):
                 cut = n == 4 and behaviour == "plaincut"
                 writer.write(event[:9] if cut else event)
                 await writer.drain()
@@ -411,7 +427,7 @@
         if behaviour == "cutend":
             disconnected.cancel()
             return False
-        if behaviour != "plain":
+        if behaviour not in ("plain", "plaindie"):
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         disconnected.cancel()
