Don't blame a part of prompts for the loss of all servers

What callers could see: after a loss of all engines at one moment, streams with a part that most prompts share are refused for 30 s.

Cause: crashes of one moment counted once for each failure domain, so that the loss of three domains looked like three crashes under each part that was there. The test in check_crash_suspects failed before. With eight servers lost within 300 ms all domains count as one; two requests that crash servers at once stay below that.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -16,7 +16,9 @@
  * that lies outside their requests. */
 #define SAME_EVENT_MS 300
 /* Number of such servers that points to an outside cause. */
-#define MASS_SERVERS  3
+#define MASS_SERVERS 3
+/* The same in all failure domains together. */
+#define MANY_SERVERS  8
 #define REPORT_AGE_MS 600000
 /* The same for reports on a trait that is refused. */
 #define KEPT_AGE_MS (INT64_C(24) * 60 * 60 * 1000)
@@ -147,7 +149,10 @@
 			    const evidence_t *evidence, bool settled_only);
 static bool is_mass_crash(const gc_crash_suspects_t *suspects,
 			  const evidence_t *evidence, const crash_t *crash);
+static bool is_widespread(const gc_crash_suspects_t *suspects,
+			  const crash_t *crash);
 static bool is_same_event(const crash_t *crash, uint64_t domain, int64_t at_ms);
+static bool is_same_time(const crash_t *crash, int64_t at_ms);
 static bool is_unserved(const report_t *report, uint64_t trait);
 static trait_set_t parts_of_crash(const gc_crash_suspects_t *suspects,
 				  uint64_t server, uint64_t part);
@@ -688,9 +693,9 @@
 }
 
 /*
- * Crashes of one moment that seem to come from outside count once. A request
- * that was sent on after a crash got to the next server later, so that its crash
- * is another one in any case.
+ * Crashes of one moment in a failure domain that seem to come from outside count
+ * once, and those in all domains if many servers were lost. A request that was sent on after a crash got to the next
+ * server later, so that its crash is another one in any case.
  */
 static size_t count_crashes(const gc_crash_suspects_t *suspects,
 			    const evidence_t *evidence, bool settled_only)
@@ -712,7 +717,9 @@
 		}
 		for (size_t j = 0; j < n_events; j++)
 			counted |= is_same_event(events[j], crash->domain,
-						 crash->at_ms);
+						 crash->at_ms) ||
+				   (is_same_time(events[j], crash->at_ms) &&
+				    is_widespread(suspects, crash));
 		if (counted)
 			continue;
 		events[n_events++] = crash;
@@ -750,10 +757,36 @@
 	return false;
 }
 
+/* True if so many servers were lost at about that time that few requests can't
+ * be the cause. */
+static bool is_widespread(const gc_crash_suspects_t *suspects,
+			  const crash_t *crash)
+{
+	uint64_t servers[MANY_SERVERS];
+	size_t n = 0;
+
+	for (size_t i = 0; i < suspects->n_reports && n < MANY_SERVERS; i++) {
+		const gc_crash_report_t *other = &suspects->reports[i].report;
+		bool known = false;
+
+		if (!is_same_time(crash, other->at_ms))
+			continue;
+		for (size_t j = 0; j < n; j++)
+			known |= servers[j] == other->server;
+		if (!known)
+			servers[n++] = other->server;
+	}
+	return n == MANY_SERVERS;
+}
+
 static bool is_same_event(const crash_t *crash, uint64_t domain, int64_t at_ms)
 {
-	return crash->domain == domain &&
-	       at_ms >= crash->at_ms - SAME_EVENT_MS &&
+	return crash->domain == domain && is_same_time(crash, at_ms);
+}
+
+static bool is_same_time(const crash_t *crash, int64_t at_ms)
+{
+	return at_ms >= crash->at_ms - SAME_EVENT_MS &&
 	       at_ms <= crash->at_ms + SAME_EVENT_MS;
 }
 
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -466,6 +466,18 @@
 }
 END_TEST
 
+/* All servers lose power: a part that most prompts share was at most of them. */
+START_TEST(test_loss_of_all_servers_does_not_block_a_common_part)
+{
+	start();
+	for (uint64_t i = 0; i < 12; i++)
+		report_at((int64_t)i * 10, 10 + i, i % 3,
+			  i % 4 ? COMMON : OTHER, 0, 0);
+	ck_assert_int_eq(judge(200, COMMON, 0), GC_SUSPECT_SEND);
+	ck_assert_int_eq(judge(200, OTHER, 0), GC_SUSPECT_SEND);
+}
+END_TEST
+
 /* Any daemon tries it, as the other one was in more crashes. */
 START_TEST(test_neighbour_of_a_deadly_request_is_tried_soon)
 {
@@ -691,6 +703,7 @@
 		test_reports_with_one_wrong_time_count_each,
 		test_burst_of_deadly_prompts_counts_each_server,
 		test_lost_domain_does_not_block_a_hot_request,
+		test_loss_of_all_servers_does_not_block_a_common_part,
 		test_neighbour_of_a_deadly_request_is_tried_soon,
 		test_doubt_between_two_requests_ends_soon,
 		test_two_deadly_requests_at_once,
