Log invalid values of the headers that servers and the store send

What an operator would miss: a server whose Retry-After or Server-Leaving, or a store whose Store-Era, can't be read was treated as if the header were absent, without a trace.

--- a/regress/routed_leaving.t
+++ b/regress/routed_leaving.t
@@ -21,6 +21,9 @@
   6 200
   $ repeat 6 status /look/ok
   6 200
+  $ grep '"event":1119' d1.log | grep -o '"header":"[^"]*","value":"[^"]*"' | sort -u
+  "header":"Server-Leaving","value":"0"
+  "header":"Server-Leaving","value":"yes"
 
 A failure says it, too: it is the last answer of its server.
 
--- a/regress/routed_pause.t
+++ b/regress/routed_pause.t
@@ -25,6 +25,11 @@
   503 503 200
   503 503 200
   503 503 200
+  $ grep '"event":1119' d1.log | grep -o '"header":"[^"]*","value":"[^"]*"' | sort -u
+  "header":"Retry-After","value":"-1"
+  "header":"Retry-After","value":"1e9"
+  "header":"Retry-After","value":"Wed, 21 Oct 2026 07:28:00 GMT"
+  "header":"Retry-After","value":"abc"
   $ for s in app1 app2; do busy $s "{}"; done; echo $(status /look/busy) $(status /look/ok)
   503 200
 
