Check that responses without length end their connection, whatever they say

With HTTP/1.0 and 1.1, keep-alive or close, in parts of any size; length and chunks together are refused.

--- a/regress/check_http_message.c
+++ b/regress/check_http_message.c
@@ -168,6 +168,53 @@
 }
 END_TEST
 
+/* Whatever a response says of its connection, one without a length or chunks ends
+ * it; one with both is ambiguous. */
+START_TEST(test_responses_without_length_end_their_connection)
+{
+	static const char *const unframed[] = {
+		"HTTP/1.1 200 OK\r\n\r\nab",
+		"HTTP/1.0 200 OK\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\nab",
+		"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab",
+	};
+	static const char *const ambiguous[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		"Content-Length: 2\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		"Content-Length: 3\r\n\r\nabc",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(unframed); i++)
+		for (size_t step = 1; step <= strlen(unframed[i]); step++) {
+			gc_http_message_t *m = parse(GC_HTTP_MESSAGE_RESPONSE,
+						     unframed[i], step);
+
+			ck_assert_int_eq(gc_http_message_state(m),
+					 GC_HTTP_MESSAGE_BODY);
+			ck_assert(gc_http_message_body_until_close(m));
+			gc_http_message_feed_eof(m);
+			ck_assert_int_eq(gc_http_message_state(m),
+					 GC_HTTP_MESSAGE_COMPLETE);
+			ck_assert(!gc_http_message_keep_alive(m));
+			ck_assert_str_eq(body_of(m), "ab");
+			talloc_free(m);
+		}
+	for (size_t i = 0; i < G_N_ELEMENTS(ambiguous); i++) {
+		gc_http_message_t *m =
+			parse(GC_HTTP_MESSAGE_RESPONSE, ambiguous[i], 1);
+
+		ck_assert_msg(gc_http_message_state(m) ==
+				      GC_HTTP_MESSAGE_INVALID,
+			      "%s", ambiguous[i]);
+		talloc_free(m);
+	}
+}
+END_TEST
+
 START_TEST(test_truncated_responses_are_invalid)
 {
 	static const char *const texts[] = {
@@ -212,6 +259,7 @@
 		test_size_limits,
 		test_pipelined_request_is_not_consumed,
 		test_interim_and_unframed_responses,
+		test_responses_without_length_end_their_connection,
 		test_truncated_responses_are_invalid,
 		test_response_to_head_has_no_body,
 		NULL,
