--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -1,4 +1,4 @@
-/* Notices on prompts that crash servers: encoding, writing and reading. */
+/* Notices on requests that crash servers: writing and reading. */
 #include <jansson.h>
 #include <stdlib.h>
 
@@ -15,8 +15,6 @@
 /* Keys of this daemon's reports, which are written in turn. */
 #define MAX_REPORT_KEYS 16
 #define MAX_QUEUED	32
-/* Reports of one notice. */
-#define MAX_NOTICE_REPORTS 64
 /* A notice of a service that was not written for so long is given up: it only
  * spares others a trial. */
 #define MAX_AGE_MS 10000
@@ -32,9 +30,6 @@
  * Each waits a random time up to this one for a notice of another daemon,
  * which takes the pause of a watch after a change and a little more. */
 #define MAX_SERVED_DELAY_MS 600
-#define HEX_DIGITS	    16 /* of a 64-bit number */
-/* End of the year 9999: sums with times up to it don't overflow. */
-#define MAX_TIME_OF_DAY_MS INT64_C(253402300799999)
 
 /* A notice to be written. */
 typedef struct notice {
@@ -121,15 +116,6 @@
 static void log_invalid(gc_str_t key, const char *error);
 static char *encode_served(gc_str_t instance);
 static bool is_served_value(gc_str_t value);
-static json_t *encode_report(const gc_crash_report_t *report);
-static json_t *encode_hex(uint64_t number);
-static bool decode_report(const json_t *json, gc_crash_report_t *report,
-			  GError **err);
-static bool decode_parts(const json_t *json, gc_request_traits_t *traits,
-			 GError **err);
-static bool parse_hex(gc_str_t digits, uint64_t *number);
-static bool parse_hex_json(const json_t *json, uint64_t *number);
-static bool invalid(GError **err, const char *message);
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
 
 gc_crash_notices_t *gc_crash_notices_create(TALLOC_CTX *mem,
@@ -232,7 +218,7 @@
 	notice_t *last = g_queue_peek_tail((GQueue *)&notices->queue);
 
 	return last && last->reports && !last->sent &&
-			       last->reports->len < MAX_NOTICE_REPORTS
+			       last->reports->len < GC_CRASH_NOTICES_MAX_REPORTS
 		       ? last
 		       : NULL;
 }
@@ -609,7 +595,7 @@
 	uint64_t trait;
 	uint64_t order;
 
-	if (!parse_hex(digits, &trait)) {
+	if (!gc_crash_notices_parse_hex(digits, &trait)) {
 		log_invalid(item->key, "the trait is not 16 hex digits");
 		return;
 	}
@@ -683,149 +669,6 @@
 	       NULL);
 }
 
-char *gc_crash_notices_encode_reports(const gc_crash_report_t *reports,
-				      size_t n, int64_t kept_ms)
-{
-	json_t *list = json_array();
-	json_t *json = json_pack("{s:o}", "reports", list);
-	char *text;
-	char *copy;
-
-	for (size_t i = 0; i < n; i++)
-		json_array_append_new(list, encode_report(&reports[i]));
-	if (kept_ms > 0)
-		json_object_set_new(json, "kept_ms", json_integer(kept_ms));
-	text = json_dumps(json, JSON_COMPACT);
-	copy = g_strdup(text);
-	free(text);
-	json_decref(json);
-	return copy;
-}
-
-static json_t *encode_report(const gc_crash_report_t *report)
-{
-	json_t *parts = json_array();
-
-	for (size_t i = 0; i < report->traits.n_parts; i++)
-		json_array_append_new(parts,
-				      encode_hex(report->traits.parts[i]));
-	return json_pack("{s:o,s:o,s:o,s:I,s:b,s:o,s:o}", "id",
-			 encode_hex(report->id), "server",
-			 encode_hex(report->server), "domain",
-			 encode_hex(report->domain), "at_ms",
-			 (json_int_t)report->at_ms, "resent", report->resent,
-			 "request", encode_hex(report->traits.request), "parts",
-			 parts);
-}
-
-static json_t *encode_hex(uint64_t number)
-{
-	g_autofree char *digits =
-		g_strdup_printf("%016" G_GINT64_MODIFIER "x", number);
-
-	return json_string(digits);
-}
-
-bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
-				     int64_t *kept_ms, GError **err)
-{
-	json_t *json = json_loadb(value.data, value.len, 0, NULL);
-	const json_t *list = json_object_get(json, "reports");
-	const json_t *kept = json_object_get(json, "kept_ms");
-	guint known = reports->len;
-	bool valid = json_is_array(list) && json_array_size(list) > 0 &&
-		     json_array_size(list) <= MAX_NOTICE_REPORTS;
-
-	if (!valid)
-		invalid(err, "not an object with a list of 1 to " G_STRINGIFY(
-				     MAX_NOTICE_REPORTS) " reports");
-	*kept_ms = json_integer_value(kept);
-	if (valid && kept && (!json_is_integer(kept) || *kept_ms < 0))
-		valid = invalid(err, "kept_ms must be a time in ms");
-	for (size_t i = 0; valid && i < json_array_size(list); i++) {
-		gc_crash_report_t report;
-
-		valid = decode_report(json_array_get(list, i), &report, err);
-		g_array_append_val(reports, report);
-	}
-	if (!valid)
-		g_array_set_size(reports, known);
-	json_decref(json);
-	return valid;
-}
-
-static bool decode_report(const json_t *json, gc_crash_report_t *report,
-			  GError **err)
-{
-	const json_t *at_ms = json_object_get(json, "at_ms");
-
-	*report = (gc_crash_report_t){
-		.at_ms = json_integer_value(at_ms),
-		.resent = json_is_true(json_object_get(json, "resent")),
-	};
-	if (!json_is_object(json))
-		return invalid(err, "a report must be an object");
-	if (!parse_hex_json(json_object_get(json, "id"), &report->id) ||
-	    !parse_hex_json(json_object_get(json, "server"), &report->server) ||
-	    !parse_hex_json(json_object_get(json, "domain"), &report->domain) ||
-	    !parse_hex_json(json_object_get(json, "request"),
-			    &report->traits.request))
-		return invalid(err, "id, server, domain and request must be "
-				    "strings of 16 hex digits");
-	if (!json_is_integer(at_ms) || report->at_ms < 0 ||
-	    report->at_ms > MAX_TIME_OF_DAY_MS)
-		return invalid(err, "at_ms must be a time of day in ms");
-	if (!decode_parts(json_object_get(json, "parts"), &report->traits, err))
-		return false;
-	return report->traits.request != 0 || report->traits.n_parts > 0 ||
-	       invalid(err, "a report must have a request or a part");
-}
-
-static bool decode_parts(const json_t *json, gc_request_traits_t *traits,
-			 GError **err)
-{
-	size_t i;
-	json_t *id;
-
-	if (!json_is_array(json) ||
-	    json_array_size(json) > GC_REQUEST_PARTS_MAX)
-		return invalid(err,
-			       "parts must be a list of up to " G_STRINGIFY(
-				       GC_REQUEST_PARTS_MAX) " strings");
-	json_array_foreach (json, i, id) {
-		if (!parse_hex_json(id, &traits->parts[i]))
-			return invalid(
-				err,
-				"a part must be a string of 16 hex digits");
-	}
-	traits->n_parts = json_array_size(json);
-	return true;
-}
-
-static bool parse_hex_json(const json_t *json, uint64_t *number)
-{
-	return json_is_string(json) &&
-	       parse_hex((gc_str_t){json_string_value(json),
-				    json_string_length(json)},
-			 number);
-}
-
-/* Only lower-case digits, so that each trait has one key. */
-static bool parse_hex(gc_str_t digits, uint64_t *number)
-{
-	*number = 0;
-	if (digits.len != HEX_DIGITS)
-		return false;
-	for (size_t i = 0; i < digits.len; i++) {
-		if (!g_ascii_isxdigit(digits.data[i]) ||
-		    g_ascii_isupper(digits.data[i]))
-			return false;
-		*number = *number << 4 |
-			  (uint64_t)g_ascii_xdigit_value(digits.data[i]);
-	}
-	return true;
-}
-
 static char *encode_served(gc_str_t instance)
 {
 	json_t *json = json_pack("{s:s#}", "instance", instance.data,
@@ -847,13 +690,6 @@
 	return valid;
 }
 
-static bool invalid(GError **err, const char *message)
-{
-	gc_error_set(err, GC_ERR_INVALID, "read notice", "store", "%s",
-		     message);
-	return false;
-}
-
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
 {
 	size_t len = strlen(prefix);
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -1,5 +1,5 @@
 /*
- * Exchanges notices on prompts that crash backend servers with the other
+ * Exchanges notices on requests that crash backend servers with the other
  * daemons, through the store. Belongs to the control thread.
  */
 #ifndef GC_LIB_CRASH_NOTICES_H
@@ -28,6 +28,9 @@
  * the trait. */
 #define GC_CRASH_NOTICES_KEPT_PREFIX "goldcrest/kept/"
 
+/* Reports of one notice. */
+#define GC_CRASH_NOTICES_MAX_REPORTS 64
+
 typedef struct gc_crash_notices gc_crash_notices_t;
 
 typedef struct gc_crash_notices_conf {
@@ -87,5 +90,7 @@
  * GC_ERR_INVALID; nothing is appended then. */
 bool gc_crash_notices_decode_reports(gc_str_t value, GArray *reports,
 				     int64_t *kept_ms, GError **err);
+/* 16 lower-case hex digits, so that each trait has one key. */
+bool gc_crash_notices_parse_hex(gc_str_t digits, uint64_t *number);
 
 #endif
