--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -269,24 +269,19 @@
 			      struct timespec now,
 			      gc_crash_evidence_t *evidence, size_t max)
 {
-	g_autofree uint64_t *traits = NULL;
 	GHashTableIter iter;
-	trait_count_t *count;
-	size_t n_recurring = 0;
+	const trait_count_t *count;
 	size_t n = 0;
 
 	drop_expired(suspects, now);
-	traits = g_new(uint64_t, g_hash_table_size(suspects->counts) + 1);
+	/* Nothing is added to or removed from the table meanwhile. */
 	g_hash_table_iter_init(&iter, suspects->counts);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&count))
-		if (count->n >= MIN_CRASHES)
-			traits[n_recurring++] = count->trait;
-	for (size_t i = 0; i < n_recurring; i++) {
-		gc_crash_evidence_t kept = {.trait = traits[i]};
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&count)) {
+		gc_crash_evidence_t kept = {.trait = count->trait};
 
-		if (!keep_trait(suspects, now, &kept))
+		if (count->n < MIN_CRASHES || !keep_trait(suspects, now, &kept))
 			continue;
-		if (n < max && is_to_be_told(suspects, now, traits[i]))
+		if (n < max && is_to_be_told(suspects, now, count->trait))
 			evidence[n++] = kept;
 	}
 	return n;
