Ignore an era of the store that can't follow the known one

What callers would see: 503 from the whole fleet until it is restarted. One damaged but well-formed Store-Era was believed, each later answer of the store then was of an era that seemed over, and the daemons handed the number on to each other.

Cause: any higher era counted. The first era that a daemon sees is believed as before.

Evidence: check_fleet's new test fails on the code before.

--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -7,6 +7,7 @@
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
+#include "lib/store_era.h"
 
 /* The store's longest lease. */
 #define LEASE_MS 600000
@@ -415,6 +416,7 @@
 	gc_crash_notices_t *notices = ctx;
 
 	notices->call_in_flight = false;
+	era = gc_store_era_plausible(notices->era, era);
 	take_era(notices, era);
 	if (notices->stopped)
 		return;
@@ -439,6 +441,7 @@
 	bool lease_unused = notices->lease_unused;
 
 	notices->call_in_flight = false;
+	era = gc_store_era_plausible(notices->era, era);
 	take_era(notices, era);
 	if (notices->stopped)
 		return;
@@ -486,7 +489,7 @@
 {
 	bool restored = notices->era != 0;
 
-	if (era <= notices->era)
+	if (gc_store_era_plausible(notices->era, era) <= notices->era)
 		return;
 	notices->era = era;
 	notices->lease = 0;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -10,6 +10,7 @@
 #include "lib/metrics.h"
 #include "lib/peers_watch.h"
 #include "lib/registration.h"
+#include "lib/store_era.h"
 
 /* Keys of daemon entries in the store: this prefix and the daemon's name. */
 #define DAEMONS_PREFIX "goldcrest/daemons/"
@@ -55,6 +56,8 @@
 static void start_list(gc_fleet_t *fleet);
 static void era_seen(void *ctx, uint64_t era);
 static void begin_era(gc_fleet_t *fleet, uint64_t era);
+static uint64_t response_era(const gc_fleet_t *fleet,
+			     const gc_store_items_t *items);
 static bool is_outdated(gc_fleet_t *fleet, const gc_store_items_t *items);
 static void drop_outdated(gc_fleet_t *fleet, const gc_store_items_t *items);
 static void complete_list(gc_fleet_t *fleet);
@@ -169,7 +172,7 @@
 	g_autofree char *old_era = NULL;
 	g_autofree char *new_era = NULL;
 
-	if (era <= fleet->newest_era)
+	if (gc_store_era_plausible(fleet->newest_era, era) <= fleet->newest_era)
 		return;
 	old_era = g_strdup_printf("%" G_GUINT64_FORMAT, fleet->newest_era);
 	new_era = g_strdup_printf("%" G_GUINT64_FORMAT, era);
@@ -203,6 +206,22 @@
 	gc_fleet_era_seen(ctx, era);
 }
 
+/* The era that the response names; 0 if it names none that can be. */
+static uint64_t response_era(const gc_fleet_t *fleet,
+			     const gc_store_items_t *items)
+{
+	g_autofree char *value = NULL;
+	uint64_t named = items ? items->era : 0;
+	uint64_t era = gc_store_era_plausible(fleet->newest_era, named);
+
+	if (named != era) {
+		value = g_strdup_printf("%" G_GUINT64_FORMAT, named);
+		gc_log(GC_LOG_INFO, GC_EVENT_ERA_INVALID,
+		       "ignoring an invalid Store-Era", "value", value, NULL);
+	}
+	return era;
+}
+
 /*
  * Takes notice of a response's era; items may be NULL. True if the response, or
  * the state that it continues, is of an era that is over. A first page begins a
@@ -210,7 +229,7 @@
  */
 static bool is_outdated(gc_fleet_t *fleet, const gc_store_items_t *items)
 {
-	uint64_t era = items ? items->era : 0;
+	uint64_t era = response_era(fleet, items);
 
 	gc_fleet_era_seen(fleet, era);
 	if (era != 0 && era < fleet->newest_era)
@@ -343,7 +362,7 @@
 			  const GError *err)
 {
 	gc_fleet_t *fleet = ctx;
-	uint64_t era = items ? items->era : 0;
+	uint64_t era = response_era(fleet, items);
 
 	gc_fleet_era_seen(fleet, era);
 	if (fleet->known_era != fleet->newest_era) {
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -7,6 +7,7 @@
 #include "lib/log_events.h"
 #include "lib/metrics.h"
 #include "lib/registration.h"
+#include "lib/store_era.h"
 
 #define RENEWALS_PER_LEASE 3
 /* Delay of a retry after a failed call; doubles up to the maximum. The first
@@ -90,6 +91,7 @@
 {
 	gc_registration_t *registration = ctx;
 
+	era = gc_store_era_plausible(registration->era, era);
 	take_era(registration, era);
 	if (era != 0 ? era != registration->era
 		     : registration->call_era != registration->era) {
@@ -133,6 +135,7 @@
 {
 	gc_registration_t *registration = ctx;
 
+	era = gc_store_era_plausible(registration->era, era);
 	take_era(registration, era);
 	if (registration->call_era != registration->era ||
 	    (era != 0 && era != registration->era)) {
@@ -149,6 +152,7 @@
 {
 	gc_registration_t *registration = ctx;
 
+	era = gc_store_era_plausible(registration->era, era);
 	take_era(registration, era);
 	if (registration->call_era != registration->era ||
 	    (era != 0 && era != registration->era)) {
@@ -190,7 +194,7 @@
 
 void gc_registration_set_era(gc_registration_t *registration, uint64_t era)
 {
-	if (era <= registration->era)
+	if (gc_store_era_plausible(registration->era, era) <= registration->era)
 		return;
 	registration->era = era;
 	registration->entry_written = false;
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -493,6 +493,29 @@
 }
 END_TEST
 
+/* A damaged number must not make the daemon deaf to the store. */
+START_TEST(test_era_that_can_not_follow_is_ignored)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+	gc_fleet_t *fleet = start_in_era_1(mem, &fake, &clock);
+
+	fake.lease_done(fake.lease_ctx, 0, UINT64_C(100000000000000000), NULL);
+	gc_fleet_era_seen(fleet, UINT64_C(100000000000000000));
+	ck_assert_uint_le(fake.noted_era, 1);
+	fake.era = UINT64_C(100000000000000000);
+	respond(&fake, 51, "{\"version\":8}");
+	ck_assert_uint_eq(fake.version, 8);
+	wait_for_watch(&fake, 51);
+	/* A daemon that was cut off for several restores. */
+	fake.era = 40;
+	respond(&fake, 30, "{\"version\":9}");
+	ck_assert_uint_eq(fake.noted_era, 40);
+	talloc_free(mem);
+}
+END_TEST
+
 START_TEST(test_restore_seen_by_the_lease)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -610,6 +633,7 @@
 		test_restore_seen_by_a_watch,
 		test_restore_between_pages_of_a_list,
 		test_late_response_of_an_old_era_is_dropped,
+		test_era_that_can_not_follow_is_ignored,
 		test_restore_seen_by_the_lease,
 		test_response_without_era_proves_no_restore,
 		test_servers_after_a_restore,
