Log the limits that servers name, and the server of each answer

Callers saw nothing of the incident with limited servers, and the logs can't tell its hypotheses apart: no line says that a server named a limit, and an answered request is logged without its server.

Event 1120 tells when a server begins and ends to limit its requests, 1110 names the server, 1119 a value of Server-Limit that isn't a decimal number. Nothing is decided by the limit yet.

--- a/core/backends.c
+++ b/core/backends.c
@@ -199,6 +199,7 @@
 	backend->service = find_or_add_service(backends, entry->service);
 	backend->domain = find_or_add_domain(backends, entry);
 	backend->failure_rate = backend->service->failure_rate;
+	backend->limit = GC_NO_LIMIT;
 	backend->confirmed_replacement = backends->n_replacements;
 	*backends->last = backend;
 	backends->last = &backend->next;
@@ -401,6 +402,18 @@
 	return gc_ms_between(now, backend->paused_until) > 0;
 }
 
+void gc_backend_record_limit(gc_backend_t *backend, struct timespec now,
+			     double limit)
+{
+	backend->limit = limit;
+	backend->limit_at = now;
+}
+
+double gc_backend_limit(const gc_backend_t *backend)
+{
+	return backend->limit;
+}
+
 /*
  * A failure domain that crashed while the store was unreachable has new servers
  * at all its addresses. Each request that reveals one of them costs a retry.
--- a/core/backends.h
+++ b/core/backends.h
@@ -181,6 +181,18 @@
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
 			    gc_str_t service);
 
+/* Limit of a server that names none. */
+#define GC_NO_LIMIT (-1.0)
+
+/*
+ * Records the requests a second that the server takes from all daemons together,
+ * or GC_NO_LIMIT. A new incarnation has none.
+ */
+void gc_backend_record_limit(gc_backend_t *backend, struct timespec now,
+			     double limit);
+/* The last recorded limit. */
+double gc_backend_limit(const gc_backend_t *backend);
+
 /* True if the server is draining, leaving or removed. */
 bool gc_backend_is_leaving(const gc_backend_t *backend);
 /* Hash of the id, the address and the start time, the same in all daemons. */
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -41,6 +41,8 @@
 	bool listed;
 	bool leaving; /* as it said itself */
 	struct timespec paused_until;
+	double limit; /* requests a second; GC_NO_LIMIT */
+	struct timespec limit_at; /* when the server said so */
 	bool preferred_local; /* preferred in this daemon's failure domain */
 	bool preferred; /* preferred among the servers of all domains */
 	uint32_t in_flight;
--- a/lib/backend_signals.c
+++ b/lib/backend_signals.c
@@ -9,34 +9,79 @@
 /* Longest pause that a server is granted. */
 #define PAUSE_MAX_MS 30000
 /* More digits than any valid value has. */
-#define RETRY_AFTER_MAX_BYTES 32
-#define MAX_LOGGED_BYTES      64
+#define NUMBER_MAX_BYTES 32
+#define MAX_LOGGED_BYTES 64
 
 static gc_str_t find_value(const gc_http_message_t *response, const char *name);
-static bool parse_pause(gc_str_t retry_after, int64_t *ms);
+static void read_limit(gc_backend_t *backend, struct timespec now,
+		       const gc_http_message_t *response,
+		       const char *limit_header);
+static void log_limit(const gc_backend_t *backend, double before);
+static int64_t pause_ms(double seconds);
+static bool parse_decimal(gc_str_t value, double *number);
 static void log_invalid(const gc_backend_t *backend, const char *header,
 			gc_str_t value);
 
 void gc_backend_read_signals(gc_backend_t *backend, struct timespec now,
 			     const gc_http_message_t *response,
-			     const char *leaving_header)
+			     const char *leaving_header,
+			     const char *limit_header)
 {
 	gc_str_t leaving = find_value(response, leaving_header);
 	gc_str_t retry_after = find_value(response, "retry-after");
-	int64_t ms;
+	double seconds;
 
 	if (gc_str_eq(leaving, GC_STR_LIT("1")))
 		gc_backend_record_leaving(backend);
 	else if (leaving.len > 0)
 		log_invalid(backend, leaving_header, leaving);
+	read_limit(backend, now, response, limit_header);
 	if (gc_http_message_status(response) != 503 || retry_after.len == 0)
 		return;
-	if (parse_pause(retry_after, &ms))
-		gc_backend_record_pause(backend, now, ms);
+	if (parse_decimal(retry_after, &seconds))
+		gc_backend_record_pause(backend, now, pause_ms(seconds));
 	else
 		log_invalid(backend, "Retry-After", retry_after);
 }
 
+/* A server that has got the address of another one answers 421. */
+static void read_limit(gc_backend_t *backend, struct timespec now,
+		       const gc_http_message_t *response,
+		       const char *limit_header)
+{
+	gc_str_t value = find_value(response, limit_header);
+	double before = gc_backend_limit(backend);
+	double limit = GC_NO_LIMIT;
+
+	if (gc_http_message_status(response) == 421)
+		return;
+	if (gc_http_message_count_header(response, limit_header) > 1 ||
+	    (value.data && value.len > 0 && !parse_decimal(value, &limit)))
+		log_invalid(backend, limit_header, value);
+	gc_backend_record_limit(backend, now, limit);
+	log_limit(backend, before);
+}
+
+/* A limit may change with each response, so only its begin and end are logged
+ * by default. */
+static void log_limit(const gc_backend_t *backend, double before)
+{
+	double limit = gc_backend_limit(backend);
+	g_autofree char *text = g_strdup_printf("%g", limit);
+
+	if (limit == before)
+		return;
+	if (limit == GC_NO_LIMIT)
+		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_LIMITED,
+		       "a server ended its limit", "server",
+		       gc_backend_id(backend).data, NULL);
+	else
+		gc_log(before == GC_NO_LIMIT ? GC_LOG_INFO : GC_LOG_DEBUG,
+		       GC_EVENT_SERVER_LIMITED,
+		       "a server limits its requests a second", "server",
+		       gc_backend_id(backend).data, "limit", text, NULL);
+}
+
 static void log_invalid(const gc_backend_t *backend, const char *header,
 			gc_str_t value)
 {
@@ -61,22 +106,24 @@
 	return value;
 }
 
-/* Retry-After in seconds, with or without a fraction; false if it is anything
- * else, such as a date. */
-static bool parse_pause(gc_str_t retry_after, int64_t *ms)
+static int64_t pause_ms(double seconds)
+{
+	return seconds < PAUSE_MAX_MS / 1000.0 ? (int64_t)ceil(seconds * 1000)
+					       : PAUSE_MAX_MS;
+}
+
+/* With or without a fraction; false if it is anything else, such as a date. */
+static bool parse_decimal(gc_str_t value, double *number)
 {
 	g_autofree char *text = NULL;
-	double seconds;
 
-	if (retry_after.len > RETRY_AFTER_MAX_BYTES)
+	if (value.len > NUMBER_MAX_BYTES)
 		return false;
-	text = g_strndup(retry_after.data, retry_after.len);
+	text = g_strndup(value.data, value.len);
 	/* g_ascii_strtod would take "inf", "nan", "-1" and "0x1", too. */
 	if (strlen(text) != strspn(text, "0123456789.") ||
 	    !g_ascii_isdigit(*text) || strchr(text, '.') != strrchr(text, '.'))
 		return false;
-	seconds = g_ascii_strtod(text, NULL);
-	*ms = seconds < PAUSE_MAX_MS / 1000.0 ? (int64_t)ceil(seconds * 1000)
-					      : PAUSE_MAX_MS;
+	*number = g_ascii_strtod(text, NULL);
 	return true;
 }
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -159,9 +159,11 @@
 	gc_relay_record_request(exchange->account, end,
 				gc_exchange_elapsed_ms(exchange));
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ANSWERED, message, "request",
-	       exchange->id.data, "status", status, "attempts", attempts, "ms",
-	       elapsed_ms, "first_ms", first_event_ms, "pause_ms",
-	       max_event_gap_ms, "limit", exchange->limit_reached, NULL);
+	       exchange->id.data, "server",
+	       exchange->backend ? gc_backend_id(exchange->backend).data : "",
+	       "status", status, "attempts", attempts, "ms", elapsed_ms,
+	       "first_ms", first_event_ms, "pause_ms", max_event_gap_ms,
+	       "limit", exchange->limit_reached, NULL);
 }
 
 void gc_exchange_on_time_limit(void *ctx)
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -101,6 +101,7 @@
 		.clock = conf->clock,
 		.id_header = conf->adapter->headers.request_id,
 		.leaving_header = conf->adapter->headers.leaving,
+		.limit_header = conf->adapter->headers.limit,
 		.connect_timeout_ms = conf->connect_timeout_ms,
 		.liveness = conf->liveness,
 	};
