--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -63,7 +63,8 @@
 POST /headers {NAME: VALUE} sets the headers that all responses get.
 SIGUSR1 and SIGUSR2 write its entry again, as draining or ready.
 GET /stats returns the number of requests of callers ("requests") and of others
-("queries") that arrived, the ids of executed requests ("runs"), the requests for
+("queries") that arrived, the times at which any of them did ("arrivals", in s of
+the monotonic clock), the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
 ("abandoned") and headers of executed requests ("seen").
 """
@@ -105,6 +106,7 @@
         self.refuse_queries = False
         self.n_requests = 0
         self.n_queries = 0
+        self.arrivals = []
         self.late_copies = {}  # by connection
         self.endless_bytes = []
         self.queued = 0
@@ -203,7 +205,7 @@
         if request.path == "/stats":
             writer.write(wire.json_response(200, {
                 "requests": self.n_requests, "queries": self.n_queries,
-                "runs": self.runs, "orders": self.copy_requests,
+                "runs": self.runs, "orders": self.copy_requests, "arrivals": self.arrivals,
                 "abandoned": self.abandoned, "seen": self.seen,
                 "endless": self.endless_bytes, "queued": self.queued}))
             return True
@@ -215,6 +217,7 @@
             self.stall_pid = request.json()["pid"]
             writer.write(wire.json_response(200, {}))
             return True
+        self.arrivals.append(round(time.monotonic(), 3))
         if request.path.startswith(("/v1/report", "/v1/kv-")):
             self.n_queries += 1
         else:
