Let one daemon grant all permits for a server that limits its requests

Callers: nothing was seen by them; a server in need that had named a limit of 5.5 requests a second got 51 in 4 s from daemons that it had told, of 38 allowed.

Reading it alone wouldn't have done: the limit holds for all daemons together, and none knows what the others send. Class of the fault: a need of one server that each daemon would have to find out, and to divide, for itself.

Change: everything that is sent to a limited server needs a permit, and the first daemon by rendezvous hashing of the server grants all of them from one token bucket (core/permits). A daemon asks it over the peers' listener, sends what gets no permit to another server, and refuses it at once if all are limited, with times to come back that are spread. What has begun goes first, then what can't be repeated, then the operator's priority, which is now read; no account takes all.

--- a/core/backends.c
+++ b/core/backends.c
@@ -402,18 +402,6 @@
 	return gc_ms_between(now, backend->paused_until) > 0;
 }
 
-void gc_backend_record_limit(gc_backend_t *backend, struct timespec now,
-			     double limit)
-{
-	backend->limit = limit;
-	backend->limit_at = now;
-}
-
-double gc_backend_limit(const gc_backend_t *backend)
-{
-	return backend->limit;
-}
-
 /*
  * A failure domain that crashed while the store was unreachable has new servers
  * at all its addresses. Each request that reveals one of them costs a retry.
@@ -528,6 +516,11 @@
 	return backend->entry.id;
 }
 
+gc_str_t gc_backend_service(const gc_backend_t *backend)
+{
+	return backend->entry.service;
+}
+
 gc_str_t gc_backend_address(const gc_backend_t *backend)
 {
 	return backend->entry.address;
--- a/core/backends.h
+++ b/core/backends.h
@@ -14,6 +14,7 @@
 #include <talloc.h>
 
 #include "core/attempts.h"
+#include "core/permits.h"
 #include "core/placement.h"
 #include "core/registry.h"
 #include "core/str.h"
@@ -76,8 +77,8 @@
 		      const gc_daemon_rank_t *rank);
 /*
  * The best server of the service, preferably in this daemon's failure domain,
- * or NULL. Servers in `avoid` (may be NULL), draining, leaving and pausing
- * ones are never chosen, ejected or replaced ones only if no other is left.
+ * or NULL. Servers in `avoid` (may be NULL), draining, leaving, pausing and
+ * limited ones without a permit are never chosen, ejected or replaced ones only if no other is left.
  */
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
@@ -124,8 +125,8 @@
 					     const gc_backend_t *run_backend,
 					     const gc_backend_set_t *avoid);
 /*
- * True if the server is listed and neither draining, leaving, pausing, replaced
- * nor ejected, by itself or with its failure domain.
+ * True if the server is listed, not limited without a permit, and neither
+ * draining, leaving, pausing, replaced nor ejected, by itself or with its failure domain.
  */
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now);
 
@@ -166,7 +167,7 @@
 bool gc_backend_is_pausing(const gc_backend_t *backend, struct timespec now);
 /*
  * Time in ms until the first server of the service accepts requests again, if
- * all that would do so are pausing; otherwise 0.
+ * all that would do so are pausing or have refused permits; otherwise 0.
  */
 int64_t gc_backends_earliest_return(const gc_backends_t *backends,
 				    struct timespec now, gc_str_t service);
@@ -181,9 +182,6 @@
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
 			    gc_str_t service);
 
-/* Limit of a server that names none. */
-#define GC_NO_LIMIT (-1.0)
-
 /*
  * Records the requests a second that the server takes from all daemons together,
  * or GC_NO_LIMIT. A new incarnation has none.
@@ -192,12 +190,44 @@
 			     double limit);
 /* The last recorded limit. */
 double gc_backend_limit(const gc_backend_t *backend);
+/*
+ * The server with a limit that should be asked for permits because it scores
+ * better than `chosen` (NULL: than none) but can't be chosen without one; NULL
+ * if there is none, or if no ask makes sense yet for requests of this rank.
+ */
+gc_backend_t *gc_backends_choose_to_ask(gc_backends_t *backends,
+					struct timespec now, gc_str_t service,
+					const gc_prompt_t *prompt,
+					const gc_backend_set_t *avoid,
+					const gc_backend_t *chosen,
+					unsigned int rank);
+/* True if the server needs a permit that this daemon lacks, and may be asked for
+ * one. */
+bool gc_backend_may_ask(const gc_backend_t *backend, struct timespec now,
+			unsigned int rank);
+/* True if the server has ended its limit, and its issuer hasn't been told. */
+bool gc_backend_limit_ended(const gc_backend_t *backend);
+/* Fills in the server's part of an ask and records that it is under way. */
+void gc_backend_begin_ask(gc_backend_t *backend, struct timespec now,
+			  gc_permit_ask_t *ask);
+/* The server, or NULL if it has been removed. */
+gc_backend_t *gc_backends_record_permits(gc_backends_t *backends,
+					 struct timespec now,
+					 const gc_permit_answer_t *answer);
+/*
+ * To be called for everything that is sent to the server: uses up a permit. What
+ * is sent without one is named in the next ask, so that it counts.
+ */
+void gc_backend_use_permit(gc_backend_t *backend, struct timespec now);
+/* True if a server of the service limits its requests. */
+bool gc_backends_is_limited(const gc_backends_t *backends, gc_str_t service);
 
 /* True if the server is draining, leaving or removed. */
 bool gc_backend_is_leaving(const gc_backend_t *backend);
 /* Hash of the id, the address and the start time, the same in all daemons. */
 uint64_t gc_backend_incarnation(const gc_backend_t *backend);
 gc_str_t gc_backend_id(const gc_backend_t *backend);
+gc_str_t gc_backend_service(const gc_backend_t *backend);
 gc_str_t gc_backend_address(const gc_backend_t *backend);
 gc_str_t gc_backend_domain(const gc_backend_t *backend);
 /* True if the server has been removed; references may still exist. */
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -48,6 +48,10 @@
 static double load_score(const gc_backend_t *backend, struct timespec now);
 static bool has_recent_report(const gc_backend_t *backend, struct timespec now);
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now);
+static bool accepts_with_permit(const gc_backend_t *backend,
+				struct timespec now);
+static bool is_ejected(const gc_backend_t *backend, struct timespec now);
+static int64_t return_ms(const gc_backend_t *backend, struct timespec now);
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now);
 
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
@@ -114,8 +118,10 @@
 		double score;
 		size_t index;
 
+		/* A load query needs a permit, too. */
 		if (!gc_str_eq(b->entry.service, service) ||
-		    !gc_backend_usable(b, now) || in_set(avoid, b))
+		    !gc_backend_usable(b, now) || in_set(avoid, b) ||
+		    gc_backend_usable_permits(b, now) < 2)
 			continue;
 		score = stream_score(backends, b, now, prompt);
 		if (!prompt)
@@ -137,6 +143,37 @@
 	return n;
 }
 
+gc_backend_t *gc_backends_choose_to_ask(gc_backends_t *backends,
+					struct timespec now, gc_str_t service,
+					const gc_prompt_t *prompt,
+					const gc_backend_set_t *avoid,
+					const gc_backend_t *chosen,
+					unsigned int rank)
+{
+	gc_backend_t *best = NULL;
+	double lowest_score = 0;
+
+	if (chosen)
+		lowest_score =
+			prompt ? stream_score(backends, chosen, now, prompt)
+			       : request_score(backends, chosen, now);
+	for (gc_backend_t *b = backends->first; b; b = b->next) {
+		double score;
+
+		if (!gc_str_eq(b->entry.service, service) ||
+		    !gc_backend_may_ask(b, now, rank) || in_set(avoid, b) ||
+		    !accepts_with_permit(b, now) || is_ejected(b, now))
+			continue;
+		score = prompt ? stream_score(backends, b, now, prompt)
+			       : request_score(backends, b, now);
+		if ((chosen || best) && score >= lowest_score)
+			continue;
+		best = b;
+		lowest_score = score;
+	}
+	return best;
+}
+
 gc_backend_t *gc_backends_best_of(gc_backends_t *backends, struct timespec now,
 				  const gc_prompt_t *prompt,
 				  const gc_backend_set_t *set)
@@ -294,7 +331,7 @@
 	int64_t earliest_ms = 0;
 
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
-		int64_t ms = gc_ms_between(now, b->paused_until);
+		int64_t ms = return_ms(b, now);
 
 		if (!gc_str_eq(b->entry.service, service) ||
 		    gc_backend_is_leaving(b))
@@ -307,18 +344,39 @@
 	return earliest_ms;
 }
 
+static int64_t return_ms(const gc_backend_t *backend, struct timespec now)
+{
+	int64_t ms = gc_ms_between(now, backend->paused_until);
+
+	if (gc_backend_usable_permits(backend, now) == 0)
+		ms = MAX(ms, gc_ms_between(now, backend->denied_until));
+	return ms;
+}
+
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now)
 {
-	if (!accepts_requests(backend, now) || is_domain_ejected(backend, now))
-		return false;
+	return accepts_requests(backend, now) && !is_ejected(backend, now);
+}
+
+static bool is_ejected(const gc_backend_t *backend, struct timespec now)
+{
+	if (is_domain_ejected(backend, now))
+		return true;
 	if (backend->replaced &&
 	    gc_ms_between(now, backend->replaced_until) > 0)
-		return false;
-	return !backend->ejected ||
-	       gc_ms_between(now, backend->ejected_until) <= 0;
+		return true;
+	return backend->ejected &&
+	       gc_ms_between(now, backend->ejected_until) > 0;
 }
 
 static bool accepts_requests(const gc_backend_t *backend, struct timespec now)
+{
+	return accepts_with_permit(backend, now) &&
+	       gc_backend_usable_permits(backend, now) > 0;
+}
+
+static bool accepts_with_permit(const gc_backend_t *backend,
+				struct timespec now)
 {
 	return !gc_backend_is_leaving(backend) &&
 	       !gc_backend_is_pausing(backend, now);
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -43,6 +43,15 @@
 	struct timespec paused_until;
 	double limit; /* requests a second; GC_NO_LIMIT */
 	struct timespec limit_at; /* when the server said so */
+	bool limit_ended; /* since the last ask */
+	/* Permits for requests while the server limits them. */
+	uint32_t permits;
+	struct timespec permits_until;
+	bool permits_asked; /* without an answer yet */
+	struct timespec asked_at;
+	struct timespec denied_until;
+	unsigned int denied_rank; /* of the requests that wait until then */
+	uint32_t sent_without_permit; /* since the last ask */
 	bool preferred_local; /* preferred in this daemon's failure domain */
 	bool preferred; /* preferred among the servers of all domains */
 	uint32_t in_flight;
@@ -79,6 +88,9 @@
 			       struct timespec now);
 /* Uniform in [0, 1). */
 double gc_backends_random_unit(const gc_backends_t *backends);
+/* Permits that can be used now; UINT32_MAX without a limit. */
+uint32_t gc_backend_usable_permits(const gc_backend_t *backend,
+				   struct timespec now);
 /* True if the server is in this daemon's failure domain. */
 bool gc_backend_is_local(const gc_backends_t *backends,
 			 const gc_backend_t *backend);
--- a/core/routes.c
+++ b/core/routes.c
@@ -13,6 +13,7 @@
 	GHashTable *hosts; /* gc_str_t: GPtrArray of gc_route_t */
 	GHashTable *services; /* gc_str_t: gc_route_service_t */
 	GHashTable *keys; /* gc_str_t: gc_str_t of the account */
+	GHashTable *priorities; /* gc_str_t of the account: number */
 	size_t n_routes;
 	bool keys_required;
 };
@@ -46,6 +47,8 @@
 						 g_free, g_free);
 	routes->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
 					     g_free);
+	routes->priorities =
+		g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free, NULL);
 	return routes;
 }
 
@@ -67,6 +70,7 @@
 	g_hash_table_unref(routes->hosts);
 	g_hash_table_unref(routes->services);
 	g_hash_table_unref(routes->keys);
+	g_hash_table_unref(routes->priorities);
 	g_string_chunk_free(routes->strings);
 }
 
@@ -148,6 +152,24 @@
 			     alloc_string(routes, account));
 }
 
+void gc_routes_set_account_priority(gc_routes_t *routes, gc_str_t account,
+				    uint32_t priority)
+{
+	g_hash_table_replace(routes->priorities, alloc_string(routes, account),
+			     GUINT_TO_POINTER(priority));
+}
+
+uint32_t gc_routes_priority(const gc_routes_t *routes, const gc_route_t *route,
+			    gc_str_t account)
+{
+	gpointer priority;
+
+	if (g_hash_table_lookup_extended(routes->priorities, &account, NULL,
+					 &priority))
+		return GPOINTER_TO_UINT(priority);
+	return route->priority;
+}
+
 void gc_routes_set_limits(gc_routes_t *routes,
 			  const gc_request_limits_t *limits)
 {
--- a/core/routes.h
+++ b/core/routes.h
@@ -38,6 +38,7 @@
 	int64_t target_latency_ms;
 	/* Target for the time between events of a stream; 0: none. */
 	int64_t target_gap_ms;
+	uint32_t priority; /* 0: the most urgent */
 } gc_route_t;
 
 typedef struct gc_route_service {
@@ -69,6 +70,9 @@
 void gc_routes_add_service(gc_routes_t *routes,
 			   const gc_route_service_t *service);
 void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account);
+/* Goes before the priority of routes; see gc_route_t. */
+void gc_routes_set_account_priority(gc_routes_t *routes, gc_str_t account,
+				    uint32_t priority);
 void gc_routes_set_limits(gc_routes_t *routes,
 			  const gc_request_limits_t *limits);
 /* Makes requests need a key, except on anonymous routes; off by default. */
@@ -85,6 +89,9 @@
 			    gc_str_t *account);
 /* True if a request on the route needs a key. */
 bool gc_routes_needs_key(const gc_routes_t *routes, const gc_route_t *route);
+/* Priority of the account's requests on the route. */
+uint32_t gc_routes_priority(const gc_routes_t *routes, const gc_route_t *route,
+			    gc_str_t account);
 /* NULL if the service is unknown. */
 const gc_route_service_t *gc_routes_find_service(const gc_routes_t *routes,
 						 gc_str_t name);
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -17,6 +17,7 @@
 #include "lib/log_events.h"
 #include "lib/mailbox.h"
 #include "lib/peers_watch.h"
+#include "lib/permits_peer.h"
 #include "lib/routed_traffic.h"
 #include "platform/platform.h"
 
@@ -36,6 +37,7 @@
 	gc_httpc_t *http;
 	gc_peers_watch_t *peers;
 	gc_crash_notices_t *notices;
+	gc_permits_peer_t *permits;
 	gc_fleet_t *fleet;
 	gc_control_listener_t *control_listener;
 	gc_routed_traffic_t *traffic;
@@ -58,6 +60,9 @@
 static void share_kept(void *ctx, const gc_crash_evidence_t *evidence);
 static void handle_share_kept(void *ctx, void *message);
 static void handle_share_served(void *ctx, void *message);
+static void ask_permits(void *ctx, const gc_permit_ask_t *ask);
+static void handle_ask_permits(void *ctx, void *message);
+static void on_permits(void *ctx, const gc_permit_answer_t *answer);
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void on_crash(void *ctx, const gc_crash_report_t *report,
 		     uint64_t revision, int64_t kept_ms);
@@ -133,6 +138,7 @@
 		.share_crash = share_crash,
 		.share_served = share_served,
 		.share_kept = share_kept,
+		.ask_permits = ask_permits,
 		.share_ctx = daemon,
 	};
 
@@ -202,6 +208,13 @@
 		.max_age_ms = times.peer_max_age,
 	};
 
+	gc_permits_peer_conf_t permits_conf = {
+		.clock = &gc_clock_system,
+		.self = gc_str(settings->instance),
+		.answered = on_permits,
+		.ctx = daemon,
+	};
+
 	daemon->http = gc_httpc_create(daemon, daemon->ev);
 	peers_conf.http = daemon->http;
 	if (settings->peer.address)
@@ -210,6 +223,8 @@
 	conf.store = gc_platform_store(daemon, daemon->http, settings->store,
 				       (long)times.store_timeout);
 	start_notices(daemon, conf.store);
+	permits_conf.http = daemon->http;
+	daemon->permits = gc_permits_peer_create(daemon, &permits_conf);
 	daemon->fleet = gc_fleet_create(daemon, &conf);
 }
 
@@ -302,6 +317,31 @@
 	g_free(message);
 }
 
+/* Called in the traffic thread. */
+static void ask_permits(void *ctx, const gc_permit_ask_t *ask)
+{
+	routed_daemon_t *daemon = ctx;
+	gc_permit_ask_t *message = g_new(gc_permit_ask_t, 1);
+
+	*message = *ask;
+	gc_mailbox_post(daemon->mailbox, handle_ask_permits, message);
+}
+
+static void handle_ask_permits(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_permits_peer_ask(daemon->permits, message);
+	g_free(message);
+}
+
+static void on_permits(void *ctx, const gc_permit_answer_t *answer)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_add_permits(daemon->traffic, answer);
+}
+
 static void on_notice(void *ctx, const gc_store_item_t *item)
 {
 	routed_daemon_t *daemon = ctx;
@@ -328,6 +368,7 @@
 {
 	routed_daemon_t *daemon = ctx;
 
+	gc_permits_peer_set_view(daemon->permits, view);
 	gc_routed_traffic_set_view(daemon->traffic, view);
 }
 
@@ -350,6 +391,7 @@
 		.random = &daemon->random,
 		.adapter = &gc_platform_adapter,
 		.fleet = daemon->fleet,
+		.permits = daemon->permits,
 		.confirmed = &daemon->confirmed,
 		.instance = gc_str(settings->instance),
 		.max_confirmed_age_ms = settings->contact_ms,
--- a/lib/backend_signals.c
+++ b/lib/backend_signals.c
@@ -62,24 +62,20 @@
 	log_limit(backend, before);
 }
 
-/* A limit may change with each response, so only its begin and end are logged
- * by default. */
+/* A limit may change with each response, so only its begin and end are logged. */
 static void log_limit(const gc_backend_t *backend, double before)
 {
 	double limit = gc_backend_limit(backend);
 	g_autofree char *text = g_strdup_printf("%g", limit);
 
-	if (limit == before)
-		return;
-	if (limit == GC_NO_LIMIT)
+	if (before == GC_NO_LIMIT && limit != GC_NO_LIMIT)
 		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_LIMITED,
-		       "a server ended its limit", "server",
-		       gc_backend_id(backend).data, NULL);
-	else
-		gc_log(before == GC_NO_LIMIT ? GC_LOG_INFO : GC_LOG_DEBUG,
-		       GC_EVENT_SERVER_LIMITED,
 		       "a server limits its requests a second", "server",
 		       gc_backend_id(backend).data, "limit", text, NULL);
+	else if (before != GC_NO_LIMIT && limit == GC_NO_LIMIT)
+		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_LIMITED,
+		       "a server ended its limit", "server",
+		       gc_backend_id(backend).data, NULL);
 }
 
 static void log_invalid(const gc_backend_t *backend, const char *header,
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -3,6 +3,7 @@
 #include "lib/caller_listener.h"
 #include "lib/metrics.h"
 #include "lib/peers_watch.h"
+#include "lib/permits_peer.h"
 
 /* Addresses in one response; callers use no more. */
 #define MAX_ADDRESSES 64
@@ -46,6 +47,8 @@
 				gc_str_t domain, gc_str_t *addresses);
 static size_t sample_addresses(const gc_control_listener_t *listener,
 			       gc_str_t *addresses, size_t n);
+static void send_permits(gc_control_listener_t *listener,
+			 gc_caller_conn_t *conn, gc_str_t target);
 static void send_metrics(gc_caller_conn_t *conn);
 static void start_watch(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
@@ -125,6 +128,8 @@
 		send_addresses(listener, conn, target);
 	else if (path_matches(target, GC_PEERS_WATCH_PATH))
 		start_watch(listener, conn, target);
+	else if (path_matches(target, GC_PERMITS_PATH))
+		send_permits(listener, conn, target);
 	else if (path_matches(target, METRICS_PATH))
 		send_metrics(conn);
 	else
@@ -224,6 +229,17 @@
 	return MAX_ADDRESSES;
 }
 
+static void send_permits(gc_control_listener_t *listener,
+			 gc_caller_conn_t *conn, gc_str_t target)
+{
+	g_autofree char *text =
+		gc_permits_peer_response(listener->conf.permits, target);
+
+	gc_caller_conn_respond(conn, text ? 200 : 400,
+			       GC_STR_LIT("Content-Type: application/json\r\n"),
+			       gc_str(text));
+}
+
 static void send_metrics(gc_caller_conn_t *conn)
 {
 	GString *text = gc_metrics_format();
--- a/lib/control_listener.h
+++ b/lib/control_listener.h
@@ -25,6 +25,7 @@
 	const gc_random_t *random;
 	const gc_adapter_t *adapter;
 	gc_fleet_t *fleet;
+	struct gc_permits_peer *permits;
 	const gc_confirmed_time_t *confirmed;
 	gc_str_t instance; /* name of this daemon */
 	/* Not ready if the configuration was confirmed longer ago than this. */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -47,6 +47,9 @@
 	gc_load_probe_t *load_probe; /* in progress, before an attempt */
 	gc_call_t *call; /* the attempt in progress, or NULL */
 	gc_backend_t *backend; /* server of the attempt in progress */
+	/* It waits for a server or a permit, until retry_timer expires. */
+	bool waiting;
+	bool permit_asked; /* for the next attempt */
 	struct timespec attempt_started;
 	struct timespec attempt_ended; /* of the last one, if any */
 	/* Server that gets a copy of the run's KV cache, or NULL. */
@@ -105,6 +108,16 @@
 void gc_exchange_start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			       int64_t left_ms);
 
+/* Rank of the request among those that need permits, see core/permits.h. */
+unsigned int gc_exchange_rank(const gc_exchange_t *exchange);
+/* Asks for permits of the server for the request and others that wait. */
+void gc_relay_ask_permits(gc_relay_t *relay, gc_backend_t *server,
+			  const gc_exchange_t *exchange);
+
+/* Tells the issuer of the server's permits, and so the other daemons that ask,
+ * that the limit has ended. */
+void gc_relay_report_limit_end(gc_relay_t *relay, gc_backend_t *server);
+
 /*
  * Copies of a run's KV cache (exchange_copy.c). gc_exchange_start_copy chooses
  * the server that receives the copy, before the attempt is sent.
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -1,4 +1,6 @@
 /* Choice of a backend server for the next attempt of a routed request. */
+#include <xxhash.h>
+
 #include "lib/relay_private.h"
 
 /* Longest wait for a usable server before a response has begun, as a fraction
@@ -12,7 +14,17 @@
 /* A load report takes about a round trip; a server that does not report in time
  * isn't chosen. */
 #define LOAD_PROBE_TIMEOUT_MS 40
+/* Longest wait for the answer to an ask for a permit, before another server is
+ * chosen. */
+#define PERMIT_WAIT_MS 40
+/* Permits for a server that is asked for its load before it gets a stream. */
+#define PERMITS_WITH_QUERY 2
+/* Most permits that are asked for at once. */
+#define MAX_WANTED 32
+/* Less urgent requests have the rank of this priority. */
+#define MAX_PRIORITY 3U
 
+static bool wait_for_permit(gc_exchange_t *exchange, struct timespec now);
 static void end_without_time(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
@@ -22,6 +34,8 @@
 		      const gc_backend_t *backend);
 static void wait_for_room(gc_exchange_t *exchange);
 static void wait_for_server(gc_exchange_t *exchange);
+static void start_waiting(gc_relay_t *relay, gc_str_t service);
+static gint compare_waiting(gconstpointer a, gconstpointer b);
 static bool is_wait_useless(const gc_exchange_t *exchange, double max_wait_ms);
 
 void gc_exchange_start_next_attempt(gc_exchange_t *exchange)
@@ -32,11 +46,14 @@
 	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
 	gc_backend_t *backend;
 
+	exchange->waiting = false;
+	gc_timer_stop(exchange->retry_timer);
 	if (left_ms <= 0 || exchange->n_tried == GC_EXCHANGE_MAX_TRIED) {
 		end_without_time(exchange);
 		return;
 	}
-	if (!gc_exchange_check_suspects(exchange))
+	if (!gc_exchange_check_suspects(exchange) ||
+	    wait_for_permit(exchange, now))
 		return;
 	if (exchange->resume_holder &&
 	    gc_backend_usable(exchange->resume_holder, now)) {
@@ -56,6 +73,125 @@
 		wait_for_server(exchange);
 }
 
+/*
+ * True if the server that the request should go to is limited, and a permit for
+ * it was asked for. Once the answer is there, or late, the choice is made again.
+ */
+static bool wait_for_permit(gc_exchange_t *exchange, struct timespec now)
+{
+	gc_relay_t *relay = exchange->relay;
+	unsigned int rank = gc_exchange_rank(exchange);
+	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_t *server = exchange->resume_holder;
+	gc_backend_t *chosen = NULL;
+
+	if (server && !gc_backend_may_ask(server, now, rank))
+		server = NULL;
+	if (!server) {
+		if (!gc_backends_is_limited(relay->backends, exchange->service))
+			return false;
+		chosen = gc_backends_choose(relay->backends, now,
+					    exchange->service, &tried);
+		server = gc_backends_choose_to_ask(relay->backends, now,
+						   exchange->service,
+						   exchange->prompt, &tried,
+						   chosen, rank);
+	}
+	if (!server || (chosen && exchange->permit_asked))
+		return false;
+	exchange->permit_asked = true;
+	exchange->waiting = true;
+	gc_relay_ask_permits(relay, server, exchange);
+	gc_timer_set(exchange->retry_timer, PERMIT_WAIT_MS);
+	return true;
+}
+
+/*
+ * What has begun goes first, then what can't be repeated, then the more urgent
+ * of the rest: the route's priority, or its account's.
+ */
+unsigned int gc_exchange_rank(const gc_exchange_t *exchange)
+{
+	uint32_t priority = gc_routes_priority(
+		exchange->view->routes, exchange->route, exchange->account);
+	bool repeatable = gc_route_allows_rerun(exchange->route);
+
+	if (exchange->head_sent || exchange->attempts.sent > 0 ||
+	    (exchange->prompt && exchange->prompt->resumed))
+		return GC_PERMIT_RANK_BEGUN;
+	return 1 + MIN(priority, MAX_PRIORITY) +
+	       (repeatable ? MAX_PRIORITY + 1 : 0);
+}
+
+void gc_relay_ask_permits(gc_relay_t *relay, gc_backend_t *server,
+			  const gc_exchange_t *exchange)
+{
+	const gc_route_service_t *service = gc_routes_find_service(
+		exchange->view->routes, exchange->service);
+	gc_permit_ask_t ask = {
+		.wanted = 1,
+		.rank = gc_exchange_rank(exchange),
+		.account =
+			XXH64(exchange->account.data, exchange->account.len, 0),
+	};
+
+	if (service && service->reports_load)
+		ask.wanted = PERMITS_WITH_QUERY;
+	for (const gc_exchange_t *other = relay->exchanges; other;
+	     other = other->next)
+		if (other->waiting && other != exchange &&
+		    gc_str_eq(other->service, exchange->service) &&
+		    ask.wanted < MAX_WANTED)
+			ask.wanted++;
+	gc_backend_begin_ask(server, gc_clock_now(relay->conf.clock), &ask);
+	relay->conf.ask_permits(relay->conf.share_ctx, &ask);
+}
+
+/* An ask that wants nothing. */
+void gc_relay_report_limit_end(gc_relay_t *relay, gc_backend_t *server)
+{
+	gc_permit_ask_t ask = {0};
+
+	gc_backend_begin_ask(server, gc_clock_now(relay->conf.clock), &ask);
+	relay->conf.ask_permits(relay->conf.share_ctx, &ask);
+}
+
+void gc_relay_add_permits(gc_relay_t *relay, const gc_permit_answer_t *answer)
+{
+	const gc_backend_t *server = gc_backends_record_permits(
+		relay->backends, gc_clock_now(relay->conf.clock), answer);
+
+	if (server)
+		start_waiting(relay, gc_backend_service(server));
+}
+
+/* Those that go first choose first; each of them may end, but no other. */
+static void start_waiting(gc_relay_t *relay, gc_str_t service)
+{
+	GPtrArray *waiting = g_ptr_array_new();
+
+	for (gc_exchange_t *exchange = relay->exchanges; exchange;
+	     exchange = exchange->next)
+		if (exchange->waiting && gc_str_eq(exchange->service, service))
+			g_ptr_array_add(waiting, exchange);
+	g_ptr_array_sort(waiting, compare_waiting);
+	for (guint i = 0; i < waiting->len; i++)
+		gc_exchange_start_next_attempt(g_ptr_array_index(waiting, i));
+	g_ptr_array_unref(waiting);
+}
+
+static gint compare_waiting(gconstpointer a, gconstpointer b)
+{
+	const gc_exchange_t *left = *(gc_exchange_t *const *)a;
+	const gc_exchange_t *right = *(gc_exchange_t *const *)b;
+	unsigned int left_rank = gc_exchange_rank(left);
+	unsigned int right_rank = gc_exchange_rank(right);
+
+	if (left_rank != right_rank)
+		return left_rank < right_rank ? -1 : 1;
+	return gc_ms_between(left->arrived, right->arrived) < 0 ? 1 : -1;
+}
+
 /* Ends a request that has no time or no servers left to try. */
 static void end_without_time(gc_exchange_t *exchange)
 {
@@ -174,6 +310,7 @@
 
 	if ((double)waited_ms < max_wait_ms &&
 	    !is_wait_useless(exchange, max_wait_ms - (double)waited_ms)) {
+		exchange->waiting = true;
 		gc_timer_set(exchange->retry_timer, SERVER_POLL_MS);
 		return;
 	}
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -10,7 +10,10 @@
  * target latency. */
 #define OVERLOAD_RETRY_MIN_PERCENT 20
 #define OVERLOAD_RETRY_MAX_PERCENT 50
+/* Part of its time after which a caller that is refused can still return. */
+#define RETURN_PERCENT 33
 
+static void spread_return(const gc_exchange_t *exchange, gc_refusal_t *refusal);
 static void refuse_without_server(gc_exchange_t *exchange,
 				  const gc_refusal_t *refusal);
 static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
@@ -65,6 +68,21 @@
 						     : &incomplete);
 }
 
+/*
+ * Limited servers can't serve all who return: they come back over the time that
+ * they have. Callers don't wait for more than a part of it.
+ */
+static void spread_return(const gc_exchange_t *exchange, gc_refusal_t *refusal)
+{
+	int64_t left_ms =
+		exchange->deadline_ms - gc_exchange_elapsed_ms(exchange);
+
+	refusal->code = "limited";
+	refusal->message = "the backend servers limit their requests";
+	refusal->retry_spread_ms = MAX(
+		left_ms * RETURN_PERCENT / 100 - refusal->retry_after_ms, 0);
+}
+
 /* While all servers are pausing, the caller is to return after the first of
  * them. */
 static void refuse_without_server(gc_exchange_t *exchange,
@@ -79,6 +97,8 @@
 
 	final_refusal.retry_after_ms =
 		MAX(final_refusal.retry_after_ms, return_ms);
+	if (gc_backends_is_limited(relay->backends, exchange->service))
+		spread_return(exchange, &final_refusal);
 	gc_exchange_refuse(exchange, &final_refusal);
 }
 
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -188,6 +188,7 @@
 	exchange->last_activity = now;
 	exchange->received_event = false;
 	exchange->suspect_trial = false;
+	exchange->permit_asked = false;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
 	exchange->success = false;
@@ -377,6 +378,8 @@
 		&exchange->relay->conf.adapter->headers;
 	int status = gc_http_message_status(response);
 
+	if (gc_backend_limit_ended(exchange->backend))
+		gc_relay_report_limit_end(exchange->relay, exchange->backend);
 	exchange->identified =
 		exchange->id.len == 0 ||
 		gc_http_message_find_header(response, names->request_id).data;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -46,6 +46,9 @@
 	void (*share_served)(void *ctx, uint64_t trait);
 	/* Tell daemons that start later why requests are refused; may be NULL. */
 	void (*share_kept)(void *ctx, const gc_crash_evidence_t *evidence);
+	/* Asks for permits of a limited server; gc_relay_add_permits is called with
+	 * the answer. */
+	void (*ask_permits)(void *ctx, const gc_permit_ask_t *ask);
 	void *share_ctx;
 } gc_relay_conf_t;
 
@@ -56,6 +59,8 @@
  * for kept_ms; 0: the usual time. */
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
 			uint64_t revision, int64_t kept_ms);
+/* Answer to an ask for permits. */
+void gc_relay_add_permits(gc_relay_t *relay, const gc_permit_answer_t *answer);
 void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision);
 /*
  * The daemon stops at `end`: from now on, requests whose time limit lies after
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -69,6 +69,7 @@
 static void handle_confirmed(void *ctx, void *message);
 static void handle_crash(void *ctx, void *message);
 static void handle_served(void *ctx, void *message);
+static void handle_permits(void *ctx, void *message);
 static void handle_stop(void *ctx, void *message);
 static void handle_exit(void *ctx, void *message);
 static void on_drain_poll(void *ctx);
@@ -115,6 +116,7 @@
 		.share_crash = conf->share_crash,
 		.share_served = conf->share_served,
 		.share_kept = conf->share_kept,
+		.ask_permits = conf->ask_permits,
 		.share_ctx = conf->share_ctx,
 	};
 
@@ -237,6 +239,23 @@
 	g_free(served);
 }
 
+void gc_routed_traffic_add_permits(gc_routed_traffic_t *traffic,
+				   const gc_permit_answer_t *answer)
+{
+	gc_permit_answer_t *message = g_new(gc_permit_answer_t, 1);
+
+	*message = *answer;
+	gc_mailbox_post(traffic->mailbox, handle_permits, message);
+}
+
+static void handle_permits(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+
+	gc_relay_add_permits(traffic->relay, message);
+	g_free(message);
+}
+
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
 			    void (*stopped)(void *ctx), void *ctx)
 {
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -21,6 +21,8 @@
 			    size_t n);
 	void (*share_kept)(void *ctx, const gc_crash_evidence_t *evidence);
 	void (*share_served)(void *ctx, uint64_t trait);
+	/* See gc_relay_conf_t. */
+	void (*ask_permits)(void *ctx, const gc_permit_ask_t *ask);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
 
@@ -47,6 +49,8 @@
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
 				 uint64_t revision, int64_t kept_ms);
+void gc_routed_traffic_add_permits(gc_routed_traffic_t *traffic,
+				   const gc_permit_answer_t *answer);
 void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
 				  uint64_t revision);
 /*
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -103,6 +103,7 @@
 		conn = open_conn(upstream, backend);
 	if (!conn)
 		return NULL;
+	gc_backend_use_permit(backend, gc_clock_now(upstream->conf.clock));
 	call = talloc_zero(conn, gc_call_t);
 	call->conn = conn;
 	call->request_id = gc_str_dup(call, request_id);
--- a/lib/upstream.h
+++ b/lib/upstream.h
@@ -27,8 +27,8 @@
 	gc_timers_t *timers;
 	const gc_clock_t *clock;
 	const char *id_header; /* request id; echoed by backend servers */
-	const char *leaving_header;
-	const char *limit_header; /* names a limit on requests a second */ /* of a server that is leaving */
+	const char *leaving_header; /* of a server that is leaving */
+	const char *limit_header; /* names a limit on requests a second */
 	int64_t connect_timeout_ms;
 	gc_socket_liveness_t liveness;
 } gc_upstream_conf_t;
