--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -10,10 +10,11 @@
 	STORE=127.0.0.1:$(cat store.ports)
 }
 
-# start_server ID SERVICE ZONE [engine]: starts a stand-in server; sets ID_pid.
+# start_server ID SERVICE ZONE [engine [VERSION]]: starts a stand-in server, of
+# version v1 by default; sets ID_pid.
 start_server() {
 	PYTHONDONTWRITEBYTECODE=1 python3 "$STANDINS/standin_server.py" \
-		"$1.ports" "$1" "$2" "$3" "http://$STORE" $4 >"$1.log" 2>&1 &
+		"$1.ports" "$1" "$2" "$3" "http://$STORE" $4 $5 >"$1.log" 2>&1 &
 	eval "$1_pid=$!"
 	pids="$pids $!"
 	await test -s "$1.ports"
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Stand-in for a backend server that speaks the platform's protocol.
 
-usage: standin_server.py PORTS_FILE ID SERVICE ZONE STORE_URL [engine]
+usage: standin_server.py PORTS_FILE ID SERVICE ZONE STORE_URL [engine [VERSION]]
 
 The server registers itself in the store. The last component of a request's path
 selects the behaviour:
@@ -43,6 +43,7 @@
   cutend       closes the connection after the last event, without the end of
                the body
   big          sends 200 events of 60 kB without a pause
+  slow         sends an event each 150 ms
 A server that crashes aborts all connections, adds its id to crashes.log and
 starts again after 2 s with a new start time. A request whose path ends in
 "crash" or whose body begins with "crash" crashes it 50 ms after it began to run
@@ -97,6 +98,7 @@
     def __init__(self, args):
         self.id, self.service, self.zone, self.store = args[1:5]
         self.engine = len(args) > 5 and args[5] == "engine"
+        self.version = args[6] if len(args) > 6 else "v1"
         self.born = int(time.time() * 1000)
         self.runs = []
         self.copy_requests = []
@@ -120,9 +122,11 @@
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
-                 "zone": self.zone, "version": "v1", "slots": 4,
+                 "zone": self.zone, "slots": 4,
                  "state": state, "sequence": 1,
                  "born": self.born}
+        if self.version != "none":
+            value["version"] = self.version
         body = json.dumps({"key": f"servers/{self.id}", "value": value})
         urllib.request.urlopen(self.store + "/operator", body.encode())
 
@@ -384,11 +388,12 @@
         big = behaviour == "big"
         for n in range(last + 1, (200 if big else EVENT_COUNT) + 1):
             await asyncio.wait([disconnected],
-                               timeout=0 if big else EVENT_INTERVAL_S)
+                               timeout=(0 if big else 0.15 if behaviour ==
+                                        "slow" else EVENT_INTERVAL_S))
             if disconnected.done():
                 self.abandoned.append(n)
                 return False
-            token = "x" * 60000 if big else f"token {n}"
+            token = "x" * 60000 if big else f"token {n} {self.version}"
             event = f"id: {n}\ndata: {token}\n\n".encode()
             if n == 4 and self.shares_part(request, "late"):
                 await asyncio.sleep(CRASH_AFTER_S if last else 0)
