Let a stream go on only at the version of its first event, within an answer

Callers got streams joined from two software versions of engines. The daemon chose the next engine, and the one that gets copies of the memory, without regard to the version, which it didn't even read from the entries. Now the first event fixes the version of an answer, and a copy goes to an engine of the run's version.

--- a/core/backends.c
+++ b/core/backends.c
@@ -173,7 +173,7 @@
 	       newest_entry->started_ms > entry->started_ms;
 }
 
-/* An entry with another address, service or start time is a new server, also
+/* An entry with another address, service, version or start time is a new server, also
  * under a known id. */
 static gc_backend_t *find_or_add_backend(gc_backends_t *backends,
 					 const gc_registry_entry_t *entry)
@@ -183,6 +183,7 @@
 
 	if (backend && gc_str_eq(backend->entry.address, entry->address) &&
 	    gc_str_eq(backend->entry.service, entry->service) &&
+	    gc_str_eq(backend->entry.version, entry->version) &&
 	    backend->entry.started_ms == entry->started_ms)
 		return backend;
 	backend = talloc_zero(NULL, gc_backend_t);
@@ -194,6 +195,7 @@
 	backend->entry.address = gc_str_dup(backend, entry->address);
 	backend->entry.failure_domain =
 		gc_str_dup(backend, entry->failure_domain);
+	backend->entry.version = gc_str_dup(backend, entry->version);
 	backend->entry.started_ms = entry->started_ms;
 	backend->incarnation = incarnation_of(entry);
 	backend->service = find_or_add_service(backends, entry->service);
@@ -526,6 +528,11 @@
 	return backend->entry.address;
 }
 
+gc_str_t gc_backend_version(const gc_backend_t *backend)
+{
+	return backend->entry.version;
+}
+
 gc_str_t gc_backend_domain(const gc_backend_t *backend)
 {
 	return backend->entry.failure_domain;
--- a/core/backends.h
+++ b/core/backends.h
@@ -47,6 +47,8 @@
 typedef struct gc_backend_set {
 	gc_backend_t *const *list;
 	size_t n;
+	/* The set has all servers of other versions, too; data NULL: none. */
+	gc_str_t only_version;
 } gc_backend_set_t;
 
 /* The prompt of a stream. */
@@ -88,6 +90,9 @@
 					   struct timespec now,
 					   gc_str_t service,
 					   const gc_backend_set_t *avoid);
+/* True if a server of the service and version is listed. */
+bool gc_backends_has_version(const gc_backends_t *backends, gc_str_t service,
+			     gc_str_t version);
 /*
  * Stores the servers of the service to be asked for their load, best first, at
  * most max, and returns their number. They come from all failure domains: if
@@ -229,6 +234,8 @@
 gc_str_t gc_backend_id(const gc_backend_t *backend);
 gc_str_t gc_backend_service(const gc_backend_t *backend);
 gc_str_t gc_backend_address(const gc_backend_t *backend);
+/* Of the server's software. */
+gc_str_t gc_backend_version(const gc_backend_t *backend);
 gc_str_t gc_backend_domain(const gc_backend_t *backend);
 /* True if the server has been removed; references may still exist. */
 bool gc_backend_is_removed(const gc_backend_t *backend);
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -105,6 +105,16 @@
 	return chosen;
 }
 
+bool gc_backends_has_version(const gc_backends_t *backends, gc_str_t service,
+			     gc_str_t version)
+{
+	for (const gc_backend_t *b = backends->first; b; b = b->next)
+		if (gc_str_eq(b->entry.service, service) &&
+		    gc_str_eq(b->entry.version, version))
+			return true;
+	return false;
+}
+
 size_t gc_backends_candidates(gc_backends_t *backends, struct timespec now,
 			      gc_str_t service, const gc_prompt_t *prompt,
 			      const gc_backend_set_t *avoid,
@@ -206,7 +216,9 @@
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
 		double score = stream_score(backends, b, now, NULL);
 
+		/* Another version can't go on from the copy. */
 		if (b == run_backend || b->service != run_backend->service ||
+		    !gc_str_eq(b->entry.version, run_backend->entry.version) ||
 		    !gc_backend_usable(b, now) || in_set(avoid, b))
 			continue;
 		if (b->domain == run_backend->domain)
@@ -221,6 +233,9 @@
 
 static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend)
 {
+	if (set && set->only_version.data &&
+	    !gc_str_eq(set->only_version, backend->entry.version))
+		return true;
 	for (size_t i = 0; set && i < set->n; i++)
 		if (set->list[i] == backend)
 			return true;
--- a/core/registry.h
+++ b/core/registry.h
@@ -22,6 +22,7 @@
 	gc_str_t address; /* IP:PORT */
 	gc_str_t peer_address; /* IP:PORT for other daemons; may be empty */
 	gc_str_t failure_domain;
+	gc_str_t version; /* of the server's software; may be empty */
 	uint32_t slots; /* maximum number of concurrent requests */
 	int64_t started_ms; /* wall clock; differs after a restart */
 	bool draining;
--- a/lib/crash_checks.c
+++ b/lib/crash_checks.c
@@ -163,7 +163,7 @@
 	const gc_crash_checks_conf_t *conf = &check->checks->conf;
 	struct timespec now = gc_clock_now(conf->clock);
 	gc_backend_t *avoided[G_N_ELEMENTS(check->asked) + 1] = {check->server};
-	gc_backend_set_t avoid = {avoided, check->n_asked + 1};
+	gc_backend_set_t avoid = {.list = avoided, .n = check->n_asked + 1};
 	gc_backend_t *other = NULL;
 
 	for (size_t i = 0; i < check->n_asked; i++)
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -80,6 +80,9 @@
 	int64_t max_event_gap_ms; /* between two forwarded events */
 
 	gc_event_sequencer_t *sequencer; /* NULL if not a stream */
+	/* The software version at which the stream goes on, as what two versions
+	 * write doesn't fit together; data NULL until its first event. */
+	gc_str_t version;
 	bool head_sent; /* the response to the caller has begun */
 	GString *response_head; /* header lines for the caller */
 	int response_status;
@@ -102,6 +105,8 @@
  * waits for one, or ends the request, which frees the exchange.
  */
 void gc_exchange_start_next_attempt(gc_exchange_t *exchange);
+/* Servers that the next attempt must not use. */
+gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange);
 /* Timer callback of retry_timer; ctx is the exchange. */
 void gc_exchange_on_retry(void *ctx);
 /* Sends the request to the server (exchange_run.c); may free the exchange. */
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -43,7 +43,7 @@
 	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
 	int64_t left_ms =
 		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *backend;
 
 	exchange->waiting = false;
@@ -66,7 +66,7 @@
 	if (start_load_probe(exchange, now))
 		return;
 	backend = gc_backends_choose(exchange->relay->backends, now,
-				     exchange->service, &tried);
+				     exchange->service, &avoid);
 	if (backend)
 		gc_exchange_start_attempt(exchange, backend, left_ms);
 	else
@@ -81,7 +81,7 @@
 {
 	gc_relay_t *relay = exchange->relay;
 	unsigned int rank = gc_exchange_rank(exchange);
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *server = exchange->resume_holder;
 	gc_backend_t *chosen = NULL;
 
@@ -91,10 +91,10 @@
 		if (!gc_backends_is_limited(relay->backends, exchange->service))
 			return false;
 		chosen = gc_backends_choose(relay->backends, now,
-					    exchange->service, &tried);
+					    exchange->service, &avoid);
 		server = gc_backends_choose_to_ask(relay->backends, now,
 						   exchange->service,
-						   exchange->prompt, &tried,
+						   exchange->prompt, &avoid,
 						   chosen, rank);
 	}
 	if (!server || (chosen && exchange->permit_asked))
@@ -192,6 +192,12 @@
 	return gc_ms_between(left->arrived, right->arrived) < 0 ? 1 : -1;
 }
 
+gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange)
+{
+	return (gc_backend_set_t){exchange->tried, exchange->n_tried,
+				  exchange->version};
+}
+
 /* Ends a request that has no time or no servers left to try. */
 static void end_without_time(gc_exchange_t *exchange)
 {
@@ -208,7 +214,7 @@
 	gc_relay_t *relay = exchange->relay;
 	const gc_route_service_t *service = gc_routes_find_service(
 		exchange->view->routes, exchange->service);
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *candidates[LOAD_PROBE_SERVERS];
 	gc_load_probe_conf_t conf = {
 		.upstream = relay->upstream,
@@ -224,7 +230,7 @@
 	if (!service || !service->reports_load)
 		return false;
 	n = gc_backends_candidates(relay->backends, now, exchange->service,
-				   exchange->prompt, &tried, candidates,
+				   exchange->prompt, &avoid, candidates,
 				   LOAD_PROBE_SERVERS);
 	if (n < 2)
 		return false;
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -57,11 +57,11 @@
 
 static gc_backend_t *choose_target(const gc_exchange_t *exchange)
 {
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 
 	return gc_backends_choose_copy_holder(exchange->relay->backends,
 					      current_time(exchange),
-					      exchange->backend, &tried);
+					      exchange->backend, &avoid);
 }
 
 static void set_copy(gc_exchange_t *exchange, gc_backend_t *holder,
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -360,7 +360,7 @@
 
 static bool has_other_server(const gc_exchange_t *exchange, struct timespec now)
 {
-	gc_backend_set_t tried = {exchange->tried, exchange->n_tried};
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *other;
 
 	if (exchange->copy_holder && exchange->received_event &&
@@ -368,7 +368,7 @@
 		return true;
 	return gc_backends_candidates(exchange->relay->backends, now,
 				      exchange->service, exchange->prompt,
-				      &tried, &other, 1) > 0;
+				      &avoid, &other, 1) > 0;
 }
 
 static void on_head(void *ctx, const gc_http_message_t *response)
@@ -462,6 +462,9 @@
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_exchange_record_served(exchange);
+			exchange->version = gc_str_dup(
+				exchange,
+				gc_backend_version(exchange->backend));
 			gc_timer_set(exchange->inactivity_timer,
 				     inactivity_limit_ms(exchange));
 		}
--- a/lib/fleet_view.c
+++ b/lib/fleet_view.c
@@ -58,6 +58,7 @@
 		copy_string(copy_ctx->strings, entry->peer_address);
 	copy->failure_domain =
 		copy_string(copy_ctx->strings, entry->failure_domain);
+	copy->version = copy_string(copy_ctx->strings, entry->version);
 }
 
 static gc_str_t copy_string(GStringChunk *strings, gc_str_t s)
--- a/lib/load_probe.c
+++ b/lib/load_probe.c
@@ -95,5 +95,6 @@
 
 gc_backend_set_t gc_load_probe_responded(const gc_load_probe_t *probe)
 {
-	return (gc_backend_set_t){probe->responded, probe->n_responded};
+	return (gc_backend_set_t){.list = probe->responded,
+				  .n = probe->n_responded};
 }
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -84,7 +84,7 @@
 static gc_backend_t *find_backend(gc_backends_t *backends, const char *id)
 {
 	gc_backend_t *avoid[N_SERVERS];
-	gc_backend_set_t set = {avoid, 0};
+	gc_backend_set_t set = {.list = avoid, .n = 0};
 	gc_backend_t *backend;
 
 	while ((backend = gc_backends_choose(backends, unit_at(0),
@@ -235,7 +235,7 @@
 	gc_backends_t *backends = create_with_servers(&state, servers);
 	gc_backend_t *run = find_backend(backends, names[0]);
 	gc_backend_t *leaving = find_backend(backends, names[N_SERVERS - 1]);
-	gc_backend_set_t responded = {&leaving, 1};
+	gc_backend_set_t responded = {.list = &leaving, .n = 1};
 
 	ck_assert_ptr_eq(gc_backends_best_of(backends, unit_at(0), &prompt,
 					     &responded),
@@ -293,7 +293,7 @@
 	gc_backends_t *backends = create_with_servers(&state, servers);
 	gc_backend_t *run = find_backend(backends, names[0]);
 	gc_backend_t *pausing = find_backend(backends, names[1]);
-	gc_backend_set_t responded = {&pausing, 1};
+	gc_backend_set_t responded = {.list = &pausing, .n = 1};
 
 	for (int i = 1; i < N_SERVERS; i++)
 		gc_backend_record_pause(find_backend(backends, names[i]),
@@ -436,7 +436,7 @@
 	uint64_t state = 1;
 	gc_backends_t *backends = create_with_servers(&state, servers);
 	gc_backend_t *set[2];
-	gc_backend_set_t both = {set, 2};
+	gc_backend_set_t both = {.list = set, .n = 2};
 
 	set[0] = find_backend(backends, "a0");
 	set[1] = find_backend(backends, "b0");
@@ -473,7 +473,7 @@
 		sync_all(backends, servers, N_SERVERS);
 		for (int i = 0; i < 2 * 3; i++) {
 			gc_backend_t *c[3];
-			gc_backend_set_t set = {c, 0};
+			gc_backend_set_t set = {.list = c, .n = 0};
 			gc_backend_t *chosen;
 
 			set.n = gc_backends_candidates(backends, unit_at(i),
--- a/regress/check_prompt_affinity.c
+++ b/regress/check_prompt_affinity.c
@@ -78,7 +78,7 @@
 		    const gc_prompt_t *prompt, struct timespec now)
 {
 	gc_backend_t *c[N_CANDIDATES];
-	gc_backend_set_t set = {c, 0};
+	gc_backend_set_t set = {.list = c, .n = 0};
 	gc_backend_t *chosen;
 	size_t index;
 
