Keep on record at which software version a stream began

Cause: only the daemon that served a stream could know its version, and didn't read it; a resume named no more than a request id, on which nothing was kept. Class of the fault: state of a request that is needed after the loss of its daemon lived in the daemon alone.

Change: the store keeps a base version for each service, which changes only when no stream of the old one can be resumed. A stream at another version is put on record, under a hash of its account and request id, before its first event is forwarded. A daemon where a caller resumes reads the record, unless only the base version was there for a minute, and refuses what it can't tell. With one version nothing is written or read.

--- a/core/backends.h
+++ b/core/backends.h
@@ -90,7 +90,7 @@
 					   struct timespec now,
 					   gc_str_t service,
 					   const gc_backend_set_t *avoid);
-/* True if a server of the service and version is listed. */
+/* True if a server of the service and version is listed and not leaving. */
 bool gc_backends_has_version(const gc_backends_t *backends, gc_str_t service,
 			     gc_str_t version);
 /*
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -110,7 +110,8 @@
 {
 	for (const gc_backend_t *b = backends->first; b; b = b->next)
 		if (gc_str_eq(b->entry.service, service) &&
-		    gc_str_eq(b->entry.version, version))
+		    gc_str_eq(b->entry.version, version) &&
+		    !gc_backend_is_leaving(b))
 			return true;
 	return false;
 }
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -18,6 +18,7 @@
 #include "lib/mailbox.h"
 #include "lib/peers_watch.h"
 #include "lib/permits_peer.h"
+#include "lib/request_hash.h"
 #include "lib/routed_traffic.h"
 #include "platform/platform.h"
 
@@ -28,6 +29,14 @@
  * within about 2 s after an outage of the store. */
 #define EXPIRY_GRACE_MS 2500
 
+/* A stream whose version is to be recorded or found. */
+typedef struct version_message {
+	uint64_t token;
+	char key[GC_STREAM_KEY_BYTES];
+	char *version;
+	size_t version_len;
+} version_message_t;
+
 typedef struct routed_daemon {
 	const daemon_options_t *options;
 	gc_routed_settings_t *settings;
@@ -38,12 +47,14 @@
 	gc_peers_watch_t *peers;
 	gc_crash_notices_t *notices;
 	gc_permits_peer_t *permits;
+	gc_stream_versions_t *stream_versions;
 	gc_fleet_t *fleet;
 	gc_control_listener_t *control_listener;
 	gc_routed_traffic_t *traffic;
 	gc_confirmed_time_t confirmed;
 	GRand *rand;
 	gc_random_t random;
+	bool store_answers;
 	bool stopping;
 	bool stopped;
 } routed_daemon_t;
@@ -63,6 +74,16 @@
 static void ask_permits(void *ctx, const gc_permit_ask_t *ask);
 static void handle_ask_permits(void *ctx, void *message);
 static void on_permits(void *ctx, const gc_permit_answer_t *answer);
+static void start_stream_versions(routed_daemon_t *daemon, gc_store_t store);
+static void record_version(void *ctx, uint64_t token, const char *key,
+			   gc_str_t version);
+static void handle_record_version(void *ctx, void *message);
+static void find_version(void *ctx, uint64_t token, const char *key);
+static void handle_find_version(void *ctx, void *message);
+static void on_recorded(void *ctx, uint64_t token, bool ok);
+static void on_found_version(void *ctx, uint64_t token,
+			     gc_version_result_t result, gc_str_t version);
+static void on_store_answered(void *ctx, bool answered);
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void on_crash(void *ctx, const gc_crash_report_t *report,
 		     uint64_t revision, int64_t kept_ms);
@@ -139,6 +160,8 @@
 		.share_served = share_served,
 		.share_kept = share_kept,
 		.ask_permits = ask_permits,
+		.record_version = record_version,
+		.find_version = find_version,
 		.share_ctx = daemon,
 	};
 
@@ -151,6 +174,7 @@
 	curl_global_init(CURL_GLOBAL_NOTHING);
 	daemon->rand = g_rand_new_with_seed(random_seed());
 	daemon->random = (gc_random_t){next_random, daemon->rand};
+	daemon->store_answers = true;
 	daemon->ev = tevent_context_init(daemon);
 	daemon->timers = gc_timers_create(daemon, daemon->ev);
 	daemon->mailbox = gc_mailbox_create(daemon, daemon->ev, daemon);
@@ -196,6 +220,7 @@
 		.publish = publish,
 		.on_confirmed = on_confirmed,
 		.notice = on_notice,
+		.store_answered = on_store_answered,
 		.era_seen = on_fleet_era,
 		.ctx = daemon,
 	};
@@ -223,6 +248,7 @@
 	conf.store = gc_platform_store(daemon, daemon->http, settings->store,
 				       (long)times.store_timeout);
 	start_notices(daemon, conf.store);
+	start_stream_versions(daemon, conf.store);
 	permits_conf.http = daemon->http;
 	daemon->permits = gc_permits_peer_create(daemon, &permits_conf);
 	daemon->fleet = gc_fleet_create(daemon, &conf);
@@ -250,6 +276,7 @@
 	routed_daemon_t *daemon = ctx;
 
 	gc_crash_notices_set_era(daemon->notices, era);
+	gc_stream_versions_set_era(daemon->stream_versions, era);
 }
 
 static void on_notices_era(void *ctx, uint64_t era)
@@ -342,6 +369,96 @@
 	gc_routed_traffic_add_permits(daemon->traffic, answer);
 }
 
+static void start_stream_versions(routed_daemon_t *daemon, gc_store_t store)
+{
+	gc_stream_versions_conf_t conf = {
+		.timers = daemon->timers,
+		.clock = &gc_clock_system,
+		.random = &daemon->random,
+		.store = store,
+		.recorded = on_recorded,
+		.found = on_found_version,
+		.era_seen = on_notices_era,
+		.ctx = daemon,
+	};
+
+	daemon->stream_versions = gc_stream_versions_create(daemon, &conf);
+}
+
+/* Called in the traffic thread. */
+static void record_version(void *ctx, uint64_t token, const char *key,
+			   gc_str_t version)
+{
+	routed_daemon_t *daemon = ctx;
+	version_message_t *message = g_new0(version_message_t, 1);
+
+	message->token = token;
+	g_strlcpy(message->key, key, sizeof(message->key));
+	message->version = g_strndup(version.data, version.len);
+	message->version_len = version.len;
+	gc_mailbox_post(daemon->mailbox, handle_record_version, message);
+}
+
+static void handle_record_version(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+	version_message_t *record = message;
+
+	gc_stream_versions_record(
+		daemon->stream_versions, record->token, record->key,
+		(gc_str_t){record->version, record->version_len});
+	g_free(record->version);
+	g_free(record);
+}
+
+/* Called in the traffic thread. */
+static void find_version(void *ctx, uint64_t token, const char *key)
+{
+	routed_daemon_t *daemon = ctx;
+	version_message_t *message = g_new0(version_message_t, 1);
+
+	message->token = token;
+	g_strlcpy(message->key, key, sizeof(message->key));
+	gc_mailbox_post(daemon->mailbox, handle_find_version, message);
+}
+
+static void handle_find_version(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+	version_message_t *query = message;
+
+	gc_stream_versions_find(daemon->stream_versions, query->token,
+				query->key);
+	g_free(query);
+}
+
+static void on_recorded(void *ctx, uint64_t token, bool ok)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_set_recorded(daemon->traffic, token, ok);
+	on_store_answered(daemon, ok);
+}
+
+static void on_found_version(void *ctx, uint64_t token,
+			     gc_version_result_t result, gc_str_t version)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_set_found_version(daemon->traffic, token, result,
+					    version);
+}
+
+static void on_store_answered(void *ctx, bool answered)
+{
+	routed_daemon_t *daemon = ctx;
+
+	if (answered == daemon->store_answers)
+		return;
+	daemon->store_answers = answered;
+	gc_routed_traffic_set_store_answers(daemon->traffic, answered);
+}
+
 static void on_notice(void *ctx, const gc_store_item_t *item)
 {
 	routed_daemon_t *daemon = ctx;
@@ -369,6 +486,7 @@
 	routed_daemon_t *daemon = ctx;
 
 	gc_permits_peer_set_view(daemon->permits, view);
+	gc_stream_versions_set_view(daemon->stream_versions, view);
 	gc_routed_traffic_set_view(daemon->traffic, view);
 }
 
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -32,6 +32,9 @@
 	const char *copy_from; /* ADDRESS/ID of the copy to resume from */
 	const char *prompt; /* the parts of a prompt, see prompt_id */
 	const char *token_counts; /* see read_token_counts */
+	/* Request id of the try that brought the first event of a stream which
+	 * the caller resumes. */
+	const char *resumes;
 	const char *auth_scheme; /* before the key in Authorization */
 	/* Removed from callers' requests; ended by NULL. */
 	const char *const *internal;
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -81,8 +81,13 @@
 
 	gc_event_sequencer_t *sequencer; /* NULL if not a stream */
 	/* The software version at which the stream goes on, as what two versions
-	 * write doesn't fit together; data NULL until its first event. */
+	 * write doesn't fit together; data NULL if that isn't decided. */
 	gc_str_t version;
+	/* Of a record or a search for one under way; 0: none. */
+	uint64_t version_token;
+	/* Complete events that wait until the stream is on record. */
+	GString *held_events;
+	bool ended_held; /* the response has ended meanwhile */
 	bool head_sent; /* the response to the caller has begun */
 	GString *response_head; /* header lines for the caller */
 	int response_status;
@@ -123,6 +128,23 @@
  * that the limit has ended. */
 void gc_relay_report_limit_end(gc_relay_t *relay, gc_backend_t *server);
 
+/*
+ * Software versions of streams (exchange_version.c). gc_exchange_find_version
+ * decides at which version the stream that the request resumes goes on; false: the
+ * answer is awaited, or the request has ended and the exchange is freed.
+ * gc_exchange_fix_version is to be called before an attempt at the server, and
+ * puts the stream on record if it has to be. gc_exchange_is_held is true while
+ * events must not be forwarded.
+ */
+bool gc_exchange_find_version(gc_exchange_t *exchange);
+void gc_exchange_fix_version(gc_exchange_t *exchange,
+			     const gc_backend_t *server);
+bool gc_exchange_is_held(const gc_exchange_t *exchange);
+/* Forwards the held events (exchange_run.c); may free the exchange. */
+void gc_exchange_release_events(gc_exchange_t *exchange);
+/* Ends a stream that can't be put on record (exchange_run.c). */
+void gc_exchange_abandon_unrecorded(gc_exchange_t *exchange);
+
 /*
  * Copies of a run's KV cache (exchange_copy.c). gc_exchange_start_copy chooses
  * the server that receives the copy, before the attempt is sent.
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -192,12 +192,6 @@
 	return gc_ms_between(left->arrived, right->arrived) < 0 ? 1 : -1;
 }
 
-gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange)
-{
-	return (gc_backend_set_t){exchange->tried, exchange->n_tried,
-				  exchange->version};
-}
-
 /* Ends a request that has no time or no servers left to try. */
 static void end_without_time(gc_exchange_t *exchange)
 {
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -46,6 +46,8 @@
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
 static void begin_forwarding(gc_exchange_t *exchange);
 static void forward_events(gc_exchange_t *exchange, gc_str_t data);
+static void send_events(gc_exchange_t *exchange, gc_str_t events);
+static void hold_events(gc_exchange_t *exchange, const GString *events);
 static void record_event_gap(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data);
@@ -124,7 +126,8 @@
 		     exchange->time_limit_ms -
 			     gc_exchange_elapsed_ms(exchange) +
 			     TIME_LIMIT_SLACK_MS);
-	gc_exchange_start_next_attempt(exchange);
+	if (gc_exchange_find_version(exchange))
+		gc_exchange_start_next_attempt(exchange);
 }
 
 static const gc_prompt_t *create_prompt(gc_exchange_t *exchange, bool resumed)
@@ -160,6 +163,8 @@
 	gc_fleet_view_unref(exchange->view);
 	g_string_free(exchange->response_head, TRUE);
 	g_byte_array_free(exchange->response_body, TRUE);
+	if (exchange->held_events)
+		g_string_free(exchange->held_events, TRUE);
 	if (exchange->prev)
 		exchange->prev->next = exchange->next;
 	else
@@ -183,6 +188,7 @@
 	exchange->backend = gc_backend_ref(backend);
 	exchange->tried[exchange->n_tried++] = gc_backend_ref(backend);
 	gc_backend_add_request(backend);
+	gc_exchange_fix_version(exchange, backend);
 	gc_exchange_start_copy(exchange);
 	exchange->attempt_started = now;
 	exchange->last_activity = now;
@@ -392,7 +398,8 @@
 		exchange->identified && !exchange->not_run && status >= 200 &&
 		status < 300 &&
 		gc_http_message_find_header(response, names->mac).data;
-	if (exchange->head_sent)
+	/* The caller gets the head of the server that sent the first event. */
+	if (exchange->head_sent || exchange->held_events)
 		return;
 	exchange->response_status = status;
 	g_string_truncate(exchange->response_head, 0);
@@ -462,20 +469,18 @@
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_exchange_record_served(exchange);
-			exchange->version = gc_str_dup(
-				exchange,
-				gc_backend_version(exchange->backend));
+			if (!exchange->version.data)
+				exchange->version = gc_str_dup(
+					exchange,
+					gc_backend_version(exchange->backend));
 			gc_timer_set(exchange->inactivity_timer,
 				     inactivity_limit_ms(exchange));
 		}
-		if (!exchange->head_sent)
-			gc_caller_conn_begin_stream(
-				exchange->caller, exchange->response_status,
-				(gc_str_t){exchange->response_head->str,
-					   exchange->response_head->len});
-		exchange->head_sent = true;
-		forward_bytes(exchange, (gc_str_t){complete_events->str,
-						   complete_events->len});
+		if (gc_exchange_is_held(exchange))
+			hold_events(exchange, complete_events);
+		else
+			send_events(exchange, (gc_str_t){complete_events->str,
+							 complete_events->len});
 	}
 	if (ok)
 		return;
@@ -483,6 +488,58 @@
 	finish_attempt(exchange, GC_END_BROKEN, err->message);
 }
 
+static void send_events(gc_exchange_t *exchange, gc_str_t events)
+{
+	if (!exchange->head_sent)
+		gc_caller_conn_begin_stream(
+			exchange->caller, exchange->response_status,
+			(gc_str_t){exchange->response_head->str,
+				   exchange->response_head->len});
+	exchange->head_sent = true;
+	forward_bytes(exchange, events);
+}
+
+/* The server isn't read further until the events are forwarded. */
+static void hold_events(gc_exchange_t *exchange, const GString *events)
+{
+	if (!exchange->held_events)
+		exchange->held_events = g_string_new(NULL);
+	g_string_append_len(exchange->held_events, events->str,
+			    (gssize)events->len);
+	set_server_paused(exchange, true);
+}
+
+void gc_exchange_release_events(gc_exchange_t *exchange)
+{
+	if (!exchange->held_events || !exchange->caller)
+		return;
+	send_events(exchange, (gc_str_t){exchange->held_events->str,
+					 exchange->held_events->len});
+	g_string_free(exchange->held_events, TRUE);
+	exchange->held_events = NULL;
+	if (exchange->ended_held)
+		finish_stream(exchange);
+	else if (gc_caller_conn_unsent_bytes(exchange->caller) <=
+		 MAX_UNSENT_BYTES)
+		set_server_paused(exchange, false);
+}
+
+/* Another daemon could not tell at which version the stream began. */
+void gc_exchange_abandon_unrecorded(gc_exchange_t *exchange)
+{
+	gc_retry_decision_t decision =
+		exchange->call
+			? GC_DECISION_FAIL
+			: gc_attempts_final_decision(&exchange->attempts);
+
+	cancel_call(exchange);
+	exchange->limit_reached = "record";
+	if (exchange->caller)
+		gc_exchange_give_up(exchange, decision, GC_END_BROKEN);
+	else
+		talloc_free(exchange);
+}
+
 /* Updates the logged first-event time and longest event gap. */
 static void record_event_gap(gc_exchange_t *exchange)
 {
@@ -628,6 +685,10 @@
 			       "the stream ended inside an event");
 		return;
 	}
+	if (gc_exchange_is_held(exchange)) {
+		exchange->ended_held = true;
+		return;
+	}
 	gc_backend_record_success(exchange->backend);
 	if (!exchange->head_sent)
 		gc_caller_conn_begin_stream(
--- /dev/null
+++ b/lib/exchange_version.c
@@ -0,0 +1,262 @@
+/*
+ * At which software version a stream begins and goes on. What two versions write
+ * doesn't fit together, and servers don't check it. A caller may resume at any
+ * daemon, so a stream that doesn't begin at the base version of its service is put
+ * on record before its first event is forwarded.
+ */
+#include "lib/log.h"
+#include "lib/log_events.h"
+#include "lib/relay_private.h"
+#include "lib/request_hash.h"
+
+/* The view must not be older than this for its versions to count as the only
+ * ones. */
+#define MAX_VIEW_AGE_MS 2000
+/* Least Retry-After if the store can't tell a version. */
+#define UNKNOWN_RETRY_AFTER_MS 900
+
+static bool is_resumable(const gc_exchange_t *exchange);
+static const gc_base_version_t *base_version(const gc_exchange_t *exchange);
+static bool is_only_version(const gc_exchange_t *exchange);
+static bool find_single_version(const gc_exchange_t *exchange,
+				gc_str_t *version);
+static bool go_on_at(gc_exchange_t *exchange, gc_str_t version,
+		     const char *source);
+static void refuse_unknown(gc_exchange_t *exchange);
+static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token);
+
+void gc_relay_update_versions(gc_relay_t *relay)
+{
+	const gc_fleet_view_t *view = relay->view;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	gc_str_t proposed;
+
+	/* The control thread makes the changes. */
+	for (size_t i = 0; i < view->n_base_versions; i++)
+		gc_base_versions_propose(relay->base_versions, now,
+					 view->base_versions[i].service,
+					 view->servers, view->n_servers,
+					 &view->base_versions[i], &proposed);
+}
+
+void gc_relay_set_store_answers(gc_relay_t *relay, bool answers)
+{
+	relay->store_answers = answers;
+}
+
+/* Only streams that callers may resume need a record. */
+static bool is_resumable(const gc_exchange_t *exchange)
+{
+	return exchange->sequencer && exchange->route->resumable;
+}
+
+static const gc_base_version_t *base_version(const gc_exchange_t *exchange)
+{
+	return gc_fleet_view_base_version(exchange->relay->view,
+					  exchange->service);
+}
+
+bool gc_exchange_find_version(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_str_t id = gc_http_message_find_header(
+		exchange->request, relay->conf.adapter->headers.resumes);
+	char key[GC_STREAM_KEY_BYTES];
+	gc_str_t version;
+
+	if (!is_resumable(exchange) ||
+	    gc_event_sequencer_last_id(exchange->sequencer) == GC_EVENT_ID_NONE)
+		return true;
+	if (is_only_version(exchange))
+		return go_on_at(exchange, base_version(exchange)->version,
+				"only");
+	if (!id.data || id.len == 0) {
+		if (find_single_version(exchange, &version))
+			return go_on_at(exchange, version, "unnamed");
+		refuse_unknown(exchange);
+		return false;
+	}
+	exchange->version_token = ++relay->last_version_token;
+	gc_stream_key(exchange->service, exchange->account, id, key);
+	relay->conf.find_version(relay->conf.share_ctx, exchange->version_token,
+				 key);
+	return false;
+}
+
+/* True if no stream can have begun at another version, as far as is known. */
+static bool is_only_version(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+
+	return base_version(exchange) &&
+	       gc_confirmed_age_ms(relay->conf.confirmed, now) <=
+		       MAX_VIEW_AGE_MS &&
+	       gc_base_versions_is_only(relay->base_versions, now,
+					exchange->service);
+}
+
+/* Nothing more can be known for a caller that names no stream. */
+static bool find_single_version(const gc_exchange_t *exchange,
+				gc_str_t *version)
+{
+	const gc_fleet_view_t *view = exchange->relay->view;
+	bool found = false;
+
+	for (size_t i = 0; i < view->n_servers; i++) {
+		const gc_registry_entry_t *server = &view->servers[i];
+
+		if (!gc_str_eq(server->service, exchange->service))
+			continue;
+		if (found && !gc_str_eq(server->version, *version))
+			return false;
+		*version = server->version;
+		found = true;
+	}
+	return found;
+}
+
+/* Refuses a stream whose version has gone for good. */
+static bool go_on_at(gc_exchange_t *exchange, gc_str_t version,
+		     const char *source)
+{
+	static const gc_refusal_t gone = {
+		.status = 503,
+		.code = "version_gone",
+		.message = "no backend server has the software version of the "
+			   "stream",
+		.not_run = true,
+	};
+	gc_str_t resumes = gc_http_message_find_header(
+		exchange->request,
+		exchange->relay->conf.adapter->headers.resumes);
+	g_autofree char *resumes_text =
+		g_strndup(resumes.data ? resumes.data : "", resumes.len);
+
+	exchange->version = gc_str_dup(exchange, version);
+	gc_log(GC_LOG_INFO, GC_EVENT_STREAM_VERSION,
+	       "stream resumed at its version", "request", exchange->id.data,
+	       "resumes", resumes_text, "version", exchange->version.data,
+	       "source", source, NULL);
+	if (gc_backends_has_version(exchange->relay->backends,
+				    exchange->service, exchange->version))
+		return true;
+	exchange->limit_reached = "version";
+	gc_exchange_refuse(exchange, &gone);
+	return false;
+}
+
+static void refuse_unknown(gc_exchange_t *exchange)
+{
+	static const gc_refusal_t unknown = {
+		.status = 503,
+		.code = "version_unknown",
+		.message = "the software version of the stream isn't known",
+		.retry_after_ms = UNKNOWN_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+
+	exchange->limit_reached = "version";
+	gc_exchange_refuse(exchange, &unknown);
+}
+
+void gc_relay_set_found_version(gc_relay_t *relay, uint64_t token,
+				gc_version_result_t result, gc_str_t version)
+{
+	gc_exchange_t *exchange = find_exchange(relay, token);
+	const gc_base_version_t *base;
+	const char *source = "record";
+
+	if (!exchange)
+		return;
+	exchange->version_token = 0;
+	if (!exchange->caller) {
+		talloc_free(exchange);
+		return;
+	}
+	base = base_version(exchange);
+	if (result == GC_VERSION_NOT_RECORDED && base) {
+		version = base->version;
+		source = "base";
+	} else if (result != GC_VERSION_RECORDED) {
+		refuse_unknown(exchange);
+		return;
+	}
+	if (go_on_at(exchange, version, source))
+		gc_exchange_start_next_attempt(exchange);
+}
+
+static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token)
+{
+	gc_exchange_t *exchange = relay->exchanges;
+
+	while (exchange && exchange->version_token != token)
+		exchange = exchange->next;
+	return exchange;
+}
+
+/*
+ * While records can't be written, streams begin at the base version if a server
+ * of it is left.
+ */
+gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+	const gc_base_version_t *base = base_version(exchange);
+	gc_backend_set_t avoid = {
+		.list = exchange->tried,
+		.n = exchange->n_tried,
+		.only_version = exchange->version,
+	};
+
+	if (!avoid.only_version.data && is_resumable(exchange) &&
+	    !relay->store_answers && base &&
+	    gc_backends_has_version(relay->backends, exchange->service,
+				    base->version))
+		avoid.only_version = base->version;
+	return avoid;
+}
+
+/*
+ * Once a record is under way, the stream stays at its version: the write may take
+ * effect although the store gives no answer.
+ */
+void gc_exchange_fix_version(gc_exchange_t *exchange,
+			     const gc_backend_t *server)
+{
+	gc_relay_t *relay = exchange->relay;
+	const gc_base_version_t *base = base_version(exchange);
+	gc_str_t version = gc_backend_version(server);
+	char key[GC_STREAM_KEY_BYTES];
+
+	if (!is_resumable(exchange) || exchange->version.data ||
+	    (base && gc_str_eq(base->version, version)))
+		return;
+	exchange->version = gc_str_dup(exchange, version);
+	gc_stream_key(exchange->service, exchange->account, exchange->id, key);
+	/* Without the store and the base version, the stream doesn't wait. */
+	if (relay->store_answers)
+		exchange->version_token = ++relay->last_version_token;
+	relay->conf.record_version(relay->conf.share_ctx,
+				   exchange->version_token, key, version);
+}
+
+bool gc_exchange_is_held(const gc_exchange_t *exchange)
+{
+	return exchange->version_token != 0;
+}
+
+void gc_relay_set_recorded(gc_relay_t *relay, uint64_t token, bool ok)
+{
+	gc_exchange_t *exchange =
+		token != 0 ? find_exchange(relay, token) : NULL;
+
+	if (!exchange)
+		return;
+	if (!ok) {
+		gc_exchange_abandon_unrecorded(exchange);
+		return;
+	}
+	exchange->version_token = 0;
+	gc_exchange_release_events(exchange);
+}
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -29,6 +29,7 @@
 	uint64_t config_revision; /* in known_era */
 	gc_registry_t *servers;
 	gc_registry_t *daemons;
+	GArray *base_versions; /* gc_base_version_t */
 	gc_change_log_t *change_log;
 	gc_fleet_view_t *view;
 	uint64_t revision; /* of the store; all changes up to it are known */
@@ -55,6 +56,11 @@
 static void publish(gc_fleet_t *fleet);
 static void start_list(gc_fleet_t *fleet);
 static void era_seen(void *ctx, uint64_t era);
+static void store_answered(void *ctx, bool answered);
+static gc_base_version_t *find_base_version(const gc_fleet_t *fleet,
+					    gc_str_t service);
+static bool apply_base_version(gc_fleet_t *fleet, gc_str_t service,
+			       const gc_store_item_t *item);
 static void begin_era(gc_fleet_t *fleet, uint64_t era);
 static uint64_t response_era(const gc_fleet_t *fleet,
 			     const gc_store_items_t *items);
@@ -98,6 +104,7 @@
 		.self = conf->self,
 		.lease_ms = conf->lease_ms,
 		.era_seen = era_seen,
+		.store_answered = store_answered,
 		.ctx = fleet,
 	};
 
@@ -105,6 +112,8 @@
 	fleet->servers = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->daemons = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->last_key = g_string_new(NULL);
+	fleet->base_versions =
+		g_array_new(FALSE, FALSE, sizeof(gc_base_version_t));
 	fleet->change_log = gc_change_log_create(fleet, MAX_KEPT_DELETIONS);
 	fleet->store_calls = gc_counter("goldcrest_store_calls_total",
 					"Calls to the store.", NULL, NULL);
@@ -122,6 +131,7 @@
 static int fleet_destructor(gc_fleet_t *fleet)
 {
 	g_string_free(fleet->last_key, TRUE);
+	g_array_unref(fleet->base_versions);
 	gc_routes_unref(fleet->routes);
 	gc_fleet_view_unref(fleet->view);
 	return 0;
@@ -139,8 +149,12 @@
 
 static void publish(gc_fleet_t *fleet)
 {
-	gc_fleet_view_t *view = gc_fleet_view_create(
-		fleet->routes, fleet->servers, fleet->daemons);
+	gc_fleet_view_t *view =
+		gc_fleet_view_create(fleet->routes, fleet->servers,
+				     fleet->daemons,
+				     (const gc_base_version_t *)(const void *)
+					     fleet->base_versions->data,
+				     fleet->base_versions->len);
 
 	gc_fleet_view_unref(fleet->view);
 	fleet->view = view;
@@ -199,6 +213,13 @@
 	}
 	fleet->known_era = era;
 	fleet->config_revision = 0;
+	for (guint i = 0; i < fleet->base_versions->len; i++) {
+		gc_base_version_t *base = &g_array_index(fleet->base_versions,
+							 gc_base_version_t, i);
+
+		base->stored_number = 0;
+		base->stored_revision = 0;
+	}
 }
 
 static void era_seen(void *ctx, uint64_t era)
@@ -206,6 +227,14 @@
 	gc_fleet_era_seen(ctx, era);
 }
 
+static void store_answered(void *ctx, bool answered)
+{
+	gc_fleet_t *fleet = ctx;
+
+	if (fleet->conf.store_answered)
+		fleet->conf.store_answered(fleet->conf.ctx, answered);
+}
+
 /* The era that the response names; 0 if it names none that can be. */
 static uint64_t response_era(const gc_fleet_t *fleet,
 			     const gc_store_items_t *items)
@@ -555,11 +584,64 @@
 		apply_daemon(fleet, id, item);
 		return true;
 	}
+	if (strip_prefix(item->key, GC_BASE_VERSIONS_PREFIX, &id))
+		return apply_base_version(fleet, id, item);
 	if (is_notice(item) && fleet->conf.notice)
 		fleet->conf.notice(fleet->conf.ctx, item);
 	return false;
 }
 
+static gc_base_version_t *find_base_version(const gc_fleet_t *fleet,
+					    gc_str_t service)
+{
+	for (guint i = 0; i < fleet->base_versions->len; i++) {
+		gc_base_version_t *base = &g_array_index(fleet->base_versions,
+							 gc_base_version_t, i);
+
+		if (gc_str_eq(base->service, service))
+			return base;
+	}
+	return NULL;
+}
+
+/* One with a lower number is the copy's of a restored store; it is replaced. */
+static bool apply_base_version(gc_fleet_t *fleet, gc_str_t service,
+			       const gc_store_item_t *item)
+{
+	json_t *json = json_loadb(item->value.data, item->value.len, 0, NULL);
+	const json_t *version = json_object_get(json, "version");
+	json_int_t number = json_integer_value(json_object_get(json, "number"));
+	gc_base_version_t *base = find_base_version(fleet, service);
+	gc_base_version_t added = {0};
+
+	if (!item->deleted && (!json_is_string(version) || number <= 0)) {
+		gc_log(GC_LOG_WARNING, GC_EVENT_BASE_VERSION_INVALID,
+		       "ignoring an invalid base version", NULL);
+		json_decref(json);
+		return false;
+	}
+	if (!base && !item->deleted) {
+		added.service = gc_str_dup(fleet, service);
+		g_array_append_val(fleet->base_versions, added);
+		base = find_base_version(fleet, service);
+	}
+	if (base) {
+		base->stored_number = (uint64_t)number;
+		base->stored_revision = item->deleted ? 0 : item->revision;
+	}
+	if (base && (uint64_t)number > base->number) {
+		base->number = (uint64_t)number;
+		base->version = gc_str_dup(
+			fleet, (gc_str_t){json_string_value(version),
+					  json_string_length(version)});
+		gc_log(GC_LOG_INFO, GC_EVENT_BASE_VERSION, "base version set",
+		       "service", base->service.data, "version",
+		       base->version.data, NULL);
+	}
+	json_decref(json);
+	return base != NULL;
+}
+
 static bool is_notice(const gc_store_item_t *item)
 {
 	gc_str_t rest;
@@ -635,7 +717,7 @@
 		       entry.draining ? "backend server draining"
 				      : "backend server ready",
 		       "server", name, "address", entry.address.data, "service",
-		       entry.service.data, NULL);
+		       entry.service.data, "version", entry.version.data, NULL);
 	} else {
 		gc_registry_remove_now(fleet->servers, id);
 		gc_log_error(
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -38,6 +38,12 @@
 
 typedef struct gc_fleet gc_fleet_t;
 
+/*
+ * Keys of base versions (core/base_version.h) in the store: this prefix and the
+ * service. The value is a JSON object with the members number and version.
+ */
+#define GC_BASE_VERSIONS_PREFIX "goldcrest/version/"
+
 typedef struct gc_fleet_conf {
 	struct tevent_context *ev;
 	gc_timers_t *timers;
@@ -70,6 +76,9 @@
 	 * nothing and are left out. May be NULL.
 	 */
 	void (*notice)(void *ctx, const gc_store_item_t *item);
+	/* Called after each call that keeps this daemon's entry: whether the store
+	 * has answered it; may be NULL. */
+	void (*store_answered)(void *ctx, bool answered);
 	/* Called when the store's era has risen, see lib/store.h; may be NULL.
 	 */
 	void (*era_seen)(void *ctx, uint64_t era);
--- a/lib/fleet_view.c
+++ b/lib/fleet_view.c
@@ -25,7 +25,9 @@
 
 gc_fleet_view_t *gc_fleet_view_create(gc_routes_t *routes,
 				      const gc_registry_t *servers,
-				      const gc_registry_t *daemons)
+				      const gc_registry_t *daemons,
+				      const gc_base_version_t *base_versions,
+				      size_t n_base_versions)
 {
 	rc_view_t *rc_view = g_atomic_rc_box_new0(rc_view_t);
 	gc_fleet_view_t *view = &rc_view->view;
@@ -42,9 +44,27 @@
 	copy_ctx = (copy_ctx_t){rc_view->strings, view->daemons, 0};
 	gc_registry_foreach(daemons, copy_entry, &copy_ctx);
 	view->n_daemons = copy_ctx.n;
+	view->base_versions = g_new0(gc_base_version_t, n_base_versions);
+	view->n_base_versions = n_base_versions;
+	for (size_t i = 0; i < n_base_versions; i++) {
+		gc_base_version_t *copy = &view->base_versions[i];
+
+		*copy = base_versions[i];
+		copy->service = copy_string(rc_view->strings, copy->service);
+		copy->version = copy_string(rc_view->strings, copy->version);
+	}
 	return view;
 }
 
+const gc_base_version_t *gc_fleet_view_base_version(const gc_fleet_view_t *view,
+						    gc_str_t service)
+{
+	for (size_t i = 0; i < view->n_base_versions; i++)
+		if (gc_str_eq(view->base_versions[i].service, service))
+			return &view->base_versions[i];
+	return NULL;
+}
+
 static void copy_entry(void *ctx, const gc_registry_entry_t *entry)
 {
 	copy_ctx_t *copy_ctx = ctx;
@@ -87,5 +107,6 @@
 	gc_routes_unref(rc_view->view.routes);
 	g_free(rc_view->view.servers);
 	g_free(rc_view->view.daemons);
+	g_free(rc_view->view.base_versions);
 	g_string_chunk_free(rc_view->strings);
 }
--- a/lib/fleet_view.h
+++ b/lib/fleet_view.h
@@ -4,6 +4,7 @@
 
 #include <stddef.h>
 
+#include "core/base_version.h"
 #include "core/registry.h"
 #include "core/routes.h"
 
@@ -14,6 +15,8 @@
 	size_t n_servers;
 	gc_registry_entry_t *daemons; /* registered daemons, sorted by id */
 	size_t n_daemons;
+	gc_base_version_t *base_versions; /* of services */
+	size_t n_base_versions;
 } gc_fleet_view_t;
 
 /*
@@ -22,7 +25,12 @@
  */
 gc_fleet_view_t *gc_fleet_view_create(gc_routes_t *routes,
 				      const gc_registry_t *servers,
-				      const gc_registry_t *daemons);
+				      const gc_registry_t *daemons,
+				      const gc_base_version_t *base_versions,
+				      size_t n_base_versions);
+/* NULL if the service has none yet. */
+const gc_base_version_t *gc_fleet_view_base_version(const gc_fleet_view_t *view,
+						    gc_str_t service);
 gc_fleet_view_t *gc_fleet_view_ref(gc_fleet_view_t *view);
 void gc_fleet_view_unref(gc_fleet_view_t *view);
 
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -223,6 +223,9 @@
 static void schedule_next_call(gc_registration_t *registration, bool succeeded)
 {
 	registration->call_in_flight = false;
+	if (registration->conf.store_answered)
+		registration->conf.store_answered(registration->conf.ctx,
+						  succeeded);
 	if (registration->removing)
 		return;
 	gc_timer_set(registration->timer,
--- a/lib/registration.h
+++ b/lib/registration.h
@@ -20,6 +20,8 @@
 	int64_t lease_ms;
 	/* Called with the era of each response that names one. */
 	void (*era_seen)(void *ctx, uint64_t era);
+	/* Called after each call: whether the store has answered it; may be NULL. */
+	void (*store_answered)(void *ctx, bool answered);
 	void *ctx;
 } gc_registration_conf_t;
 
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -126,6 +126,8 @@
 	relay->upstream = gc_upstream_create(relay, &upstream_conf);
 	relay->backends = gc_backends_create(relay, &backends_conf);
 	relay->crash_suspects = gc_crash_suspects_create(relay);
+	relay->base_versions = gc_base_versions_create(relay);
+	relay->store_answers = true;
 	checks_conf.upstream = relay->upstream;
 	checks_conf.backends = relay->backends;
 	relay->crash_checks = gc_crash_checks_create(relay, &checks_conf);
@@ -152,6 +154,7 @@
 	gc_backends_sync(relay->backends, view->servers, view->n_servers,
 			 &rank);
 	gc_crash_suspects_set_rank(relay->crash_suspects, rank.all, rank.n_all);
+	gc_relay_update_versions(relay);
 }
 
 static gc_daemon_rank_t daemon_rank(const gc_relay_t *relay)
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -16,6 +16,7 @@
 #include "lib/adapter.h"
 #include "lib/caller_listener.h"
 #include "lib/fleet.h"
+#include "lib/stream_versions.h"
 #include "lib/timer.h"
 #include "lib/upstream.h"
 
@@ -49,6 +50,11 @@
 	/* Asks for permits of a limited server; gc_relay_add_permits is called with
 	 * the answer. */
 	void (*ask_permits)(void *ctx, const gc_permit_ask_t *ask);
+	/* See lib/stream_versions.h; gc_relay_set_recorded and
+	 * gc_relay_set_found_version are called with the results. */
+	void (*record_version)(void *ctx, uint64_t token, const char *key,
+			       gc_str_t version);
+	void (*find_version)(void *ctx, uint64_t token, const char *key);
 	void *share_ctx;
 } gc_relay_conf_t;
 
@@ -59,6 +65,11 @@
  * for kept_ms; 0: the usual time. */
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
 			uint64_t revision, int64_t kept_ms);
+void gc_relay_set_recorded(gc_relay_t *relay, uint64_t token, bool ok);
+void gc_relay_set_found_version(gc_relay_t *relay, uint64_t token,
+				gc_version_result_t result, gc_str_t version);
+/* Whether the store answers, so that records can be written. */
+void gc_relay_set_store_answers(gc_relay_t *relay, bool answers);
 /* Answer to an ask for permits. */
 void gc_relay_add_permits(gc_relay_t *relay, const gc_permit_answer_t *answer);
 void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision);
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -18,14 +18,20 @@
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	size_t n_exchanges;
+	gc_base_versions_t *base_versions;
+	uint64_t last_version_token;
+	bool store_answers;
 	bool stopping;
 	struct timespec stop_at;
 };
 
-/* Starts the attempts of an admitted request. */
+/* Starts the attempts of an admitted request, at once or when the version of the
+ * stream that it resumes is known. */
 void gc_exchange_run(gc_exchange_t *exchange);
 /* Interval of keep_timer. */
 #define GC_KEEP_INTERVAL_MS 60000
+/* To be called with each new view. */
+void gc_relay_update_versions(gc_relay_t *relay);
 /* Callback of keep_timer; ctx is the relay. */
 void gc_relay_on_keep_timer(void *ctx);
 /* Callback of crash_checks; ctx is the relay. */
--- a/lib/request_hash.c
+++ b/lib/request_hash.c
@@ -25,6 +25,20 @@
 	return number;
 }
 
+void gc_stream_key(gc_str_t service, gc_str_t account, gc_str_t id,
+		   char key[GC_STREAM_KEY_BYTES])
+{
+	crypto_generichash_state state;
+	unsigned char hash[crypto_generichash_BYTES_MIN];
+
+	crypto_generichash_init(&state, NULL, 0, sizeof(hash));
+	add_field(&state, service);
+	add_field(&state, account);
+	add_field(&state, id);
+	crypto_generichash_final(&state, hash, sizeof(hash));
+	sodium_bin2hex(key, GC_STREAM_KEY_BYTES, hash, sizeof(hash));
+}
+
 /* With its length, so that no two lists of fields have the same bytes. */
 static void add_field(crypto_generichash_state *state, gc_str_t field)
 {
--- a/lib/request_hash.h
+++ b/lib/request_hash.h
@@ -17,4 +17,15 @@
 uint64_t gc_request_hash(gc_str_t service, gc_str_t account, gc_str_t prompt,
 			 const gc_http_message_t *request);
 
+/* Bytes of a stream's key as text, with a NUL. */
+#define GC_STREAM_KEY_BYTES 33
+
+/*
+ * Key under which a stream is on record: a hash (BLAKE2b) of its service, the
+ * client account and the request id of the try that began it. The same in all
+ * daemons; another account can't name it.
+ */
+void gc_stream_key(gc_str_t service, gc_str_t account, gc_str_t id,
+		   char key[GC_STREAM_KEY_BYTES]);
+
 #endif
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -38,6 +38,18 @@
 	uint64_t revision;
 } served_message_t;
 
+typedef struct recorded_message {
+	uint64_t token;
+	bool ok;
+} recorded_message_t;
+
+typedef struct found_message {
+	uint64_t token;
+	gc_version_result_t result;
+	char *version;
+	size_t version_len;
+} found_message_t;
+
 struct gc_routed_traffic {
 	const gc_routed_settings_t *settings;
 	const gc_clock_t *clock;
@@ -70,6 +82,9 @@
 static void handle_crash(void *ctx, void *message);
 static void handle_served(void *ctx, void *message);
 static void handle_permits(void *ctx, void *message);
+static void handle_recorded(void *ctx, void *message);
+static void handle_found_version(void *ctx, void *message);
+static void handle_store_answers(void *ctx, void *message);
 static void handle_stop(void *ctx, void *message);
 static void handle_exit(void *ctx, void *message);
 static void on_drain_poll(void *ctx);
@@ -117,6 +132,8 @@
 		.share_served = conf->share_served,
 		.share_kept = conf->share_kept,
 		.ask_permits = conf->ask_permits,
+		.record_version = conf->record_version,
+		.find_version = conf->find_version,
 		.share_ctx = conf->share_ctx,
 	};
 
@@ -256,6 +273,67 @@
 	g_free(message);
 }
 
+void gc_routed_traffic_set_recorded(gc_routed_traffic_t *traffic,
+				    uint64_t token, bool ok)
+{
+	recorded_message_t *message = g_new(recorded_message_t, 1);
+
+	*message = (recorded_message_t){token, ok};
+	gc_mailbox_post(traffic->mailbox, handle_recorded, message);
+}
+
+static void handle_recorded(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+	recorded_message_t *recorded = message;
+
+	gc_relay_set_recorded(traffic->relay, recorded->token, recorded->ok);
+	g_free(recorded);
+}
+
+void gc_routed_traffic_set_found_version(gc_routed_traffic_t *traffic,
+					 uint64_t token,
+					 gc_version_result_t result,
+					 gc_str_t version)
+{
+	found_message_t *message = g_new(found_message_t, 1);
+
+	*message = (found_message_t){token, result,
+				     g_strndup(version.data, version.len),
+				     version.len};
+	gc_mailbox_post(traffic->mailbox, handle_found_version, message);
+}
+
+static void handle_found_version(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+	found_message_t *found = message;
+
+	gc_relay_set_found_version(traffic->relay, found->token, found->result,
+				   (gc_str_t){found->version,
+					      found->version_len});
+	g_free(found->version);
+	g_free(found);
+}
+
+void gc_routed_traffic_set_store_answers(gc_routed_traffic_t *traffic,
+					 bool answers)
+{
+	bool *message = g_new(bool, 1);
+
+	*message = answers;
+	gc_mailbox_post(traffic->mailbox, handle_store_answers, message);
+}
+
+static void handle_store_answers(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+	bool *answers = message;
+
+	gc_relay_set_store_answers(traffic->relay, *answers);
+	g_free(answers);
+}
+
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
 			    void (*stopped)(void *ctx), void *ctx)
 {
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -8,6 +8,7 @@
 #include "lib/adapter.h"
 #include "lib/fleet.h"
 #include "lib/routed_settings.h"
+#include "lib/stream_versions.h"
 
 typedef struct gc_routed_traffic gc_routed_traffic_t;
 
@@ -23,6 +24,9 @@
 	void (*share_served)(void *ctx, uint64_t trait);
 	/* See gc_relay_conf_t. */
 	void (*ask_permits)(void *ctx, const gc_permit_ask_t *ask);
+	void (*record_version)(void *ctx, uint64_t token, const char *key,
+			       gc_str_t version);
+	void (*find_version)(void *ctx, uint64_t token, const char *key);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
 
@@ -49,6 +53,15 @@
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
 				 uint64_t revision, int64_t kept_ms);
+/* See lib/relay.h. */
+void gc_routed_traffic_set_recorded(gc_routed_traffic_t *traffic,
+				    uint64_t token, bool ok);
+void gc_routed_traffic_set_found_version(gc_routed_traffic_t *traffic,
+					 uint64_t token,
+					 gc_version_result_t result,
+					 gc_str_t version);
+void gc_routed_traffic_set_store_answers(gc_routed_traffic_t *traffic,
+					 bool answers);
 void gc_routed_traffic_add_permits(gc_routed_traffic_t *traffic,
 				   const gc_permit_answer_t *answer);
 void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
--- a/lib/store.h
+++ b/lib/store.h
@@ -57,6 +57,13 @@
 	/* Writes unconditionally; the item is deleted when the lease ends. */
 	void (*put)(void *store, gc_str_t key, gc_str_t value, uint64_t lease,
 		    gc_store_done_t done, void *ctx);
+	/* Reads the newest state of an item. GC_ERR_NOT_FOUND: there is none. */
+	void (*get)(void *store, gc_str_t key, gc_store_items_done_t done,
+		    void *ctx);
+	/* Writes, without a lease, if the item's revision is the expected one (0:
+	 * there is no such item); GC_ERR_CONFLICT if it is another. */
+	void (*put_if)(void *store, gc_str_t key, gc_str_t value,
+		       uint64_t expected, gc_store_done_t done, void *ctx);
 	void (*end_lease)(void *store, uint64_t lease, gc_store_done_t done,
 			  void *ctx);
 } gc_store_ops_t;
--- a/regress/check_scale.c
+++ b/regress/check_scale.c
@@ -101,7 +101,7 @@
 		for (unsigned int j = 0; j < N_PEER_QUERIES; j++)
 			ck_assert(gc_change_log_foreach_since(
 				change_log, known, ignore_item, NULL));
-		view = gc_fleet_view_create(NULL, servers, daemons);
+		view = gc_fleet_view_create(NULL, servers, daemons, NULL, 0);
 		gc_backends_sync(backends, view->servers, view->n_servers,
 				 &(gc_daemon_rank_t){3, 79, 100, N_DAEMONS});
 		gc_fleet_view_unref(view);
--- a/standins/routed/standin_store.py
+++ b/standins/routed/standin_store.py
@@ -165,6 +165,9 @@
         if path == "/v1/kv-range":
             return self.read_range(query["path_prefix"],
                                    query.get("after", ""))
+        if path == "/v1/kv-key":
+            item = self.items.get(query["key"])
+            return wire.json_response(200 if item else 404, item or {})
         if path == "/v1/kv-watch":
             return await self.watch(query["path_prefix"], int(query["after"]),
                                     int(query["wait_ms"]))
