--- a/regress/soak.t
+++ b/regress/soak.t
@@ -25,3 +25,9 @@
   seed 7002: 0 violations
   seed 7003: 0 violations
   seed 7012: 0 violations
+
+Engines of two versions, whose streams callers take up at any daemon, and servers
+that limit their requests.
+
+  $ python3 "$TOP/regress/soak/soak.py" --seed 1 --seconds 8 --modes versions,limits,restore
+  seed 1: 0 violations
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -16,6 +16,9 @@
   busy      servers refuse with a time to come back
   unframed  responses end with their connection, some inside an event
   silent    servers send nothing for a second
+  limits    servers limit their requests a second for a while
+  versions  engines have two software versions, and callers take up streams that
+            broke off
 """
 
 import argparse
@@ -23,6 +26,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -43,7 +47,8 @@
     "busy": {"look": ["busy"], "book": ["busy"], "draft": ["busy"]},
     "unframed": {"look": ["unframed"], "draft": ["plain", "plaincut", "empty"]},
     "silent": {"look": ["pause"], "book": ["pause"], "draft": ["pause"]}}
-MODES = ["crash", "restore", "leaving", *BEHAVIOURS]
+MODES = ["crash", "restore", "leaving", "limits", "versions", *BEHAVIOURS]
+MAX_RESUMES = 3  # of one stream
 CRASH_INTERVAL_S = 0.5
 # Each daemon counts at least its own crashes while the store is away.
 MAX_CRASHES = 3 * DAEMONS
@@ -65,6 +70,16 @@
             return port
 
 
+def last_event_id(data):
+    """Of the complete events; 0 if there is none."""
+    ids = re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", data)
+    return int(ids[-1]) if ids else 0
+
+
+def versions_of(data):
+    return set(re.findall(rb"token \d+ (\S+)", data))
+
+
 class Soak:
     """The processes of a soak test, its counters and its violations."""
 
@@ -83,6 +98,7 @@
         self.version = 0
         self.n_servers_started = 0
         self.servers = {}  # name -> (service, zone, proxy)
+        self.versions = {}  # of the software, by name of the server
         # Name -> (zone, ports, proxy to the store, proxy of callers).
         self.daemons = {}
         # API key -> time of its revocation.
@@ -171,17 +187,24 @@
         await self.spawn(name, [
             sys.executable, f"{STANDINS}/standin_server.py", f"{name}.ports",
             name, service, zone, f"http://127.0.0.1:{self.store}"] +
-            (["engine"] if service == "llm" else []))
+            (["engine", self.choose_version(name)] if service == "llm"
+             else []))
         proxy = await Proxy(await self.port_of(name)).start()
         self.servers[name] = (service, zone, proxy)
         await self.register_server(name)
 
+    def choose_version(self, name):
+        self.versions[name] = self.random.choice(
+            ["v1", "v2"] if "versions" in self.modes else ["v1"])
+        return self.versions[name]
+
     async def register_server(self, name):
         service, zone, proxy = self.servers[name]
         await self.post_to_store("/operator", {
             "key": f"servers/{name}", "value": {
                 "service": service, "zone": zone, "slots": 8, "state": "ready",
                 "address": f"127.0.0.1:{proxy.port}",
+                "version": self.versions.get(name, "v1"),
                 "born": int(time.time() * 1000)}})
 
     async def start_daemon(self, name, zone):
@@ -213,7 +236,7 @@
             "kill server", "kill daemon", "stop daemon", "pause daemon",
             "proxy server", "proxy store", "proxy caller", "store", "config",
             "revoke"] + [mode for mode in self.modes
-                         if mode in ("restore", "leaving", "busy")])
+                         if mode in ("restore", "leaving", "busy", "limits")])
         daemon = self.random.choice(sorted(self.daemons))
         zone, _, store_proxy, caller_proxy = self.daemons[daemon]
         server = self.random.choice(sorted(self.servers))
@@ -242,6 +265,13 @@
         elif kind == "busy":
             await self.post_to_server(self.servers[server][2], "/busy",
                                       {"retry_after": f"{for_s / 2:.1f}"})
+        elif kind == "limits":
+            proxy = self.servers[server][2]
+            limit = self.random.choice([0, 0.5, 5.2, 50])
+            await self.post_to_server(proxy, "/headers",
+                                      {"Server-Limit": str(limit)})
+            await asyncio.sleep(for_s)
+            await self.post_to_server(proxy, "/headers", {})
         elif kind in ("kill daemon", "stop daemon"):
             self.send_signal(daemon, signal.SIGKILL if kind == "kill daemon"
                              else signal.SIGTERM)
@@ -325,6 +355,25 @@
 
     async def send_request(self, route, behaviour, run_id, key, port,
                            body=None):
+        """Sends the request, and takes up a stream that broke off."""
+        data = await self.send_try(route, behaviour, run_id, key, port, body)
+        last = last_event_id(data)
+        versions = versions_of(data)
+        for i in range(MAX_RESUMES if "versions" in self.modes else 0):
+            if route != "draft" or not 0 < last < EVENTS_PER_STREAM:
+                break
+            daemon = self.random.choice(sorted(self.daemons))
+            data = await self.send_try(
+                route, "ok", f"{run_id}-{i}", key, self.daemons[daemon][3].port,
+                None, f"Last-Event-Id: {last}\r\nResumes: {run_id}\r\n", last)
+            last = max(last, last_event_id(data))
+            versions |= versions_of(data)
+        if len(versions) > 1:
+            self.add_violation(f"{run_id}: stream joined of {versions}")
+
+    async def send_try(self, route, behaviour, run_id, key, port, body=None,
+                       headers="", last=0):
+        """Returns the body of a response with status 200, else nothing."""
         sent_at = time.monotonic()
         if route == "book":
             self.booked.add(run_id)
@@ -336,7 +385,7 @@
                 f"Host: h.example\r\n"
                 f"{HEADER_PREFIX}Request-Id: {run_id}\r\n"
                 f"{HEADER_PREFIX}Deadline-Ms: 9000\r\n"
-                f"Authorization: Token {key}\r\nConnection: close\r\n"
+                f"Authorization: Token {key}\r\nConnection: close\r\n{headers}"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             status = int(head.split(" ")[1])
@@ -345,10 +394,11 @@
             writer.close()
         self.count(str(status))
         self.check_response(route, behaviour, run_id, key, sent_at, status,
-                            head, data)
+                            head, data, last)
+        return data if status == 200 else b""
 
     def check_response(self, route, behaviour, run_id, key, sent_at, status,
-                       head, data):
+                       head, data, last):
         if status in NOT_EXECUTED_STATUSES and route == "book":
             self.reported_not_executed.add(run_id)
         if status != 200:
@@ -363,22 +413,22 @@
         if f"{HEADER_PREFIX}Request-Id: {run_id}\r\n" not in head:
             self.add_violation(f"{run_id}: response to another request")
         if route == "draft":
-            self.check_stream(run_id, data)
+            self.check_stream(run_id, data, last)
         elif behaviour == "unframed":
             if data != b"unframed\n":
                 self.add_violation(f"{run_id}: a part of a body as a whole")
         elif json.loads(data)["body"] != f"body of {run_id}":
             self.add_violation(f"{run_id}: response to another body")
 
-    def check_stream(self, run_id, data):
+    def check_stream(self, run_id, data, last):
         text = data.decode()
         ids = [int(line[4:]) for line in text.splitlines()
                if line.startswith("id: ")]
-        if ids != list(range(1, len(ids) + 1)):
+        if ids != list(range(last + 1, last + len(ids) + 1)):
             self.add_violation(f"{run_id}: wrong sequence of event ids: {ids}")
         if text.endswith("\r\n0\r\n\r\n"):
             self.count("whole streams")
-            if len(ids) != EVENTS_PER_STREAM:
+            if last + len(ids) != EVENTS_PER_STREAM:
                 self.add_violation(
                     f"{run_id}: stream ended after {len(ids)} events")
 
