Ask for permits of limited engines only if they are among the best four

Callers of streams waited some ms more than they had to, and permits were lost: a limited engine was compared with the best plain choice, whose score leaves out the prompts that servers prefer, so that about every other stream would ask for an engine that it then didn't use. It is asked for now if it would be among the four whose load is queried. A stream with a silent server counts a limited one that may be asked as another server, so that it can go on there.

--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -25,6 +25,10 @@
 #define MAX_PRIORITY 3U
 
 static bool wait_for_permit(gc_exchange_t *exchange, struct timespec now);
+static gc_backend_t *choose_to_ask(const gc_exchange_t *exchange,
+				   struct timespec now, unsigned int rank,
+				   bool *has_choice);
+static bool asks_for_load(const gc_exchange_t *exchange);
 static void end_without_time(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
@@ -81,23 +85,15 @@
 {
 	gc_relay_t *relay = exchange->relay;
 	unsigned int rank = gc_exchange_rank(exchange);
-	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *server = exchange->resume_holder;
-	gc_backend_t *chosen = NULL;
+	bool has_choice = false;
 
 	if (server && !gc_backend_may_ask(server, now, rank))
 		server = NULL;
-	if (!server) {
-		if (!gc_backends_is_limited(relay->backends, exchange->service))
-			return false;
-		chosen = gc_backends_choose(relay->backends, now,
-					    exchange->service, &avoid);
-		server = gc_backends_choose_to_ask(relay->backends, now,
-						   exchange->service,
-						   exchange->prompt, &avoid,
-						   chosen, rank);
-	}
-	if (!server || (chosen && exchange->permit_asked))
+	if (!server &&
+	    gc_backends_is_limited(relay->backends, exchange->service))
+		server = choose_to_ask(exchange, now, rank, &has_choice);
+	if (!server || (has_choice && exchange->permit_asked))
 		return false;
 	exchange->permit_asked = true;
 	exchange->waiting = true;
@@ -106,6 +102,46 @@
 	return true;
 }
 
+/*
+ * The limited server that would be chosen, or asked for its load, if this daemon
+ * had a permit; NULL if there is none. *has_choice: others can be chosen.
+ */
+static gc_backend_t *choose_to_ask(const gc_exchange_t *exchange,
+				   struct timespec now, unsigned int rank,
+				   bool *has_choice)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
+	gc_backend_t *candidates[LOAD_PROBE_SERVERS];
+	gc_backend_t *least = NULL;
+	size_t n;
+
+	if (!asks_for_load(exchange)) {
+		least = gc_backends_choose(relay->backends, now,
+					   exchange->service, &avoid);
+		*has_choice = least != NULL;
+	} else {
+		n = gc_backends_candidates(relay->backends, now,
+					   exchange->service, exchange->prompt,
+					   &avoid, candidates,
+					   LOAD_PROBE_SERVERS);
+		*has_choice = n > 0;
+		if (n == LOAD_PROBE_SERVERS)
+			least = candidates[n - 1];
+	}
+	return gc_backends_choose_to_ask(relay->backends, now,
+					 exchange->service, exchange->prompt,
+					 &avoid, least, rank);
+}
+
+static bool asks_for_load(const gc_exchange_t *exchange)
+{
+	const gc_route_service_t *service = gc_routes_find_service(
+		exchange->view->routes, exchange->service);
+
+	return service && service->reports_load;
+}
+
 /*
  * What has begun goes first, then what can't be repeated, then the more urgent
  * of the rest: the route's priority, or its account's.
@@ -126,17 +162,13 @@
 void gc_relay_ask_permits(gc_relay_t *relay, gc_backend_t *server,
 			  const gc_exchange_t *exchange)
 {
-	const gc_route_service_t *service = gc_routes_find_service(
-		exchange->view->routes, exchange->service);
 	gc_permit_ask_t ask = {
-		.wanted = 1,
+		.wanted = asks_for_load(exchange) ? PERMITS_WITH_QUERY : 1,
 		.rank = gc_exchange_rank(exchange),
 		.account =
 			XXH64(exchange->account.data, exchange->account.len, 0),
 	};
 
-	if (service && service->reports_load)
-		ask.wanted = PERMITS_WITH_QUERY;
 	for (const gc_exchange_t *other = relay->exchanges; other;
 	     other = other->next)
 		if (other->waiting && other != exchange &&
@@ -206,8 +238,6 @@
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now)
 {
 	gc_relay_t *relay = exchange->relay;
-	const gc_route_service_t *service = gc_routes_find_service(
-		exchange->view->routes, exchange->service);
 	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *candidates[LOAD_PROBE_SERVERS];
 	gc_load_probe_conf_t conf = {
@@ -221,7 +251,7 @@
 	};
 	size_t n;
 
-	if (!service || !service->reports_load)
+	if (!asks_for_load(exchange))
 		return false;
 	n = gc_backends_candidates(relay->backends, now, exchange->service,
 				   exchange->prompt, &avoid, candidates,
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -372,9 +372,14 @@
 	if (exchange->copy_holder && exchange->received_event &&
 	    gc_backend_usable(exchange->copy_holder, now))
 		return true;
-	return gc_backends_candidates(exchange->relay->backends, now,
-				      exchange->service, exchange->prompt,
-				      &avoid, &other, 1) > 0;
+	if (gc_backends_candidates(exchange->relay->backends, now,
+				   exchange->service, exchange->prompt, &avoid,
+				   &other, 1) > 0)
+		return true;
+	return gc_backends_choose_to_ask(exchange->relay->backends, now,
+					 exchange->service, exchange->prompt,
+					 &avoid, NULL,
+					 GC_PERMIT_RANK_BEGUN) != NULL;
 }
 
 static void on_head(void *ctx, const gc_http_message_t *response)
