Don't reset connections that are established while the listener closes

A caller whose connection was established between the last accept and the close of the listener, at a planned stop, got a reset instead of an answer.

Before the last accepts, the listener gets a socket filter that drops what begins a connection. What was established before is accepted, and what comes later is refused once the listener is closed, when the caller's system repeats it.

--- a/lib/socket.c
+++ b/lib/socket.c
@@ -1,6 +1,7 @@
 /* Non-blocking TCP connections and listeners on a tevent loop. */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -15,6 +16,8 @@
 /* Maximum number of connections accepted in one event loop iteration. */
 #define ACCEPT_BURST   32
 #define LISTEN_BACKLOG 512
+/* Of the flags in the header of a segment, bytes. */
+#define TCP_FLAGS_OFFSET 13
 /* Unacknowledged keepalive probes that end a connection. */
 #define KEEPALIVE_PROBES 1
 
@@ -65,6 +68,7 @@
 static bool open_listener(gc_listener_t *listener, const char *address,
 			  uint16_t port);
 static int accept_next(const gc_listener_t *listener);
+static void drop_new_connections(const gc_listener_t *listener);
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde,
 		      uint16_t flags, void *ctx);
 
@@ -455,12 +459,32 @@
 	if (listener->fd < 0)
 		return;
 	TALLOC_FREE(listener->fde);
+	drop_new_connections(listener);
 	while ((fd = accept_next(listener)) >= 0)
 		listener->accept(listener->ctx, fd);
 	close(listener->fd);
 	listener->fd = -1;
 }
 
+/*
+ * A connection that is established after the last accept and before the close
+ * would be reset, with the request that its caller has sent. Where the filter can't
+ * be set, this stays possible.
+ */
+static void drop_new_connections(const gc_listener_t *listener)
+{
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = {G_N_ELEMENTS(code), code};
+
+	(void)setsockopt(listener->fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			 sizeof(program));
+}
+
 uint16_t gc_listener_port(const gc_listener_t *listener)
 {
 	return listener->port;
--- a/regress/routed_stop_load.t
+++ b/regress/routed_stop_load.t
@@ -18,3 +18,15 @@
   status 0
   answered True missed 0
   status 0
+
+More callers, half of which open a connection for each request: none is reset that
+was established before the listener closed.
+
+  $ for i in 4 5 6; do
+  >   start_routed d$i; eval "pid=\$d${i}_pid"
+  >   "$TOP/regress/stop_load.py" $CALLER_ADDR $pid 60 "$HEAD" '{"item":"sofa"}'
+  >   wait $pid
+  > done
+  answered True missed 0
+  answered True missed 0
+  answered True missed 0
