--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -128,6 +128,26 @@
  * that the limit has ended. */
 void gc_relay_report_limit_end(gc_relay_t *relay, gc_backend_t *server);
 
+/* Ends the attempt in progress, without a result (exchange_run.c). */
+void gc_exchange_cancel_call(gc_exchange_t *exchange);
+/* Records the end of an attempt; starts another one or ends the request, and may
+ * free the exchange. */
+void gc_exchange_finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
+				const char *reason);
+
+/*
+ * Silent servers (exchange_silence.c). gc_exchange_inactivity_ms is the time
+ * without data after which a server counts as silent; gc_exchange_on_inactivity is
+ * the callback of inactivity_timer. gc_exchange_query_load asks the server of the
+ * attempt for its load.
+ */
+int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange);
+void gc_exchange_on_inactivity(void *ctx);
+void gc_exchange_query_load(gc_exchange_t *exchange,
+			    void (*done)(void *ctx, int status,
+					 gc_str_t response,
+					 gc_attempt_end_t end));
+
 /*
  * Software versions of streams (exchange_version.c). gc_exchange_find_version
  * decides at which version the stream that the request resumes goes on; false: the
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -9,27 +9,6 @@
 
 /* Added to the time limit, so that a response sent at the limit arrives. */
 #define TIME_LIMIT_SLACK_MS 100
-/* Inactivity after which a stream fails over, as a fraction of the route's
- * target_gap_ms. The rest is left for the next server's first event. */
-#define EVENT_GAP_FRACTION 0.55
-/* The same before the first event, as a fraction of target_latency_ms. A server
- * that processes a long prompt sends nothing for seconds; TCP keepalive detects
- * an unreachable one earlier. */
-#define FIRST_EVENT_FRACTION 1.0
-/* For routes without target_latency_ms or target_gap_ms. */
-#define DEFAULT_INACTIVITY_MS 5000
-/* Time for the load report of a server that has sent no event, or whose response
- * may be cut. Longer than LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a
- * prompt. */
-#define SILENCE_QUERY_TIMEOUT_MS 300
-/* Pause between such reports, as a fraction of the limit. */
-#define SILENCE_QUERY_FRACTION 0.25
-/* A timer that fires this late shows that the daemon itself was stalled. */
-#define DAEMON_STALL_MS 150
-/* Interval of checks for another server while the inactive one is kept. */
-#define FAILOVER_POLL_MS 50
-/* Time to read what arrived while the daemon was stalled. */
-#define STALL_CATCH_UP_MS 60
 /* Responses up to this size are received completely before any byte is
  * forwarded, so that an incomplete one can be retried. */
 #define MAX_BUFFERED_RESPONSE_BYTES 65536
@@ -60,23 +39,7 @@
 static void on_end_report(void *ctx, int status, gc_str_t response,
 			  gc_attempt_end_t end);
 static void finish_stream(gc_exchange_t *exchange);
-static void finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
-			   const char *reason);
 static void release_attempt(gc_exchange_t *exchange);
-static void cancel_call(gc_exchange_t *exchange);
-static int64_t inactivity_limit_ms(const gc_exchange_t *exchange);
-static void on_inactivity(void *ctx);
-static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now);
-static bool has_other_server(const gc_exchange_t *exchange,
-			     struct timespec now);
-static void leave_silent_server(gc_exchange_t *exchange);
-static void start_silence_query(gc_exchange_t *exchange);
-static void start_load_query(gc_exchange_t *exchange,
-			     void (*done)(void *ctx, int status,
-					  gc_str_t response,
-					  gc_attempt_end_t end));
-static void on_silence_report(void *ctx, int status, gc_str_t response,
-			      gc_attempt_end_t end);
 
 static const gc_call_ops_t call_ops = {
 	.head = on_head,
@@ -102,8 +65,8 @@
 	gc_exchange_read_traits(exchange);
 	exchange->time_limit_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_time_limit, exchange);
-	exchange->inactivity_timer =
-		gc_timer_create(exchange, timers, on_inactivity, exchange);
+	exchange->inactivity_timer = gc_timer_create(
+		exchange, timers, gc_exchange_on_inactivity, exchange);
 	exchange->copy_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_copy_timer, exchange);
 	/* The timer may have been used to wait for a configuration. */
@@ -153,7 +116,7 @@
 {
 	gc_relay_t *relay = exchange->relay;
 
-	cancel_call(exchange);
+	gc_exchange_cancel_call(exchange);
 	release_attempt(exchange);
 	if (exchange->load_probe)
 		gc_load_probe_destroy(exchange->load_probe);
@@ -217,169 +180,14 @@
 					   &call_ops, exchange);
 	g_string_free(text, TRUE);
 	if (!exchange->call) {
-		finish_attempt(exchange, GC_END_UNREACHABLE,
-			       "could not open a connection to the server");
+		gc_exchange_finish_attempt(
+			exchange, GC_END_UNREACHABLE,
+			"could not open a connection to the server");
 		return;
 	}
 	if (exchange->route->kind != GC_ROUTE_NON_IDEMPOTENT)
 		gc_timer_set(exchange->inactivity_timer,
-			     inactivity_limit_ms(exchange));
-}
-
-static int64_t inactivity_limit_ms(const gc_exchange_t *exchange)
-{
-	const gc_route_t *route = exchange->route;
-	double ms = FIRST_EVENT_FRACTION * (double)route->target_latency_ms;
-
-	if (exchange->received_event)
-		ms = EVENT_GAP_FRACTION * (double)route->target_gap_ms;
-	return ms > 0 ? (int64_t)ms : DEFAULT_INACTIVITY_MS;
-}
-
-static void on_inactivity(void *ctx)
-{
-	gc_exchange_t *exchange = ctx;
-	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
-	int64_t limit_ms = inactivity_limit_ms(exchange);
-	int64_t inactive_ms = gc_ms_between(exchange->last_activity, now);
-
-	/* The inactivity time restarts when reading resumes. */
-	if (!exchange->call || exchange->read_paused)
-		return;
-	if (inactive_ms < limit_ms) {
-		gc_timer_set(exchange->inactivity_timer,
-			     limit_ms - inactive_ms);
-		return;
-	}
-	if (inactive_ms > limit_ms + DAEMON_STALL_MS) {
-		/* Data may have arrived while the daemon was stalled. */
-		exchange->last_activity =
-			gc_add_ms(now, STALL_CATCH_UP_MS - limit_ms);
-		gc_timer_set(exchange->inactivity_timer, STALL_CATCH_UP_MS);
-		return;
-	}
-	if (!can_fail_over(exchange, now)) {
-		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
-		return;
-	}
-	if (exchange->sequencer && !exchange->received_event)
-		start_silence_query(exchange);
-	else
-		leave_silent_server(exchange);
-}
-
-static void leave_silent_server(gc_exchange_t *exchange)
-{
-	cancel_call(exchange);
-	finish_attempt(exchange, GC_END_TIMED_OUT,
-		       "the server sent nothing within the inactivity limit");
-}
-
-static void start_silence_query(gc_exchange_t *exchange)
-{
-	gc_relay_t *relay = exchange->relay;
-
-	/* A server that pauses is alive and busy; it is asked afterwards. */
-	if (gc_backend_is_pausing(exchange->backend,
-				  gc_clock_now(relay->conf.clock)))
-		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
-	else if (!exchange->silence_query)
-		start_load_query(exchange, on_silence_report);
-}
-
-static void start_load_query(gc_exchange_t *exchange,
-			     void (*done)(void *ctx, int status,
-					  gc_str_t response,
-					  gc_attempt_end_t end))
-{
-	gc_relay_t *relay = exchange->relay;
-	gc_backend_query_conf_t conf = {
-		.upstream = relay->upstream,
-		.timers = relay->conf.timers,
-		.method = "GET",
-		.path = relay->conf.adapter->load_path,
-		.body = GC_STR_EMPTY,
-		.timeout_ms = SILENCE_QUERY_TIMEOUT_MS,
-		.done = done,
-		.ctx = exchange,
-	};
-
-	exchange->silence_query =
-		gc_backend_query_start(exchange, &conf, exchange->backend);
-}
-
-static void on_silence_report(void *ctx, int status, gc_str_t response,
-			      gc_attempt_end_t end)
-{
-	gc_exchange_t *exchange = ctx;
-	gc_backend_load_t load;
-	int64_t wait_ms;
-	bool reported =
-		status == 200 &&
-		exchange->relay->conf.adapter->read_load(response, &load);
-
-	/* The query frees itself after this callback. */
-	talloc_steal(NULL, exchange->silence_query);
-	exchange->silence_query = NULL;
-	if (gc_backend_is_pausing(exchange->backend,
-				  gc_clock_now(exchange->relay->conf.clock))) {
-		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
-		return;
-	}
-	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
-		if (can_fail_over(exchange,
-				  gc_clock_now(exchange->relay->conf.clock)))
-			leave_silent_server(exchange);
-		else
-			gc_timer_set(exchange->inactivity_timer,
-				     FAILOVER_POLL_MS);
-		return;
-	}
-	wait_ms = (int64_t)(SILENCE_QUERY_FRACTION *
-			    (double)inactivity_limit_ms(exchange));
-	exchange->last_activity =
-		gc_add_ms(gc_clock_now(exchange->relay->conf.clock),
-			  wait_ms - inactivity_limit_ms(exchange));
-	gc_timer_set(exchange->inactivity_timer, wait_ms);
-}
-
-/*
- * A silent server may only be slow, so it is kept until the time limit unless
- * the request can go on elsewhere: it may be repeated, and attempts, retry
- * budget and another server are left.
- */
-static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now)
-{
-	gc_relay_t *relay = exchange->relay;
-	int64_t left_ms =
-		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
-
-	/* The caller has a part of this server's body. */
-	if (exchange->head_sent && !exchange->sequencer)
-		return false;
-	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
-	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
-	    !gc_backends_has_retry(relay->backends, now, exchange->service))
-		return false;
-	return has_other_server(exchange, now);
-}
-
-static bool has_other_server(const gc_exchange_t *exchange, struct timespec now)
-{
-	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
-	gc_backend_t *other;
-
-	if (exchange->copy_holder && exchange->received_event &&
-	    gc_backend_usable(exchange->copy_holder, now))
-		return true;
-	if (gc_backends_candidates(exchange->relay->backends, now,
-				   exchange->service, exchange->prompt, &avoid,
-				   &other, 1) > 0)
-		return true;
-	return gc_backends_choose_to_ask(exchange->relay->backends, now,
-					 exchange->service, exchange->prompt,
-					 &avoid, NULL,
-					 GC_PERMIT_RANK_BEGUN) != NULL;
+			     gc_exchange_inactivity_ms(exchange));
 }
 
 static void on_head(void *ctx, const gc_http_message_t *response)
@@ -435,9 +243,9 @@
 	    exchange->response_body->len > MAX_BUFFERED_RESPONSE_BYTES) {
 		begin_forwarding(exchange);
 	} else if (exchange->response_body->len > MAX_FAILURE_RESPONSE_BYTES) {
-		cancel_call(exchange);
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the failure response is too long");
+		gc_exchange_cancel_call(exchange);
+		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
+					   "the failure response is too long");
 	}
 }
 
@@ -479,7 +287,7 @@
 					exchange,
 					gc_backend_version(exchange->backend));
 			gc_timer_set(exchange->inactivity_timer,
-				     inactivity_limit_ms(exchange));
+				     gc_exchange_inactivity_ms(exchange));
 		}
 		if (gc_exchange_is_held(exchange))
 			hold_events(exchange, complete_events);
@@ -489,8 +297,8 @@
 	}
 	if (ok)
 		return;
-	cancel_call(exchange);
-	finish_attempt(exchange, GC_END_BROKEN, err->message);
+	gc_exchange_cancel_call(exchange);
+	gc_exchange_finish_attempt(exchange, GC_END_BROKEN, err->message);
 }
 
 static void send_events(gc_exchange_t *exchange, gc_str_t events)
@@ -537,7 +345,7 @@
 			? GC_DECISION_FAIL
 			: gc_attempts_final_decision(&exchange->attempts);
 
-	cancel_call(exchange);
+	gc_exchange_cancel_call(exchange);
 	exchange->limit_reached = "record";
 	if (exchange->caller)
 		gc_exchange_give_up(exchange, decision, GC_END_BROKEN);
@@ -581,7 +389,7 @@
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
 	if (!paused && exchange->route->kind != GC_ROUTE_NON_IDEMPOTENT)
 		gc_timer_set(exchange->inactivity_timer,
-			     inactivity_limit_ms(exchange));
+			     gc_exchange_inactivity_ms(exchange));
 }
 
 void gc_exchange_on_drained(gc_exchange_t *exchange)
@@ -599,17 +407,20 @@
 	    (!exchange->sequencer || exchange->response_status >= 300))
 		gc_exchange_record_served(exchange);
 	if (!exchange->identified) {
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the response doesn't name the request");
+		gc_exchange_finish_attempt(
+			exchange, GC_END_BROKEN,
+			"the response doesn't name the request");
 	} else if (exchange->not_run) {
-		finish_attempt(exchange,
-			       exchange->misdirected ? GC_END_REPLACED
-						     : GC_END_REFUSED,
-			       "the server did not run the request");
+		gc_exchange_finish_attempt(
+			exchange,
+			exchange->misdirected ? GC_END_REPLACED
+					      : GC_END_REFUSED,
+			"the server did not run the request");
 	} else if (exchange->success && exchange->sequencer &&
 		   is_cut_before_events(exchange, response)) {
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the stream ended before its first event");
+		gc_exchange_finish_attempt(
+			exchange, GC_END_BROKEN,
+			"the stream ended before its first event");
 	} else if (exchange->success && is_end_uncertain(exchange, response)) {
 		start_end_query(exchange);
 	} else if (exchange->success && exchange->sequencer) {
@@ -621,11 +432,12 @@
 		gc_backend_record_success(exchange->backend);
 		gc_exchange_respond(exchange);
 	} else if (exchange->response_status < 300) {
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the response is not authenticated");
+		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
+					   "the response is not authenticated");
 	} else {
-		finish_attempt(exchange, GC_END_FAILED,
-			       "the server responded with an error status");
+		gc_exchange_finish_attempt(
+			exchange, GC_END_FAILED,
+			"the server responded with an error status");
 	}
 }
 
@@ -659,7 +471,7 @@
 	gc_timer_stop(exchange->inactivity_timer);
 	if (exchange->silence_query)
 		gc_backend_query_destroy(exchange->silence_query);
-	start_load_query(exchange, on_end_report);
+	gc_exchange_query_load(exchange, on_end_report);
 }
 
 static void on_end_report(void *ctx, int status, gc_str_t response,
@@ -671,8 +483,9 @@
 	talloc_steal(NULL, exchange->silence_query);
 	exchange->silence_query = NULL;
 	if (status == 0) {
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the server ended with the response");
+		gc_exchange_finish_attempt(
+			exchange, GC_END_BROKEN,
+			"the server ended with the response");
 	} else if (exchange->sequencer) {
 		finish_stream(exchange);
 	} else {
@@ -686,8 +499,8 @@
 	gc_caller_conn_t *caller = exchange->caller;
 
 	if (gc_event_sequencer_has_partial(exchange->sequencer)) {
-		finish_attempt(exchange, GC_END_BROKEN,
-			       "the stream ended inside an event");
+		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
+					   "the stream ended inside an event");
 		return;
 	}
 	if (gc_exchange_is_held(exchange)) {
@@ -711,11 +524,11 @@
 	gc_exchange_t *exchange = ctx;
 
 	exchange->call = NULL;
-	finish_attempt(exchange, end, reason);
+	gc_exchange_finish_attempt(exchange, end, reason);
 }
 
-static void finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
-			   const char *reason)
+void gc_exchange_finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
+				const char *reason)
 {
 	gc_relay_t *relay = exchange->relay;
 	struct timespec now = gc_clock_now(relay->conf.clock);
@@ -783,7 +596,7 @@
 	}
 }
 
-static void cancel_call(gc_exchange_t *exchange)
+void gc_exchange_cancel_call(gc_exchange_t *exchange)
 {
 	if (exchange->call)
 		gc_call_cancel(exchange->call);
--- /dev/null
+++ b/lib/exchange_silence.c
@@ -0,0 +1,192 @@
+/*
+ * Servers that send nothing: whether a request is left with its server, which may
+ * only be busy or slow, or goes on elsewhere.
+ */
+#include "lib/relay_private.h"
+
+/* Inactivity after which a stream fails over, as a fraction of the route's
+ * target_gap_ms. The rest is left for the next server's first event. */
+#define EVENT_GAP_FRACTION 0.55
+/* The same before the first event, as a fraction of target_latency_ms. A server
+ * that processes a long prompt sends nothing for seconds; TCP keepalive detects
+ * an unreachable one earlier. */
+#define FIRST_EVENT_FRACTION 1.0
+/* For routes without target_latency_ms or target_gap_ms. */
+#define DEFAULT_INACTIVITY_MS 5000
+/* Time for the load report of a server that has sent no event, or whose response
+ * may be cut. Longer than LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a
+ * prompt. */
+#define SILENCE_QUERY_TIMEOUT_MS 300
+/* Pause between such reports, as a fraction of the limit. */
+#define SILENCE_QUERY_FRACTION 0.25
+/* A timer that fires this late shows that the daemon itself was stalled. */
+#define DAEMON_STALL_MS 150
+/* Interval of checks for another server while the inactive one is kept. */
+#define FAILOVER_POLL_MS 50
+/* Time to read what arrived while the daemon was stalled. */
+#define STALL_CATCH_UP_MS 60
+
+static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now);
+static bool has_other_server(const gc_exchange_t *exchange,
+			     struct timespec now);
+static void leave_silent_server(gc_exchange_t *exchange);
+static void start_silence_query(gc_exchange_t *exchange);
+static void on_silence_report(void *ctx, int status, gc_str_t response,
+			      gc_attempt_end_t end);
+
+int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange)
+{
+	const gc_route_t *route = exchange->route;
+	double ms = FIRST_EVENT_FRACTION * (double)route->target_latency_ms;
+
+	if (exchange->received_event)
+		ms = EVENT_GAP_FRACTION * (double)route->target_gap_ms;
+	return ms > 0 ? (int64_t)ms : DEFAULT_INACTIVITY_MS;
+}
+
+void gc_exchange_on_inactivity(void *ctx)
+{
+	gc_exchange_t *exchange = ctx;
+	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
+	int64_t limit_ms = gc_exchange_inactivity_ms(exchange);
+	int64_t inactive_ms = gc_ms_between(exchange->last_activity, now);
+
+	/* The inactivity time restarts when reading resumes. */
+	if (!exchange->call || exchange->read_paused)
+		return;
+	if (inactive_ms < limit_ms) {
+		gc_timer_set(exchange->inactivity_timer,
+			     limit_ms - inactive_ms);
+		return;
+	}
+	if (inactive_ms > limit_ms + DAEMON_STALL_MS) {
+		/* Data may have arrived while the daemon was stalled. */
+		exchange->last_activity =
+			gc_add_ms(now, STALL_CATCH_UP_MS - limit_ms);
+		gc_timer_set(exchange->inactivity_timer, STALL_CATCH_UP_MS);
+		return;
+	}
+	if (!can_fail_over(exchange, now)) {
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+		return;
+	}
+	if (exchange->sequencer && !exchange->received_event)
+		start_silence_query(exchange);
+	else
+		leave_silent_server(exchange);
+}
+
+static void leave_silent_server(gc_exchange_t *exchange)
+{
+	gc_exchange_cancel_call(exchange);
+	gc_exchange_finish_attempt(
+		exchange, GC_END_TIMED_OUT,
+		"the server sent nothing within the inactivity limit");
+}
+
+static void start_silence_query(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+
+	/* A server that pauses is alive and busy; it is asked afterwards. */
+	if (gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(relay->conf.clock)))
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+	else if (!exchange->silence_query)
+		gc_exchange_query_load(exchange, on_silence_report);
+}
+
+void gc_exchange_query_load(gc_exchange_t *exchange,
+			    void (*done)(void *ctx, int status,
+					 gc_str_t response,
+					 gc_attempt_end_t end))
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_backend_query_conf_t conf = {
+		.upstream = relay->upstream,
+		.timers = relay->conf.timers,
+		.method = "GET",
+		.path = relay->conf.adapter->load_path,
+		.body = GC_STR_EMPTY,
+		.timeout_ms = SILENCE_QUERY_TIMEOUT_MS,
+		.done = done,
+		.ctx = exchange,
+	};
+
+	exchange->silence_query =
+		gc_backend_query_start(exchange, &conf, exchange->backend);
+}
+
+static void on_silence_report(void *ctx, int status, gc_str_t response,
+			      gc_attempt_end_t end)
+{
+	gc_exchange_t *exchange = ctx;
+	gc_backend_load_t load;
+	int64_t wait_ms;
+	bool reported =
+		status == 200 &&
+		exchange->relay->conf.adapter->read_load(response, &load);
+
+	/* The query frees itself after this callback. */
+	talloc_steal(NULL, exchange->silence_query);
+	exchange->silence_query = NULL;
+	if (gc_backend_is_pausing(exchange->backend,
+				  gc_clock_now(exchange->relay->conf.clock))) {
+		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
+		return;
+	}
+	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
+		if (can_fail_over(exchange,
+				  gc_clock_now(exchange->relay->conf.clock)))
+			leave_silent_server(exchange);
+		else
+			gc_timer_set(exchange->inactivity_timer,
+				     FAILOVER_POLL_MS);
+		return;
+	}
+	wait_ms = (int64_t)(SILENCE_QUERY_FRACTION *
+			    (double)gc_exchange_inactivity_ms(exchange));
+	exchange->last_activity =
+		gc_add_ms(gc_clock_now(exchange->relay->conf.clock),
+			  wait_ms - gc_exchange_inactivity_ms(exchange));
+	gc_timer_set(exchange->inactivity_timer, wait_ms);
+}
+
+/*
+ * A silent server may only be slow, so it is kept until the time limit unless
+ * the request can go on elsewhere: it may be repeated, and attempts, retry
+ * budget and another server are left.
+ */
+static bool can_fail_over(const gc_exchange_t *exchange, struct timespec now)
+{
+	gc_relay_t *relay = exchange->relay;
+	int64_t left_ms =
+		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
+
+	/* The caller has a part of this server's body. */
+	if (exchange->head_sent && !exchange->sequencer)
+		return false;
+	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
+	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
+	    !gc_backends_has_retry(relay->backends, now, exchange->service))
+		return false;
+	return has_other_server(exchange, now);
+}
+
+static bool has_other_server(const gc_exchange_t *exchange, struct timespec now)
+{
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
+	gc_backend_t *other;
+
+	if (exchange->copy_holder && exchange->received_event &&
+	    gc_backend_usable(exchange->copy_holder, now))
+		return true;
+	if (gc_backends_candidates(exchange->relay->backends, now,
+				   exchange->service, exchange->prompt, &avoid,
+				   &other, 1) > 0)
+		return true;
+	return gc_backends_choose_to_ask(exchange->relay->backends, now,
+					 exchange->service, exchange->prompt,
+					 &avoid, NULL,
+					 GC_PERMIT_RANK_BEGUN) != NULL;
+}
