--- a/core/backends.h
+++ b/core/backends.h
@@ -47,7 +47,7 @@
 typedef struct gc_backend_set {
 	gc_backend_t *const *list;
 	size_t n;
-	/* The set has all servers of other versions, too; data NULL: none. */
+	/* If data isn't NULL, all servers of other versions belong to the set. */
 	gc_str_t only_version;
 } gc_backend_set_t;
 
@@ -80,7 +80,8 @@
 /*
  * The best server of the service, preferably in this daemon's failure domain,
  * or NULL. Servers in `avoid` (may be NULL), draining, leaving, pausing and
- * limited ones without a permit are never chosen, ejected or replaced ones only if no other is left.
+ * limited ones without a permit are never chosen, ejected or replaced ones only
+ * if no other is left.
  */
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
 				 gc_str_t service,
@@ -131,7 +132,8 @@
 					     const gc_backend_set_t *avoid);
 /*
  * True if the server is listed, not limited without a permit, and neither
- * draining, leaving, pausing, replaced nor ejected, by itself or with its failure domain.
+ * draining, leaving, pausing, replaced nor ejected, by itself or with its failure
+ * domain.
  */
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now);
 
