Let two unit tests follow the versions of servers

check_room.c didn't compile since (a field of gc_backend_set_t had no initializer), and check_base_version.c expected the change of a base version ten ms before its minute is over, since a list counts until the next one. The code is the same.

--- a/regress/check_base_version.c
+++ b/regress/check_base_version.c
@@ -74,8 +74,8 @@
 	ck_assert(!propose(&f, 0));
 	set_servers(&f, "bbc");
 	ck_assert(!propose(&f, 5 * GC_STREAM_LIFE_MS + 10));
-	ck_assert(!propose(&f, 6 * GC_STREAM_LIFE_MS - 1));
-	ck_assert(propose(&f, 6 * GC_STREAM_LIFE_MS));
+	ck_assert(!propose(&f, 6 * GC_STREAM_LIFE_MS + 9));
+	ck_assert(propose(&f, 6 * GC_STREAM_LIFE_MS + 10));
 	ck_assert_str_eq(f.proposed.data, "b");
 	talloc_free(f.versions);
 }
--- a/regress/check_room.c
+++ b/regress/check_room.c
@@ -105,7 +105,7 @@
 	gc_backend_load_t busy = {
 		.running = 7, .kv_used = 56000, .kv_total = KV_TOTAL};
 	fixture_t fixture;
-	gc_backend_set_t set = {fixture.servers, N_SERVERS};
+	gc_backend_set_t set = {.list = fixture.servers, .n = N_SERVERS};
 
 	setup(&fixture);
 	gc_backend_record_load(fixture.servers[0], unit_at(0), &full);
