Let retries wait for their turn of the retry budget

Callers saw answers that had begun cut, with most of their time left, in seconds in which several streams of a daemon lost their attempts: servers that are sound and silent, or whose links are reset, beside changes. Cause: the end of an attempt took a retry in the same turn of the loop or gave up; a daemon's part of the fleet's budget is a few retries in a window of 10 s (1.8 plus 0.72 of its own requests with 117 daemons), so whatever failed first took them.

What would end in a failure now waits, begun responses first, then in the order of arrival, and ends at once only if its turn isn't foreseen within its time limit. No silent server is left while one waits, as the retry would be taken from it.

routed_budget.t failed before (two of three streams cut after three events) and passes.

--- a/core/backends.c
+++ b/core/backends.c
@@ -552,6 +552,17 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
+int64_t gc_backends_retry_turn_ms(gc_backends_t *backends, struct timespec now,
+				  gc_str_t service, unsigned int n,
+				  int64_t max_ms)
+{
+	gc_retry_window_conf_t conf = retry_conf(backends);
+
+	return gc_retry_window_turn_ms(
+		&find_or_add_service(backends, service)->retries, &conf, now, n,
+		max_ms);
+}
+
 bool gc_backend_is_leaving(const gc_backend_t *backend)
 {
 	return !backend->owner || backend->entry.draining || backend->leaving;
--- a/core/retry_window.c
+++ b/core/retry_window.c
@@ -1,5 +1,6 @@
 /* Counts requests and retries in the buckets of a sliding window. */
 #include "core/retry_window.h"
+#include "core/clock.h"
 
 #define N_BUCKETS (GC_RETRY_WINDOW_BUCKETS + 1)
 
@@ -7,6 +8,9 @@
 			   const gc_retry_window_conf_t *conf,
 			   struct timespec now);
 static uint32_t sum_counts(const uint32_t *counts);
+static int64_t next_bucket_ms(const gc_retry_window_t *window,
+			      const gc_retry_window_conf_t *conf,
+			      struct timespec now);
 
 /* Moves to the current bucket and clears those that have begun since the last
  * call. */
@@ -63,3 +67,42 @@
 	window->retries[window->newest % N_BUCKETS]++;
 	return true;
 }
+
+int64_t gc_retry_window_turn_ms(const gc_retry_window_t *window,
+				const gc_retry_window_conf_t *conf,
+				struct timespec now, unsigned int n,
+				int64_t max_ms)
+{
+	gc_retry_window_t ahead = *window;
+	struct timespec at = now;
+	uint32_t per_window;
+
+	advance_window(&ahead, conf, now);
+	per_window = sum_counts(ahead.requests);
+	/* Counts change only where a bucket begins. */
+	for (uint32_t i = 0; gc_ms_between(now, at) <= max_ms; i++) {
+		while (n > 0 && gc_retry_window_take(&ahead, conf, at))
+			n--;
+		if (n == 0)
+			return gc_ms_between(now, at);
+		at = gc_add_ms(at, next_bucket_ms(&ahead, conf, at));
+		advance_window(&ahead, conf, at);
+		ahead.requests[ahead.newest % N_BUCKETS] =
+			per_window * (i + 1) / N_BUCKETS -
+			per_window * i / N_BUCKETS;
+	}
+	return -1;
+}
+
+/* Time until the bucket after the newest one begins. */
+static int64_t next_bucket_ms(const gc_retry_window_t *window,
+			      const gc_retry_window_conf_t *conf,
+			      struct timespec now)
+{
+	int64_t ms = now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000;
+	int64_t begin_ms = ((window->newest + 1) * conf->window_ms +
+			    GC_RETRY_WINDOW_BUCKETS - 1) /
+			   GC_RETRY_WINDOW_BUCKETS;
+
+	return begin_ms - ms;
+}
--- a/core/retry_window.h
+++ b/core/retry_window.h
@@ -39,5 +39,14 @@
 bool gc_retry_window_take(gc_retry_window_t *window,
 			  const gc_retry_window_conf_t *conf,
 			  struct timespec now);
+/*
+ * Time in ms until the n-th retry from now on can be taken, if requests go on to
+ * come at the window's rate and each retry is taken as early as possible; 0: at
+ * once. -1: later than in max_ms.
+ */
+int64_t gc_retry_window_turn_ms(const gc_retry_window_t *window,
+				const gc_retry_window_conf_t *conf,
+				struct timespec now, unsigned int n,
+				int64_t max_ms);
 
 #endif
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -55,6 +55,9 @@
 	struct timespec attempt_started;
 	struct timespec attempt_ended; /* of the last one, if any */
 	bool left_silent; /* a server was left that may be sound */
+	/* It waits for its turn of the retry budget, until retry_timer expires. */
+	bool awaits_retry;
+	gc_attempt_end_t last_end; /* of the last attempt, while it does */
 	/* Server that gets a copy of the run's KV cache, or NULL. */
 	gc_backend_t *copy_holder;
 	/* ADDRESS/ID of the copy; see gc_header_names_t.copy_from. */
@@ -140,6 +143,17 @@
 void gc_exchange_start_hop(gc_exchange_t *exchange, gc_backend_t *daemon,
 			   int64_t left_ms);
 
+/*
+ * Retries that wait for their turn of the retry budget (exchange_retry.c).
+ * gc_exchange_retry starts the next attempt in its turn, or ends a request whose
+ * turn comes too late, and may free the exchange. gc_exchange_on_retry_turn is to
+ * be called when retry_timer expires while awaits_retry is set.
+ */
+void gc_exchange_retry(gc_exchange_t *exchange, gc_attempt_end_t end);
+void gc_exchange_on_retry_turn(gc_exchange_t *exchange);
+/* True if a request for the service waits for its turn. */
+bool gc_relay_awaits_retry(const gc_relay_t *relay, gc_str_t service);
+
 /*
  * Requests that another daemon runs, as this one reaches no server of the service
  * (exchange_hop.c). gc_exchange_leave_service is to be called before a server is
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -422,5 +422,10 @@
 
 void gc_exchange_on_retry(void *ctx)
 {
-	gc_exchange_start_next_attempt(ctx);
+	gc_exchange_t *exchange = ctx;
+
+	if (exchange->awaits_retry)
+		gc_exchange_on_retry_turn(exchange);
+	else
+		gc_exchange_start_next_attempt(exchange);
 }
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -132,6 +132,7 @@
 		exchange->next->prev = exchange->prev;
 	relay->n_exchanges--;
 	relay->n_received -= exchange->received;
+	relay->n_awaiting_retry -= exchange->awaits_retry;
 	return 0;
 }
 
@@ -469,15 +470,9 @@
 					!gc_route_allows_rerun(exchange->route)
 				? "once"
 				: "attempts";
-	if (decision == GC_DECISION_RETRY && uses_budget &&
-	    !gc_backends_take_retry(relay->backends, now, exchange->service)) {
-		exchange->limit_reached = "repeats";
-		decision = end == GC_END_FAILED && !exchange->held_events
-				   ? GC_DECISION_FORWARD
-				   : gc_attempts_final_decision(
-					     &exchange->attempts);
-	}
-	if (decision == GC_DECISION_RETRY)
+	if (decision == GC_DECISION_RETRY && uses_budget)
+		gc_exchange_retry(exchange, end);
+	else if (decision == GC_DECISION_RETRY)
 		gc_exchange_start_next_attempt(exchange);
 	else
 		gc_exchange_give_up(exchange, decision, end);
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -173,6 +173,7 @@
 		return false;
 	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
 	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
+	    gc_relay_awaits_retry(relay, exchange->service) ||
 	    !gc_backends_has_retry(relay->backends, now, exchange->service))
 		return false;
 	return has_other_server(exchange, now);
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -21,6 +21,7 @@
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	size_t n_exchanges;
+	size_t n_awaiting_retry; /* of n_exchanges */
 	gc_base_versions_t *base_versions;
 	uint64_t last_version_token;
 	bool store_answers;
--- a/regress/check_retry_window.c
+++ b/regress/check_retry_window.c
@@ -65,11 +65,73 @@
 }
 END_TEST
 
+/* The n-th turn is the time at which the n-th retry is taken, if requests come as
+ * before: retries were spread over the window, and more are wanted at once. */
+START_TEST(test_turns_come_when_foreseen)
+{
+	enum { N_TURNS = 8, WARM_UP = 200 };
+	gc_retry_window_t window = {0};
+	int64_t turns[N_TURNS];
+	unsigned int n_taken = 0;
+
+	for (int i = 0; i < WARM_UP; i++) {
+		gc_retry_window_count_request(&window, &conf,
+					      unit_at(i * STEP_MS));
+		if (i % 2 == 0)
+			gc_retry_window_take(&window, &conf,
+					     unit_at(i * STEP_MS));
+	}
+	while (gc_retry_window_take(&window, &conf, unit_at(WARM_UP * STEP_MS)))
+		;
+	for (unsigned int n = 0; n < N_TURNS; n++)
+		turns[n] = gc_retry_window_turn_ms(&window, &conf,
+						   unit_at(WARM_UP * STEP_MS),
+						   n + 1, 4 * WINDOW_MS);
+	for (int64_t ms = 0; n_taken < N_TURNS; ms += STEP_MS) {
+		struct timespec now = unit_at(WARM_UP * STEP_MS + ms);
+
+		ck_assert_int_le(ms, 4 * WINDOW_MS);
+		gc_retry_window_count_request(&window, &conf, now);
+		while (n_taken < N_TURNS &&
+		       gc_retry_window_take(&window, &conf, now)) {
+			ck_assert_int_gt(turns[n_taken], 0);
+			ck_assert_int_le(llabs(turns[n_taken++] - ms),
+					 WINDOW_MS / GC_RETRY_WINDOW_BUCKETS +
+						 STEP_MS);
+		}
+	}
+}
+END_TEST
+
+START_TEST(test_turns_are_bounded)
+{
+	const gc_retry_window_conf_t none = {WINDOW_MS, 0.5, 0.9};
+	gc_retry_window_t window = {0};
+
+	ck_assert_int_eq(gc_retry_window_turn_ms(&window, &none, unit_at(0), 1,
+						 100 * WINDOW_MS),
+			 -1);
+	ck_assert_int_eq(
+		gc_retry_window_turn_ms(&window, &conf, unit_at(0), 3, 0), 0);
+	ck_assert_int_eq(gc_retry_window_turn_ms(&window, &conf, unit_at(0), 4,
+						 WINDOW_MS / 2),
+			 -1);
+	ck_assert_int_gt(gc_retry_window_turn_ms(&window, &conf, unit_at(0), 4,
+						 2 * WINDOW_MS),
+			 0);
+	/* Asking takes nothing. */
+	ck_assert_int_eq(
+		gc_retry_window_turn_ms(&window, &conf, unit_at(0), 3, 0), 0);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_retries_are_bounded_in_every_window,
 		test_old_requests_allow_no_retries,
+		test_turns_come_when_foreseen,
+		test_turns_are_bounded,
 		NULL,
 	};
 
