Count the time for which the machine was suspended

Callers whose key had been withdrawn were served by a daemon whose machine had been suspended for seconds, and streams could be taken up at the version that it knew before. Found by reading after an operator's report (a daemon that stands still while servers of a new version join). Cause: gc_clock_system.now was CLOCK_MONOTONIC, which stands still during a suspension, so that the age of the configuration and of the view of servers, by which the daemon decides whether to trust them, came out as a few ms. A stopped process (SIGSTOP) was tested; its clock goes on.

Change: CLOCK_BOOTTIME for ages, time limits and timers.

routed_suspended.t, with a daemon that sees a stop as a suspension, failed before: 4 of 4 requests ran 6 s after their key was withdrawn; now none.

--- a/core/clock.h
+++ b/core/clock.h
@@ -6,7 +6,8 @@
 #include <time.h>
 
 typedef struct gc_clock {
-	/* Monotonic time, for deadlines and measurements. */
+	/* Monotonic time, suspension of the machine included, for deadlines, ages
+	 * and measurements. */
 	struct timespec (*now)(void *ctx);
 	/* Wall clock, for timestamps that other processes read. */
 	struct timespec (*wall)(void *ctx);
--- a/lib/clock.c
+++ b/lib/clock.c
@@ -1,11 +1,12 @@
 /* gc_clock_t on the clocks of the operating system. */
 #include "core/clock.h"
 
+/* Counts the time for which the machine was suspended, as others count it, too. */
 static struct timespec system_now(void *ctx)
 {
 	struct timespec t;
 
-	clock_gettime(CLOCK_MONOTONIC, &t);
+	clock_gettime(CLOCK_BOOTTIME, &t);
 	return t;
 }
 
--- a/lib/peers.c
+++ b/lib/peers.c
@@ -204,7 +204,7 @@
 	connection_t *connection = url.len ? get_connection(peers, url) : NULL;
 
 	if (connection)
-		clock_gettime(CLOCK_MONOTONIC, &connection->last_used);
+		connection->last_used = gc_clock_now(&gc_clock_system);
 	if (connection && zmq_send(connection->socket, buffer->data,
 				   buffer->size, ZMQ_DONTWAIT) >= 0)
 		gc_counter_add(peers->sent_bytes, buffer->size + FRAMING_BYTES);
--- a/lib/timer.c
+++ b/lib/timer.c
@@ -1,4 +1,4 @@
-/* Timers on the monotonic clock: a binary heap over one timer descriptor. */
+/* Timers on the clock of gc_clock_system: a binary heap over one timer descriptor. */
 #include <sys/timerfd.h>
 #include <time.h>
 #include <unistd.h>
@@ -28,7 +28,7 @@
 
 static int timers_destructor(gc_timers_t *timers);
 static int timer_destructor(gc_timer_t *timer);
-static struct timespec monotonic(void);
+static struct timespec current_time(void);
 static bool due_before(const gc_timers_t *timers, int a, int b);
 static void swap(gc_timers_t *timers, int a, int b);
 static void sift_up(gc_timers_t *timers, int index);
@@ -41,8 +41,7 @@
 {
 	gc_timers_t *timers = talloc_zero(mem, gc_timers_t);
 
-	timers->fd =
-		timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	timers->fd = timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (timers->fd < 0) {
 		talloc_free(timers);
 		return NULL;
@@ -91,7 +90,7 @@
 	talloc_free(timer);
 }
 
-static struct timespec monotonic(void)
+static struct timespec current_time(void)
 {
 	return gc_clock_now(&gc_clock_system);
 }
@@ -101,7 +100,7 @@
 	gc_timers_t *timers = timer->timers;
 
 	gc_timer_stop(timer);
-	timer->due = gc_add_ms(monotonic(), ms < 1 ? 1 : ms);
+	timer->due = gc_add_ms(current_time(), ms < 1 ? 1 : ms);
 	timer->heap_index = (int)timers->heap->len;
 	g_ptr_array_add(timers->heap, timer);
 	sift_up(timers, timer->heap_index);
@@ -199,7 +198,7 @@
 	if (read(timers->fd, &expirations, sizeof(expirations)) < 0)
 		return;
 	timers->armed_for = (struct timespec){0};
-	now = monotonic();
+	now = current_time();
 	while (timers->heap->len > 0) {
 		gc_timer_t *timer = g_ptr_array_index(timers->heap, 0);
 
--- a/lib/timer.h
+++ b/lib/timer.h
@@ -1,5 +1,5 @@
 /*
- * Timers on the monotonic clock for a tevent loop. tevent's own timers use the
+ * Timers on the clock gc_clock_system for a tevent loop. tevent's own timers use the
  * time of day, so a clock step makes them fire early or late.
  */
 #ifndef GC_LIB_TIMER_H
