Let a version be the only one for a minute before a daemon stands still

The versions step of routed_suspended.t passed by chance on the code before the fix, as a version counts as the only one after a minute and the daemon was younger.

--- a/regress/routed_suspended.t
+++ b/regress/routed_suspended.t
@@ -25,9 +25,11 @@
   $ CALLER_ADDR=$D1; AUTH=' Token key-2' status /look/ok
   401
 
-Servers of another version join while a daemon stands still. Streams begin there through
-another daemon and are taken up at the first one as it wakes.
+Servers of another version join while a daemon stands still, to which the former one has
+been the only one for a minute. Streams begin there through another daemon and are taken
+up at the first one as it wakes.
 
+  $ sleep 60
   $ kill -STOP $d3_pid
   $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; start_server new3 llm c engine v2; sleep 2
   $ for i in $(seq 12); do MAX_S=0.8 draft $D1 slow f$i & done; wait $(jobs -p | tail -n 12) || true
