Don't count refusals against the attempts of a request that may have run

Cause: max_attempts counted each server that got the request; the rule is about those that run it. A request that nobody may have run keeps the old count, as its caller can be told to come back.

check_attempts and routed_budget.t failed before (decision FAIL; 502 instead of 200) and pass.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -21,6 +21,8 @@
 	if (end != GC_END_UNREACHABLE && end != GC_END_REFUSED &&
 	    end != GC_END_REPLACED)
 		attempts->may_have_run = true;
+	if (end == GC_END_REFUSED || end == GC_END_REPLACED)
+		attempts->not_run++;
 	if (end == GC_END_BROKEN || end == GC_END_CUT || end == GC_END_REPLACED)
 		attempts->lost++;
 	if (attempts->may_have_run && !gc_route_allows_rerun(attempts->route))
@@ -33,18 +35,22 @@
 	return gc_attempts_final_decision(attempts);
 }
 
-/* Servers that a stream lost don't count against the operator's limit, but a
- * stream is sent to at most twice as many servers as that limit. A silent
- * server counts, as it may be sound. */
+/* Once the request may have run, servers that did not run it don't count against the
+ * operator's limit: its caller couldn't be told that it was not run. Servers that a
+ * stream lost don't count either. A request is sent to at most twice as many
+ * servers as that limit. A silent server counts, as it may be sound. */
 static bool may_try_another(const gc_attempts_t *attempts)
 {
 	uint32_t max = attempts->route->max_attempts;
 
 	if (attempts->sent < max)
 		return true;
+	if (attempts->sent >= 2 * max)
+		return false;
+	if (attempts->may_have_run && attempts->sent - attempts->not_run < max)
+		return true;
 	return attempts->route->kind == GC_ROUTE_STREAM &&
-	       attempts->sent - attempts->lost < max &&
-	       attempts->sent < 2 * max;
+	       attempts->sent - attempts->lost < max;
 }
 
 bool gc_attempts_may_leave(const gc_attempts_t *attempts, int64_t left_ms)
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -33,6 +33,7 @@
 	const gc_route_t *route;
 	uint32_t sent; /* servers that got at least a byte of the request */
 	uint32_t lost; /* of these, lost or replaced */
+	uint32_t not_run; /* of these, said so, or replaced */
 	bool may_have_run;
 } gc_attempts_t;
 
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -73,6 +73,40 @@
 }
 END_TEST
 
+/* The operator's limit is on servers that may have run the request. */
+START_TEST(test_refusals_do_not_count_once_it_may_have_run)
+{
+	const gc_route_t route = {.kind = GC_ROUTE_IDEMPOTENT,
+				  .max_attempts = 2};
+	const gc_route_t once = {.kind = GC_ROUTE_NON_IDEMPOTENT,
+				 .max_attempts = 2};
+	gc_attempts_t attempts = {.route = &route};
+
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
+			 GC_DECISION_RETRY);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_REFUSED),
+			 GC_DECISION_RETRY);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
+			 GC_DECISION_FAIL);
+	attempts = (gc_attempts_t){.route = &route};
+	end_attempt(&attempts, GC_END_TIMED_OUT);
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(end_attempt(&attempts, GC_END_REFUSED),
+				 GC_DECISION_RETRY);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_REFUSED),
+			 GC_DECISION_FAIL);
+	/* Its caller can be told that it was not run. */
+	attempts = (gc_attempts_t){.route = &route};
+	end_attempt(&attempts, GC_END_REFUSED);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_REFUSED),
+			 GC_DECISION_REFUSE);
+	attempts = (gc_attempts_t){.route = &once};
+	end_attempt(&attempts, GC_END_REFUSED);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
+			 GC_DECISION_FAIL);
+}
+END_TEST
+
 START_TEST(test_lost_servers_of_a_stream_do_not_count)
 {
 	const gc_route_t route = {
@@ -142,6 +176,7 @@
 		test_non_idempotent_is_not_retried_if_it_may_have_run,
 		test_non_idempotent_is_retried_if_it_was_not_run,
 		test_idempotent_is_retried_up_to_the_limit,
+		test_refusals_do_not_count_once_it_may_have_run,
 		test_lost_servers_of_a_stream_do_not_count,
 		test_no_retry_without_time_left,
 		test_silent_server_is_left_only_for_another_attempt,
--- a/regress/routed_budget.t
+++ b/regress/routed_budget.t
@@ -72,3 +72,13 @@
         1 id: 1 id: 2 id: 3 200 
         1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
   $ echo $(($(now_ms) - START)) | awk '$1 > 3000 { print "held for", $1 }'
+
+A lookup leaves a silent server, and the next one turns it away: the route's two attempts
+are those that may have run, so that it goes on to a third server. If nobody runs it, its
+caller is told so.
+
+  $ start_routed d4; status /look/turns-hang-shed-ok
+  200
+  $ send_request /look/shed | grep -o '"run":"[a-z_]*"\|^[0-9]*$'
+  "run":"not_run"
+  503
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -36,6 +36,8 @@
                event that it sends), then the rest
   once-NAME    behaves as NAME on the first server that gets the request, and
                as "ok" on others
+  turns-NAME-...  behaves as the n-th NAME, or the last one, on the n-th server
+               that gets the request
   then-NAME    (engines) behaves as "die" on the first server that gets the
                request, as NAME on the second one, and as "ok" on others
   ever-NAME    the same, but as NAME on all others
@@ -321,6 +323,11 @@
             with open(f"ran.{run_id}", "w", encoding="ascii"):
                 pass
             behaviour = behaviour[1:] if first else ["ok"]
+        if behaviour[0] == "turns":
+            with open(f"ran.{run_id}", "a+", encoding="ascii") as f:
+                f.write("x")
+                n = f.tell()
+            behaviour = [behaviour[min(n, len(behaviour) - 1)]]
         if behaviour[0] in ("then", "ever", "badthen", "badever"):
             first = "burstbad" if behaviour[0].startswith("bad") else "die"
             with open(f"ran.{run_id}", "a+", encoding="ascii") as f:
