Name the source revision in logs, metrics, the daemon's entry and -V

Beside old builds an operator could not see which build a daemon runs. The Makefile sets it from git, and "unknown" without.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,11 @@
 		$(MAKE) --no-print-directory -C $$d || exit 1; \
 	done
 
+# Built anew when the revision changes.
+BUILD ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
+lib/build.o: CPPFLAGS += -DGC_BUILD='"$(BUILD)"'
+lib/build.o: $(wildcard .git/logs/HEAD)
+
 libgoldcrest.a: $(LIB_OBJS)
 	@rm -f $@
 	@echo AR $@; $(AR) rcs $@ $(LIB_OBJS)
--- a/goldcrestd/daemon.c
+++ b/goldcrestd/daemon.c
@@ -9,6 +9,7 @@
 
 #include "core/error.h"
 #include "goldcrestd.h"
+#include "lib/build.h"
 #include "lib/claims.h"
 #include "lib/control.h"
 #include "lib/log.h"
@@ -124,7 +125,12 @@
 	    !write_ports(daemon, err))
 		return false;
 	add_signals(daemon);
-	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", "build", gc_build,
+	       NULL);
+	gc_gauge_set(gc_gauge("goldcrest_build_info",
+			      "1 for the source revision of the program.",
+			      "build", gc_build),
+		     1);
 	return true;
 }
 
--- a/goldcrestd/goldcrestd.h
+++ b/goldcrestd/goldcrestd.h
@@ -8,6 +8,7 @@
 	char *settings_file;
 	char *ports_file; /* gets the listening ports; NULL: none */
 	gboolean check_only; /* check the settings and exit */
+	gboolean version; /* print the source revision and exit */
 	gboolean verbose; /* log debug events */
 } daemon_options_t;
 
--- a/goldcrestd/main.c
+++ b/goldcrestd/main.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "goldcrestd.h"
+#include "lib/build.h"
 #include "lib/routed_settings.h"
 
 static daemon_options_t options;
@@ -16,6 +17,8 @@
 	 "Log debug events", NULL},
 	{"ports-file", 0, 0, G_OPTION_ARG_FILENAME, &options.ports_file,
 	 "Write the listeners' ports to FILE once they are up", "FILE"},
+	{"version", 'V', 0, G_OPTION_ARG_NONE, &options.version,
+	 "Print the source revision and exit", NULL},
 	{0},
 };
 
@@ -29,8 +32,12 @@
 		fprintf(stderr, "goldcrestd: %s\n", err->message);
 		return EXIT_FAILURE;
 	}
+	if (options.version) {
+		printf("%s\n", gc_build);
+		return EXIT_SUCCESS;
+	}
 	if (argc > 1 || !options.settings_file) {
-		fprintf(stderr, "usage: goldcrestd [-nv] [--ports-file FILE] "
+		fprintf(stderr, "usage: goldcrestd [-nVv] [--ports-file FILE] "
 				"-f FILE\n");
 		return EXIT_FAILURE;
 	}
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -8,6 +8,7 @@
 #include <sodium.h>
 
 #include "core/error.h"
+#include "lib/build.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "platform/platform.h"
@@ -137,7 +138,12 @@
 	start_fleet(daemon);
 	if (!start_control_listener(daemon, err))
 		return false;
-	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", NULL);
+	gc_log(GC_LOG_INFO, GC_EVENT_STARTED, "started", "build", gc_build,
+	       NULL);
+	gc_gauge_set(gc_gauge("goldcrest_build_info",
+			      "1 for the source revision of the program.",
+			      "build", gc_build),
+		     1);
 	return true;
 }
 
--- a/lib/operator_api_status.c
+++ b/lib/operator_api_status.c
@@ -1,6 +1,7 @@
 /* Builds the status document of a daemon for operators. */
 #include <inttypes.h>
 
+#include "lib/build.h"
 #include "lib/operator_api_status.h"
 
 typedef struct daemon_status {
@@ -81,9 +82,9 @@
 	gc_membership_foreach(control->membership, now, add_daemon_status,
 			      &daemons);
 	return json_pack(
-		"{ss ss sI sb sb sb sb si so so so so}", "instance",
-		control->settings->instance, "failure_domain",
-		control->settings->failure_domain, "version",
+		"{ss ss ss sI sb sb sb sb si so so so so}", "instance",
+		control->settings->instance, "build", gc_build,
+		"failure_domain", control->settings->failure_domain, "version",
 		(json_int_t)gc_membership_version(control->membership),
 		"in_effect", gc_membership_in_effect(control->membership, now),
 		"leaving", gc_membership_leaving(control->membership),
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "core/error.h"
+#include "lib/build.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
@@ -121,6 +122,7 @@
 			  (int)self->failure_domain.len);
 	char *text;
 
+	json_object_set_new(json, "build", json_string(gc_build));
 	if (self->forward_address.len > 0)
 		json_object_set_new(json, "forward",
 				    json_stringn(self->forward_address.data,
