Leave out both lost servers and refusals when a stream's attempts are counted

A stream that left a silent server and then met one that it lost and one that turned it away was given up after a single attempt that counts, of two that its route allows: the two exceptions were looked at one by one, so that each of them counted under the other.

check_attempts failed before (decision FAIL instead of RETRY after a silent, a lost and a refusing server, max_attempts 2) and passes. The limit on all servers together, twice max_attempts, is as before.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -21,9 +21,11 @@
 	if (end != GC_END_UNREACHABLE && end != GC_END_REFUSED &&
 	    end != GC_END_REPLACED)
 		attempts->may_have_run = true;
-	if (end == GC_END_REFUSED || end == GC_END_REPLACED)
-		attempts->not_run++;
-	if (end == GC_END_BROKEN || end == GC_END_CUT || end == GC_END_REPLACED)
+	if (end == GC_END_REFUSED)
+		attempts->refused++;
+	if (end == GC_END_REPLACED)
+		attempts->replaced++;
+	if (end == GC_END_BROKEN || end == GC_END_CUT)
 		attempts->lost++;
 	if (attempts->may_have_run && !gc_route_allows_rerun(attempts->route))
 		return end == GC_END_FAILED ? GC_DECISION_FORWARD
@@ -42,15 +44,16 @@
 static bool may_try_another(const gc_attempts_t *attempts)
 {
 	uint32_t max = attempts->route->max_attempts;
+	bool is_stream = attempts->route->kind == GC_ROUTE_STREAM;
+	uint32_t counted = attempts->sent;
 
-	if (attempts->sent < max)
-		return true;
-	if (attempts->sent >= 2 * max)
-		return false;
-	if (attempts->may_have_run && attempts->sent - attempts->not_run < max)
-		return true;
-	return attempts->route->kind == GC_ROUTE_STREAM &&
-	       attempts->sent - attempts->lost < max;
+	if (is_stream)
+		counted -= attempts->lost;
+	if (is_stream || attempts->may_have_run)
+		counted -= attempts->replaced;
+	if (attempts->may_have_run)
+		counted -= attempts->refused;
+	return counted < max && attempts->sent < 2 * max;
 }
 
 bool gc_attempts_may_leave(const gc_attempts_t *attempts, int64_t left_ms)
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -32,8 +32,8 @@
 typedef struct gc_attempts {
 	const gc_route_t *route;
 	uint32_t sent; /* servers that got at least a byte of the request */
-	uint32_t lost; /* of these, lost or replaced */
-	uint32_t not_run; /* of these, said so, or replaced */
+	/* Of these: lost; said that they did not run it; replaced by another one. */
+	uint32_t lost, refused, replaced;
 	bool may_have_run;
 } gc_attempts_t;
 
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -205,13 +205,15 @@
 			text, "Last-Event-Id: %" G_GINT64_FORMAT "\r\n",
 			gc_event_sequencer_last_id(exchange->sequencer));
 	/* This attempt is counted already. */
-	g_string_append_printf(
-		text,
-		HOP_HEADER ": %.*s\r\n" HOP_CONFIG_HEADER ": %" G_GUINT64_FORMAT
-			   "\r\n" HOP_SENT_HEADER ": %u\r\n",
-		GC_STR_ARG(relay->conf.instance),
-		gc_routes_version(exchange->view->routes),
-		attempts->sent - 1 - MIN(attempts->lost, attempts->sent - 1));
+	g_string_append_printf(text,
+			       HOP_HEADER ": %.*s\r\n" HOP_CONFIG_HEADER
+					  ": %" G_GUINT64_FORMAT
+					  "\r\n" HOP_SENT_HEADER ": %u\r\n",
+			       GC_STR_ARG(relay->conf.instance),
+			       gc_routes_version(exchange->view->routes),
+			       attempts->sent - 1 -
+				       MIN(attempts->lost + attempts->replaced,
+					   attempts->sent - 1));
 	if (exchange->version.data)
 		g_string_append_printf(text, HOP_VERSION_HEADER ": %.*s\r\n",
 				       GC_STR_ARG(exchange->version));
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -122,6 +122,30 @@
 }
 END_TEST
 
+/* Only the servers that may be sound and did not refuse count. */
+START_TEST(test_lost_servers_and_refusals_of_a_stream_do_not_count)
+{
+	const gc_route_t route = {
+		.kind = GC_ROUTE_STREAM, .resumable = true, .max_attempts = 2};
+	const gc_attempt_end_t not_counted[] = {GC_END_BROKEN, GC_END_REFUSED,
+						GC_END_REPLACED};
+
+	for (size_t i = 0; i < 3; i++) {
+		for (size_t j = 0; j < 3; j++) {
+			gc_attempts_t attempts = {.route = &route};
+
+			end_attempt(&attempts, GC_END_TIMED_OUT);
+			end_attempt(&attempts, not_counted[i]);
+			ck_assert_int_eq(end_attempt(&attempts, not_counted[j]),
+					 GC_DECISION_RETRY);
+			ck_assert_int_eq(end_attempt(&attempts,
+						     GC_END_TIMED_OUT),
+					 GC_DECISION_FAIL);
+		}
+	}
+}
+END_TEST
+
 START_TEST(test_no_retry_without_time_left)
 {
 	const gc_route_t route = {.kind = GC_ROUTE_IDEMPOTENT,
@@ -178,6 +202,7 @@
 		test_idempotent_is_retried_up_to_the_limit,
 		test_refusals_do_not_count_once_it_may_have_run,
 		test_lost_servers_of_a_stream_do_not_count,
+		test_lost_servers_and_refusals_of_a_stream_do_not_count,
 		test_no_retry_without_time_left,
 		test_silent_server_is_left_only_for_another_attempt,
 		NULL,
