Soak an upgrade from older builds, halted or taken back

The seed chooses whether the upgrade goes through, halts, or is taken back. Random numbers of this mode come from a series of their own, so other seeds keep their faults. Violations of requests that went to older builds name them and count as others do; all daemons have to be there at the end.

A cut by source addresses passes over builds that don't know the setting; a cut's violation that is there only with daemons that have no listener for requests of others is named after the old build.

--- a/regress/soak/cut_off.py
+++ b/regress/soak/cut_off.py
@@ -2,6 +2,8 @@
 
 A lookup counts if its daemon had no other disturbance in the CONTACT_S before it
 and until its end, as the rules have it, and neither had some daemon with links.
+Builds without a listener for requests of other daemons neither pass on lookups nor
+take them: a violation that ends if they are left out is named after them.
 """
 
 import asyncio
@@ -36,8 +38,9 @@
 class CutOffCheck:
     """What the lookups of a soak test met, and the faults meanwhile."""
 
-    def __init__(self, daemons):
+    def __init__(self, daemons, builds):
         self.daemons = daemons  # by name
+        self.builds = builds  # see upgrade.py
         self.n_checked = 0  # cuts with enough lookups
         self.cuts = []
         self.disturbances = []
@@ -80,17 +83,27 @@
         return [text for cut in self.cuts if (text := self.check(cut))]
 
     def check(self, cut):
+        text = self.compare(cut, False)
+        if text and not self.compare(cut, True):
+            return f"old build without links among daemons: {text}"
+        return text
+
+    def compare(self, cut, passing_on):
+        """passing_on: only at builds that pass on, beside another of them."""
+        def links(daemon, at):
+            return not passing_on or self.builds.has(daemon, "forward", at)
         served = {True: [], False: []}  # by whether the daemon was cut off
         sound = sorted(set(self.daemons) - set(cut.names))
         for name, begin, end, was_served in self.lookups:
             if (cut.begin + LEARN_S <= begin < cut.end and
-                    self.in_touch(name, begin, end) and
-                    any(self.in_touch(s, begin, end) for s in sound)):
+                    self.in_touch(name, begin, end) and links(name, begin) and
+                    any(self.in_touch(s, begin, end) and links(s, begin)
+                        for s in sound)):
                 served[name in cut.names].append(was_served)
         there, elsewhere = served[True], served[False]
         if len(there) < MIN_LOOKUPS or not elsewhere:
             return None
-        self.n_checked += 1
+        self.n_checked += not passing_on
         if (sum(there) * len(elsewhere) >=
                 MIN_SERVED * sum(elsewhere) * len(there)):
             return None
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -5,7 +5,8 @@
 processes, their connections and the store, and checks the guarantees of the
 routed mode by what callers and servers observe.
 
-usage: soak.py [--seed N] [--seconds N] [--modes MODE,...] [--keep] [--verbose]
+usage: soak.py [--seed N] [--seconds N] [--modes MODE,...]
+               [--old COMMIT,... [--builds DIR]] [--keep] [--verbose]
 
 The same seed and modes give the same series of faults. Prints the violations
 and their number; the exit status is 0 if there was none. Logs are kept with
@@ -22,6 +23,12 @@
   links     servers send and acknowledge nothing for a second
   versions  engines have two software versions, and callers take up streams that
             broke off
+  upgrade   the daemons start with the builds of --old, which are made or found in
+            --builds (default: with the logs), and are replaced one after the
+            other; the upgrade may halt or be taken back
+
+Violations of requests that went to older builds start with "old build"; the last
+line counts them in parentheses too.
 """
 
 import argparse
@@ -39,6 +46,7 @@
 
 import cut_off
 from proxy import Proxy
+from upgrade import Upgrade
 
 TOP = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
@@ -52,7 +60,7 @@
     "unframed": {"look": ["unframed"], "draft": ["plain", "plaincut", "empty"]},
     "silent": {"look": ["pause"], "book": ["pause"], "draft": ["pause"]}}
 MODES = ["crash", "restore", "leaving", "limits", "brittle", "versions",
-         "cutoff", "links", *BEHAVIOURS]
+         "cutoff", "links", "upgrade", *BEHAVIOURS]
 MAX_RESUMES = 3  # of one stream
 CRASH_INTERVAL_S = 0.5
 # Each daemon counts at least its own crashes while the store is away.
@@ -88,7 +96,7 @@
 class Soak:
     """The processes of a soak test, its counters and its violations."""
 
-    def __init__(self, seed, modes, directory):
+    def __init__(self, seed, modes, directory, old, builds):
         self.random = random.Random(seed)
         self.modes = modes
         self.directory = directory
@@ -108,7 +116,8 @@
         self.daemons = {}
         # API key -> time of its revocation.
         self.keys = {"key-1": None, "key-2": None}
-        self.cut_off_check = cut_off.CutOffCheck(self.daemons)
+        self.upgrade = Upgrade(self, seed, old, builds or self.path("builds"))
+        self.cut_off_check = cut_off.CutOffCheck(self.daemons, self.upgrade)
         # Of all servers that were started: (service, proxy).
         self.server_proxies = []
         # Source addresses of the cut, how (see cut.py), and its services.
@@ -232,18 +241,26 @@
                 zone, ports, await Proxy(self.store).start(),
                 await Proxy(ports[0]).start())
         _, ports, store_proxy, _ = self.daemons[name]
+        program, settings = self.upgrade.start(name, {
+            "mode": "routed", "instance": name, "failure_domain": zone,
+            "caller": f"127.0.0.1:{ports[0]}",
+            "ready": f"127.0.0.1:{ports[1]}",
+            "addresses": "127.0.0.1:0", "peer": f"127.0.0.1:{ports[2]}",
+            "forward": f"127.0.0.1:{ports[3]}",
+            "source": self.source_of(name),
+            "store": f"127.0.0.1:{store_proxy.port}", "stop_grace_s": 3})
         with open(self.path(name + ".json"), "w", encoding="ascii") as f:
-            json.dump({
-                "mode": "routed", "instance": name, "failure_domain": zone,
-                "caller": f"127.0.0.1:{ports[0]}",
-                "ready": f"127.0.0.1:{ports[1]}",
-                "addresses": "127.0.0.1:0", "peer": f"127.0.0.1:{ports[2]}",
-                "forward": f"127.0.0.1:{ports[3]}",
-                "source": self.source_of(name),
-                "store": f"127.0.0.1:{store_proxy.port}",
-                "stop_grace_s": 3}, f)
-        await self.spawn(name, [f"{TOP}/goldcrestd/goldcrestd", "-f",
-                                name + ".json"])
+            json.dump(settings, f)
+        await self.spawn(name, [program, "-f", name + ".json"])
+
+    async def restart_daemon(self, name, number):
+        self.send_signal(name, number)
+        # Concurrent faults may signal one process; restart it only once.
+        if name not in self.restarting:
+            self.restarting.add(name)
+            await self.processes[name].wait()
+            await self.start_daemon(name, self.daemons[name][0])
+            self.restarting.discard(name)
 
     @staticmethod
     def source_of(daemon):
@@ -271,6 +288,9 @@
             if calm:
                 self.disturb.clear()
                 await asyncio.sleep(cut_off.CALM_BEFORE_S)
+            # Only connections of builds with a source address can be cut.
+            names = [name for name in names
+                     if self.upgrade.has(name, "source", time.monotonic())]
             cut = self.cut_off_check.begin_cut(names)
             self.set_cut([self.source_of(name) for name in names], how,
                          services)
@@ -312,7 +332,7 @@
         disturbance.finish()
 
     async def run_fault(self, kind, daemon):
-        zone, _, store_proxy, caller_proxy = self.daemons[daemon]
+        _, _, store_proxy, caller_proxy = self.daemons[daemon]
         server = self.random.choice(sorted(self.servers))
         mode = self.random.choice(["slow", "silent", "one-way", "reset"])
         for_s = self.random.uniform(0.3, 3.0)
@@ -364,14 +384,9 @@
         elif kind == "links":
             await self.silence_links()
         elif kind in ("kill daemon", "stop daemon"):
-            self.send_signal(daemon, signal.SIGKILL if kind == "kill daemon"
-                             else signal.SIGTERM)
-            # Concurrent faults may signal one process; restart it only once.
-            if daemon not in self.restarting:
-                self.restarting.add(daemon)
-                await self.processes[daemon].wait()
-                await self.start_daemon(daemon, zone)
-                self.restarting.discard(daemon)
+            await self.restart_daemon(daemon, signal.SIGKILL
+                                      if kind == "kill daemon"
+                                      else signal.SIGTERM)
         elif kind == "pause daemon":
             self.send_signal(daemon, signal.SIGSTOP)
             await asyncio.sleep(for_s)
@@ -466,6 +481,7 @@
                        headers="", last=0):
         """Returns the body of a response with status 200, else nothing."""
         sent_at = time.monotonic()
+        self.upgrade.begin_try(run_id, port)
         if route == "book":
             self.booked.add(run_id)
         body = body or f"body of {run_id}".encode()
@@ -548,7 +564,7 @@
         if "cutoff" in self.modes:
             clients.append(asyncio.ensure_future(
                 self.cut_off_check.run_lookups(self)))
-        await self.inject_faults(seconds)
+        await asyncio.gather(self.inject_faults(seconds), self.upgrade.run())
         await asyncio.sleep(4)
         successes_before = self.counts.get("200", 0)
         crashes_before = self.n_crashes()
@@ -562,6 +578,7 @@
         self.stop = True
         await asyncio.gather(*clients)
         self.check_runs()
+        self.upgrade.check_daemons()
         self.violations += self.cut_off_check.violations()
         self.counts["cuts checked"] = self.cut_off_check.n_checked
 
@@ -575,14 +592,16 @@
 
 async def run_soak(args):
     directory = tempfile.mkdtemp(prefix="goldcrest-soak-")
-    soak = Soak(args.seed, args.modes, directory)
+    soak = Soak(args.seed, args.modes, directory, args.old, args.builds)
     try:
         await soak.main(args.seconds)
     except Exception as error:  # of the soak test itself
         soak.add_violation(f"the soak test failed: {error!r}")
     finally:
         await soak.end()
-    for text in soak.violations:
+    violations = [soak.upgrade.name_build(text) for text in soak.violations]
+    n_old = sum(text.startswith("old build") for text in violations)
+    for text in violations:
         print(text)
     if soak.violations or args.keep:
         print("logs:", directory)
@@ -590,7 +609,8 @@
         shutil.rmtree(directory)
     if args.verbose:
         print(dict(sorted(soak.counts.items())))
-    print(f"seed {args.seed}: {len(soak.violations)} violations")
+    print(f"seed {args.seed}: {len(violations)} violations" +
+          (f" ({n_old} of old builds)" if n_old else ""))
     sys.stdout.flush()
     # Exit without waiting for client tasks whose daemons were killed.
     os._exit(1 if soak.violations else 0)
@@ -608,9 +628,14 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--modes", default=[], type=parse_modes)
+    parser.add_argument("--old", default=[], type=lambda t: t.split(","))
+    parser.add_argument("--builds")
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--verbose", action="store_true")
-    asyncio.run(run_soak(parser.parse_args()))
+    args = parser.parse_args()
+    if ("upgrade" in args.modes) != bool(args.old):
+        parser.error("the mode upgrade and --old need each other")
+    asyncio.run(run_soak(args))
 
 
 main()
