Let daemons name their capabilities, ask only those that have them

Where it was the first choice of the rendezvous hashing, the daemons of newer builds had to go by the second one's quarter, the third one's eighth or their own share of the places, and which servers that hit depended on the ids.

A daemon's entry now has a list "capabilities" ("places", "witness"), which older readers ignore. Issuers of places and witnesses are chosen among the daemons that name them, or that have the address "forward": the builds that were the first to have it have both and name none.

--- a/core/registry.h
+++ b/core/registry.h
@@ -15,6 +15,12 @@
 
 #include "core/str.h"
 
+/* What a daemon of an older build may lack; a set of bits. */
+typedef enum gc_capability {
+	GC_CAN_GRANT_PLACES = 1 << 0, /* see core/places.h */
+	GC_CAN_WITNESS = 1 << 1, /* asks others whether a lost server crashed */
+} gc_capability_t;
+
 /* A backend server or a daemon; a restarted server has a new entry. */
 typedef struct gc_registry_entry {
 	gc_str_t id;
@@ -23,6 +29,7 @@
 	gc_str_t peer_address; /* IP:PORT for other daemons; may be empty */
 	/* IP:PORT for requests of other daemons; may be empty. */
 	gc_str_t forward_address;
+	uint32_t capabilities; /* of a daemon: gc_capability_t */
 	gc_str_t failure_domain;
 	gc_str_t version; /* of the server's software; may be empty */
 	uint32_t slots; /* maximum number of concurrent requests */
--- a/lib/crash_witness.c
+++ b/lib/crash_witness.c
@@ -81,7 +81,8 @@
 	gc_crash_witness_t *witness = talloc_zero(mem, gc_crash_witness_t);
 
 	witness->conf = *conf;
-	witness->daemons = gc_issuers_create(witness, conf->clock);
+	witness->daemons =
+		gc_issuers_create(witness, conf->clock, GC_CAN_WITNESS);
 	talloc_set_destructor(witness, witness_destructor);
 	return witness;
 }
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -4,6 +4,7 @@
 #include "core/address.h"
 #include "core/change_source.h"
 #include "core/error.h"
+#include "lib/capabilities.h"
 #include "lib/crash_notices.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
@@ -759,6 +760,7 @@
 			.address = gc_str(address),
 			.peer_address = gc_str(peer_address),
 			.forward_address = gc_str(forward_address),
+			.capabilities = gc_capabilities_decode(json),
 			.failure_domain = gc_str(failure_domain),
 		};
 
--- a/lib/issuers.c
+++ b/lib/issuers.c
@@ -13,6 +13,7 @@
 
 struct gc_issuers {
 	const gc_clock_t *clock;
+	uint32_t capabilities;
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	GHashTable *failed; /* name: struct timespec until when */
 };
@@ -20,11 +21,13 @@
 static int issuers_destructor(gc_issuers_t *issuers);
 static uint64_t weight_of(const gc_registry_entry_t *daemon, uint64_t server);
 
-gc_issuers_t *gc_issuers_create(TALLOC_CTX *mem, const gc_clock_t *clock)
+gc_issuers_t *gc_issuers_create(TALLOC_CTX *mem, const gc_clock_t *clock,
+				uint32_t capabilities)
 {
 	gc_issuers_t *issuers = talloc_zero(mem, gc_issuers_t);
 
 	issuers->clock = clock;
+	issuers->capabilities = capabilities;
 	issuers->failed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	talloc_set_destructor(issuers, issuers_destructor);
@@ -54,12 +57,12 @@
 	for (size_t i = 0; issuers->view && i < issuers->view->n_daemons; i++) {
 		const gc_registry_entry_t *daemon = &issuers->view->daemons[i];
 		uint64_t weight = weight_of(daemon, server);
-		size_t at = n < GC_N_ISSUERS ? n++ : GC_N_ISSUERS;
+		size_t at;
 
-		if (daemon->peer_address.len == 0) {
-			n -= at < GC_N_ISSUERS;
+		if (daemon->peer_address.len == 0 ||
+		    !gc_issuers_is_capable(issuers, daemon))
 			continue;
-		}
+		at = n < GC_N_ISSUERS ? n++ : GC_N_ISSUERS;
 		for (; at > 0 && weights[at - 1] < weight; at--) {
 			if (at == GC_N_ISSUERS)
 				continue;
@@ -110,3 +113,22 @@
 	*n = issuers->view ? issuers->view->n_daemons : 0;
 	return issuers->view ? issuers->view->daemons : NULL;
 }
+
+bool gc_issuers_is_capable(const gc_issuers_t *issuers,
+			   const gc_registry_entry_t *daemon)
+{
+	return (daemon->capabilities & issuers->capabilities) ==
+	       issuers->capabilities;
+}
+
+double gc_issuers_capable_part(const gc_issuers_t *issuers)
+{
+	size_t n_daemons;
+	const gc_registry_entry_t *daemons =
+		gc_issuers_daemons(issuers, &n_daemons);
+	size_t n = 0;
+
+	for (size_t i = 0; i < n_daemons; i++)
+		n += gc_issuers_is_capable(issuers, &daemons[i]);
+	return n > 0 ? (double)n / (double)n_daemons : 1;
+}
--- a/lib/issuers.h
+++ b/lib/issuers.h
@@ -21,7 +21,9 @@
 
 typedef struct gc_issuers gc_issuers_t;
 
-gc_issuers_t *gc_issuers_create(TALLOC_CTX *mem, const gc_clock_t *clock);
+/* Only daemons with all of the capabilities are chosen. */
+gc_issuers_t *gc_issuers_create(TALLOC_CTX *mem, const gc_clock_t *clock,
+				uint32_t capabilities);
 /* Sets the registered daemons; takes a reference to the view. */
 void gc_issuers_set_view(gc_issuers_t *issuers, gc_fleet_view_t *view);
 /* The daemon with the highest weight but `position` others, or NULL. */
@@ -33,7 +35,12 @@
 /* The part that the issuer at the position may grant; with position GC_N_ISSUERS,
  * that of a daemon that reaches none. */
 double gc_issuers_part(const gc_issuers_t *issuers, size_t position);
+/* The part of the registered daemons that have the capabilities; 1 if there are
+ * none. */
+double gc_issuers_capable_part(const gc_issuers_t *issuers);
 /* The registered daemons. */
+bool gc_issuers_is_capable(const gc_issuers_t *issuers,
+			   const gc_registry_entry_t *daemon);
 const gc_registry_entry_t *gc_issuers_daemons(const gc_issuers_t *issuers,
 					      size_t *n);
 
--- a/lib/permits_peer.c
+++ b/lib/permits_peer.c
@@ -55,7 +55,7 @@
 
 	peer->conf = *conf;
 	peer->permits = gc_permits_create(peer);
-	peer->issuers = gc_issuers_create(peer, conf->clock);
+	peer->issuers = gc_issuers_create(peer, conf->clock, 0);
 	peer->asks =
 		gc_counter("goldcrest_permit_asks_total",
 			   "Asks for permits of limited servers.", NULL, NULL);
--- a/lib/places_peer.c
+++ b/lib/places_peer.c
@@ -107,7 +107,8 @@
 	peer->conf = *conf;
 	peer->self = hash_name(conf->self);
 	peer->places = gc_places_create(peer);
-	peer->issuers = gc_issuers_create(peer, conf->clock);
+	peer->issuers =
+		gc_issuers_create(peer, conf->clock, GC_CAN_GRANT_PLACES);
 	peer->wait_timer =
 		gc_timer_create(peer, conf->timers, on_wait_timer, peer);
 	peer->tell_timer =
@@ -421,6 +422,7 @@
 
 		if (hash == peer->self || count >= MAX_TELLS ||
 		    daemons[i].peer_address.len == 0 ||
+		    !gc_issuers_is_capable(peer->issuers, &daemons[i]) ||
 		    gc_places_knows(peer->places, tell->server, hash))
 			continue;
 		g_hash_table_replace(tell->told, g_memdup2(&hash, sizeof(hash)),
--- a/lib/registration.c
+++ b/lib/registration.c
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 #include "lib/build.h"
+#include "lib/capabilities.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
@@ -127,6 +128,8 @@
 		json_object_set_new(json, "forward",
 				    json_stringn(self->forward_address.data,
 						 self->forward_address.len));
+	json_object_set_new(json, GC_CAPABILITIES_MEMBER,
+			    gc_capabilities_encode(self->capabilities));
 	text = json_dumps(json, JSON_COMPACT);
 	gc_counter_add(registration->store_calls, 1);
 	registration->conf.store.ops->put(registration->conf.store.store,
