Leave room at brittle servers to daemons that don't ask for places

Daemons of send to a brittle server as to any other. The issuer granted all places of the server to those that ask, so that both together sent more than it had room for.

It grants the part of the places that the daemons which ask are of all registered ones, one place at least, and stops for the rest of a second at that part of the requests turned away, as the others are turned away too.

--- a/core/places.c
+++ b/core/places.c
@@ -73,6 +73,7 @@
 } waiting_t;
 
 typedef struct server {
+	const gc_places_t *places;
 	uint64_t id;
 	double brittle;
 	struct timespec brittle_at;
@@ -98,6 +99,7 @@
 
 struct gc_places {
 	GHashTable *servers;
+	double asking_part;
 };
 
 static int places_destructor(gc_places_t *places);
@@ -133,10 +135,16 @@
 
 	places->servers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, free_server);
+	places->asking_part = 1;
 	talloc_set_destructor(places, places_destructor);
 	return places;
 }
 
+void gc_places_set_asking_part(gc_places_t *places, double part)
+{
+	places->asking_part = part;
+}
+
 static int places_destructor(gc_places_t *places)
 {
 	g_hash_table_unref(places->servers);
@@ -262,6 +270,7 @@
 		return server;
 	g_hash_table_foreach_remove(places->servers, is_unused, &now);
 	server = g_new0(server_t, 1);
+	server->places = places;
 	server->id = ask->server;
 	server->brittle = GC_NOT_BRITTLE;
 	server->brittle_at = gc_add_ms(ask->brittle_at, -2 * SAME_AGE_MS);
@@ -443,6 +452,7 @@
 
 static uint32_t free_places(server_t *server, struct timespec now)
 {
+	double asking_part = server->places->asking_part;
 	uint32_t used = in_flight(server, now);
 	uint32_t limit = gc_ms_between(now, server->heard_from) > 0
 				 ? (server->limit + 1) / 2
@@ -450,8 +460,11 @@
 
 	forget_turned_away(server, now);
 	if (server->n_turned_away > 0 &&
-	    (double)server->n_turned_away > STOP_PART * server->brittle)
+	    (double)server->n_turned_away >
+		    STOP_PART * asking_part * server->brittle)
 		return 0;
+	if (asking_part < 1)
+		limit = MAX((uint32_t)(asking_part * limit), 1);
 	if (server->part < 1) {
 		limit = MAX((uint32_t)(server->part * limit), 1);
 		if (server->starts < 1)
--- a/core/places.h
+++ b/core/places.h
@@ -59,6 +59,9 @@
 
 /* An issuer. What daemons hold it learns from their asks. */
 gc_places_t *gc_places_create(TALLOC_CTX *mem);
+/* The part of the daemons that ask for places, 1 by default. Others are of an older
+ * build and send without: their part of the room is left to them. */
+void gc_places_set_asking_part(gc_places_t *places, double part);
 /*
  * False if the ask waits for a place; gc_places_next answers it within
  * GC_PLACE_WAIT_MS. token identifies it there; the answer grants nothing then.
--- a/lib/places_peer.c
+++ b/lib/places_peer.c
@@ -150,6 +150,8 @@
 void gc_places_peer_set_view(gc_places_peer_t *peer, gc_fleet_view_t *view)
 {
 	gc_issuers_set_view(peer->issuers, view);
+	gc_places_set_asking_part(peer->places,
+				  gc_issuers_capable_part(peer->issuers));
 }
 
 void gc_places_peer_ask(gc_places_peer_t *peer, const gc_place_ask_t *ask)
--- a/regress/check_places.c
+++ b/regress/check_places.c
@@ -335,6 +335,28 @@
 }
 END_TEST
 
+/* Daemons of an older build ask for nothing and send all the same. */
+START_TEST(test_room_for_those_that_do_not_ask)
+{
+	gc_places_t *places = gc_places_create(NULL);
+	daemon_t one = {.id = 1};
+
+	gc_places_set_asking_part(places, 0.5);
+	ck_assert_int_eq(ask_for(places, 0, &one, SLOTS), SLOTS / 2);
+	/* They may be turned away as well. */
+	one.held--;
+	one.turned_away = (uint32_t)(BRITTLE / 4) + 1;
+	ck_assert_int_eq(ask_for(places, 10, &one, 1), -1);
+	gc_places_cancel(places, &one);
+	ck_assert_int_eq(ask_for(places, 1010, &one, 1), 1);
+	/* One place is left to those that ask. */
+	gc_places_set_asking_part(places, 0.01);
+	one.held = 0;
+	ck_assert_int_eq(ask_for(places, 2000, &one, SLOTS), 1);
+	talloc_free(places);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -352,6 +374,7 @@
 		test_follows_another_issuer,
 		test_end,
 		test_part,
+		test_room_for_those_that_do_not_ask,
 		NULL,
 	};
 
