Let streams that have begun wait for a server until their time limit

A stream whose server was lost was cut after its route's longest gap if no other server could be used just then: all of them pausing (503 with Retry-After), or their links reset, for longer than that gap and much shorter than its time limit. Only one that had left a silent server waited and went back (wait_for_return).

Now each stream that has begun does so while a server of its version is listed. If none is, or another daemon passed the stream on, the gap stays the limit, as nothing is foreseen to come back, or somebody else can go on.

routed_servers_away.t failed before in both cases (two of eight events, 1110 with limit "servers" 700 ms after the loss, 7.8 s before the limit) and passes. Also passed: routed_budget, routed_review, routed_streams, routed_cut_off, routed_hop, routed_hop_faults, routed_waits, routed_versions.

--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -41,6 +41,7 @@
 static void ask_for(gc_exchange_t *exchange, gc_backend_t *server,
 		    struct timespec now);
 static gint compare_waiting(gconstpointer a, gconstpointer b);
+static bool may_servers_return(const gc_exchange_t *exchange);
 static void wait_for_return(gc_exchange_t *exchange);
 static bool is_wait_useless(const gc_exchange_t *exchange, double max_wait_ms);
 
@@ -363,7 +364,8 @@
 				  gc_clock_now(exchange->relay->conf.clock))
 			: gc_exchange_elapsed_ms(exchange);
 
-	if (exchange->head_sent && exchange->left_silent) {
+	if (exchange->head_sent &&
+	    (exchange->left_silent || may_servers_return(exchange))) {
 		wait_for_return(exchange);
 		return;
 	}
@@ -379,10 +381,19 @@
 			    GC_END_UNREACHABLE);
 }
 
+/* What its servers lack comes back by itself, unless they have left for good. A
+ * stream of another daemon ends, so that that daemon can go on elsewhere. */
+static bool may_servers_return(const gc_exchange_t *exchange)
+{
+	return !exchange->received &&
+	       gc_backends_has_version(exchange->relay->backends,
+				       exchange->service, exchange->version);
+}
+
 /*
- * A stream that left a silent server and reaches no other one goes back: all of
- * them may be silent for the same moment. It waits until its time limit. A server
- * is tried again once its ejection has ended.
+ * A stream that has lost or left its server and finds no other one goes back: all
+ * of them may be silent, cut off or pausing for the same moment. It waits until its
+ * time limit. A server is tried again once its ejection has ended.
  */
 static void wait_for_return(gc_exchange_t *exchange)
 {
