Let requests of another daemon wait for their turn of the retry budget

A lookup that a daemon ran for another one got 502 at once when the retry budget there was used up, with nearly all of its time left: such requests ended so that the daemon that passed them on could go on elsewhere. But that one forwards a failure as final (gc_exchange_finish_hop); it goes on only with a response that had begun and was broken off. Found by review.

Only begun responses end at once now. routed_hop_waits.t failed before (one of two lookups 502, no 1126) and passes; routed_budget.t and routed_hop_faults.t pass.

--- a/lib/exchange_retry.c
+++ b/lib/exchange_retry.c
@@ -49,14 +49,14 @@
 
 /*
  * A request that was not run is refused at once, and a response that reports a
- * failure is forwarded. A request of another daemon ends, so that that daemon can
- * go on elsewhere.
+ * failure is forwarded. A begun response to another daemon ends, so that that daemon
+ * can go on elsewhere; it would forward any failure.
  */
 static bool may_wait(const gc_exchange_t *exchange)
 {
-	if (exchange->received)
-		return false;
-	if (exchange->head_sent || exchange->held_events)
+	if (exchange->head_sent)
+		return !exchange->received;
+	if (exchange->held_events)
 		return true;
 	return exchange->attempts.may_have_run &&
 	       exchange->last_end != GC_END_FAILED;
