Test answers that stop in their head in more places

Another operator's replicas stopped in the middle of their head, and clients got a whole 200. The cases that were not tried here: through another daemon, at that daemon itself, with most of the body still on its way, HEAD requests, a 103 before the head, trailers, cuts inside the framing header, close and reset, and streams whose events wait for the record of their version.

A daemon that takes requests of others can be started with more settings.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -105,13 +105,13 @@
 	await ready
 }
 
-# start_forwarding N: starts the daemon dN, which opens its connections to servers
-# from 127.0.0.1N and takes requests of other daemons. Sets dN_caller,
-# dN_control, dN_forward.
+# start_forwarding N [DOMAIN [MEMBERS]]: starts the daemon dN, which opens its
+# connections to servers from 127.0.0.1N and takes requests of other daemons. Sets
+# dN_caller, dN_control, dN_forward. MEMBERS as for start_routed.
 start_forwarding() {
 	local forward
 	forward=127.0.0.1:$(free_port)
-	start_routed "d$1" ",\"source\":\"127.0.0.1$1\",\"forward\":\"$forward\",\"failure_domain\":\"${2-a}\""
+	start_routed "d$1" ",\"source\":\"127.0.0.1$1\",\"forward\":\"$forward\",\"failure_domain\":\"${2-a}\"${3-}"
 	eval "d$1_caller=$CALLER_ADDR d$1_control=$CONTROL_ADDR d$1_forward=$forward"
 }
 # knows_daemons N: true if the store has the entries of N daemons that have been
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -42,6 +42,8 @@
                request, as NAME on the second one, and as "ok" on others
   ever-NAME    the same, but as NAME on all others
   badthen-NAME, badever-NAME  the same, but as "burstbad" on the first server
+  head-NAME    sends a part of a head, see heads.py; the same after badever-. With
+               "unread" in the query, the request's body is not read
   answer-NAME  (engines) the answers that aren't the rest of a stream, in
                bad_responses.py; after then- or ever-, without "answer-"
 These apply to engines:
@@ -106,6 +108,7 @@
 import bad_responses
 import brittle
 import cut
+import heads
 import silent_link
 import wire
 
@@ -371,6 +374,13 @@
             await asyncio.sleep(CRASH_REQUEST_AFTER_S)
             await self.crash(writer)
             return False
+        if behaviour[0] == "head" or behaviour[:2] == ["answer", "head"]:
+            headers = self.response_headers(request)
+            if self.engine:
+                headers["Content-Type"] = "text/event-stream"
+            return await heads.write_head(
+                writer, "-".join(behaviour[behaviour.index("head") + 1:]),
+                headers)
         if behaviour[0] == "answer":
             return await bad_responses.write_other(
                 writer, behaviour[1], self.response_headers(request),
--- a/standins/routed/wire.py
+++ b/standins/routed/wire.py
@@ -36,7 +36,7 @@
             headers[name.lower()] = value.strip()
     body = b""
     length = int(headers.get("content-length", 0))
-    if length:
+    if length and not target.endswith("?unread"):
         body = await reader.readexactly(length)
     return Request(method, target, headers, body)
 
