Let requests that may have run wait for a place until their time limit

A lookup or a stream without its first event that lost its server, or left it as silent, waited for a place at another brittle server for an eighth of its target latency and then ended with 502, limit "servers". A server that had turned it away on the way was out of the choice for good.

At 40 streams a second the three engines are just full, so that a place takes longer than that when one of them fell.

The end of such a request is a failure, and its caller waits longer than that. It now waits until its time limit while a server that isn't ejected is only full, as retries do for their turn of the budget; it asks with the rank of what has begun. A brittle server that turned it away can be tried again with a place; the bound of twice max_attempts stays. What was not run is refused as early as before.

--- a/core/backends.h
+++ b/core/backends.h
@@ -215,6 +215,10 @@
  */
 int64_t gc_backends_earliest_return(const gc_backends_t *backends,
 				    struct timespec now, gc_str_t service);
+/* True if a server of the service could be used, had this daemon a permit or a place
+ * there. */
+bool gc_backends_has_full(const gc_backends_t *backends, struct timespec now,
+			  gc_str_t service, const gc_backend_set_t *avoid);
 
 /* Counts a first request, which adds repeat_ratio to the retry budget. */
 void gc_backends_count_request(gc_backends_t *backends, struct timespec now,
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -435,6 +435,17 @@
 	return ms;
 }
 
+bool gc_backends_has_full(const gc_backends_t *backends, struct timespec now,
+			  gc_str_t service, const gc_backend_set_t *avoid)
+{
+	for (const gc_backend_t *b = backends->first; b; b = b->next)
+		if (gc_str_eq(b->entry.service, service) && !in_set(avoid, b) &&
+		    accepts_with_permit(b, now) && !is_ejected(b, now) &&
+		    !accepts_requests(b, now))
+			return true;
+	return false;
+}
+
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now)
 {
 	return accepts_requests(backend, now) && !is_ejected(backend, now);
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -43,6 +43,8 @@
 
 	gc_attempts_t attempts;
 	gc_backend_t *tried[GC_EXCHANGE_MAX_TRIED];
+	bool turned_away
+		[GC_EXCHANGE_MAX_TRIED]; /* by the server at the index */
 	size_t n_tried;
 	/* The limit that prevented a further attempt; "": none. */
 	const char *limit_reached;
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -42,6 +42,8 @@
 		    struct timespec now);
 static gint compare_waiting(gconstpointer a, gconstpointer b);
 static bool may_servers_return(const gc_exchange_t *exchange);
+static bool may_wait_for_full(gc_exchange_t *exchange);
+static bool forget_full(gc_exchange_t *exchange);
 static void wait_for_return(gc_exchange_t *exchange);
 static bool is_wait_useless(const gc_exchange_t *exchange, double max_wait_ms);
 
@@ -369,8 +371,9 @@
 		wait_for_return(exchange);
 		return;
 	}
-	if ((double)waited_ms < max_wait_ms &&
-	    !is_wait_useless(exchange, max_wait_ms - (double)waited_ms)) {
+	if (may_wait_for_full(exchange) ||
+	    ((double)waited_ms < max_wait_ms &&
+	     !is_wait_useless(exchange, max_wait_ms - (double)waited_ms))) {
 		exchange->waiting = true;
 		gc_timer_set(exchange->retry_timer, SERVER_POLL_MS);
 		return;
@@ -390,6 +393,49 @@
 				       exchange->service, exchange->version);
 }
 
+/*
+ * The end of a request that may have run is a failure to its caller. Servers that
+ * are only full have room for it before long, as what has begun goes first; it
+ * waits until its time limit.
+ */
+static bool may_wait_for_full(gc_exchange_t *exchange)
+{
+	gc_relay_t *relay = exchange->relay;
+	gc_backend_set_t avoid;
+
+	if (!exchange->attempts.may_have_run && !exchange->head_sent)
+		return false;
+	if (forget_full(exchange))
+		return true;
+	avoid = gc_exchange_avoid(exchange);
+	return gc_backends_has_full(relay->backends,
+				    gc_clock_now(relay->conf.clock),
+				    exchange->service, &avoid);
+}
+
+/* Brittle servers that turned the request away can be tried again with a place.
+ * True if there was any. */
+static bool forget_full(gc_exchange_t *exchange)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < exchange->n_tried; i++) {
+		gc_backend_t *server = exchange->tried[i];
+
+		if (exchange->turned_away[i] &&
+		    gc_backend_brittle(server) != GC_NOT_BRITTLE) {
+			gc_backend_unref(server);
+			continue;
+		}
+		exchange->turned_away[n] = exchange->turned_away[i];
+		exchange->tried[n++] = server;
+	}
+	if (n == exchange->n_tried)
+		return false;
+	exchange->n_tried = n;
+	return true;
+}
+
 /*
  * A stream that has lost or left its server and finds no other one goes back: all
  * of them may be silent, cut off or pausing for the same moment. It waits until its
@@ -403,10 +449,12 @@
 	for (size_t i = 0; i < exchange->n_tried; i++) {
 		gc_backend_t *server = exchange->tried[i];
 
-		if (gc_backend_usable(server, now))
+		if (gc_backend_usable(server, now)) {
 			gc_backend_unref(server);
-		else
+		} else {
+			exchange->turned_away[n] = exchange->turned_away[i];
 			exchange->tried[n++] = server;
+		}
 	}
 	exchange->n_tried = n;
 	exchange->waiting = true;
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -140,6 +140,7 @@
 			       int64_t left_ms)
 {
 	exchange->hop = false;
+	exchange->turned_away[exchange->n_tried] = false;
 	exchange->tried[exchange->n_tried++] = gc_backend_ref(backend);
 	start_attempt(exchange, backend, left_ms);
 }
@@ -447,6 +448,8 @@
 	else
 		gc_backend_record_failure(exchange->backend, now, end);
 	if (!exchange->hop) {
+		exchange->turned_away[exchange->n_tried - 1] =
+			end == GC_END_REFUSED;
 		gc_exchange_record_loss(exchange, end);
 		gc_relay_record_link(relay, exchange->backend, end);
 	}
--- a/regress/check_backends_brittle.c
+++ b/regress/check_backends_brittle.c
@@ -72,6 +72,22 @@
 			 server);
 }
 
+START_TEST(test_full_server_is_told_from_a_lost_one)
+{
+	gc_backends_t *backends = create_backends(1);
+	gc_backend_t *server = choose(backends, 0);
+	gc_backend_set_t avoid = {.list = &server, .n = 1};
+
+	ck_assert(!gc_backends_has_full(backends, unit_at(0), APP, NULL));
+	gc_backend_record_brittle(server, unit_at(0), 6);
+	ck_assert(gc_backends_has_full(backends, unit_at(0), APP, NULL));
+	ck_assert(!gc_backends_has_full(backends, unit_at(0), APP, &avoid));
+	gc_backend_record_failure(server, unit_at(10), GC_END_BROKEN);
+	ck_assert(!gc_backends_has_full(backends, unit_at(20), APP, NULL));
+	talloc_free(backends);
+}
+END_TEST
+
 START_TEST(test_place_is_needed_and_used_up)
 {
 	gc_backends_t *backends = create_backends(1);
@@ -266,6 +282,7 @@
 {
 	const TTest *const tests[] = {
 		test_place_is_needed_and_used_up,
+		test_full_server_is_told_from_a_lost_one,
 		test_what_is_held,
 		test_abandoned_request,
 		test_turned_away,
