Leave a daemon that runs a request only for one that can take it

A daemon that is cut off from a service gave up a lookup that the only other daemon was running, after twice the target latency, and told its caller 502 with 4.8 s left. Cause: the servers that it doesn't reach counted as others to go on at as soon as their ejection had ended (has_other_server), while the choice that follows knows that the service is cut off. Found by review.

--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -183,11 +183,13 @@
 {
 	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 	gc_backend_t *other;
+	bool cut_off = gc_relay_is_cut_off(exchange->relay, exchange->service);
 
-	if ((exchange->hop ||
-	     gc_relay_is_cut_off(exchange->relay, exchange->service)) &&
-	    gc_exchange_has_further_hop(exchange))
+	if ((exchange->hop || cut_off) && gc_exchange_has_further_hop(exchange))
 		return true;
+	/* Servers that aren't ejected any more aren't reached all the same. */
+	if (cut_off)
+		return false;
 	if (exchange->copy_holder && exchange->received_event &&
 	    gc_backend_usable(exchange->copy_holder, now))
 		return true;
--- a/regress/routed_hop_waits.t
+++ b/regress/routed_hop_waits.t
@@ -19,3 +19,8 @@
   200
   $ grep -c '"event":1126' d2.log
   1
+
+d2 takes longer than a server may be silent, and d1 has nobody else: it waits.
+
+  $ sleep 1; status /find/long
+  200
