Reset HTTP/1.0 responses that a daemon's end cuts

A caller with HTTP/1.0 gets a long response or a stream without a length or chunks. A daemon that was killed in the middle of one left its connections to the kernel, which closed them in the orderly way: the caller took the part for the whole. The same when the daemon gave up a slow reader after the end of the response.

From the head of such a response until its last byte is with the kernel, the socket has SO_LINGER with a time of 0, so that each close before that resets the connection, also that of a process that ends.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -408,8 +408,10 @@
 	conn->state = CONN_LINGERING;
 	conn->last_activity = gc_clock_now(conn->listener->clock);
 	gc_socket_set_paused(conn->sock, false);
-	if (!has_unsent(conn))
+	if (!has_unsent(conn)) {
 		gc_socket_shutdown_write(conn->sock);
+		gc_socket_set_reset_on_close(conn->sock, false);
+	}
 	arm_timer(conn);
 }
 
--- a/lib/caller_response.c
+++ b/lib/caller_response.c
@@ -74,8 +74,11 @@
 				 gc_str_t head)
 {
 	conn->chunked = !gc_http_message_is_http10(conn->message);
-	if (!conn->chunked)
+	if (!conn->chunked) {
 		conn->close_after_response = true;
+		/* An orderly close before the end would end the response. */
+		gc_socket_set_reset_on_close(conn->sock, true);
+	}
 	send_head(conn, status, head,
 		  conn->chunked ? "Transfer-Encoding: chunked\r\n" : "");
 }
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -200,14 +200,19 @@
 
 void gc_socket_reset(gc_socket_t *sock)
 {
-	struct linger linger = {.l_onoff = 1, .l_linger = 0};
-
 	if (sock && !sock->destroyed)
-		(void)setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &linger,
-				 sizeof(linger));
+		gc_socket_set_reset_on_close(sock, true);
 	gc_socket_destroy(sock);
 }
 
+void gc_socket_set_reset_on_close(gc_socket_t *sock, bool reset)
+{
+	struct linger linger = {.l_onoff = reset, .l_linger = 0};
+
+	(void)setsockopt(sock->fd, SOL_SOCKET, SO_LINGER, &linger,
+			 sizeof(linger));
+}
+
 void gc_socket_set_ops(gc_socket_t *sock, const gc_socket_ops_t *ops, void *ctx)
 {
 	sock->ops = *ops;
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -56,6 +56,9 @@
 /* The same, but sends a TCP reset, so that the peer sees a failure. The kernel
  * drops the bytes that are not acknowledged. */
 void gc_socket_reset(gc_socket_t *sock);
+/* While set, each close resets the connection, also that by the kernel when the
+ * process ends. */
+void gc_socket_set_reset_on_close(gc_socket_t *sock, bool reset);
 /* Replaces the callbacks and their ctx. */
 void gc_socket_set_ops(gc_socket_t *sock, const gc_socket_ops_t *ops,
 		       void *ctx);
--- a/regress/routed_heads.t
+++ b/regress/routed_heads.t
@@ -73,10 +73,36 @@
   81 of 81
   1
 
+The daemon is killed while it writes an answer: an HTTP/1.0 caller sees a reset, as it
+has neither a length nor chunks; others miss the end.
+
+  $ cat >killed.py <<'END'
+  > import os, signal, socket, sys, time
+  > sys.path.insert(0, os.environ["TOP"] + "/regress")
+  > from head_cuts import looks_whole, receive
+  > host, port = sys.argv[1].split(":")
+  > s = socket.create_connection((host, int(port)), 10)
+  > s.sendall(f"GET /draft/slow HTTP/{sys.argv[3]}\r\nHost: h.example\r\nAuthorization: Token key-1\r\n"
+  >           f"Goldcrestfield-Request-Id: k{time.time()}\r\n\r\n".encode())
+  > time.sleep(0.5)
+  > os.kill(int(sys.argv[2]), signal.SIGKILL)
+  > data, orderly = receive(s)
+  > print(data.count(b"id:") > 0, looks_whole(data, orderly, "GET"))
+  > END
+  $ reconnect "$SERVERS"
+  $ for version in 1.0 1.1; do start_routed k; python3 killed.py $CALLER_ADDR $k_pid $version; wait $k_pid 2>/dev/null; done 2>/dev/null; true
+  True False
+  True False
+
+One that ends, with most of it not sent yet, is whole.
+
+  $ start_routed k; send_request /draft/big --http1.0 --limit-rate 8M >big.out; echo $? $(grep -c 'id:' big.out)
+  0 200
+
 Events that wait for the record of their version, and then such heads of the next
 servers: with a store that never takes the record, and one that takes it late.
 
-  $ reconnect "$SERVERS"; start_routed d4 "$BUDGET"; LATE=$CALLER_ADDR; start_routed d5 "$BUDGET"
+  $ start_routed d4 "$BUDGET"; LATE=$CALLER_ADDR; start_routed d5 "$BUDGET"
   $ engines() { for n in 1 2 3; do operator "{\"key\":\"servers/$1$n\",\"remove\":true}"; start_server $2$n llm a engine $2; done; sleep 0.5; }
   $ held() { echo $(($(grep -c 'invalid character in chunk size' $1) >= 8)) $(($(grep -c '"reason":"the server closed\|"reason":"Connection reset' $1) >= 8)); }
   $ engines llm v2; store_fault '{"mode":"busy"}'; cuts draft GET 0 badever-head-; held d5.log
