Check crashes that older builds report before they count

All daemons, also sound ones of newer builds, then refused requests that many ask for ("unsafe_request") until a response of each server proved it alive: new reports came faster than that.

A report of a daemon that doesn't name the capability "witness", and a notice that repeats reports of several daemons while one of them lacks it, is now checked as a loss of the daemon's own: a server that responds didn't crash; if it doesn't, two daemons are asked. Until then requests that depend on it wait, as for own losses. Servers that are brittle, pause or leave aren't blamed, and one that is gone can't be checked, so that its report counts. A refuted report stays, so that the daemons of older builds are told when the request was served, and believe the others less.

--- a/core/backends.c
+++ b/core/backends.c
@@ -568,6 +568,16 @@
 	return !backend->owner || backend->entry.draining || backend->leaving;
 }
 
+gc_backend_t *gc_backends_find_incarnation(const gc_backends_t *backends,
+					   uint64_t incarnation)
+{
+	gc_backend_t *backend = backends->first;
+
+	while (backend && backend->incarnation != incarnation)
+		backend = backend->next;
+	return backend;
+}
+
 uint64_t gc_backend_incarnation(const gc_backend_t *backend)
 {
 	return backend->incarnation;
--- a/core/backends.h
+++ b/core/backends.h
@@ -317,6 +317,9 @@
 bool gc_backend_is_leaving(const gc_backend_t *backend);
 /* Hash of the id, the address and the start time, the same in all daemons. */
 uint64_t gc_backend_incarnation(const gc_backend_t *backend);
+/* The server with this incarnation, or NULL. */
+gc_backend_t *gc_backends_find_incarnation(const gc_backends_t *backends,
+					   uint64_t incarnation);
 /* The same for the entry of a server. */
 uint64_t gc_server_incarnation(const gc_registry_entry_t *entry);
 /*
--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -84,7 +84,7 @@
 {
 	int index = gc_request_traits_find(&report->report.traits, trait);
 
-	return index >= 0 &&
+	return index >= 0 && !report->refuted &&
 	       !((report->served_here | report->served_elsewhere) &
 		 (1U << index));
 }
@@ -143,10 +143,22 @@
 
 	if (!entry)
 		return;
-	if (crashed)
-		entry->pending = false;
-	else
+	if (!crashed) {
 		remove_report(suspects, (size_t)(entry - suspects->reports));
+		return;
+	}
+	entry->pending = false;
+	entry->refuted = false;
+}
+
+void gc_crash_suspects_refute(gc_crash_suspects_t *suspects, uint64_t id)
+{
+	report_t *entry = find_report(suspects, id);
+
+	if (!entry)
+		return;
+	entry->pending = false;
+	entry->refuted = true;
 }
 
 static report_t *find_report(gc_crash_suspects_t *suspects, uint64_t id)
@@ -189,7 +201,7 @@
 		(suspects->n_reports - index) * sizeof(*report));
 }
 
-/* The oldest one that says nothing together with others, so that many crashes of
+/* The oldest one that is refuted or says nothing together with others, so that many crashes of
  * other causes don't displace those that count. */
 static size_t least_useful_report(const gc_crash_suspects_t *suspects)
 {
@@ -198,6 +210,8 @@
 			&suspects->reports[i].report.traits;
 		bool recurs = false;
 
+		if (suspects->reports[i].refuted)
+			return i;
 		for (size_t j = 0; j < gc_request_traits_count(traits); j++)
 			recurs |= gc_crash_suspects_count(
 					  suspects,
@@ -422,6 +436,7 @@
 {
 	for (size_t i = suspects->n_reports; i-- > 0;)
 		if (suspects->reports[i].report.server == server &&
+		    !suspects->reports[i].refuted &&
 		    gc_us_between(suspects->reports[i].arrived, sent) > 0)
 			remove_report(suspects, i);
 }
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -88,6 +88,11 @@
 				const gc_crash_report_t *report);
 void gc_crash_suspects_settle(gc_crash_suspects_t *suspects, uint64_t id,
 			      bool crashed);
+/*
+ * Another daemon reported a crash that was none. The report counts no longer, but
+ * others of older builds may count it: they are to be told of services.
+ */
+void gc_crash_suspects_refute(gc_crash_suspects_t *suspects, uint64_t id);
 /* Another daemon says that the trait has been served. */
 void gc_crash_suspects_add_served(gc_crash_suspects_t *suspects,
 				  struct timespec now, uint64_t trait,
--- a/core/crash_suspects_private.h
+++ b/core/crash_suspects_private.h
@@ -24,6 +24,7 @@
 	uint64_t revision;
 	bool kept; /* it counts for a trait that is refused */
 	bool pending; /* it isn't known yet whether the server crashed */
+	bool refuted; /* it didn't */
 	/* Bits by index of the trait, see gc_request_traits_at. */
 	uint32_t served_here; /* served by this daemon afterwards */
 	uint32_t served_elsewhere; /* as other daemons say */
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -37,8 +37,9 @@
 			     gc_version_result_t result, gc_str_t version);
 static void on_store_answered(void *ctx, bool answered);
 static void on_notice(void *ctx, const gc_store_item_t *item);
-static void on_crash(void *ctx, const gc_crash_report_t *report,
-		     uint64_t revision, int64_t kept_ms);
+static void on_crash(void *ctx, gc_str_t instance,
+		     const gc_crash_report_t *report, uint64_t revision,
+		     int64_t kept_ms);
 static void on_served(void *ctx, uint64_t trait, uint64_t revision);
 static void publish(void *ctx, gc_fleet_view_t *view);
 static void on_confirmed(void *ctx, int64_t at_ms);
@@ -336,12 +337,15 @@
 	gc_crash_notices_receive(daemon->notices, item);
 }
 
-static void on_crash(void *ctx, const gc_crash_report_t *report,
-		     uint64_t revision, int64_t kept_ms)
+static void on_crash(void *ctx, gc_str_t instance,
+		     const gc_crash_report_t *report, uint64_t revision,
+		     int64_t kept_ms)
 {
 	routed_daemon_t *daemon = ctx;
+	bool checked = gc_crash_witness_is_asked_by(daemon->witness, instance);
 
-	gc_routed_traffic_add_crash(daemon->traffic, report, revision, kept_ms);
+	gc_routed_traffic_add_crash(daemon->traffic, report, revision, kept_ms,
+				    checked);
 }
 
 static void on_served(void *ctx, uint64_t trait, uint64_t revision)
--- a/lib/crash_checks.c
+++ b/lib/crash_checks.c
@@ -29,6 +29,7 @@
 	GArray *losses; /* of gc_crash_loss_t */
 	struct timespec started;
 	bool resent; /* a request had lost another server before */
+	bool asks_others; /* not only the server itself */
 	/* Others that are asked one after another until one reports. */
 	gc_backend_t *asked[MAX_ASKED + MAX_ELSEWHERE];
 	size_t n_asked;
@@ -73,6 +74,7 @@
 			     gc_attempt_end_t end);
 static void on_other_report(void *ctx, int status, gc_str_t response,
 			    gc_attempt_end_t end);
+static void ask_others(check_t *check);
 static bool ask_witness(check_t *check);
 static void end_query(check_t *check);
 static void end_witnessed(check_t *check);
@@ -104,10 +106,26 @@
 	add_recent(checks, report);
 	if (!check)
 		check = start_check(checks, service, server);
+	if (!check->asks_others)
+		ask_others(check);
 	check->resent |= report->resent;
 	g_array_append_val(check->losses, loss);
 }
 
+/* Most claims are those of a daemon that is cut off, and the server responds. */
+void gc_crash_checks_add_claim(gc_crash_checks_t *checks, gc_str_t service,
+			       gc_backend_t *server,
+			       const gc_crash_report_t *report,
+			       uint64_t revision)
+{
+	check_t *check = find_check(checks, server);
+	gc_crash_loss_t loss = {.report = *report, .revision = revision};
+
+	if (!check)
+		check = start_check(checks, service, server);
+	g_array_append_val(check->losses, loss);
+}
+
 static check_t *find_check(gc_crash_checks_t *checks,
 			   const gc_backend_t *server)
 {
@@ -135,9 +153,14 @@
 	checks->first = check;
 	talloc_set_destructor(check, check_destructor);
 	query_load(check, check->server, on_server_report);
+	return check;
+}
+
+static void ask_others(check_t *check)
+{
+	check->asks_others = true;
 	if (!ask_witness(check))
 		ask_other(check);
-	return check;
 }
 
 static bool ask_witness(check_t *check)
@@ -282,6 +305,13 @@
 
 	if (--check->n_pending > 0)
 		return;
+	if (!check->asks_others && !check->server_reported) {
+		/* Keeps the check if an answer comes at once. */
+		check->n_pending++;
+		ask_others(check);
+		end_query(check);
+		return;
+	}
 	if (check->token != 0) {
 		end_witnessed(check);
 		return;
--- a/lib/crash_checks.h
+++ b/lib/crash_checks.h
@@ -25,7 +25,8 @@
 /* A request that was broken off. */
 typedef struct gc_crash_loss {
 	gc_crash_report_t report;
-	char *request; /* its id, for the log */
+	char *request; /* its id, for the log; NULL: another daemon's claim */
+	uint64_t revision; /* of a claim */
 } gc_crash_loss_t;
 
 /* What other daemons say about a server that this one lost. */
@@ -66,6 +67,15 @@
 void gc_crash_checks_add(gc_crash_checks_t *checks, gc_str_t service,
 			 gc_backend_t *server, const gc_crash_report_t *report,
 			 gc_str_t request);
+/*
+ * Another daemon claims the crash, without having asked others: it counts as a loss
+ * until this daemon, or others that it asks, have tried the server. revision: as in
+ * gc_crash_suspects_add_report.
+ */
+void gc_crash_checks_add_claim(gc_crash_checks_t *checks, gc_str_t service,
+			       gc_backend_t *server,
+			       const gc_crash_report_t *report,
+			       uint64_t revision);
 void gc_crash_checks_add_verdict(gc_crash_checks_t *checks, uint64_t token,
 				 gc_witness_verdict_t verdict);
 /* The server answered a request that was sent at `sent`: it didn't crash before. */
--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -108,6 +108,7 @@
 			    const gc_store_item_t *item);
 static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
 			   const gc_store_item_t *item);
+static gc_str_t reporter_of(gc_str_t key);
 static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision);
 static void mark_served_needless(gc_crash_notices_t *notices, uint64_t trait,
 				 uint64_t order);
@@ -552,6 +553,7 @@
 	g_autoptr(GError) err = NULL;
 	g_autoptr(GArray) reports =
 		g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
+	gc_str_t instance = reporter_of(item->key);
 	own_reports_t *own;
 	uint64_t order;
 	int64_t kept_ms;
@@ -576,12 +578,24 @@
 		start_next_call(notices);
 	}
 	for (guint i = 0; i < reports->len; i++)
-		notices->conf.on_report(notices->conf.ctx,
+		notices->conf.on_report(notices->conf.ctx, instance,
 					&g_array_index(reports,
 						       gc_crash_report_t, i),
 					order, kept_ms);
 }
 
+/* Empty if the key names none. */
+static gc_str_t reporter_of(gc_str_t key)
+{
+	gc_str_t instance;
+
+	if (!strip_prefix(key, GC_CRASH_NOTICES_REPORTS_PREFIX, &instance))
+		return GC_STR_EMPTY;
+	while (instance.len > 0 && instance.data[--instance.len] != '/')
+		;
+	return instance;
+}
+
 /* Returns the place of a notice in the order of all. */
 static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision)
 {
--- a/lib/crash_notices.h
+++ b/lib/crash_notices.h
@@ -42,10 +42,12 @@
 	/*
 	 * Called for each valid notice in the store, including this daemon's.
 	 * order rises with the revision, also when the store was restored. A
-	 * report is to be kept for kept_ms; 0: the usual time.
+	 * report is to be kept for kept_ms; 0: the usual time. instance: the daemon
+	 * that made the report; empty if the notice repeats those of several.
 	 */
-	void (*on_report)(void *ctx, const gc_crash_report_t *report,
-			  uint64_t order, int64_t kept_ms);
+	void (*on_report)(void *ctx, gc_str_t instance,
+			  const gc_crash_report_t *report, uint64_t order,
+			  int64_t kept_ms);
 	void (*on_served)(void *ctx, uint64_t trait, uint64_t order);
 	/* Called with the era of each response that names one; may be NULL. */
 	void (*era_seen)(void *ctx, uint64_t era);
--- a/lib/crash_witness.c
+++ b/lib/crash_witness.c
@@ -125,6 +125,24 @@
 	witness->conf.answered(witness->conf.ctx, token, GC_WITNESS_NONE);
 }
 
+bool gc_crash_witness_is_asked_by(const gc_crash_witness_t *witness,
+				  gc_str_t id)
+{
+	size_t n;
+	const gc_registry_entry_t *daemons =
+		gc_issuers_daemons(witness->daemons, &n);
+
+	if (gc_str_eq(id, witness->conf.self))
+		return true;
+	if (id.len == 0)
+		return gc_issuers_capable_part(witness->daemons) >= 1;
+	for (size_t i = 0; i < n; i++)
+		if (gc_str_eq(daemons[i].id, id))
+			return gc_issuers_is_capable(witness->daemons,
+						     &daemons[i]);
+	return false;
+}
+
 static void ask_daemon(ask_t *ask, uint64_t server,
 		       const gc_registry_entry_t *daemon)
 {
--- a/lib/crash_witness.h
+++ b/lib/crash_witness.h
@@ -41,6 +41,10 @@
 /* Asks two other daemons; calls answered once, possibly before it returns. */
 void gc_crash_witness_ask(gc_crash_witness_t *witness, uint64_t token,
 			  uint64_t server);
+/* Whether a daemon asks others before it reports a crash. With an empty id: whether
+ * all registered ones do. */
+bool gc_crash_witness_is_asked_by(const gc_crash_witness_t *witness,
+				  gc_str_t id);
 /*
  * Answers another daemon: tries the server that the target names and others of
  * its service, then calls done once, from the event loop, with a JSON text, and
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -18,7 +18,10 @@
 
 static bool is_suspect(const gc_exchange_t *exchange);
 static void refuse_suspect(gc_exchange_t *exchange);
+static bool may_have_crashed(const gc_backend_t *server, struct timespec now);
 static uint64_t domain_hash(const gc_exchange_t *exchange);
+static void settle(gc_relay_t *relay, const gc_crash_loss_t *loss,
+		   bool crashed);
 static char *format_traits(const gc_request_traits_t *traits);
 
 void gc_exchange_read_traits(gc_exchange_t *exchange)
@@ -145,12 +148,8 @@
 		.traits = exchange->traits,
 	};
 
-	/* A server that pauses can't be asked, and isn't taken for crashed; one
-	 * that leaves ends with what still runs there; a brittle one falls over
-	 * by what it turns away. */
 	if (end != GC_END_BROKEN || !is_suspect(exchange) ||
-	    gc_backend_brittle(server) != GC_NOT_BRITTLE ||
-	    gc_backend_is_pausing(server, now) || gc_backend_is_leaving(server))
+	    !may_have_crashed(server, now))
 		return;
 	report.id = relay->conf.random->next(relay->conf.random->ctx);
 	report.server = gc_backend_incarnation(server);
@@ -162,6 +161,15 @@
 			    &report, exchange->id);
 }
 
+/* A server that pauses can't be asked, and isn't taken for crashed; one that leaves
+ * ends with what still runs there; a brittle one falls over by what it turns away. */
+static bool may_have_crashed(const gc_backend_t *server, struct timespec now)
+{
+	return gc_backend_brittle(server) == GC_NOT_BRITTLE &&
+	       !gc_backend_is_pausing(server, now) &&
+	       !gc_backend_is_leaving(server);
+}
+
 static uint64_t domain_hash(const gc_exchange_t *exchange)
 {
 	gc_str_t domain = gc_backend_domain(exchange->backend);
@@ -212,10 +220,9 @@
 			gc_crash_suspects_add_report(
 				relay->crash_suspects,
 				gc_clock_now(relay->conf.clock),
-				&losses[i].report, 0);
-		gc_crash_suspects_settle(relay->crash_suspects,
-					 losses[i].report.id, crashed);
-		if (!crashed)
+				&losses[i].report, losses[i].revision);
+		settle(relay, &losses[i], crashed);
+		if (!crashed || !losses[i].request)
 			continue;
 		traits = format_traits(&losses[i].report.traits);
 		gc_log(GC_LOG_WARNING, GC_EVENT_SERVER_CRASHED,
@@ -230,6 +237,16 @@
 			(const gc_crash_report_t *)reports->data, reports->len);
 }
 
+static void settle(gc_relay_t *relay, const gc_crash_loss_t *loss, bool crashed)
+{
+	if (!crashed && !loss->request)
+		gc_crash_suspects_refute(relay->crash_suspects,
+					 loss->report.id);
+	else
+		gc_crash_suspects_settle(relay->crash_suspects, loss->report.id,
+					 crashed);
+}
+
 /* The request's hash and the parts, comma-separated; free with g_free. */
 static char *format_traits(const gc_request_traits_t *traits)
 {
@@ -244,10 +261,23 @@
 }
 
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
-			uint64_t revision, int64_t kept_ms)
+			uint64_t revision, int64_t kept_ms, bool checked)
 {
 	struct timespec now = gc_clock_now(relay->conf.clock);
-
+	gc_backend_t *server =
+		checked ? NULL
+			: gc_backends_find_incarnation(relay->backends,
+						       report->server);
+
+	/* That of a server which has gone can't be checked. */
+	if (server) {
+		if (!may_have_crashed(server, now))
+			return;
+		gc_crash_suspects_add_loss(relay->crash_suspects, now, report);
+		gc_crash_checks_add_claim(relay->crash_checks,
+					  gc_backend_service(server), server,
+					  report, revision);
+	}
 	gc_crash_suspects_add_report(relay->crash_suspects, now, report,
 				     revision);
 	if (kept_ms > 0)
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -75,9 +75,10 @@
 /* Replaces the fleet view; takes a reference. */
 void gc_relay_set_view(gc_relay_t *relay, gc_fleet_view_t *view);
 /* What other daemons say; see gc_crash_suspects_add_report. The report is kept
- * for kept_ms; 0: the usual time. */
+ * for kept_ms; 0: the usual time. Unless it was checked by other daemons, it counts
+ * once this one has tried the server. */
 void gc_relay_add_crash(gc_relay_t *relay, const gc_crash_report_t *report,
-			uint64_t revision, int64_t kept_ms);
+			uint64_t revision, int64_t kept_ms, bool checked);
 void gc_relay_add_verdict(gc_relay_t *relay, uint64_t token,
 			  gc_witness_verdict_t verdict);
 void gc_relay_set_recorded(gc_relay_t *relay, uint64_t token, bool ok);
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -33,6 +33,7 @@
 	gc_crash_report_t report;
 	uint64_t revision;
 	int64_t kept_ms;
+	bool checked;
 } crash_message_t;
 
 typedef struct served_message {
@@ -245,11 +246,12 @@
 
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
-				 uint64_t revision, int64_t kept_ms)
+				 uint64_t revision, int64_t kept_ms,
+				 bool checked)
 {
 	crash_message_t *message = g_new(crash_message_t, 1);
 
-	*message = (crash_message_t){*report, revision, kept_ms};
+	*message = (crash_message_t){*report, revision, kept_ms, checked};
 	gc_mailbox_post(traffic->mailbox, handle_crash, message);
 }
 
@@ -259,7 +261,7 @@
 	crash_message_t *crash = message;
 
 	gc_relay_add_crash(traffic->relay, &crash->report, crash->revision,
-			   crash->kept_ms);
+			   crash->kept_ms, crash->checked);
 	g_free(crash);
 }
 
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -56,7 +56,8 @@
  */
 void gc_routed_traffic_add_crash(gc_routed_traffic_t *traffic,
 				 const gc_crash_report_t *report,
-				 uint64_t revision, int64_t kept_ms);
+				 uint64_t revision, int64_t kept_ms,
+				 bool checked);
 /* See lib/relay.h. */
 void gc_routed_traffic_set_recorded(gc_routed_traffic_t *traffic,
 				    uint64_t token, bool ok);
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -49,6 +49,7 @@
 	uint64_t trait;
 	uint64_t revision;
 	int64_t kept_ms; /* of the last report */
+	char reporter[32]; /* the same */
 	uint64_t era; /* in the answers */
 } fixture_t;
 
@@ -99,12 +100,15 @@
 	return unit_at(ms);
 }
 
-static void on_report(void *ctx, const gc_crash_report_t *report,
-		      uint64_t revision, int64_t kept_ms)
+static void on_report(void *ctx, gc_str_t instance,
+		      const gc_crash_report_t *report, uint64_t revision,
+		      int64_t kept_ms)
 {
 	fixture_t *fixture = ctx;
 
 	fixture->n_reports++;
+	g_snprintf(fixture->reporter, sizeof(fixture->reporter), "%.*s",
+		   GC_STR_ARG(instance));
 	fixture->report = *report;
 	fixture->revision = revision;
 	fixture->kept_ms = kept_ms;
@@ -265,6 +269,7 @@
 	answer(fixture, 0);
 	ck_assert_int_eq(fixture->call, NO_CALL);
 	receive(fixture, "goldcrest/crashed/d1/0", fixture->value, 10);
+	ck_assert_str_eq(fixture->reporter, "d1");
 }
 
 START_TEST(test_reports_round_trip)
@@ -744,6 +749,7 @@
 	ck_assert_uint_eq(fixture->n_reports, 3);
 	ck_assert_uint_eq(fixture->report.id, 2);
 	ck_assert_int_eq(fixture->kept_ms, 86400000);
+	ck_assert_str_eq(fixture->reporter, "");
 	receive(fixture, fixture->key,
 		"{\"kept_ms\":-1,\"reports\":[{" GOOD "}]}", 21);
 	receive(fixture, fixture->key,
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -559,6 +559,37 @@
 }
 END_TEST
 
+/* A daemon of an older build that is cut off reports servers that go on. Others of
+ * older builds believe it until they are told of a service. */
+START_TEST(test_refuted_report_does_not_count)
+{
+	uint64_t told[4];
+	uint64_t ids[4];
+
+	start();
+	for (uint64_t i = 0; i < 4; i++)
+		ids[i] = lose((int64_t)i * 100, i + 1, DEADLY, false, 0);
+	ck_assert_int_eq(judge_request(400, DEADLY), GC_SUSPECT_WAIT);
+	for (int i = 0; i < 4; i++)
+		gc_crash_suspects_refute(suspects, ids[i]);
+	ck_assert_int_eq(judge_request(401, DEADLY), GC_SUSPECT_SEND);
+	gc_crash_suspects_record_alive(suspects, unit_at(402), 1);
+	serve_request(403, DEADLY);
+	ck_assert_uint_eq(gc_crash_suspects_take_served(suspects, unit_at(404),
+							told, 4),
+			  1);
+	ck_assert_uint_eq(told[0], DEADLY);
+	/* The servers crashed after all. */
+	start();
+	for (uint64_t i = 0; i < 3; i++) {
+		ids[i] = lose((int64_t)i * 100, i + 1, DEADLY, false, 0);
+		gc_crash_suspects_refute(suspects, ids[i]);
+		gc_crash_suspects_settle(suspects, ids[i], true);
+	}
+	ck_assert_int_eq(judge_request(401, DEADLY), GC_SUSPECT_REFUSE);
+}
+END_TEST
+
 START_TEST(test_served_request_is_cleared)
 {
 	start();
@@ -728,6 +759,7 @@
 		test_doubt_between_two_requests_ends_soon,
 		test_two_deadly_requests_at_once,
 		test_request_waits_while_its_losses_are_checked,
+		test_refuted_report_does_not_count,
 		test_served_request_is_cleared,
 		test_trials_end_after_three_crashes,
 		test_three_trials_in_a_day_across_restarts,
