Keep crashes of servers that answer again before they are listed anew

An answer now counts only if no new start of the server is listed within 2 s after it. A sound server that a daemon took for crashed is cleared that much later.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -441,6 +441,16 @@
 			remove_report(suspects, i);
 }
 
+bool gc_crash_suspects_has_report(const gc_crash_suspects_t *suspects,
+				  struct timespec sent, uint64_t server)
+{
+	for (size_t i = 0; i < suspects->n_reports; i++)
+		if (suspects->reports[i].report.server == server &&
+		    gc_us_between(suspects->reports[i].arrived, sent) > 0)
+			return true;
+	return false;
+}
+
 size_t gc_crash_suspects_take_served(gc_crash_suspects_t *suspects,
 				     struct timespec now, uint64_t *traits,
 				     size_t max)
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -108,6 +108,9 @@
  */
 void gc_crash_suspects_record_alive(gc_crash_suspects_t *suspects,
 				    struct timespec sent, uint64_t server);
+/* True if there are such reports. */
+bool gc_crash_suspects_has_report(const gc_crash_suspects_t *suspects,
+				  struct timespec sent, uint64_t server);
 /*
  * Stores the traits whose service the other daemons have to be told of, at most
  * max, and returns their number. Each is returned once for a report.
--- a/lib/crash_checks.c
+++ b/lib/crash_checks.c
@@ -380,6 +380,17 @@
 	}
 }
 
+bool gc_crash_checks_is_undecided(const gc_crash_checks_t *checks,
+				  struct timespec sent,
+				  const gc_backend_t *server)
+{
+	for (const check_t *check = checks->first; check; check = check->next)
+		if (check->undecided && check->server == server &&
+		    gc_us_between(check->started, sent) > 0)
+			return true;
+	return false;
+}
+
 void gc_crash_checks_servers_changed(gc_crash_checks_t *checks)
 {
 	check_t *next;
--- a/lib/crash_checks.h
+++ b/lib/crash_checks.h
@@ -82,6 +82,10 @@
 void gc_crash_checks_record_alive(gc_crash_checks_t *checks,
 				  struct timespec sent,
 				  const gc_backend_t *server);
+/* True if a loss of the server before `sent` may turn out to be a crash. */
+bool gc_crash_checks_is_undecided(const gc_crash_checks_t *checks,
+				  struct timespec sent,
+				  const gc_backend_t *server);
 /*
  * To be called when the list of servers has changed: a lost server that starts
  * again has crashed, whatever the check said.
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -1,4 +1,6 @@
 /* Requests that crash backend servers. */
+#include <string.h>
+
 #include <xxhash.h>
 
 #include "lib/log.h"
@@ -15,10 +17,16 @@
 #define MAX_SHARED_SERVED 16
 /* Refused traits that they are told of again at once. */
 #define MAX_SHARED_KEPT 8
+/* The entry of a server that has started again has come within this time after its
+ * first answer. */
+#define ENTRY_MS 2000
 
 static bool is_suspect(const gc_exchange_t *exchange);
 static void refuse_suspect(gc_exchange_t *exchange);
 static bool may_have_crashed(const gc_backend_t *server, struct timespec now);
+static bool is_taken_for_crashed(const gc_relay_t *relay, struct timespec sent,
+				 const gc_backend_t *server);
+static void record_alive(gc_relay_t *relay, const gc_alive_t *alive);
 static uint64_t domain_hash(const gc_exchange_t *exchange);
 static void settle(gc_relay_t *relay, const gc_crash_loss_t *loss,
 		   bool crashed);
@@ -108,16 +116,66 @@
 		gc_exchange_refuse(exchange, &unsafe);
 }
 
+/*
+ * A server that answers hasn't crashed, unless it has started again at its address:
+ * its new entry in the store may come after its first answer.
+ */
 void gc_exchange_record_alive(const gc_exchange_t *exchange)
 {
 	gc_relay_t *relay = exchange->relay;
+	gc_backend_t *server = exchange->backend;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+
+	if (!is_taken_for_crashed(relay, exchange->attempt_started, server) ||
+	    relay->n_alive == G_N_ELEMENTS(relay->alive))
+		return;
+	for (size_t i = 0; i < relay->n_alive; i++)
+		if (relay->alive[i].server == server)
+			return;
+	relay->alive[relay->n_alive++] = (gc_alive_t){
+		.server = gc_backend_ref(server),
+		.sent = exchange->attempt_started,
+		.due = gc_add_ms(now, ENTRY_MS),
+	};
+	if (relay->n_alive == 1)
+		gc_timer_set(relay->alive_timer, ENTRY_MS);
+}
+
+static bool is_taken_for_crashed(const gc_relay_t *relay, struct timespec sent,
+				 const gc_backend_t *server)
+{
+	return gc_crash_suspects_has_report(relay->crash_suspects, sent,
+					    gc_backend_incarnation(server)) ||
+	       gc_crash_checks_is_undecided(relay->crash_checks, sent, server);
+}
 
-	gc_crash_suspects_record_alive(
-		relay->crash_suspects, exchange->attempt_started,
-		gc_backend_incarnation(exchange->backend));
-	gc_crash_checks_record_alive(relay->crash_checks,
-				     exchange->attempt_started,
-				     exchange->backend);
+void gc_relay_on_alive_timer(void *ctx)
+{
+	gc_relay_t *relay = ctx;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	size_t n = 0;
+
+	while (n < relay->n_alive &&
+	       gc_ms_between(now, relay->alive[n].due) <= 0)
+		record_alive(relay, &relay->alive[n++]);
+	relay->n_alive -= n;
+	memmove(relay->alive, relay->alive + n,
+		relay->n_alive * sizeof(*relay->alive));
+	if (relay->n_alive > 0)
+		gc_timer_set(relay->alive_timer,
+			     gc_ms_between(now, relay->alive[0].due));
+}
+
+static void record_alive(gc_relay_t *relay, const gc_alive_t *alive)
+{
+	if (!gc_backends_has_successor(relay->backends, alive->server)) {
+		gc_crash_suspects_record_alive(
+			relay->crash_suspects, alive->sent,
+			gc_backend_incarnation(alive->server));
+		gc_crash_checks_record_alive(relay->crash_checks, alive->sent,
+					     alive->server);
+	}
+	gc_backend_unref(alive->server);
 }
 
 void gc_exchange_record_served(gc_exchange_t *exchange)
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -158,6 +158,8 @@
 	relay->keep_timer = gc_timer_create(relay, conf->timers,
 					    gc_relay_on_keep_timer, relay);
 	gc_timer_set(relay->keep_timer, GC_KEEP_INTERVAL_MS);
+	relay->alive_timer = gc_timer_create(relay, conf->timers,
+					     gc_relay_on_alive_timer, relay);
 	gc_relay_start_place_reports(relay);
 	talloc_set_destructor(relay, relay_destructor);
 	return relay;
@@ -180,6 +182,8 @@
 static int relay_destructor(gc_relay_t *relay)
 {
 	gc_relay_destroy_reach(relay);
+	for (size_t i = 0; i < relay->n_alive; i++)
+		gc_backend_unref(relay->alive[i].server);
 	gc_fleet_view_unref(relay->view);
 	return 0;
 }
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -10,6 +10,16 @@
 #include "lib/refusal.h"
 #include "lib/relay.h"
 
+/* Answers that are weighed at once, each of another server. */
+#define GC_MAX_ALIVE 32
+
+/* An answer of a server that was taken for crashed. */
+typedef struct gc_alive {
+	gc_backend_t *server;
+	struct timespec sent; /* the request */
+	struct timespec due;
+} gc_alive_t;
+
 struct gc_relay {
 	gc_relay_conf_t conf;
 	gc_upstream_t *upstream;
@@ -17,6 +27,9 @@
 	gc_crash_suspects_t *crash_suspects;
 	gc_crash_checks_t *crash_checks;
 	gc_timer_t *keep_timer; /* for what is known of crashes */
+	gc_alive_t alive[GC_MAX_ALIVE]; /* oldest first */
+	size_t n_alive;
+	gc_timer_t *alive_timer;
 	gc_timer_t *places_timer; /* names places that are held anew */
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
@@ -64,6 +77,8 @@
 void gc_relay_update_versions(gc_relay_t *relay);
 /* Callback of keep_timer; ctx is the relay. */
 void gc_relay_on_keep_timer(void *ctx);
+/* Callback of alive_timer; ctx is the relay. */
+void gc_relay_on_alive_timer(void *ctx);
 /* Callbacks of crash_checks; ctx is the relay. */
 bool gc_relay_ask_witness(void *ctx, uint64_t token, uint64_t server);
 void gc_relay_on_losses_settled(void *ctx, const gc_backend_t *server,
