--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -500,6 +500,7 @@
         finally:
             writer.close()
         self.count(str(status))
+        self.upgrade.end_try(run_id, versions_of(data))
         self.check_response(route, behaviour, run_id, key, sent_at, status,
                             head, data, last)
         return data if status == 200 else b""
--- a/regress/soak/upgrade.py
+++ b/regress/soak/upgrade.py
@@ -37,7 +37,7 @@
             self.trees[commit] = os.path.dirname(os.path.dirname(built.stdout))
         self.builds = {}  # by daemon, those of their next start
         self.starts = []  # (daemon, build, time)
-        self.tries = {}  # run id -> (daemon, build)
+        self.tries = {}  # run id -> [build, daemon, versions of events]
 
     def start(self, daemon, settings):
         """Returns the program and the settings that its build knows."""
@@ -65,7 +65,10 @@
     def begin_try(self, run_id, port):
         daemon = next(name for name, (*_, proxy) in self.soak.daemons.items()
                       if proxy.port == port)
-        self.tries[run_id] = (daemon, self.builds[daemon])
+        self.tries[run_id] = [self.builds[daemon], daemon, ()]
+
+    def end_try(self, run_id, versions):
+        self.tries[run_id][2] = [version.decode() for version in versions]
 
     async def run(self):
         if not self.commits:
@@ -113,10 +116,10 @@
     def name_build(self, text):
         """Names the builds that a violation's request went to, if one is old."""
         run_id = text.split(":")[0]
-        tries = [(build, daemon)
-                 for try_id, (daemon, build) in self.tries.items()
+        tries = [a_try for try_id, a_try in self.tries.items()
                  if f"{try_id}-".startswith(f"{run_id}-")]
-        if all(build == NEW for build, _ in tries):
+        if all(build == NEW for build, *_ in tries):
             return text
-        names = ", ".join(f"{build} at {daemon}" for build, daemon in tries)
-        return f"old build ({names}): {text}"
+        names = [" ".join([build, "at", daemon, *versions])
+                 for build, daemon, versions in tries]
+        return f"old build ({', '.join(names)}): {text}"
