Show the log of a daemon that doesn't get ready in a test

Its log was gone with the script's folder, so that the cause (perhaps a port that another script took) can't be shown. Alone the script passes.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -102,7 +102,7 @@
 	goldcrestd -f "$1.json" >"$1.log" 2>&1 &
 	eval "$1_pid=$!"
 	pids="$pids $!"
-	await ready
+	await ready || tail -n 3 "$1.log"
 }
 
 # start_forwarding N [DOMAIN [MEMBERS]]: starts the daemon dN, which opens its
