Pass requests on while links take everything and answer nothing

Behind a proxy or firewall that accepts connections and acknowledges bytes but forwards nothing, no link of a daemon fails. Its callers were not served for as long as that lasted, although other daemons reached all servers: core/reach counts only what is closed, refused or unacknowledged.

If requests are open to two servers of a service (or to its only one), and no server of it has sent a byte for a second, the daemon now queries the load of one of them and asks two other daemons whether they reach it. Only if it has no answer itself and another daemon has one, it counts as cut off, until one of its tries is answered as after other cuts. Silent servers are silent to the others as well, so that they don't make it pass on; while any server answers within a second, nobody is asked.

--- a/core/backends.c
+++ b/core/backends.c
@@ -428,6 +428,18 @@
 	return backend->heard_at;
 }
 
+struct timespec gc_backends_heard_at(const gc_backends_t *backends,
+				     gc_str_t service)
+{
+	struct timespec latest = {0};
+
+	for (const gc_backend_t *b = backends->first; b; b = b->next)
+		if (gc_str_eq(b->entry.service, service) &&
+		    gc_us_between(latest, b->heard_at) > 0)
+			latest = b->heard_at;
+	return latest;
+}
+
 void gc_backend_record_leaving(gc_backend_t *backend)
 {
 	backend->leaving = true;
--- a/core/backends.h
+++ b/core/backends.h
@@ -183,6 +183,12 @@
 void gc_backend_record_heard(gc_backend_t *backend, struct timespec now);
 /* When it last did; zero: never. */
 struct timespec gc_backend_heard_at(const gc_backend_t *backend);
+/* Of any server of the service. */
+struct timespec gc_backends_heard_at(const gc_backends_t *backends,
+				     gc_str_t service);
+/* Servers of the service that don't leave or pause. */
+size_t gc_backends_count(const gc_backends_t *backends, struct timespec now,
+			 gc_str_t service);
 /* Ends the ejection of a server that sent data, but no complete answer yet. */
 void gc_backend_record_activity(gc_backend_t *backend);
 void gc_backend_record_failure(gc_backend_t *backend, struct timespec now,
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -92,18 +92,26 @@
 	return n;
 }
 
+size_t gc_backends_count(const gc_backends_t *backends, struct timespec now,
+			 gc_str_t service)
+{
+	size_t n = 0;
+
+	for (const gc_backend_t *b = backends->first; b; b = b->next)
+		n += gc_str_eq(b->entry.service, service) &&
+		     accepts_with_permit(b, now);
+	return n;
+}
+
 gc_backend_t *gc_backends_nth(const gc_backends_t *backends,
 			      struct timespec now, gc_str_t service,
 			      unsigned int n)
 {
-	unsigned int count = 0;
+	size_t count = gc_backends_count(backends, now, service);
 
-	for (gc_backend_t *b = backends->first; b; b = b->next)
-		count += gc_str_eq(b->entry.service, service) &&
-			 accepts_with_permit(b, now);
 	if (count == 0)
 		return NULL;
-	n %= count;
+	n = (unsigned int)(n % count);
 	for (gc_backend_t *b = backends->first; b; b = b->next)
 		if (gc_str_eq(b->entry.service, service) &&
 		    accepts_with_permit(b, now) && n-- == 0)
--- a/core/reach.c
+++ b/core/reach.c
@@ -10,6 +10,10 @@
 #define MAX_FAILED 8
 /* Older failures say nothing about the links of now. */
 #define FAILURE_AGE_MS 5000
+/* A sound server may send nothing for about a second. */
+#define SILENT_MS 1000
+/* Interval of questions about silent servers. */
+#define ASK_INTERVAL_MS 400
 /* How long a response on a kept connection speaks for the others. */
 #define KEPT_AGE_MS 1000
 /* Interval of tries while cut off. It doubles up to the maximum each time that
@@ -24,11 +28,21 @@
 	bool at_connect;
 } failure_t;
 
+typedef struct silent {
+	uint64_t server;
+	struct timespec since;
+	struct timespec at; /* when it was seen last */
+} silent_t;
+
 typedef struct service {
 	struct service *next;
 	gc_str_t name;
 	failure_t failures[MAX_FAILED]; /* since a server responded */
 	size_t n_failures;
+	silent_t silent[MAX_FAILED];
+	size_t n_silent;
+	struct timespec asked_at;
+	bool asked;
 	bool cut_off;
 	bool responded; /* a server, since cut_off was set */
 	struct timespec responded_at;
@@ -46,6 +60,9 @@
 static service_t *find(const gc_reach_t *reach, gc_str_t name);
 static service_t *add(gc_reach_t *reach, gc_str_t name);
 static void drop_disproved(service_t *service, bool new_connection);
+static void drop_heard(service_t *service, struct timespec now,
+		       struct timespec heard_at);
+static void cut_off(service_t *service, struct timespec now);
 static size_t n_needed(size_t n_servers);
 static void drop_old_failures(service_t *service, struct timespec now);
 static void set_interval(service_t *service, struct timespec now);
@@ -160,11 +177,90 @@
 	drop_old_failures(service, now);
 	if (service->n_failures < n_needed(n_servers))
 		return false;
+	cut_off(service, now);
+	return true;
+}
+
+static void cut_off(service_t *service, struct timespec now)
+{
 	service->cut_off = true;
 	service->responded = false;
+	service->n_silent = 0;
 	set_interval(service, now);
 	/* At once, as servers may also have broken off for a request's sake. */
 	service->next_try = now;
+}
+
+void gc_reach_record_silent(gc_reach_t *reach, struct timespec now,
+			    gc_str_t name, uint64_t server,
+			    struct timespec since)
+{
+	service_t *service = find(reach, name);
+
+	if (!service)
+		service = add(reach, name);
+	for (size_t i = 0; i < service->n_silent; i++) {
+		if (service->silent[i].server != server)
+			continue;
+		service->silent[i].at = now;
+		return;
+	}
+	if (service->n_silent < MAX_FAILED)
+		service->silent[service->n_silent++] =
+			(silent_t){server, since, now};
+}
+
+bool gc_reach_may_ask(gc_reach_t *reach, struct timespec now, gc_str_t name,
+		      struct timespec heard_at, size_t n_servers)
+{
+	service_t *service = find(reach, name);
+	int64_t silent_ms = 0;
+
+	if (!service || service->cut_off || n_servers == 0)
+		return false;
+	drop_heard(service, now, heard_at);
+	for (size_t i = 0; i < service->n_silent; i++) {
+		int64_t ms = gc_ms_between(service->silent[i].since, now);
+
+		silent_ms = ms > silent_ms ? ms : silent_ms;
+	}
+	if (silent_ms < SILENT_MS || service->n_silent < n_needed(n_servers))
+		return false;
+	if (service->asked &&
+	    gc_ms_between(service->asked_at, now) < ASK_INTERVAL_MS)
+		return false;
+	service->asked = true;
+	service->asked_at = now;
+	return true;
+}
+
+/* What one server sends speaks for the links to all. */
+static void drop_heard(service_t *service, struct timespec now,
+		       struct timespec heard_at)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < service->n_silent; i++) {
+		const silent_t *silent = &service->silent[i];
+
+		if (gc_us_between(heard_at, silent->since) >= 0 &&
+		    gc_ms_between(silent->at, now) <= FAILURE_AGE_MS)
+			service->silent[n++] = *silent;
+	}
+	service->n_silent = n;
+}
+
+bool gc_reach_record_muted(gc_reach_t *reach, struct timespec now,
+			   gc_str_t name, struct timespec heard_at)
+{
+	service_t *service = find(reach, name);
+
+	if (!service || service->cut_off)
+		return false;
+	drop_heard(service, now, heard_at);
+	if (service->n_silent == 0)
+		return false;
+	cut_off(service, now);
 	return true;
 }
 
@@ -202,6 +298,13 @@
 	return service ? service->n_failures : 0;
 }
 
+size_t gc_reach_n_silent(const gc_reach_t *reach, gc_str_t name)
+{
+	const service_t *service = find(reach, name);
+
+	return service ? service->n_silent : 0;
+}
+
 int64_t gc_reach_next_try_ms(const gc_reach_t *reach, struct timespec now,
 			     gc_str_t *name)
 {
--- a/core/reach.h
+++ b/core/reach.h
@@ -42,9 +42,29 @@
  */
 bool gc_reach_judge(gc_reach_t *reach, struct timespec now, gc_str_t service,
 		    size_t n_servers);
+/*
+ * A request to the server has been open since then without a byte from it. What
+ * lies between may take and acknowledge all bytes, so that no link fails.
+ */
+void gc_reach_record_silent(gc_reach_t *reach, struct timespec now,
+			    gc_str_t service, uint64_t server,
+			    struct timespec since);
+/*
+ * True if so many servers have been silent for longer than a sound one is, that
+ * another daemon is to be asked whether it reaches the service, at most each 400 ms.
+ * heard_at: when any server of the service sent something.
+ */
+bool gc_reach_may_ask(gc_reach_t *reach, struct timespec now, gc_str_t service,
+		      struct timespec heard_at, size_t n_servers);
+/* A server that another daemon reaches gave this one no answer. True if this daemon
+ * is cut off from now on. */
+bool gc_reach_record_muted(gc_reach_t *reach, struct timespec now,
+			   gc_str_t service, struct timespec heard_at);
 bool gc_reach_is_cut_off(const gc_reach_t *reach, gc_str_t service);
 /* Servers whose links failed since one responded. */
 size_t gc_reach_n_failed(const gc_reach_t *reach, gc_str_t service);
+/* Servers that are silent, as far as gc_reach_may_ask knew last. */
+size_t gc_reach_n_silent(const gc_reach_t *reach, gc_str_t service);
 /*
  * Time in ms until a link has to be tried, -1 if none has to be. *service is set
  * to a service from which the daemon is cut off.
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -259,7 +259,9 @@
 void gc_relay_add_verdict(gc_relay_t *relay, uint64_t token,
 			  gc_witness_verdict_t verdict)
 {
-	gc_crash_checks_add_verdict(relay->crash_checks, token, verdict);
+	if (!gc_relay_add_silence_verdict(relay, token, verdict))
+		gc_crash_checks_add_verdict(relay->crash_checks, token,
+					    verdict);
 }
 
 void gc_relay_on_losses_settled(void *ctx, const gc_backend_t *server,
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -207,6 +207,8 @@
 		return;
 	}
 	gc_exchange_watch_link(exchange);
+	if (!exchange->hop)
+		gc_relay_watch_silence(relay);
 	if (exchange->route->kind != GC_ROUTE_NON_IDEMPOTENT)
 		gc_timer_set(exchange->inactivity_timer,
 			     gc_exchange_inactivity_ms(exchange));
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -52,6 +52,15 @@
 	gc_upstream_t *reach_upstream; /* for tries, on new connections */
 	gc_backend_query_t *reach_query; /* such a try */
 	gc_backend_t *reach_server; /* of reach_query */
+	/* A check of servers that are silent to this daemon. */
+	gc_timer_t *silence_timer; /* looks for them */
+	bool silence_watched; /* silence_timer runs */
+	gc_backend_query_t *silence_query;
+	gc_backend_t *silence_server; /* that is checked; NULL: none */
+	uint64_t
+		silence_token; /* of the question to other daemons; 0: answered */
+	bool silence_reached; /* by another daemon */
+	unsigned int n_silence_checks;
 };
 
 /* Starts the attempts of an admitted request, at once or when the version of the
@@ -67,6 +76,16 @@
 			  gc_attempt_end_t end);
 /* None of the servers that were asked gave any response. */
 void gc_relay_record_lost(gc_relay_t *relay, const gc_backend_set_t *servers);
+/* To be called when an attempt at a server starts. */
+void gc_relay_watch_silence(gc_relay_t *relay);
+/* True if the answer is to a question of this module. */
+bool gc_relay_add_silence_verdict(gc_relay_t *relay, uint64_t token,
+				  gc_witness_verdict_t verdict);
+void gc_relay_create_silence(gc_relay_t *relay);
+void gc_relay_destroy_silence(gc_relay_t *relay);
+/* Logs that the daemon is cut off from the service, and starts the tries. */
+void gc_relay_begin_tries(gc_relay_t *relay, gc_str_t service, size_t n_servers,
+			  size_t n_failed);
 /* True if this daemon reaches no server of the service, as far as it knows. */
 bool gc_relay_is_cut_off(gc_relay_t *relay, gc_str_t service);
 /* Another daemon took a request, or none did. */
--- a/lib/relay_reach.c
+++ b/lib/relay_reach.c
@@ -12,8 +12,6 @@
  * again: callers who are sent elsewhere don't show whether that has changed. */
 #define ALONE_MS 3000
 
-static void log_cut_off(const gc_relay_t *relay, gc_str_t service,
-			size_t n_servers);
 static void arm_timer(gc_relay_t *relay);
 static void on_timer(void *ctx);
 static void on_try_ended(void *ctx, int status, gc_str_t response,
@@ -28,6 +26,7 @@
 	relay->reach = gc_reach_create(relay);
 	relay->reach_timer =
 		gc_timer_create(relay, relay->conf.timers, on_timer, relay);
+	gc_relay_create_silence(relay);
 }
 
 void gc_relay_destroy_reach(gc_relay_t *relay)
@@ -37,6 +36,7 @@
 	relay->reach_query = NULL;
 	gc_backend_unref(relay->reach_server);
 	relay->reach_server = NULL;
+	gc_relay_destroy_silence(relay);
 }
 
 void gc_relay_record_response(gc_relay_t *relay, gc_str_t service,
@@ -90,21 +90,21 @@
 	n_servers = gc_backends_count_ejected(relay->backends, now, service);
 	if (!gc_reach_judge(relay->reach, now, service, n_servers))
 		return false;
-	log_cut_off(relay, service, n_servers);
-	arm_timer(relay);
+	gc_relay_begin_tries(relay, service, n_servers,
+			     gc_reach_n_failed(relay->reach, service));
 	return true;
 }
 
-static void log_cut_off(const gc_relay_t *relay, gc_str_t service,
-			size_t n_servers)
+void gc_relay_begin_tries(gc_relay_t *relay, gc_str_t service, size_t n_servers,
+			  size_t n_failed)
 {
 	g_autofree char *name = g_strndup(service.data, service.len);
 	g_autofree char *servers = g_strdup_printf("%zu", n_servers);
-	g_autofree char *failed = g_strdup_printf(
-		"%zu", gc_reach_n_failed(relay->reach, service));
+	g_autofree char *failed = g_strdup_printf("%zu", n_failed);
 
 	gc_log(GC_LOG_WARNING, GC_EVENT_SERVICE_CUT_OFF, "reaches no server",
 	       "service", name, "servers", servers, "failed", failed, NULL);
+	arm_timer(relay);
 }
 
 static void arm_timer(gc_relay_t *relay)
--- a/regress/check_reach.c
+++ b/regress/check_reach.c
@@ -68,6 +68,47 @@
 }
 END_TEST
 
+/* Something between takes all bytes and answers nothing. */
+START_TEST(test_silence_of_a_service_is_asked_about)
+{
+	gc_reach_t *reach = gc_reach_create(NULL);
+
+	gc_reach_record_silent(reach, unit_at(200), app, 1, unit_at(100));
+	ck_assert(!gc_reach_may_ask(reach, unit_at(1200), app, unit_at(50), 3));
+	gc_reach_record_silent(reach, unit_at(500), app, 2, unit_at(400));
+	ck_assert(!gc_reach_may_ask(reach, unit_at(1050), app, unit_at(50), 3));
+	ck_assert(gc_reach_may_ask(reach, unit_at(1100), app, unit_at(50), 3));
+	ck_assert(!gc_reach_may_ask(reach, unit_at(1200), app, unit_at(50), 3));
+	ck_assert(gc_reach_may_ask(reach, unit_at(1600), app, unit_at(50), 3));
+	ck_assert(
+		gc_reach_record_muted(reach, unit_at(1900), app, unit_at(50)));
+	ck_assert(gc_reach_is_cut_off(reach, app));
+	ck_assert(gc_reach_record_try(reach, unit_at(2500), app));
+	ck_assert(
+		!gc_reach_may_ask(reach, unit_at(4000), app, unit_at(2500), 3));
+	talloc_free(reach);
+}
+END_TEST
+
+/* One byte of any server shows that links are sound. */
+START_TEST(test_silence_ends_with_anything_heard)
+{
+	gc_reach_t *reach = gc_reach_create(NULL);
+
+	gc_reach_record_silent(reach, unit_at(200), app, 1, unit_at(100));
+	gc_reach_record_silent(reach, unit_at(200), app, 2, unit_at(100));
+	ck_assert(
+		!gc_reach_may_ask(reach, unit_at(1200), app, unit_at(150), 2));
+	gc_reach_record_silent(reach, unit_at(1300), app, 1, unit_at(1200));
+	gc_reach_record_silent(reach, unit_at(1300), app, 2, unit_at(1200));
+	ck_assert(gc_reach_may_ask(reach, unit_at(2200), app, unit_at(150), 2));
+	ck_assert(!gc_reach_record_muted(reach, unit_at(2500), app,
+					 unit_at(2400)));
+	ck_assert(!gc_reach_is_cut_off(reach, app));
+	talloc_free(reach);
+}
+END_TEST
+
 /* Connections that were open before live on while new ones are refused. */
 START_TEST(test_response_on_a_kept_connection_does_not_end_it)
 {
@@ -209,6 +250,8 @@
 		test_two_failed_servers_or_the_only_one_are,
 		test_service_without_servers_or_failures_is_not_cut_off,
 		test_response_forgets_failures,
+		test_silence_of_a_service_is_asked_about,
+		test_silence_ends_with_anything_heard,
 		test_response_on_a_kept_connection_does_not_end_it,
 		test_kept_connections_say_nothing_about_new_ones,
 		test_two_of_many_servers_are_not_enough,
--- a/standins/routed/cut.py
+++ b/standins/routed/cut.py
@@ -30,8 +30,8 @@
 
 class Cut:
     """how: "hang" drops all segments both ways; "reset" resets open and new
-    connections; "refuse-new" lets open ones live on and drops new ones; "":
-    none."""
+    connections; "refuse-new" lets open ones live on and drops new ones; "mute"
+    takes connections and bytes and never answers; "": none."""
 
     def __init__(self):
         self.sources = set()
@@ -47,6 +47,8 @@
         if self.how == "reset" and self.concerns(writer):
             self.reset(writer)
             return False
+        if self.how == "mute" and self.concerns(writer):
+            self.mute(writer)
         return True
 
     def concerns(self, writer):
@@ -73,6 +75,8 @@
                 self.hold(writer)
             elif how == "reset":
                 self.reset(writer)
+            elif how == "mute":
+                self.mute(writer)
 
     def drop_new(self):
         addresses = [int(ipaddress.ip_address(s)) for s in sorted(self.sources)]
@@ -89,6 +93,12 @@
         writer.write = lambda data: None
         self.held.append(writer)
 
+    def mute(self, writer):
+        """What arrives is acknowledged by the kernel and not read."""
+        writer.transport.pause_reading()
+        writer.write = lambda data: None
+        self.held.append(writer)
+
     def end(self):
         if self.filtered:
             for sock in self.listener.sockets:
