--- a/regress/routed_mute_links.t
+++ b/regress/routed_mute_links.t
@@ -36,6 +36,13 @@
   $ load 2 "1 2 3 4 5 6" /look/ok
   60 60
 
+Servers that only take long still answer load queries.
+
+  $ hang() { for _ in $(seq 6); do CALLER_ADDR=$d1_caller status /look/hang & done; wait $!; sleep 0.3; }
+  $ hang | sort | uniq -c | tr -s ' '; events 1130
+   6 504
+  0
+
 Four of six are cut off. From 3 s after that, lookups, bookings and streams are served
 there as elsewhere; bookings run once.
 
