Keep a begun stream whose continuation another daemon's configuration denies

Callers saw a stream cut with 8 s left if it ran at another daemon that was lost, and a configuration without its route (or key, or with a lower limit of bodies) had come meanwhile: the 404 of the daemons asked next counted as failures of servers, until max_attempts was reached (1110, limit "attempts", 916 ms after it had arrived). A daemon's own denial of a begun stream now means that it did not run it: the stream is offered again until its time limit, and goes on once its first daemon, which admitted it, reaches servers again. A request whose answer hasn't begun gets the denial as before. Found by review.

routed_config_waits.t failed before (four of eight events) and passes.

--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -47,6 +47,8 @@
 static void ask_again(gc_exchange_t *exchange);
 static gc_backend_t *choose_daemon(const gc_exchange_t *exchange);
 static void log_hop(const gc_exchange_t *exchange, const gc_backend_t *daemon);
+static bool is_denial(const gc_exchange_t *exchange,
+		      const gc_http_message_t *response);
 static uint64_t read_number(const gc_http_message_t *message, const char *name,
 			    uint64_t fallback);
 static void log_received(const gc_exchange_t *exchange);
@@ -233,7 +235,8 @@
 	exchange->identified = exchange->identified && result.data;
 	exchange->misdirected = false;
 	exchange->not_run = exchange->identified &&
-			    gc_str_eq(result, GC_STR_LIT(RESULT_NOT_RUN));
+			    (gc_str_eq(result, GC_STR_LIT(RESULT_NOT_RUN)) ||
+			     is_denial(exchange, response));
 	exchange->passed_on = exchange->identified && !exchange->not_run;
 	if (exchange->passed_on)
 		gc_relay_record_passing(exchange->relay, true);
@@ -250,6 +253,20 @@
 	}
 }
 
+/*
+ * A stream that has begun goes on under the configuration that admitted it, also if
+ * the one of that daemon denies it. The response of a server names its version.
+ */
+static bool is_denial(const gc_exchange_t *exchange,
+		      const gc_http_message_t *response)
+{
+	int status = gc_http_message_status(response);
+
+	return (exchange->head_sent || exchange->held_events) &&
+	       status >= 400 && status < 500 &&
+	       !gc_http_message_find_header(response, HOP_VERSION_HEADER).data;
+}
+
 void gc_exchange_finish_hop(gc_exchange_t *exchange)
 {
 	if (!exchange->identified) {
--- a/regress/routed_config_waits.t
+++ b/regress/routed_config_waits.t
@@ -52,3 +52,15 @@
   $ (status /find/once-crash -d $BODY >crash.out) & pid=$!; sleep 0.1; rename; wait $pid; cat crash.out
   200
   $ restore; kill -TERM $d2_pid; wait $d2_pid
+
+A stream has begun at another daemon, which is lost. The others know the new configuration
+and deny it, until this daemon reaches servers again a second later.
+
+  $ start() { start_routed d$1 ",\"source\":\"127.0.0.1$1\",\"forward\":\"127.0.0.1:$(free_port)\""; }
+  $ for n in 3 4 5; do start $n; done; await knows_daemons 3; partition reset "$ENGINES" 15
+  $ for i in 1 2 3 4; do status /patient/ok; done | sort -u
+  200
+  $ (send_request /patient/slow -d $BODY | ids >hop.out) & pid=$!; sleep 0.5; rename; sleep 0.1
+  $ victim=$(grep '"event":1132' d5.log | tail -n 1 | grep -o '"daemon":"d[0-9]' | grep -o '[0-9]$')
+  $ eval "kill_9 \$d${victim}_pid"; sleep 1; reconnect "$ENGINES"; wait $pid; cat hop.out
+  id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
