Count crashes at older builds apart in the soak

The violation stays one; it is named after old builds if the crashes at new daemons alone keep the bounds.

--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -444,6 +444,8 @@
         while not self.stop:
             n_requests += 1
             daemon = self.random.choice(sorted(self.daemons))
+            build = self.upgrade.builds[daemon]
+            crashes_before = self.n_crashes()
             try:
                 await asyncio.wait_for(self.send_request(
                     "look", "ok", f"deadly-{n_requests}", "key-1",
@@ -451,6 +453,7 @@
             except (OSError, asyncio.TimeoutError, EOFError, ValueError):
                 self.count("no response")
             await asyncio.sleep(CRASH_INTERVAL_S)
+            self.upgrade.add_crashes(build, self.n_crashes() - crashes_before)
 
     def n_crashes(self):
         try:
@@ -569,11 +572,17 @@
         await asyncio.sleep(4)
         successes_before = self.counts.get("200", 0)
         crashes_before = self.n_crashes()
+        by_old_before = self.upgrade.n_old_crashes
         await asyncio.sleep(2)
         n_crashes = self.counts["servers crashed"] = self.n_crashes()
-        if n_crashes > MAX_CRASHES or n_crashes > max(3, crashes_before):
-            self.add_violation(f"one request crashed {n_crashes} servers, "
-                               f"{crashes_before} before the last 2 s")
+        by_old = self.upgrade.n_old_crashes
+        if self.are_too_many(n_crashes, crashes_before):
+            text = (f"one request crashed {n_crashes} servers, "
+                    f"{crashes_before} before the last 2 s")
+            self.add_violation(
+                text if self.are_too_many(n_crashes - by_old,
+                                          crashes_before - by_old_before)
+                else f"old build ({by_old} crashes): {text}")
         if self.counts.get("200", 0) == successes_before:
             self.add_violation("no request succeeds after the last fault")
         self.stop = True
@@ -583,6 +592,10 @@
         self.violations += self.cut_off_check.violations()
         self.counts["cuts checked"] = self.cut_off_check.n_checked
 
+    @staticmethod
+    def are_too_many(n_crashes, before):
+        return n_crashes > MAX_CRASHES or n_crashes > max(3, before)
+
     async def end(self):
         for process in self.all_processes:
             if process.returncode is None:
--- a/regress/soak/upgrade.py
+++ b/regress/soak/upgrade.py
@@ -37,6 +37,7 @@
             self.trees[commit] = os.path.dirname(os.path.dirname(built.stdout))
         self.builds = {}  # by daemon, those of their next start
         self.starts = []  # (daemon, build, time)
+        self.n_old_crashes = 0  # by a deadly request at older builds
         self.tries = {}  # run id -> [build, daemon, versions of events]
 
     def start(self, daemon, settings):
@@ -70,6 +71,9 @@
     def end_try(self, run_id, versions):
         self.tries[run_id][2] = [version.decode() for version in versions]
 
+    def add_crashes(self, build, n):
+        self.n_old_crashes += n if build != NEW else 0
+
     async def run(self):
         if not self.commits:
             return
