--- a/regress/routed_suspended.t
+++ b/regress/routed_suspended.t
@@ -18,7 +18,7 @@
   $ CALLER_ADDR=$D2; AUTH=' Token key-2' status /look/ok
   200
   $ kill -STOP $d2_pid; put_config '' ''; sleep 6
-  $ for i in 1 2 3 4; do (AUTH=' Token key-2' status /look/ok >key.$i) & done; sleep 0.3; kill -CONT $d2_pid; wait $(jobs -p | tail -n 4)
+  $ p=; for i in 1 2 3 4; do (AUTH=' Token key-2' status /look/ok >key.$i) & p="$p $!"; done; sleep 0.3; kill -CONT $d2_pid; wait $p
   $ cat key.? | grep -c '^200$'
   0
   [1]
@@ -32,9 +32,9 @@
   $ sleep 60
   $ kill -STOP $d3_pid
   $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; start_server new3 llm c engine v2; sleep 2
-  $ for i in $(seq 12); do MAX_S=0.8 draft $D1 slow f$i & done; wait $(jobs -p | tail -n 12) || true
+  $ p=; for i in $(seq 12); do MAX_S=0.8 draft $D1 slow f$i & p="$p $!"; done; wait $p || true
   $ versions f*.out | grep -o v2
   v2
-  $ for i in $(seq 12); do draft $D3 ok r$i $(grep -c '^id:' f$i.out) f$i & done; sleep 0.3; kill -CONT $d3_pid; wait $(jobs -p | tail -n 12)
+  $ p=; for i in $(seq 12); do draft $D3 ok r$i $(grep -c '^id:' f$i.out) f$i & p="$p $!"; done; sleep 0.3; kill -CONT $d3_pid; wait $p
   $ joined "$(seq 12)" f r
   joined: 0
