--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -70,17 +70,22 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 HEADER_PREFIX = "Goldcrestfield-"
 
+given_ports = set()  # by free_port()
+
 
 def free_port():
-    """Returns a free port below the ephemeral range of the kernel."""
+    """Returns a free port below the ephemeral range, each only once."""
     while True:
         port = random.randrange(10000, 20000)
+        if port in given_ports:
+            continue
         with socket.socket() as s:
             try:
                 s.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return port
+        given_ports.add(port)
+        return port
 
 
 def last_event_id(data):
