Keep crashes that older builds report of servers that have started again

A server that crashed and started again answers at its address before its new entry is listed; the check of a report took it for one that didn't crash, and dropped the report. It now stays undecided for 2 s, and counts if a new start is listed until then, as for a daemon's own losses; if one is listed when the report comes, it counts at once.

--- a/lib/crash_checks.c
+++ b/lib/crash_checks.c
@@ -18,6 +18,9 @@
 #define STORE_CONFIRMED_MS 1500
 /* How long a new start of a lost server is taken for its crash. */
 #define UNDECIDED_MS 15000
+/* The same for a server that responds at a claim: one that has started again does so
+ * before its new entry has come. */
+#define CLAIM_UNDECIDED_MS 2000
 /* Losses that are remembered, to find simultaneous ones. */
 #define MAX_RECENT 32
 
@@ -78,6 +81,7 @@
 static bool ask_witness(check_t *check);
 static void end_query(check_t *check);
 static void end_witnessed(check_t *check);
+static void leave_undecided(check_t *check, int64_t ms);
 static void log_check(const check_t *check);
 static void on_timer(void *ctx);
 static bool is_store_reached(const check_t *check);
@@ -305,7 +309,11 @@
 
 	if (--check->n_pending > 0)
 		return;
-	if (!check->asks_others && !check->server_reported) {
+	if (!check->asks_others && check->server_reported) {
+		leave_undecided(check, CLAIM_UNDECIDED_MS);
+		return;
+	}
+	if (!check->asks_others) {
 		/* Keeps the check if an answer comes at once. */
 		check->n_pending++;
 		ask_others(check);
@@ -334,8 +342,6 @@
  */
 static void end_witnessed(check_t *check)
 {
-	const gc_crash_checks_conf_t *conf = &check->checks->conf;
-
 	log_check(check);
 	if (check->server_reported || check->verdict == GC_WITNESS_REACHED) {
 		settle(check, false);
@@ -345,8 +351,16 @@
 		settle(check, true);
 		return;
 	}
+	leave_undecided(check, UNDECIDED_MS);
+}
+
+/* Doesn't count unless the server turns out to have started again. */
+static void leave_undecided(check_t *check, int64_t ms)
+{
+	const gc_crash_checks_conf_t *conf = &check->checks->conf;
+
 	check->undecided = true;
-	gc_timer_set(check->timer, UNDECIDED_MS);
+	gc_timer_set(check->timer, ms);
 	conf->settled(conf->ctx, check->server, false,
 		      (const gc_crash_loss_t *)check->losses->data,
 		      check->losses->len);
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -330,7 +330,7 @@
 						       report->server);
 
 	/* That of a server which has gone can't be checked. */
-	if (server) {
+	if (server && !gc_backends_has_successor(relay->backends, server)) {
 		if (!may_have_crashed(server, now))
 			return;
 		gc_crash_suspects_add_loss(relay->crash_suspects, now, report);
