Don't take a late view for all versions of a stream

A caller that resumed a stream without naming its try went on at another version, at a daemon whose watch of the store was late while servers of that version joined: with one version in its view it took that one, however old the view was.

The view must be at most 2 s old for that, as for callers that name their try; else the request is refused as not run. So such resumes are refused, too, while the store is away for longer.

--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -17,6 +17,7 @@
 
 static bool is_resumable(const gc_exchange_t *exchange);
 static const gc_base_version_t *base_version(const gc_exchange_t *exchange);
+static bool is_view_recent(const gc_exchange_t *exchange);
 static bool is_only_version(const gc_exchange_t *exchange);
 static bool find_single_version(const gc_exchange_t *exchange,
 				gc_str_t *version);
@@ -78,7 +79,8 @@
 		return go_on_at(exchange, base_version(exchange)->version,
 				"only");
 	if (!id.data || id.len == 0) {
-		if (find_single_version(exchange, &version))
+		if (is_view_recent(exchange) &&
+		    find_single_version(exchange, &version))
 			return go_on_at(exchange, version, "unnamed");
 		refuse_unknown(exchange);
 		return false;
@@ -90,16 +92,23 @@
 	return false;
 }
 
+static bool is_view_recent(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+
+	return gc_confirmed_age_ms(relay->conf.confirmed,
+				   gc_clock_now(relay->conf.clock)) <=
+	       MAX_VIEW_AGE_MS;
+}
+
 /* True if no stream can have begun at another version, as far as is known. */
 static bool is_only_version(const gc_exchange_t *exchange)
 {
 	const gc_relay_t *relay = exchange->relay;
-	struct timespec now = gc_clock_now(relay->conf.clock);
 
-	return base_version(exchange) &&
-	       gc_confirmed_age_ms(relay->conf.confirmed, now) <=
-		       MAX_VIEW_AGE_MS &&
-	       gc_base_versions_is_only(relay->base_versions, now,
+	return base_version(exchange) && is_view_recent(exchange) &&
+	       gc_base_versions_is_only(relay->base_versions,
+					gc_clock_now(relay->conf.clock),
 					exchange->service);
 }
 
