Let streams wait for a retry no longer than their route's target latency

A caller whose connection breaks takes its stream up at another daemon at once, which may have retries left.

routed_budget.t: a stream whose turn comes later is cut at once; the step of the stop uses a route whose target latency allows the wait.

--- a/lib/exchange_retry.c
+++ b/lib/exchange_retry.c
@@ -134,6 +134,11 @@
 	int64_t left_ms = exchange->time_limit_ms -
 			  gc_exchange_elapsed_ms(exchange) - MIN_LEFT_MS;
 
+	/* The caller of a stream can take it up at another daemon, which may
+	 * have retries left, as soon as its connection breaks. */
+	if (exchange->head_sent && exchange->route->resumable &&
+	    exchange->route->target_latency_ms > 0)
+		left_ms = MIN(left_ms, exchange->route->target_latency_ms);
 	return gc_backends_retry_turn_ms(relay->backends,
 					 gc_clock_now(relay->conf.clock),
 					 exchange->service,
--- a/regress/routed_budget.t
+++ b/regress/routed_budget.t
@@ -3,8 +3,8 @@
 
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
-  $ put_config ',{"name":"find","host":"h.example","path_prefix":"/find/","kind":"idempotent","service":"app","max_attempts":3,"timeout_ms":6000,"target_latency_ms":600},
-  > {"name":"patient","host":"h.example","path_prefix":"/patient/","kind":"streaming","service":"llm","resumable":true,"max_attempts":4,"timeout_ms":9000,"target_latency_ms":6000,"target_gap_ms":700}'
+  $ ROUTES=',{"name":"find","host":"h.example","path_prefix":"/find/","kind":"idempotent","service":"app","max_attempts":3,"timeout_ms":6000,"target_latency_ms":600},
+  > {"name":"patient","host":"h.example","path_prefix":"/patient/","kind":"streaming","service":"llm","resumable":true,"max_attempts":4,"timeout_ms":9000,"target_latency_ms":6000,"target_gap_ms":700}'; put_config "$ROUTES"
   $ export DEADLINE=9000
   $ for n in 1 2 3; do start_server app$n app a; start_server llm$n llm a engine; done
   $ ids() { grep -o 'id: [0-9]*\|^[0-9]*$' | tr '\n' ' '; echo; }
@@ -67,11 +67,20 @@
 
 A stop during the wait ends it as any other: with an answer, or aborted.
 
-  $ start_routed d3 ',"repeat_ratio":0,"repeat_slack":5,"repeat_window_s":8,"stop_grace_s":2'
-  $ (requests 2 /draft/once-die >stop.out) & pid=$!; sleep 0.5; START=$(now_ms); kill -TERM $d3_pid; wait $pid; sort stop.out
+  $ start_routed d3 ',"repeat_ratio":0,"repeat_slack":4,"repeat_window_s":4,"stop_grace_s":2'; put_config "$ROUTES"; sleep 0.5
+  $ (requests 2 /patient/once-die >stop.out) & pid=$!; sleep 0.5; START=$(now_ms); kill -TERM $d3_pid; wait $pid; sort stop.out
         1 id: 1 id: 2 id: 3 200 
         1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
-  $ echo $(($(now_ms) - START)) | awk '$1 > 3000 { print "held for", $1 }'
+  $ echo $(($(now_ms) - START)) | awk '$1 > 3000 { print "held for", $1 } $1 < 1000 { print "cut at once" }'
+
+A stream that its caller can take up elsewhere doesn't wait for longer than the route's
+target latency: it is cut at once if its turn comes later.
+
+  $ start_routed d5 ',"repeat_ratio":0,"repeat_slack":5,"repeat_window_s":8'
+  $ START=$(now_ms); requests 2 /draft/once-die
+        1 id: 1 id: 2 id: 3 200 
+        1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+  $ echo $(($(now_ms) - START)) | awk '$1 > 1500 { print "held for", $1 }'
 
 A lookup leaves a silent server, and the next one turns it away: the route's two attempts
 are those that may have run, so that it goes on to a third server. If nobody runs it, its
