Ask other daemons each time whether they hear silent servers

Callers at a daemon whose links take everything and answer nothing were not served for as long as it lasted, if the two daemons that are asked about each of the service's servers were cut off as well: they are chosen by the server alone. With six daemons, four of them cut off, and three servers that is so for about one daemon in forty.

Each question about silence now goes to other daemons.

--- a/lib/crash_checks.h
+++ b/lib/crash_checks.h
@@ -38,6 +38,10 @@
 	GC_WITNESS_LOST,
 } gc_witness_verdict_t;
 
+/* Marks the tokens of questions about silence. These go to other daemons each time, as
+ * those that are asked about a server's crash may be cut off, too. */
+#define GC_WITNESS_SILENCE (UINT64_C(1) << 63)
+
 typedef struct gc_crash_checks_conf {
 	gc_upstream_t *upstream;
 	gc_timers_t *timers;
--- a/lib/crash_witness.c
+++ b/lib/crash_witness.c
@@ -105,6 +105,7 @@
 			  uint64_t server)
 {
 	ask_t *ask = talloc_zero(witness, ask_t);
+	uint64_t choice = token & GC_WITNESS_SILENCE ? server ^ token : server;
 
 	ask->witness = witness;
 	ask->token = token;
@@ -112,7 +113,7 @@
 	for (size_t i = 0; i < GC_N_ISSUERS && ask->n_pending < N_WITNESSES;
 	     i++) {
 		const gc_registry_entry_t *daemon =
-			gc_issuers_find(witness->daemons, server, i);
+			gc_issuers_find(witness->daemons, choice, i);
 
 		if (!daemon)
 			break;
--- a/lib/relay_silence.c
+++ b/lib/relay_silence.c
@@ -9,8 +9,6 @@
 #define LOOK_MS 100
 /* Time for a server's answer to this daemon. */
 #define ANSWER_TIMEOUT_MS 300
-/* Tells the tokens of these questions from those about crashes. */
-#define TOKEN_BIT (UINT64_C(1) << 63)
 
 static void on_timer(void *ctx);
 static bool find_silent(gc_relay_t *relay, struct timespec now);
@@ -105,7 +103,7 @@
 	};
 	gc_backend_t *server = gc_backends_nth(relay->backends, now, service,
 					       relay->n_silence_checks++);
-	uint64_t token = TOKEN_BIT | relay->n_silence_checks;
+	uint64_t token = GC_WITNESS_SILENCE | relay->n_silence_checks;
 
 	if (!server ||
 	    !gc_relay_ask_witness(relay, token, gc_backend_incarnation(server)))
@@ -132,7 +130,7 @@
 bool gc_relay_add_silence_verdict(gc_relay_t *relay, uint64_t token,
 				  gc_witness_verdict_t verdict)
 {
-	if (!(token & TOKEN_BIT))
+	if (!(token & GC_WITNESS_SILENCE))
 		return false;
 	if (!relay->silence_server || token != relay->silence_token)
 		return true;
