Begin no stream at a new version that other daemons may not know

Cause: a daemon to which the base version was the only one for a minute goes on at it without asking the store if its list was confirmed within 2 s. A server of a new version may have registered, begun a stream and lost its daemon since.

Change: for 2 s after a daemon has first seen another version beside the base version, its resumable streams begin at the base version, if a server of that one can be used. Whoever counts as recent after that must list the new version. It needs no message, so it holds at daemons that are cut off, too.

--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -9,9 +9,6 @@
 #include "lib/relay_private.h"
 #include "lib/request_hash.h"
 
-/* The view must not be older than this for its versions to count as the only
- * ones. */
-#define MAX_VIEW_AGE_MS 2000
 /* Least Retry-After if the store can't tell a version. */
 #define UNKNOWN_RETRY_AFTER_MS 900
 
@@ -25,6 +22,7 @@
 		     const char *source);
 static void refuse_unknown(gc_exchange_t *exchange);
 static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token);
+static bool must_begin_at_base(const gc_exchange_t *exchange);
 
 void gc_relay_update_versions(gc_relay_t *relay)
 {
@@ -98,7 +96,7 @@
 
 	return gc_confirmed_age_ms(relay->conf.confirmed,
 				   gc_clock_now(relay->conf.clock)) <=
-	       MAX_VIEW_AGE_MS;
+	       GC_RECENT_LIST_MS;
 }
 
 /* True if no stream can have begun at another version, as far as is known. */
@@ -211,14 +209,8 @@
 	return exchange;
 }
 
-/*
- * While records can't be written, streams begin at the base version if a server
- * of it is left.
- */
 gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange)
 {
-	const gc_relay_t *relay = exchange->relay;
-	const gc_base_version_t *base = base_version(exchange);
 	gc_backend_set_t avoid = {
 		.list = exchange->tried,
 		.n = exchange->n_tried,
@@ -226,11 +218,34 @@
 	};
 
 	if (!avoid.only_version.data && is_resumable(exchange) &&
-	    !relay->store_answers && base &&
+	    must_begin_at_base(exchange))
+		avoid.only_version = base_version(exchange)->version;
+	return avoid;
+}
+
+/*
+ * While records can't be written, streams begin at the base version if a server of
+ * it is left. So they do while other daemons may not know yet that there is another
+ * version, if a server of the base version can be used.
+ */
+static bool must_begin_at_base(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+	const gc_base_version_t *base = base_version(exchange);
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	gc_backend_set_t others = {0};
+
+	if (!base)
+		return false;
+	others.only_version = base->version;
+	if (!relay->store_answers &&
 	    gc_backends_has_version(relay->backends, exchange->service,
 				    base->version))
-		avoid.only_version = base->version;
-	return avoid;
+		return true;
+	return !gc_base_versions_is_settled(relay->base_versions, now,
+					    exchange->service) &&
+	       gc_backends_choose_usable(relay->backends, now,
+					 exchange->service, &others) != NULL;
 }
 
 /*
