--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -9,6 +9,9 @@
 #include "lib/relay_private.h"
 #include "lib/request_hash.h"
 
+/* The view must not be older than this for its versions to count as the only
+ * ones. */
+#define MAX_VIEW_AGE_MS 2000
 /* Least Retry-After if the store can't tell a version. */
 #define UNKNOWN_RETRY_AFTER_MS 900
 
@@ -22,7 +25,6 @@
 		     const char *source);
 static void refuse_unknown(gc_exchange_t *exchange);
 static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token);
-static bool must_begin_at_base(const gc_exchange_t *exchange);
 
 void gc_relay_update_versions(gc_relay_t *relay)
 {
@@ -96,7 +98,7 @@
 
 	return gc_confirmed_age_ms(relay->conf.confirmed,
 				   gc_clock_now(relay->conf.clock)) <=
-	       GC_RECENT_LIST_MS;
+	       MAX_VIEW_AGE_MS;
 }
 
 /* True if no stream can have begun at another version, as far as is known. */
@@ -209,8 +211,14 @@
 	return exchange;
 }
 
+/*
+ * While records can't be written, streams begin at the base version if a server
+ * of it is left.
+ */
 gc_backend_set_t gc_exchange_avoid(const gc_exchange_t *exchange)
 {
+	const gc_relay_t *relay = exchange->relay;
+	const gc_base_version_t *base = base_version(exchange);
 	gc_backend_set_t avoid = {
 		.list = exchange->tried,
 		.n = exchange->n_tried,
@@ -218,34 +226,11 @@
 	};
 
 	if (!avoid.only_version.data && is_resumable(exchange) &&
-	    must_begin_at_base(exchange))
-		avoid.only_version = base_version(exchange)->version;
-	return avoid;
-}
-
-/*
- * While records can't be written, streams begin at the base version if a server of
- * it is left. So they do while other daemons may not know yet that there is another
- * version, if a server of the base version can be used.
- */
-static bool must_begin_at_base(const gc_exchange_t *exchange)
-{
-	const gc_relay_t *relay = exchange->relay;
-	const gc_base_version_t *base = base_version(exchange);
-	struct timespec now = gc_clock_now(relay->conf.clock);
-	gc_backend_set_t others = {0};
-
-	if (!base)
-		return false;
-	others.only_version = base->version;
-	if (!relay->store_answers &&
+	    !relay->store_answers && base &&
 	    gc_backends_has_version(relay->backends, exchange->service,
 				    base->version))
-		return true;
-	return !gc_base_versions_is_settled(relay->base_versions, now,
-					    exchange->service) &&
-	       gc_backends_choose_usable(relay->backends, now,
-					 exchange->service, &others) != NULL;
+		avoid.only_version = base->version;
+	return avoid;
 }
 
 /*
--- a/regress/check_base_version.c
+++ b/regress/check_base_version.c
@@ -147,40 +147,6 @@
 }
 END_TEST
 
-/* Guards against a stream that begins at a new version while another daemon's list,
- * which counts as recent, lacks it. */
-START_TEST(test_settled)
-{
-	fixture_t f = fixture_create();
-
-	set_base(&f, "a");
-	set_servers(&f, "aa");
-	propose(&f, 0);
-	ck_assert(gc_base_versions_is_settled(f.versions, unit_at(1), LLM));
-	ck_assert(!gc_base_versions_is_mixed(f.versions, unit_at(1), LLM));
-	set_servers(&f, "aab");
-	propose(&f, 1000);
-	ck_assert(!gc_base_versions_is_settled(
-		f.versions, unit_at(1000 + GC_RECENT_LIST_MS), LLM));
-	propose(&f, 1500);
-	ck_assert(gc_base_versions_is_settled(
-		f.versions, unit_at(1001 + GC_RECENT_LIST_MS), LLM));
-	/* It goes and comes again. */
-	set_servers(&f, "aa");
-	propose(&f, 4000);
-	ck_assert(gc_base_versions_is_settled(f.versions, unit_at(4000), LLM));
-	ck_assert(gc_base_versions_is_mixed(
-		f.versions, unit_at(3999 + GC_STREAM_LIFE_MS), LLM));
-	ck_assert(!gc_base_versions_is_mixed(
-		f.versions, unit_at(4000 + GC_STREAM_LIFE_MS), LLM));
-	set_servers(&f, "aac");
-	propose(&f, 5000);
-	ck_assert(!gc_base_versions_is_settled(
-		f.versions, unit_at(5000 + GC_RECENT_LIST_MS), LLM));
-	talloc_free(f.versions);
-}
-END_TEST
-
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -189,7 +155,6 @@
 		test_old_version_comes_back,
 		test_start_counts_as_listed,
 		test_only_version,
-		test_settled,
 		NULL,
 	};
 
--- a/regress/routed_late_watch.t
+++ b/regress/routed_late_watch.t
@@ -9,15 +9,38 @@
 
 The second daemon's answers to watches come through a relay that holds them for a time.
 
-  $ python3 "$TOP/regress/late_watch.py" late.port $STORE 5 late & pids="$pids $!"
+  $ cat >late.py <<'END'
+  > import asyncio, os, sys
+  > async def carry(reader, writer, held, watch):
+  >     try:
+  >         while data := await reader.read(65536):
+  >             if not held:
+  >                 watch[0] = b"/v1/kv-watch" in data
+  >             elif watch[0] and os.path.exists("late"):
+  >                 await asyncio.sleep(float(sys.argv[2]))
+  >             writer.write(data)
+  >             await writer.drain()
+  >     except OSError:
+  >         pass
+  >     writer.close()
+  > async def accept(reader, writer):
+  >     host, port = sys.argv[1].split(":")
+  >     there = await asyncio.open_connection(host, int(port))
+  >     watch = [False]
+  >     await asyncio.gather(carry(reader, there[1], False, watch), carry(there[0], writer, True, watch))
+  > async def main():
+  >     server = await asyncio.start_server(accept, "127.0.0.1", 0)
+  >     open("late.port", "w").write(str(server.sockets[0].getsockname()[1]))
+  >     await asyncio.sleep(3600)
+  > asyncio.run(main())
+  > END
+  $ python3 late.py $STORE 4 & pids="$pids $!"
   $ await test -s late.port; REAL=$STORE; STORE=127.0.0.1:$(cat late.port); start_routed d2; D2=$CALLER_ADDR; STORE=$REAL
   $ draft() { curl -sN --max-time ${MAX_S-10} "http://$1/draft/$2" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $3" -H "Authorization: Token key-1" -H "Goldcrestfield-Deadline-Ms: 9000" ${4:+-H "Last-Event-Id: $4"} ${5:+-H "Resumes: $5"} -w '%{http_code}\n' >$3.out; }
   $ versions() { cat $* | grep -o 'token.*' | cut -d' ' -f3 | sort | uniq -c | xargs; }
-  $ touch late; for s in new1 new2 new3; do start_server $s llm a engine v2; done; sleep 2.2
+  $ touch late; for s in new1 new2 new3; do start_server $s llm a engine v2; done
   $ for i in $(seq 8); do MAX_S=0.6 draft $D1 slow b$i & done; wait $(jobs -p | tail -n 8) || true
-  $ versions b*.out | grep -o v2
-  v2
-  $ sleep 0.4; for i in $(seq 8); do draft $D2 ok u$i $(grep -c '^id:' b$i.out); done
+  $ sleep 0.8; for i in $(seq 8); do draft $D2 ok u$i $(grep -c '^id:' b$i.out); done
   $ for i in $(seq 8); do versions b$i.out u$i.out; done | grep -c 'v1.*v2'
   0
   [1]
--- a/regress/routed_versions.t
+++ b/regress/routed_versions.t
@@ -15,7 +15,7 @@
 
 Two versions: what breaks off within an answer goes on at its version.
 
-  $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; start_server new3 llm c engine v2; sleep 2.5
+  $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; start_server new3 llm c engine v2; sleep 0.5
   $ for i in $(seq 12); do draft $D1 once-die in$i; done; cat in*.out | grep -c '^200$'
   12
   $ joined "$(seq 12)" in
