Ask the store for the version of each stream that is resumed

Cause: a daemon to which the base version was the only one for a minute went on at it without asking the store, if its list was confirmed within 2 s. A server of a new version may have registered, begun a stream and lost its daemon since. Absence from a list was taken as evidence, though the record that the stream's own daemon had written and seen acknowledged was in the store.

Change: the record decides, for each stream that is named. The list decides only for callers that name none. A daemon that can't ask refuses (503, not run, version_unknown, to come back in 0.9 s).

Cost: a read for each resume, which a daemon made before, too, in its first minute; and in the first 2 s of an outage of the store resumes are refused, as they were later in it.

Evidence: routed_suspended.t has a daemon whose watch of the store hangs as the new version joins. The relay of routed_late_watch.t moved into late_watch.py.

--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -75,10 +75,11 @@
 	if (!is_resumable(exchange) ||
 	    gc_event_sequencer_last_id(exchange->sequencer) == GC_EVENT_ID_NONE)
 		return true;
-	if (is_only_version(exchange))
-		return go_on_at(exchange, base_version(exchange)->version,
-				"only");
 	if (!id.data || id.len == 0) {
+		if (is_only_version(exchange))
+			return go_on_at(exchange,
+					base_version(exchange)->version,
+					"only");
 		if (is_view_recent(exchange) &&
 		    find_single_version(exchange, &version))
 			return go_on_at(exchange, version, "unnamed");
--- a/regress/routed_late_watch.t
+++ b/regress/routed_late_watch.t
@@ -9,32 +9,7 @@
 
 The second daemon's answers to watches come through a relay that holds them for a time.
 
-  $ cat >late.py <<'END'
-  > import asyncio, os, sys
-  > async def carry(reader, writer, held, watch):
-  >     try:
-  >         while data := await reader.read(65536):
-  >             if not held:
-  >                 watch[0] = b"/v1/kv-watch" in data
-  >             elif watch[0] and os.path.exists("late"):
-  >                 await asyncio.sleep(float(sys.argv[2]))
-  >             writer.write(data)
-  >             await writer.drain()
-  >     except OSError:
-  >         pass
-  >     writer.close()
-  > async def accept(reader, writer):
-  >     host, port = sys.argv[1].split(":")
-  >     there = await asyncio.open_connection(host, int(port))
-  >     watch = [False]
-  >     await asyncio.gather(carry(reader, there[1], False, watch), carry(there[0], writer, True, watch))
-  > async def main():
-  >     server = await asyncio.start_server(accept, "127.0.0.1", 0)
-  >     open("late.port", "w").write(str(server.sockets[0].getsockname()[1]))
-  >     await asyncio.sleep(3600)
-  > asyncio.run(main())
-  > END
-  $ python3 late.py $STORE 4 & pids="$pids $!"
+  $ python3 "$TOP/regress/late_watch.py" late.port $STORE 4 late & pids="$pids $!"
   $ await test -s late.port; REAL=$STORE; STORE=127.0.0.1:$(cat late.port); start_routed d2; D2=$CALLER_ADDR; STORE=$REAL
   $ draft() { curl -sN --max-time ${MAX_S-10} "http://$1/draft/$2" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $3" -H "Authorization: Token key-1" -H "Goldcrestfield-Deadline-Ms: 9000" ${4:+-H "Last-Event-Id: $4"} ${5:+-H "Resumes: $5"} -w '%{http_code}\n' >$3.out; }
   $ versions() { cat $* | grep -o 'token.*' | cut -d' ' -f3 | sort | uniq -c | xargs; }
--- a/regress/routed_suspended.t
+++ b/regress/routed_suspended.t
@@ -1,6 +1,7 @@
 Guards against a daemon whose machine was suspended for seconds, which the monotonic
 clock doesn't count, and that goes by what it knew before: keys that were withdrawn
-and software versions that joined meanwhile.
+and software versions that joined meanwhile. Also against one that is cut off from the
+store as servers of another version join, while its list still counts as recent.
 
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
@@ -9,6 +10,8 @@
   $ start_routed d1; D1=$CALLER_ADDR
   $ goldcrestd() { exec "$TOP/regress/bin/goldcrestd-suspended" "$@"; }
   $ start_routed d2; D2=$CALLER_ADDR; start_routed d3; D3=$CALLER_ADDR
+  $ python3 "$TOP/regress/late_watch.py" late.port $STORE 3600 late & pids="$pids $!"
+  $ await test -s late.port; REAL=$STORE; STORE=127.0.0.1:$(cat late.port); start_routed d4 ',"failure_domain":"b"'; D4=$CALLER_ADDR; STORE=$REAL
   $ draft() { curl -sN --max-time ${MAX_S-10} "http://$1/draft/$2" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $3" -H "Authorization: Token key-1" -H "Goldcrestfield-Deadline-Ms: 9000" ${4:+-H "Last-Event-Id: $4"} ${5:+-H "Resumes: $5"} -w '%{http_code}\n' >$3.out; }
   $ versions() { cat $* | grep -o 'token.*' | cut -d' ' -f3 | sort | uniq -c | xargs; }
   $ joined() { n=0; for i in $1; do [ $(versions $2$i.out $3$i.out | wc -w) = 2 ] || n=$((n + 1)); done; echo "joined: $n"; }
@@ -25,13 +28,25 @@
   $ CALLER_ADDR=$D1; AUTH=' Token key-2' status /look/ok
   401
 
-Servers of another version join while a daemon stands still, to which the former one has
-been the only one for a minute. Streams begin there through another daemon and are taken
-up at the first one as it wakes.
+Servers of another version join while a daemon is cut off from the store, to which the
+former one has been the only one for a minute. Streams that begin then at another daemon
+are taken up there at once: those of the new version, which it has no server of, have to
+go elsewhere.
 
-  $ sleep 60
-  $ kill -STOP $d3_pid
-  $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; start_server new3 llm c engine v2; sleep 2
+  $ sleep 59; (until [ -e late ]; do operator '{"key":"servers/tick","value":{}}'; sleep 0.1; done) & sleep 2
+  $ touch late; kill -STOP $d3_pid
+  $ for s in new1 new2 new3; do start_server $s llm a engine v2 & done; await test -s new1.ports -a -s new2.ports -a -s new3.ports; sleep 0.2
+  $ p=; for i in $(seq 16); do MAX_S=0.6 draft $D1 slow g$i & p="$p $!"; done; wait $p || true
+  $ p=; for i in $(seq 16); do draft $D4 ok s$i $(grep -c '^id:' g$i.out) g$i & p="$p $!"; done; wait $p || true
+  $ joined "$(seq 16)" g s; cat s*.out | grep -c '^200$\|version_gone'
+  joined: 0
+  16
+  $ rm late
+
+They join while the machine of a daemon is suspended. Streams begin there through another
+daemon and are taken up at the first one as it wakes.
+
+  $ sleep 2
   $ p=; for i in $(seq 12); do MAX_S=0.8 draft $D1 slow f$i & p="$p $!"; done; wait $p || true
   $ versions f*.out | grep -o v2
   v2
