Let only the daemon that has the caller record a stream's version

Cause: whoever sent a stream to an engine put its version on record under the caller's request id, before any event. A daemon that passes on doesn't learn of that record, so it named no version to the next one, and the record stayed.

Change: a daemon that runs a stream for another one records nothing. The one that has the caller records the version that the response names, with the first event, and names it from then on. While it can't write records, it passes streams on for the base version only. Older builds record for others still, so what a second daemon begins is recorded at any version; and for an older build that passes on, this one records as before (header Goldcrest-Hop-Records).

Evidence: routed_hop_versions.t kills a daemon that waits for the first events of streams of another one.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -94,6 +94,7 @@
 	/* The software version at which the stream goes on, as what two versions
 	 * write doesn't fit together; data NULL if that isn't decided. */
 	gc_str_t version;
+	bool recorded; /* a record of the version is written, or will be */
 	/* Of a record or a search for one under way; 0: none. */
 	uint64_t version_token;
 	/* Complete events that wait until the stream is on record. */
@@ -114,9 +115,11 @@
 
 	/* Passing on (exchange_hop.c). */
 	bool received; /* another daemon passed the request on */
+	bool recorded_by_peer; /* that daemon records the version */
 	bool hop; /* the attempt in progress or the last one is at a daemon */
 	gc_backend_t *hops[GC_EXCHANGE_MAX_HOPS]; /* daemons that got it */
 	size_t n_hops;
+	bool hopped_before; /* to another daemon than the last one */
 	bool passed_on; /* a daemon has taken it */
 	gc_str_t hop_version; /* of the server that the daemon chose */
 	int64_t hop_return_ms; /* Retry-After of the last refusal */
@@ -255,12 +258,14 @@
  * decides at which version the stream that the request resumes goes on; false: the
  * answer is awaited, or the request has ended and the exchange is freed.
  * gc_exchange_fix_version is to be called before an attempt at the server, and
- * puts the stream on record if it has to be. gc_exchange_is_held is true while
+ * gc_exchange_begin_at at the first event, with the version of its server; they put
+ * the stream on record if this daemon has to. gc_exchange_is_held is true while
  * events must not be forwarded.
  */
 bool gc_exchange_find_version(gc_exchange_t *exchange);
 void gc_exchange_fix_version(gc_exchange_t *exchange,
 			     const gc_backend_t *server);
+void gc_exchange_begin_at(gc_exchange_t *exchange, gc_str_t version);
 bool gc_exchange_is_held(const gc_exchange_t *exchange);
 /* Ends a stream that can't be put on record (exchange_run.c). */
 void gc_exchange_abandon_unrecorded(gc_exchange_t *exchange);
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -84,14 +84,11 @@
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_exchange_record_served(exchange);
-			if (!exchange->version.data)
-				exchange->version =
-					exchange->hop
-						? exchange->hop_version
-						: gc_str_dup(
-							  exchange,
-							  gc_backend_version(
-								  exchange->backend));
+			gc_exchange_begin_at(
+				exchange, exchange->hop
+						  ? exchange->hop_version
+						  : gc_backend_version(
+							    exchange->backend));
 			gc_timer_set(exchange->inactivity_timer,
 				     gc_exchange_inactivity_ms(exchange));
 		}
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -14,15 +14,17 @@
 /*
  * Headers of the protocol between daemons. Requests have the name of the daemon
  * that passes them on, the version of the configuration by which it admitted them,
- * the number of servers that count towards max_attempts, and the software version
- * at which a stream goes on, if that is decided. Each response says whether the
- * request was run, and may name the version of the server.
+ * the number of servers that count towards max_attempts, the software version at
+ * which a stream has to begin or go on, if that is decided, and that they record the
+ * version of a stream. Each response says whether the request was run, and may name
+ * the version of the server.
  */
 #define HOP_PREFIX	   "goldcrest-hop"
 #define HOP_HEADER	   "Goldcrest-Hop"
 #define HOP_CONFIG_HEADER  "Goldcrest-Hop-Config"
 #define HOP_SENT_HEADER	   "Goldcrest-Hop-Sent"
 #define HOP_VERSION_HEADER "Goldcrest-Hop-Version"
+#define HOP_RECORDS_HEADER "Goldcrest-Hop-Records"
 #define HOP_RESULT_HEADER  "Goldcrest-Hop-Result"
 #define RESULT_DONE	   "done"
 #define RESULT_NOT_RUN	   "not-run"
@@ -190,6 +192,8 @@
 	const gc_relay_t *relay = exchange->relay;
 	const gc_header_names_t *names = &relay->conf.adapter->headers;
 	const gc_attempts_t *attempts = &exchange->attempts;
+	/* Also the base version, while this daemon can't write records. */
+	gc_str_t version = gc_exchange_avoid(exchange).only_version;
 	gc_str_t key =
 		gc_http_message_find_header(exchange->request, "authorization");
 	GString *text = g_string_sized_new(
@@ -208,17 +212,18 @@
 			gc_event_sequencer_last_id(exchange->sequencer));
 	/* This attempt is counted already. */
 	g_string_append_printf(text,
-			       HOP_HEADER ": %.*s\r\n" HOP_CONFIG_HEADER
-					  ": %" G_GUINT64_FORMAT
-					  "\r\n" HOP_SENT_HEADER ": %u\r\n",
+			       HOP_HEADER
+			       ": %.*s\r\n" HOP_CONFIG_HEADER
+			       ": %" G_GUINT64_FORMAT "\r\n" HOP_SENT_HEADER
+			       ": %u\r\n" HOP_RECORDS_HEADER ": 1\r\n",
 			       GC_STR_ARG(relay->conf.instance),
 			       gc_routes_version(exchange->view->routes),
 			       attempts->sent - 1 -
 				       MIN(attempts->lost + attempts->replaced,
 					   attempts->sent - 1));
-	if (exchange->version.data)
+	if (version.data)
 		g_string_append_printf(text, HOP_VERSION_HEADER ": %.*s\r\n",
-				       GC_STR_ARG(exchange->version));
+				       GC_STR_ARG(version));
 	gc_exchange_append_body(exchange, text);
 	return text;
 }
@@ -344,6 +349,9 @@
 	version = gc_http_message_find_header(request, HOP_VERSION_HEADER);
 	if (version.data)
 		exchange->version = gc_str_dup(exchange, version);
+	exchange->recorded_by_peer =
+		gc_http_message_find_header(request, HOP_RECORDS_HEADER).data !=
+		NULL;
 	log_received(exchange);
 	gc_counter_add(gc_counter("goldcrest_routed_received_total",
 				  "Requests that other daemons passed on.",
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -140,6 +140,7 @@
 			       int64_t left_ms)
 {
 	exchange->hop = false;
+	exchange->hopped_before |= exchange->n_hops > 0;
 	exchange->turned_away[exchange->n_tried] = false;
 	exchange->tried[exchange->n_tried++] = gc_backend_ref(backend);
 	start_attempt(exchange, backend, left_ms);
@@ -149,6 +150,7 @@
 			   int64_t left_ms)
 {
 	exchange->hop = true;
+	exchange->hopped_before |= exchange->n_hops > 0;
 	exchange->hops[exchange->n_hops++] = gc_backend_ref(daemon);
 	start_attempt(exchange, daemon, left_ms);
 }
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -2,7 +2,7 @@
  * At which software version a stream begins and goes on. What two versions write
  * doesn't fit together, and servers don't check it. A caller may resume at any
  * daemon, so a stream that doesn't begin at the base version of its service is put
- * on record before its first event is forwarded.
+ * on record before its first event is forwarded, by the daemon that has the caller.
  */
 #include "lib/log.h"
 #include "lib/log_events.h"
@@ -25,6 +25,9 @@
 		     const char *source);
 static void refuse_unknown(gc_exchange_t *exchange);
 static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token);
+static bool is_base(const gc_exchange_t *exchange, gc_str_t version);
+static bool may_have_other_record(const gc_exchange_t *exchange);
+static void record(gc_exchange_t *exchange, bool hold);
 
 void gc_relay_update_versions(gc_relay_t *relay)
 {
@@ -236,26 +239,60 @@
 
 /*
  * Once a record is under way, the stream stays at its version: the write may take
- * effect although the store gives no answer.
+ * effect although the store gives no answer. A stream that another daemon records
+ * may still change it, as that one learns of the version with the first event.
  */
 void gc_exchange_fix_version(gc_exchange_t *exchange,
 			     const gc_backend_t *server)
 {
-	gc_relay_t *relay = exchange->relay;
-	const gc_base_version_t *base = base_version(exchange);
 	gc_str_t version = gc_backend_version(server);
-	char key[GC_STREAM_KEY_BYTES];
 
-	if (!is_resumable(exchange) || exchange->version.data ||
-	    (base && gc_str_eq(base->version, version)))
+	if (!is_resumable(exchange) || exchange->recorded_by_peer ||
+	    exchange->version.data || is_base(exchange, version))
+		return;
+	exchange->version = gc_str_dup(exchange, version);
+	record(exchange, true);
+}
+
+void gc_exchange_begin_at(gc_exchange_t *exchange, gc_str_t version)
+{
+	bool needed;
+
+	if (exchange->version.data || !version.data)
 		return;
 	exchange->version = gc_str_dup(exchange, version);
+	needed = !is_base(exchange, version) || may_have_other_record(exchange);
+	if (is_resumable(exchange) && !exchange->recorded_by_peer && needed)
+		record(exchange, true);
+}
+
+static bool is_base(const gc_exchange_t *exchange, gc_str_t version)
+{
+	const gc_base_version_t *base = base_version(exchange);
+
+	return base && gc_str_eq(base->version, version);
+}
+
+/* Builds before the header HOP_RECORDS_HEADER record streams of other daemons, too,
+ * which may have ended before their first event. */
+static bool may_have_other_record(const gc_exchange_t *exchange)
+{
+	return exchange->hopped_before || exchange->received;
+}
+
+/* hold: its events wait until the record is written, unless the store is away. */
+static void record(gc_exchange_t *exchange, bool hold)
+{
+	gc_relay_t *relay = exchange->relay;
+	char key[GC_STREAM_KEY_BYTES];
+
+	exchange->recorded = true;
 	gc_stream_key(exchange->service, exchange->account, exchange->id, key);
-	/* Without the store and the base version, the stream doesn't wait. */
-	if (relay->store_answers)
+	if (hold && relay->store_answers)
 		exchange->version_token = ++relay->last_version_token;
 	relay->conf.record_version(relay->conf.share_ctx,
-				   exchange->version_token, key, version);
+				   exchange->version_token, key,
+				   exchange->version);
 }
 
 bool gc_exchange_is_held(const gc_exchange_t *exchange)
