Let a missing record count for nothing where a restore may have lost it

Cause: a stream without a record was taken for one that began at the base version. That holds only if no record was lost. A daemon that saw the restore knew for 3 s, one that started after it never did, and records are written again only by the daemon that wrote them.

Change: - The newest era is kept in the store, and written there only a minute after a restore. A daemon that starts and reads an older one than the answer names knows that there was a restore, also if nobody survived it. For a minute, as long as a stream lasts, what isn't on record is refused, unless there has been one version only. - So that few are refused, streams at the base version are put on record, too, while there are several versions and for a minute after a restore, without waiting for it; those that run as either begins are recorded then. - The decisions are in core/stream_record and core/restore_mark.

In routed_versions.t all sources are records now, and the step on another account's id, which needs a stream that isn't on record, moved before the restore.

Cost: a read at each start, two reads and at most one write at the first start and for each restore; a write for each stream while versions are mixed.

--- a/core/base_version.c
+++ b/core/base_version.c
@@ -14,6 +14,8 @@
 	/* When another version was listed last, or the base version changed. */
 	struct timespec mixed_at;
 	bool mixed; /* in the latest list */
+	bool was_mixed;
+	struct timespec mixed_until; /* last, if was_mixed */
 } history_t;
 
 struct gc_base_versions {
@@ -103,6 +105,10 @@
 		history->mixed_at = now;
 	if (!same || listed || history->base_listed)
 		history->base_listed_at = now;
+	if (others || history->mixed) {
+		history->was_mixed = true;
+		history->mixed_until = now;
+	}
 	history->mixed = others;
 	history->base_listed = listed;
 	if (!same && base) {
@@ -123,6 +129,18 @@
 	       gc_ms_between(history->mixed_at, now) >= GC_STREAM_LIFE_MS;
 }
 
+bool gc_base_versions_is_mixed(const gc_base_versions_t *versions,
+			       struct timespec now, gc_str_t service)
+{
+	const history_t *history =
+		g_hash_table_lookup(versions->histories, &service);
+
+	return history &&
+	       (history->mixed ||
+		(history->was_mixed &&
+		 gc_ms_between(history->mixed_until, now) < GC_STREAM_LIFE_MS));
+}
+
 /* Of versions with as many servers, the lower one in the order of bytes, so that
  * all daemons propose the same. */
 static bool most_common(gc_str_t service, const gc_registry_entry_t *servers,
--- a/core/base_version.h
+++ b/core/base_version.h
@@ -19,6 +19,8 @@
 
 /* How long a stream may be resumed after it began, at most. */
 #define GC_STREAM_LIFE_MS 60000
+/* A list of servers that was confirmed no longer ago than this counts as recent. */
+#define GC_RECENT_LIST_MS 2000
 
 typedef struct gc_base_version {
 	gc_str_t service;
@@ -50,5 +52,8 @@
  */
 bool gc_base_versions_is_only(const gc_base_versions_t *versions,
 			      struct timespec now, gc_str_t service);
+/* True if a server of another version was listed within a stream's life. */
+bool gc_base_versions_is_mixed(const gc_base_versions_t *versions,
+			       struct timespec now, gc_str_t service);
 
 #endif
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -35,6 +35,7 @@
 static void on_recorded(void *ctx, uint64_t token, bool ok);
 static void on_found_version(void *ctx, uint64_t token,
 			     gc_version_result_t result, gc_str_t version);
+static void on_restored(void *ctx);
 static void on_store_answered(void *ctx, bool answered);
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void on_crash(void *ctx, gc_str_t instance,
@@ -296,6 +297,7 @@
 		.store = store,
 		.recorded = on_recorded,
 		.found = on_found_version,
+		.restored = on_restored,
 		.era_seen = on_notices_era,
 		.ctx = daemon,
 	};
@@ -320,6 +322,13 @@
 					    version);
 }
 
+static void on_restored(void *ctx)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_set_restored(daemon->traffic);
+}
+
 static void on_store_answered(void *ctx, bool answered)
 {
 	routed_daemon_t *daemon = ctx;
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -91,6 +91,7 @@
 	int64_t max_event_gap_ms; /* between two forwarded events */
 
 	gc_event_sequencer_t *sequencer; /* NULL if not a stream */
+	bool resumed; /* its caller has events of an earlier try */
 	/* The software version at which the stream goes on, as what two versions
 	 * write doesn't fit together; data NULL if that isn't decided. */
 	gc_str_t version;
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -13,7 +13,7 @@
  * time for a connect, so that one that hangs differs from one that is refused. */
 #define END_QUERY_TIMEOUT_MS 240
 
-static const gc_prompt_t *create_prompt(gc_exchange_t *exchange, bool resumed);
+static const gc_prompt_t *create_prompt(gc_exchange_t *exchange);
 static int exchange_destructor(gc_exchange_t *exchange);
 static void start_attempt(gc_exchange_t *exchange, gc_backend_t *backend,
 			  int64_t left_ms);
@@ -73,9 +73,10 @@
 		g_autofree char *text =
 			last.data ? g_strndup(last.data, last.len) : NULL;
 
-		exchange->prompt = create_prompt(exchange, text && *text);
+		exchange->resumed = text && *text;
+		exchange->prompt = create_prompt(exchange);
 		exchange->sequencer = gc_event_sequencer_create(
-			exchange, text && *text
+			exchange, exchange->resumed
 					  ? g_ascii_strtoll(text, NULL, 10)
 					  : GC_EVENT_ID_NONE);
 	}
@@ -87,7 +88,7 @@
 		gc_exchange_start_next_attempt(exchange);
 }
 
-static const gc_prompt_t *create_prompt(gc_exchange_t *exchange, bool resumed)
+static const gc_prompt_t *create_prompt(gc_exchange_t *exchange)
 {
 	const gc_adapter_t *adapter = exchange->relay->conf.adapter;
 	gc_str_t id = adapter->prompt_id(gc_http_message_find_header(
@@ -102,7 +103,7 @@
 					    adapter->headers.token_counts),
 		&prompt->tokens, &prompt->max_output_tokens);
 	prompt->hash = XXH64(id.data, id.len, 0);
-	prompt->resumed = resumed;
+	prompt->resumed = exchange->resumed;
 	return prompt;
 }
 
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -9,9 +9,6 @@
 #include "lib/relay_private.h"
 #include "lib/request_hash.h"
 
-/* The view must not be older than this for its versions to count as the only
- * ones. */
-#define MAX_VIEW_AGE_MS 2000
 /* Least Retry-After if the store can't tell a version. */
 #define UNKNOWN_RETRY_AFTER_MS 900
 
@@ -27,6 +24,8 @@
 static gc_exchange_t *find_exchange(const gc_relay_t *relay, uint64_t token);
 static bool is_base(const gc_exchange_t *exchange, gc_str_t version);
 static bool may_have_other_record(const gc_exchange_t *exchange);
+static gc_record_need_t record_need(const gc_exchange_t *exchange);
+static void record_running(gc_relay_t *relay);
 static void record(gc_exchange_t *exchange, bool hold);
 
 void gc_relay_update_versions(gc_relay_t *relay)
@@ -45,6 +44,7 @@
 						 view->n_servers, base,
 						 &proposed);
 	}
+	record_running(relay);
 }
 
 void gc_relay_set_store_answers(gc_relay_t *relay, bool answers)
@@ -52,6 +52,13 @@
 	relay->store_answers = answers;
 }
 
+void gc_relay_set_restored(gc_relay_t *relay)
+{
+	relay->store_restored = true;
+	relay->restored_at = gc_clock_now(relay->conf.clock);
+	record_running(relay);
+}
+
 /* Only streams that callers may resume need a record. */
 static bool is_resumable(const gc_exchange_t *exchange)
 {
@@ -100,9 +107,8 @@
 {
 	const gc_relay_t *relay = exchange->relay;
 
-	return gc_confirmed_age_ms(relay->conf.confirmed,
-				   gc_clock_now(relay->conf.clock)) <=
-	       MAX_VIEW_AGE_MS;
+	return gc_is_recently_confirmed(relay->conf.confirmed,
+					gc_clock_now(relay->conf.clock));
 }
 
 /* True if no stream can have begun at another version, as far as is known. */
@@ -186,6 +192,7 @@
 	gc_exchange_t *exchange = find_exchange(relay, token);
 	const gc_base_version_t *base;
 	const char *source = "record";
+	bool only;
 
 	if (!exchange)
 		return;
@@ -195,9 +202,10 @@
 		return;
 	}
 	base = base_version(exchange);
-	if (result == GC_VERSION_NOT_RECORDED && base) {
+	only = is_only_version(exchange);
+	if (base && gc_stream_began_at_base(result, only)) {
 		version = base->version;
-		source = "base";
+		source = result == GC_VERSION_NOT_RECORDED ? "base" : "only";
 	} else if (result != GC_VERSION_RECORDED) {
 		refuse_unknown(exchange);
 		return;
@@ -256,14 +264,45 @@
 
 void gc_exchange_begin_at(gc_exchange_t *exchange, gc_str_t version)
 {
-	bool needed;
+	gc_record_need_t need;
 
 	if (exchange->version.data || !version.data)
 		return;
 	exchange->version = gc_str_dup(exchange, version);
-	needed = !is_base(exchange, version) || may_have_other_record(exchange);
-	if (is_resumable(exchange) && !exchange->recorded_by_peer && needed)
-		record(exchange, true);
+	need = record_need(exchange);
+	if (need != GC_RECORD_NONE)
+		record(exchange, need == GC_RECORD_FIRST);
+}
+
+static gc_record_need_t record_need(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	gc_stream_facts_t facts = {
+		.base = is_base(exchange, exchange->version),
+		.mixed = gc_base_versions_is_mixed(relay->base_versions, now,
+						   exchange->service),
+		.may_lack = relay->store_restored &&
+			    gc_ms_between(relay->restored_at, now) <
+				    GC_STREAM_LIFE_MS,
+		.other_record = may_have_other_record(exchange),
+	};
+
+	return !is_resumable(exchange) || exchange->resumed ||
+			       exchange->recorded || exchange->recorded_by_peer
+		       ? GC_RECORD_NONE
+		       : gc_stream_record_need(&facts);
+}
+
+/* Streams that began before there was another version, or before a restore. */
+static void record_running(gc_relay_t *relay)
+{
+	for (gc_exchange_t *exchange = relay->exchanges; exchange;
+	     exchange = exchange->next)
+		if (exchange->version.data &&
+		    (exchange->head_sent || exchange->held_events) &&
+		    record_need(exchange) != GC_RECORD_NONE)
+			record(exchange, false);
 }
 
 static bool is_base(const gc_exchange_t *exchange, gc_str_t version)
@@ -284,14 +323,16 @@
 static void record(gc_exchange_t *exchange, bool hold)
 {
 	gc_relay_t *relay = exchange->relay;
+	uint64_t token = 0;
 	char key[GC_STREAM_KEY_BYTES];
 
 	exchange->recorded = true;
 	gc_stream_key(exchange->service, exchange->account, exchange->id, key);
-	if (hold && relay->store_answers)
-		exchange->version_token = ++relay->last_version_token;
-	relay->conf.record_version(relay->conf.share_ctx,
-				   exchange->version_token, key,
+	if (hold && relay->store_answers) {
+		token = ++relay->last_version_token;
+		exchange->version_token = token;
+	}
+	relay->conf.record_version(relay->conf.share_ctx, token, key,
 				   exchange->version);
 }
 
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -86,6 +86,8 @@
 				gc_version_result_t result, gc_str_t version);
 /* Whether the store answers, so that records can be written. */
 void gc_relay_set_store_answers(gc_relay_t *relay, bool answers);
+/* The store was restored, lately as far as is known: it may lack records. */
+void gc_relay_set_restored(gc_relay_t *relay);
 /* Answer to an ask for permits. */
 void gc_relay_add_permits(gc_relay_t *relay, const gc_permit_answer_t *answer);
 /* Answer to an ask for places, or what an issuer tells of a server. */
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -38,6 +38,8 @@
 	gc_base_versions_t *base_versions;
 	uint64_t last_version_token;
 	bool store_answers;
+	bool store_restored;
+	struct timespec restored_at; /* last, if store_restored */
 	bool stopping;
 	struct timespec stop_at;
 	/* Passing on of requests (exchange_hop.c). NULL unless set up. */
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -96,6 +96,7 @@
 static void handle_recorded(void *ctx, void *message);
 static void handle_found_version(void *ctx, void *message);
 static void handle_store_answers(void *ctx, void *message);
+static void handle_restored(void *ctx, void *message);
 static void handle_stop(void *ctx, void *message);
 static void handle_exit(void *ctx, void *message);
 static void on_drain_poll(void *ctx);
@@ -396,6 +397,18 @@
 	g_free(answers);
 }
 
+void gc_routed_traffic_set_restored(gc_routed_traffic_t *traffic)
+{
+	gc_mailbox_post(traffic->mailbox, handle_restored, NULL);
+}
+
+static void handle_restored(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+
+	gc_relay_set_restored(traffic->relay);
+}
+
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
 			    void (*stopped)(void *ctx), void *ctx)
 {
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -67,6 +67,7 @@
 					 gc_str_t version);
 void gc_routed_traffic_set_store_answers(gc_routed_traffic_t *traffic,
 					 bool answers);
+void gc_routed_traffic_set_restored(gc_routed_traffic_t *traffic);
 void gc_routed_traffic_add_verdict(gc_routed_traffic_t *traffic, uint64_t token,
 				   gc_witness_verdict_t verdict);
 void gc_routed_traffic_add_permits(gc_routed_traffic_t *traffic,
--- a/lib/stream_versions.c
+++ b/lib/stream_versions.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "core/error.h"
+#include "core/restore_mark.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
@@ -19,8 +20,13 @@
 /* Pause before a failed write is repeated; doubles up to the maximum. */
 #define RETRY_MS     100
 #define RETRY_MAX_MS 1600
-/* Time in which all daemons write their records again after a restore. */
-#define RESTORE_MS 3000
+/* Key of the kept era (core/restore_mark.h), a decimal number; the pause before a
+ * failed read or write of it is repeated; and the time over which daemons spread
+ * their reads before one of them writes. */
+#define ERA_KEY	       "goldcrest/era"
+#define ERA_RETRY_MS   1000
+#define ERA_SPREAD_MS  5000
+#define ERA_MAX_DIGITS 20
 /* Interval of checks of base versions, and their random part: the first daemon
  * that writes a change spares the others the write. */
 #define BASE_CHECK_MS  5000
@@ -50,7 +56,6 @@
 typedef struct query {
 	gc_stream_versions_t *versions;
 	uint64_t token;
-	uint64_t era; /* of the store when it was sent */
 } query_t;
 
 struct gc_stream_versions {
@@ -59,10 +64,11 @@
 	uint64_t lease; /* id; 0: none */
 	struct timespec lease_requested;
 	bool lease_pending;
-	uint64_t era; /* of the store; 0: not known */
+	gc_restore_mark_t mark; /* with the era of the store */
+	uint64_t kept_revision; /* of the item that keeps the era; 0: none */
+	gc_timer_t *era_timer; /* reads that item */
+	bool era_may_write; /* other daemons had time to do so */
 	uint64_t lease_era; /* when the lease was requested */
-	struct timespec restored_at;
-	bool restored;
 	int64_t retry_ms;
 	gc_timer_t *retry_timer;
 	gc_timer_t *base_timer;
@@ -89,7 +95,14 @@
 static void take_era(gc_stream_versions_t *versions, uint64_t era);
 static void on_item(void *ctx, const gc_store_items_t *items,
 		    const GError *err);
-static bool is_restoring(const gc_stream_versions_t *versions);
+static void note_restore(gc_stream_versions_t *versions);
+static void read_kept_era(void *ctx);
+static void on_kept_era(void *ctx, const gc_store_items_t *items,
+			const GError *err);
+static uint64_t parse_era(gc_str_t value);
+static void write_kept_era(gc_stream_versions_t *versions);
+static void on_era_written(void *ctx, uint64_t id, uint64_t era,
+			   const GError *err);
 static void on_base_check(void *ctx);
 static void check_base(gc_stream_versions_t *versions, gc_str_t service);
 static void write_base(gc_stream_versions_t *versions, gc_str_t service,
@@ -111,6 +124,9 @@
 		gc_timer_create(versions, conf->timers, on_retry, versions);
 	versions->base_timer = gc_timer_create(versions, conf->timers,
 					       on_base_check, versions);
+	versions->era_timer = gc_timer_create(versions, conf->timers,
+					      read_kept_era, versions);
+	gc_timer_set(versions->era_timer, 0);
 	versions->base_versions = gc_base_versions_create(versions);
 	versions->store_calls = gc_counter("goldcrest_store_calls_total",
 					   "Calls to the store.", NULL, NULL);
@@ -192,7 +208,7 @@
 		if (record->state != RECORD_WAITING)
 			continue;
 		record->state = RECORD_SENT;
-		record->era = versions->era;
+		record->era = versions->mark.era;
 		gc_counter_add(versions->store_calls, 1);
 		store->ops->put(store->store, gc_str(record->key),
 				record->version, versions->lease, on_written,
@@ -225,7 +241,7 @@
 	versions->lease = 0;
 	versions->lease_pending = true;
 	versions->lease_requested = now_of(versions);
-	versions->lease_era = versions->era;
+	versions->lease_era = versions->mark.era;
 	gc_counter_add(versions->store_calls, 1);
 	store->ops->lease(store->store, LEASE_MS, on_lease_granted, versions);
 }
@@ -237,7 +253,7 @@
 
 	versions->lease_pending = false;
 	take_era(versions, era);
-	if (err || id == 0 || versions->lease_era != versions->era) {
+	if (err || id == 0 || versions->lease_era != versions->mark.era) {
 		retry_later(versions, err);
 		return;
 	}
@@ -254,7 +270,7 @@
 	take_era(versions, era);
 	if (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND))
 		versions->lease = 0;
-	if (err || record->era != versions->era) {
+	if (err || record->era != versions->mark.era) {
 		record->state = RECORD_WAITING;
 		retry_later(versions, err);
 		return;
@@ -299,8 +315,8 @@
 
 static void take_era(gc_stream_versions_t *versions, uint64_t era)
 {
-	era = gc_store_era_plausible(versions->era, era);
-	if (era > versions->era) {
+	era = gc_store_era_plausible(versions->mark.era, era);
+	if (era > versions->mark.era) {
 		gc_stream_versions_set_era(versions, era);
 		versions->conf.era_seen(versions->conf.ctx, era);
 	}
@@ -308,23 +324,103 @@
 
 void gc_stream_versions_set_era(gc_stream_versions_t *versions, uint64_t era)
 {
-	bool first = versions->era == 0;
-
-	if (era <= versions->era)
-		return;
-	versions->era = era;
-	if (first)
+	if (!gc_restore_mark_see(&versions->mark, now_of(versions), era))
 		return;
-	versions->restored = true;
-	versions->restored_at = now_of(versions);
 	versions->lease = 0;
 	for (record_t *record = versions->records; record;
 	     record = record->next)
 		if (record->state == RECORD_WRITTEN)
 			record->state = RECORD_WAITING;
+	note_restore(versions);
 	write_waiting(versions);
 }
 
+static void note_restore(gc_stream_versions_t *versions)
+{
+	versions->conf.restored(versions->conf.ctx);
+	gc_timer_set(versions->era_timer, ERA_RETRY_MS);
+}
+
+static void read_kept_era(void *ctx)
+{
+	gc_stream_versions_t *versions = ctx;
+	const gc_store_t *store = &versions->conf.store;
+
+	gc_counter_add(versions->store_calls, 1);
+	store->ops->get(store->store, GC_STR_LIT(ERA_KEY), on_kept_era,
+			versions);
+}
+
+/* An answer of an earlier era doesn't count. */
+static void on_kept_era(void *ctx, const gc_store_items_t *items,
+			const GError *err)
+{
+	gc_stream_versions_t *versions = ctx;
+	const gc_random_t *random = versions->conf.random;
+	bool found = !err && items && items->n == 1;
+	uint64_t era = items ? items->era : 0;
+	uint64_t kept = found ? parse_era(items->items[0].value) : 0;
+	int64_t due_ms;
+
+	take_era(versions, era);
+	if ((!found && !g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) ||
+	    era != versions->mark.era) {
+		gc_timer_set(versions->era_timer, ERA_RETRY_MS);
+		return;
+	}
+	versions->kept_revision = found ? items->items[0].revision : 0;
+	if (gc_restore_mark_read(&versions->mark, now_of(versions), kept)) {
+		gc_log(GC_LOG_WARNING, GC_EVENT_RESTORE_MISSED,
+		       "the store was restored before this daemon started",
+		       NULL);
+		note_restore(versions);
+		return;
+	}
+	due_ms = gc_restore_mark_due_ms(&versions->mark, now_of(versions));
+	if (due_ms == 0 && versions->era_may_write) {
+		write_kept_era(versions);
+	} else if (due_ms >= 0) {
+		versions->era_may_write = true;
+		gc_timer_set(versions->era_timer,
+			     due_ms + (int64_t)(random->next(random->ctx) %
+						ERA_SPREAD_MS));
+	}
+}
+
+/* An unreadable one counts as another era. */
+static uint64_t parse_era(gc_str_t value)
+{
+	g_autofree char *text =
+		g_strndup(value.data, MIN(value.len, ERA_MAX_DIGITS + 1));
+	guint64 era;
+
+	return g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT64, &era, NULL)
+		       ? era
+		       : G_MAXUINT64;
+}
+
+static void write_kept_era(gc_stream_versions_t *versions)
+{
+	const gc_store_t *store = &versions->conf.store;
+	g_autofree char *text =
+		g_strdup_printf("%" G_GUINT64_FORMAT, versions->mark.era);
+
+	versions->era_may_write = false;
+	gc_counter_add(versions->store_calls, 1);
+	store->ops->put_if(store->store, GC_STR_LIT(ERA_KEY), gc_str(text),
+			   versions->kept_revision, on_era_written, versions);
+}
+
+/* Whether it took effect, and in which era, the next read tells. */
+static void on_era_written(void *ctx, uint64_t id, uint64_t era,
+			   const GError *err)
+{
+	gc_stream_versions_t *versions = ctx;
+
+	take_era(versions, era);
+	gc_timer_set(versions->era_timer, ERA_RETRY_MS);
+}
+
 void gc_stream_versions_find(gc_stream_versions_t *versions, uint64_t token,
 			     const char *key)
 {
@@ -334,7 +430,6 @@
 
 	query->versions = versions;
 	query->token = token;
-	query->era = versions->era;
 	gc_counter_add(versions->store_calls, 1);
 	store->ops->get(store->store, gc_str(store_key), on_item, query);
 }
@@ -350,22 +445,16 @@
 	if (!err && items && items->n == 1) {
 		result = GC_VERSION_RECORDED;
 		version = items->items[0].value;
-	} else if (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND) &&
-		   !is_restoring(versions) &&
-		   (query->era == 0 || query->era == versions->era)) {
-		result = GC_VERSION_NOT_RECORDED;
+	} else if (g_error_matches(err, GC_ERROR, GC_ERR_NOT_FOUND)) {
+		result = gc_restore_mark_may_lack(&versions->mark,
+						  now_of(versions))
+				 ? GC_VERSION_MAYBE_LOST
+				 : GC_VERSION_NOT_RECORDED;
 	}
 	versions->conf.found(versions->conf.ctx, query->token, result, version);
 	talloc_free(query);
 }
 
-static bool is_restoring(const gc_stream_versions_t *versions)
-{
-	return versions->restored &&
-	       gc_ms_between(versions->restored_at, now_of(versions)) <
-		       RESTORE_MS;
-}
-
 void gc_stream_versions_set_view(gc_stream_versions_t *versions,
 				 gc_fleet_view_t *view)
 {
--- a/lib/stream_versions.h
+++ b/lib/stream_versions.h
@@ -1,8 +1,8 @@
 /*
  * Keeps on record, in the store, at which software version streams began, if not
  * at the base version of their service (core/base_version.h), and finds it again
- * when a caller resumes at another daemon. Changes base versions. Control thread
- * only.
+ * when a caller resumes at another daemon. Changes base versions, and keeps the era
+ * of the store there (core/restore_mark.h). Control thread only.
  */
 #ifndef GC_LIB_STREAM_VERSIONS_H
 #define GC_LIB_STREAM_VERSIONS_H
@@ -14,18 +14,13 @@
 
 #include "core/clock.h"
 #include "core/placement.h"
+#include "core/stream_record.h"
 #include "lib/fleet_view.h"
 #include "lib/store.h"
 #include "lib/timer.h"
 
 typedef struct gc_stream_versions gc_stream_versions_t;
 
-typedef enum gc_version_result {
-	GC_VERSION_UNKNOWN, /* the store gave no answer */
-	GC_VERSION_NOT_RECORDED,
-	GC_VERSION_RECORDED,
-} gc_version_result_t;
-
 typedef struct gc_stream_versions_conf {
 	gc_timers_t *timers;
 	const gc_clock_t *clock;
@@ -37,6 +32,8 @@
 	/* Answer to gc_stream_versions_find. version: valid in the callback. */
 	void (*found)(void *ctx, uint64_t token, gc_version_result_t result,
 		      gc_str_t version);
+	/* The store was restored, lately as far as is known: it may lack records. */
+	void (*restored)(void *ctx);
 	/* A response of the store named this era. */
 	void (*era_seen)(void *ctx, uint64_t era);
 	void *ctx;
@@ -55,7 +52,7 @@
 void gc_stream_versions_set_view(gc_stream_versions_t *versions,
 				 gc_fleet_view_t *view);
 /* The store is in this era. After a restore, this daemon's records are written
- * again, and for a few seconds none counts as missing. */
+ * again, and for a stream's life a missing one may be lost. */
 void gc_stream_versions_set_era(gc_stream_versions_t *versions, uint64_t era);
 
 #endif
--- a/regress/check_base_version.c
+++ b/regress/check_base_version.c
@@ -147,6 +147,27 @@
 }
 END_TEST
 
+START_TEST(test_mixed)
+{
+	fixture_t f = fixture_create();
+
+	set_base(&f, "a");
+	set_servers(&f, "aa");
+	propose(&f, 0);
+	ck_assert(!gc_base_versions_is_mixed(f.versions, unit_at(1), LLM));
+	set_servers(&f, "aab");
+	propose(&f, 1000);
+	ck_assert(gc_base_versions_is_mixed(f.versions, unit_at(1000), LLM));
+	set_servers(&f, "aa");
+	propose(&f, 4000);
+	ck_assert(gc_base_versions_is_mixed(
+		f.versions, unit_at(3999 + GC_STREAM_LIFE_MS), LLM));
+	ck_assert(!gc_base_versions_is_mixed(
+		f.versions, unit_at(4000 + GC_STREAM_LIFE_MS), LLM));
+	talloc_free(f.versions);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -155,6 +176,7 @@
 		test_old_version_comes_back,
 		test_start_counts_as_listed,
 		test_only_version,
+		test_mixed,
 		NULL,
 	};
 
--- a/regress/routed_versions.t
+++ b/regress/routed_versions.t
@@ -39,7 +39,6 @@
   $ joined "$(seq 12)" k l
   none
   $ grep '"event":1122' d3.log | grep -o '"source":"[a-z]*"' | sort -u
-  "source":"base"
   "source":"record"
 
 Without the store, a daemon that can't tell the version refuses to go on, and streams
@@ -58,6 +57,21 @@
   $ joined "$(seq 6)" m n
   none
 
+An id of another account's stream says nothing of that stream: it is taken for one
+that isn't on record. So is one of two kilobytes.
+
+  $ V2=$(for i in $(seq 12); do [ "$(versions k$i.out | cut -d' ' -f2)" = v2 ] && echo k$i; done | head -n 1)
+  $ operator "$(curl -s "http://$STORE/v1/kv-key?key=op%2Fconfig" | python3 -c '
+  > import base64, json, sys
+  > value = json.loads(base64.b64decode(json.load(sys.stdin)["value"]))
+  > value["version"] += 1
+  > value["tenants"].append({"name": "south", "api_keys": ["key-9"]})
+  > print(json.dumps({"key": "op/config", "value": value}))')"; sleep 0.6
+  $ south() { curl -sN --max-time 10 "http://$D3/draft/ok" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $1" -H "Authorization: Token key-9" -H "Goldcrestfield-Deadline-Ms: 9000" -H "Last-Event-Id: 3" -H "Resumes: $2" >$1.out; versions $1.out; }
+  $ south s1 $V2; south s2 $(printf 'x%.0s' $(seq 1500))
+  5 v1
+  5 v1
+
 The store goes back to a copy that lacks the records and the base version: daemons
 write theirs again, and until then no stream counts as not recorded.
 
@@ -77,21 +91,6 @@
   $ draft $D3 ok unnamed 3; grep -o version_unknown unnamed.out
   version_unknown
 
-An id of another account's stream says nothing of that stream: it is taken for one
-that isn't on record. So is one of two kilobytes.
-
-  $ V2=$(for i in $(seq 12); do [ "$(versions p$i.out | cut -d' ' -f2)" = v2 ] && echo p$i; done | head -n 1)
-  $ operator "$(curl -s "http://$STORE/v1/kv-key?key=op%2Fconfig" | python3 -c '
-  > import base64, json, sys
-  > value = json.loads(base64.b64decode(json.load(sys.stdin)["value"]))
-  > value["version"] += 1
-  > value["tenants"].append({"name": "south", "api_keys": ["key-9"]})
-  > print(json.dumps({"key": "op/config", "value": value}))')"; sleep 0.6
-  $ south() { curl -sN --max-time 10 "http://$D3/draft/ok" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $1" -H "Authorization: Token key-9" -H "Goldcrestfield-Deadline-Ms: 9000" -H "Last-Event-Id: 3" -H "Resumes: $2" >$1.out; versions $1.out; }
-  $ south s1 $V2; south s2 $(printf 'x%.0s' $(seq 1500))
-  5 v1
-  5 v1
-
 A version that has gone for good: the answer comes at once.
 
   $ U=0; until [ "$(versions u$U.out 2>/dev/null | cut -d' ' -f2)" = v1 ]; do U=$((U + 1)); MAX_S=0.8 draft $D2 slow u$U || true; done
