Count no time as unchanged in which a daemon heard nothing

Cause: the minutes after which a base version changes, or counts as the only one, were counted between two lists. A daemon that was cut off from the store for a minute between them took what it hadn't seen for unchanged: it could change the base version while streams of the old one were young, or take a stream without a record up at the base version after a restore.

--- a/core/base_version.c
+++ b/core/base_version.c
@@ -119,6 +119,19 @@
 	return listed;
 }
 
+void gc_base_versions_note_gap(gc_base_versions_t *versions,
+			       struct timespec now)
+{
+	GHashTableIter iter;
+	gpointer history;
+
+	g_hash_table_iter_init(&iter, versions->histories);
+	while (g_hash_table_iter_next(&iter, NULL, &history)) {
+		((history_t *)history)->base_listed_at = now;
+		((history_t *)history)->mixed_at = now;
+	}
+}
+
 bool gc_base_versions_is_only(const gc_base_versions_t *versions,
 			      struct timespec now, gc_str_t service)
 {
--- a/core/base_version.h
+++ b/core/base_version.h
@@ -46,6 +46,10 @@
 			      const gc_registry_entry_t *servers, size_t n,
 			      const gc_base_version_t *base,
 			      gc_str_t *proposed);
+/* To be called when lists are confirmed again after a time in which they weren't
+ * recent: what was listed meanwhile isn't known. */
+void gc_base_versions_note_gap(gc_base_versions_t *versions,
+			       struct timespec now);
 /*
  * True if only servers of the base version have been listed for as long as a
  * stream may last, so that all streams began at it.
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -379,6 +379,10 @@
 {
 	routed_daemon_t *daemon = ctx;
 
+	if (!gc_is_recently_confirmed(&daemon->last_confirmed,
+				      gc_clock_now(&gc_clock_system)))
+		gc_stream_versions_note_gap(daemon->stream_versions);
+	daemon->last_confirmed = at_ms;
 	gc_routed_traffic_set_confirmed(daemon->traffic, at_ms);
 	if (daemon->control_listener)
 		gc_control_listener_notify_watches(daemon->control_listener);
--- a/goldcrestd/routed_private.h
+++ b/goldcrestd/routed_private.h
@@ -31,6 +31,7 @@
 	gc_control_listener_t *control_listener;
 	gc_routed_traffic_t *traffic;
 	gc_confirmed_time_t confirmed;
+	gc_confirmed_time_t last_confirmed; /* before the latest confirmation */
 	GRand *rand;
 	gc_random_t random;
 	bool store_answers;
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -52,6 +52,14 @@
 	relay->store_answers = answers;
 }
 
+void gc_relay_note_confirmation(gc_relay_t *relay)
+{
+	struct timespec now = gc_clock_now(relay->conf.clock);
+
+	if (!gc_is_recently_confirmed(relay->conf.confirmed, now))
+		gc_base_versions_note_gap(relay->base_versions, now);
+}
+
 void gc_relay_set_restored(gc_relay_t *relay)
 {
 	relay->store_restored = true;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -84,6 +84,8 @@
 void gc_relay_set_recorded(gc_relay_t *relay, uint64_t token, bool ok);
 void gc_relay_set_found_version(gc_relay_t *relay, uint64_t token,
 				gc_version_result_t result, gc_str_t version);
+/* To be called before the confirmed time moves forward. */
+void gc_relay_note_confirmation(gc_relay_t *relay);
 /* Whether the store answers, so that records can be written. */
 void gc_relay_set_store_answers(gc_relay_t *relay, bool answers);
 /* The store was restored, lately as far as is known: it may lack records. */
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -241,6 +241,7 @@
 	gc_routed_traffic_t *traffic = ctx;
 	int64_t *at_ms = message;
 
+	gc_relay_note_confirmation(traffic->relay);
 	atomic_store(&traffic->confirmed, *at_ms);
 	g_free(at_ms);
 }
--- a/lib/stream_versions.c
+++ b/lib/stream_versions.c
@@ -455,6 +455,11 @@
 	talloc_free(query);
 }
 
+void gc_stream_versions_note_gap(gc_stream_versions_t *versions)
+{
+	gc_base_versions_note_gap(versions->base_versions, now_of(versions));
+}
+
 void gc_stream_versions_set_view(gc_stream_versions_t *versions,
 				 gc_fleet_view_t *view)
 {
--- a/lib/stream_versions.h
+++ b/lib/stream_versions.h
@@ -51,6 +51,8 @@
 /* Takes a reference to the view; changes base versions if need be. */
 void gc_stream_versions_set_view(gc_stream_versions_t *versions,
 				 gc_fleet_view_t *view);
+/* See gc_base_versions_note_gap. */
+void gc_stream_versions_note_gap(gc_stream_versions_t *versions);
 /* The store is in this era. After a restore, this daemon's records are written
  * again, and for a stream's life a missing one may be lost. */
 void gc_stream_versions_set_era(gc_stream_versions_t *versions, uint64_t era);
--- a/regress/check_base_version.c
+++ b/regress/check_base_version.c
@@ -147,6 +147,31 @@
 }
 END_TEST
 
+/* Guards against a change or a shortcut after a time in which the daemon was cut off,
+ * while servers of another version came and went. */
+START_TEST(test_gap)
+{
+	fixture_t f = fixture_create();
+	int64_t back = GC_STREAM_LIFE_MS + 100;
+
+	set_base(&f, "a");
+	set_servers(&f, "aa");
+	propose(&f, 0);
+	gc_base_versions_note_gap(f.versions, unit_at(back));
+	propose(&f, back);
+	ck_assert(!gc_base_versions_is_only(f.versions, unit_at(back), LLM));
+	ck_assert(gc_base_versions_is_only(
+		f.versions, unit_at(back + GC_STREAM_LIFE_MS), LLM));
+	set_servers(&f, "b");
+	propose(&f, 2 * back);
+	gc_base_versions_note_gap(f.versions, unit_at(4 * back));
+	ck_assert(!propose(&f, 4 * back));
+	ck_assert(!propose(&f, 4 * back + GC_STREAM_LIFE_MS - 1));
+	ck_assert(propose(&f, 4 * back + GC_STREAM_LIFE_MS));
+	talloc_free(f.versions);
+}
+END_TEST
+
 START_TEST(test_mixed)
 {
 	fixture_t f = fixture_create();
@@ -176,6 +201,7 @@
 		test_old_version_comes_back,
 		test_start_counts_as_listed,
 		test_only_version,
+		test_gap,
 		test_mixed,
 		NULL,
 	};
--- a/regress/prop_stream_version.cc
+++ b/regress/prop_stream_version.cc
@@ -133,6 +133,8 @@
 	gc_restore_mark_read(&d.mark, now(), store.kept);
 	if (gc_restore_mark_due_ms(&d.mark, now()) == 0)
 		store.kept = store.era;
+	if (now_ms - d.synced_ms > GC_RECENT_LIST_MS)
+		gc_base_versions_note_gap(d.versions, now());
 	d.synced_ms = now_ms;
 	d.listed = store.listed;
 	d.base = store.base;
