Bound what is kept of a response read by libcurl

Reported by other operators: bytes that are no answer came without end, in a head or a body, until the memory was used up.

Cause here: answers of servers in the routed mode are bounded (routed_faults.t). Calls through libcurl, to the platform, to other daemons and to engines of the own protocol, had no bound for bodies unless the caller set one, and libcurl keeps the lines of trailers without a bound.

Change: a body is collected up to 16 MiB if the call names no limit, and the lines of heads and trailers up to 64 KiB in all.

Evidence: check_httpc plays ten forms, each up to 80 MB.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -7,6 +7,8 @@
 #include "core/error.h"
 #include "lib/httpc.h"
 
+/* Most bytes of the lines of a response outside of its body. */
+#define MAX_HEAD_BYTES		   65536
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000L
 
 struct gc_httpc {
@@ -32,8 +34,9 @@
 	bool add_deferred; /* add once libcurl's callback has returned */
 	bool cancelled; /* free once libcurl's callback has returned */
 	bool paused;
-	size_t max_body; /* 0: no limit */
+	size_t max_body;
 	bool too_large;
+	size_t head_bytes; /* lines of heads and trailers */
 };
 
 /* A socket that libcurl watches. */
@@ -60,6 +63,7 @@
 		       void *ctx);
 static void finish_completed_calls(gc_httpc_t *client);
 static void finish_call(gc_http_call_t *call, CURLcode code);
+static size_t on_head_line(char *line, size_t size, size_t n, void *ctx);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static size_t collect_body(gc_http_call_t *call, const char *data, size_t n);
 static void set_options(gc_http_call_t *call, const gc_http_call_conf_t *conf);
@@ -104,7 +108,7 @@
 	call->bytes = conf->bytes;
 	call->peer = talloc_strdup(call, conf->peer ? conf->peer : conf->url);
 	call->body = g_byte_array_new();
-	call->max_body = conf->max_body;
+	call->max_body = conf->max_body ? conf->max_body : GC_HTTPC_MAX_BODY;
 	call->easy = curl_easy_init();
 	call->next = client->calls;
 	if (client->calls)
@@ -154,6 +158,8 @@
 			 conf->connect_timeout_ms ? conf->connect_timeout_ms
 						  : DEFAULT_CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, conf->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_head_line);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
@@ -243,6 +249,16 @@
 	return header->value;
 }
 
+/* libcurl keeps all lines, those of interim responses and trailers too, and bounds
+ * them in the head only. */
+static size_t on_head_line(char *line, size_t size, size_t n, void *ctx)
+{
+	gc_http_call_t *call = ctx;
+
+	call->head_bytes += n;
+	return call->head_bytes <= MAX_HEAD_BYTES ? n : CURL_WRITEFUNC_ERROR;
+}
+
 static size_t on_data(char *data, size_t size, size_t n, void *ctx)
 {
 	gc_http_call_t *call = ctx;
@@ -261,8 +277,7 @@
 
 static size_t collect_body(gc_http_call_t *call, const char *data, size_t n)
 {
-	size_t remaining =
-		call->max_body ? call->max_body - call->body->len : n;
+	size_t remaining = call->max_body - call->body->len;
 
 	g_byte_array_append(call->body, (const guint8 *)data,
 			    MIN(n, remaining));
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -14,6 +14,9 @@
 typedef struct gc_httpc gc_httpc_t;
 typedef struct gc_http_call gc_http_call_t;
 
+/* Most bytes of a body that are collected, unless a call has its own limit. */
+#define GC_HTTPC_MAX_BODY ((size_t)16 << 20)
+
 typedef struct gc_http_call_conf {
 	const char *method; /* "GET", "POST", ... */
 	const char *url;
@@ -36,9 +39,9 @@
 	bool single_use;
 	const char *source; /* local IP of the connection; NULL: any */
 	/*
-	 * Most bytes of the response body that are collected; 0: no limit. A
-	 * longer body ends the call with GC_ERR_TOO_LARGE and the body up to
-	 * the limit.
+	 * Most bytes of the response body that are collected; 0:
+	 * GC_HTTPC_MAX_BODY. A longer body ends the call with
+	 * GC_ERR_TOO_LARGE and the body up to the limit.
 	 */
 	size_t max_body;
 	/*
--- a/regress/check_httpc.c
+++ b/regress/check_httpc.c
@@ -1,12 +1,14 @@
 /*
- * Guards against a refused connection that is detected only by a timer, and
- * against bytes missing from the byte counter of a call.
+ * Guards against a refused connection that is detected only by a timer, against
+ * bytes missing from the byte counter of a call, and against responses without end
+ * that are kept.
  */
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -146,6 +148,89 @@
 }
 END_TEST
 
+/* Sent at most, so that a fault ends. */
+#define ENDLESS_BYTES (80 << 20)
+/* Of the whole process; a body of the largest size takes twice that as it grows. */
+#define MAX_MEMORY_KB (64 << 10)
+
+typedef struct endless_server {
+	one_shot_server_t server;
+	const char *start, *part; /* the part is repeated */
+	size_t sent;
+} endless_server_t;
+
+static void *send_without_end(void *ctx)
+{
+	endless_server_t *endless = ctx;
+	int sock = accept(endless->server.sock, NULL, NULL);
+	g_autoptr(GString) parts = g_string_new(NULL);
+	char request[4096];
+	ssize_t n = read(sock, request, sizeof(request));
+
+	while (parts->len < 65536)
+		g_string_append(parts, endless->part);
+	if (n > 0)
+		n = send(sock, endless->start, strlen(endless->start),
+			 MSG_NOSIGNAL);
+	while (n > 0 && endless->sent < ENDLESS_BYTES) {
+		n = send(sock, parts->str, parts->len, MSG_NOSIGNAL);
+		endless->sent += n > 0 ? (size_t)n : 0;
+	}
+	close(sock);
+	close(endless->server.sock);
+	return NULL;
+}
+
+/* A call without a limit of its own. */
+START_TEST(test_endless_responses)
+{
+	static const struct {
+		const char *start, *part;
+	} forms[] = {
+		{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		{"HTTP/1.1 500 Error\r\n\r\n", "x"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "4\r\nabcd\r\n"},
+		{"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		{"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+		 "x"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		 "X-More: 1\r\n"},
+		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"", "x"},
+		{"", "\r\n"},
+	};
+	static const gc_http_call_ops_t ops = {.done = on_done};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(forms); i++) {
+		struct tevent_context *ev = tevent_context_init(NULL);
+		gc_httpc_t *client = gc_httpc_create(ev, ev);
+		endless_server_t endless = {.start = forms[i].start,
+					    .part = forms[i].part};
+		g_autofree char *url =
+			g_strdup_printf("http://127.0.0.1:%u/",
+					start_listening(&endless.server));
+		gc_http_call_conf_t conf = {
+			.method = "GET", .url = url, .timeout_ms = 5000};
+		call_result_t call_result = {0};
+		struct rusage usage;
+		GThread *thread =
+			g_thread_new("server", send_without_end, &endless);
+
+		gc_httpc_start(client, &conf, &ops, &call_result);
+		while (!call_result.done)
+			tevent_loop_once(ev);
+		talloc_free(ev);
+		g_thread_join(thread);
+		ck_assert_msg(call_result.code != -1, "form %zu", i);
+		ck_assert_int_eq(getrusage(RUSAGE_SELF, &usage), 0);
+		ck_assert_msg(usage.ru_maxrss < MAX_MEMORY_KB, "form %zu: %ld",
+			      i, usage.ru_maxrss);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("httpc");
@@ -155,6 +240,8 @@
 
 	tcase_add_test(tcase, test_connection_refused_at_once);
 	tcase_add_test(tcase, test_counts_headers_and_bodies);
+	tcase_add_test(tcase, test_endless_responses);
+	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
