--- a/regress/routed_limit.t
+++ b/regress/routed_limit.t
@@ -13,7 +13,7 @@
 What isn't a limit is ignored, with a line in the log.
 
   $ LONG=$(printf '1%.0s' $(seq 1000)); for value in -1 inf nan 0x5 1e3 '' $LONG; do
-  >   headers app1 "{\"Server-Limit\": \"$value\"}"; load send 60 0.3 /look/ok $ADDRS
+  >   for s in app1 app2 app3; do headers $s "{\"Server-Limit\": \"$value\"}"; done; load send 60 0.3 /look/ok $ADDRS
   > done | sort -u
   200:18
   $ cat d?.log | grep '"event":1119' | grep -o '"header":"[^"]*","value":"[^"]\{1,6\}' | sort -u
@@ -27,7 +27,7 @@
 Two of three servers limit themselves; the third takes the rest. Of 5.2 a second,
 six times 5.2 and 5 more are allowed in 4 s; what the limit allows is used.
 
-  $ for s in app1 app2; do headers $s '{"Server-Limit": "5.2"}'; done; load send 60 1 /look/ok $ADDRS
+  $ headers app3 '{}'; for s in app1 app2; do headers $s '{"Server-Limit": "5.2"}'; done; load send 60 1 /look/ok $ADDRS
   200:60
   $ SINCE=$(now); load send 60 8 /look/ok $ADDRS
   200:480
@@ -68,7 +68,7 @@
 The daemons that issue the permits are killed or stand still: the sum holds, and
 requests are served by the server without a limit.
 
-  $ for s in app1 app2; do headers $s '{"Server-Limit": "5.2"}'; done; load send 60 1 /look/ok $ADDRS
+  $ headers app3 '{}'; for s in app1 app2; do headers $s '{"Server-Limit": "5.2"}'; done; load send 60 1 /look/ok $ADDRS
   200:60
   $ kill -9 $d1_pid $d2_pid $d3_pid; wait $d1_pid $d2_pid $d3_pid 2>/dev/null; kill -STOP $d4_pid; LEFT=$(echo $ADDRS | cut -d' ' -f5-)
   $ SINCE=$(now); load send 60 8 /look/ok $LEFT
--- a/standins/routed/wire.py
+++ b/standins/routed/wire.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import os
 import urllib.parse
 
 
@@ -88,6 +89,7 @@
     server = await asyncio.start_server(handle_connection, "127.0.0.1",
                                         port)
     port = server.sockets[0].getsockname()[1]
-    with open(ports_file, "w", encoding="ascii") as f:
+    with open(ports_file + ".new", "w", encoding="ascii") as f:
         f.write(f"{port}\n")
+    os.replace(ports_file + ".new", ports_file)
     return server, port
