Record crashes of a build before its servers are brittle

Cause: routed_builds.t crashed servers soon after it took back that they are brittle. A server that no lookup came to since stays brittle for the daemon, whose loss is no crash, as meant; then no crash was recorded. And two runs could choose one port.

Change: the crashes come before any server is brittle, and a port is bound before it is chosen. The same recordings are compared.

--- a/regress/builds.py
+++ b/regress/builds.py
@@ -22,6 +22,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -60,7 +61,14 @@
 
 
 def free_port():
-    return random.randrange(20000, 30000)
+    while True:
+        port = random.randrange(20000, 30000)
+        with socket.socket() as s:
+            try:
+                s.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 class Listener(http.server.BaseHTTPRequestHandler):
@@ -166,6 +174,9 @@
     def play(self):
         apps = [f"app{i}" for i in range(N_APPS)]
         self.send("/look/ok", 10)
+        # Before any server is brittle, whose loss is no crash.
+        self.send("/look/crash", 2)
+        time.sleep(3)
         for headers in {"Server-Limit": "50"}, {"Server-Brittle": "6"}:
             for name in apps:
                 self.post(name, "/headers", headers)
@@ -178,8 +189,6 @@
                          f"http://{HOST}:{self.ports['store']}", "engine", "v2")
         time.sleep(1)
         self.send("/draft/ok", 20)
-        self.send("/look/crash", 2)
-        time.sleep(3)
         for name in apps:
             self.post(name, "/cut", {"sources": [SOURCE], "how": "reset"})
         self.send("/look/ok", 6)
