Take ten seconds without a confirmation for a gap, not two

Cause: on the large sites two waits and a pause may take up to 4 s between two confirmations (gc_change_times), so that each of them counted as a gap. The base version would never have changed there, and each stream after a release been put on record for good.

Change: a gap is 10 s. What comes and goes in less isn't seen; a stream's life is counted as a minute, and callers' time limits are 25 s, so that this margin is there.

--- a/core/base_version.c
+++ b/core/base_version.c
@@ -123,12 +123,14 @@
 			       struct timespec now)
 {
 	GHashTableIter iter;
-	gpointer history;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, versions->histories);
-	while (g_hash_table_iter_next(&iter, NULL, &history)) {
-		((history_t *)history)->base_listed_at = now;
-		((history_t *)history)->mixed_at = now;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		history_t *history = value;
+
+		history->base_listed_at = now;
+		history->mixed_at = now;
 	}
 }
 
--- a/core/base_version.h
+++ b/core/base_version.h
@@ -21,6 +21,8 @@
 #define GC_STREAM_LIFE_MS 60000
 /* A list of servers that was confirmed no longer ago than this counts as recent. */
 #define GC_RECENT_LIST_MS 2000
+/* In a time as long as this without a confirmation, versions may come and go unseen. */
+#define GC_LIST_GAP_MS 10000
 
 typedef struct gc_base_version {
 	gc_str_t service;
@@ -46,8 +48,7 @@
 			      const gc_registry_entry_t *servers, size_t n,
 			      const gc_base_version_t *base,
 			      gc_str_t *proposed);
-/* To be called when lists are confirmed again after a time in which they weren't
- * recent: what was listed meanwhile isn't known. */
+/* To be called when lists are confirmed again after GC_LIST_GAP_MS. */
 void gc_base_versions_note_gap(gc_base_versions_t *versions,
 			       struct timespec now);
 /*
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -379,8 +379,9 @@
 {
 	routed_daemon_t *daemon = ctx;
 
-	if (!gc_is_recently_confirmed(&daemon->last_confirmed,
-				      gc_clock_now(&gc_clock_system)))
+	if (!gc_is_confirmed_within(&daemon->last_confirmed,
+				    gc_clock_now(&gc_clock_system),
+				    GC_LIST_GAP_MS))
 		gc_stream_versions_note_gap(daemon->stream_versions);
 	daemon->last_confirmed = at_ms;
 	gc_routed_traffic_set_confirmed(daemon->traffic, at_ms);
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -56,7 +56,7 @@
 {
 	struct timespec now = gc_clock_now(relay->conf.clock);
 
-	if (!gc_is_recently_confirmed(relay->conf.confirmed, now))
+	if (!gc_is_confirmed_within(relay->conf.confirmed, now, GC_LIST_GAP_MS))
 		gc_base_versions_note_gap(relay->base_versions, now);
 }
 
@@ -115,8 +115,9 @@
 {
 	const gc_relay_t *relay = exchange->relay;
 
-	return gc_is_recently_confirmed(relay->conf.confirmed,
-					gc_clock_now(relay->conf.clock));
+	return gc_is_confirmed_within(relay->conf.confirmed,
+				      gc_clock_now(relay->conf.clock),
+				      GC_RECENT_LIST_MS);
 }
 
 /* True if no stream can have begun at another version, as far as is known. */
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -559,12 +559,12 @@
 				 atomic_load(fleet->conf.confirmed));
 }
 
-bool gc_is_recently_confirmed(const gc_confirmed_time_t *confirmed,
-			      struct timespec now)
+bool gc_is_confirmed_within(const gc_confirmed_time_t *confirmed,
+			    struct timespec now, int64_t ms)
 {
 	int64_t age_ms = gc_confirmed_age_ms(confirmed, now);
 
-	return age_ms >= 0 && age_ms <= GC_RECENT_LIST_MS;
+	return age_ms >= 0 && age_ms <= ms;
 }
 
 int64_t gc_confirmed_age_ms(const gc_confirmed_time_t *confirmed,
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -97,9 +97,9 @@
 void gc_fleet_era_seen(gc_fleet_t *fleet, uint64_t era);
 /* Deletes this daemon's entry from the store; it is not written again. */
 void gc_fleet_unregister(gc_fleet_t *fleet);
-/* True if the state that is known here was confirmed within GC_RECENT_LIST_MS. */
-bool gc_is_recently_confirmed(const gc_confirmed_time_t *confirmed,
-			      struct timespec now);
+/* True if the state that is known here was confirmed within this time. */
+bool gc_is_confirmed_within(const gc_confirmed_time_t *confirmed,
+			    struct timespec now, int64_t ms);
 /* Milliseconds since the confirmed time; -1: never confirmed. */
 int64_t gc_confirmed_age_ms(const gc_confirmed_time_t *confirmed,
 			    struct timespec now);
--- a/regress/prop_stream_version.cc
+++ b/regress/prop_stream_version.cc
@@ -28,6 +28,8 @@
 const char *const NAMES[] = {"v1", "v2"};
 constexpr int N_DAEMONS = 4;
 constexpr int OLD = 3; /* the daemon of the older build */
+/* Later, a caller takes no stream up; what is shorter than a gap isn't seen. */
+constexpr int64_t MAX_RESUME_MS = GC_STREAM_LIFE_MS - GC_LIST_GAP_MS;
 /* With an older view, a daemon takes no requests. */
 constexpr int64_t MAX_VIEW_AGE_MS = 4500;
 
@@ -133,7 +135,7 @@
 	gc_restore_mark_read(&d.mark, now(), store.kept);
 	if (gc_restore_mark_due_ms(&d.mark, now()) == 0)
 		store.kept = store.era;
-	if (now_ms - d.synced_ms > GC_RECENT_LIST_MS)
+	if (now_ms - d.synced_ms > GC_LIST_GAP_MS)
 		gc_base_versions_note_gap(d.versions, now());
 	d.synced_ms = now_ms;
 	d.listed = store.listed;
@@ -246,7 +248,7 @@
 	bool only;
 
 	if (!d.mem || d.cut || s.versions.empty() ||
-	    now_ms - s.begun_ms > GC_STREAM_LIFE_MS || daemon == OLD)
+	    now_ms - s.begun_ms > MAX_RESUME_MS || daemon == OLD)
 		return;
 	sync(d);
 	only = gc_base_versions_is_only(d.versions, now(), SERVICE);
