Name the slowest tests, and refuse a JOBS that is no number

No check is changed.

Result: with JOBS=x and JOBS=0 status 2; two programs and two scripts ran as before (one program had not been built in that folder and failed as it should).

--- a/regress/run.sh
+++ b/regress/run.sh
@@ -3,7 +3,8 @@
 # "N passed, N failed" as the last line. Arguments: the names of the programs and
 # of the scripts. JOBS scripted tests run in parallel, one by default. Failures
 # that KNOWN-RED.txt excuses by test, step and text (known_red.py) are printed
-# but not counted.
+# but not counted. The ten that took longest are named. Exit status 2: JOBS is no
+# positive number.
 set -u
 
 programs=$1
@@ -14,6 +15,12 @@
 passed=0
 failed=0
 jobs=${JOBS:-1}
+case $jobs in
+*[!0-9]* | 0*)
+	echo "run.sh: JOBS must be a positive number, not '$jobs'" >&2
+	exit 2
+	;;
+esac
 dir=$(mktemp -d)
 out=$dir/out
 trap 'rm -rf "$dir"' EXIT
@@ -51,18 +58,25 @@
 }
 
 for program in $programs; do
+	began=$(date +%s)
 	timeout 300 "./$program" >"$out" 2>&1
-	count_result "$(basename "$program")" $? "$(number_of_tests)"
+	status=$?
+	echo "$(($(date +%s) - began)) $(basename "$program")" >>"$dir/seconds"
+	count_result "$(basename "$program")" $status "$(number_of_tests)"
 done
 export dir
 printf '%s\n' $scripts | xargs -P "$jobs" -n 1 sh -c '
+	began=$(date +%s)
 	timeout 300 cram3 --shell=/bin/bash "$0" >"$dir/$0.out" 2>&1
-	echo $? >"$dir/$0.status"'
+	echo $? >"$dir/$0.status"
+	echo "$(($(date +%s) - began)) $0" >>"$dir/seconds"'
 for script in $scripts; do
 	out=$dir/$script.out
 	# A script without a status file counts as failed.
 	status=$(cat "$dir/$script.status" 2>/dev/null) || status=1
 	count_result "$script" "$status" 1
 done
+echo "Slowest, in seconds:"
+sort -rn "$dir/seconds" | head -n 10
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
