Start a daemon anew on other ports if a script beside took one

Cause: free_port finds a port that nobody has, and the daemon binds it later; a script that runs beside can take it in between.

Change: start_routed chooses other ports if the daemon's log says so, and only then. Nothing is expected otherwise than before.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -90,6 +90,16 @@
 # Sets NAME_pid and the daemon's addresses: CALLER_ADDR (routed requests),
 # CONTROL_ADDR (readiness, metrics) and PEER_ADDR (other daemons).
 start_routed() {
+	for _ in 1 2 3 4 5; do
+		launch_routed "$@"
+		await settled "$1"
+		grep -q 'Address already in use' "$1.log" || break
+	done
+	await ready || tail -n 3 "$1.log"
+}
+# A script beside this one may take a port after it was found free.
+settled() { ready || grep -q 'Address already in use' "$1.log"; }
+launch_routed() {
 	CALLER_ADDR=127.0.0.1:$(free_port)
 	CONTROL_ADDR=127.0.0.1:$(free_port)
 	PEER_ADDR=127.0.0.1:$(free_port)
@@ -102,7 +112,6 @@
 	goldcrestd -f "$1.json" >"$1.log" 2>&1 &
 	eval "$1_pid=$!"
 	pids="$pids $!"
-	await ready || tail -n 3 "$1.log"
 }
 
 # start_forwarding N [DOMAIN [MEMBERS]]: starts the daemon dN, which opens its
