Stop all servers before they are killed at once in a test

The shell signals six processes one after the other, and each ends in its own time: a server that still runs some milliseconds later answers for the service, and the loss of the first ones is a crash, rightly. No expectation changes.

--- a/regress/routed_crash.t
+++ b/regress/routed_crash.t
@@ -88,12 +88,14 @@
 
 All servers are lost at once while sound requests with a common part wait for
 their first event. A daemon that can reach no server may be cut off itself: it
-reports no crash, and says nothing about the part.
+reports no crash, and says nothing about the part. They stand still first, as one
+that ends some milliseconds later could still report.
 
   $ sleep 2.5; REPORTS=$(reports)
   $ for i in 1 2 3 4 5 6 7 8; do prompt /once/wait mm:100,nn:50 -o /dev/null & requests="$requests $!"; done >mass.out
   $ waiting() { [ "$(for i in 1 2 3 4 5 6; do field llm$i queued; done | awk '{ n += $1 } END { print n }')" = 8 ]; }
   $ await waiting
+  $ kill -STOP $llm1_pid $llm2_pid $llm3_pid $llm4_pid $llm5_pid $llm6_pid
   $ kill -9 $llm1_pid $llm2_pid $llm3_pid $llm4_pid $llm5_pid $llm6_pid; wait $llm1_pid $llm2_pid $llm3_pid $llm4_pid $llm5_pid $llm6_pid 2>/dev/null
   [137]
   $ wait $requests; sort mass.out | uniq -c | tr -s ' '
