--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -11,13 +11,16 @@
 }
 
 # start_server ID SERVICE ZONE [engine [VERSION]]: starts a stand-in server, of
-# version v1 by default; sets ID_pid.
+# version v1 by default, and waits for it; sets ID_pid. launch_server doesn't wait.
 start_server() {
+	launch_server "$@"
+	await test -s "$1.ports"
+}
+launch_server() {
 	PYTHONDONTWRITEBYTECODE=1 python3 "$STANDINS/standin_server.py" \
 		"$1.ports" "$1" "$2" "$3" "http://$STORE" $4 $5 >"$1.log" 2>&1 &
 	eval "$1_pid=$!"
 	pids="$pids $!"
-	await test -s "$1.ports"
 }
 
 # operator JSON: sets or removes a key of the store.
--- a/regress/routed_suspended.t
+++ b/regress/routed_suspended.t
@@ -33,9 +33,9 @@
 are taken up there at once: those of the new version, which it has no server of, have to
 go elsewhere.
 
-  $ sleep 59; (until [ -e late ]; do operator '{"key":"servers/tick","value":{}}'; sleep 0.1; done) & sleep 2
+  $ sleep 59; (until [ -e late ]; do operator '{"key":"servers/tick","value":{}}'; sleep 0.1; done) & pids="$pids $!"; sleep 2
   $ touch late; kill -STOP $d3_pid
-  $ for s in new1 new2 new3; do start_server $s llm a engine v2 & done; await test -s new1.ports -a -s new2.ports -a -s new3.ports; sleep 0.2
+  $ for s in new1 new2 new3; do launch_server $s llm a engine v2; done; await test -s new1.ports -a -s new2.ports -a -s new3.ports; sleep 0.2
   $ p=; for i in $(seq 16); do MAX_S=0.6 draft $D1 slow g$i & p="$p $!"; done; wait $p || true
   $ p=; for i in $(seq 16); do draft $D4 ok s$i $(grep -c '^id:' g$i.out) g$i & p="$p $!"; done; wait $p || true
   $ joined "$(seq 16)" g s; cat s*.out | grep -c '^200$\|version_gone'
