Give each port of the tests to one script only

Ports are now claimed under a lock until the script's shell has ended (regress/free_port.py, used by the scripts, the soak and builds.py). The second try of start_routed on other ports goes, so that a port that is taken is seen.

--- a/regress/builds.py
+++ b/regress/builds.py
@@ -22,7 +22,6 @@
 import random
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -32,6 +31,8 @@
 import urllib.parse
 import urllib.request
 
+from free_port import free_port
+
 STANDINS = os.path.join(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))), "standins", "routed")
 SOURCE = "127.0.0.19"
@@ -60,17 +61,6 @@
         time.sleep(0.05)
 
 
-def free_port():
-    while True:
-        port = random.randrange(20000, 30000)
-        with socket.socket() as s:
-            try:
-                s.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
-
 class Listener(http.server.BaseHTTPRequestHandler):
     """The other daemon: records what it is asked, and answers nothing."""
     asks = []
@@ -158,7 +148,7 @@
         self.put(f"goldcrest/daemons/{OTHER}", {
             "address": address, "peer": address, "forward": address,
             "failure_domain": "a"})
-        self.ports.update({name: free_port() for name in
+        self.ports.update({name: free_port(os.getpid()) for name in
                            ("caller", "ready", "peer", "forward")})
         settings = {name: f"{HOST}:{self.ports[name]}" for name in
                     ("caller", "ready", "peer", "forward")}
--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -72,36 +72,16 @@
 	 \"tenants\":[{\"name\":\"north\",\"api_keys\":[\"key-1\"${2-,\"key-2\"}]}]}}"
 }
 
-# Prints a free port below the ephemeral range: an outgoing connection could
-# take an ephemeral port before the daemon binds it.
-free_port() {
-	python3 -c '
-import random, socket
-while True:
-    port = random.randrange(10000, 20000)
-    with socket.socket() as s:
-        try:
-            s.bind(("127.0.0.1", port))
-        except OSError:
-            continue
-    print(port)
-    break'
-}
+free_port() { python3 "$TOP/regress/free_port.py" $$; }
 
 # start_routed NAME [MEMBERS]: starts a daemon and waits until it is ready.
 # MEMBERS are additional JSON members of its settings, with a leading comma.
 # Sets NAME_pid and the daemon's addresses: CALLER_ADDR (routed requests),
 # CONTROL_ADDR (readiness, metrics) and PEER_ADDR (other daemons).
 start_routed() {
-	for _ in 1 2 3 4 5; do
-		launch_routed "$@"
-		await settled "$1"
-		grep -q 'Address already in use' "$1.log" || break
-	done
+	launch_routed "$@"
 	await ready || tail -n 3 "$1.log"
 }
-# A script beside this one may take a port after it was found free.
-settled() { ready || grep -q 'Address already in use' "$1.log"; }
 launch_routed() {
 	CALLER_ADDR=127.0.0.1:$(free_port)
 	CONTROL_ADDR=127.0.0.1:$(free_port)
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -39,7 +39,6 @@
 import re
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -50,6 +49,10 @@
 
 TOP = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
+sys.path.append(os.path.join(TOP, "regress"))
+
+from free_port import free_port
+
 STANDINS = os.path.join(TOP, "standins", "routed")
 DAEMONS = 4
 CLIENTS = 12
@@ -70,23 +73,6 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 HEADER_PREFIX = "Goldcrestfield-"
 
-given_ports = set()  # by free_port()
-
-
-def free_port():
-    """Returns a free port below the ephemeral range, each only once."""
-    while True:
-        port = random.randrange(10000, 20000)
-        if port in given_ports:
-            continue
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        given_ports.add(port)
-        return port
-
 
 def last_event_id(data):
     """Of the complete events; 0 if there is none."""
@@ -241,7 +227,7 @@
 
     async def start_daemon(self, name, zone):
         if name not in self.daemons:
-            ports = [free_port() for _ in range(4)]
+            ports = [free_port(os.getpid()) for _ in range(4)]
             self.daemons[name] = (
                 zone, ports, await Proxy(self.store).start(),
                 await Proxy(ports[0]).start())
