--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all (default), check, check-sanitize, demo, bench, lint, format, deploy, clean.
+# Targets: all (default), check, check-repeat, check-sanitize, demo, bench, lint, format, deploy, clean.
 TOP = .
 
 DEBS = libtalloc-dev libtevent-dev libzmq3-dev libmicrohttpd-dev \
@@ -45,6 +45,10 @@
 check: all
 	+@$(MAKE) --no-print-directory -C regress check
 
+# The scripted tests in SCRIPTS, all by default, N times beside each other.
+check-repeat: all
+	+@$(MAKE) --no-print-directory -C regress check-repeat
+
 # The tests that need no more time under sanitizers, in a copy of the tree.
 check-sanitize: setup
 	@mk/sanitize.sh
@@ -76,4 +80,4 @@
 
 -include $(LIB_OBJS:.o=.d)
 
-.PHONY: deploy all setup setup-lint build check check-sanitize demo bench format format-check lint clean
+.PHONY: deploy all setup setup-lint build check check-repeat check-sanitize demo bench format format-check lint clean
--- a/regress/old_build.sh
+++ b/regress/old_build.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # Builds goldcrestd of a commit of the repository's history and prints its path.
 # Usage: old_build.sh COMMIT DIR. The tree of the commit is kept in DIR and used
-# again; DIR is outside of the repository. Needs no network.
+# again, also by runs beside each other; DIR is outside of the repository. Needs no
+# network.
 set -eu
 # Neither settings nor jobs of a make that runs the tests.
 unset MAKEFLAGS MFLAGS MAKELEVEL MAKEOVERRIDES TOP CFLAGS CPPFLAGS
@@ -21,8 +22,10 @@
 mkdir -p "$2"
 dir=$(cd "$2" && pwd)
 tree=$dir/$commit
+exec 9>"$dir/lock"
+flock 9
 if [ ! -x "$tree/goldcrestd/goldcrestd" ]; then
-	# Complete trees are moved into place, so that runs can share DIR.
+	# Complete trees are moved into place.
 	tmp=$(mktemp -d "$dir/build.XXXXXX")
 	trap 'rm -rf "$tmp"' EXIT
 	git -C "$root" archive "$commit" >"$tmp/tree.tar"
@@ -35,6 +38,6 @@
 		cat "$tmp/build.log" >&2
 		fail "commit $1 does not build"
 	}
-	mv -T "$tmp" "$tree" 2>/dev/null || [ -x "$tree/goldcrestd/goldcrestd" ]
+	mv -T "$tmp" "$tree"
 fi
 echo "$tree/goldcrestd/goldcrestd"
--- a/regress/soak_upgrade.t
+++ b/regress/soak_upgrade.t
@@ -10,8 +10,8 @@
 An upgrade that halts halfway for a while, and one of three daemons that is taken
 back, beside other faults.
 
-  $ MODES=upgrade,restore,leaving,limits,versions
-  $ python3 "$TOP/regress/soak/soak.py" --seed 13 --seconds 8 --modes $MODES --old 92654f6 --builds builds
+  $ BUILDS=${OLD_BUILDS-$PWD/builds}; MODES=upgrade,restore,leaving,limits,versions
+  $ python3 "$TOP/regress/soak/soak.py" --seed 13 --seconds 8 --modes $MODES --old 92654f6 --builds "$BUILDS"
   seed 13: 0 violations
-  $ python3 "$TOP/regress/soak/soak.py" --seed 20 --seconds 8 --modes $MODES --old 92654f6 --builds builds
+  $ python3 "$TOP/regress/soak/soak.py" --seed 20 --seconds 8 --modes $MODES --old 92654f6 --builds "$BUILDS"
   seed 20: 0 violations
