Take no other start of a server for the one that gave a response

If nothing answers, it is asked again until the time limit, and whatever started at the address next answered in its place: the new entry in the store comes later than the first report. Streams ended as complete in the same way.

A report names the start of its server, as the entry does. A query for the load now ends as replaced if they differ, which tells the end of a response, a silent stream, a crash (also at the daemons that are asked about it) and the choice of a server the same: this server has ended. A report that names no start says as much as before.

routed_reborn.t, before: two of two bookings and a lookup ended as 200 with their first part, a stream as complete with three of eight events. After: 502 in doubt, 200 whole, eight events.

--- a/core/backends.c
+++ b/core/backends.c
@@ -595,6 +595,13 @@
 	return backend->incarnation;
 }
 
+bool gc_backend_is_report_of(const gc_backend_t *backend,
+			     const gc_backend_load_t *load)
+{
+	return load->started_ms == 0 ||
+	       load->started_ms == backend->entry.started_ms;
+}
+
 gc_str_t gc_backend_id(const gc_backend_t *backend)
 {
 	return backend->entry.id;
--- a/core/backends.h
+++ b/core/backends.h
@@ -44,6 +44,9 @@
 	/* KV cache, in tokens; kv_used is not evictable. kv_total 0: unknown. */
 	int64_t kv_used;
 	int64_t kv_total;
+	/* Start of the server that reports, in ms since the Unix epoch; 0: not
+	 * given. */
+	int64_t started_ms;
 } gc_backend_load_t;
 
 typedef struct gc_backend_set {
@@ -323,6 +326,10 @@
 bool gc_backend_is_leaving(const gc_backend_t *backend);
 /* Hash of the id, the address and the start time, the same in all daemons. */
 uint64_t gc_backend_incarnation(const gc_backend_t *backend);
+/* False if the report names another start: this server has ended, and what answers at
+ * its address says nothing of its requests. */
+bool gc_backend_is_report_of(const gc_backend_t *backend,
+			     const gc_backend_load_t *load);
 /* The server with this incarnation, or NULL. */
 gc_backend_t *gc_backends_find_incarnation(const gc_backends_t *backends,
 					   uint64_t incarnation);
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -258,7 +258,7 @@
 		.http = daemon->http,
 		.clock = &gc_clock_system,
 		.self = gc_str(daemon->settings->instance),
-		.load_path = gc_platform_adapter.load_path,
+		.adapter = &gc_platform_adapter,
 		.source = daemon->settings->source,
 		.answered = on_verdict,
 		.ctx = daemon,
--- a/lib/backend_query.c
+++ b/lib/backend_query.c
@@ -6,6 +6,7 @@
 
 struct gc_backend_query {
 	gc_backend_query_conf_t conf;
+	gc_backend_t *server;
 	gc_call_t *call;
 	gc_timer_t *timer;
 	bool extended; /* its time, by timeout_ms */
@@ -23,6 +24,8 @@
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
 static void on_timer(void *ctx);
+static bool is_from_other_start(const gc_backend_query_t *query,
+				gc_str_t response);
 
 static const gc_call_ops_t call_ops = {
 	.head = on_head,
@@ -38,6 +41,7 @@
 	gc_backend_query_t *query = talloc_zero(mem, gc_backend_query_t);
 
 	query->conf = *conf;
+	query->server = gc_backend_ref(server);
 	query->body = g_byte_array_new();
 	query->timer = gc_timer_create(query, conf->timers, on_timer, query);
 	talloc_set_destructor(query, query_destructor);
@@ -85,6 +89,7 @@
 {
 	if (query->call)
 		gc_call_cancel(query->call);
+	gc_backend_unref(query->server);
 	g_byte_array_free(query->body, TRUE);
 	return 0;
 }
@@ -153,7 +158,20 @@
 		gc_call_cancel(query->call);
 		query->call = NULL;
 		query->status = 0;
+	} else if (query->status == 200 && is_from_other_start(query, body)) {
+		query->status = 0;
+		query->end = GC_END_REPLACED;
 	}
 	query->conf.done(query->conf.ctx, query->status, body, query->end);
 	talloc_free(query);
 }
+
+static bool is_from_other_start(const gc_backend_query_t *query,
+				gc_str_t response)
+{
+	gc_backend_load_t load;
+
+	return query->conf.load_of &&
+	       query->conf.load_of->read_load(response, &load) &&
+	       !gc_backend_is_report_of(query->server, &load);
+}
--- a/lib/backend_query.h
+++ b/lib/backend_query.h
@@ -9,6 +9,7 @@
 
 #include "core/backends.h"
 #include "core/str.h"
+#include "lib/adapter.h"
 #include "lib/timer.h"
 #include "lib/upstream.h"
 
@@ -21,6 +22,9 @@
 	const char *path;
 	gc_str_t body; /* JSON; empty: none */
 	int64_t timeout_ms; /* for the complete response */
+	/* Of a query for the load; NULL: another one. A report of another start of
+	 * the server ends the query with GC_END_REPLACED. */
+	const gc_adapter_t *load_of;
 	/* A late answer to an earlier query must not be taken for this one's. */
 	bool apart;
 	/*
--- a/lib/crash_witness.c
+++ b/lib/crash_witness.c
@@ -40,12 +40,15 @@
 
 /* A question of another daemon. */
 struct gc_witness_query {
+	gc_crash_witness_t *witness;
 	void (*done)(void *ctx, const char *text);
 	void *ctx;
 	gc_http_call_t *calls[1 + N_OTHERS]; /* the server's comes first */
 	size_t n_pending;
 	bool reached;
-	bool refused; /* by the server's host: nobody listens there */
+	/* By the server's host, as nobody listens there, or by another start of the
+	 * server. */
+	bool refused;
 	bool other_reached;
 };
 
@@ -53,6 +56,7 @@
 typedef struct report_call {
 	gc_witness_query_t *query;
 	size_t index;
+	int64_t started_ms; /* of the server that is asked */
 } report_call_t;
 
 static int witness_destructor(gc_crash_witness_t *witness);
@@ -73,6 +77,7 @@
 		       size_t index, const gc_registry_entry_t *server);
 static void on_report(void *ctx, int status, gc_str_t body, bool sent,
 		      const GError *err);
+static bool is_other_start(const report_call_t *call, gc_str_t body);
 static void finish_query(gc_witness_query_t *query);
 
 gc_crash_witness_t *gc_crash_witness_create(TALLOC_CTX *mem,
@@ -214,6 +219,7 @@
 	if (!server)
 		return NULL;
 	query = talloc_zero(witness, gc_witness_query_t);
+	query->witness = witness;
 	query->done = done;
 	query->ctx = ctx;
 	talloc_set_destructor(query, query_destructor);
@@ -301,15 +307,17 @@
 
 	call->query = query;
 	call->index = index;
+	call->started_ms = server->started_ms;
 	g_snprintf(url, sizeof(url), "http://%.*s%s",
-		   GC_STR_ARG(server->address), witness->conf.load_path);
+		   GC_STR_ARG(server->address),
+		   witness->conf.adapter->load_path);
 	query->calls[index] =
 		gc_httpc_start(witness->conf.http, &conf, &ops, call);
 	query->n_pending++;
 }
 
-/* Any response shows that the server is there. One that gives none in time may be
- * silent or cut off. */
+/* Any response but a report of another start shows that the server is there. One that
+ * gives none in time may be silent or cut off. */
 static void on_report(void *ctx, int status, gc_str_t body, bool sent,
 		      const GError *err)
 {
@@ -318,7 +326,9 @@
 
 	query->calls[call->index] = NULL;
 	query->n_pending--;
-	if (status != 0 && call->index == 0)
+	if (status != 0 && call->index == 0 && is_other_start(call, body))
+		query->refused = true;
+	else if (status != 0 && call->index == 0)
 		query->reached = true;
 	else if (status != 0)
 		query->other_reached = true;
@@ -329,6 +339,14 @@
 		finish_query(query);
 }
 
+static bool is_other_start(const report_call_t *call, gc_str_t body)
+{
+	gc_backend_load_t load;
+
+	return call->query->witness->conf.adapter->read_load(body, &load) &&
+	       load.started_ms != 0 && load.started_ms != call->started_ms;
+}
+
 static void finish_query(gc_witness_query_t *query)
 {
 	json_t *json = json_pack("{s:b,s:b}", "reached", query->reached, "lost",
--- a/lib/crash_witness.h
+++ b/lib/crash_witness.h
@@ -10,6 +10,7 @@
 
 #include <talloc.h>
 
+#include "lib/adapter.h"
 #include "lib/crash_checks.h"
 #include "lib/fleet_view.h"
 #include "lib/httpc.h"
@@ -24,7 +25,7 @@
 	gc_httpc_t *http;
 	const gc_clock_t *clock;
 	gc_str_t self; /* name of this daemon */
-	const char *load_path; /* of a server's load report */
+	const gc_adapter_t *adapter; /* path and format of load reports */
 	const char
 		*source; /* local IP of connections to servers; may be NULL */
 	/* See gc_crash_checks_add_verdict. */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -408,7 +408,9 @@
 		/* Another server may have answered at the address. */
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
-			"the server ended with the response");
+			end == GC_END_REPLACED
+				? "another start of the server answered for it"
+				: "the server ended with the response");
 	} else if (exchange->sequencer) {
 		gc_exchange_finish_stream(exchange);
 	} else {
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -368,6 +368,15 @@
 	ck_assert_uint_eq(load.running, 12);
 	ck_assert_uint_eq(load.queued, 1);
 	ck_assert_int_eq(load.kv_used * 2, load.kv_total);
+	ck_assert_int_eq(load.started_ms, 0);
+	ck_assert(gc_platform_read_load(gc_str("{\"born\":1700000000001}"),
+					&load));
+	ck_assert_int_eq(load.started_ms, 1700000000001);
+	/* No times of day. */
+	ck_assert(gc_platform_read_load(gc_str("{\"born\":-1}"), &load));
+	ck_assert_int_eq(load.started_ms, 0);
+	ck_assert(gc_platform_read_load(gc_str("{\"born\":\"now\"}"), &load));
+	ck_assert_int_eq(load.started_ms, 0);
 	ck_assert(!gc_platform_read_load(gc_str("busy"), &load));
 	/* Too large for the integers in which they are kept. */
 	ck_assert(gc_platform_read_load(
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -20,6 +20,8 @@
   unframedstop does so, and stops its process (SIGSTOP)
   unframedsilent does so, and is silent for 1.2 s (POST /silence)
   unframeddie  sends a part of one, closes the connection and crashes
+  unframeddark does so, but its address takes connections and answers nothing
+               for 1.2 s; then it starts again, and registers 0.5 s later
   slow         responds after 400 ms
   copylate     responds; sends a second copy before the response to the next
                request on the connection
@@ -73,6 +75,7 @@
   empty        does so, but closes after the head
   plaindie     does so, but closes after the third event and crashes
   plainslowdie as plaindie, with an event each 150 ms
+  plaindark    as plaindie, but as unframeddark after that
   resetall     sends the head, resets the connection, and the others 3 ms later
 POST /drop closes the other connections.
 POST /silence {"ms"} makes it silent for that time, 0 for good: it sends nothing,
@@ -121,6 +124,8 @@
 CRASH_AFTER_S = 0.4
 CRASH_REQUEST_AFTER_S = 0.05
 RESTART_S = 2
+DARK_S = 1.2
+REGISTER_DELAY_S = 0.5
 RESET_OTHERS_S = 0.003
 HEADER_PREFIX = "Goldcrestfield-"
 
@@ -145,7 +150,7 @@
         self.queued = 0
         self.kv_used = 0
         self.stall_pid = None
-        self.born = int(time.time() * 1000)
+        self.dark = False
         self.ports_file = args[0]
         self.listener = None
         self.port = 0
@@ -215,6 +220,23 @@
         await self.crash(writer)
         writer.close()
 
+    async def close_and_go_dark(self, writer):
+        await writer.drain()
+        self.writers.discard(writer)
+        writer.close()
+        self.dark = True
+        for other in self.writers:
+            other.transport.abort()
+        self.writers.clear()
+        asyncio.get_running_loop().call_later(
+            DARK_S, lambda: asyncio.ensure_future(self.end_dark()))
+
+    async def end_dark(self):
+        self.born = int(time.time() * 1000)
+        self.dark = False
+        await asyncio.sleep(REGISTER_DELAY_S)
+        self.register(self.port)
+
     def be_silent(self, ms):
         silent_link.be_silent(
             [*self.listener.sockets, *(writer.get_extra_info("socket")
@@ -231,6 +253,9 @@
         self.register(self.port)
 
     async def handle(self, request, reader, writer):
+        if self.dark:
+            await reader.read()
+            return False
         self.writers.add(writer)
         if request.path == "/drop":
             for other in list(self.writers):
@@ -300,7 +325,7 @@
                     STALL_S, os.kill, pid, signal.SIGCONT)
                 await asyncio.sleep(STALL_S / 2)
             writer.write(wire.json_response(200, {
-                "running": 0, "queued": self.queued,
+                "born": self.born, "running": 0, "queued": self.queued,
                 "kv_used": self.kv_used, "kv_total": 1000}))
             return True
         if request.path == "/v1/kv-move":
@@ -432,10 +457,13 @@
             await writer.wait_closed()
             self.be_silent(SILENCE_MS)
             return False
-        elif behaviour == "unframeddie":
+        elif behaviour in ("unframeddie", "unframeddark"):
             headers = self.response_headers(request)
             writer.write(wire.response_head(200, headers) + b"unfr")
-            await self.close_and_crash(writer)
+            if behaviour == "unframeddie":
+                await self.close_and_crash(writer)
+            else:
+                await self.close_and_go_dark(writer)
             return False
         elif behaviour == "slow":
             await asyncio.sleep(0.4)
@@ -487,7 +515,7 @@
         slow = behaviour in ("slow", "plainslowdie")
         if behaviour == "plainslowdie":
             behaviour = "plaindie"
-        if behaviour in ("empty", "plain", "plaincut", "plaindie"):
+        if behaviour in ("empty", "plain", "plaincut", "plaindie", "plaindark"):
             del headers["Transfer-Encoding"]
         if behaviour in ("burst", "burstbad"):
             n = EVENT_COUNT if behaviour == "burst" else 3
@@ -553,11 +581,14 @@
             if behaviour == "steady":
                 writer.write(b"5\r\n: w\n\n\r\n")
                 await asyncio.sleep(0.27)
-            if behaviour == "plaindie" and n == 4:
+            if behaviour in ("plaindie", "plaindark") and n == 4:
                 disconnected.cancel()
-                await self.close_and_crash(writer)
+                if behaviour == "plaindie":
+                    await self.close_and_crash(writer)
+                else:
+                    await self.close_and_go_dark(writer)
                 return False
-            if behaviour in ("plain", "plaincut", "plaindie"):
+            if behaviour in ("plain", "plaincut", "plaindie", "plaindark"):
                 cut = n == 4 and behaviour == "plaincut"
                 writer.write(event[:9] if cut else event)
                 await writer.drain()
@@ -570,7 +601,7 @@
         if behaviour == "cutend":
             disconnected.cancel()
             return False
-        if behaviour not in ("plain", "plaindie"):
+        if behaviour not in ("plain", "plaindie", "plaindark"):
             writer.write(b"0\r\n\r\n")
         await writer.drain()
         disconnected.cancel()
