Ask other daemons for the configuration after a missed restore

It can't know the newest version, but it can know that there was a restore: the era that is kept in the store is older than the one that the store's answers name. It now holds the store's configuration back and asks the other daemons for the record that they have in force; it is ready once one answers or the operator has written again, and uses the copy's after revoke_ms.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -9,6 +9,7 @@
 
 #include "core/error.h"
 #include "lib/build.h"
+#include "lib/config_peer.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "platform/platform.h"
@@ -171,6 +172,7 @@
 		.times = times,
 		.lease_ms = settings->lease_ms,
 		.expiry_grace_ms = EXPIRY_GRACE_MS,
+		.config_wait_ms = settings->revoke_ms,
 		.confirmed = &daemon->confirmed,
 		.publish = publish,
 		.on_confirmed = on_confirmed,
@@ -195,6 +197,12 @@
 		.ctx = daemon,
 	};
 
+	gc_config_peer_conf_t config_conf = {
+		.timers = daemon->timers,
+		.random = &daemon->random,
+		.self = gc_str(settings->instance),
+	};
+
 	gc_places_peer_conf_t places_conf = {
 		.timers = daemon->timers,
 		.clock = &gc_clock_system,
@@ -208,6 +216,8 @@
 	if (settings->peer.address)
 		daemon->peers = gc_peers_watch_create(daemon, &peers_conf);
 	conf.peers = daemon->peers;
+	config_conf.http = daemon->http;
+	conf.config_peer = gc_config_peer_create(daemon, &config_conf);
 	conf.store = gc_platform_store(daemon, daemon->http, settings->store,
 				       (long)times.store_timeout);
 	start_notices(daemon, conf.store);
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -1,6 +1,7 @@
 /* Readiness, addresses of daemons, metrics, watches of other daemons. */
 #include "lib/control_listener.h"
 #include "lib/caller_listener.h"
+#include "lib/config_peer.h"
 #include "lib/crash_witness.h"
 #include "lib/metrics.h"
 #include "lib/peers_watch.h"
@@ -65,6 +66,8 @@
 static void send_places(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
 static void on_places(void *ctx, const char *text);
+static void send_config(gc_control_listener_t *listener,
+			gc_caller_conn_t *conn);
 static void send_metrics(gc_caller_conn_t *conn);
 static void start_watch(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
@@ -155,6 +158,8 @@
 		start_question(listener, conn, target);
 	else if (path_matches(target, GC_PLACES_PATH))
 		send_places(listener, conn, target);
+	else if (path_matches(target, GC_CONFIG_PEER_PATH))
+		send_config(listener, conn);
 	else if (path_matches(target, METRICS_PATH))
 		send_metrics(conn);
 	else
@@ -323,6 +328,23 @@
 			       text ? gc_str(text) : GC_STR_EMPTY);
 }
 
+/* One that hasn't been confirmed for long may not be in force any more. */
+static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn)
+{
+	gc_str_t record = gc_fleet_config_record(listener->conf.fleet);
+
+	if (record.len > 0 &&
+	    gc_is_confirmed_within(listener->conf.confirmed,
+				   gc_clock_now(listener->conf.clock),
+				   listener->conf.max_confirmed_age_ms))
+		gc_caller_conn_respond(
+			conn, 200,
+			GC_STR_LIT("Content-Type: application/json\r\n"),
+			record);
+	else
+		gc_caller_conn_respond(conn, 404, GC_STR_EMPTY, GC_STR_EMPTY);
+}
+
 static void send_metrics(gc_caller_conn_t *conn)
 {
 	GString *text = gc_metrics_format();
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -5,6 +5,7 @@
 #include "core/change_source.h"
 #include "core/error.h"
 #include "lib/capabilities.h"
+#include "lib/config_peer.h"
 #include "lib/crash_notices.h"
 #include "lib/fleet.h"
 #include "lib/log.h"
@@ -28,7 +29,15 @@
 struct gc_fleet {
 	gc_fleet_conf_t conf;
 	gc_routes_t *routes;
+	char *config_text; /* the operator's record of routes */
+	size_t config_len;
 	uint64_t config_revision; /* in known_era */
+	uint64_t kept_era; /* in the list of the store; 0: none */
+	bool started; /* a full list was read before */
+	/* routes are the store's, which may have gone back to a copy just before
+	 * this daemon started, and aren't in force yet. */
+	bool config_in_doubt;
+	gc_timer_t *doubt_timer;
 	gc_registry_t *servers;
 	gc_registry_t *daemons;
 	GArray *base_versions; /* gc_base_version_t */
@@ -56,6 +65,10 @@
 
 static int fleet_destructor(gc_fleet_t *fleet);
 static void publish(gc_fleet_t *fleet);
+static void begin_doubt(gc_fleet_t *fleet);
+static void on_config_found(void *ctx, gc_str_t record);
+static void on_doubt_timeout(void *ctx);
+static void end_doubt(gc_fleet_t *fleet, const char *reason);
 static void start_list(gc_fleet_t *fleet);
 static void era_seen(void *ctx, uint64_t era);
 static void store_answered(void *ctx, bool answered);
@@ -87,6 +100,8 @@
 static void mark_store_reachable(gc_fleet_t *fleet);
 static bool apply_item(gc_fleet_t *fleet, const gc_store_item_t *item);
 static void apply_config(gc_fleet_t *fleet, const gc_store_item_t *item);
+static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision);
+static void apply_kept_era(gc_fleet_t *fleet, const gc_store_item_t *item);
 static void apply_server(gc_fleet_t *fleet, gc_str_t id,
 			 const gc_store_item_t *item);
 static void apply_daemon(gc_fleet_t *fleet, gc_str_t id,
@@ -123,6 +138,8 @@
 		gc_timer_create(fleet, conf->timers, on_next_call, fleet);
 	fleet->expiry_timer =
 		gc_timer_create(fleet, conf->timers, on_expiry, fleet);
+	fleet->doubt_timer =
+		gc_timer_create(fleet, conf->timers, on_doubt_timeout, fleet);
 	talloc_set_destructor(fleet, fleet_destructor);
 	publish(fleet);
 	start_list(fleet);
@@ -151,12 +168,12 @@
 
 static void publish(gc_fleet_t *fleet)
 {
-	gc_fleet_view_t *view =
-		gc_fleet_view_create(fleet->routes, fleet->servers,
-				     fleet->daemons,
-				     (const gc_base_version_t *)(const void *)
-					     fleet->base_versions->data,
-				     fleet->base_versions->len);
+	gc_fleet_view_t *view = gc_fleet_view_create(
+		fleet->config_in_doubt ? NULL : fleet->routes, fleet->servers,
+		fleet->daemons,
+		(const gc_base_version_t *)(const void *)
+			fleet->base_versions->data,
+		fleet->base_versions->len);
 
 	gc_fleet_view_unref(fleet->view);
 	fleet->view = view;
@@ -346,12 +363,68 @@
 	fleet->list_complete = true;
 	gc_registry_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
 	gc_registry_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
+	if (!fleet->started && fleet->routes && fleet->kept_era != 0 &&
+	    fleet->kept_era < fleet->known_era)
+		begin_doubt(fleet);
+	fleet->started = true;
 	publish(fleet);
+	if (fleet->config_in_doubt && fleet->conf.config_peer)
+		gc_config_peer_start(fleet->conf.config_peer, fleet->view,
+				     on_config_found, fleet);
 	advance_confirmed(fleet, fleet->list_started);
 	on_expiry(fleet);
 	start_watch(fleet);
 }
 
+/*
+ * The store was restored less than a stream's life ago (core/restore_mark.h), and this
+ * daemon hasn't seen it. Until the operator has written again, the configuration there
+ * may be older than the one in force.
+ */
+static void begin_doubt(gc_fleet_t *fleet)
+{
+	fleet->config_in_doubt = true;
+	gc_timer_set(fleet->doubt_timer, fleet->conf.config_wait_ms);
+	gc_log(GC_LOG_WARNING, GC_EVENT_CONFIG_IN_DOUBT,
+	       "the store's configuration may be older than the one in force",
+	       NULL);
+}
+
+/* Of another daemon, which has it in force. */
+static void on_config_found(void *ctx, gc_str_t record)
+{
+	gc_fleet_t *fleet = ctx;
+
+	take_config(fleet, record, 0);
+	end_doubt(fleet, "another daemon has it in force");
+}
+
+static void on_doubt_timeout(void *ctx)
+{
+	end_doubt(ctx, "no daemon answered, and nothing was written");
+}
+
+static void end_doubt(gc_fleet_t *fleet, const char *reason)
+{
+	if (!fleet->config_in_doubt)
+		return;
+	fleet->config_in_doubt = false;
+	gc_timer_stop(fleet->doubt_timer);
+	if (fleet->conf.config_peer)
+		gc_config_peer_stop(fleet->conf.config_peer);
+	gc_log(GC_LOG_INFO, GC_EVENT_CONFIG_IN_FORCE,
+	       "the configuration is in force", "reason", reason, NULL);
+	publish(fleet);
+	advance_confirmed(fleet, fleet->list_started);
+}
+
+gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet)
+{
+	return fleet->config_in_doubt
+		       ? GC_STR_EMPTY
+		       : (gc_str_t){fleet->config_text, fleet->config_len};
+}
+
 static bool has_peer(const gc_fleet_t *fleet)
 {
 	return fleet->conf.peers &&
@@ -551,7 +624,7 @@
 {
 	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
 
-	if (!fleet->list_complete || !fleet->routes)
+	if (!fleet->list_complete || !fleet->routes || fleet->config_in_doubt)
 		return;
 	if (ms > atomic_load(fleet->conf.confirmed))
 		atomic_store(fleet->conf.confirmed, ms);
@@ -598,6 +671,8 @@
 	}
 	if (strip_prefix(item->key, GC_BASE_VERSIONS_PREFIX, &id))
 		return apply_base_version(fleet, id, item);
+	if (gc_str_eq(item->key, GC_STR_LIT(GC_KEPT_ERA_KEY)))
+		apply_kept_era(fleet, item);
 	if (is_notice(item) && fleet->conf.notice)
 		fleet->conf.notice(fleet->conf.ctx, item);
 	return false;
@@ -677,32 +752,54 @@
 }
 
 static void apply_config(gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	if (!take_config(fleet, item->value, item->revision))
+		return;
+	fleet->config_revision = item->revision;
+	/* Not in the copy, but written since. */
+	if (fleet->list_complete)
+		end_doubt(fleet, "the operator has written it");
+}
+
+/* An older configuration than the one that is known is left out. revision: of the store;
+ * 0: the record is another daemon's. False if the record isn't valid. */
+static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision)
 {
 	g_autoptr(GError) err = NULL;
 	g_autofree char *version = NULL;
-	g_autofree char *revision =
-		g_strdup_printf("%" G_GUINT64_FORMAT, item->revision);
-	gc_routes_t *routes =
-		fleet->conf.adapter->read_routes(item->value, &err);
+	g_autofree char *revision_text =
+		g_strdup_printf("%" G_GUINT64_FORMAT, revision);
+	gc_routes_t *routes = fleet->conf.adapter->read_routes(record, &err);
 
 	if (!routes) {
 		gc_log_error(GC_LOG_ERROR, GC_EVENT_ROUTES_UNREADABLE,
 			     "ignoring invalid operator configuration", err);
-		return;
+		return false;
 	}
-	fleet->config_revision = item->revision;
 	if (fleet->routes &&
 	    gc_routes_version(routes) < gc_routes_version(fleet->routes)) {
 		gc_routes_unref(routes);
-		return;
+		return true;
 	}
 	gc_routes_unref(fleet->routes);
 	fleet->routes = routes;
+	talloc_free(fleet->config_text);
+	fleet->config_text = talloc_strndup(fleet, record.data, record.len);
+	fleet->config_len = record.len;
 	version = g_strdup_printf("%" G_GUINT64_FORMAT,
 				  gc_routes_version(routes));
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTES_TAKEN,
 	       "operator configuration loaded", "version", version, "revision",
-	       revision, NULL);
+	       revision_text, NULL);
+	return true;
+}
+
+/* Of the copy, if the store was restored lately. */
+static void apply_kept_era(gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	g_autofree char *text = g_strndup(item->value.data, item->value.len);
+
+	fleet->kept_era = item->deleted ? 0 : g_ascii_strtoull(text, NULL, 10);
 }
 
 static void apply_server(gc_fleet_t *fleet, gc_str_t id,
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -55,6 +55,12 @@
 	 * the store; NULL: always watch the store. Not owned by the fleet.
 	 */
 	struct gc_peers_watch *peers;
+	/* Asked for the configuration in force if the store may have an older one;
+	 * NULL: nobody. Not owned by the fleet. */
+	struct gc_config_peer *config_peer;
+	/* Longest time for which the store's configuration is held back then, as
+	 * the operator writes the newest one again after a restore. */
+	int64_t config_wait_ms;
 	const gc_adapter_t *adapter;
 	/* This daemon; address is the one that callers connect to. */
 	gc_registry_entry_t self;
@@ -88,6 +94,9 @@
 gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf);
 /* Changes of the store, for daemons that watch through this one. */
 const gc_change_log_t *gc_fleet_change_log(const gc_fleet_t *fleet);
+/* The operator's record of the configuration in force here; empty if there is none, or
+ * if it may be older than the one in force elsewhere. */
+gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet);
 /* The newest view; never NULL. */
 gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet);
 /*
--- a/lib/store_era.h
+++ b/lib/store_era.h
@@ -4,6 +4,9 @@
 
 #include <stdint.h>
 
+/* Key of the kept era (core/restore_mark.h) in the store, a decimal number. */
+#define GC_KEPT_ERA_KEY "goldcrest/era"
+
 /*
  * Restores that a daemon can have missed. A higher era is a damaged number; if it
  * were believed, no answer of the store would count any more.
--- a/lib/stream_versions.c
+++ b/lib/stream_versions.c
@@ -20,10 +20,8 @@
 /* Pause before a failed write is repeated; doubles up to the maximum. */
 #define RETRY_MS     100
 #define RETRY_MAX_MS 1600
-/* Key of the kept era (core/restore_mark.h), a decimal number; the pause before a
- * failed read or write of it is repeated; and the time over which daemons spread
- * their reads before one of them writes. */
-#define ERA_KEY	       "goldcrest/era"
+/* Pause before a failed read or write of the kept era is repeated; and the time over
+ * which daemons spread their reads before one of them writes. */
 #define ERA_RETRY_MS   1000
 #define ERA_SPREAD_MS  5000
 #define ERA_MAX_DIGITS 20
@@ -347,7 +345,7 @@
 	const gc_store_t *store = &versions->conf.store;
 
 	gc_counter_add(versions->store_calls, 1);
-	store->ops->get(store->store, GC_STR_LIT(ERA_KEY), on_kept_era,
+	store->ops->get(store->store, GC_STR_LIT(GC_KEPT_ERA_KEY), on_kept_era,
 			versions);
 }
 
@@ -407,8 +405,9 @@
 
 	versions->era_may_write = false;
 	gc_counter_add(versions->store_calls, 1);
-	store->ops->put_if(store->store, GC_STR_LIT(ERA_KEY), gc_str(text),
-			   versions->kept_revision, on_era_written, versions);
+	store->ops->put_if(store->store, GC_STR_LIT(GC_KEPT_ERA_KEY),
+			   gc_str(text), versions->kept_revision,
+			   on_era_written, versions);
 }
 
 /* Whether it took effect, and in which era, the next read tells. */
