Choose servers that give no load report by the daemon's own requests

All streams were refused with 503 while their servers answered load queries with another status than 200 or with something that is no report, though they would have run them; servers that gave no answer at all were better off.

routed_reports.t, before: 12 of 12 streams refused with 404, with 500, with a body that is no report, and 12 at once; after: all served, spread over the three servers.

--- a/core/backends.c
+++ b/core/backends.c
@@ -407,11 +407,20 @@
 	}
 }
 
+bool gc_backend_set_unreported(gc_backend_t *backend)
+{
+	bool first = !backend->unreported;
+
+	backend->unreported = true;
+	return first;
+}
+
 void gc_backend_record_load(gc_backend_t *backend, struct timespec now,
 			    const gc_backend_load_t *load)
 {
 	backend->load = *load;
 	backend->reported = true;
+	backend->unreported = false;
 	backend->reported_at = now;
 	/* The report may come from a replacement at the address, so it does
 	 * not confirm the server. */
--- a/core/backends.h
+++ b/core/backends.h
@@ -202,6 +202,9 @@
 /* Stores the load that the server reported and ends its ejection. */
 void gc_backend_record_load(gc_backend_t *backend, struct timespec now,
 			    const gc_backend_load_t *load);
+/* The server responded to a load query with no report. True if it had not since its
+ * last one. */
+bool gc_backend_set_unreported(gc_backend_t *backend);
 
 /*
  * Records that the server said that it is leaving. It is never chosen again,
--- a/core/backends_private.h
+++ b/core/backends_private.h
@@ -88,6 +88,7 @@
 	struct timespec refused_until;
 	gc_backend_load_t load; /* as reported */
 	bool reported;
+	bool unreported; /* its last response to a load query was no report */
 	struct timespec reported_at;
 	struct timespec heard_at; /* last byte; zero: none */
 };
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -32,6 +32,8 @@
 static void end_without_time(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
+static gc_backend_t *best_of(const gc_exchange_t *exchange,
+			     const gc_backend_set_t *servers);
 static void start_at(gc_exchange_t *exchange, gc_backend_t *backend,
 		     int64_t left_ms);
 static bool may_start(const gc_exchange_t *exchange,
@@ -290,14 +292,16 @@
 	int64_t left_ms =
 		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
 	gc_backend_set_t responded = gc_load_probe_responded(probe);
+	gc_backend_set_t unreported = gc_load_probe_unreported(probe);
 	gc_backend_set_t lost = gc_load_probe_lost(probe);
-	gc_backend_t *backend =
-		gc_backends_best_of(exchange->relay->backends,
-				    gc_clock_now(exchange->relay->conf.clock),
-				    exchange->prompt, &responded);
+	gc_backend_t *backend = best_of(exchange, &responded);
+	gc_backend_t *other = best_of(exchange, &unreported);
 
+	/* Of those without a report only this daemon's own requests are known. */
+	if (other && (!backend || !may_start(exchange, backend)))
+		backend = other;
 	exchange->load_probe = NULL;
-	if (responded.n > 0)
+	if (responded.n + unreported.n > 0)
 		gc_relay_record_response(exchange->relay, exchange->service,
 					 false);
 	else
@@ -309,7 +313,15 @@
 	gc_load_probe_destroy(probe);
 }
 
-/* backend: the best of those that reported their load, or NULL. */
+static gc_backend_t *best_of(const gc_exchange_t *exchange,
+			     const gc_backend_set_t *servers)
+{
+	return gc_backends_best_of(exchange->relay->backends,
+				   gc_clock_now(exchange->relay->conf.clock),
+				   exchange->prompt, servers);
+}
+
+/* backend: the best of those that responded to the load queries, or NULL. */
 static void start_at(gc_exchange_t *exchange, gc_backend_t *backend,
 		     int64_t left_ms)
 {
--- a/lib/load_probe.c
+++ b/lib/load_probe.c
@@ -1,6 +1,8 @@
 /* Load queries to several backend servers. */
 #include "lib/load_probe.h"
 #include "lib/backend_query.h"
+#include "lib/log.h"
+#include "lib/log_events.h"
 
 typedef struct load_query {
 	gc_load_probe_t *probe;
@@ -18,12 +20,15 @@
 	size_t n_silent;
 	gc_backend_t *responded[GC_LOAD_PROBE_MAX_SERVERS];
 	size_t n_responded;
+	gc_backend_t *unreported[GC_LOAD_PROBE_MAX_SERVERS];
+	size_t n_unreported;
 };
 
 static int probe_destructor(gc_load_probe_t *probe);
 static void start_query(gc_load_probe_t *probe, gc_backend_t *server);
 static void on_response(void *ctx, int status, gc_str_t response,
 			gc_attempt_end_t end);
+static void record_unreported(const load_query_t *load_query, int status);
 
 gc_load_probe_t *gc_load_probe_start(TALLOC_CTX *mem,
 				     const gc_load_probe_conf_t *conf,
@@ -94,11 +99,32 @@
 		   probe->conf.adapter->read_load(response, &load)) {
 		gc_backend_record_load(load_query->server, now, &load);
 		probe->responded[probe->n_responded++] = load_query->server;
+	} else {
+		record_unreported(load_query, status);
 	}
 	if (--probe->n_pending == 0)
 		probe->conf.done(probe->conf.ctx);
 }
 
+static void record_unreported(const load_query_t *load_query, int status)
+{
+	gc_load_probe_t *probe = load_query->probe;
+	gc_backend_t *server = load_query->server;
+	g_autofree char *text = g_strdup_printf("%d", status);
+
+	probe->unreported[probe->n_unreported++] = server;
+	if (gc_backend_set_unreported(server))
+		gc_log(GC_LOG_WARNING, GC_EVENT_LOAD_UNREPORTED,
+		       "a server gives no load report", "server",
+		       gc_backend_id(server).data, "status", text, NULL);
+}
+
+gc_backend_set_t gc_load_probe_unreported(const gc_load_probe_t *probe)
+{
+	return (gc_backend_set_t){.list = probe->unreported,
+				  .n = probe->n_unreported};
+}
+
 gc_backend_set_t gc_load_probe_responded(const gc_load_probe_t *probe)
 {
 	return (gc_backend_set_t){.list = probe->responded,
--- a/lib/load_probe.h
+++ b/lib/load_probe.h
@@ -42,6 +42,8 @@
 				     size_t n_servers);
 /* The servers that reported their load; valid until the probe is freed. */
 gc_backend_set_t gc_load_probe_responded(const gc_load_probe_t *probe);
+/* Those that responded with something else; valid until the probe is freed. */
+gc_backend_set_t gc_load_probe_unreported(const gc_load_probe_t *probe);
 /* All servers that were asked, if none of them gave any response; otherwise none. */
 gc_backend_set_t gc_load_probe_lost(const gc_load_probe_t *probe);
 /* Cancels the probe; no callback follows. */
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -83,6 +83,8 @@
 POST /stall {"pid"} stops that process (SIGSTOP) 10 ms after the next load
 query, answers the query after 100 ms and resumes the process 100 ms later.
 POST /memory {"used"} sets the tokens in use that the server reports, of 1000.
+POST /report {"status", "body"} sets what it answers to load queries; without members
+it reports its load again.
 POST /busy {"retry_after", "queries"} sets the Retry-After (text) of the
 behaviour "busy". With "queries", load queries are refused likewise.
 POST /cut {"sources", "how"} partitions it from clients with these addresses, see
@@ -151,6 +153,7 @@
         self.kv_used = 0
         self.stall_pid = None
         self.dark = False
+        self.report = None
         self.ports_file = args[0]
         self.listener = None
         self.port = 0
@@ -303,6 +306,11 @@
             self.kv_used = request.json()["used"]
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path == "/report":
+            command = request.json()
+            self.report = (command["status"], command["body"].encode()) if command else None
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/stall":
             self.stall_pid = request.json()["pid"]
             writer.write(wire.json_response(200, {}))
@@ -315,6 +323,9 @@
         if request.path == "/v1/report" and self.refuse_queries:
             writer.write(wire.response(503, b"", self.busy_headers()))
             return True
+        if request.path == "/v1/report" and self.report:
+            writer.write(wire.response(*self.report))
+            return True
         if request.path == "/v1/report":
             pid, self.stall_pid = self.stall_pid, None
             if pid:
