Ask other daemons for a newer configuration at each start

The others know the newer version in any case, so each daemon asks them once as it starts, and uses the store's configuration if none knows one, after 400 ms at the latest. Only with a kept era that is older does it go on asking for as long as before.

routed_restore_config.t has the case of a copy without an era; it failed on (the withdrawn key ran), and passes now.

--- a/lib/config_peer.c
+++ b/lib/config_peer.c
@@ -20,9 +20,12 @@
 	gc_config_peer_conf_t conf;
 	gc_fleet_view_t *view; /* NULL: not started */
 	size_t next; /* of its daemons, to be asked */
+	size_t n_left; /* to be asked for the first time */
+	bool repeat;
+	uint64_t version;
 	ask_t asks[N_ASKED];
 	gc_timer_t *timer; /* the next daemons */
-	void (*found)(void *ctx, gc_str_t record);
+	void (*found)(void *ctx, bool known, gc_str_t record);
 	void *ctx;
 };
 
@@ -52,17 +55,23 @@
 }
 
 void gc_config_peer_start(gc_config_peer_t *peer, gc_fleet_view_t *view,
-			  void (*found)(void *ctx, gc_str_t record), void *ctx)
+			  uint64_t version, bool repeat,
+			  void (*found)(void *ctx, bool known, gc_str_t record),
+			  void *ctx)
 {
 	const gc_random_t *random = peer->conf.random;
 
 	gc_config_peer_stop(peer);
 	peer->view = gc_fleet_view_ref(view);
+	peer->version = version;
+	peer->repeat = repeat;
 	peer->found = found;
 	peer->ctx = ctx;
+	peer->n_left = view->n_daemons;
 	if (view->n_daemons > 0)
 		peer->next = random->next(random->ctx) % view->n_daemons;
-	ask_daemons(peer);
+	/* Not from inside this function: it may be that nobody can be asked. */
+	gc_timer_set(peer->timer, 0);
 }
 
 void gc_config_peer_stop(gc_config_peer_t *peer)
@@ -85,7 +94,9 @@
 	size_t n = peer->view->n_daemons;
 	size_t n_asked = 0;
 
-	for (size_t i = 0; i < n && n_asked < N_ASKED; i++) {
+	if (peer->repeat && peer->n_left == 0)
+		peer->n_left = n;
+	for (; peer->n_left > 0 && n_asked < N_ASKED; peer->n_left--) {
 		const gc_registry_entry_t *daemon =
 			&peer->view->daemons[peer->next++ % n];
 
@@ -93,8 +104,12 @@
 		    !gc_str_eq(daemon->id, peer->conf.self))
 			start_call(&peer->asks[n_asked++], daemon);
 	}
-	if (n_asked == 0)
+	if (n_asked > 0)
+		return;
+	if (peer->repeat)
 		gc_timer_set(peer->timer, PAUSE_MS);
+	else
+		peer->found(peer->ctx, false, GC_STR_EMPTY);
 }
 
 static void start_call(ask_t *ask, const gc_registry_entry_t *daemon)
@@ -110,8 +125,10 @@
 	};
 	const gc_http_call_ops_t ops = {.done = on_answer};
 
-	snprintf(url, sizeof(url), "http://%.*s" GC_CONFIG_PEER_PATH,
-		 GC_STR_ARG(daemon->peer_address));
+	snprintf(url, sizeof(url),
+		 "http://%.*s" GC_CONFIG_PEER_PATH
+		 "?newer_than=%" G_GUINT64_FORMAT,
+		 GC_STR_ARG(daemon->peer_address), ask->peer->version);
 	ask->call = gc_httpc_start(ask->peer->conf.http, &conf, &ops, ask);
 }
 
@@ -123,12 +140,12 @@
 	bool pending = false;
 
 	ask->call = NULL;
-	if (!err && status == 200) {
-		peer->found(peer->ctx, body);
+	if (!err && (status == 200 || status == 204)) {
+		peer->found(peer->ctx, true, body);
 		return;
 	}
 	for (size_t i = 0; i < N_ASKED; i++)
 		pending |= peer->asks[i].call != NULL;
 	if (!pending)
-		gc_timer_set(peer->timer, PAUSE_MS);
+		gc_timer_set(peer->timer, peer->n_left > 0 ? 0 : PAUSE_MS);
 }
--- a/lib/config_peer.h
+++ b/lib/config_peer.h
@@ -7,6 +7,9 @@
 #ifndef GC_LIB_CONFIG_PEER_H
 #define GC_LIB_CONFIG_PEER_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include <talloc.h>
 
 #include "core/clock.h"
@@ -15,7 +18,10 @@
 #include "lib/httpc.h"
 #include "lib/timer.h"
 
-/* GET: the record as the operator wrote it; 404 if none is in force. */
+/*
+ * GET PATH?newer_than=VERSION: 200 with the record as the operator wrote it; 204 if the
+ * configuration in force isn't newer; 404 if none is in force.
+ */
 #define GC_CONFIG_PEER_PATH "/peer/config"
 
 typedef struct gc_config_peer gc_config_peer_t;
@@ -30,12 +36,15 @@
 gc_config_peer_t *gc_config_peer_create(TALLOC_CTX *mem,
 					const gc_config_peer_conf_t *conf);
 /*
- * Asks the daemons of the view, a few at a time, again and again until one has a
- * configuration in force, and calls found with its record, from the event loop; ends
- * with gc_config_peer_stop too.
+ * Asks the daemons of the view, a few at a time, until one knows the configuration in
+ * force, and calls found once, from the event loop: with the record if it is newer than
+ * the version. Each daemon is asked once, unless repeat is true; if none of them knows,
+ * known is false. Ends with gc_config_peer_stop too.
  */
 void gc_config_peer_start(gc_config_peer_t *peer, gc_fleet_view_t *view,
-			  void (*found)(void *ctx, gc_str_t record), void *ctx);
+			  uint64_t version, bool repeat,
+			  void (*found)(void *ctx, bool known, gc_str_t record),
+			  void *ctx);
 void gc_config_peer_stop(gc_config_peer_t *peer);
 
 #endif
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -66,8 +66,8 @@
 static void send_places(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
 static void on_places(void *ctx, const char *text);
-static void send_config(gc_control_listener_t *listener,
-			gc_caller_conn_t *conn);
+static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn,
+			gc_str_t target);
 static void send_metrics(gc_caller_conn_t *conn);
 static void start_watch(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
@@ -159,7 +159,7 @@
 	else if (path_matches(target, GC_PLACES_PATH))
 		send_places(listener, conn, target);
 	else if (path_matches(target, GC_CONFIG_PEER_PATH))
-		send_config(listener, conn);
+		send_config(listener, conn, target);
 	else if (path_matches(target, METRICS_PATH))
 		send_metrics(conn);
 	else
@@ -329,20 +329,28 @@
 }
 
 /* One that hasn't been confirmed for long may not be in force any more. */
-static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn)
+static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn,
+			gc_str_t target)
 {
-	gc_str_t record = gc_fleet_config_record(listener->conf.fleet);
+	uint64_t known;
+	uint64_t version;
+	gc_str_t record =
+		gc_fleet_config_record(listener->conf.fleet, &version);
 
-	if (record.len > 0 &&
-	    gc_is_confirmed_within(listener->conf.confirmed,
-				   gc_clock_now(listener->conf.clock),
-				   listener->conf.max_confirmed_age_ms))
+	if (!parse_query_number(target, "newer_than=", &known))
+		gc_caller_conn_respond(conn, 400, GC_STR_EMPTY, GC_STR_EMPTY);
+	else if (record.len == 0 ||
+		 !gc_is_confirmed_within(listener->conf.confirmed,
+					 gc_clock_now(listener->conf.clock),
+					 listener->conf.max_confirmed_age_ms))
+		gc_caller_conn_respond(conn, 404, GC_STR_EMPTY, GC_STR_EMPTY);
+	else if (version <= known)
+		gc_caller_conn_respond(conn, 204, GC_STR_EMPTY, GC_STR_EMPTY);
+	else
 		gc_caller_conn_respond(
 			conn, 200,
 			GC_STR_LIT("Content-Type: application/json\r\n"),
 			record);
-	else
-		gc_caller_conn_respond(conn, 404, GC_STR_EMPTY, GC_STR_EMPTY);
 }
 
 static void send_metrics(gc_caller_conn_t *conn)
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -23,6 +23,8 @@
 /* Largest difference between the store's and this daemon's measure of a
  * watch's wait. */
 #define MAX_WAIT_SKEW_MS 50
+/* Longest wait for what other daemons know of the configuration, at a start. */
+#define START_WAIT_MS 400
 /* Deletions kept for daemons that watch through this one. */
 #define MAX_KEPT_DELETIONS 512
 
@@ -66,7 +68,7 @@
 static int fleet_destructor(gc_fleet_t *fleet);
 static void publish(gc_fleet_t *fleet);
 static void begin_doubt(gc_fleet_t *fleet);
-static void on_config_found(void *ctx, gc_str_t record);
+static void on_config_found(void *ctx, bool known, gc_str_t record);
 static void on_doubt_timeout(void *ctx);
 static void end_doubt(gc_fleet_t *fleet, const char *reason);
 static void start_list(gc_fleet_t *fleet);
@@ -355,6 +357,8 @@
 
 static void complete_list(gc_fleet_t *fleet)
 {
+	bool starts;
+
 	gc_change_source_store_answered(&fleet->source,
 					gc_clock_now(fleet->conf.clock));
 	if (fleet->own_entry_expected && !fleet->own_entry_listed)
@@ -363,45 +367,53 @@
 	fleet->list_complete = true;
 	gc_registry_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
 	gc_registry_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
-	if (!fleet->started && fleet->routes && fleet->kept_era != 0 &&
-	    fleet->kept_era < fleet->known_era)
-		begin_doubt(fleet);
+	starts = !fleet->started && fleet->routes && fleet->conf.config_peer;
 	fleet->started = true;
+	fleet->config_in_doubt |= starts;
 	publish(fleet);
-	if (fleet->config_in_doubt && fleet->conf.config_peer)
-		gc_config_peer_start(fleet->conf.config_peer, fleet->view,
-				     on_config_found, fleet);
+	if (starts)
+		begin_doubt(fleet);
 	advance_confirmed(fleet, fleet->list_started);
 	on_expiry(fleet);
 	start_watch(fleet);
 }
 
 /*
- * The store was restored less than a stream's life ago (core/restore_mark.h), and this
- * daemon hasn't seen it. Until the operator has written again, the configuration there
- * may be older than the one in force.
+ * The store may have gone back to a copy before this daemon started, so that its
+ * configuration is older than the one in force. The others know. If nobody answers, it
+ * counts at once, unless the store is known to have been restored less than a stream's
+ * life ago (core/restore_mark.h): the operator will write again soon.
  */
 static void begin_doubt(gc_fleet_t *fleet)
 {
-	fleet->config_in_doubt = true;
-	gc_timer_set(fleet->doubt_timer, fleet->conf.config_wait_ms);
-	gc_log(GC_LOG_WARNING, GC_EVENT_CONFIG_IN_DOUBT,
-	       "the store's configuration may be older than the one in force",
-	       NULL);
+	bool restored =
+		fleet->kept_era != 0 && fleet->kept_era < fleet->known_era;
+
+	gc_timer_set(fleet->doubt_timer,
+		     restored ? fleet->conf.config_wait_ms : START_WAIT_MS);
+	if (restored)
+		gc_log(GC_LOG_WARNING, GC_EVENT_CONFIG_IN_DOUBT,
+		       "the store's configuration may be older than the one "
+		       "in force",
+		       NULL);
+	gc_config_peer_start(fleet->conf.config_peer, fleet->view,
+			     gc_routes_version(fleet->routes), restored,
+			     on_config_found, fleet);
 }
 
-/* Of another daemon, which has it in force. */
-static void on_config_found(void *ctx, gc_str_t record)
+static void on_config_found(void *ctx, bool known, gc_str_t record)
 {
 	gc_fleet_t *fleet = ctx;
 
-	take_config(fleet, record, 0);
-	end_doubt(fleet, "another daemon has it in force");
+	if (record.len > 0)
+		take_config(fleet, record, 0);
+	end_doubt(fleet, known ? "another daemon knows it"
+			       : "no other daemon knows one");
 }
 
 static void on_doubt_timeout(void *ctx)
 {
-	end_doubt(ctx, "no daemon answered, and nothing was written");
+	end_doubt(ctx, "no other daemon answered in time");
 }
 
 static void end_doubt(gc_fleet_t *fleet, const char *reason)
@@ -418,11 +430,12 @@
 	advance_confirmed(fleet, fleet->list_started);
 }
 
-gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet)
+gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet, uint64_t *version)
 {
-	return fleet->config_in_doubt
-		       ? GC_STR_EMPTY
-		       : (gc_str_t){fleet->config_text, fleet->config_len};
+	if (!fleet->routes || fleet->config_in_doubt)
+		return GC_STR_EMPTY;
+	*version = gc_routes_version(fleet->routes);
+	return (gc_str_t){fleet->config_text, fleet->config_len};
 }
 
 static bool has_peer(const gc_fleet_t *fleet)
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -96,7 +96,7 @@
 const gc_change_log_t *gc_fleet_change_log(const gc_fleet_t *fleet);
 /* The operator's record of the configuration in force here; empty if there is none, or
  * if it may be older than the one in force elsewhere. */
-gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet);
+gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet, uint64_t *version);
 /* The newest view; never NULL. */
 gc_fleet_view_t *gc_fleet_view(gc_fleet_t *fleet);
 /*
--- a/regress/routed_restore_config.t
+++ b/regress/routed_restore_config.t
@@ -22,7 +22,7 @@
   8 401
   $ sound; grep -o '"message":"the configuration is in force","reason":"[^"]*"' d3.log
   200
-  "message":"the configuration is in force","reason":"another daemon has it in force"
+  "message":"the configuration is in force","reason":"another daemon knows it"
   $ CALLER_ADDR=$D1; sound; withdrawn
   200
   401
@@ -33,6 +33,18 @@
   401
   200
 
+So does one that starts from a copy that is older than the era that the store keeps, so
+that it can't know of the restore.
+
+  $ operator '{"key":"goldcrest/era","remove":true}'; store_fault '{"checkpoint": true}'
+  $ store_fault '{"restore": true}'; start_routed d9; withdrawn; sound; kill_9 $d9_pid
+  401
+  200
+  $ grep -c 'may be older than the one in force' d9.log
+  0
+  [1]
+  $ operator '{"key":"goldcrest/era","value":1}'; store_fault '{"checkpoint": true}'
+
 All start anew: nobody knows it. They refuse until the operator writes again.
 
   $ kill_9 $d1_pid; kill_9 $d2_pid; kill_9 $d3_pid; kill_9 $d4_pid; store_fault '{"restore": true}'
@@ -57,8 +69,8 @@
 A daemon that starts without a restore before serves at once, and one that doesn't know
 the configuration doesn't give it.
 
-  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/config"
+  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/config?newer_than=0"
   200
   $ store_fault '{"restore": true}'; kill_9 $d6_pid; launch_routed d7; await grep -q 'may be older' d7.log
-  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/config"
+  $ curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/config?newer_than=0"
   404
