--- a/regress/check_backends_brittle.c
+++ b/regress/check_backends_brittle.c
@@ -88,6 +88,31 @@
 }
 END_TEST
 
+/* The others of its failure domain failed; it may be there all the same. */
+START_TEST(test_full_server_of_an_ejected_domain)
+{
+	gc_backends_t *backends = create_backends(3);
+	gc_backend_t *servers[3];
+	gc_backend_set_t avoid = {.list = servers, .n = 0};
+
+	for (size_t i = 0; i < 3; i++) {
+		servers[i] = gc_backends_choose(backends, unit_at(0), APP,
+						&avoid);
+		avoid.n++;
+	}
+	gc_backend_record_brittle(servers[2], unit_at(0), 6);
+	for (size_t i = 0; i < 2; i++)
+		gc_backend_record_failure(servers[i], unit_at(10),
+					  GC_END_TIMED_OUT);
+	avoid.n = 1;
+	ck_assert(!gc_backend_usable(servers[2], unit_at(20)));
+	ck_assert(gc_backends_has_full(backends, unit_at(20), APP, &avoid));
+	avoid.n = 3;
+	ck_assert(!gc_backends_has_full(backends, unit_at(20), APP, &avoid));
+	talloc_free(backends);
+}
+END_TEST
+
 START_TEST(test_place_is_needed_and_used_up)
 {
 	gc_backends_t *backends = create_backends(1);
@@ -283,6 +308,7 @@
 	const TTest *const tests[] = {
 		test_place_is_needed_and_used_up,
 		test_full_server_is_told_from_a_lost_one,
+		test_full_server_of_an_ejected_domain,
 		test_what_is_held,
 		test_abandoned_request,
 		test_turned_away,
