--- a/regress/routed_brittle.t
+++ b/regress/routed_brittle.t
@@ -2,6 +2,8 @@
 than they have room for: no daemon knew what the others send, and the retry of a
 request that one server turned away was turned away by the next one.
 
+Runs alone: a share of what three servers can take, and answers of daemons in 60 ms.
+
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
   $ put_config
--- a/regress/routed_mixed.t
+++ b/regress/routed_mixed.t
@@ -2,6 +2,8 @@
 upgrade: they know nothing of places at brittle servers, pass no requests on, and
 report that servers crashed when they are cut off themselves.
 
+Runs alone: each of 240 lookups is served only if daemons answer each other in 60 ms.
+
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ OLD=$("$TOP/regress/old_build.sh" 92654f6 "${OLD_BUILDS-$PWD/old-builds}") && [ -x "$OLD" ]
   $ NEW=$(command -v goldcrestd)
