--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -448,8 +448,7 @@
 {
 	for (const gc_backend_t *b = backends->first; b; b = b->next)
 		if (gc_str_eq(b->entry.service, service) && !in_set(avoid, b) &&
-		    accepts_with_permit(b, now) &&
-		    !is_ejected_itself(b, now) &&
+		    accepts_with_permit(b, now) && !is_ejected_itself(b, now) &&
 		    !accepts_requests(b, now))
 			return true;
 	return false;
--- a/regress/check_backends_brittle.c
+++ b/regress/check_backends_brittle.c
@@ -96,8 +96,8 @@
 	gc_backend_set_t avoid = {.list = servers, .n = 0};
 
 	for (size_t i = 0; i < 3; i++) {
-		servers[i] = gc_backends_choose(backends, unit_at(0), APP,
-						&avoid);
+		servers[i] =
+			gc_backends_choose(backends, unit_at(0), APP, &avoid);
 		avoid.n++;
 	}
 	gc_backend_record_brittle(servers[2], unit_at(0), 6);
