Read no request inside of a CONNECT or after a folded header

The body of a CONNECT was run as a request of its own: http-parser expects no body of CONNECT, whatever Content-Length says, so that what a caller's front end takes for a body was the next request here. Header lines that are folded were joined in a way of http-parser's own; a server that unfolds them otherwise would see other headers. CONNECT and TRACE now get 501, a folded header 400 (RFC 9112, 5.2), and the connection closes; nothing that follows such a head is read.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -291,6 +291,9 @@
 	case GC_HTTP_MESSAGE_INVALID:
 		reject_request(conn, 400, gc_http_message_error(conn->message));
 		return;
+	case GC_HTTP_MESSAGE_UNSUPPORTED:
+		reject_request(conn, 501, gc_http_message_error(conn->message));
+		return;
 	case GC_HTTP_MESSAGE_HEAD_TOO_LARGE:
 		reject_request(conn, 431, gc_http_message_error(conn->message));
 		return;
--- a/lib/http_message.c
+++ b/lib/http_message.c
@@ -17,6 +17,14 @@
 	guint value_len;
 } header_span_t;
 
+/* The last byte of the head that was looked at for folded headers. */
+typedef enum line_state {
+	LINE_NONE, /* before the request line */
+	LINE_INSIDE,
+	LINE_BEGINS, /* after the end of a line that isn't empty */
+	LINE_HEAD_ENDED,
+} line_state_t;
+
 struct gc_http_message {
 	http_parser parser;
 	gc_http_message_kind_t kind;
@@ -28,6 +36,7 @@
 	guint target_len;
 	GByteArray *body;
 	size_t head_bytes_fed; /* while the head was incomplete */
+	line_state_t line; /* of a request's head, as received */
 	size_t body_bytes_received; /* including discarded bytes */
 	bool expect_no_body;
 	bool in_value; /* the last header's value has begun */
@@ -37,6 +46,7 @@
 
 static int message_destructor(gc_http_message_t *message);
 static void init_parser(gc_http_message_t *message);
+static bool has_folded_header(gc_http_message_t *message, gc_str_t data);
 static void check_result(gc_http_message_t *message, size_t consumed,
 			 size_t fed);
 static int on_begin(http_parser *parser);
@@ -126,6 +136,7 @@
 	message->body = g_byte_array_new();
 	message->target_len = 0;
 	message->head_bytes_fed = 0;
+	message->line = LINE_NONE;
 	message->body_bytes_received = 0;
 	message->expect_no_body = false;
 	message->in_value = false;
@@ -139,6 +150,12 @@
 
 	if (message->state >= GC_HTTP_MESSAGE_COMPLETE || data.len == 0)
 		return 0;
+	if (message->kind == GC_HTTP_MESSAGE_REQUEST &&
+	    has_folded_header(message, data)) {
+		message->state = GC_HTTP_MESSAGE_INVALID;
+		message->error = "a header is folded over two lines";
+		return 0;
+	}
 	consumed = http_parser_execute(&message->parser, &parser_callbacks,
 				       data.data, data.len);
 	if (message->state < GC_HTTP_MESSAGE_BODY)
@@ -147,6 +164,28 @@
 	return consumed;
 }
 
+/*
+ * http-parser joins the lines of a folded header with what it finds between them. A
+ * server that unfolds it otherwise would see other headers (RFC 9112, 5.2).
+ */
+static bool has_folded_header(gc_http_message_t *message, gc_str_t data)
+{
+	for (size_t i = 0; i < data.len && message->line != LINE_HEAD_ENDED;
+	     i++) {
+		char c = data.data[i];
+
+		if (message->line == LINE_BEGINS && (c == ' ' || c == '\t'))
+			return true;
+		if (c == '\n' && message->line == LINE_BEGINS)
+			message->line = LINE_HEAD_ENDED;
+		else if (c == '\n' && message->line == LINE_INSIDE)
+			message->line = LINE_BEGINS;
+		else if (c != '\n' && c != '\r')
+			message->line = LINE_INSIDE;
+	}
+	return false;
+}
+
 static void check_result(gc_http_message_t *message, size_t consumed,
 			 size_t fed)
 {
@@ -256,6 +295,15 @@
 		http_parser_pause(parser, 1);
 		return 0;
 	}
+	/* What follows a CONNECT isn't a body to http-parser, whatever its length
+	 * says, and would be read as the next request. */
+	if (message->kind == GC_HTTP_MESSAGE_REQUEST &&
+	    (parser->method == HTTP_CONNECT || parser->method == HTTP_TRACE)) {
+		message->state = GC_HTTP_MESSAGE_UNSUPPORTED;
+		message->error = "the method is not supported";
+		http_parser_pause(parser, 1);
+		return 0;
+	}
 	if (message->headers->len > MAX_HEADERS ||
 	    message->head->len > message->limits.max_head) {
 		message->state = GC_HTTP_MESSAGE_HEAD_TOO_LARGE;
--- a/lib/http_message.h
+++ b/lib/http_message.h
@@ -23,6 +23,7 @@
 	GC_HTTP_MESSAGE_BODY, /* the head is complete, the body is not */
 	GC_HTTP_MESSAGE_COMPLETE,
 	GC_HTTP_MESSAGE_INVALID, /* not HTTP/1.1, or ambiguous */
+	GC_HTTP_MESSAGE_UNSUPPORTED, /* a method that no route can name */
 	GC_HTTP_MESSAGE_HEAD_TOO_LARGE,
 	GC_HTTP_MESSAGE_BODY_TOO_LARGE,
 } gc_http_message_state_t;
--- a/regress/check_http_message.c
+++ b/regress/check_http_message.c
@@ -105,6 +105,51 @@
 }
 END_TEST
 
+START_TEST(test_folded_headers_are_invalid)
+{
+	static const char *const texts[] = {
+		"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n\tb\r\n\r\n",
+		"GET / HTTP/1.1\nHost: h\nX: a\n b\n\n",
+		"GET / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n 3\r\n\r\n",
+		"\r\nGET / HTTP/1.1\r\n Host: h\r\n\r\n",
+	};
+	static const char body[] = "POST / HTTP/1.1\r\nHost: h\r\n"
+				   "Content-Length: 8\r\n\r\na\r\n b\r\n ";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		for (size_t step = 1; step <= 64; step++) {
+			gc_http_message_t *m =
+				parse(GC_HTTP_MESSAGE_REQUEST, texts[i], step);
+
+			ck_assert_msg(gc_http_message_state(m) ==
+					      GC_HTTP_MESSAGE_INVALID,
+				      "%s", texts[i]);
+			talloc_free(m);
+		}
+	ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_REQUEST, body),
+			 GC_HTTP_MESSAGE_COMPLETE);
+}
+END_TEST
+
+/* Their body was read as the next request. */
+START_TEST(test_methods_that_no_route_can_name)
+{
+	static const char *const heads[] = {
+		"CONNECT / HTTP/1.1\r\nHost: h\r\nContent-Length: 33\r\n\r\n",
+		"CONNECT h.example:80 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"TRACE / HTTP/1.1\r\nHost: h\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++)
+		ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_REQUEST, heads[i]),
+				 GC_HTTP_MESSAGE_UNSUPPORTED);
+	ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_REQUEST,
+				  "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+			 GC_HTTP_MESSAGE_INVALID);
+}
+END_TEST
+
 START_TEST(test_size_limits)
 {
 	g_autofree char *padding = g_strnfill(500, 'x');
@@ -256,6 +301,8 @@
 	const TTest *const tests[] = {
 		test_request_in_parts_of_any_size,
 		test_ambiguous_requests_are_invalid,
+		test_folded_headers_are_invalid,
+		test_methods_that_no_route_can_name,
 		test_size_limits,
 		test_pipelined_request_is_not_consumed,
 		test_interim_and_unframed_responses,
