Bound the numbers that peers send where they are read

A deadline that isn't a number, or comes twice, counts as absent. What is spread is at most a third of a minute.

--- a/core/event_sequencer.c
+++ b/core/event_sequencer.c
@@ -3,6 +3,7 @@
 
 #include "core/error.h"
 #include "core/event_sequencer.h"
+#include "core/number.h"
 
 /* Bounds the buffer if a server never ends an event. */
 #define MAX_EVENT_BYTES 65536
@@ -141,10 +142,17 @@
 		const char *line_end = newline ? newline : end;
 
 		if (line_end - line > 3 && strncmp(line, "id:", 3) == 0) {
-			char *id_end;
-
-			*id = g_ascii_strtoll(line + 3, &id_end, 10);
-			return id_end > line + 3 && *id >= 0;
+			gc_str_t text = {line + 3,
+					 (size_t)(line_end - line) - 3};
+
+			while (text.len > 0 && text.data[0] == ' ') {
+				text.data++;
+				text.len--;
+			}
+			while (text.len > 0 &&
+			       g_ascii_isspace(text.data[text.len - 1]))
+				text.len--;
+			return gc_parse_whole(text, GC_EVENT_ID_MAX, id);
 		}
 		line = line_end + 1;
 	}
--- a/core/event_sequencer.h
+++ b/core/event_sequencer.h
@@ -15,6 +15,7 @@
 #include "core/str.h"
 
 #define GC_EVENT_ID_NONE (-1) /* no event received yet */
+#define GC_EVENT_ID_MAX	 (INT64_MAX - 1)
 
 typedef struct gc_event_sequencer gc_event_sequencer_t;
 
--- a/lib/backend_signals.c
+++ b/lib/backend_signals.c
@@ -2,14 +2,15 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/number.h"
 #include "lib/backend_signals.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 
 /* Longest pause that a server is granted. */
 #define PAUSE_MAX_MS 30000
-/* More digits than any valid value has. */
-#define NUMBER_MAX_BYTES 32
+/* Most requests a second that a server may name. */
+#define RATE_MAX	 1e9
 #define MAX_LOGGED_BYTES 64
 
 static gc_str_t find_value(const gc_http_message_t *response, const char *name);
@@ -18,8 +19,6 @@
 			double none);
 static void log_brittle(const gc_backend_t *backend, double before);
 static void log_limit(const gc_backend_t *backend, double before);
-static int64_t pause_ms(double seconds);
-static bool parse_decimal(gc_str_t value, double *number);
 static void log_invalid(const gc_backend_t *backend, const char *header,
 			gc_str_t value);
 
@@ -53,8 +52,9 @@
 	}
 	if (gc_http_message_status(response) != 503 || retry_after.len == 0)
 		return;
-	if (parse_decimal(retry_after, &seconds))
-		gc_backend_record_pause(backend, now, pause_ms(seconds));
+	if (gc_parse_decimal(retry_after, PAUSE_MAX_MS / 1000.0, &seconds))
+		gc_backend_record_pause(backend, now,
+					(int64_t)ceil(seconds * 1000));
 	else
 		log_invalid(backend, "Retry-After", retry_after);
 }
@@ -67,7 +67,8 @@
 	double rate = none;
 
 	if (gc_http_message_count_header(response, header) > 1 ||
-	    (value.data && value.len > 0 && !parse_decimal(value, &rate)))
+	    (value.data && value.len > 0 &&
+	     !gc_parse_decimal(value, RATE_MAX, &rate)))
 		log_invalid(backend, header, value);
 	return rate;
 }
@@ -127,25 +128,3 @@
 		value.len--;
 	return value;
 }
-
-static int64_t pause_ms(double seconds)
-{
-	return seconds < PAUSE_MAX_MS / 1000.0 ? (int64_t)ceil(seconds * 1000)
-					       : PAUSE_MAX_MS;
-}
-
-/* With or without a fraction; false if it is anything else, such as a date. */
-static bool parse_decimal(gc_str_t value, double *number)
-{
-	g_autofree char *text = NULL;
-
-	if (value.len > NUMBER_MAX_BYTES)
-		return false;
-	text = g_strndup(value.data, value.len);
-	/* g_ascii_strtod would take "inf", "nan", "-1" and "0x1", too. */
-	if (strlen(text) != strspn(text, "0123456789.") ||
-	    !g_ascii_isdigit(*text) || strchr(text, '.') != strrchr(text, '.'))
-		return false;
-	*number = g_ascii_strtod(text, NULL);
-	return true;
-}
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -10,8 +10,10 @@
  * target latency. */
 #define OVERLOAD_RETRY_MIN_PERCENT 20
 #define OVERLOAD_RETRY_MAX_PERCENT 50
-/* Part of its time after which a caller that is refused can still return. */
+/* Part of its time after which a caller that is refused can still return, and the most
+ * of its time that counts. */
 #define RETURN_PERCENT 33
+#define RETURN_MAX_MS  60000
 
 static void spread_return(const gc_exchange_t *exchange, gc_refusal_t *refusal);
 static void refuse_without_server(gc_exchange_t *exchange,
@@ -77,6 +79,7 @@
 	int64_t left_ms =
 		exchange->deadline_ms - gc_exchange_elapsed_ms(exchange);
 
+	left_ms = MIN(left_ms, RETURN_MAX_MS);
 	refusal->code = "limited";
 	refusal->message = "the backend servers limit their requests";
 	refusal->retry_spread_ms = MAX(
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -6,6 +6,7 @@
  */
 #include <stdlib.h>
 
+#include "core/number.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
@@ -35,6 +36,8 @@
 /* Requests of other daemons in progress at once. Each may hold 64 KiB of a
  * response and 128 KiB for a slow reader, of 96 MB in all. */
 #define MAX_RECEIVED 256
+/* Longest Retry-After that another daemon may name. */
+#define RETURN_MAX_S 3600
 /* Retry-After of a refusal by a daemon that others may be asked instead of. */
 #define REFUSAL_RETRY_AFTER_MS 250
 #define MAX_NUMBER_BYTES       20
@@ -247,14 +250,12 @@
 		gc_relay_record_passing(exchange->relay, true);
 	exchange->hop_version = gc_str_dup(exchange, version);
 	if (exchange->not_run) {
-		gc_str_t value =
-			gc_http_message_find_header(response, "retry-after");
-		g_autofree char *text =
-			g_strndup(value.data ? value.data : "",
-				  MIN(value.len, MAX_NUMBER_BYTES));
-
-		exchange->hop_return_ms =
-			(int64_t)(1000 * g_ascii_strtod(text, NULL));
+		double seconds = 0;
+
+		gc_parse_decimal(gc_http_message_find_header(response,
+							     "retry-after"),
+				 RETURN_MAX_S, &seconds);
+		exchange->hop_return_ms = (int64_t)(1000 * seconds);
 	}
 }
 
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include "core/number.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
@@ -70,15 +71,14 @@
 	if (exchange->route->kind == GC_ROUTE_STREAM) {
 		gc_str_t last = gc_http_message_find_header(exchange->request,
 							    "last-event-id");
-		g_autofree char *text =
-			last.data ? g_strndup(last.data, last.len) : NULL;
+		int64_t last_id = 0;
 
-		exchange->resumed = text && *text;
+		exchange->resumed = last.data && last.len > 0;
+		gc_parse_whole(last, GC_EVENT_ID_MAX, &last_id);
 		exchange->prompt = create_prompt(exchange);
 		exchange->sequencer = gc_event_sequencer_create(
-			exchange, exchange->resumed
-					  ? g_ascii_strtoll(text, NULL, 10)
-					  : GC_EVENT_ID_NONE);
+			exchange,
+			exchange->resumed ? last_id : GC_EVENT_ID_NONE);
 	}
 	gc_timer_set(exchange->time_limit_timer,
 		     exchange->time_limit_ms -
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -1,6 +1,7 @@
 /* Admission of routed requests by route, API key and configuration age. */
 #include <stdlib.h>
 
+#include "core/number.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
@@ -23,6 +24,8 @@
 #define HOP_HEADER_BYTES 2048
 /* Connections to daemons are kept for less than INITIAL_IDLE_TIMEOUT_MS. */
 #define HOP_KEEP_ALIVE_MS 8000
+/* Longest time that a caller may name. */
+#define DEADLINE_MAX_MS (24 * 3600 * INT64_C(1000))
 /* Time limit on routes without a timeout. */
 #define DEFAULT_TIME_LIMIT_MS 30000
 
@@ -51,8 +54,8 @@
 static void set_time_limit(gc_exchange_t *exchange);
 static gc_str_t request_host(const gc_http_message_t *request);
 static bool parse_api_key(const gc_exchange_t *exchange, gc_str_t *key);
-static int64_t parse_number_header(const gc_http_message_t *request,
-				   const char *name, int64_t fallback);
+static int64_t read_deadline(const gc_http_message_t *request, const char *name,
+			     int64_t fallback);
 static gc_daemon_rank_t daemon_rank(const gc_relay_t *relay);
 
 const gc_caller_listener_ops_t gc_relay_listener_ops = {
@@ -485,25 +488,21 @@
 	int64_t limit = route->timeout_ms > 0 ? route->timeout_ms
 					      : DEFAULT_TIME_LIMIT_MS;
 
-	exchange->deadline_ms =
-		parse_number_header(exchange->request, name, limit);
+	exchange->deadline_ms = read_deadline(exchange->request, name, limit);
 	exchange->time_limit_ms = MIN(limit, exchange->deadline_ms);
 	exchange->attempts.route = route;
 }
 
-static int64_t parse_number_header(const gc_http_message_t *request,
-				   const char *name, int64_t fallback)
+/* A deadline that isn't a number, or comes twice, counts as absent. */
+static int64_t read_deadline(const gc_http_message_t *request, const char *name,
+			     int64_t fallback)
 {
-	gc_str_t value = gc_http_message_find_header(request, name);
-	g_autofree char *text = NULL;
-	char *after;
-	int64_t number;
-
-	if (!value.data || value.len == 0)
-		return fallback;
-	text = g_strndup(value.data, value.len);
-	number = g_ascii_strtoll(text, &after, 10);
-	return *after == '\0' && number >= 0 ? number : fallback;
+	int64_t ms = fallback;
+
+	if (gc_http_message_count_header(request, name) == 1)
+		gc_parse_whole(gc_http_message_find_header(request, name),
+			       DEADLINE_MAX_MS, &ms);
+	return ms;
 }
 
 static void on_disconnected(void *ctx, gc_caller_conn_t *caller)
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include "core/number.h"
 #include "lib/backend_signals.h"
 #include "lib/upstream.h"
 
@@ -12,6 +13,8 @@
  * timeout, as the request could cross the server's close.
  */
 #define KEEP_ALIVE_MARGIN_MS 900
+/* Longest time that a server may state. */
+#define KEEP_ALIVE_MAX_S 3600
 /* For servers that state no keep-alive timeout, which may be under a second. */
 #define DEFAULT_KEEP_ALIVE_MS 300
 /* Interval at which expired idle connections are closed. */
@@ -473,13 +476,16 @@
 	g_autofree char *text =
 		g_strndup(value.data ? value.data : "", value.len);
 	const char *timeout = strstr(text, "timeout=");
+	int64_t seconds = 0;
 
 	if (!timeout && conn->upstream->conf.keep_alive_ms > 0)
 		return conn->upstream->conf.keep_alive_ms;
 	if (!timeout)
 		return DEFAULT_KEEP_ALIVE_MS;
-	return g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) * 1000 -
-	       KEEP_ALIVE_MARGIN_MS;
+	timeout += strlen("timeout=");
+	gc_parse_whole((gc_str_t){timeout, strspn(timeout, "0123456789")},
+		       KEEP_ALIVE_MAX_S, &seconds);
+	return seconds * 1000 - KEEP_ALIVE_MARGIN_MS;
 }
 
 static void on_closed(void *ctx, int error)
