Believe a server's Retry-After for as long as it says

A server that answered 503 with a Retry-After above 30 s was asked again after 30 s. It now counts up to retry_after_max_s, a setting (600), unless the server starts again, which is another one. routed_pause.t, before: a refusal with a caller's Retry-After of about 30 s where the only server had said 100; after: about 100 s, with the setting 2 as before the server is asked again after 2 s, and at once after a new start.

--- a/lib/backend_signals.c
+++ b/lib/backend_signals.c
@@ -7,8 +7,6 @@
 #include "lib/log.h"
 #include "lib/log_events.h"
 
-/* Longest pause that a server is granted. */
-#define PAUSE_MAX_MS 30000
 /* Most requests a second that a server may name. */
 #define RATE_MAX	 1e9
 #define MAX_LOGGED_BYTES 64
@@ -26,7 +24,7 @@
 			     const gc_http_message_t *response,
 			     const char *leaving_header,
 			     const char *limit_header,
-			     const char *brittle_header)
+			     const char *brittle_header, int64_t pause_max_ms)
 {
 	double limit = gc_backend_limit(backend);
 	double brittle = gc_backend_brittle(backend);
@@ -52,7 +50,8 @@
 	}
 	if (gc_http_message_status(response) != 503 || retry_after.len == 0)
 		return;
-	if (gc_parse_decimal(retry_after, PAUSE_MAX_MS / 1000.0, &seconds))
+	if (gc_parse_decimal(retry_after, (double)pause_max_ms / 1000.0,
+			     &seconds))
 		gc_backend_record_pause(backend, now,
 					(int64_t)ceil(seconds * 1000));
 	else
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -124,6 +124,7 @@
 		.leaving_header = conf->adapter->headers.leaving,
 		.limit_header = conf->adapter->headers.limit,
 		.brittle_header = conf->adapter->headers.brittle,
+		.pause_max_ms = conf->pause_max_ms,
 		.connect_timeout_ms = conf->connect_timeout_ms,
 		.source = conf->source,
 		.liveness = conf->liveness,
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -43,6 +43,7 @@
 	bool passes_on;
 	double repeat_ratio; /* see gc_backends_conf_t */
 	uint32_t repeat_slack;
+	int64_t pause_max_ms; /* longest Retry-After of a server that counts */
 	int64_t repeat_window_ms;
 	/* Tell the other daemons that a server crashed under requests, or that
 	 * a trait of a request was served; may be NULL. */
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -100,6 +100,9 @@
 	settings->repeat_window_ms =
 		(int64_t)(1000 *
 			  number(reader, "repeat_window_s", 10, 1, 3600));
+	settings->retry_after_max_ms =
+		(int64_t)(1000 *
+			  number(reader, "retry_after_max_s", 600, 1, 86400));
 	settings->address_ttl_s =
 		(uint32_t)number(reader, "address_ttl_s", 2, 1, 3600);
 	settings->lease_ms =
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -47,6 +47,9 @@
 	uint32_t repeat_slack; /* 300: retries allowed beyond the ratio */
 	/* 10000: time over which both are counted; "repeat_window_s" */
 	int64_t repeat_window_ms;
+	/* 600000: longest Retry-After of a server that counts;
+	 * "retry_after_max_s" */
+	int64_t retry_after_max_ms;
 	uint32_t address_ttl_s; /* 2: how long callers may use addresses */
 	int64_t lease_ms; /* 3000: of the daemon's entry in the store */
 	gc_log_level_t log_level;
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -406,7 +406,8 @@
 			conn->backend, gc_clock_now(conn->upstream->conf.clock),
 			conn->message, conn->upstream->conf.leaving_header,
 			conn->upstream->conf.limit_header,
-			conn->upstream->conf.brittle_header);
+			conn->upstream->conf.brittle_header,
+			conn->upstream->conf.pause_max_ms);
 	call->mismatched = is_mismatched(conn);
 	if (call->mismatched)
 		return;
--- a/lib/upstream.h
+++ b/lib/upstream.h
@@ -33,6 +33,7 @@
 	const char *leaving_header;
 	const char *limit_header; /* names a limit on requests a second */
 	const char *brittle_header; /* how many it may turn away a second */
+	int64_t pause_max_ms; /* longest Retry-After of a server that counts */
 	int64_t connect_timeout_ms;
 	/* How long a connection is kept whose server states no timeout; 0: a
 	 * default. */
--- a/regress/routed_pause.t
+++ b/regress/routed_pause.t
@@ -105,3 +105,20 @@
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
   $ echo $(($(field $RUN queries) + $(field $COPY queries) - BEFORE)) $(field $RUN orders)
   0 []
+
+A long time counts as it is, up to the daemon's setting. A server that starts again is
+asked at once.
+
+  $ D1=$CALLER_ADDR; start_server gen1 gen a; put_config ',{"name":"gen","host":"h.example","path_prefix":"/gen/","kind":"idempotent","service":"gen","max_attempts":2,"timeout_ms":1500,"target_latency_ms":300}'; sleep 0.5
+  $ busy gen1 '{"retry_after": "100"}'; status /gen/busy; send_request /gen/ok -D head.txt -o /dev/null; retry_after 98 102
+  503
+  503
+  1
+  $ start_routed d2 ',"retry_after_max_s":2'; status /gen/busy; send_request /gen/ok -D head.txt -o /dev/null; retry_after 0.5 2.5
+  503
+  503
+  1
+  $ sleep 2.5; status /gen/ok
+  200
+  $ busy gen1 '{"retry_after": "100"}'; CALLER_ADDR=$D1; curl -s "http://127.0.0.1:$(cat gen1.ports)/fall" -d '{}' >/dev/null
+  $ served() { [ "$(status /gen/ok)" = 200 ]; }; await served
