Let a watch with an unreadable key confirm its start only

A watch that returned only items whose keys are no text counted as one without changes: if its response came late, just before an outage of the store, it confirmed the configuration up to the end of its wait, though it had ended with a change and more could follow. test_confirmed_time_of_a_watch_with_an_unreadable_key failed before, by 850 ms.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -565,7 +565,7 @@
 	int64_t waited_ms = gc_ms_between(fleet->call_started,
 					  gc_clock_now(fleet->conf.clock));
 
-	if (items->n > 0 || waited_ms < fleet->wait_ms)
+	if (items->n + items->n_left_out > 0 || waited_ms < fleet->wait_ms)
 		return gc_add_ms(fleet->call_started, -items->age_ms);
 	return gc_add_ms(fleet->call_started,
 			 fleet->wait_ms - MAX_WAIT_SKEW_MS - items->age_ms);
--- a/lib/store.h
+++ b/lib/store.h
@@ -17,6 +17,7 @@
 typedef struct gc_store_items {
 	const gc_store_item_t *items;
 	size_t n;
+	size_t n_left_out; /* items that can't be read */
 	uint64_t revision; /* of the store; the next watch starts after it */
 	bool more; /* another page follows after the last key */
 	/* Key after which it begins if the page has no item that can be used;
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -245,6 +245,25 @@
 }
 END_TEST
 
+/* It ended with a change, though none that can be read. */
+START_TEST(test_confirmed_time_of_a_watch_with_an_unreadable_key)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_store_items_t items = {.n_left_out = 1, .revision = 6};
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	fake.now_ms = 10;
+	respond(&fake, 5, "{\"version\":1}");
+	/* Its response comes late. */
+	fake.now_ms = 9000;
+	fake.done(fake.ctx, &items, NULL);
+	ck_assert_int_eq(fake.last_confirmed, ms_of(unit_at(10)));
+	talloc_free(mem);
+}
+END_TEST
+
 START_TEST(test_older_version_is_ignored)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -669,6 +688,7 @@
 	const TTest *const tests[] = {
 		test_view_is_published_before_its_confirmation,
 		test_confirmed_time_of_an_idle_watch,
+		test_confirmed_time_of_a_watch_with_an_unreadable_key,
 		test_older_version_is_ignored,
 		test_list_goes_on_at_the_page_that_failed,
 		test_notices_are_handed_on_without_a_view,
