Move the items of the store and the configuration to files of their own

What an item does to the state is in lib/fleet_items.c now, which configuration is in force in lib/fleet_config.c, lists and watches stay. No behaviour changes; check_fleet passes.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -1,83 +1,26 @@
 /* Lists and watches the store, registers this daemon, publishes views. */
-#include <jansson.h>
-
-#include "core/address.h"
 #include "core/change_source.h"
 #include "core/error.h"
-#include "lib/capabilities.h"
-#include "lib/config_peer.h"
-#include "lib/crash_notices.h"
-#include "lib/fleet.h"
+#include "lib/fleet_private.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
 #include "lib/peers_watch.h"
-#include "lib/registration.h"
 #include "lib/store_era.h"
 
-/* Keys of daemon entries in the store: this prefix and the daemon's name. */
-#define DAEMONS_PREFIX "goldcrest/daemons/"
 /* A watch that returns changes confirms the configuration only as of the start
  * of its call, so the next one waits the usual time divided by this. */
 #define SHORT_WAIT_DIVISOR 4
 /* Largest difference between the store's and this daemon's measure of a
  * watch's wait. */
 #define MAX_WAIT_SKEW_MS 50
-/* Longest wait for what other daemons know of the configuration, at a start. */
-#define START_WAIT_MS 400
 /* Deletions kept for daemons that watch through this one. */
 #define MAX_KEPT_DELETIONS 512
 
-struct gc_fleet {
-	gc_fleet_conf_t conf;
-	gc_routes_t *routes;
-	char *config_text; /* the operator's record of routes */
-	size_t config_len;
-	uint64_t config_revision; /* in known_era */
-	uint64_t kept_era; /* in the list of the store; 0: none */
-	bool started; /* a full list was read before */
-	/* routes are the store's, which may have gone back to a copy just before
-	 * this daemon started, and aren't in force yet. */
-	bool config_in_doubt;
-	gc_timer_t *doubt_timer;
-	gc_registry_t *servers;
-	gc_registry_t *daemons;
-	GArray *base_versions; /* gc_base_version_t */
-	gc_change_log_t *change_log;
-	gc_fleet_view_t *view;
-	uint64_t revision; /* of the store; all changes up to it are known */
-	uint64_t known_era; /* of the store, to which revision belongs */
-	uint64_t newest_era; /* seen in any response; 0: none */
-	bool own_entry_expected; /* in the list that is being read */
-	bool own_entry_listed;
-	bool list_complete; /* a full list was read; changes are watched */
-	bool store_reachable;
-	bool had_changes; /* the last watch returned changes */
-	int64_t wait_ms; /* longest wait of the watch in progress */
-	struct timespec call_started;
-	struct timespec list_started;
-	/* Last key of the pages of the list read so far; empty: none. */
-	GString *last_key;
-	gc_change_source_t source;
-	gc_timer_t *call_timer; /* starts the next list or watch */
-	gc_timer_t *expiry_timer;
-	gc_registration_t *registration;
-	gc_metric_t *store_calls;
-};
-
 static int fleet_destructor(gc_fleet_t *fleet);
-static void publish(gc_fleet_t *fleet);
-static void begin_doubt(gc_fleet_t *fleet);
-static void on_config_found(void *ctx, bool known, gc_str_t record);
-static void on_doubt_timeout(void *ctx);
-static void end_doubt(gc_fleet_t *fleet, const char *reason);
 static void start_list(gc_fleet_t *fleet);
 static void era_seen(void *ctx, uint64_t era);
 static void store_answered(void *ctx, bool answered);
-static gc_base_version_t *find_base_version(const gc_fleet_t *fleet,
-					    gc_str_t service);
-static bool apply_base_version(gc_fleet_t *fleet, gc_str_t service,
-			       const gc_store_item_t *item);
 static void begin_era(gc_fleet_t *fleet, uint64_t era);
 static uint64_t response_era(const gc_fleet_t *fleet,
 			     const gc_store_items_t *items);
@@ -100,17 +43,6 @@
 static void on_next_call(void *ctx);
 static void handle_store_error(gc_fleet_t *fleet, const GError *err);
 static void mark_store_reachable(gc_fleet_t *fleet);
-static bool apply_item(gc_fleet_t *fleet, const gc_store_item_t *item);
-static void apply_config(gc_fleet_t *fleet, const gc_store_item_t *item);
-static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision);
-static void apply_kept_era(gc_fleet_t *fleet, const gc_store_item_t *item);
-static void apply_server(gc_fleet_t *fleet, gc_str_t id,
-			 const gc_store_item_t *item);
-static void apply_daemon(gc_fleet_t *fleet, gc_str_t id,
-			 const gc_store_item_t *item);
-static bool is_notice(const gc_store_item_t *item);
-static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
-static void advance_confirmed(gc_fleet_t *fleet, struct timespec at);
 static void on_expiry(void *ctx);
 
 gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf)
@@ -119,7 +51,7 @@
 	gc_registration_conf_t registration_conf = {
 		.timers = conf->timers,
 		.store = conf->store,
-		.key_prefix = DAEMONS_PREFIX,
+		.key_prefix = GC_DAEMONS_PREFIX,
 		.self = conf->self,
 		.lease_ms = conf->lease_ms,
 		.era_seen = era_seen,
@@ -140,10 +72,10 @@
 		gc_timer_create(fleet, conf->timers, on_next_call, fleet);
 	fleet->expiry_timer =
 		gc_timer_create(fleet, conf->timers, on_expiry, fleet);
-	fleet->doubt_timer =
-		gc_timer_create(fleet, conf->timers, on_doubt_timeout, fleet);
+	fleet->doubt_timer = gc_timer_create(fleet, conf->timers,
+					     gc_fleet_on_doubt_timeout, fleet);
 	talloc_set_destructor(fleet, fleet_destructor);
-	publish(fleet);
+	gc_fleet_publish(fleet);
 	start_list(fleet);
 	fleet->registration = gc_registration_create(fleet, &registration_conf);
 	return fleet;
@@ -168,7 +100,7 @@
 	return fleet->view;
 }
 
-static void publish(gc_fleet_t *fleet)
+void gc_fleet_publish(gc_fleet_t *fleet)
 {
 	gc_fleet_view_t *view = gc_fleet_view_create(
 		fleet->config_in_doubt ? NULL : fleet->routes, fleet->servers,
@@ -341,7 +273,7 @@
 	}
 	for (size_t i = 0; i < items->n; i++) {
 		gc_change_log_add(fleet->change_log, &items->items[i]);
-		apply_item(fleet, &items->items[i]);
+		gc_fleet_apply_item(fleet, &items->items[i]);
 	}
 	last_key =
 		items->n > 0 ? items->items[items->n - 1].key : items->skip_to;
@@ -370,74 +302,14 @@
 	starts = !fleet->started && fleet->routes && fleet->conf.config_peer;
 	fleet->started = true;
 	fleet->config_in_doubt |= starts;
-	publish(fleet);
+	gc_fleet_publish(fleet);
 	if (starts)
-		begin_doubt(fleet);
-	advance_confirmed(fleet, fleet->list_started);
+		gc_fleet_check_config(fleet);
+	gc_fleet_advance_confirmed(fleet, fleet->list_started);
 	on_expiry(fleet);
 	start_watch(fleet);
 }
 
-/*
- * The store may have gone back to a copy before this daemon started, so that its
- * configuration is older than the one in force. The others know. If nobody answers, it
- * counts at once, unless the store is known to have been restored less than a stream's
- * life ago (core/restore_mark.h): the operator will write again soon.
- */
-static void begin_doubt(gc_fleet_t *fleet)
-{
-	bool restored =
-		fleet->kept_era != 0 && fleet->kept_era < fleet->known_era;
-
-	gc_timer_set(fleet->doubt_timer,
-		     restored ? fleet->conf.config_wait_ms : START_WAIT_MS);
-	if (restored)
-		gc_log(GC_LOG_WARNING, GC_EVENT_CONFIG_IN_DOUBT,
-		       "the store's configuration may be older than the one "
-		       "in force",
-		       NULL);
-	gc_config_peer_start(fleet->conf.config_peer, fleet->view,
-			     gc_routes_version(fleet->routes), restored,
-			     on_config_found, fleet);
-}
-
-static void on_config_found(void *ctx, bool known, gc_str_t record)
-{
-	gc_fleet_t *fleet = ctx;
-
-	if (record.len > 0)
-		take_config(fleet, record, 0);
-	end_doubt(fleet, known ? "another daemon knows it"
-			       : "no other daemon knows one");
-}
-
-static void on_doubt_timeout(void *ctx)
-{
-	end_doubt(ctx, "no other daemon answered in time");
-}
-
-static void end_doubt(gc_fleet_t *fleet, const char *reason)
-{
-	if (!fleet->config_in_doubt)
-		return;
-	fleet->config_in_doubt = false;
-	gc_timer_stop(fleet->doubt_timer);
-	if (fleet->conf.config_peer)
-		gc_config_peer_stop(fleet->conf.config_peer);
-	gc_log(GC_LOG_INFO, GC_EVENT_CONFIG_IN_FORCE,
-	       "the configuration is in force", "reason", reason, NULL);
-	publish(fleet);
-	advance_confirmed(fleet, fleet->list_started);
-}
-
-gc_str_t gc_fleet_config_record(const gc_fleet_t *fleet, uint64_t *version)
-{
-	if (!fleet->routes || fleet->config_in_doubt)
-		return GC_STR_EMPTY;
-	*version = gc_routes_version(fleet->routes);
-	return (gc_str_t){fleet->config_text, fleet->config_len};
-}
-
 static bool has_peer(const gc_fleet_t *fleet)
 {
 	return fleet->conf.peers &&
@@ -538,14 +410,14 @@
 	fleet->had_changes = items->n > 0;
 	for (size_t i = 0; i < items->n; i++) {
 		gc_change_log_add(fleet->change_log, &items->items[i]);
-		changed |= apply_item(fleet, &items->items[i]);
+		changed |= gc_fleet_apply_item(fleet, &items->items[i]);
 	}
 	if (items->revision > fleet->revision)
 		fleet->revision = items->revision;
 	gc_change_log_advance(fleet->change_log, fleet->revision);
 	if (changed)
-		publish(fleet);
-	advance_confirmed(fleet, confirmed_until(fleet, items));
+		gc_fleet_publish(fleet);
+	gc_fleet_advance_confirmed(fleet, confirmed_until(fleet, items));
 	on_expiry(fleet);
 	if (items->n > 0)
 		gc_timer_set(fleet->call_timer, GC_FLEET_BATCH_DELAY_MS);
@@ -632,8 +504,7 @@
 	       NULL);
 }
 
-/* Moves the confirmed time forward to `at`, never back, and reports it. */
-static void advance_confirmed(gc_fleet_t *fleet, struct timespec at)
+void gc_fleet_advance_confirmed(gc_fleet_t *fleet, struct timespec at)
 {
 	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
 
@@ -663,237 +534,6 @@
 	return now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000 - at;
 }
 
-/* Returns true if a new view must be published. */
-static bool apply_item(gc_fleet_t *fleet, const gc_store_item_t *item)
-{
-	gc_str_t id;
-
-	if (gc_str_eq(item->key, gc_str(fleet->conf.adapter->config_key))) {
-		if (item->deleted || item->revision <= fleet->config_revision)
-			return false;
-		apply_config(fleet, item);
-		return true;
-	}
-	if (strip_prefix(item->key, fleet->conf.adapter->servers_prefix, &id)) {
-		apply_server(fleet, id, item);
-		return true;
-	}
-	if (strip_prefix(item->key, DAEMONS_PREFIX, &id)) {
-		apply_daemon(fleet, id, item);
-		return true;
-	}
-	if (strip_prefix(item->key, GC_BASE_VERSIONS_PREFIX, &id))
-		return apply_base_version(fleet, id, item);
-	if (gc_str_eq(item->key, GC_STR_LIT(GC_KEPT_ERA_KEY)))
-		apply_kept_era(fleet, item);
-	if (is_notice(item) && fleet->conf.notice)
-		fleet->conf.notice(fleet->conf.ctx, item);
-	return false;
-}
-
-static gc_base_version_t *find_base_version(const gc_fleet_t *fleet,
-					    gc_str_t service)
-{
-	for (guint i = 0; i < fleet->base_versions->len; i++) {
-		gc_base_version_t *base = &g_array_index(fleet->base_versions,
-							 gc_base_version_t, i);
-
-		if (gc_str_eq(base->service, service))
-			return base;
-	}
-	return NULL;
-}
-
-/* One with a lower number is the copy's of a restored store; it is replaced, as
- * an invalid one, whose revision is needed for that. */
-static bool apply_base_version(gc_fleet_t *fleet, gc_str_t service,
-			       const gc_store_item_t *item)
-{
-	json_t *json = json_loadb(item->value.data, item->value.len, 0, NULL);
-	const json_t *version = json_object_get(json, "version");
-	json_int_t number = json_integer_value(json_object_get(json, "number"));
-	gc_base_version_t *base = find_base_version(fleet, service);
-	gc_base_version_t added = {.version = GC_STR_EMPTY};
-
-	if (!item->deleted && (!json_is_string(version) || number <= 0)) {
-		gc_log(GC_LOG_WARNING, GC_EVENT_BASE_VERSION_INVALID,
-		       "ignoring an invalid base version", NULL);
-		number = 0;
-	}
-	if (!base && !item->deleted) {
-		added.service = gc_str_dup(fleet, service);
-		g_array_append_val(fleet->base_versions, added);
-		base = find_base_version(fleet, service);
-	}
-	if (base) {
-		base->stored_number = (uint64_t)number;
-		base->stored_revision = item->deleted ? 0 : item->revision;
-	}
-	if (base && (uint64_t)number > base->number) {
-		base->number = (uint64_t)number;
-		base->version = gc_str_dup(
-			fleet, (gc_str_t){json_string_value(version),
-					  json_string_length(version)});
-		gc_log(GC_LOG_INFO, GC_EVENT_BASE_VERSION, "base version set",
-		       "service", base->service.data, "version",
-		       base->version.data, NULL);
-	}
-	json_decref(json);
-	return base != NULL;
-}
-
-static bool is_notice(const gc_store_item_t *item)
-{
-	gc_str_t rest;
-
-	return !item->deleted &&
-	       (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX,
-			     &rest) ||
-		strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX,
-			     &rest) ||
-		strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &rest));
-}
-
-static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
-{
-	size_t len = strlen(prefix);
-
-	if (key.len <= len || memcmp(key.data, prefix, len) != 0)
-		return false;
-	*rest = (gc_str_t){key.data + len, key.len - len};
-	return true;
-}
-
-static void apply_config(gc_fleet_t *fleet, const gc_store_item_t *item)
-{
-	if (!take_config(fleet, item->value, item->revision))
-		return;
-	fleet->config_revision = item->revision;
-	/* Not in the copy, but written since. */
-	if (fleet->list_complete)
-		end_doubt(fleet, "the operator has written it");
-}
-
-/* An older configuration than the one that is known is left out. revision: of the store;
- * 0: the record is another daemon's. False if the record isn't valid. */
-static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision)
-{
-	g_autoptr(GError) err = NULL;
-	g_autofree char *version = NULL;
-	g_autofree char *revision_text =
-		g_strdup_printf("%" G_GUINT64_FORMAT, revision);
-	gc_routes_t *routes = fleet->conf.adapter->read_routes(record, &err);
-
-	if (!routes) {
-		gc_log_error(GC_LOG_ERROR, GC_EVENT_ROUTES_UNREADABLE,
-			     "ignoring invalid operator configuration", err);
-		return false;
-	}
-	if (fleet->routes &&
-	    gc_routes_version(routes) < gc_routes_version(fleet->routes)) {
-		gc_routes_unref(routes);
-		return true;
-	}
-	gc_routes_unref(fleet->routes);
-	fleet->routes = routes;
-	talloc_free(fleet->config_text);
-	fleet->config_text = talloc_strndup(fleet, record.data, record.len);
-	fleet->config_len = record.len;
-	version = g_strdup_printf("%" G_GUINT64_FORMAT,
-				  gc_routes_version(routes));
-	gc_log(GC_LOG_INFO, GC_EVENT_ROUTES_TAKEN,
-	       "operator configuration loaded", "version", version, "revision",
-	       revision_text, NULL);
-	return true;
-}
-
-/* Of the copy, if the store was restored lately. */
-static void apply_kept_era(gc_fleet_t *fleet, const gc_store_item_t *item)
-{
-	g_autofree char *text = g_strndup(item->value.data, item->value.len);
-
-	fleet->kept_era = item->deleted ? 0 : g_ascii_strtoull(text, NULL, 10);
-}
-
-static void apply_server(gc_fleet_t *fleet, gc_str_t id,
-			 const gc_store_item_t *item)
-{
-	g_autoptr(GError) err = NULL;
-	g_autofree char *name = g_strndup(id.data, id.len);
-	TALLOC_CTX *mem = talloc_new(NULL);
-	gc_registry_entry_t entry;
-
-	if (item->deleted) {
-		gc_registry_remove(fleet->servers,
-				   gc_clock_now(fleet->conf.clock), id);
-		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_GONE,
-		       "backend server removed", "server", name, NULL);
-	} else if (fleet->conf.adapter->read_server(mem, id, item->value,
-						    &entry, &err)) {
-		if (fleet->list_complete)
-			gc_registry_put(fleet->servers, &entry);
-		else
-			entry.draining =
-				gc_registry_put_listed(fleet->servers, &entry);
-		gc_log(GC_LOG_INFO, GC_EVENT_SERVER_SEEN,
-		       entry.draining ? "backend server draining"
-				      : "backend server ready",
-		       "server", name, "address", entry.address.data, "service",
-		       entry.service.data, "version", entry.version.data, NULL);
-	} else {
-		gc_registry_remove_now(fleet->servers, id);
-		gc_log(GC_LOG_WARNING, GC_EVENT_SERVER_UNREADABLE,
-		       "backend server entry is invalid; not using the server",
-		       "server", name, "error", err->message, NULL);
-	}
-	talloc_free(mem);
-}
-
-static void apply_daemon(gc_fleet_t *fleet, gc_str_t id,
-			 const gc_store_item_t *item)
-{
-	json_t *json;
-	const char *address;
-	const char *peer_address = "";
-	const char *forward_address = "";
-	const char *failure_domain;
-
-	if (gc_str_eq(id, fleet->conf.self.id))
-		fleet->own_entry_listed = true;
-	if (item->deleted) {
-		gc_registry_remove(fleet->daemons,
-				   gc_clock_now(fleet->conf.clock), id);
-		return;
-	}
-	json = json_loadb(item->value.data, item->value.len, 0, NULL);
-	if (json_unpack(json, "{s:s,s?s,s?s,s:s}", "address", &address, "peer",
-			&peer_address, "forward", &forward_address,
-			"failure_domain", &failure_domain) == 0 &&
-	    gc_address_is_host_port(gc_str(address)) &&
-	    (!*peer_address || gc_address_is_host_port(gc_str(peer_address))) &&
-	    (!*forward_address ||
-	     gc_address_is_host_port(gc_str(forward_address)))) {
-		gc_registry_entry_t entry = {
-			.id = id,
-			.address = gc_str(address),
-			.peer_address = gc_str(peer_address),
-			.forward_address = gc_str(forward_address),
-			.capabilities = gc_capabilities_decode(json),
-			.failure_domain = gc_str(failure_domain),
-		};
-
-		gc_registry_put(fleet->daemons, &entry);
-	} else {
-		g_autofree char *name = g_strndup(id.data, id.len);
-
-		gc_registry_remove_now(fleet->daemons, id);
-		gc_log(GC_LOG_WARNING, GC_EVENT_DAEMON_UNREADABLE,
-		       "daemon entry is invalid; not using the daemon",
-		       "daemon", name, NULL);
-	}
-	json_decref(json);
-}
-
 static void on_expiry(void *ctx)
 {
 	gc_fleet_t *fleet = ctx;
@@ -908,7 +548,7 @@
 	removed = gc_registry_expire(fleet->servers, now, &next_ms);
 	removed |= gc_registry_expire(fleet->daemons, now, &next_daemon_ms);
 	if (removed)
-		publish(fleet);
+		gc_fleet_publish(fleet);
 	if (next_ms < 0 || (next_daemon_ms >= 0 && next_daemon_ms < next_ms))
 		next_ms = next_daemon_ms;
 	if (next_ms >= 0)
