Refuse requests whose ends http-parser sees and others don't

Whoever stands before the daemon may read on where a request ends here. The ends of lines, chunks and trailers are checked beside the parser now (lib/http_framing), and a coding other than chunked alone is refused with 400.

--- a/lib/http_message.c
+++ b/lib/http_message.c
@@ -3,6 +3,7 @@
 
 #include <http_parser.h>
 
+#include "lib/http_framing.h"
 #include "lib/http_message.h"
 
 /* Default head limit; backend servers send heads of less than a tenth. */
@@ -17,14 +18,6 @@
 	guint value_len;
 } header_span_t;
 
-/* The last byte of the head that was looked at for folded headers. */
-typedef enum line_state {
-	LINE_NONE, /* before the request line */
-	LINE_INSIDE,
-	LINE_BEGINS, /* after the end of a line that isn't empty */
-	LINE_HEAD_ENDED,
-} line_state_t;
-
 struct gc_http_message {
 	http_parser parser;
 	gc_http_message_kind_t kind;
@@ -36,7 +29,7 @@
 	guint target_len;
 	GByteArray *body;
 	size_t head_bytes_fed; /* while the head was incomplete */
-	line_state_t line; /* of a request's head, as received */
+	gc_http_framing_t framing; /* of a request */
 	size_t body_bytes_received; /* including discarded bytes */
 	bool expect_no_body;
 	bool in_value; /* the last header's value has begun */
@@ -46,7 +39,8 @@
 
 static int message_destructor(gc_http_message_t *message);
 static void init_parser(gc_http_message_t *message);
-static bool has_folded_header(gc_http_message_t *message, gc_str_t data);
+static size_t feed_parser(gc_http_message_t *message, gc_str_t data);
+static bool has_fault(gc_http_message_t *message);
 static void check_result(gc_http_message_t *message, size_t consumed,
 			 size_t fed);
 static int on_begin(http_parser *parser);
@@ -54,6 +48,7 @@
 static int on_header_name(http_parser *parser, const char *at, size_t len);
 static int on_header_value(http_parser *parser, const char *at, size_t len);
 static int on_head_complete(http_parser *parser);
+static bool has_known_coding(const gc_http_message_t *message);
 static bool header_names_valid(const gc_http_message_t *message);
 static int on_body(http_parser *parser, const char *at, size_t len);
 static int on_message_complete(http_parser *parser);
@@ -136,7 +131,7 @@
 	message->body = g_byte_array_new();
 	message->target_len = 0;
 	message->head_bytes_fed = 0;
-	message->line = LINE_NONE;
+	message->framing = (gc_http_framing_t){0};
 	message->body_bytes_received = 0;
 	message->expect_no_body = false;
 	message->in_value = false;
@@ -146,44 +141,49 @@
 
 size_t gc_http_message_feed(gc_http_message_t *message, gc_str_t data)
 {
-	size_t consumed;
+	gc_http_framing_t *framing = &message->framing;
+	size_t used = 0;
 
 	if (message->state >= GC_HTTP_MESSAGE_COMPLETE || data.len == 0)
 		return 0;
-	if (message->kind == GC_HTTP_MESSAGE_REQUEST &&
-	    has_folded_header(message, data)) {
-		message->state = GC_HTTP_MESSAGE_INVALID;
-		message->error = "a header is folded over two lines";
-		return 0;
+	if (message->kind == GC_HTTP_MESSAGE_RESPONSE)
+		return feed_parser(message, data);
+	if (!gc_http_framing_has_head(framing)) {
+		size_t n = gc_http_framing_head(framing, data);
+
+		if (has_fault(message))
+			return 0;
+		used = feed_parser(message, (gc_str_t){data.data, n});
+		if (n == data.len || message->state != GC_HTTP_MESSAGE_BODY)
+			return used;
+	}
+	data = (gc_str_t){data.data + used, data.len - used};
+	if (message->parser.flags & F_CHUNKED) {
+		gc_http_framing_chunks(framing, data);
+		if (has_fault(message))
+			return used;
 	}
-	consumed = http_parser_execute(&message->parser, &parser_callbacks,
-				       data.data, data.len);
+	return used + feed_parser(message, data);
+}
+
+static size_t feed_parser(gc_http_message_t *message, gc_str_t data)
+{
+	size_t consumed = http_parser_execute(
+		&message->parser, &parser_callbacks, data.data, data.len);
+
 	if (message->state < GC_HTTP_MESSAGE_BODY)
 		message->head_bytes_fed += consumed;
 	check_result(message, consumed, data.len);
 	return consumed;
 }
 
-/*
- * http-parser joins the lines of a folded header with what it finds between them. A
- * server that unfolds it otherwise would see other headers (RFC 9112, 5.2).
- */
-static bool has_folded_header(gc_http_message_t *message, gc_str_t data)
+static bool has_fault(gc_http_message_t *message)
 {
-	for (size_t i = 0; i < data.len && message->line != LINE_HEAD_ENDED;
-	     i++) {
-		char c = data.data[i];
-
-		if (message->line == LINE_BEGINS && (c == ' ' || c == '\t'))
-			return true;
-		if (c == '\n' && message->line == LINE_BEGINS)
-			message->line = LINE_HEAD_ENDED;
-		else if (c == '\n' && message->line == LINE_INSIDE)
-			message->line = LINE_BEGINS;
-		else if (c != '\n' && c != '\r')
-			message->line = LINE_INSIDE;
-	}
-	return false;
+	if (!message->framing.fault)
+		return false;
+	message->state = GC_HTTP_MESSAGE_INVALID;
+	message->error = message->framing.fault;
+	return true;
 }
 
 static void check_result(gc_http_message_t *message, size_t consumed,
@@ -295,6 +295,14 @@
 		http_parser_pause(parser, 1);
 		return 0;
 	}
+	/* http-parser looks at the last coding only. */
+	if (message->kind == GC_HTTP_MESSAGE_REQUEST &&
+	    !has_known_coding(message)) {
+		message->state = GC_HTTP_MESSAGE_INVALID;
+		message->error = "the transfer coding is not chunked";
+		http_parser_pause(parser, 1);
+		return 0;
+	}
 	/* What follows a CONNECT isn't a body to http-parser, whatever its length
 	 * says, and would be read as the next request. */
 	if (message->kind == GC_HTTP_MESSAGE_REQUEST &&
@@ -330,6 +338,19 @@
 	return skip_body ? 1 : 0;
 }
 
+/* True without a transfer coding, or with "chunked" alone. */
+static bool has_known_coding(const gc_http_message_t *message)
+{
+	static const char name[] = "transfer-encoding";
+	gc_str_t value = gc_http_message_find_header(message, name);
+
+	while (value.len > 0 && g_ascii_isspace(value.data[value.len - 1]))
+		value.len--;
+	return !value.data ||
+	       (gc_http_message_count_header(message, name) == 1 &&
+		gc_header_name_is(value, "chunked"));
+}
+
 /* Header names are tokens (RFC 9110, 5.6.2). */
 static bool header_names_valid(const gc_http_message_t *message)
 {
--- a/regress/check_http_message.c
+++ b/regress/check_http_message.c
@@ -96,6 +96,21 @@
 		"G@T / HTTP/1.1\r\n\r\n",
 		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
 		"\r\n-1\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\n"
+		"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		/* A CR without an LF, which http-parser took for the end of the
+		 * head, of a chunk's size and of a chunk. */
+		"POST / HTTP/1.1\r\nHost: h\r\n\rX: a\r\n\r\n",
+		"POST / HTTP/1.1\rHost: h\r\n\r\n",
+		"\rPOST / HTTP/1.1\r\nHost: h\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n1\rXa\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n1\r\naXY0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+		"\r\n0\r\nT: a\r\n b\r\n\r\n",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
