Wait until the daemon knows of a leaving server in a test

routed_leaving.t sent one stream so that the daemon reads, in a load report, that the server with the copy leaves. Streams are sent now until the copy is ordered elsewhere, while the stream in question runs. The check that the leaving server gets no request begins after that.

--- a/regress/routed_leaving.t
+++ b/regress/routed_leaving.t
@@ -65,7 +65,8 @@
 
   $ (send_request /draft/steady >steady.out) & steady_pid=$!; sleep 0.7
   $ RUN=$(attempt server); COPY=$(attempt copy); THIRD=$(printf '%s\n' llm1 llm2 llm3 | grep -v "$RUN\|$COPY")
-  $ headers $COPY '{"Server-Leaving": "1"}'; BEFORE=$(field $COPY requests); status /draft/ok
+  $ headers $COPY '{"Server-Leaving": "1"}'; moved() { status /draft/ok >moved.out; field $RUN orders | grep -q ":$(cat $THIRD.ports)"; }; await moved
+  $ BEFORE=$(field $COPY requests); status /draft/ok
   200
   $ wait $steady_pid; ids <steady.out
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
