Give a newer configuration also if it wasn't confirmed lately

A daemon that hasn't heard of the store for contact_ms answered 404 to one that starts. After a longer outage that ends with a restore, the copy's configuration could be used until it has listed the store again. A newer version is a proof however old it is; only 'none is newer' needs a fresh one.

--- a/lib/config_peer.h
+++ b/lib/config_peer.h
@@ -19,8 +19,8 @@
 #include "lib/timer.h"
 
 /*
- * GET PATH?newer_than=VERSION: 200 with the record as the operator wrote it; 204 if the
- * configuration in force isn't newer; 404 if none is in force.
+ * GET PATH?newer_than=VERSION: 200 with the operator's record if a newer one is known;
+ * 204 if the one in force isn't newer; 404 if none is in force.
  */
 #define GC_CONFIG_PEER_PATH "/peer/config"
 
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -328,7 +328,8 @@
 			       text ? gc_str(text) : GC_STR_EMPTY);
 }
 
-/* One that hasn't been confirmed for long may not be in force any more. */
+/* A newer configuration shows that the other one is a copy's, however long ago it was
+ * confirmed; only one that is in force shows that none is newer. */
 static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target)
 {
@@ -339,18 +340,18 @@
 
 	if (!parse_query_number(target, "newer_than=", &known))
 		gc_caller_conn_respond(conn, 400, GC_STR_EMPTY, GC_STR_EMPTY);
-	else if (record.len == 0 ||
-		 !gc_is_confirmed_within(listener->conf.confirmed,
-					 gc_clock_now(listener->conf.clock),
-					 listener->conf.max_confirmed_age_ms))
-		gc_caller_conn_respond(conn, 404, GC_STR_EMPTY, GC_STR_EMPTY);
-	else if (version <= known)
-		gc_caller_conn_respond(conn, 204, GC_STR_EMPTY, GC_STR_EMPTY);
-	else
+	else if (record.len > 0 && version > known)
 		gc_caller_conn_respond(
 			conn, 200,
 			GC_STR_LIT("Content-Type: application/json\r\n"),
 			record);
+	else if (record.len > 0 &&
+		 gc_is_confirmed_within(listener->conf.confirmed,
+					gc_clock_now(listener->conf.clock),
+					listener->conf.max_confirmed_age_ms))
+		gc_caller_conn_respond(conn, 204, GC_STR_EMPTY, GC_STR_EMPTY);
+	else
+		gc_caller_conn_respond(conn, 404, GC_STR_EMPTY, GC_STR_EMPTY);
 }
 
 static void send_metrics(gc_caller_conn_t *conn)
--- a/regress/routed_restore_config.t
+++ b/regress/routed_restore_config.t
@@ -34,10 +34,10 @@
   200
 
 So does one that starts from a copy that is older than the era that the store keeps, so
-that it can't know of the restore.
+that it can't know of the restore. The others haven't heard of the store for long.
 
   $ operator '{"key":"goldcrest/era","remove":true}'; store_fault '{"checkpoint": true}'
-  $ store_fault '{"restore": true}'; start_routed d9; withdrawn; sound; kill_9 $d9_pid
+  $ store_fault '{"mode": "busy"}'; sleep 4; store_fault '{"mode": "ok", "restore": true}'; start_routed d9; withdrawn; sound; kill_9 $d9_pid
   401
   200
   $ grep -c 'may be older than the one in force' d9.log
