Prefer a newer configuration to the word that none is newer

Of three daemons that are asked at once, one that has itself started after the restore may know no newer configuration than the copy's. Found by reading; routed_restore_config.t passes.

--- a/lib/config_peer.c
+++ b/lib/config_peer.c
@@ -22,6 +22,7 @@
 	size_t next; /* of its daemons, to be asked */
 	size_t n_left; /* to be asked for the first time */
 	bool repeat;
+	bool known; /* none newer, to one that was asked; others may know more */
 	uint64_t version;
 	ask_t asks[N_ASKED];
 	gc_timer_t *timer; /* the next daemons */
@@ -65,6 +66,7 @@
 	peer->view = gc_fleet_view_ref(view);
 	peer->version = version;
 	peer->repeat = repeat;
+	peer->known = false;
 	peer->found = found;
 	peer->ctx = ctx;
 	peer->n_left = view->n_daemons;
@@ -140,12 +142,17 @@
 	bool pending = false;
 
 	ask->call = NULL;
-	if (!err && (status == 200 || status == 204)) {
+	if (!err && status == 200) {
 		peer->found(peer->ctx, true, body);
 		return;
 	}
+	peer->known |= !err && status == 204;
 	for (size_t i = 0; i < N_ASKED; i++)
 		pending |= peer->asks[i].call != NULL;
-	if (!pending)
+	if (pending)
+		return;
+	if (peer->known)
+		peer->found(peer->ctx, true, GC_STR_EMPTY);
+	else
 		gc_timer_set(peer->timer, peer->n_left > 0 ? 0 : PAUSE_MS);
 }
