Name the longest pause in a test of the upstream

check_upstream failed since Retry-After counts up to a setting: the test's upstream had none, and so a bound of 0. Its cases expect 30 s, as before.

--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -72,6 +72,7 @@
 				   .leaving_header = "Server-Leaving",
 				   .limit_header = "Server-Limit",
 				   .brittle_header = "Server-Brittle",
+				   .pause_max_ms = 30000,
 				   .connect_timeout_ms = CONNECT_TIMEOUT_MS};
 	gc_backends_conf_t backends_conf = {.failure_domain = GC_STR_LIT("a"),
 					    .random = &random};
