--- a/regress/check_scale.c
+++ b/regress/check_scale.c
@@ -6,6 +6,8 @@
  * The bound follows from docs/CAPACITY.md: 6,000 servers, 2,300 daemons, 4.4 %
  * of a core for control work. A daemon applies changes at most four times a
  * second, which leaves 11 ms for each of them.
+ *
+ * Runs alone: it measures these times.
  */
 #include <stdio.h>
 #include <time.h>
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
 # Runs the test programs and the scripted tests and prints "N passed, N failed" as the
 # last line. Arguments: the names of the programs and of the scripts. JOBS tests run at
-# a time, as many as there are processors less two by default; scripts with a line
-# "Runs alone: REASON" run one after another at the end. Failures that KNOWN-RED.txt
+# a time, as many as there are processors less two by default; those with a line
+# "Runs alone: REASON" (a program: in its source) run one after another at the end. Failures that KNOWN-RED.txt
 # excuses by test, step and text (known_red.py) are printed but not counted. What a
 # failed test left is kept in failed/; the ends of its logs are printed. The ten tests
 # that took longest are named. REPEAT runs all tests so many times and prints how often
@@ -109,15 +109,22 @@
 	echo "$name failed" >>"$dir/failures"
 }
 
-alone=$([ -z "$2" ] || grep -l '^Runs alone: ' $2)
+# True if the test is marked in its script, or in the program's source.
+runs_alone() {
+	source=${1#bin/}
+	grep -qs 'Runs alone: ' "$source" "$source.c" "$source.cc"
+}
+
+alone=
 beside=
-for script in $2; do
-	case " $(echo $alone) " in
-	*" $script "*) ;;
-	*) beside="$beside $script" ;;
-	esac
+for test in $2 $1; do
+	if runs_alone "$test"; then
+		alone="$alone $test"
+	else
+		beside="$beside $test"
+	fi
 done
-rounds $beside $1 | run_tests "$jobs"
+rounds $beside | run_tests "$jobs"
 rounds $alone | run_tests 1
 for round in $(seq "$repeat"); do
 	for test in $1 $2; do
