Wait for the base version before another one joins in tests

routed_versions.t failed with daemons built for the thread sanitizer: the base version was first chosen after three servers of the new version had joined two of the old one, so it was the new one (48 v2 instead of 48 v1). Nothing is joined by that, as streams are on record while there is no base version, but the script means the old one.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -31,6 +31,12 @@
 stats() { curl -s "http://127.0.0.1:$(cat "$1.ports")/stats"; }
 field() { stats "$1" | python3 -c "import json,sys; print(json.load(sys.stdin)['$2'])"; }
 
+# has_base SERVICE VERSION: true if the store has that base version of the service.
+has_base() {
+	curl -s "http://$STORE/v1/kv-key?key=goldcrest%2Fversion%2F$1" |
+		python3 -c 'import base64, json, sys; sys.exit(json.loads(base64.b64decode(json.load(sys.stdin)["value"]))["version"] != sys.argv[1])' "$2" 2>/dev/null
+}
+
 # partition HOW SERVERS DAEMONS: partitions servers from daemons, see
 # standins/routed/cut.py; DAEMONS are the last numbers of their 127.0.0.x. reconnect
 # SERVERS ends it.
--- a/regress/routed_hop_versions.t
+++ b/regress/routed_hop_versions.t
@@ -6,7 +6,7 @@
   $ put_config
   $ start_server app1 app a; start_server old1 llm a engine v1; start_server old2 llm b engine v1
   $ for n in 1 2 3; do start_forwarding $n; done
-  $ await knows_daemons 3
+  $ await knows_daemons 3; await has_base llm v1
   $ start_server new1 llm a engine v2; start_server new2 llm b engine v2; sleep 0.5
   $ draft() { curl -sN --max-time ${MAX_S-10} "http://$1/draft/$2" -H "Host: h.example" -H "Goldcrestfield-Request-Id: $3" -H "Authorization: Token key-1" -H "Goldcrestfield-Deadline-Ms: 9000" ${4:+-H "Last-Event-Id: $4"} ${5:+-H "Resumes: $5"} -w '%{http_code}\n' >$3.out; }
   $ versions() { cat $* | grep -o 'token.*' | cut -d' ' -f3 | sort | uniq -c | xargs; }
--- a/regress/routed_restore_versions.t
+++ b/regress/routed_restore_versions.t
@@ -13,7 +13,7 @@
   $ begin() { p=; for i in $(seq 16); do MAX_S=${3-0.8} draft $1 ${4-slow} $2$i & p="$p $!"; done; wait $p || true; }
   $ resume() { for i in $(seq 16); do draft $1 ok $2$i $(grep -c '^id:' $3$i.out) $3$i; done; tail -q -n 1 $2*.out | sort | uniq -c | awk '{ print $1, $2 }'; }
   $ keeps_era() { curl -s "http://$STORE/v1/kv-key?key=goldcrest%2Fera" | grep -q "\"value\": *\"$(printf $1 | base64)\""; }
-  $ await keeps_era 1
+  $ await keeps_era 1; await has_base llm v1
 
 Streams begin while there is one version, and others after another one has joined.
 
--- a/regress/routed_versions.t
+++ b/regress/routed_versions.t
@@ -12,6 +12,7 @@
 
   $ draft $D1 once-die one; versions one.out
   8 v1
+  $ await has_base llm v1
 
 Two versions: what breaks off within an answer goes on at its version.
 
