--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all (default), check, check-repeat, check-sanitize, demo, bench, lint, format, deploy, clean.
+# Targets: all (default), check, check-repeat, check-sanitize, check-threads, demo, bench, lint, format, deploy, clean.
 TOP = .
 
 DEBS = libtalloc-dev libtevent-dev libzmq3-dev libmicrohttpd-dev \
@@ -53,6 +53,10 @@
 check-sanitize: setup
 	@mk/sanitize.sh
 
+# Scripted tests with the thread sanitizer, in a copy of the tree.
+check-threads: setup
+	@mk/threads.sh
+
 demo: all
 	@bench/demo.sh
 
@@ -80,4 +84,4 @@
 
 -include $(LIB_OBJS:.o=.d)
 
-.PHONY: deploy all setup setup-lint build check check-repeat check-sanitize demo bench format format-check lint clean
+.PHONY: deploy all setup setup-lint build check check-repeat check-sanitize check-threads demo bench format format-check lint clean
