--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -299,7 +299,10 @@
 	fleet->list_complete = true;
 	gc_registry_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
 	gc_registry_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
-	starts = !fleet->started && fleet->routes && fleet->conf.config_peer;
+	/* With the kept era the store has all since a minute after its last
+	 * restore (core/restore_mark.h). */
+	starts = !fleet->started && fleet->routes && fleet->conf.config_peer &&
+		 fleet->kept_era != fleet->known_era;
 	fleet->started = true;
 	fleet->config_in_doubt |= starts;
 	gc_fleet_publish(fleet);
