Leave out jansson's counts of references in check-threads

21 reports in six scripts of the own protocol, all on json_incref: the inline function reads the count before its atomic addition, to spare constants, whose count is -1. Its two sides are a view that is made and one that is freed. No other report in these scripts and in routed_versions.t and routed_restore_config.t.

--- a/mk/threads.sh
+++ b/mk/threads.sh
@@ -24,8 +24,9 @@
 done
 make --no-print-directory -j"$(nproc)" build OPT="-O1 -g" SANITIZE=thread \
 	LDFLAGS="$flags"
-# libzmq isn't built for the sanitizer either, and orders its own threads.
-echo "called_from_lib:libzmq.so" >suppressions
+# libzmq isn't built for the sanitizer either, and orders its own threads. jansson looks
+# at a count of references before it changes it atomically; only that it isn't -1 counts.
+printf '%s\n' called_from_lib:libzmq.so race:json_incref >suppressions
 export TSAN_OPTIONS="log_path=$dir/report exitcode=0 suppressions=$dir/suppressions"
 status=0
 make --no-print-directory -C regress check UNITS= PROPS= OPT="-O1 -g" \
