--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -1,5 +1,6 @@
 /* Readiness, addresses of daemons, metrics, watches of other daemons. */
 #include "lib/control_listener.h"
+#include "core/number.h"
 #include "lib/caller_listener.h"
 #include "lib/config_peer.h"
 #include "lib/crash_witness.h"
@@ -405,14 +406,18 @@
 {
 	g_autofree char *text = g_strndup(target.data, target.len);
 	const char *found = strstr(text, name);
-	char *end;
+	int64_t whole;
 
 	while (found && found > text && found[-1] != '?' && found[-1] != '&')
 		found = strstr(found + 1, name);
 	if (!found)
 		return false;
-	*number = g_ascii_strtoull(found + strlen(name), &end, 10);
-	return end != found + strlen(name);
+	found += strlen(name);
+	if (!gc_parse_whole((gc_str_t){found, strcspn(found, "&")}, INT64_MAX,
+			    &whole))
+		return false;
+	*number = (uint64_t)whole;
+	return true;
 }
 
 static int watch_destructor(watch_t *watch)
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -40,7 +40,6 @@
 #define RETURN_MAX_S 3600
 /* Retry-After of a refusal by a daemon that others may be asked instead of. */
 #define REFUSAL_RETRY_AFTER_MS 250
-#define MAX_NUMBER_BYTES       20
 /* Interval at which a stream that has begun is offered again. */
 #define ASK_AGAIN_MS 100
 /* Daemons that are asked although they have refused or failed lately. */
@@ -297,14 +296,11 @@
 static uint64_t read_number(const gc_http_message_t *message, const char *name,
 			    uint64_t fallback)
 {
-	gc_str_t value = gc_http_message_find_header(message, name);
-	g_autofree char *text = g_strndup(value.data ? value.data : "",
-					  MIN(value.len, MAX_NUMBER_BYTES));
-	guint64 number;
-
-	return g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &number,
-					  NULL)
-		       ? number
+	int64_t number;
+
+	return gc_parse_whole(gc_http_message_find_header(message, name),
+			      INT64_MAX, &number)
+		       ? (uint64_t)number
 		       : fallback;
 }
 
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -390,6 +390,29 @@
 }
 END_TEST
 
+START_TEST(test_token_counts)
+{
+	static const char *const invalid[] = {"",      ",",    "1",    "1,",
+					      ",1",    "-1,2", "+1,2", "1.0,2",
+					      "1,2,3", "1, 2", "a,b"};
+	const gc_adapter_t *adapter = &gc_platform_adapter;
+	int64_t prompt, output;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++)
+		ck_assert(!adapter->read_token_counts(gc_str(invalid[i]),
+						      &prompt, &output));
+	ck_assert(adapter->read_token_counts(gc_str("0001460,80"), &prompt,
+					     &output));
+	ck_assert_int_eq(prompt, 1460);
+	ck_assert_int_eq(output, 80);
+	ck_assert(adapter->read_token_counts(
+		gc_str("9223372036854775808,99999999999999999999"), &prompt,
+		&output));
+	ck_assert_int_eq(prompt, INT32_MAX);
+	ck_assert_int_eq(output, INT32_MAX);
+}
+END_TEST
+
 START_TEST(test_address_query_and_response)
 {
 	const gc_adapter_t *adapter = &gc_platform_adapter;
@@ -465,6 +488,7 @@
 		test_ids_of_server_entries,
 		test_large_server_entries,
 		test_load_report,
+		test_token_counts,
 		test_address_query_and_response,
 		test_copy_requests,
 		test_shared_parts,
--- a/regress/routed_numbers.t
+++ b/regress/routed_numbers.t
@@ -32,6 +32,16 @@
   $ send_request /draft/ok -H 'Last-Event-Id: 0005' | grep -o 'id: [0-9]*\|^[0-9]*$' | xargs
   id: 6 id: 7 id: 8 200
 
+What one daemon asks of another.
+
+  $ asked() { curl -s -o /dev/null -w '%{http_code}\n' "http://$PEER_ADDR/peer/$1"; }
+  $ for n in '' -1 +1 1.0 1e1 x 1x; do asked "changes?after=$n&era=1&wait_ms=0"; asked "changes?after=1&era=1&wait_ms=$n"; asked "config?newer_than=$n"; done | sort | uniq -c | awk '{ print $1, $2 }'
+  21 400
+  $ asked 'changes?after=0001&era=1&wait_ms=9223372036854775808'; asked 'config?newer_than=9223372036854775808'; asked 'config?newer_than=0000'
+  400
+  204
+  200
+
 Times for which a server's connections live.
 
   $ for value in timeout=9223372036854775807 timeout=-1 timeout=99999999999999999999 timeout= timeout=0 timeout=1.5; do headers app1 "{\"Keep-Alive\": \"$value\"}"; status /look/ok; status /book/ok; done | sort | uniq -c | awk '{ print $1, $2 }'
