Count the load that a new start of a server reports again

A load query before a stream ended as replaced if the report named another start than the entry, since; the server was then left for others until its entry had come, and the servers of its failure domain with it, by reading. What is sent to such a server is refused by it (421), or run anew; the load it reports is its own.

--- a/lib/load_probe.c
+++ b/lib/load_probe.c
@@ -67,7 +67,6 @@
 		.timers = probe->conf.timers,
 		.method = "GET",
 		.path = probe->conf.adapter->load_path,
-		.load_of = probe->conf.adapter,
 		.body = GC_STR_EMPTY,
 		.timeout_ms = probe->conf.timeout_ms,
 		.done = on_response,
@@ -93,8 +92,7 @@
 	load_query->query = NULL;
 	if (status == 0) {
 		gc_backend_record_failure(load_query->server, now, end);
-		if (end != GC_END_REPLACED)
-			probe->silent[probe->n_silent++] = load_query->server;
+		probe->silent[probe->n_silent++] = load_query->server;
 	} else if (status == 200 &&
 		   probe->conf.adapter->read_load(response, &load)) {
 		gc_backend_record_load(load_query->server, now, &load);
