--- a/regress/routed_crash.t
+++ b/regress/routed_crash.t
@@ -2,6 +2,8 @@
 to crash one server after another, and against sound requests that are refused
 for what they share with those.
 
+Runs alone: eight requests have to wait for their first event, 3.5 s, at one moment.
+
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
   $ put_config ',{"name":"once","host":"h.example","path_prefix":"/once/","kind":"streaming","service":"llm","max_attempts":1,"timeout_ms":9000,"target_latency_ms":2000,"target_gap_ms":700},
--- a/regress/routed_hop.t
+++ b/regress/routed_hop.t
@@ -2,6 +2,8 @@
 older configuration or with more attempts than the route allows, and against a lost
 response between two daemons that is taken for "not run".
 
+Runs alone: a refusal has to come within 0.1 s.
+
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
   $ put_config
