Measure the turns of loops and the steps of a change

No log line or metric told a control loop that decodes a configuration for long from a traffic loop that is held up, or from late timers. Each loop now has a histogram of its turns and its longest one, a line (1007) tells of turns of 100 ms and more, 1602 names the size of the record and the time that reading it took, and a gauge the time of each step of the last change.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -12,6 +12,7 @@
 #include "lib/config_peer.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
+#include "lib/loop_watch.h"
 #include "platform/platform.h"
 #include "routed_private.h"
 
@@ -125,6 +126,7 @@
 	daemon->random = (gc_random_t){next_random, daemon->rand};
 	daemon->store_answers = true;
 	daemon->ev = tevent_context_init(daemon);
+	gc_loop_watch_create(daemon, daemon->ev, &gc_clock_system, "control");
 	daemon->timers = gc_timers_create(daemon, daemon->ev);
 	daemon->mailbox = gc_mailbox_create(daemon, daemon->ev, daemon);
 	if (!daemon->timers) {
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -102,6 +102,7 @@
 
 void gc_fleet_publish(gc_fleet_t *fleet)
 {
+	struct timespec start = gc_clock_now(fleet->conf.clock);
 	gc_fleet_view_t *view = gc_fleet_view_create(
 		fleet->config_in_doubt ? NULL : fleet->routes, fleet->servers,
 		fleet->daemons,
@@ -115,6 +116,11 @@
 		gc_peers_watch_set_daemons(fleet->conf.peers, view->daemons,
 					   view->n_daemons);
 	fleet->conf.publish(fleet->conf.ctx, view);
+	if (fleet->has_new_routes)
+		gc_gauge_set(gc_config_change_us("publish"),
+			     gc_us_between(start,
+					   gc_clock_now(fleet->conf.clock)));
+	fleet->has_new_routes = false;
 }
 
 static void start_list(gc_fleet_t *fleet)
--- a/lib/fleet_config.c
+++ b/lib/fleet_config.c
@@ -2,6 +2,7 @@
 #include "lib/fleet_private.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
+#include "lib/metrics.h"
 
 /* Longest wait for what other daemons know of the configuration, at a start. */
 #define START_WAIT_MS 400
@@ -28,7 +29,11 @@
 	g_autofree char *version = NULL;
 	g_autofree char *revision_text =
 		g_strdup_printf("%" G_GUINT64_FORMAT, revision);
+	g_autofree char *bytes = g_strdup_printf("%zu", record.len);
+	g_autofree char *read_us = NULL;
+	struct timespec start = gc_clock_now(fleet->conf.clock);
 	gc_routes_t *routes = fleet->conf.adapter->read_routes(record, &err);
+	int64_t us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
 
 	if (!routes) {
 		gc_log_error(GC_LOG_ERROR, GC_EVENT_ROUTES_UNREADABLE,
@@ -45,11 +50,14 @@
 	talloc_free(fleet->config_text);
 	fleet->config_text = talloc_strndup(fleet, record.data, record.len);
 	fleet->config_len = record.len;
+	fleet->has_new_routes = true;
 	version = g_strdup_printf("%" G_GUINT64_FORMAT,
 				  gc_routes_version(routes));
+	read_us = g_strdup_printf("%" G_GINT64_FORMAT, us);
+	gc_gauge_set(gc_config_change_us("read"), us);
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTES_TAKEN,
 	       "operator configuration loaded", "version", version, "revision",
-	       revision_text, NULL);
+	       revision_text, "bytes", bytes, "read_us", read_us, NULL);
 	return true;
 }
 
--- a/lib/log_events.h
+++ b/lib/log_events.h
@@ -11,6 +11,7 @@
 	GC_EVENT_SETTINGS_READ = 1004,
 	GC_EVENT_SETTINGS_WRONG = 1005,
 	GC_EVENT_LINES_DROPPED = 1006,
+	GC_EVENT_LOOP_BUSY = 1007,
 
 	/* 1100-1199: requests, generations, routed traffic */
 	GC_EVENT_REQUEST_REFUSED = 1101,
--- a/lib/metrics.c
+++ b/lib/metrics.c
@@ -59,6 +59,13 @@
 	return find_or_add(METRIC_GAUGE, name, help, label_name, label_value);
 }
 
+gc_metric_t *gc_config_change_us(const char *step)
+{
+	return gc_gauge("goldcrest_config_change_us",
+			"Time of the last change of the configuration.", "step",
+			step);
+}
+
 gc_metric_t *gc_histogram_ms(const char *name, const char *help,
 			     const char *label_name, const char *label_value)
 {
--- a/lib/metrics.h
+++ b/lib/metrics.h
@@ -23,6 +23,9 @@
 gc_metric_t *gc_histogram_ms(const char *name, const char *help,
 			     const char *label_name, const char *label_value);
 
+/* The gauge goldcrest_config_change_us of a step. */
+gc_metric_t *gc_config_change_us(const char *step);
+
 /* The functions below are safe from every thread. */
 void gc_counter_add(gc_metric_t *counter, uint64_t n);
 void gc_gauge_set(gc_metric_t *gauge, int64_t value);
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -2,7 +2,9 @@
 #include "lib/routed_traffic.h"
 #include "core/error.h"
 #include "lib/caller_listener.h"
+#include "lib/loop_watch.h"
 #include "lib/mailbox.h"
+#include "lib/metrics.h"
 #include "lib/relay.h"
 
 /* Connecting to a backend server takes about a round trip. */
@@ -67,6 +69,7 @@
 	gc_caller_listener_t *listener;
 	gc_caller_listener_t *forward_listener; /* NULL: none */
 	gc_relay_t *relay;
+	uint64_t config_version; /* of the relay's view; 0: none */
 	/* When the relay's view was last confirmed. */
 	gc_confirmed_time_t confirmed;
 	GRand *generator;
@@ -156,6 +159,7 @@
 	};
 
 	traffic->ev = tevent_context_init(traffic);
+	gc_loop_watch_create(traffic, traffic->ev, conf->clock, "traffic");
 	traffic->timers = gc_timers_create(traffic, traffic->ev);
 	if (!traffic->timers) {
 		gc_error_set(err, GC_ERR_IO, "start", NULL,
@@ -222,9 +226,17 @@
 static void handle_view(void *ctx, void *message)
 {
 	gc_routed_traffic_t *traffic = ctx;
+	gc_fleet_view_t *view = message;
+	struct timespec start = gc_clock_now(traffic->clock);
+	uint64_t version = view->routes ? gc_routes_version(view->routes) : 0;
 
-	gc_relay_set_view(traffic->relay, message);
-	gc_fleet_view_unref(message);
+	gc_relay_set_view(traffic->relay, view);
+	gc_fleet_view_unref(view);
+	if (version == traffic->config_version)
+		return;
+	traffic->config_version = version;
+	gc_gauge_set(gc_config_change_us("view"),
+		     gc_us_between(start, gc_clock_now(traffic->clock)));
 }
 
 /* Queued behind the views, so the time is never applied to an older view. */
