--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -26,7 +26,7 @@
 # operator JSON: sets or removes a key of the store.
 # store_fault JSON: sets or clears a fault of the store.
 # stats SERVER: prints the server's statistics, field SERVER NAME one member.
-operator() { curl -s "http://$STORE/operator" -d "$1" >/dev/null; }
+operator() { printf '%s' "$1" | curl -s "http://$STORE/operator" -d @- >/dev/null; }
 store_fault() { curl -s "http://$STORE/faults" -d "$1" >/dev/null; }
 stats() { curl -s "http://127.0.0.1:$(cat "$1.ports")/stats"; }
 field() { stats "$1" | python3 -c "import json,sys; print(json.load(sys.stdin)['$2'])"; }
