Find routes by their prefixes instead of sorting them

Callers of a small daemon were refused, or gave up, beside changes of a large configuration. Each route that was added sorted the routes of its host anew: the square of their number. Routes are kept in a hash map by host and path prefix now, and a host knows the lengths of its prefixes, so that a request needs a look-up for each length instead of a walk over all routes of the host.

--- a/core/routes.c
+++ b/core/routes.c
@@ -1,7 +1,9 @@
 /* Routes, keys and limits of one configuration version. */
 #include <glib.h>
+#include <xxhash.h>
 
 #include "core/routes.h"
+#include "core/shared_map.h"
 #include "core/strhash.h"
 
 #define STRING_BLOCK_BYTES 4096
@@ -10,7 +12,9 @@
 	GStringChunk *strings;
 	uint64_t version;
 	gc_request_limits_t limits;
-	GHashTable *hosts; /* gc_str_t: GPtrArray of gc_route_t */
+	gc_shared_map_t *routes; /* gc_route_t, by host and path prefix */
+	gc_shared_map_t *hosts; /* host_t, by name */
+	gc_shared_map_t *targets; /* target_t, by service */
 	GHashTable *services; /* gc_str_t: gc_route_service_t */
 	GHashTable *keys; /* gc_str_t: gc_str_t of the account */
 	GHashTable *priorities; /* gc_str_t of the account: number */
@@ -18,6 +22,31 @@
 	bool keys_required;
 };
 
+/* Path prefixes of one length. */
+typedef struct prefix_len {
+	size_t len;
+	size_t n_routes;
+} prefix_len_t;
+
+/* A host of routes. Immutable. */
+typedef struct host {
+	gc_str_t name; /* its bytes follow lens */
+	size_t n_lens;
+	prefix_len_t lens[]; /* longest first */
+} host_t;
+
+/* A service that routes name as a target. Immutable. */
+typedef struct target {
+	size_t n_routes;
+	gc_str_t service;
+	char name[];
+} target_t;
+
+typedef struct route_key {
+	gc_str_t host;
+	gc_str_t path_prefix;
+} route_key_t;
+
 /* Used unless the operator's configuration sets others. */
 static const gc_request_limits_t default_limits = {
 	.max_header_bytes = 16384,
@@ -26,13 +55,36 @@
 	.idle_timeout_ms = 15000,
 };
 
+static void *ref_box(void *value);
+static void unref_box(void *value);
 static void routes_clear(gpointer data);
 static gc_str_t copy_string(gc_routes_t *routes, gc_str_t s);
 static gc_str_t *alloc_string(gc_routes_t *routes, gc_str_t s);
-static void free_route(gpointer data);
-static gint compare_prefix_lengths(gconstpointer a, gconstpointer b);
-static bool has_prefix(gc_str_t s, gc_str_t prefix);
-static bool is_target(const gc_routes_t *routes, gc_str_t service);
+static size_t route_bytes(const gc_route_t *route);
+static gc_str_t move_string(char **at, gc_str_t s);
+static uint64_t hash_string(gc_str_t s, uint64_t seed);
+static uint64_t hash_key(const route_key_t *key);
+static bool is_route(const void *value, const void *key);
+static bool is_host(const void *value, const void *key);
+static bool is_service(const void *value, const void *key);
+static void count_prefix(gc_routes_t *routes, const gc_route_t *route,
+			 int change);
+static host_t *copy_host(const host_t *host, gc_str_t name, size_t len,
+			 int change);
+static void count_targets(gc_routes_t *routes, const gc_route_t *route,
+			  int change);
+
+static const gc_shared_map_ops_t box_ops = {ref_box, unref_box};
+
+static void *ref_box(void *value)
+{
+	return g_atomic_rc_box_acquire(value);
+}
+
+static void unref_box(void *value)
+{
+	g_atomic_rc_box_release(value);
+}
 
 gc_routes_t *gc_routes_create(uint64_t version)
 {
@@ -41,9 +93,9 @@
 	routes->strings = g_string_chunk_new(STRING_BLOCK_BYTES);
 	routes->version = version;
 	routes->limits = default_limits;
-	routes->hosts =
-		g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	routes->routes = gc_shared_map_create(&box_ops);
+	routes->hosts = gc_shared_map_create(&box_ops);
+	routes->targets = gc_shared_map_create(&box_ops);
 	routes->services = g_hash_table_new_full(gc_str_hash, gc_str_equal,
 						 g_free, g_free);
 	routes->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
@@ -68,7 +120,9 @@
 {
 	gc_routes_t *routes = data;
 
-	g_hash_table_unref(routes->hosts);
+	gc_shared_map_destroy(routes->routes);
+	gc_shared_map_destroy(routes->hosts);
+	gc_shared_map_destroy(routes->targets);
 	g_hash_table_unref(routes->services);
 	g_hash_table_unref(routes->keys);
 	g_hash_table_unref(routes->priorities);
@@ -91,49 +145,172 @@
 	return string;
 }
 
-void gc_routes_add(gc_routes_t *routes, const gc_route_t *route)
+gc_route_t *gc_route_create(const gc_route_t *route)
 {
-	gc_route_t *copy = g_new(gc_route_t, 1);
-	GPtrArray *host_routes =
-		g_hash_table_lookup(routes->hosts, &route->host);
+	gc_route_t *copy = g_atomic_rc_box_alloc(route_bytes(route));
+	char *strings;
 
 	*copy = *route;
-	copy->name = copy_string(routes, route->name);
-	copy->host = copy_string(routes, route->host);
-	copy->path_prefix = copy_string(routes, route->path_prefix);
-	copy->targets = g_new(gc_route_target_t, route->n_targets);
+	copy->targets = (gc_route_target_t *)(void *)(copy + 1);
+	strings = (char *)(copy->targets + route->n_targets);
+	copy->name = move_string(&strings, route->name);
+	copy->host = move_string(&strings, route->host);
+	copy->path_prefix = move_string(&strings, route->path_prefix);
 	for (size_t i = 0; i < route->n_targets; i++) {
 		copy->targets[i].service =
-			copy_string(routes, route->targets[i].service);
+			move_string(&strings, route->targets[i].service);
 		copy->targets[i].weight = route->targets[i].weight;
 	}
-	if (!host_routes) {
-		host_routes = g_ptr_array_new_with_free_func(free_route);
-		g_hash_table_insert(routes->hosts,
-				    alloc_string(routes, route->host),
-				    host_routes);
-	}
-	g_ptr_array_add(host_routes, copy);
-	g_ptr_array_sort(host_routes, compare_prefix_lengths);
-	routes->n_routes++;
+	return copy;
+}
+
+gc_route_t *gc_route_ref(gc_route_t *route)
+{
+	return ref_box(route);
+}
+
+void gc_route_unref(gc_route_t *route)
+{
+	unref_box(route);
 }
 
-static void free_route(gpointer data)
+/* Of a copy in one block: the route, its targets and the strings, each with a NUL. */
+static size_t route_bytes(const gc_route_t *route)
 {
-	gc_route_t *route = data;
+	size_t bytes =
+		sizeof(*route) + route->n_targets * sizeof(route->targets[0]) +
+		route->name.len + route->host.len + route->path_prefix.len + 3;
 
-	g_free(route->targets);
-	g_free(route);
+	for (size_t i = 0; i < route->n_targets; i++)
+		bytes += route->targets[i].service.len + 1;
+	return bytes;
 }
 
-static gint compare_prefix_lengths(gconstpointer a, gconstpointer b)
+static gc_str_t move_string(char **at, gc_str_t s)
 {
-	const gc_route_t *left = *(gc_route_t *const *)a;
-	const gc_route_t *right = *(gc_route_t *const *)b;
+	gc_str_t copy = {*at, s.len};
+
+	if (s.len > 0)
+		memcpy(*at, s.data, s.len);
+	(*at)[s.len] = 0;
+	*at += s.len + 1;
+	return copy;
+}
 
-	if (left->path_prefix.len == right->path_prefix.len)
-		return 0;
-	return left->path_prefix.len > right->path_prefix.len ? -1 : 1;
+static uint64_t hash_string(gc_str_t s, uint64_t seed)
+{
+	return XXH64(s.data, s.len, seed);
+}
+
+static uint64_t hash_key(const route_key_t *key)
+{
+	return hash_string(key->path_prefix, hash_string(key->host, 0));
+}
+
+static bool is_route(const void *value, const void *key)
+{
+	const gc_route_t *route = value;
+	const route_key_t *wanted = key;
+
+	return gc_str_eq(route->host, wanted->host) &&
+	       gc_str_eq(route->path_prefix, wanted->path_prefix);
+}
+
+static bool is_host(const void *value, const void *key)
+{
+	return gc_str_eq(((const host_t *)value)->name, *(const gc_str_t *)key);
+}
+
+static bool is_service(const void *value, const void *key)
+{
+	return gc_str_eq(((const target_t *)value)->service,
+			 *(const gc_str_t *)key);
+}
+
+bool gc_routes_add(gc_routes_t *routes, gc_route_t *route)
+{
+	route_key_t key = {route->host, route->path_prefix};
+	uint64_t hash = hash_key(&key);
+
+	if (gc_shared_map_find(routes->routes, hash, is_route, &key))
+		return false;
+	gc_shared_map_add(routes->routes, hash, route);
+	count_prefix(routes, route, 1);
+	count_targets(routes, route, 1);
+	routes->n_routes++;
+	return true;
+}
+
+/* Adds the route's length of the prefix to its host, or takes it away. */
+static void count_prefix(gc_routes_t *routes, const gc_route_t *route,
+			 int change)
+{
+	uint64_t hash = hash_string(route->host, 0);
+	const host_t *host =
+		gc_shared_map_find(routes->hosts, hash, is_host, &route->host);
+	host_t *copy =
+		copy_host(host, route->host, route->path_prefix.len, change);
+
+	if (host)
+		gc_shared_map_remove(routes->hosts, hash, is_host,
+				     &route->host);
+	if (copy->n_lens > 0)
+		gc_shared_map_add(routes->hosts, hash, copy);
+	unref_box(copy);
+}
+
+/* host: NULL for none. */
+static host_t *copy_host(const host_t *host, gc_str_t name, size_t len,
+			 int change)
+{
+	size_t n_lens = host ? host->n_lens : 0;
+	host_t *copy = g_atomic_rc_box_alloc(
+		sizeof(*copy) + (n_lens + 1) * sizeof(copy->lens[0]) +
+		name.len + 1);
+	char *text = (char *)(copy->lens + n_lens + 1);
+	bool counted = false;
+
+	copy->n_lens = 0;
+	for (size_t i = 0; i < n_lens; i++) {
+		prefix_len_t prefix = host->lens[i];
+
+		if (!counted && prefix.len < len)
+			copy->lens[copy->n_lens++] = (prefix_len_t){len, 1};
+		counted |= prefix.len <= len;
+		if (prefix.len == len)
+			prefix.n_routes += (size_t)change;
+		if (prefix.n_routes > 0)
+			copy->lens[copy->n_lens++] = prefix;
+	}
+	if (!counted)
+		copy->lens[copy->n_lens++] = (prefix_len_t){len, 1};
+	copy->name = move_string(&text, name);
+	return copy;
+}
+
+static void count_targets(gc_routes_t *routes, const gc_route_t *route,
+			  int change)
+{
+	for (size_t i = 0; i < route->n_targets; i++) {
+		gc_str_t service = route->targets[i].service;
+		uint64_t hash = hash_string(service, 0);
+		const target_t *target = gc_shared_map_find(
+			routes->targets, hash, is_service, &service);
+		size_t n_routes =
+			(target ? target->n_routes : 0) + (size_t)change;
+		target_t *copy =
+			g_atomic_rc_box_alloc(sizeof(*copy) + service.len + 1);
+		char *text = copy->name;
+
+		copy->n_routes = n_routes;
+		copy->service = move_string(&text, service);
+		if (target)
+			gc_shared_map_remove(routes->targets, hash, is_service,
+					     &service);
+		if (n_routes > 0)
+			gc_shared_map_add(routes->targets, hash, copy);
+		unref_box(copy);
+	}
 }
 
 void gc_routes_add_service(gc_routes_t *routes,
@@ -205,24 +382,23 @@
 const gc_route_t *gc_routes_find(const gc_routes_t *routes, gc_str_t host,
 				 gc_str_t path)
 {
-	const GPtrArray *host_routes =
-		g_hash_table_lookup(routes->hosts, &host);
-
-	for (guint i = 0; host_routes && i < host_routes->len; i++) {
-		const gc_route_t *route = g_ptr_array_index(host_routes, i);
-
-		if (has_prefix(path, route->path_prefix))
+	const host_t *found = gc_shared_map_find(
+		routes->hosts, hash_string(host, 0), is_host, &host);
+
+	for (size_t i = 0; found && i < found->n_lens; i++) {
+		route_key_t key = {host, {path.data, found->lens[i].len}};
+		const gc_route_t *route;
+
+		if (key.path_prefix.len > path.len)
+			continue;
+		route = gc_shared_map_find(routes->routes, hash_key(&key),
+					   is_route, &key);
+		if (route)
 			return route;
 	}
 	return NULL;
 }
 
-static bool has_prefix(gc_str_t s, gc_str_t prefix)
-{
-	return s.len >= prefix.len &&
-	       memcmp(s.data, prefix.data, prefix.len) == 0;
-}
-
 bool gc_routes_find_account(const gc_routes_t *routes, gc_str_t key,
 			    gc_str_t *account)
 {
@@ -242,29 +418,9 @@
 
 bool gc_routes_names_service(const gc_routes_t *routes, gc_str_t name)
 {
-	return gc_routes_find_service(routes, name) || is_target(routes, name);
-}
-
-static bool is_target(const gc_routes_t *routes, gc_str_t service)
-{
-	GHashTableIter hosts;
-	gpointer value;
-
-	g_hash_table_iter_init(&hosts, routes->hosts);
-	while (g_hash_table_iter_next(&hosts, NULL, &value)) {
-		const GPtrArray *host_routes = value;
-
-		for (guint i = 0; i < host_routes->len; i++) {
-			const gc_route_t *route =
-				g_ptr_array_index(host_routes, i);
-
-			for (size_t j = 0; j < route->n_targets; j++)
-				if (gc_str_eq(route->targets[j].service,
-					      service))
-					return true;
-		}
-	}
-	return false;
+	return gc_routes_find_service(routes, name) ||
+	       gc_shared_map_find(routes->targets, hash_string(name, 0),
+				  is_service, &name);
 }
 
 gc_str_t gc_route_choose_service(const gc_route_t *route, uint64_t random)
--- a/core/routes.h
+++ b/core/routes.h
@@ -62,11 +62,17 @@
 gc_routes_t *gc_routes_ref(gc_routes_t *routes);
 void gc_routes_unref(gc_routes_t *routes);
 
-/*
- * The functions below build a table that is not shared yet. Strings and targets
- * are copied.
- */
-void gc_routes_add(gc_routes_t *routes, const gc_route_t *route);
+/* A copy of the route, its targets and strings, with one reference. References may be
+ * taken and dropped in any thread. */
+gc_route_t *gc_route_create(const gc_route_t *route);
+gc_route_t *gc_route_ref(gc_route_t *route);
+void gc_route_unref(gc_route_t *route);
+
+/* The functions below build a table that is not shared yet. Strings are copied. */
+
+/* Takes a reference to the route, of gc_route_create. False if there is a route with
+ * the same host and path prefix. */
+bool gc_routes_add(gc_routes_t *routes, gc_route_t *route);
 void gc_routes_add_service(gc_routes_t *routes,
 			   const gc_route_service_t *service);
 void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account);
--- a/regress/check_backends.c
+++ b/regress/check_backends.c
@@ -327,6 +327,7 @@
 	gc_backends_t *backends = create_backends(&state);
 	gc_routes_t *routes = gc_routes_create(1);
 	gc_backend_t *first;
+	gc_route_t *copy;
 
 	gc_routes_add_service(routes,
 			      &(gc_route_service_t){.name = GC_STR_LIT("s")});
@@ -346,7 +347,9 @@
 	gc_routes_unref(routes);
 	/* The service is named, by a route only. */
 	routes = gc_routes_create(2);
-	gc_routes_add(routes, &route);
+	copy = gc_route_create(&route);
+	gc_routes_add(routes, copy);
+	gc_route_unref(copy);
 	gc_routes_add_service(routes,
 			      &(gc_route_service_t){.name = GC_STR_LIT("s")});
 	gc_backends_set_routes(backends, routes);
--- a/regress/check_routes.c
+++ b/regress/check_routes.c
@@ -2,6 +2,9 @@
  * Guards against requests that are routed to the wrong service, against keys
  * that select another account, and against traffic that is not split by weight.
  */
+#include <glib.h>
+#include <inttypes.h>
+
 #include "core/routes.h"
 #include "regress/unit.h"
 
@@ -21,7 +24,10 @@
 			    .targets = &target,
 			    .n_targets = 1};
 
-	gc_routes_add(routes, &route);
+	gc_route_t *copy = gc_route_create(&route);
+
+	ck_assert(gc_routes_add(routes, copy));
+	gc_route_unref(copy);
 }
 
 static gc_routes_t *create_routes(void)
@@ -115,6 +121,44 @@
 }
 END_TEST
 
+static int64_t fill_us(size_t n)
+{
+	struct timespec start;
+	struct timespec end;
+	gc_routes_t *routes = gc_routes_create(1);
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &start);
+	for (size_t i = 0; i < n; i++) {
+		g_autofree char *prefix = g_strdup_printf("/%zu/", i);
+
+		add_route(routes, "a.example", prefix, "s");
+	}
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &end);
+	ck_assert_uint_eq(gc_routes_count(routes), n);
+	ck_assert_str_eq(find_name(routes, "a.example", "/7/x"), "s");
+	gc_routes_unref(routes);
+	return gc_us_between(start, end);
+}
+
+/* A host's routes were sorted at each addition. */
+START_TEST(test_time_to_add_grows_with_the_routes)
+{
+	int64_t few_us = INT64_MAX;
+	int64_t many_us = INT64_MAX;
+
+	for (int i = 0; i < 3; i++) {
+		few_us = MIN(few_us, fill_us(1000));
+		many_us = MIN(many_us, fill_us(16000));
+	}
+	/* 16 times, but for what grows with the logarithm or leaves a cache;
+	 * the square is 256 times. */
+	ck_assert_msg(many_us < 64 * few_us,
+		      "1,000 routes %" PRId64 " us, 16,000 routes %" PRId64
+		      " us",
+		      few_us, many_us);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -122,6 +166,7 @@
 		test_keys_select_their_account,
 		test_services_are_chosen_by_weight,
 		test_routes_that_allow_a_second_run,
+		test_time_to_add_grows_with_the_routes,
 		NULL,
 	};
 
