Take over routes that did not change from the former configuration

Each change decoded, checked and copied the whole record. The list of routes is read one route at a time now; a route, or a block of 64 of them, with the same text as in the former record is taken over without decoding, and the hash maps are copied with what they share. The rest of the record is decoded as before. The daemon keeps the record once instead of twice. As it would depend on former versions which of two routes with the same host and path prefix counts, such a record is refused with the place of the second one; places are named for invalid routes, too.

--- a/core/routes.c
+++ b/core/routes.c
@@ -20,6 +20,9 @@
 	GHashTable *priorities; /* gc_str_t of the account: number */
 	size_t n_routes;
 	bool keys_required;
+	char *record; /* NULL: none */
+	size_t record_len;
+	gc_json_list_t *list; /* of routes in the record; NULL: none */
 };
 
 /* Path prefixes of one length. */
@@ -55,6 +58,7 @@
 	.idle_timeout_ms = 15000,
 };
 
+static gc_routes_t *create_empty(uint64_t version);
 static void *ref_box(void *value);
 static void unref_box(void *value);
 static void routes_clear(gpointer data);
@@ -87,15 +91,34 @@
 }
 
 gc_routes_t *gc_routes_create(uint64_t version)
+{
+	gc_routes_t *routes = create_empty(version);
+
+	routes->routes = gc_shared_map_create(&box_ops);
+	routes->hosts = gc_shared_map_create(&box_ops);
+	routes->targets = gc_shared_map_create(&box_ops);
+	return routes;
+}
+
+gc_routes_t *gc_routes_create_after(const gc_routes_t *former, uint64_t version)
+{
+	gc_routes_t *routes = create_empty(version);
+
+	routes->routes = gc_shared_map_copy(former->routes);
+	routes->hosts = gc_shared_map_copy(former->hosts);
+	routes->targets = gc_shared_map_copy(former->targets);
+	routes->n_routes = former->n_routes;
+	return routes;
+}
+
+/* Without maps. */
+static gc_routes_t *create_empty(uint64_t version)
 {
 	gc_routes_t *routes = g_atomic_rc_box_new0(gc_routes_t);
 
 	routes->strings = g_string_chunk_new(STRING_BLOCK_BYTES);
 	routes->version = version;
 	routes->limits = default_limits;
-	routes->routes = gc_shared_map_create(&box_ops);
-	routes->hosts = gc_shared_map_create(&box_ops);
-	routes->targets = gc_shared_map_create(&box_ops);
 	routes->services = g_hash_table_new_full(gc_str_hash, gc_str_equal,
 						 g_free, g_free);
 	routes->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
@@ -127,6 +150,8 @@
 	g_hash_table_unref(routes->keys);
 	g_hash_table_unref(routes->priorities);
 	g_string_chunk_free(routes->strings);
+	gc_json_list_destroy(routes->list);
+	g_free(routes->record);
 }
 
 static gc_str_t copy_string(gc_routes_t *routes, gc_str_t s)
@@ -241,6 +266,36 @@
 	return true;
 }
 
+void gc_routes_remove(gc_routes_t *routes, const gc_route_t *route)
+{
+	route_key_t key = {route->host, route->path_prefix};
+
+	if (!gc_shared_map_remove(routes->routes, hash_key(&key), is_route,
+				  &key))
+		return;
+	count_prefix(routes, route, -1);
+	count_targets(routes, route, -1);
+	routes->n_routes--;
+}
+
+void gc_routes_set_record(gc_routes_t *routes, char *record, size_t len,
+			  gc_json_list_t *list)
+{
+	routes->record = record;
+	routes->record_len = len;
+	routes->list = list;
+}
+
+gc_str_t gc_routes_record(const gc_routes_t *routes)
+{
+	return (gc_str_t){routes->record, routes->record_len};
+}
+
+const gc_json_list_t *gc_routes_list(const gc_routes_t *routes)
+{
+	return routes->list;
+}
+
 /* Adds the route's length of the prefix to its host, or takes it away. */
 static void count_prefix(gc_routes_t *routes, const gc_route_t *route,
 			 int change)
--- a/core/routes.h
+++ b/core/routes.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/json_list.h"
 #include "core/str.h"
 
 typedef enum gc_route_kind {
@@ -59,6 +60,9 @@
 
 /* An empty table with one reference. */
 gc_routes_t *gc_routes_create(uint64_t version);
+/* A table with the routes of another one, which it shares, and nothing else of it. */
+gc_routes_t *gc_routes_create_after(const gc_routes_t *former,
+				    uint64_t version);
 gc_routes_t *gc_routes_ref(gc_routes_t *routes);
 void gc_routes_unref(gc_routes_t *routes);
 
@@ -73,6 +77,12 @@
 /* Takes a reference to the route, of gc_route_create. False if there is a route with
  * the same host and path prefix. */
 bool gc_routes_add(gc_routes_t *routes, gc_route_t *route);
+/* Removes a route that was added. */
+void gc_routes_remove(gc_routes_t *routes, const gc_route_t *route);
+/* Takes ownership of the record that the table was read from, of g_malloc, and of the
+ * list of its routes, NULL for none. */
+void gc_routes_set_record(gc_routes_t *routes, char *record, size_t len,
+			  gc_json_list_t *list);
 void gc_routes_add_service(gc_routes_t *routes,
 			   const gc_route_service_t *service);
 void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account);
@@ -84,6 +94,9 @@
 /* Makes requests need a key, except on anonymous routes; off by default. */
 void gc_routes_require_keys(gc_routes_t *routes);
 
+/* Empty if it isn't known. */
+gc_str_t gc_routes_record(const gc_routes_t *routes);
+const gc_json_list_t *gc_routes_list(const gc_routes_t *routes);
 uint64_t gc_routes_version(const gc_routes_t *routes);
 const gc_request_limits_t *gc_routes_limits(const gc_routes_t *routes);
 size_t gc_routes_count(const gc_routes_t *routes);
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -53,8 +53,11 @@
 	const char *ready_path;
 	const char *addresses_path;
 	const char *load_path; /* of a backend server's load report */
-	/* Parses the operator configuration. Errors: GC_ERR_INVALID. */
-	gc_routes_t *(*read_routes)(gc_str_t record, GError **err);
+	/* Parses the operator configuration. The table shares the routes that have
+	 * the same text as in the record of the former one, NULL for none. Errors:
+	 * GC_ERR_INVALID. */
+	gc_routes_t *(*read_routes)(gc_str_t record, const gc_routes_t *former,
+				    GError **err);
 	/* Strings of the entry are allocated in mem. Errors: GC_ERR_INVALID. */
 	bool (*read_server)(TALLOC_CTX *mem, gc_str_t id, gc_str_t record,
 			    gc_registry_entry_t *entry, GError **err);
--- a/lib/fleet_config.c
+++ b/lib/fleet_config.c
@@ -32,7 +32,8 @@
 	g_autofree char *bytes = g_strdup_printf("%zu", record.len);
 	g_autofree char *read_us = NULL;
 	struct timespec start = gc_clock_now(fleet->conf.clock);
-	gc_routes_t *routes = fleet->conf.adapter->read_routes(record, &err);
+	gc_routes_t *routes =
+		fleet->conf.adapter->read_routes(record, fleet->routes, &err);
 	int64_t us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
 
 	if (!routes) {
@@ -47,9 +48,6 @@
 	}
 	gc_routes_unref(fleet->routes);
 	fleet->routes = routes;
-	talloc_free(fleet->config_text);
-	fleet->config_text = talloc_strndup(fleet, record.data, record.len);
-	fleet->config_len = record.len;
 	fleet->has_new_routes = true;
 	version = g_strdup_printf("%" G_GUINT64_FORMAT,
 				  gc_routes_version(routes));
@@ -112,5 +110,5 @@
 	if (!fleet->routes || fleet->config_in_doubt)
 		return GC_STR_EMPTY;
 	*version = gc_routes_version(fleet->routes);
-	return (gc_str_t){fleet->config_text, fleet->config_len};
+	return gc_routes_record(fleet->routes);
 }
--- a/lib/fleet_private.h
+++ b/lib/fleet_private.h
@@ -13,8 +13,6 @@
 	gc_fleet_conf_t conf;
 	gc_routes_t *routes;
 	bool has_new_routes; /* not published yet */
-	char *config_text; /* the operator's record of routes */
-	size_t config_len;
 	uint64_t config_revision; /* in known_era */
 	uint64_t kept_era; /* in the list of the store; 0: none */
 	bool started; /* a full list was read before */
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -31,7 +31,8 @@
 START_TEST(test_routes)
 {
 	g_autoptr(GError) err = NULL;
-	gc_routes_t *routes = gc_platform_read_routes(gc_str(config), &err);
+	gc_routes_t *routes =
+		gc_platform_read_routes(gc_str(config), NULL, &err);
 	const gc_route_t *route;
 	gc_str_t account;
 
@@ -65,6 +66,72 @@
 }
 END_TEST
 
+static char *config_of(const char *routes)
+{
+	return g_strdup_printf("{\"version\":2,\"routes\":[%s]}", routes);
+}
+
+#define ROUTE(path, service)                      \
+	"{\"host\":\"h\",\"path_prefix\":\"" path \
+	"\",\"kind\":\"idempotent\",\"service\":\"" service "\"}"
+
+/* A change must not cost what there is, but what it changes. */
+START_TEST(test_routes_that_did_not_change_are_shared)
+{
+	g_autofree char *first =
+		config_of(ROUTE("/a/", "s") "," ROUTE("/b/", "s"));
+	g_autofree char *second = config_of(
+		ROUTE("/n/", "s") "," ROUTE("/a/", "s") "," ROUTE("/b/", "t"));
+	gc_routes_t *former =
+		gc_platform_read_routes(gc_str(first), NULL, NULL);
+	gc_routes_t *routes =
+		gc_platform_read_routes(gc_str(second), former, NULL);
+
+	ck_assert_uint_eq(gc_routes_count(routes), 3);
+	ck_assert_ptr_eq(gc_routes_find(routes, gc_str("h"), gc_str("/a/")),
+			 gc_routes_find(former, gc_str("h"), gc_str("/a/")));
+	ck_assert_ptr_ne(gc_routes_find(routes, gc_str("h"), gc_str("/b/")),
+			 gc_routes_find(former, gc_str("h"), gc_str("/b/")));
+	ck_assert_ptr_null(gc_routes_find(former, gc_str("h"), gc_str("/n/")));
+	gc_routes_unref(former);
+	ck_assert_str_eq(gc_routes_find(routes, gc_str("h"), gc_str("/a/"))
+				 ->targets[0]
+				 .service.data,
+			 "s");
+	gc_routes_unref(routes);
+}
+END_TEST
+
+/* Which of the two counts would depend on the versions before. */
+START_TEST(test_place_of_a_wrong_route_is_named)
+{
+	static const struct {
+		const char *routes;
+		const char *error;
+	} cases[] = {
+		{ROUTE("/a/", "s") "," ROUTE("/b/", "s") "," ROUTE("/a/", "t"),
+		 "routes: element 2 has the host and path prefix of another "
+		 "one"},
+		{ROUTE("/a/", "s") ",{\"host\":h}",
+		 "routes: element 1 at byte 90: invalid token near 'h'"},
+		{ROUTE("/a/", "s") " " ROUTE("/b/", "s"),
+		 "routes: element 1 at byte 90: a comma or a bracket is "
+		 "missing"},
+		{ROUTE("/a/", "s") ",{\"host\":\"",
+		 "routes: element 1 at byte 90: not a JSON value"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) err = NULL;
+		g_autofree char *text = config_of(cases[i].routes);
+
+		ck_assert_ptr_null(
+			gc_platform_read_routes(gc_str(text), NULL, &err));
+		ck_assert_str_eq(err->message, cases[i].error);
+	}
+}
+END_TEST
+
 /* Keys are required only if the configuration lists client accounts. */
 START_TEST(test_keys_are_required_only_with_accounts)
 {
@@ -78,7 +145,7 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
 		gc_routes_t *routes =
-			gc_platform_read_routes(gc_str(texts[i]), NULL);
+			gc_platform_read_routes(gc_str(texts[i]), NULL, NULL);
 		const gc_route_t *route =
 			gc_routes_find(routes, gc_str("h"), gc_str("/x"));
 
@@ -113,7 +180,7 @@
 		g_autoptr(GError) err = NULL;
 
 		ck_assert_ptr_null(
-			gc_platform_read_routes(gc_str(texts[i]), &err));
+			gc_platform_read_routes(gc_str(texts[i]), NULL, &err));
 		ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
 	}
 }
@@ -481,6 +548,8 @@
 	const TTest *const tests[] = {
 		test_keys_are_required_only_with_accounts,
 		test_routes,
+		test_routes_that_did_not_change_are_shared,
+		test_place_of_a_wrong_route_is_named,
 		test_invalid_config,
 		test_server_entries,
 		test_addresses_of_server_entries,
