--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -28,6 +28,21 @@
 	"\"limits\":{\"max_header_bytes\":1000,\"idle_timeout_ms\":9000},"
 	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\",3]}]}";
 
+/* Values in the store have any bytes; a copy that ended at a NUL was read on behind
+ * its end. */
+START_TEST(test_copies_keep_all_bytes)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_str_t text = {"a\0b\0", 4};
+	gc_str_t copy = gc_str_dup(mem, text);
+
+	ck_assert_uint_ge(talloc_get_size(copy.data), 5);
+	ck_assert(gc_str_eq(copy, text));
+	ck_assert_int_eq(copy.data[4], 0);
+	talloc_free(mem);
+}
+END_TEST
+
 START_TEST(test_routes)
 {
 	g_autoptr(GError) err = NULL;
@@ -547,6 +562,7 @@
 {
 	const TTest *const tests[] = {
 		test_keys_are_required_only_with_accounts,
+		test_copies_keep_all_bytes,
 		test_routes,
 		test_routes_that_did_not_change_are_shared,
 		test_place_of_a_wrong_route_is_named,
