--- a/core/str.h
+++ b/core/str.h
@@ -34,7 +34,7 @@
 /* Copies s into mem; the copy ends in a NUL that len does not count. */
 static inline gc_str_t gc_str_dup(TALLOC_CTX *mem, gc_str_t s)
 {
-	char *copy = talloc_size(mem, s.len + 1);
+	char *copy = (char *)talloc_size(mem, s.len + 1);
 
 	if (s.len > 0)
 		memcpy(copy, s.data, s.len);
