Read large configurations in pieces

A configuration is now read for 2 ms at a time, with 2 ms between. Until it is read, nothing is published or confirmed and no new watch begins, so a view is one version whole, and a revoked key is refused as before. Of several configurations in one response only the newest is read; an older one is taken if that isn't valid.

check_fleet: nothing is confirmed before the view of what is being read.

--- a/core/json_list.c
+++ b/core/json_list.c
@@ -35,23 +35,27 @@
 };
 
 /* What is read, and the next element of the former list. */
-typedef struct reader {
+struct gc_json_reader {
 	const gc_json_list_ops_t *ops;
 	gc_str_t text;
 	size_t pos;
 	size_t index; /* of the next element */
+	gc_json_progress_t progress;
+	size_t n_left; /* elements to decode in this step */
 	const gc_json_list_t *former;
 	guint former_place;
 	size_t former_element;
-	GArray *places; /* place_t */
+	GArray *places; /* place_t; NULL: taken */
 	GArray *pending; /* element_t, offsets in the text */
 	GPtrArray *added;
 	GArray *added_at;
 	GPtrArray *removed;
-} reader_t;
+};
+
+typedef gc_json_reader_t reader_t;
 
 static void skip_space(reader_t *reader);
-static bool read_elements(reader_t *reader, GError **err);
+static gc_json_progress_t read_elements(reader_t *reader, GError **err);
 static bool read_separator(reader_t *reader, bool *more, GError **err);
 static bool take_block(reader_t *reader);
 static bool read_element(reader_t *reader, GError **err);
@@ -71,39 +75,81 @@
 static size_t skip_nested(gc_str_t text, size_t at);
 static size_t space_at(gc_str_t text, size_t at);
 
-gc_json_list_t *gc_json_list_read(gc_str_t text, size_t at,
-				  const gc_json_list_t *former,
-				  const gc_json_list_ops_t *ops,
-				  GPtrArray *added, GArray *added_at,
-				  GPtrArray *removed, size_t *end, GError **err)
+gc_json_reader_t *gc_json_reader_create(gc_str_t text, size_t at,
+					const gc_json_list_t *former,
+					const gc_json_list_ops_t *ops)
 {
-	gc_json_list_t *list = g_new0(gc_json_list_t, 1);
-	reader_t reader = {
-		.ops = ops,
-		.text = text,
-		.pos = at + 1,
-		.former = former,
-		.places = g_array_new(FALSE, FALSE, sizeof(place_t)),
-		.pending = g_array_new(FALSE, FALSE, sizeof(element_t)),
-		.added = added,
-		.added_at = added_at,
-		.removed = removed,
-	};
-	bool ok = read_elements(&reader, err);
-
-	finish_block(&reader);
-	g_array_unref(reader.pending);
-	list->places = reader.places;
-	if (!ok) {
-		gc_json_list_destroy(list);
-		return NULL;
+	gc_json_reader_t *reader = g_new0(gc_json_reader_t, 1);
+
+	reader->ops = ops;
+	reader->text = text;
+	reader->pos = at + 1;
+	reader->former = former;
+	reader->places = g_array_new(FALSE, FALSE, sizeof(place_t));
+	reader->pending = g_array_new(FALSE, FALSE, sizeof(element_t));
+	reader->added = g_ptr_array_new();
+	reader->added_at = g_array_new(FALSE, FALSE, sizeof(size_t));
+	reader->removed = g_ptr_array_new();
+	return reader;
+}
+
+gc_json_progress_t gc_json_reader_step(gc_json_reader_t *reader, size_t n,
+				       GError **err)
+{
+	reader->n_left = n;
+	if (reader->progress == GC_JSON_MORE)
+		reader->progress = read_elements(reader, err);
+	if (reader->progress == GC_JSON_DONE) {
+		finish_block(reader);
+		remove_rest(reader);
 	}
-	remove_rest(&reader);
-	list->text = text.data;
-	*end = reader.pos;
+	return reader->progress;
+}
+
+const GPtrArray *gc_json_reader_added(const gc_json_reader_t *reader)
+{
+	return reader->added;
+}
+
+const GArray *gc_json_reader_added_at(const gc_json_reader_t *reader)
+{
+	return reader->added_at;
+}
+
+const GPtrArray *gc_json_reader_removed(const gc_json_reader_t *reader)
+{
+	return reader->removed;
+}
+
+size_t gc_json_reader_end(const gc_json_reader_t *reader)
+{
+	return reader->pos;
+}
+
+gc_json_list_t *gc_json_reader_take_list(gc_json_reader_t *reader)
+{
+	gc_json_list_t *list = g_new0(gc_json_list_t, 1);
+
+	list->text = reader->text.data;
+	list->places = reader->places;
+	reader->places = NULL;
 	return list;
 }
 
+void gc_json_reader_destroy(gc_json_reader_t *reader)
+{
+	if (!reader)
+		return;
+	finish_block(reader);
+	if (reader->places)
+		gc_json_list_destroy(gc_json_reader_take_list(reader));
+	g_array_unref(reader->pending);
+	g_ptr_array_unref(reader->added);
+	g_array_unref(reader->added_at);
+	g_ptr_array_unref(reader->removed);
+	g_free(reader);
+}
+
 void gc_json_list_destroy(gc_json_list_t *list)
 {
 	if (!list)
@@ -114,24 +160,26 @@
 	g_free(list);
 }
 
-static bool read_elements(reader_t *reader, GError **err)
+static gc_json_progress_t read_elements(reader_t *reader, GError **err)
 {
 	bool more = true;
 
 	skip_space(reader);
-	if (reader->pos < reader->text.len &&
+	if (reader->index == 0 && reader->pos < reader->text.len &&
 	    reader->text.data[reader->pos] == ']') {
 		reader->pos++;
-		return true;
+		return GC_JSON_DONE;
 	}
 	while (more) {
+		if (reader->n_left == 0)
+			return GC_JSON_MORE;
 		skip_space(reader);
 		if (!take_block(reader) && !read_element(reader, err))
-			return false;
+			return GC_JSON_INVALID;
 		if (!read_separator(reader, &more, err))
-			return false;
+			return GC_JSON_INVALID;
 	}
-	return true;
+	return GC_JSON_DONE;
 }
 
 static void skip_space(reader_t *reader)
@@ -290,6 +338,7 @@
 		g_array_append_val(reader->added_at, reader->index);
 	}
 	add_pending(reader, item, text.len);
+	reader->n_left--;
 	return true;
 }
 
--- a/core/json_list.h
+++ b/core/json_list.h
@@ -22,19 +22,37 @@
 	void (*unref)(void *item);
 } gc_json_list_ops_t;
 
+typedef enum gc_json_progress {
+	GC_JSON_MORE, /* elements follow */
+	GC_JSON_DONE,
+	GC_JSON_INVALID,
+} gc_json_progress_t;
+
+typedef struct gc_json_reader gc_json_reader_t;
+
 /*
- * Reads the array that begins at `at`, the place of its "[". former: NULL for none.
- * The text and ops must outlive the list. The items that the former list hasn't are
- * added to `added`, with their indexes in added_at (size_t), and the items that only
- * the former one has to `removed`; both stay the lists'. Sets *end to the place after
- * the "]". Returns NULL and *err, which names the element, if the array is invalid.
+ * Starts to read the array that begins at `at`, the place of its "[". former: NULL for
+ * none; it must stay until the reader is destroyed. The text and ops must outlive the
+ * list.
  */
-gc_json_list_t *gc_json_list_read(gc_str_t text, size_t at,
-				  const gc_json_list_t *former,
-				  const gc_json_list_ops_t *ops,
-				  GPtrArray *added, GArray *added_at,
-				  GPtrArray *removed, size_t *end,
-				  GError **err);
+gc_json_reader_t *gc_json_reader_create(gc_str_t text, size_t at,
+					const gc_json_list_t *former,
+					const gc_json_list_ops_t *ops);
+/* Decodes up to so many elements that the former list hasn't, and what is taken over
+ * between them. Sets *err, which names the element, if the array is invalid. */
+gc_json_progress_t gc_json_reader_step(gc_json_reader_t *reader, size_t n,
+				       GError **err);
+/* After GC_JSON_DONE: the items that the former list hasn't, with their indexes in
+ * added_at (size_t), and those that only the former one has. They stay the lists'. */
+const GPtrArray *gc_json_reader_added(const gc_json_reader_t *reader);
+const GArray *gc_json_reader_added_at(const gc_json_reader_t *reader);
+const GPtrArray *gc_json_reader_removed(const gc_json_reader_t *reader);
+/* The place after the array's "]". */
+size_t gc_json_reader_end(const gc_json_reader_t *reader);
+/* The list, which is the caller's from now on. */
+gc_json_list_t *gc_json_reader_take_list(gc_json_reader_t *reader);
+void gc_json_reader_destroy(gc_json_reader_t *reader);
+
 void gc_json_list_destroy(gc_json_list_t *list);
 
 /*
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -46,6 +46,8 @@
 	gc_str_t failure_domain; /* of the caller; empty if not given */
 } gc_address_query_t;
 
+typedef struct gc_routes_reader gc_routes_reader_t;
+
 typedef struct gc_adapter {
 	gc_header_names_t headers;
 	const char *config_key; /* of the operator configuration in the store */
@@ -53,11 +55,18 @@
 	const char *ready_path;
 	const char *addresses_path;
 	const char *load_path; /* of a backend server's load report */
-	/* Parses the operator configuration. The table shares the routes that have
-	 * the same text as in the record of the former one, NULL for none. Errors:
-	 * GC_ERR_INVALID. */
-	gc_routes_t *(*read_routes)(gc_str_t record, const gc_routes_t *former,
-				    GError **err);
+	/*
+	 * Parses the operator configuration in steps. The table shares the routes
+	 * that have the same text as in the record of the former one, NULL for none.
+	 * A step decodes up to so many routes that aren't shared; it returns true at
+	 * the end, with a table with one reference, or NULL and *err. Errors:
+	 * GC_ERR_INVALID. end_routes frees the reader at any time.
+	 */
+	gc_routes_reader_t *(*start_routes)(gc_str_t record,
+					    gc_routes_t *former);
+	bool (*step_routes)(gc_routes_reader_t *reader, size_t n,
+			    gc_routes_t **routes, GError **err);
+	void (*end_routes)(gc_routes_reader_t *reader);
 	/* Strings of the entry are allocated in mem. Errors: GC_ERR_INVALID. */
 	bool (*read_server)(TALLOC_CTX *mem, gc_str_t id, gc_str_t record,
 			    gc_registry_entry_t *entry, GError **err);
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -14,6 +14,8 @@
 /* Largest difference between the store's and this daemon's measure of a
  * watch's wait. */
 #define MAX_WAIT_SKEW_MS 50
+/* Pause between two pieces of work on a configuration. */
+#define PIECE_PAUSE_MS 2
 /* Deletions kept for daemons that watch through this one. */
 #define MAX_KEPT_DELETIONS 512
 
@@ -38,6 +40,7 @@
 			  const GError *err);
 static bool has_peer(const gc_fleet_t *fleet);
 static void apply_changes(gc_fleet_t *fleet, const gc_store_items_t *items);
+static void continue_changes(gc_fleet_t *fleet);
 static struct timespec confirmed_until(const gc_fleet_t *fleet,
 				       const gc_store_items_t *items);
 static void on_next_call(void *ctx);
@@ -63,6 +66,7 @@
 	fleet->servers = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->daemons = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->last_key = g_string_new(NULL);
+	fleet->readings = gc_fleet_create_readings();
 	fleet->base_versions =
 		g_array_new(FALSE, FALSE, sizeof(gc_base_version_t));
 	fleet->change_log = gc_change_log_create(fleet, MAX_KEPT_DELETIONS);
@@ -85,6 +89,7 @@
 {
 	g_string_free(fleet->last_key, TRUE);
 	g_array_unref(fleet->base_versions);
+	g_ptr_array_unref(fleet->readings);
 	gc_routes_unref(fleet->routes);
 	gc_fleet_view_unref(fleet->view);
 	return 0;
@@ -281,6 +286,8 @@
 		gc_change_log_add(fleet->change_log, &items->items[i]);
 		gc_fleet_apply_item(fleet, &items->items[i]);
 	}
+	while (!gc_fleet_step_config(fleet))
+		;
 	last_key =
 		items->n > 0 ? items->items[items->n - 1].key : items->skip_to;
 	if (items->more && last_key.len > 0) {
@@ -414,22 +421,34 @@
 
 static void apply_changes(gc_fleet_t *fleet, const gc_store_items_t *items)
 {
-	bool changed = false;
-
 	mark_store_reachable(fleet);
+	fleet->batch_changed = false;
+	fleet->batch_confirmed = confirmed_until(fleet, items);
 	fleet->had_changes = items->n > 0;
 	for (size_t i = 0; i < items->n; i++) {
 		gc_change_log_add(fleet->change_log, &items->items[i]);
-		changed |= gc_fleet_apply_item(fleet, &items->items[i]);
+		fleet->batch_changed |=
+			gc_fleet_apply_item(fleet, &items->items[i]);
 	}
 	if (items->revision > fleet->revision)
 		fleet->revision = items->revision;
 	gc_change_log_advance(fleet->change_log, fleet->revision);
-	if (changed)
+	continue_changes(fleet);
+}
+
+/* A large configuration is read in pieces, so that the traffic thread of a small
+ * machine gets its part of the processor. Nothing else is asked for meanwhile. */
+static void continue_changes(gc_fleet_t *fleet)
+{
+	if (!gc_fleet_step_config(fleet)) {
+		gc_timer_set(fleet->call_timer, PIECE_PAUSE_MS);
+		return;
+	}
+	if (fleet->batch_changed)
 		gc_fleet_publish(fleet);
-	gc_fleet_advance_confirmed(fleet, confirmed_until(fleet, items));
+	gc_fleet_advance_confirmed(fleet, fleet->batch_confirmed);
 	on_expiry(fleet);
-	if (items->n > 0)
+	if (fleet->had_changes)
 		gc_timer_set(fleet->call_timer, GC_FLEET_BATCH_DELAY_MS);
 	else
 		start_watch(fleet);
@@ -458,7 +477,9 @@
 	gc_fleet_t *fleet = ctx;
 	bool list_begun = fleet->list_complete || fleet->last_key->len > 0;
 
-	if (fleet->known_era != fleet->newest_era || !list_begun)
+	if (fleet->readings->len > 0)
+		continue_changes(fleet);
+	else if (fleet->known_era != fleet->newest_era || !list_begun)
 		start_list(fleet);
 	else if (fleet->list_complete)
 		start_watch(fleet);
--- a/lib/fleet_config.c
+++ b/lib/fleet_config.c
@@ -6,57 +6,133 @@
 
 /* Longest wait for what other daemons know of the configuration, at a start. */
 #define START_WAIT_MS 400
+/* Longest piece of work on a configuration at a time. */
+#define PIECE_US 2000
+/* Routes that are decoded between two looks at the clock. */
+#define PIECE_ROUTES 8
 
-static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision);
+/* A record that is being read. */
+typedef struct reading {
+	gc_fleet_t *fleet;
+	gc_routes_reader_t *routes;
+	uint64_t revision; /* of the store; 0: the record is another daemon's */
+	size_t bytes;
+	int64_t us; /* spent on it */
+} reading_t;
+
+static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
+				uint64_t revision);
+static void end_reading(void *data);
+static bool step_reading(reading_t *reading, gc_routes_t **routes);
+static void take_routes(reading_t *reading, gc_routes_t *routes);
 static void on_config_found(void *ctx, bool known, gc_str_t record);
 static void end_doubt(gc_fleet_t *fleet, const char *reason);
 
-void gc_fleet_apply_config(gc_fleet_t *fleet, const gc_store_item_t *item)
+GPtrArray *gc_fleet_create_readings(void)
 {
-	if (!take_config(fleet, item->value, item->revision))
-		return;
-	fleet->config_revision = item->revision;
-	/* Not in the copy, but written since. */
-	if (fleet->list_complete)
-		end_doubt(fleet, "the operator has written it");
+	return g_ptr_array_new_with_free_func(end_reading);
 }
 
-/* An older configuration than the one that is known is left out. revision: of the store;
- * 0: the record is another daemon's. False if the record isn't valid. */
-static bool take_config(gc_fleet_t *fleet, gc_str_t record, uint64_t revision)
+void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	g_ptr_array_add(fleet->readings,
+			start_reading(fleet, item->value, item->revision));
+}
+
+/* The newest record counts; the others are for the case that it isn't valid. */
+bool gc_fleet_step_config(gc_fleet_t *fleet)
+{
+	struct timespec start = gc_clock_now(fleet->conf.clock);
+
+	while (fleet->readings->len > 0) {
+		guint last = fleet->readings->len - 1;
+		reading_t *reading = g_ptr_array_index(fleet->readings, last);
+		gc_routes_t *routes;
+
+		if (!step_reading(reading, &routes)) {
+			if (gc_us_between(start,
+					  gc_clock_now(fleet->conf.clock)) <
+			    PIECE_US)
+				continue;
+			return false;
+		}
+		if (!routes) {
+			g_ptr_array_set_size(fleet->readings, (gint)last);
+			continue;
+		}
+		fleet->config_revision = reading->revision;
+		take_routes(reading, routes);
+		g_ptr_array_set_size(fleet->readings, 0);
+		/* Not in the copy, but written since. */
+		if (fleet->list_complete)
+			end_doubt(fleet, "the operator has written it");
+	}
+	return true;
+}
+
+static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
+				uint64_t revision)
 {
-	g_autoptr(GError) err = NULL;
-	g_autofree char *version = NULL;
-	g_autofree char *revision_text =
-		g_strdup_printf("%" G_GUINT64_FORMAT, revision);
-	g_autofree char *bytes = g_strdup_printf("%zu", record.len);
-	g_autofree char *read_us = NULL;
 	struct timespec start = gc_clock_now(fleet->conf.clock);
-	gc_routes_t *routes =
-		fleet->conf.adapter->read_routes(record, fleet->routes, &err);
-	int64_t us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
+	reading_t *reading = g_new0(reading_t, 1);
+
+	reading->fleet = fleet;
+	reading->revision = revision;
+	reading->bytes = record.len;
+	reading->routes =
+		fleet->conf.adapter->start_routes(record, fleet->routes);
+	reading->us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
+	return reading;
+}
 
-	if (!routes) {
+static void end_reading(void *data)
+{
+	reading_t *reading = data;
+
+	reading->fleet->conf.adapter->end_routes(reading->routes);
+	g_free(reading);
+}
+
+/* True at the end, with NULL for an invalid record. */
+static bool step_reading(reading_t *reading, gc_routes_t **routes)
+{
+	const gc_fleet_conf_t *conf = &reading->fleet->conf;
+	struct timespec start = gc_clock_now(conf->clock);
+	g_autoptr(GError) err = NULL;
+	bool done = conf->adapter->step_routes(reading->routes, PIECE_ROUTES,
+					       routes, &err);
+
+	reading->us += gc_us_between(start, gc_clock_now(conf->clock));
+	if (done && !*routes)
 		gc_log_error(GC_LOG_ERROR, GC_EVENT_ROUTES_UNREADABLE,
 			     "ignoring invalid operator configuration", err);
-		return false;
-	}
+	return done;
+}
+
+/* An older configuration than the one that is known is left out. */
+static void take_routes(reading_t *reading, gc_routes_t *routes)
+{
+	gc_fleet_t *fleet = reading->fleet;
+	g_autofree char *version = g_strdup_printf("%" G_GUINT64_FORMAT,
+						   gc_routes_version(routes));
+	g_autofree char *revision =
+		g_strdup_printf("%" G_GUINT64_FORMAT, reading->revision);
+	g_autofree char *bytes = g_strdup_printf("%zu", reading->bytes);
+	g_autofree char *read_us =
+		g_strdup_printf("%" G_GINT64_FORMAT, reading->us);
+
 	if (fleet->routes &&
 	    gc_routes_version(routes) < gc_routes_version(fleet->routes)) {
 		gc_routes_unref(routes);
-		return true;
+		return;
 	}
 	gc_routes_unref(fleet->routes);
 	fleet->routes = routes;
 	fleet->has_new_routes = true;
-	version = g_strdup_printf("%" G_GUINT64_FORMAT,
-				  gc_routes_version(routes));
-	read_us = g_strdup_printf("%" G_GINT64_FORMAT, us);
-	gc_gauge_set(gc_config_change_us("read"), us);
+	gc_gauge_set(gc_config_change_us("read"), reading->us);
 	gc_log(GC_LOG_INFO, GC_EVENT_ROUTES_TAKEN,
 	       "operator configuration loaded", "version", version, "revision",
-	       revision_text, "bytes", bytes, "read_us", read_us, NULL);
-	return true;
+	       revision, "bytes", bytes, "read_us", read_us, NULL);
 }
 
 void gc_fleet_check_config(gc_fleet_t *fleet)
@@ -80,8 +156,16 @@
 {
 	gc_fleet_t *fleet = ctx;
 
-	if (record.len > 0)
-		take_config(fleet, record, 0);
+	if (record.len > 0) {
+		reading_t *reading = start_reading(fleet, record, 0);
+		gc_routes_t *routes;
+
+		while (!step_reading(reading, &routes))
+			;
+		if (routes)
+			take_routes(reading, routes);
+		end_reading(reading);
+	}
 	end_doubt(fleet, known ? "another daemon knows it"
 			       : "no other daemon knows one");
 }
--- a/lib/fleet_items.c
+++ b/lib/fleet_items.c
@@ -30,7 +30,7 @@
 	if (gc_str_eq(item->key, gc_str(fleet->conf.adapter->config_key))) {
 		if (item->deleted || item->revision <= fleet->config_revision)
 			return false;
-		gc_fleet_apply_config(fleet, item);
+		gc_fleet_start_config(fleet, item);
 		return true;
 	}
 	if (strip_prefix(item->key, fleet->conf.adapter->servers_prefix, &id)) {
--- a/lib/fleet_private.h
+++ b/lib/fleet_private.h
@@ -13,6 +13,12 @@
 	gc_fleet_conf_t conf;
 	gc_routes_t *routes;
 	bool has_new_routes; /* not published yet */
+	/* Records of the configuration that are being read, the newest last. */
+	GPtrArray *readings;
+	/* Changes that are being applied: a new view must be published, and the
+	 * time that it confirms. */
+	bool batch_changed;
+	struct timespec batch_confirmed;
 	uint64_t config_revision; /* in known_era */
 	uint64_t kept_era; /* in the list of the store; 0: none */
 	bool started; /* a full list was read before */
@@ -51,8 +57,11 @@
 void gc_fleet_advance_confirmed(gc_fleet_t *fleet, struct timespec at);
 /* Returns true if a new view must be published. */
 bool gc_fleet_apply_item(gc_fleet_t *fleet, const gc_store_item_t *item);
-/* Of the store. */
-void gc_fleet_apply_config(gc_fleet_t *fleet, const gc_store_item_t *item);
+/* Starts to read a configuration of the store. */
+void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item);
+/* Works for a few ms on the configuration that is being read; true if none is left. */
+bool gc_fleet_step_config(gc_fleet_t *fleet);
+GPtrArray *gc_fleet_create_readings(void);
 /*
  * The store may have gone back to a copy before this daemon started, so that its
  * configuration is older than the one in force. The others know. If nobody answers, it
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -19,6 +19,7 @@
 	gc_store_items_done_t done; /* of the call in flight */
 	void *ctx;
 	int64_t now_ms;
+	int64_t tick_ms; /* by which each look at the clock moves it */
 	gc_confirmed_time_t confirmed;
 	int64_t confirmed_at_publish;
 	uint64_t version; /* of the last view */
@@ -107,8 +108,9 @@
 
 static struct timespec fake_now(void *ctx)
 {
-	const fake_t *fake = ctx;
+	fake_t *fake = ctx;
 
+	fake->now_ms += fake->tick_ms;
 	return unit_at(fake->now_ms);
 }
 
@@ -220,6 +222,106 @@
 }
 END_TEST
 
+#define N_ROUTES 100
+
+/* A configuration that takes several pieces of work to read. */
+static char *large_config(int version)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
+	for (int i = 0; i < N_ROUTES; i++)
+		g_string_append_printf(
+			text,
+			"%s{\"host\":\"h\",\"path_prefix\":\"/%d/%d/\","
+			"\"kind\":\"idempotent\",\"service\":\"s\"}",
+			i ? "," : "", version, i);
+	g_string_append(text, "]}");
+	return g_string_free(text, FALSE);
+}
+
+/* Starts a fleet with version 1, and a response with records of these versions, an
+ * unreadable one for 0. Its configuration isn't read at once. */
+static gc_fleet_t *start_large(TALLOC_CTX *mem, fake_t *fake, gc_clock_t *clock,
+			       int first, int second)
+{
+	char *texts[] = {large_config(first), large_config(second)};
+	gc_store_item_t changes[2];
+	gc_store_items_t items = {.items = changes, .n = 2, .revision = 7};
+	gc_fleet_t *fleet = start(mem, fake, clock);
+
+	fake->now_ms = 10;
+	respond(fake, 5, "{\"version\":1}");
+	for (size_t i = 0; i < 2; i++)
+		changes[i] = (gc_store_item_t){GC_STR_LIT("op/config"),
+					       gc_str(texts[i]), 6 + i, false};
+	if (second == 0)
+		changes[1].value = GC_STR_LIT("{\"version\":3,\"routes\":[}");
+	fake->tick_ms = 1;
+	fake->done(fake->ctx, &items, NULL);
+	g_free(texts[0]);
+	g_free(texts[1]);
+	return fleet;
+}
+
+static void run_until_version(fake_t *fake, uint64_t version)
+{
+	for (int i = 0; i < 1000 && fake->version != version; i++)
+		tevent_loop_once(fake->ev);
+	ck_assert_uint_eq(fake->version, version);
+}
+
+/* What the daemon confirms it must have in force: a key that a configuration takes away
+ * would be admitted while that is read. */
+START_TEST(test_configuration_that_is_being_read_is_not_confirmed)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+	int64_t confirmed;
+
+	start_large(mem, &fake, &clock, 2, 3);
+	confirmed = fake.last_confirmed;
+	ck_assert_uint_eq(fake.version, 1);
+	ck_assert_int_eq(confirmed, ms_of(unit_at(0)));
+	tevent_loop_once(fake.ev);
+	ck_assert_uint_eq(fake.version, 1);
+	ck_assert_int_eq(fake.last_confirmed, confirmed);
+	/* Of several in one response, only the newest is read. */
+	fake.n_views = 0;
+	run_until_version(&fake, 3);
+	ck_assert_uint_eq(fake.n_views, 1);
+	ck_assert_uint_eq(fake.version_at_confirmation, 3);
+	ck_assert_int_gt(fake.last_confirmed, confirmed);
+	talloc_free(mem);
+}
+END_TEST
+
+START_TEST(test_invalid_newest_configuration_leaves_the_one_before_it)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start_large(mem, &fake, &clock, 2, 0);
+	run_until_version(&fake, 2);
+	talloc_free(mem);
+}
+END_TEST
+
+START_TEST(test_end_while_a_configuration_is_being_read)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start_large(mem, &fake, &clock, 2, 3);
+	tevent_loop_once(fake.ev);
+	ck_assert_uint_eq(fake.version, 1);
+	talloc_free(mem);
+}
+END_TEST
+
 START_TEST(test_confirmed_time_of_an_idle_watch)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -688,6 +790,9 @@
 {
 	const TTest *const tests[] = {
 		test_view_is_published_before_its_confirmation,
+		test_configuration_that_is_being_read_is_not_confirmed,
+		test_invalid_newest_configuration_leaves_the_one_before_it,
+		test_end_while_a_configuration_is_being_read,
 		test_confirmed_time_of_an_idle_watch,
 		test_confirmed_time_of_a_watch_with_an_unreadable_key,
 		test_older_version_is_ignored,
--- a/regress/check_mutation.c
+++ b/regress/check_mutation.c
@@ -12,6 +12,7 @@
 #include "lib/peers_codec.h"
 #include "lib/sse.h"
 #include "platform/platform.h"
+#include "platform/records.h"
 #include "regress/unit.h"
 
 #define DEFAULT_MUTATIONS 20000
@@ -237,7 +238,7 @@
 	gc_str_t ids[4];
 	size_t n_ids = adapter->shared_parts(bytes, ids, 4);
 
-	gc_routes_unref(adapter->read_routes(bytes, NULL, NULL));
+	gc_routes_unref(gc_platform_read_routes(bytes, NULL, NULL));
 	adapter->read_server(mem, GC_STR_LIT("i"), bytes, &entry, NULL);
 	adapter->read_load(bytes, &load);
 	adapter->read_copy_handle(mem, bytes, &handle);
