Read a list after a watch whose response is too large

Cause: a response of the store may have 8 MiB. Several changes of a large configuration, while a daemon can't read the store, or one that is longer, exceed it; the daemon then asked for the same changes and more of them again, and never read the store again while the history lasted. All keyed requests were refused with 503 after revoke_ms. Change: a watch that fails that way is followed by a full list, as one whose history is gone.

A single value that is longer than a response can't be read until it is replaced; the former one stays in force until revoke_ms, as the daemon can't know which keys the new one revokes.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -45,6 +45,7 @@
 				       const gc_store_items_t *items);
 static void on_next_call(void *ctx);
 static void handle_store_error(gc_fleet_t *fleet, const GError *err);
+static void discard_list(gc_fleet_t *fleet);
 static void mark_store_reachable(gc_fleet_t *fleet);
 static void on_expiry(void *ctx);
 
@@ -411,6 +412,9 @@
 		return;
 	}
 	if (err) {
+		/* The same changes would be sent again, and each further one. */
+		if (g_error_matches(err, GC_ERROR, GC_ERR_TOO_LARGE))
+			discard_list(fleet);
 		handle_store_error(fleet, err);
 		return;
 	}
@@ -492,10 +496,8 @@
 	int64_t delay_ms;
 
 	/* Without the store's change history, a full list is needed again. */
-	if (g_error_matches(err, GC_ERROR, GC_ERR_LOST)) {
-		fleet->list_complete = false;
-		g_string_truncate(fleet->last_key, 0);
-	}
+	if (g_error_matches(err, GC_ERROR, GC_ERR_LOST))
+		discard_list(fleet);
 	if (fleet->store_reachable)
 		gc_log_error(GC_LOG_WARNING, GC_EVENT_STORE_LOST,
 			     "the store can't be read", err);
@@ -510,6 +512,13 @@
 		gc_timer_set(fleet->call_timer, random_part(fleet, delay_ms));
 }
 
+/* The next call begins a full list. */
+static void discard_list(gc_fleet_t *fleet)
+{
+	fleet->list_complete = false;
+	g_string_truncate(fleet->last_key, 0);
+}
+
 /* Half to all of the time: daemons that start together are refused together
  * when their calls exceed the store's rate. */
 static int64_t random_part(const gc_fleet_t *fleet, int64_t ms)
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -147,6 +147,42 @@
 }
 END_TEST
 
+/* More than a response of the store may have; the last one has the path of the first. */
+START_TEST(test_very_many_routes)
+{
+	g_autoptr(GError) err = NULL;
+	GString *list = g_string_new(NULL);
+	gc_routes_t *former;
+	g_autofree char *all = NULL;
+	g_autofree char *twice = NULL;
+
+	for (int i = 0; i < 100000; i++)
+		g_string_append_printf(
+			list,
+			"%s{\"name\":\"route-%d\",\"host\":\"h.example\","
+			"\"path_prefix\":\"/path/%d/\",\"kind\":\"idempotent\","
+			"\"service\":\"s1\"}",
+			i ? "," : "", i, i);
+	all = config_of(list->str);
+	g_string_append(list, "," ROUTE("/x/", "s"));
+	g_string_append(list, ",{\"host\":\"h.example\",\"path_prefix\":"
+			      "\"/path/0/\",\"kind\":\"streaming\"}");
+	twice = config_of(list->str);
+	g_string_free(list, TRUE);
+	former = gc_platform_read_routes(gc_str(all), NULL, NULL);
+	ck_assert_uint_eq(gc_routes_count(former), 100000);
+	for (int i = 0; i < 2; i++) {
+		ck_assert_ptr_null(gc_platform_read_routes(
+			gc_str(twice), i ? former : NULL, &err));
+		ck_assert_str_eq(err->message,
+				 "routes: element 100001 has the host and path "
+				 "prefix of another one");
+		g_clear_error(&err);
+	}
+	gc_routes_unref(former);
+}
+END_TEST
+
 /* Keys are required only if the configuration lists client accounts. */
 START_TEST(test_keys_are_required_only_with_accounts)
 {
@@ -566,6 +602,7 @@
 		test_routes,
 		test_routes_that_did_not_change_are_shared,
 		test_place_of_a_wrong_route_is_named,
+		test_very_many_routes,
 		test_invalid_config,
 		test_server_entries,
 		test_addresses_of_server_entries,
