--- a/core/text_diff.c
+++ b/core/text_diff.c
@@ -10,6 +10,8 @@
 #define MIN_RUN_BYTES 32
 /* A run of this length is taken without a search for a longer one. */
 #define GOOD_RUN_BYTES 512
+/* Places that are compared in all; a text that differs more is sent whole. */
+#define MAX_COMPARED 16384
 /* Bytes whose hash finds the places where a run may begin. */
 #define HASHED_BYTES 8
 #define HASH_BITS    11
@@ -26,13 +28,14 @@
 static gc_str_t after(gc_str_t text, size_t n);
 static void find_places(gc_str_t text, places_t *places);
 static unsigned int hash_at(gc_str_t text, size_t at);
-static void find_common(gc_str_t former, gc_str_t text, size_t *drop,
-			size_t *insert);
+static void find_common(gc_str_t former, gc_str_t text, size_t *n_compared,
+			size_t *drop, size_t *insert);
 
 bool gc_text_diff(gc_str_t former, gc_str_t text, GArray *edits)
 {
 	size_t max_inserted = text.len / 2;
 	size_t inserted = 0;
+	size_t n_compared = 0;
 
 	g_array_set_size(edits, 0);
 	for (;;) {
@@ -44,9 +47,9 @@
 		text = after(text, keep);
 		if (former.len == 0 && text.len == 0)
 			return true;
-		if (edits->len == MAX_EDITS)
+		if (edits->len == MAX_EDITS || n_compared > MAX_COMPARED)
 			return false;
-		find_common(former, text, &edit.drop, &insert);
+		find_common(former, text, &n_compared, &edit.drop, &insert);
 		edit.insert = (gc_str_t){text.data, insert};
 		inserted += insert;
 		if (inserted > max_inserted)
@@ -90,8 +93,8 @@
  * in the windows, as the first one may be what all parts of a list have in common. If
  * there is none, what they have in common at their ends.
  */
-static void find_common(gc_str_t former, gc_str_t text, size_t *drop,
-			size_t *insert)
+static void find_common(gc_str_t former, gc_str_t text, size_t *n_compared,
+			size_t *drop, size_t *insert)
 {
 	size_t best = MIN_RUN_BYTES - 1;
 	places_t places;
@@ -107,6 +110,7 @@
 			size_t run = common_run(after(former, i),
 						after(text, j), GOOD_RUN_BYTES);
 
+			(*n_compared)++;
 			/* All that is left of one of them is as good. */
 			if (run == former.len - i || run == text.len - j)
 				run = MAX(run, run >= MIN_RUN_BYTES
