Test that a revoked key isn't admitted beside large changes

The second key is taken away in the middle of forty changes of 1,400 routes, on 0.04 of a processor.

--- a/regress/routed_large_config.t
+++ b/regress/routed_large_config.t
@@ -10,16 +10,22 @@
   $ start_routed d1
 
 1,400 more routes, all of one host; four changes a second, each of one route. The
-daemon has 0.04 of a processor.
+daemon has 0.04 of a processor. The 20th and all later ones lack the second key, which
+isn't admitted for longer than revoke_ms (5 s) after that was written.
 
   $ many_routes() { seq 1400 | awk -v n="$1" '{ printf ",{\"name\":\"more-%d\",\"host\":\"h.example\",\"path_prefix\":\"/more%d/\",\"kind\":\"idempotent\",\"service\":\"app\",\"max_attempts\":5,\"timeout_ms\":%d,\"target_latency_ms\":300,\"priority\":1,\"anonymous\":false,\"sticky\":false,\"resumable\":false}", $1, $1, $1 == n % 1400 ? 1400 : 1500 }'; }
   $ put_config "$(many_routes 1)"; sleep 1; status /look/ok
   200
   $ python3 "$TOP/regress/small_share.py" $d1_pid 0.04 12 & share=$!
-  $ (for i in $(seq 40); do put_config "$(many_routes $i)"; sleep 0.2; done) & changes=$!
+  $ now_ms() { date +%s%3N; }
+  $ (for i in $(seq 40); do if [ $i -lt 20 ]; then put_config "$(many_routes $i)"; else put_config "$(many_routes $i)" ''; fi; [ $i -ne 20 ] || now_ms >revoked; sleep 0.2; done) & changes=$!
+  $ (while kill -0 $changes 2>/dev/null; do sent=$(now_ms); echo $sent $(AUTH=' Token key-2' status /look/ok); sleep 0.1; done >second_key) & second=$!
   $ sleep 0.5; python3 "$TOP/regress/unanswered.py" $CALLER_ADDR 9
   0 without an answer or a refusal
   nine of ten or more served
+  $ wait $share $changes $second
+  $ awk -v revoked=$(cat revoked) '{ n[$2]++ } $2 == 200 && $1 > revoked + 5000 { late++ } END { print (n[200] > 0 ? "admitted before" : "never admitted"), (n[401] > 0 ? "refused after" : "never refused"), late + 0, "late" }' second_key
+  admitted before refused after 0 late
 
 The log names the steps of a change, the metrics the longest turn of each loop.
 
@@ -37,7 +43,7 @@
 under 1,000 bytes for a daemon that has the former one. Others get all of it,
 compressed unless they are of an earlier version.
 
-  $ wait $share $changes; CONFIG_VERSION=1000
+  $ CONFIG_VERSION=1000
   $ revision() { grep '"event":1602' d1.log | tail -n 1 | sed 's/.*"revision":"\([0-9]*\)".*/\1/'; }
   $ put_config "$(many_routes 7)"; sleep 1; before=$(revision)
   $ put_config "$(many_routes 9)"; sleep 1; [ $(revision) -gt $before ] && echo taken
