Take the highest version of several records, and one with a route twice

Of several configurations in one response of the store only the one with the highest revision was read: one of a lower version, or changes out of order, kept a newer configuration from coming into force. The highest version counts now, as if all were taken in turn; test_highest_version_of_a_response_counts.

A record in which two routes have the same host and path prefix was refused as a whole, on the first one counted; old and new daemons had different configurations, and a daemon that started had none. The first one counts again, after any former version, and 1622 names the place of the other one.

--- a/core/json_list.c
+++ b/core/json_list.c
@@ -160,6 +160,22 @@
 	g_free(list);
 }
 
+void gc_json_list_foreach(const gc_json_list_t *list,
+			  void (*fn)(void *ctx, size_t index, void *item),
+			  void *ctx)
+{
+	size_t index = 0;
+
+	for (guint i = 0; i < list->places->len; i++) {
+		const block_t *block =
+			g_array_index(list->places, place_t, i).block;
+
+		for (size_t j = 0; j < block->n; j++, index++)
+			if (block->elements[j].item)
+				fn(ctx, index, block->elements[j].item);
+	}
+}
+
 static gc_json_progress_t read_elements(reader_t *reader, GError **err)
 {
 	bool more = true;
--- a/core/json_list.h
+++ b/core/json_list.h
@@ -53,6 +53,10 @@
 gc_json_list_t *gc_json_reader_take_list(gc_json_reader_t *reader);
 void gc_json_reader_destroy(gc_json_reader_t *reader);
 
+/* Calls fn for each item that isn't NULL, in order, with its element's index. */
+void gc_json_list_foreach(const gc_json_list_t *list,
+			  void (*fn)(void *ctx, size_t index, void *item),
+			  void *ctx);
 void gc_json_list_destroy(gc_json_list_t *list);
 
 /*
--- a/core/routes.c
+++ b/core/routes.c
@@ -20,6 +20,7 @@
 	GHashTable *priorities; /* gc_str_t of the account: number */
 	size_t n_routes;
 	bool keys_required;
+	bool has_duplicates; /* routes were left out */
 	char *record; /* NULL: none */
 	size_t record_len;
 	gc_json_list_t *list; /* of routes in the record; NULL: none */
@@ -266,6 +267,16 @@
 	return true;
 }
 
+void gc_routes_set_duplicates(gc_routes_t *routes)
+{
+	routes->has_duplicates = true;
+}
+
+bool gc_routes_has_duplicates(const gc_routes_t *routes)
+{
+	return routes->has_duplicates;
+}
+
 void gc_routes_remove(gc_routes_t *routes, const gc_route_t *route)
 {
 	route_key_t key = {route->host, route->path_prefix};
--- a/core/routes.h
+++ b/core/routes.h
@@ -77,6 +77,9 @@
 /* Takes a reference to the route, of gc_route_create. False if there is a route with
  * the same host and path prefix. */
 bool gc_routes_add(gc_routes_t *routes, gc_route_t *route);
+/* Notes that a route was left out for that reason. */
+void gc_routes_set_duplicates(gc_routes_t *routes);
+bool gc_routes_has_duplicates(const gc_routes_t *routes);
 /* Removes a route that was added. */
 void gc_routes_remove(gc_routes_t *routes, const gc_route_t *route);
 /* Takes ownership of the record that the table was read from, of g_malloc, and of the
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -55,6 +55,9 @@
 	const char *ready_path;
 	const char *addresses_path;
 	const char *load_path; /* of a backend server's load report */
+	/* The version of the operator configuration, without a look at the rest;
+	 * G_MAXUINT64 if it can't be told so. */
+	uint64_t (*config_version)(gc_str_t record);
 	/*
 	 * Parses the operator configuration in steps. The table shares the routes
 	 * that have the same text as in the record of the former one, NULL for none.
--- a/lib/fleet_config.c
+++ b/lib/fleet_config.c
@@ -15,6 +15,7 @@
 typedef struct reading {
 	gc_fleet_t *fleet;
 	gc_routes_reader_t *routes;
+	uint64_t version; /* G_MAXUINT64: not known before the end */
 	uint64_t revision; /* of the store; 0: the record is another daemon's */
 	size_t bytes;
 	int64_t us; /* spent on it */
@@ -23,6 +24,8 @@
 static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
 				uint64_t revision);
 static void end_reading(void *data);
+static gint compare_readings(gconstpointer a, gconstpointer b);
+static void drop_older(gc_fleet_t *fleet, uint64_t version);
 static bool step_reading(reading_t *reading, gc_routes_t **routes);
 static void take_routes(reading_t *reading, gc_routes_t *routes);
 static void on_config_found(void *ctx, bool known, gc_str_t record);
@@ -37,9 +40,22 @@
 {
 	g_ptr_array_add(fleet->readings,
 			start_reading(fleet, item->value, item->revision));
+	g_ptr_array_sort(fleet->readings, compare_readings);
 }
 
-/* The newest record counts; the others are for the case that it isn't valid. */
+/* By version; the store's order decides between records of one version. */
+static gint compare_readings(gconstpointer a, gconstpointer b)
+{
+	const reading_t *left = *(reading_t *const *)a;
+	const reading_t *right = *(reading_t *const *)b;
+
+	if (left->version != right->version)
+		return left->version < right->version ? -1 : 1;
+	return left->revision < right->revision ? -1 : 1;
+}
+
+/* Of several records the highest version counts, as if all were taken in turn. The
+ * others are read only if it isn't valid. */
 bool gc_fleet_step_config(gc_fleet_t *fleet)
 {
 	struct timespec start = gc_clock_now(fleet->conf.clock);
@@ -60,16 +76,31 @@
 			g_ptr_array_set_size(fleet->readings, (gint)last);
 			continue;
 		}
-		fleet->config_revision = reading->revision;
+		drop_older(fleet, gc_routes_version(routes));
 		take_routes(reading, routes);
-		g_ptr_array_set_size(fleet->readings, 0);
 		/* Not in the copy, but written since. */
 		if (fleet->list_complete)
 			end_doubt(fleet, "the operator has written it");
+		g_ptr_array_remove(fleet->readings, reading);
 	}
 	return true;
 }
 
+/* Records that can't be newer than one of this version, but for the last one. */
+static void drop_older(gc_fleet_t *fleet, uint64_t version)
+{
+	for (guint i = fleet->readings->len - 1; i-- > 0;) {
+		const reading_t *reading =
+			g_ptr_array_index(fleet->readings, i);
+
+		if (reading->version > version)
+			continue;
+		fleet->config_revision =
+			MAX(fleet->config_revision, reading->revision);
+		g_ptr_array_remove_index(fleet->readings, i);
+	}
+}
+
 static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
 				uint64_t revision)
 {
@@ -79,6 +110,7 @@
 	reading->fleet = fleet;
 	reading->revision = revision;
 	reading->bytes = record.len;
+	reading->version = fleet->conf.adapter->config_version(record);
 	reading->routes =
 		fleet->conf.adapter->start_routes(record, fleet->routes);
 	reading->us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
@@ -121,6 +153,7 @@
 	g_autofree char *read_us =
 		g_strdup_printf("%" G_GINT64_FORMAT, reading->us);
 
+	fleet->config_revision = MAX(fleet->config_revision, reading->revision);
 	if (fleet->routes &&
 	    gc_routes_version(routes) < gc_routes_version(fleet->routes)) {
 		gc_routes_unref(routes);
--- a/lib/log_events.h
+++ b/lib/log_events.h
@@ -96,6 +96,7 @@
 	GC_EVENT_KEY_UNREADABLE = 1619,
 	GC_EVENT_DAEMON_UNREADABLE = 1620,
 	GC_EVENT_CONFIG_IN_FORCE = 1621,
+	GC_EVENT_ROUTE_TWICE = 1622,
 
 	/* 1700-1799: stand-ins; 1700 is reserved for their start event */
 	GC_EVENT_STANDIN_STOPPING = 1701,
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -173,6 +173,13 @@
 	fake->done(fake->ctx, &items, NULL);
 }
 
+/* The next call starts after a pause. */
+static void wait_for_watch(fake_t *fake, uint64_t after)
+{
+	while (fake->watched_after != after)
+		tevent_loop_once(fake->ev);
+}
+
 static gc_fleet_t *start(TALLOC_CTX *mem, fake_t *fake, gc_clock_t *clock)
 {
 	struct tevent_context *ev = tevent_context_init(mem);
@@ -309,6 +316,43 @@
 }
 END_TEST
 
+/* Each record alone would have had the same end. */
+START_TEST(test_highest_version_of_a_response_counts)
+{
+	static const struct {
+		int first;
+		uint64_t first_revision;
+		int second;
+		uint64_t second_revision;
+		uint64_t in_force;
+	} cases[] = {{5, 6, 3, 7, 5}, {6, 9, 5, 8, 6}, {7, 10, 7, 11, 7}};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	fake.now_ms = 10;
+	respond(&fake, 5, "{\"version\":4}");
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *first = large_config(cases[i].first);
+		g_autofree char *second = large_config(cases[i].second);
+		gc_store_item_t changes[] = {
+			{GC_STR_LIT("op/config"), gc_str(first),
+			 cases[i].first_revision, false},
+			{GC_STR_LIT("op/config"), gc_str(second),
+			 cases[i].second_revision, false},
+		};
+		gc_store_items_t items = {
+			.items = changes, .n = 2, .revision = 7 + 2 * i};
+
+		fake.done(fake.ctx, &items, NULL);
+		ck_assert_uint_eq(fake.version, cases[i].in_force);
+		wait_for_watch(&fake, 7 + 2 * i);
+	}
+	talloc_free(mem);
+}
+END_TEST
+
 START_TEST(test_end_while_a_configuration_is_being_read)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
@@ -450,13 +494,6 @@
 	fake->done(fake->ctx, &items, NULL);
 }
 
-/* The next call starts after a pause. */
-static void wait_for_watch(fake_t *fake, uint64_t after)
-{
-	while (fake->watched_after != after)
-		tevent_loop_once(fake->ev);
-}
-
 /*
  * Notices on crashes reach this daemon and, through it, those that watch it. A
  * view for each of them would be work for the traffic thread without a change.
@@ -792,6 +829,7 @@
 		test_view_is_published_before_its_confirmation,
 		test_configuration_that_is_being_read_is_not_confirmed,
 		test_invalid_newest_configuration_leaves_the_one_before_it,
+		test_highest_version_of_a_response_counts,
 		test_end_while_a_configuration_is_being_read,
 		test_confirmed_time_of_an_idle_watch,
 		test_confirmed_time_of_a_watch_with_an_unreadable_key,
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -117,16 +117,46 @@
 }
 END_TEST
 
-/* Which of the two counts would depend on the versions before. */
+/* The first one counts, also after any other version. */
+START_TEST(test_route_twice)
+{
+	static const struct {
+		const char *routes;
+		const char *service;
+	} cases[] = {
+		{ROUTE("/a/", "s") "," ROUTE("/b/", "u") "," ROUTE("/a/", "t"),
+		 "s"},
+		{ROUTE("/b/", "u") "," ROUTE("/a/", "t"), "t"},
+		{ROUTE("/a/", "t") "," ROUTE("/a/", "s") "," ROUTE("/b/", "u"),
+		 "t"},
+	};
+	gc_routes_t *former = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = config_of(cases[i].routes);
+		gc_routes_t *routes =
+			gc_platform_read_routes(gc_str(text), former, NULL);
+
+		ck_assert_ptr_nonnull(routes);
+		ck_assert_uint_eq(gc_routes_count(routes), 2);
+		ck_assert_str_eq(gc_routes_find(routes, gc_str("h"),
+						gc_str("/a/x"))
+					 ->targets[0]
+					 .service.data,
+				 cases[i].service);
+		gc_routes_unref(former);
+		former = routes;
+	}
+	gc_routes_unref(former);
+}
+END_TEST
+
 START_TEST(test_place_of_a_wrong_route_is_named)
 {
 	static const struct {
 		const char *routes;
 		const char *error;
 	} cases[] = {
-		{ROUTE("/a/", "s") "," ROUTE("/b/", "s") "," ROUTE("/a/", "t"),
-		 "routes: element 2 has the host and path prefix of another "
-		 "one"},
 		{ROUTE("/a/", "s") ",{\"host\":h}",
 		 "routes: element 1 at byte 90: invalid token near 'h'"},
 		{ROUTE("/a/", "s") " " ROUTE("/b/", "s"),
@@ -172,12 +202,17 @@
 	former = gc_platform_read_routes(gc_str(all), NULL, NULL);
 	ck_assert_uint_eq(gc_routes_count(former), 100000);
 	for (int i = 0; i < 2; i++) {
-		ck_assert_ptr_null(gc_platform_read_routes(
-			gc_str(twice), i ? former : NULL, &err));
-		ck_assert_str_eq(err->message,
-				 "routes: element 100001 has the host and path "
-				 "prefix of another one");
-		g_clear_error(&err);
+		gc_routes_t *routes = gc_platform_read_routes(
+			gc_str(twice), i ? former : NULL, &err);
+
+		ck_assert_ptr_nonnull(routes);
+		ck_assert(gc_routes_has_duplicates(routes));
+		ck_assert_uint_eq(gc_routes_count(routes), 100001);
+		ck_assert_int_eq(gc_routes_find(routes, gc_str("h.example"),
+						gc_str("/path/0/x"))
+					 ->kind,
+				 GC_ROUTE_IDEMPOTENT);
+		gc_routes_unref(routes);
 	}
 	gc_routes_unref(former);
 }
@@ -601,6 +636,7 @@
 		test_copies_keep_all_bytes,
 		test_routes,
 		test_routes_that_did_not_change_are_shared,
+		test_route_twice,
 		test_place_of_a_wrong_route_is_named,
 		test_very_many_routes,
 		test_invalid_config,
--- a/regress/routed_bad_config.t
+++ b/regress/routed_bad_config.t
@@ -21,20 +21,25 @@
 
 Those that can't be decoded; the log names the place.
 
-  $ for k in cut cut_end twice nul; do echo $k; bad $k; said 1603; sound after_$k; done
+  $ for k in cut cut_end nul; do echo $k; bad $k; said 1603; sound after_$k; done
   cut
   200 200 200
   3 "error":"routes: element 17 at byte 2959: not a JSON value"
   cut_end
   200 200 200
   3 "error":"byte 8[0-9]*: '}' expected near end of file" (re)
-  twice
-  200 200 200
-  3 "error":"routes: element 20 has the host and path prefix of another one"
   nul
   200 200 200
   3 "error":"byte 1: '[' or '{' expected near end of file"
 
+Of two routes with the same host and path prefix the first one counts.
+
+  $ bad twice; for i in 1 2 3; do tail -n +$((1 + $(cat d$i.lines))) d$i.log | grep '"event":1622' | grep -o '"element":"[0-9]*"'; done; sound after_twice
+  200 200 200
+  "element":"20"
+  "element":"20"
+  "element":"20"
+
 Those that are only large are taken.
 
   $ for k in keys names largest; do echo $k; bad $k; said 1602; sound after_$k; done
