Tell daemons that start of refused requests in time

The notice that nothing displaces, goldcrest/kept/TRAIT, was written by a timer of a minute, was not written again after a restore for up to four minutes, and by one daemon only, also if that one had just started and knew nothing.

The evidence is written within 0.1 s of the third crash and of each further one, and again at once after a restore. Waiting evidence is dropped if the trait is served, doesn't displace reports from the queue, and waits for the store for as long as reports do.

Passed as well: routed_crash.t, routed_crash_requests.t, routed_crash_restart.t, routed_mixed_crash.t, routed_builds.t, routed_restore.t, routed_restore_config.t, routed_restore_versions.t, routed_reborn.t, routed_mixed.t, docs.t, prop_crash_suspects.

check_crash_suspects: the test that one of five daemons tells of a refused request now expects three of them, with one each in the turns 0, 1 and 2.

--- a/core/crash_suspects.c
+++ b/core/crash_suspects.c
@@ -13,6 +13,9 @@
 #define KEPT_AGE_MS (INT64_C(24) * 60 * 60 * 1000)
 /* Interval at which they are told again; shorter than the notices last. */
 #define TELL_AGAIN_MS 240000
+/* Daemons that tell them. One may be gone, or have started without the
+ * reports. */
+#define N_TELLING 3
 /* Pause before the first trial of a refused trait; doubles with each further
  * one, as a trial may cost a server. */
 #define TRIAL_INTERVAL_MS 30000
@@ -32,10 +35,14 @@
 static void set_revision(const gc_crash_suspects_t *suspects, report_t *report,
 			 uint64_t revision);
 static void drop_expired(gc_crash_suspects_t *suspects, struct timespec now);
+static void mark_due(gc_crash_suspects_t *suspects, const report_t *report);
+static size_t keep(gc_crash_suspects_t *suspects, struct timespec now, bool all,
+		   gc_crash_evidence_t *evidence, size_t max);
 static bool keep_trait(gc_crash_suspects_t *suspects, struct timespec now,
 		       gc_crash_evidence_t *kept);
-static bool is_to_be_told(gc_crash_suspects_t *suspects, struct timespec now,
-			  uint64_t trait);
+static bool is_to_be_told(const gc_crash_suspects_t *suspects,
+			  struct timespec now, const trait_count_t *count,
+			  gc_crash_evidence_t *kept);
 static bool take_trial(gc_crash_suspects_t *suspects, struct timespec now,
 		       uint64_t trait);
 static trial_t *find_trial(gc_crash_suspects_t *suspects, struct timespec now,
@@ -122,8 +129,10 @@
 
 	drop_expired(suspects, now);
 	entry = find_report(suspects, report->id);
-	if (!entry)
+	if (!entry) {
 		entry = add_report(suspects, now, report);
+		mark_due(suspects, entry);
+	}
 	set_revision(suspects, entry, revision);
 }
 
@@ -149,6 +158,7 @@
 	}
 	entry->pending = false;
 	entry->refuted = false;
+	mark_due(suspects, entry);
 }
 
 void gc_crash_suspects_refute(gc_crash_suspects_t *suspects, uint64_t id)
@@ -244,6 +254,23 @@
 	}
 }
 
+/* Its traits may be refused now, or for one more crash. */
+static void mark_due(gc_crash_suspects_t *suspects, const report_t *report)
+{
+	const gc_request_traits_t *traits = &report->report.traits;
+
+	for (size_t i = 0; i < gc_request_traits_count(traits); i++) {
+		uint64_t trait = gc_request_traits_at(traits, i);
+		trait_count_t *count =
+			g_hash_table_lookup(suspects->counts, &trait);
+
+		if (!count || count->n < MIN_CRASHES)
+			continue;
+		count->due = true;
+		suspects->has_due = true;
+	}
+}
+
 /* Notices of services that are older than the report don't clear it. */
 static void set_revision(const gc_crash_suspects_t *suspects, report_t *report,
 			 uint64_t revision)
@@ -282,21 +309,69 @@
 size_t gc_crash_suspects_keep(gc_crash_suspects_t *suspects,
 			      struct timespec now,
 			      gc_crash_evidence_t *evidence, size_t max)
+{
+	return keep(suspects, now, true, evidence, max);
+}
+
+size_t gc_crash_suspects_keep_due(gc_crash_suspects_t *suspects,
+				  struct timespec now,
+				  gc_crash_evidence_t *evidence, size_t max)
+{
+	return keep(suspects, now, false, evidence, max);
+}
+
+bool gc_crash_suspects_has_due(const gc_crash_suspects_t *suspects)
+{
+	return suspects->has_due;
+}
+
+void gc_crash_suspects_store_restored(gc_crash_suspects_t *suspects)
+{
+	GHashTableIter iter;
+	trait_count_t *count;
+
+	g_hash_table_iter_init(&iter, suspects->counts);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&count)) {
+		count->n_told = 0;
+		count->due = count->n >= MIN_CRASHES;
+		suspects->has_due |= count->due;
+	}
+}
+
+/* all: also traits that aren't due. What isn't returned for want of space is
+ * due. */
+static size_t keep(gc_crash_suspects_t *suspects, struct timespec now, bool all,
+		   gc_crash_evidence_t *evidence, size_t max)
 {
 	GHashTableIter iter;
-	const trait_count_t *count;
+	trait_count_t *count;
 	size_t n = 0;
 
 	drop_expired(suspects, now);
+	suspects->has_due = false;
 	/* Nothing is added to or removed from the table meanwhile. */
 	g_hash_table_iter_init(&iter, suspects->counts);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&count)) {
 		gc_crash_evidence_t kept = {.trait = count->trait};
 
-		if (count->n < MIN_CRASHES || !keep_trait(suspects, now, &kept))
+		if (!all && !count->due)
+			continue;
+		count->due = false;
+		if (count->n < MIN_CRASHES ||
+		    !keep_trait(suspects, now, &kept)) {
+			count->n_told = 0;
+			continue;
+		}
+		if (!is_to_be_told(suspects, now, count, &kept))
+			continue;
+		if (n == max) {
+			count->due = true;
+			suspects->has_due = true;
 			continue;
-		if (n < max && is_to_be_told(suspects, now, count->trait))
-			evidence[n++] = kept;
+		}
+		count->n_told = kept.n;
+		count->told_at = now;
+		evidence[n++] = kept;
 	}
 	return n;
 }
@@ -334,31 +409,19 @@
 	return true;
 }
 
-/* True for one daemon of the fleet, at most every TELL_AGAIN_MS. */
-static bool is_to_be_told(gc_crash_suspects_t *suspects, struct timespec now,
-			  uint64_t trait)
+/* True for a few daemons of the fleet in turn, at most every TELL_AGAIN_MS for the
+ * same crashes. Sets the turn. */
+static bool is_to_be_told(const gc_crash_suspects_t *suspects,
+			  struct timespec now, const trait_count_t *count,
+			  gc_crash_evidence_t *kept)
 {
-	kept_t *entry = NULL;
+	size_t first = count->trait % suspects->n_daemons;
 
-	if (trait % suspects->n_daemons != suspects->rank)
-		return false;
-	for (size_t i = 0; i < MAX_KEPT; i++) {
-		kept_t *kept = &suspects->kept[i];
-
-		if (kept->trait == trait) {
-			if (gc_ms_between(kept->told_at, now) < TELL_AGAIN_MS)
-				return false;
-			entry = kept;
-			break;
-		}
-		if (!entry ||
-		    (entry->trait != 0 &&
-		     (kept->trait == 0 ||
-		      gc_ms_between(kept->told_at, entry->told_at) > 0)))
-			entry = kept;
-	}
-	*entry = (kept_t){trait, now};
-	return true;
+	kept->turn = (suspects->rank + suspects->n_daemons - first) %
+		     suspects->n_daemons;
+	return kept->turn < N_TELLING &&
+	       (count->n_told < kept->n ||
+		gc_ms_between(count->told_at, now) >= TELL_AGAIN_MS);
 }
 
 static uint64_t served_revision(const gc_crash_suspects_t *suspects,
--- a/core/crash_suspects.h
+++ b/core/crash_suspects.h
@@ -125,6 +125,8 @@
 	gc_crash_report_t reports[GC_CRASH_EVIDENCE_MAX];
 	size_t n;
 	int64_t left_ms; /* until they are forgotten */
+	/* Number of daemons that are to tell it before this one. */
+	size_t turn;
 } gc_crash_evidence_t;
 
 /*
@@ -135,6 +137,15 @@
 size_t gc_crash_suspects_keep(gc_crash_suspects_t *suspects,
 			      struct timespec now,
 			      gc_crash_evidence_t *evidence, size_t max);
+/* The same for traits whose crashes have become more, or are to be told again
+ * after a restore. */
+size_t gc_crash_suspects_keep_due(gc_crash_suspects_t *suspects,
+				  struct timespec now,
+				  gc_crash_evidence_t *evidence, size_t max);
+/* True if there may be such traits. */
+bool gc_crash_suspects_has_due(const gc_crash_suspects_t *suspects);
+/* The store may have lost what the daemons told each other. */
+void gc_crash_suspects_store_restored(gc_crash_suspects_t *suspects);
 /*
  * Decides whether a request with these traits is sent. GC_SUSPECT_TRY is returned
  * once per trial.
--- a/core/crash_suspects_private.h
+++ b/core/crash_suspects_private.h
@@ -12,7 +12,6 @@
 #define MAX_REPORTS    1024
 #define MAX_SERVED     4096
 #define MAX_TRIALS     64
-#define MAX_KEPT       64
 #define MAX_SET_TRAITS 64
 /* Crashes of one trait that are looked at, from the oldest. */
 #define MAX_CRASHES 32
@@ -43,12 +42,6 @@
 	bool used;
 } trial_t;
 
-/* A refused trait that this daemon told the others of again. */
-typedef struct kept {
-	uint64_t trait; /* 0: unused */
-	struct timespec told_at;
-} kept_t;
-
 /* Traits of several requests. */
 typedef struct trait_set {
 	uint64_t ids[MAX_SET_TRAITS];
@@ -75,10 +68,15 @@
 	trait_set_t suspects;
 } evidence_t;
 
-/* Number of reports with a trait, served or not. */
+/* Reports with a trait, served or not. */
 typedef struct trait_count {
 	uint64_t trait;
 	size_t n;
+	bool due; /* not looked at since a report was added */
+	/* Crashes for which gc_crash_suspects_keep last returned the trait; 0: not
+	 * yet, or the store may have lost them. */
+	size_t n_told;
+	struct timespec told_at;
 } trait_count_t;
 
 struct gc_crash_suspects {
@@ -92,9 +90,9 @@
 	size_t next_served;
 	size_t n_served;
 	trial_t trials[MAX_TRIALS];
-	kept_t kept[MAX_KEPT];
 	/* A trait was served since take_served last returned all. */
 	bool newly_served;
+	bool has_due; /* traits that are due */
 };
 
 /* The traits are numbered: the request is 0, parts follow. */
--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -4,6 +4,7 @@
 
 #include "core/error.h"
 #include "lib/crash_notices.h"
+#include "lib/kept_turns.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/metrics.h"
@@ -16,10 +17,13 @@
 /* Keys of this daemon's reports, which are written in turn. */
 #define MAX_REPORT_KEYS 16
 #define MAX_QUEUED	32
+/* Of these, notices that repeat the reports on a trait. */
+#define MAX_QUEUED_KEPT 16
 /* A notice of a service that was not written for so long is given up: it only
  * spares others a trial. */
 #define MAX_AGE_MS 10000
-/* The same for reports. Outages of the store last for seconds to minutes. */
+/* The same for reports, also repeated ones. Outages of the store last for seconds
+ * to minutes. */
 #define MAX_REPORTS_AGE_MS 300000
 /* Reports of this age are written again to a store that was restored: the copy
  * is some seconds old. */
@@ -37,7 +41,8 @@
 	char *key;
 	char *value; /* of a notice of a service */
 	GArray *reports; /* of gc_crash_report_t; NULL: of a service */
-	uint64_t trait; /* that was served */
+	uint64_t trait; /* that was served, or is refused */
+	bool kept; /* repeats the reports on the trait */
 	bool sent; /* a call was made for it, whose answer may be lost */
 	struct timespec made;
 	struct timespec due; /* not written before */
@@ -56,6 +61,7 @@
 	gc_crash_notices_conf_t conf;
 	GQueue queue; /* of notice_t, oldest first */
 	gc_timer_t *timer;
+	gc_kept_turns_t *turns;
 	bool call_in_flight; /* for the head of the queue */
 	bool stopped;
 	struct timespec retry_at;
@@ -80,6 +86,9 @@
 };
 
 static int notices_destructor(gc_crash_notices_t *notices);
+static void write_kept(void *ctx, const gc_crash_evidence_t *evidence);
+static void limit_kept(gc_crash_notices_t *notices, uint64_t trait);
+static void mark_kept_needless(gc_crash_notices_t *notices, uint64_t trait);
 static notice_t *enqueue(gc_crash_notices_t *notices, int64_t delay_ms);
 static void discard_oldest(gc_crash_notices_t *notices);
 static void remove_notice(gc_crash_notices_t *notices, notice_t *notice);
@@ -124,6 +133,12 @@
 					    const gc_crash_notices_conf_t *conf)
 {
 	gc_crash_notices_t *notices = talloc_zero(mem, gc_crash_notices_t);
+	gc_kept_turns_conf_t turns_conf = {
+		.timers = conf->timers,
+		.clock = conf->clock,
+		.write = write_kept,
+		.ctx = notices,
+	};
 
 	notices->conf = *conf;
 	notices->retry_delay_ms = RETRY_DELAY_MS;
@@ -132,6 +147,7 @@
 					  "Calls to the store.", NULL, NULL);
 	notices->timer =
 		gc_timer_create(notices, conf->timers, on_timer, notices);
+	notices->turns = gc_kept_turns_create(notices, &turns_conf);
 	talloc_set_destructor(notices, notices_destructor);
 	return notices;
 }
@@ -157,6 +173,7 @@
 
 	notices->stopped = true;
 	gc_timer_stop(notices->timer);
+	gc_kept_turns_stop(notices->turns);
 	while ((notice = g_queue_pop_head(&notices->queue)) != NULL)
 		talloc_free(notice);
 }
@@ -198,14 +215,22 @@
 void gc_crash_notices_share_kept(gc_crash_notices_t *notices,
 				 const gc_crash_evidence_t *evidence)
 {
+	if (!notices->stopped && evidence->n > 0)
+		gc_kept_turns_add(notices->turns, evidence);
+}
+
+static void write_kept(void *ctx, const gc_crash_evidence_t *evidence)
+{
+	gc_crash_notices_t *notices = ctx;
 	g_autofree char *value = NULL;
 	notice_t *notice;
 
-	if (notices->stopped || evidence->n == 0)
-		return;
+	limit_kept(notices, evidence->trait);
 	value = gc_crash_notices_encode_reports(evidence->reports, evidence->n,
 						evidence->left_ms);
 	notice = enqueue(notices, 0);
+	notice->kept = true;
+	notice->trait = evidence->trait;
 	notice->key = talloc_asprintf(notice,
 				      GC_CRASH_NOTICES_KEPT_PREFIX
 				      "%016" G_GINT64_MODIFIER "x",
@@ -214,6 +239,36 @@
 	start_next_call(notices);
 }
 
+/* Makes room for a notice on the trait that replaces those that wait. */
+static void limit_kept(gc_crash_notices_t *notices, uint64_t trait)
+{
+	notice_t *oldest = NULL;
+	size_t n = 0;
+
+	mark_kept_needless(notices, trait);
+	for (GList *link = notices->queue.head; link; link = link->next) {
+		notice_t *notice = link->data;
+
+		if (!notice->kept || notice->needless ||
+		    (notices->call_in_flight && link == notices->queue.head))
+			continue;
+		oldest = oldest ? oldest : notice;
+		n++;
+	}
+	if (n >= MAX_QUEUED_KEPT)
+		give_up(notices, oldest, "too many notices are waiting");
+}
+
+static void mark_kept_needless(gc_crash_notices_t *notices, uint64_t trait)
+{
+	for (GList *link = notices->queue.head; link; link = link->next) {
+		notice_t *notice = link->data;
+
+		if (notice->kept && notice->trait == trait)
+			notice->needless = true;
+	}
+}
+
 /* The last notice if more reports can go with it, or NULL. */
 static notice_t *notice_with_room(const gc_crash_notices_t *notices)
 {
@@ -246,6 +301,8 @@
 
 	if (notices->stopped)
 		return;
+	gc_kept_turns_drop(notices->turns, trait);
+	mark_kept_needless(notices, trait);
 	value = encode_served(notices->conf.instance);
 	notice = enqueue(notices, (int64_t)(random->next(random->ctx) %
 					    (MAX_SERVED_DELAY_MS + 1)));
@@ -331,7 +388,8 @@
 
 static int64_t max_age_ms(const notice_t *notice)
 {
-	return notice->reports ? MAX_REPORTS_AGE_MS : MAX_AGE_MS;
+	return notice->reports || notice->kept ? MAX_REPORTS_AGE_MS
+					       : MAX_AGE_MS;
 }
 
 static void on_timer(void *ctx)
@@ -496,8 +554,10 @@
 	notices->lease = 0;
 	notices->era_offset = notices->newest_order;
 	notices->old_revision = notices->newest_revision;
-	if (restored)
-		write_reports_again(notices);
+	if (!restored)
+		return;
+	gc_kept_turns_store_restored(notices->turns);
+	write_reports_again(notices);
 }
 
 /* The copy may lack the last ones; others may have started since. */
@@ -554,6 +614,8 @@
 	g_autoptr(GArray) reports =
 		g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
 	gc_str_t instance = reporter_of(item->key);
+	gc_str_t digits;
+	uint64_t trait;
 	own_reports_t *own;
 	uint64_t order;
 	int64_t kept_ms;
@@ -564,6 +626,9 @@
 		return;
 	}
 	order = add_notice(notices, item->revision);
+	if (strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &digits) &&
+	    gc_crash_notices_parse_hex(digits, &trait))
+		gc_kept_turns_read(notices->turns, trait, reports->len);
 	own = kept_ms > 0 ? NULL : find_own_reports(notices, first_id(reports));
 	if (own) {
 		own->pending = false;
@@ -611,6 +676,7 @@
 {
 	uint64_t trait;
 	uint64_t order;
+	bool is_new;
 
 	if (!gc_crash_notices_parse_hex(digits, &trait)) {
 		log_invalid(item->key, "the trait is not 16 hex digits");
@@ -627,7 +693,10 @@
 	 */
 	if (item->revision <= notices->old_revision)
 		return;
+	is_new = notices->era_offset + item->revision > notices->newest_order;
 	order = add_notice(notices, item->revision);
+	if (is_new)
+		gc_kept_turns_drop(notices->turns, trait);
 	mark_served_needless(notices, trait, order);
 	notices->conf.on_served(notices->conf.ctx, trait, order);
 }
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -17,6 +17,8 @@
 #define MAX_SHARED_SERVED 16
 /* Refused traits that they are told of again at once. */
 #define MAX_SHARED_KEPT 8
+/* Crashes of one moment are looked at together. */
+#define KEEP_SOON_MS 100
 /* The entry of a server that has started again has come within this time after its
  * first answer. */
 #define ENTRY_MS 2000
@@ -295,6 +297,7 @@
 		relay->conf.share_crash(
 			relay->conf.share_ctx,
 			(const gc_crash_report_t *)reports->data, reports->len);
+	gc_relay_keep_soon(relay);
 }
 
 static void settle(gc_relay_t *relay, const gc_crash_loss_t *loss, bool crashed)
@@ -343,21 +346,43 @@
 	if (kept_ms > 0)
 		gc_crash_suspects_extend(relay->crash_suspects, now, report->id,
 					 kept_ms);
+	gc_relay_keep_soon(relay);
+}
+
+void gc_relay_keep_soon(gc_relay_t *relay)
+{
+	if (relay->keeps_soon ||
+	    !gc_crash_suspects_has_due(relay->crash_suspects))
+		return;
+	relay->keeps_soon = true;
+	gc_timer_set(relay->keep_timer, KEEP_SOON_MS);
 }
 
 void gc_relay_on_keep_timer(void *ctx)
 {
 	gc_relay_t *relay = ctx;
 	gc_crash_evidence_t evidence[MAX_SHARED_KEPT];
-	size_t n = gc_crash_suspects_keep(relay->crash_suspects,
-					  gc_clock_now(relay->conf.clock),
-					  evidence, MAX_SHARED_KEPT);
+	struct timespec now = gc_clock_now(relay->conf.clock);
+	int64_t left_ms =
+		GC_KEEP_INTERVAL_MS - gc_ms_between(relay->kept_at, now);
+	size_t n;
 
+	relay->keeps_soon = false;
+	if (left_ms > 0) {
+		n = gc_crash_suspects_keep_due(relay->crash_suspects, now,
+					       evidence, MAX_SHARED_KEPT);
+	} else {
+		n = gc_crash_suspects_keep(relay->crash_suspects, now, evidence,
+					   MAX_SHARED_KEPT);
+		relay->kept_at = now;
+		left_ms = GC_KEEP_INTERVAL_MS;
+	}
 	for (size_t i = 0; i < n; i++)
 		if (relay->conf.share_kept)
 			relay->conf.share_kept(relay->conf.share_ctx,
 					       &evidence[i]);
-	gc_timer_set(relay->keep_timer, GC_KEEP_INTERVAL_MS);
+	gc_timer_set(relay->keep_timer, left_ms);
+	gc_relay_keep_soon(relay);
 }
 
 void gc_relay_add_served(gc_relay_t *relay, uint64_t trait, uint64_t revision)
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -65,6 +65,8 @@
 	relay->store_restored = true;
 	relay->restored_at = gc_clock_now(relay->conf.clock);
 	record_running(relay);
+	gc_crash_suspects_store_restored(relay->crash_suspects);
+	gc_relay_keep_soon(relay);
 }
 
 /* Only streams that callers may resume need a record. */
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -161,6 +161,7 @@
 	relay->crash_checks = gc_crash_checks_create(relay, &checks_conf);
 	relay->keep_timer = gc_timer_create(relay, conf->timers,
 					    gc_relay_on_keep_timer, relay);
+	relay->kept_at = gc_clock_now(conf->clock);
 	gc_timer_set(relay->keep_timer, GC_KEEP_INTERVAL_MS);
 	relay->alive_timer = gc_timer_create(relay, conf->timers,
 					     gc_relay_on_alive_timer, relay);
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -27,6 +27,8 @@
 	gc_crash_suspects_t *crash_suspects;
 	gc_crash_checks_t *crash_checks;
 	gc_timer_t *keep_timer; /* for what is known of crashes */
+	struct timespec kept_at; /* when it last looked at all of it */
+	bool keeps_soon;
 	gc_alive_t alive[GC_MAX_ALIVE]; /* oldest first */
 	size_t n_alive;
 	gc_timer_t *alive_timer;
@@ -94,6 +96,8 @@
 void gc_relay_record_passing(gc_relay_t *relay, bool taken);
 /* Interval of keep_timer. */
 #define GC_KEEP_INTERVAL_MS 60000
+/* Sets it if the other daemons may have to be told of a refused trait. */
+void gc_relay_keep_soon(gc_relay_t *relay);
 /* To be called with each new view. */
 void gc_relay_update_versions(gc_relay_t *relay);
 /* Callback of keep_timer; ctx is the relay. */
--- a/regress/check_crash_notices.c
+++ b/regress/check_crash_notices.c
@@ -759,6 +759,67 @@
 }
 END_TEST
 
+/* The trait was served: a daemon that starts later must not refuse it. */
+START_TEST(test_evidence_on_a_served_trait_is_not_written)
+{
+	const gc_crash_evidence_t evidence = {
+		.trait = PART,
+		.reports = {report_with(1, PART), report_with(2, PART)},
+		.n = 2,
+		.left_ms = 86400000,
+	};
+	fixture_t *fixture = start();
+
+	write_first(fixture, 7);
+	share_report(fixture, 3);
+	gc_crash_notices_share_kept(fixture->notices, &evidence);
+	ck_assert_str_eq(fixture->key, "goldcrest/crashed/d1/1");
+	receive(fixture, "goldcrest/crashed/d1/0", fixture->value, 19);
+	answer(fixture, 0);
+	ck_assert_int_eq(fixture->call, PUT_CALL);
+	ck_assert_str_eq(fixture->key, "goldcrest/kept/fedcba9876543210");
+	answer(fixture, 0);
+
+	share_report(fixture, 4);
+	gc_crash_notices_share_kept(fixture->notices, &evidence);
+	receive(fixture, "goldcrest/crashed/d1/2", fixture->value, 20);
+	receive(fixture, PART_KEY, "{\"instance\":\"d2\"}", 21);
+	answer(fixture, 0);
+	ck_assert_int_eq(fixture->call, NO_CALL);
+	finish(fixture);
+}
+END_TEST
+
+/* Many of them must not displace reports. */
+START_TEST(test_evidence_leaves_room_for_reports)
+{
+	gc_crash_evidence_t evidence = {
+		.reports = {report_with(1, PART)},
+		.n = 1,
+		.left_ms = 86400000,
+	};
+	fixture_t *fixture = start();
+	unsigned int n_reports = 0;
+	unsigned int n_kept = 0;
+
+	write_first(fixture, 7);
+	share_report(fixture, 2);
+	share_report(fixture, 3);
+	for (evidence.trait = 1; evidence.trait <= 100; evidence.trait++)
+		gc_crash_notices_share_kept(fixture->notices, &evidence);
+	while (fixture->call == PUT_CALL) {
+		n_kept += g_str_has_prefix(fixture->key, "goldcrest/kept/");
+		n_reports +=
+			g_str_has_prefix(fixture->key, "goldcrest/crashed/");
+		answer(fixture, 0);
+	}
+	ck_assert_uint_eq(n_reports, 2);
+	ck_assert_uint_eq(n_kept, 16);
+	ck_assert_str_eq(fixture->key, "goldcrest/kept/0000000000000064");
+	finish(fixture);
+}
+END_TEST
+
 START_TEST(test_served_notice_is_written_soon)
 {
 	for (uint64_t seed = 0; seed < 50; seed++) {
@@ -1018,6 +1079,8 @@
 		test_reports_share_a_notice_while_the_store_answers,
 		test_oldest_notices_leave_a_full_queue,
 		test_evidence_is_told_again,
+		test_evidence_on_a_served_trait_is_not_written,
+		test_evidence_leaves_room_for_reports,
 		test_served_notice_is_written_soon,
 		test_timer_writes_served_notice,
 		test_served_notice_of_another_daemon,
--- a/regress/check_crash_suspects.c
+++ b/regress/check_crash_suspects.c
@@ -675,9 +675,11 @@
 }
 END_TEST
 
-START_TEST(test_one_daemon_tells_of_a_refused_request_again)
+/* The first one may be gone, or know nothing. */
+START_TEST(test_three_daemons_tell_of_a_refused_request_in_turn)
 {
 	gc_crash_evidence_t evidence[4];
+	unsigned int n_turns[5] = {0};
 	size_t n = 0;
 
 	for (size_t rank = 0; rank < 5; rank++) {
@@ -686,10 +688,16 @@
 		for (uint64_t i = 0; i < 3; i++)
 			crash((int64_t)i * 1000, i, DEADLY, false);
 		crash(4000, 8, OTHER, false);
-		n += gc_crash_suspects_keep(suspects, unit_at(60000), evidence,
-					    4);
+		n = gc_crash_suspects_keep(suspects, unit_at(60000), evidence,
+					   4);
+		ck_assert_uint_le(n, 1);
+		if (n > 0) {
+			ck_assert_uint_lt(evidence[0].turn, 5);
+			n_turns[evidence[0].turn]++;
+		}
 	}
-	ck_assert_uint_eq(n, 1);
+	for (size_t i = 0; i < 5; i++)
+		ck_assert_uint_eq(n_turns[i], i < 3);
 	start();
 	for (uint64_t i = 0; i < 3; i++)
 		crash((int64_t)i * 1000, i, DEADLY, false);
@@ -700,6 +708,86 @@
 }
 END_TEST
 
+/* Nothing else tells daemons that start: the reports may be displaced in the store. */
+START_TEST(test_further_crashes_are_told_at_once)
+{
+	gc_crash_evidence_t evidence[4];
+
+	start();
+	for (uint64_t i = 0; i < 2; i++)
+		crash((int64_t)i * 1000, i, DEADLY, false);
+	ck_assert(!gc_crash_suspects_has_due(suspects));
+	for (size_t i = 3; i < 6; i++) {
+		int64_t ms = (int64_t)i * 1000;
+
+		crash(ms, i, DEADLY, false);
+		crash(ms + 400, 10 + i, OTHER + i, false);
+		ck_assert(gc_crash_suspects_has_due(suspects));
+		ck_assert_uint_eq(gc_crash_suspects_keep_due(suspects,
+							     unit_at(ms + 500),
+							     evidence, 4),
+				  1);
+		ck_assert_uint_eq(evidence[0].trait, DEADLY);
+		ck_assert_uint_eq(evidence[0].n, i);
+		ck_assert(!gc_crash_suspects_has_due(suspects));
+		ck_assert_uint_eq(gc_crash_suspects_keep(suspects,
+							 unit_at(ms + 501),
+							 evidence, 4),
+				  0);
+	}
+}
+END_TEST
+
+START_TEST(test_a_restored_store_is_told_again)
+{
+	gc_crash_evidence_t evidence[4];
+
+	start();
+	for (uint64_t i = 0; i < 3; i++)
+		crash((int64_t)i * 1000, i, DEADLY, false);
+	ck_assert_uint_eq(gc_crash_suspects_keep_due(suspects, unit_at(4000),
+						     evidence, 4),
+			  1);
+	gc_crash_suspects_store_restored(suspects);
+	ck_assert(gc_crash_suspects_has_due(suspects));
+	ck_assert_uint_eq(gc_crash_suspects_keep_due(suspects, unit_at(4001),
+						     evidence, 4),
+			  1);
+	ck_assert_uint_eq(evidence[0].trait, DEADLY);
+	/* Not if it was served since. */
+	serve_request(5000, DEADLY);
+	gc_crash_suspects_store_restored(suspects);
+	ck_assert_uint_eq(gc_crash_suspects_keep_due(suspects, unit_at(5001),
+						     evidence, 4),
+			  0);
+}
+END_TEST
+
+/* Traits for which there is no space are returned by the next calls. */
+START_TEST(test_many_refused_requests_are_told_in_parts)
+{
+	gc_crash_evidence_t evidence[2];
+	bool told[5] = {false};
+	size_t n_told = 0;
+	size_t n;
+
+	start();
+	for (uint64_t i = 0; i < 15; i++)
+		crash((int64_t)i * 1000, i, 100 + i % 5, false);
+	for (int64_t ms = 15000; gc_crash_suspects_has_due(suspects); ms++) {
+		n = gc_crash_suspects_keep_due(suspects, unit_at(ms), evidence,
+					       2);
+		ck_assert_uint_gt(n, 0);
+		for (size_t i = 0; i < n; i++) {
+			ck_assert(!told[evidence[i].trait - 100]);
+			told[evidence[i].trait - 100] = true;
+			n_told++;
+		}
+	}
+	ck_assert_uint_eq(n_told, 5);
+}
+END_TEST
+
 /* Memory is bounded; what recurs and the newest reports and services stay. */
 START_TEST(test_reports_that_recur_stay)
 {
@@ -763,7 +851,10 @@
 		test_served_request_is_cleared,
 		test_trials_end_after_three_crashes,
 		test_three_trials_in_a_day_across_restarts,
-		test_one_daemon_tells_of_a_refused_request_again,
+		test_three_daemons_tell_of_a_refused_request_in_turn,
+		test_further_crashes_are_told_at_once,
+		test_a_restored_store_is_told_again,
+		test_many_refused_requests_are_told_in_parts,
 		NULL,
 	};
 
