Split the reading of notices on crashes from their writing

What reads notices from the store is in lib/crash_notices_receive.c now; no change of behaviour.

check_crash_notices and check_kept_turns pass.

--- a/lib/crash_notices.c
+++ b/lib/crash_notices.c
@@ -1,22 +1,18 @@
-/* Notices on requests that crash servers: writing and reading. */
+/* Notices on requests that crash servers: writing. */
 #include <jansson.h>
 #include <stdlib.h>
 
 #include "core/error.h"
-#include "lib/crash_notices.h"
-#include "lib/kept_turns.h"
+#include "lib/crash_notices_private.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
-#include "lib/metrics.h"
 #include "lib/store_era.h"
 
 /* The store's longest lease. */
 #define LEASE_MS 600000
 /* A lease is used for new notices while at least this much of it is left. */
 #define LEASE_MIN_LEFT_MS (LEASE_MS / 2)
-/* Keys of this daemon's reports, which are written in turn. */
-#define MAX_REPORT_KEYS 16
-#define MAX_QUEUED	32
+#define MAX_QUEUED	  32
 /* Of these, notices that repeat the reports on a trait. */
 #define MAX_QUEUED_KEPT 16
 /* A notice of a service that was not written for so long is given up: it only
@@ -36,55 +32,6 @@
  * which takes the pause of a watch after a change and a little more. */
 #define MAX_SERVED_DELAY_MS 600
 
-/* A notice to be written. */
-typedef struct notice {
-	char *key;
-	char *value; /* of a notice of a service */
-	GArray *reports; /* of gc_crash_report_t; NULL: of a service */
-	uint64_t trait; /* that was served, or is refused */
-	bool kept; /* repeats the reports on the trait */
-	bool sent; /* a call was made for it, whose answer may be lost */
-	struct timespec made;
-	struct timespec due; /* not written before */
-	uint64_t newest_order; /* of all notices known when it was made */
-	bool needless; /* removed after the call in flight */
-} notice_t;
-
-/* The last reports that were made for a key. */
-typedef struct own_reports {
-	GArray *reports; /* of gc_crash_report_t; NULL: none */
-	struct timespec made;
-	bool pending; /* not yet read from the store nor given up */
-} own_reports_t;
-
-struct gc_crash_notices {
-	gc_crash_notices_conf_t conf;
-	GQueue queue; /* of notice_t, oldest first */
-	gc_timer_t *timer;
-	gc_kept_turns_t *turns;
-	bool call_in_flight; /* for the head of the queue */
-	bool stopped;
-	struct timespec retry_at;
-	int64_t retry_delay_ms; /* after the next failure */
-	char *last_error; /* of the calls since the last success; NULL: none */
-	uint64_t lease; /* id; 0: none */
-	struct timespec lease_requested;
-	bool lease_unused; /* nothing was written under it yet */
-	uint64_t era; /* of the store: the newest one seen */
-	uint64_t call_era; /* the same when the call in flight was made */
-	uint64_t sequence; /* of the next notice with reports */
-	own_reports_t own_reports[MAX_REPORT_KEYS];
-	/*
-	 * Revisions start anew in each era. Notices are ordered by their
-	 * revision and era_offset, which puts those of a new era last.
-	 */
-	uint64_t newest_order; /* of the notices read */
-	uint64_t era_offset;
-	uint64_t newest_revision; /* of the notices read, in any era */
-	uint64_t old_revision; /* the same at the start of this era */
-	gc_metric_t *store_calls;
-};
-
 static int notices_destructor(gc_crash_notices_t *notices);
 static void write_kept(void *ctx, const gc_crash_evidence_t *evidence);
 static void limit_kept(gc_crash_notices_t *notices, uint64_t trait);
@@ -97,15 +44,11 @@
 static int notice_destructor(notice_t *notice);
 static notice_t *notice_with_room(const gc_crash_notices_t *notices);
 static notice_t *enqueue_reports(gc_crash_notices_t *notices, size_t number);
-static own_reports_t *find_own_reports(gc_crash_notices_t *notices,
-				       uint64_t id);
-static uint64_t first_id(const GArray *reports);
 static int64_t max_age_ms(const notice_t *notice);
 static void change_era(gc_crash_notices_t *notices, uint64_t era);
 static void write_reports_again(gc_crash_notices_t *notices);
 static void discard_needless(gc_crash_notices_t *notices);
 static void on_timer(void *ctx);
-static void start_next_call(gc_crash_notices_t *notices);
 static void call_store(gc_crash_notices_t *notices, notice_t *notice,
 		       struct timespec now);
 static void on_lease_granted(void *ctx, uint64_t id, uint64_t era,
@@ -113,21 +56,7 @@
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
 static void take_era(gc_crash_notices_t *notices, uint64_t era);
 static void retry_later(gc_crash_notices_t *notices, const char *error);
-static void receive_reports(gc_crash_notices_t *notices,
-			    const gc_store_item_t *item);
-static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
-			   const gc_store_item_t *item);
-static gc_str_t reporter_of(gc_str_t key);
-static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision);
-static void mark_served_needless(gc_crash_notices_t *notices, uint64_t trait,
-				 uint64_t order);
-static bool own_report_pending(const gc_crash_notices_t *notices,
-			       uint64_t trait);
-static bool has_trait(const gc_request_traits_t *traits, uint64_t trait);
-static void log_invalid(gc_str_t key, const char *error);
 static char *encode_served(gc_str_t instance);
-static bool is_served_value(gc_str_t value);
-static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
 
 gc_crash_notices_t *gc_crash_notices_create(TALLOC_CTX *mem,
 					    const gc_crash_notices_conf_t *conf)
@@ -160,7 +89,7 @@
 static int notices_destructor(gc_crash_notices_t *notices)
 {
 	g_queue_clear(&notices->queue);
-	for (size_t i = 0; i < MAX_REPORT_KEYS; i++)
+	for (size_t i = 0; i < GC_CRASH_NOTICES_REPORT_KEYS; i++)
 		if (notices->own_reports[i].reports)
 			g_array_unref(notices->own_reports[i].reports);
 	g_free(notices->last_error);
@@ -189,7 +118,8 @@
 			continue;
 		notice = notice_with_room(notices);
 		if (!notice) {
-			size_t number = notices->sequence++ % MAX_REPORT_KEYS;
+			size_t number = notices->sequence++ %
+					GC_CRASH_NOTICES_REPORT_KEYS;
 			own_reports_t *own = &notices->own_reports[number];
 
 			if (own->reports)
@@ -209,7 +139,7 @@
 	for (GList *link = notices->queue.head; link; link = link->next)
 		((notice_t *)link->data)->due =
 			gc_clock_now(notices->conf.clock);
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 void gc_crash_notices_share_kept(gc_crash_notices_t *notices,
@@ -236,7 +166,7 @@
 				      "%016" G_GINT64_MODIFIER "x",
 				      evidence->trait);
 	notice->value = talloc_strdup(notice, value);
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 /* Makes room for a notice on the trait that replaces those that wait. */
@@ -312,7 +242,7 @@
 				      "%016" G_GINT64_MODIFIER "x",
 				      trait);
 	notice->value = talloc_strdup(notice, value);
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 /* Appends a notice, whose key and value the caller sets. */
@@ -361,27 +291,28 @@
 	       "can't write a notice to the store", "key", notice->key, "error",
 	       reason, NULL);
 	if (notice->reports) {
-		own = find_own_reports(notices, first_id(notice->reports));
+		own = gc_crash_notices_find_own(
+			notices, gc_crash_notices_first_id(notice->reports));
 		if (own)
 			own->pending = false;
 	}
 	remove_notice(notices, notice);
 }
 
-/* Those not yet read from the store whose first report has the id, or NULL. */
-static own_reports_t *find_own_reports(gc_crash_notices_t *notices, uint64_t id)
+own_reports_t *gc_crash_notices_find_own(gc_crash_notices_t *notices,
+					 uint64_t id)
 {
-	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
+	for (size_t i = 0; i < GC_CRASH_NOTICES_REPORT_KEYS; i++) {
 		own_reports_t *own = &notices->own_reports[i];
 
 		if (own->pending && own->reports->len > 0 &&
-		    first_id(own->reports) == id)
+		    gc_crash_notices_first_id(own->reports) == id)
 			return own;
 	}
 	return NULL;
 }
 
-static uint64_t first_id(const GArray *reports)
+uint64_t gc_crash_notices_first_id(const GArray *reports)
 {
 	return g_array_index(reports, gc_crash_report_t, 0).id;
 }
@@ -394,10 +325,10 @@
 
 static void on_timer(void *ctx)
 {
-	start_next_call(ctx);
+	gc_crash_notices_write_next(ctx);
 }
 
-static void start_next_call(gc_crash_notices_t *notices)
+void gc_crash_notices_write_next(gc_crash_notices_t *notices)
 {
 	struct timespec now = gc_clock_now(notices->conf.clock);
 	notice_t *head;
@@ -491,7 +422,7 @@
 	}
 	notices->lease = id;
 	notices->lease_unused = true;
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err)
@@ -514,7 +445,7 @@
 		/* A new lease that is unknown too must not cause calls without
 		 * a pause. */
 		if (!lease_unused) {
-			start_next_call(notices);
+			gc_crash_notices_write_next(notices);
 			return;
 		}
 	}
@@ -526,7 +457,7 @@
 	notices->retry_delay_ms = RETRY_DELAY_MS;
 	g_clear_pointer(&notices->last_error, g_free);
 	remove_notice(notices, g_queue_peek_head(&notices->queue));
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 static void take_era(gc_crash_notices_t *notices, uint64_t era)
@@ -541,7 +472,7 @@
 void gc_crash_notices_set_era(gc_crash_notices_t *notices, uint64_t era)
 {
 	change_era(notices, era);
-	start_next_call(notices);
+	gc_crash_notices_write_next(notices);
 }
 
 static void change_era(gc_crash_notices_t *notices, uint64_t era)
@@ -565,7 +496,7 @@
 {
 	struct timespec now = gc_clock_now(notices->conf.clock);
 
-	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
+	for (size_t i = 0; i < GC_CRASH_NOTICES_REPORT_KEYS; i++) {
 		own_reports_t *own = &notices->own_reports[i];
 		bool queued = false;
 
@@ -590,169 +521,7 @@
 				      notices->retry_delay_ms);
 	notices->retry_delay_ms =
 		MIN(notices->retry_delay_ms * 2, RETRY_MAX_DELAY_MS);
-	start_next_call(notices);
-}
-
-void gc_crash_notices_receive(gc_crash_notices_t *notices,
-			      const gc_store_item_t *item)
-{
-	gc_str_t rest;
-
-	if (strip_prefix(item->key, GC_CRASH_NOTICES_REPORTS_PREFIX, &rest) ||
-	    strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &rest))
-		receive_reports(notices, item);
-	else if (strip_prefix(item->key, GC_CRASH_NOTICES_SERVED_PREFIX, &rest))
-		receive_served(notices, rest, item);
-	else
-		log_invalid(item->key, "no key of a notice");
-}
-
-static void receive_reports(gc_crash_notices_t *notices,
-			    const gc_store_item_t *item)
-{
-	g_autoptr(GError) err = NULL;
-	g_autoptr(GArray) reports =
-		g_array_new(FALSE, FALSE, sizeof(gc_crash_report_t));
-	gc_str_t instance = reporter_of(item->key);
-	gc_str_t digits;
-	uint64_t trait;
-	own_reports_t *own;
-	uint64_t order;
-	int64_t kept_ms;
-
-	if (!gc_crash_notices_decode_reports(item->value, reports, &kept_ms,
-					     &err)) {
-		log_invalid(item->key, err->message);
-		return;
-	}
-	order = add_notice(notices, item->revision);
-	if (strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &digits) &&
-	    gc_crash_notices_parse_hex(digits, &trait))
-		gc_kept_turns_read(notices->turns, trait, reports->len);
-	own = kept_ms > 0 ? NULL : find_own_reports(notices, first_id(reports));
-	if (own) {
-		own->pending = false;
-		/* The answer to its write may have been lost. */
-		for (GList *link = notices->queue.head; link;
-		     link = link->next) {
-			notice_t *notice = link->data;
-
-			if (notice->reports == own->reports)
-				notice->needless = true;
-		}
-		start_next_call(notices);
-	}
-	for (guint i = 0; i < reports->len; i++)
-		notices->conf.on_report(notices->conf.ctx, instance,
-					&g_array_index(reports,
-						       gc_crash_report_t, i),
-					order, kept_ms);
-}
-
-/* Empty if the key names none. */
-static gc_str_t reporter_of(gc_str_t key)
-{
-	gc_str_t instance;
-
-	if (!strip_prefix(key, GC_CRASH_NOTICES_REPORTS_PREFIX, &instance))
-		return GC_STR_EMPTY;
-	while (instance.len > 0 && instance.data[--instance.len] != '/')
-		;
-	return instance;
-}
-
-/* Returns the place of a notice in the order of all. */
-static uint64_t add_notice(gc_crash_notices_t *notices, uint64_t revision)
-{
-	uint64_t order = notices->era_offset + revision;
-
-	notices->newest_revision = MAX(notices->newest_revision, revision);
-	notices->newest_order = MAX(notices->newest_order, order);
-	return order;
-}
-
-static void receive_served(gc_crash_notices_t *notices, gc_str_t digits,
-			   const gc_store_item_t *item)
-{
-	uint64_t trait;
-	uint64_t order;
-	bool is_new;
-
-	if (!gc_crash_notices_parse_hex(digits, &trait)) {
-		log_invalid(item->key, "the trait is not 16 hex digits");
-		return;
-	}
-	if (!is_served_value(item->value)) {
-		log_invalid(item->key, "instance must be a string");
-		return;
-	}
-	/*
-	 * It may be the copy's, older than the reports of the last era. A trait
-	 * wrongly taken as served crashes servers; one that stays blocked is
-	 * tried after a while.
-	 */
-	if (item->revision <= notices->old_revision)
-		return;
-	is_new = notices->era_offset + item->revision > notices->newest_order;
-	order = add_notice(notices, item->revision);
-	if (is_new)
-		gc_kept_turns_drop(notices->turns, trait);
-	mark_served_needless(notices, trait, order);
-	notices->conf.on_served(notices->conf.ctx, trait, order);
-}
-
-/*
- * A notice in the store makes one that waits needless if it follows all reports
- * on the trait: those that were known when the waiting one was made, and this
- * daemon's own, which may still be on their way to the store.
- */
-static void mark_served_needless(gc_crash_notices_t *notices, uint64_t trait,
-				 uint64_t order)
-{
-	if (own_report_pending(notices, trait))
-		return;
-	for (GList *link = notices->queue.head; link; link = link->next) {
-		notice_t *notice = link->data;
-
-		if (!notice->reports && notice->trait == trait &&
-		    order > notice->newest_order)
-			notice->needless = true;
-	}
-	start_next_call(notices);
-}
-
-static bool own_report_pending(const gc_crash_notices_t *notices,
-			       uint64_t trait)
-{
-	for (size_t i = 0; i < MAX_REPORT_KEYS; i++) {
-		const own_reports_t *own = &notices->own_reports[i];
-
-		for (guint j = 0; own->pending && j < own->reports->len; j++)
-			if (has_trait(&g_array_index(own->reports,
-						     gc_crash_report_t, j)
-					       .traits,
-				      trait))
-				return true;
-	}
-	return false;
-}
-
-static bool has_trait(const gc_request_traits_t *traits, uint64_t trait)
-{
-	for (size_t i = 0; i < traits->n_parts; i++) {
-		if (traits->parts[i] == trait)
-			return true;
-	}
-	return traits->request == trait;
-}
-
-static void log_invalid(gc_str_t key, const char *error)
-{
-	g_autofree char *name = g_strndup(key.data, key.len);
-
-	gc_log(GC_LOG_WARNING, GC_EVENT_NOTICE_INVALID,
-	       "notice in the store is invalid", "key", name, "error", error,
-	       NULL);
+	gc_crash_notices_write_next(notices);
 }
 
 static char *encode_served(gc_str_t instance)
@@ -766,22 +535,3 @@
 	json_decref(json);
 	return copy;
 }
-
-static bool is_served_value(gc_str_t value)
-{
-	json_t *json = json_loadb(value.data, value.len, 0, NULL);
-	bool valid = json_is_string(json_object_get(json, "instance"));
-
-	json_decref(json);
-	return valid;
-}
-
-static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
-{
-	size_t len = strlen(prefix);
-
-	if (key.len < len || memcmp(key.data, prefix, len) != 0)
-		return false;
-	*rest = (gc_str_t){key.data + len, key.len - len};
-	return true;
-}
