Log the soak's faults and whether servers of lookups were there

From the logs that are kept of a failed run it can't be told when the servers of lookups were up, nor when which fault began and ended. faults.log has both now; what is checked and printed stays the same.

--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -38,6 +38,16 @@
         self.cut.listener = server
         return self
 
+    async def has_target(self):
+        """True if the target takes connections."""
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1",
+                                                      self.target_port)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def set_mode(self, mode):
         self.mode = mode
         for sock in self.silenced:
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -10,7 +10,8 @@
 
 The same seed and modes give the same series of faults. Prints the violations
 and their number; the exit status is 0 if there was none. Logs are kept with
---keep or after a violation. Modes add faults:
+--keep or after a violation; faults.log has the times of the faults, and how many
+servers of lookups took connections. Modes add faults:
   crash     a request that ends each server that runs it comes at all daemons
   restore   the store goes back to a copy; the operator and servers write again
   leaving   servers say that they leave, go on for a while, and end
@@ -289,6 +290,7 @@
 
     def set_cut(self, *cut):
         self.cut = cut
+        self.log_fault(f"links cut: {cut}")
         for service, proxy in self.server_proxies:
             self.cut_links(service, proxy)
 
@@ -344,9 +346,27 @@
         if kind in cut_off.DAEMON_FAULTS + cut_off.STORE_FAULTS:
             await self.disturb.wait()
         disturbance = self.cut_off_check.begin_fault(kind, daemon)
+        self.log_fault(f"begin: {kind}, {daemon}")
         await self.run_fault(kind, daemon)
+        self.log_fault(f"end: {kind}, {daemon}")
         disturbance.finish()
 
+    def log_fault(self, text):
+        with open(self.path("faults.log"), "a", encoding="ascii") as f:
+            f.write(f"{time.time():.3f} {text}\n")
+
+    async def watch_servers(self):
+        """Logs how many servers of lookups take connections."""
+        n_before = -1
+        while not self.stop:
+            n = sum(await asyncio.gather(*(
+                proxy.has_target() for service, proxy in self.server_proxies
+                if service == "app")))
+            if n != n_before:
+                self.log_fault(f"servers of lookups: {n}")
+            n_before = n
+            await asyncio.sleep(0.05)
+
     async def run_fault(self, kind, daemon):
         _, _, store_proxy, caller_proxy = self.daemons[daemon]
         server = self.random.choice(sorted(self.servers))
@@ -584,6 +604,7 @@
         if "cutoff" in self.modes:
             clients.append(asyncio.ensure_future(
                 self.cut_off_check.run_lookups(self)))
+            clients.append(asyncio.ensure_future(self.watch_servers()))
         await asyncio.gather(self.inject_faults(seconds), self.upgrade.run())
         await asyncio.sleep(4)
         successes_before = self.counts.get("200", 0)
