Ask for places at ejected servers if no other is left

Two of its daemon's servers had been left as silent within 1.5 s, so that their domain, which has all three servers, was ejected for 1.3 s; gc_backends_choose_to_ask left out ejected servers, while gc_backends_has_full took them for full and let the request wait for them. Nobody asked for a place there. Asks follow gc_backends_choose now: ejected servers if no other is left. A server is left as silent only for one that isn't ejected, as before. A stream that goes back to the servers it has left asks for places there, too.

--- a/core/backends.h
+++ b/core/backends.h
@@ -170,6 +170,8 @@
  * domain.
  */
 bool gc_backend_usable(const gc_backend_t *backend, struct timespec now);
+/* The same, but it may lack a permit or a place. */
+bool gc_backend_is_sound(const gc_backend_t *backend, struct timespec now);
 
 /* A reference keeps the object valid after its server has been removed. */
 gc_backend_t *gc_backend_ref(gc_backend_t *backend);
@@ -256,9 +258,10 @@
 /* The last recorded limit. */
 double gc_backend_limit(const gc_backend_t *backend);
 /*
- * The server with a limit that should be asked for permits because it scores
- * better than `chosen` (NULL: than none) but can't be chosen without one; NULL
- * if there is none, or if no ask makes sense yet for requests of this rank.
+ * The server that should be asked for a permit or a place because it scores better
+ * than `chosen` (NULL: than none) but can't be chosen without one; NULL if there is
+ * none, or if no ask makes sense yet for requests of this rank. Ejected ones as in
+ * gc_backends_choose.
  */
 gc_backend_t *gc_backends_choose_to_ask(gc_backends_t *backends,
 					struct timespec now, gc_str_t service,
@@ -266,6 +269,10 @@
 					const gc_backend_set_t *avoid,
 					const gc_backend_t *chosen,
 					unsigned int rank);
+/* True if there is such a server that isn't ejected. */
+bool gc_backends_may_ask_usable(gc_backends_t *backends, struct timespec now,
+				gc_str_t service, const gc_backend_set_t *avoid,
+				unsigned int rank);
 /* True if the server needs a permit that this daemon lacks, and may be asked for
  * one. */
 bool gc_backend_may_ask(const gc_backend_t *backend, struct timespec now,
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -35,6 +35,11 @@
 static gc_backend_t *find_best(gc_backends_t *backends, struct timespec now,
 			       gc_str_t service, const gc_backend_set_t *avoid,
 			       filter_t filter);
+static gc_backend_t *find_to_ask(gc_backends_t *backends, struct timespec now,
+				 gc_str_t service, const gc_prompt_t *prompt,
+				 const gc_backend_set_t *avoid,
+				 const gc_backend_t *chosen, unsigned int rank,
+				 filter_t filter);
 static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend);
 static double request_score(const gc_backends_t *backends,
 			    const gc_backend_t *backend, struct timespec now);
@@ -51,6 +56,8 @@
 static bool accepts_with_permit(const gc_backend_t *backend,
 				struct timespec now);
 static bool accepts_by_itself(const gc_backend_t *backend, struct timespec now);
+static bool is_sound_by_itself(const gc_backend_t *backend,
+			       struct timespec now);
 static bool is_ejected(const gc_backend_t *backend, struct timespec now);
 static bool is_ejected_itself(const gc_backend_t *backend, struct timespec now);
 static int64_t return_ms(const gc_backend_t *backend, struct timespec now);
@@ -232,6 +239,31 @@
 					const gc_backend_set_t *avoid,
 					const gc_backend_t *chosen,
 					unsigned int rank)
+{
+	static const filter_t filters[] = {
+		gc_backend_is_sound, is_sound_by_itself, accepts_with_permit};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(filters); i++)
+		if (find_best(backends, now, service, avoid, filters[i]))
+			return find_to_ask(backends, now, service, prompt,
+					   avoid, chosen, rank, filters[i]);
+	return NULL;
+}
+
+bool gc_backends_may_ask_usable(gc_backends_t *backends, struct timespec now,
+				gc_str_t service, const gc_backend_set_t *avoid,
+				unsigned int rank)
+{
+	return find_to_ask(backends, now, service, NULL, avoid, NULL, rank,
+			   gc_backend_is_sound) != NULL;
+}
+
+/* The best one that passes the filter and is better than chosen, if that is set. */
+static gc_backend_t *find_to_ask(gc_backends_t *backends, struct timespec now,
+				 gc_str_t service, const gc_prompt_t *prompt,
+				 const gc_backend_set_t *avoid,
+				 const gc_backend_t *chosen, unsigned int rank,
+				 filter_t filter)
 {
 	gc_backend_t *best = NULL;
 	double lowest_score = 0;
@@ -245,7 +277,7 @@
 
 		if (!gc_str_eq(b->entry.service, service) ||
 		    !gc_backend_may_ask_any(b, now, rank) || in_set(avoid, b) ||
-		    !accepts_with_permit(b, now) || is_ejected(b, now))
+		    !filter(b, now))
 			continue;
 		score = prompt ? stream_score(backends, b, now, prompt)
 			       : request_score(backends, b, now);
@@ -467,6 +499,17 @@
 	       !is_ejected_itself(backend, now);
 }
 
+bool gc_backend_is_sound(const gc_backend_t *backend, struct timespec now)
+{
+	return accepts_with_permit(backend, now) && !is_ejected(backend, now);
+}
+
+static bool is_sound_by_itself(const gc_backend_t *backend, struct timespec now)
+{
+	return accepts_with_permit(backend, now) &&
+	       !is_ejected_itself(backend, now);
+}
+
 static bool is_ejected(const gc_backend_t *backend, struct timespec now)
 {
 	return is_domain_ejected(backend, now) ||
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -461,7 +461,7 @@
 	for (size_t i = 0; i < exchange->n_tried; i++) {
 		gc_backend_t *server = exchange->tried[i];
 
-		if (gc_backend_usable(server, now)) {
+		if (gc_backend_is_sound(server, now)) {
 			gc_backend_unref(server);
 		} else {
 			exchange->turned_away[n] = exchange->turned_away[i];
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -198,8 +198,7 @@
 				   exchange->service, exchange->prompt, &avoid,
 				   &other, 1) > 0)
 		return true;
-	return gc_backends_choose_to_ask(exchange->relay->backends, now,
-					 exchange->service, exchange->prompt,
-					 &avoid, NULL,
-					 GC_PERMIT_RANK_BEGUN) != NULL;
+	return gc_backends_may_ask_usable(exchange->relay->backends, now,
+					  exchange->service, &avoid,
+					  GC_PERMIT_RANK_BEGUN);
 }
--- a/regress/check_backends_brittle.c
+++ b/regress/check_backends_brittle.c
@@ -113,6 +113,42 @@
 }
 END_TEST
 
+/* A request that waits for a full server is asked for there, as gc_backends_choose
+ * would choose it: sound ones first, then those that only their domain ejected. */
+START_TEST(test_ejected_servers_are_asked_last)
+{
+	gc_backends_t *backends = create_backends(3);
+	gc_backend_t *servers[3];
+	gc_backend_set_t avoid = {.list = servers, .n = 0};
+	gc_backend_t *server;
+
+	for (size_t i = 0; i < 3; i++) {
+		servers[i] =
+			gc_backends_choose(backends, unit_at(0), APP, &avoid);
+		avoid.n++;
+	}
+	for (size_t i = 0; i < 3; i++)
+		gc_backend_record_brittle(servers[i], unit_at(0), 6);
+	gc_backend_record_failure(servers[0], unit_at(10), GC_END_TIMED_OUT);
+	for (int i = 0; i < 8; i++)
+		ck_assert_ptr_ne(choose_to_ask(backends, 20, NULL, 3),
+				 servers[0]);
+	gc_backend_record_failure(servers[1], unit_at(20), GC_END_TIMED_OUT);
+	ck_assert(!gc_backend_usable(servers[2], unit_at(30)));
+	ck_assert(!gc_backends_may_ask_usable(backends, unit_at(30), APP, NULL,
+					      3));
+	ck_assert_ptr_eq(choose_to_ask(backends, 30, NULL, 3), servers[2]);
+	begin_ask(servers[2], 30, 1);
+	ck_assert_ptr_null(choose_to_ask(backends, 31, NULL, 3));
+	gc_backend_record_failure(servers[2], unit_at(40), GC_END_TIMED_OUT);
+	server = choose_to_ask(backends, 50, NULL, 3);
+	ck_assert(server == servers[0] || server == servers[1]);
+	answer(backends, server, 60, 1, 0);
+	ck_assert_ptr_eq(choose(backends, 60), server);
+	talloc_free(backends);
+}
+END_TEST
+
 START_TEST(test_place_is_needed_and_used_up)
 {
 	gc_backends_t *backends = create_backends(1);
@@ -309,6 +345,7 @@
 		test_place_is_needed_and_used_up,
 		test_full_server_is_told_from_a_lost_one,
 		test_full_server_of_an_ejected_domain,
+		test_ejected_servers_are_asked_last,
 		test_what_is_held,
 		test_abandoned_request,
 		test_turned_away,
