Don't ask for places that no waiting request may use

A report of places also asked for one if a request of the service waited, even one that had left this server. The place came, nobody used it, it was given back, and that change was the next report: a loop without a pause, which held places that others could use. Only requests that may go to the server count now, and a place that came and wasn't used is given back without another ask.

--- a/core/backends.h
+++ b/core/backends.h
@@ -88,6 +88,9 @@
 void gc_backends_sync(gc_backends_t *backends,
 		      const gc_registry_entry_t *servers, size_t n,
 		      const gc_daemon_rank_t *rank);
+/* True if a request that avoids these servers doesn't go to this one. */
+bool gc_backend_is_avoided(const gc_backend_t *backend,
+			   const gc_backend_set_t *avoid);
 /*
  * The best server of the service, preferably in this daemon's failure domain,
  * or NULL. Servers in `avoid` (may be NULL), draining, leaving, pausing and
@@ -319,8 +322,9 @@
 gc_backend_t *gc_backends_record_places(gc_backends_t *backends,
 					struct timespec now,
 					const gc_place_answer_t *answer);
-/* Gives back unused places; those of requests that still run are kept. */
-void gc_backend_drop_unused_places(gc_backend_t *backend);
+/* Gives back unused places, if there are any; those of requests that still run are
+ * kept. */
+bool gc_backend_drop_unused_places(gc_backend_t *backend);
 /* To be called when a request in flight is left to itself: the server may go on
  * with it for a while. */
 void gc_backend_abandon_request(gc_backend_t *backend, struct timespec now);
--- a/core/backends_brittle.c
+++ b/core/backends_brittle.c
@@ -86,10 +86,13 @@
 	gc_backend_drop_unused_places(backend);
 }
 
-void gc_backend_drop_unused_places(gc_backend_t *backend)
+bool gc_backend_drop_unused_places(gc_backend_t *backend)
 {
-	backend->places.changed |= backend->places.unused > 0;
+	bool dropped = backend->places.unused > 0;
+
+	backend->places.changed |= dropped;
 	backend->places.unused = 0;
+	return dropped;
 }
 
 void gc_backend_abandon_request(gc_backend_t *backend, struct timespec now)
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -40,7 +40,6 @@
 				 const gc_backend_set_t *avoid,
 				 const gc_backend_t *chosen, unsigned int rank,
 				 filter_t filter);
-static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend);
 static double request_score(const gc_backends_t *backends,
 			    const gc_backend_t *backend, struct timespec now);
 static double stream_score(const gc_backends_t *backends,
@@ -136,7 +135,8 @@
 
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
 		if (!gc_str_eq(b->entry.service, service) ||
-		    !accepts_requests(b, now) || in_set(avoid, b) ||
+		    !accepts_requests(b, now) ||
+		    gc_backend_is_avoided(b, avoid) ||
 		    (chosen && b->in_flight >= chosen->in_flight) ||
 		    !fn(ctx, b))
 			continue;
@@ -156,7 +156,7 @@
 		double score;
 
 		if (!gc_str_eq(b->entry.service, service) || !filter(b, now) ||
-		    in_set(avoid, b))
+		    gc_backend_is_avoided(b, avoid))
 			continue;
 		score = request_score(backends, b, now);
 		if (chosen && score >= lowest_score)
@@ -176,7 +176,8 @@
 
 	for (gc_backend_t *b = backends->first; b; b = b->next) {
 		if (gc_str_eq(b->entry.service, service) ||
-		    !gc_backend_usable(b, now) || in_set(avoid, b))
+		    !gc_backend_usable(b, now) ||
+		    gc_backend_is_avoided(b, avoid))
 			continue;
 		if (!chosen || b->in_flight < chosen->in_flight)
 			chosen = b;
@@ -210,7 +211,8 @@
 
 		/* A load query needs a permit, too. */
 		if (!gc_str_eq(b->entry.service, service) ||
-		    !gc_backend_usable(b, now) || in_set(avoid, b) ||
+		    !gc_backend_usable(b, now) ||
+		    gc_backend_is_avoided(b, avoid) ||
 		    gc_backend_usable_permits(b, now) < 2)
 			continue;
 		score = stream_score(backends, b, now, prompt);
@@ -276,8 +278,8 @@
 		double score;
 
 		if (!gc_str_eq(b->entry.service, service) ||
-		    !gc_backend_may_ask_any(b, now, rank) || in_set(avoid, b) ||
-		    !filter(b, now))
+		    !gc_backend_may_ask_any(b, now, rank) ||
+		    gc_backend_is_avoided(b, avoid) || !filter(b, now))
 			continue;
 		score = prompt ? stream_score(backends, b, now, prompt)
 			       : request_score(backends, b, now);
@@ -324,7 +326,8 @@
 		/* Another version can't go on from the copy. */
 		if (b == run_backend || b->service != run_backend->service ||
 		    !gc_str_eq(b->entry.version, run_backend->entry.version) ||
-		    !gc_backend_usable(b, now) || in_set(avoid, b))
+		    !gc_backend_usable(b, now) ||
+		    gc_backend_is_avoided(b, avoid))
 			continue;
 		if (b->domain == run_backend->domain)
 			score += SAME_DOMAIN_COPY_SCORE;
@@ -336,13 +339,14 @@
 	return chosen;
 }
 
-static bool in_set(const gc_backend_set_t *set, const gc_backend_t *backend)
+bool gc_backend_is_avoided(const gc_backend_t *backend,
+			   const gc_backend_set_t *avoid)
 {
-	if (set && set->only_version.data &&
-	    !gc_str_eq(set->only_version, backend->entry.version))
+	if (avoid && avoid->only_version.data &&
+	    !gc_str_eq(avoid->only_version, backend->entry.version))
 		return true;
-	for (size_t i = 0; set && i < set->n; i++)
-		if (set->list[i] == backend)
+	for (size_t i = 0; avoid && i < avoid->n; i++)
+		if (avoid->list[i] == backend)
 			return true;
 	return false;
 }
@@ -479,7 +483,8 @@
 			  gc_str_t service, const gc_backend_set_t *avoid)
 {
 	for (const gc_backend_t *b = backends->first; b; b = b->next)
-		if (gc_str_eq(b->entry.service, service) && !in_set(avoid, b) &&
+		if (gc_str_eq(b->entry.service, service) &&
+		    !gc_backend_is_avoided(b, avoid) &&
 		    accepts_with_permit(b, now) && !is_ejected_itself(b, now) &&
 		    !accepts_requests(b, now))
 			return true;
--- a/lib/exchange_places.c
+++ b/lib/exchange_places.c
@@ -6,6 +6,7 @@
 
 static void ask(gc_relay_t *relay, gc_backend_t *server, unsigned int rank,
 		uint32_t wanted);
+static bool may_use(const gc_exchange_t *exchange, const gc_backend_t *server);
 static void on_report_timer(void *ctx);
 static bool is_load_awaited(const gc_relay_t *relay, gc_str_t service);
 
@@ -26,7 +27,7 @@
 	for (const gc_exchange_t *other = relay->exchanges; other;
 	     other = other->next) {
 		if (!other->waiting || other == exchange ||
-		    !gc_str_eq(other->service, gc_backend_service(server)))
+		    !may_use(other, server))
 			continue;
 		wanted = MIN(wanted + 1, MAX_WANTED);
 		rank = MIN(rank, gc_exchange_rank(other));
@@ -34,6 +35,15 @@
 	ask(relay, server, rank, wanted);
 }
 
+/* A request doesn't return to a server that it has left. */
+static bool may_use(const gc_exchange_t *exchange, const gc_backend_t *server)
+{
+	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
+
+	return gc_str_eq(exchange->service, gc_backend_service(server)) &&
+	       !gc_backend_is_avoided(server, &avoid);
+}
+
 static void ask(gc_relay_t *relay, gc_backend_t *server, unsigned int rank,
 		uint32_t wanted)
 {
@@ -81,10 +91,13 @@
 	gc_backend_ref(server);
 	if (answer->to_ask)
 		gc_relay_start_waiting(relay, gc_backend_service(server));
-	/* Others could use what isn't used at once. */
-	if (!is_load_awaited(relay, gc_backend_service(server)))
-		gc_backend_drop_unused_places(server);
-	gc_relay_report_places(relay, server);
+	/* Others could use what isn't used at once. Asking for it again would give it
+	 * back again, without an end. */
+	if (!is_load_awaited(relay, gc_backend_service(server)) &&
+	    gc_backend_drop_unused_places(server))
+		ask(relay, server, GC_PERMIT_RANK_MAX, 0);
+	else
+		gc_relay_report_places(relay, server);
 	gc_backend_unref(server);
 }
 
