Give asks for what may have run a wait of their own

An issuer names the time after which a denied daemon may ask again, and makes it longer while too many ask; it was one for all ranks. What may have run goes first only while its ask is at the issuer, so that with many daemons that ask for new requests it missed the places that came free meanwhile. Its wait grows with its own denials now.

--- a/core/places.c
+++ b/core/places.c
@@ -72,6 +72,12 @@
 	struct timespec until;
 } waiting_t;
 
+/* Asks that were denied, and the wait until they make sense again. */
+typedef struct denials {
+	double n; /* weighted by age */
+	double wait_s;
+} denials_t;
+
 typedef struct server {
 	const gc_places_t *places;
 	uint64_t id;
@@ -92,9 +98,11 @@
 	GHashTable *holders; /* by daemon */
 	GArray *waiting; /* the lowest rank first */
 	struct timespec updated_at;
-	double denied; /* weighted by age */
-	double grants;
-	double least_wait_s;
+	double grants; /* weighted by age */
+	/* Asks for what may have run have a wait of their own: however many others
+	 * ask, it comes again in time for the next place. */
+	denials_t begun;
+	denials_t others;
 } server_t;
 
 struct gc_places {
@@ -125,7 +133,7 @@
 		      const gc_place_ask_t *ask);
 static void answer_with(const server_t *server, const gc_place_ask_t *ask,
 			uint32_t granted, gc_place_answer_t *answer);
-static int64_t count_denied(server_t *server);
+static int64_t count_denied(server_t *server, const gc_place_ask_t *ask);
 static void add_waiting(server_t *server, struct timespec now,
 			const gc_place_ask_t *ask, void *token);
 
@@ -191,7 +199,7 @@
 		return false;
 	}
 	if (granted == 0)
-		answer->wait_ms = count_denied(server);
+		answer->wait_ms = count_denied(server, ask);
 	return true;
 }
 
@@ -227,7 +235,8 @@
 			}
 			answer_with(server, &waiting.ask, granted, answer);
 			if (granted == 0 && server->brittle != GC_NOT_BRITTLE)
-				answer->wait_ms = count_denied(server);
+				answer->wait_ms =
+					count_denied(server, &waiting.ask);
 			return waiting.token;
 		}
 	}
@@ -277,7 +286,8 @@
 	server->part = ask->part;
 	server->part_at = now;
 	server->updated_at = now;
-	server->least_wait_s = MIN_WAIT_S;
+	server->begun.wait_s = MIN_WAIT_S;
+	server->others.wait_s = MIN_WAIT_S;
 	server->holders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
 	server->waiting = g_array_new(FALSE, FALSE, sizeof(waiting_t));
@@ -301,7 +311,8 @@
 	server->updated_at = now;
 	if (s <= 0)
 		return;
-	server->denied *= exp(-s / RATE_WINDOW_S);
+	server->begun.n *= exp(-s / RATE_WINDOW_S);
+	server->others.n *= exp(-s / RATE_WINDOW_S);
 	server->grants *= exp(-s / RATE_WINDOW_S);
 	server->starts =
 		MIN(server->starts + s * server->part * server->limit, 1);
@@ -505,16 +516,18 @@
 }
 
 /* The wait settles where the daemons that are waiting ask often enough. */
-static int64_t count_denied(server_t *server)
+static int64_t count_denied(server_t *server, const gc_place_ask_t *ask)
 {
+	denials_t *denials = ask->rank == GC_PERMIT_RANK_BEGUN
+				     ? &server->begun
+				     : &server->others;
 	double wanted = DENIED_PER_S + DENIED_PER_USE * server->grants;
-	double excess = server->denied / RATE_WINDOW_S / wanted - 1;
+	double excess = denials->n / RATE_WINDOW_S / wanted - 1;
 
-	server->denied++;
-	server->least_wait_s =
-		CLAMP(server->least_wait_s * (1 + WAIT_GAIN * excess),
-		      MIN_WAIT_S, MAX_WAIT_S);
-	return (int64_t)ceil(server->least_wait_s * 1000);
+	denials->n++;
+	denials->wait_s = CLAMP(denials->wait_s * (1 + WAIT_GAIN * excess),
+				MIN_WAIT_S, MAX_WAIT_S);
+	return (int64_t)ceil(denials->wait_s * 1000);
 }
 
 /* If too many wait, the one of the lowest rank ends its wait. */
--- a/regress/check_places.c
+++ b/regress/check_places.c
@@ -124,6 +124,39 @@
 }
 END_TEST
 
+/* The wait after a denial grows with the asks, but what may have run doesn't wait
+ * longer because of what hasn't. */
+START_TEST(test_wait_of_ranks)
+{
+	static const int64_t first_wait_ms = 5;
+	gc_places_t *places = gc_places_create(NULL);
+	daemon_t holder = {.id = 1};
+	daemon_t other = {.id = 2};
+	daemon_t begun = {.id = 3};
+	gc_place_answer_t answer;
+	gc_place_ask_t ask;
+
+	ask_for(places, 0, &holder, SLOTS);
+	for (int64_t ms = 0; ms < 1000; ms++) {
+		ask = make_ask(&other, 1);
+		ck_assert(!gc_places_ask(places, unit_at(ms), &ask, &other,
+					 &answer));
+		while (gc_places_next(places, unit_at(ms), &answer))
+			continue;
+	}
+	while (gc_places_next(places, unit_at(1100), &answer))
+		ck_assert_int_gt(answer.wait_ms, first_wait_ms);
+	ask = make_ask(&begun, 1);
+	ask.rank = GC_PERMIT_RANK_BEGUN;
+	ck_assert(!gc_places_ask(places, unit_at(1100), &ask, &begun, &answer));
+	ck_assert_ptr_eq(gc_places_next(places, unit_at(1200), &answer),
+			 &begun);
+	ck_assert_uint_eq(answer.granted, 0);
+	ck_assert_int_eq(answer.wait_ms, first_wait_ms);
+	talloc_free(places);
+}
+END_TEST
+
 START_TEST(test_rank_order)
 {
 	gc_places_t *places = gc_places_create(NULL);
@@ -363,6 +396,7 @@
 		test_sum,
 		test_sent_without,
 		test_wait_ends,
+		test_wait_of_ranks,
 		test_rank_order,
 		test_fewer_after_refusal,
 		test_restored,
