Leave requests behind an announced close unread

Cause: once a response had announced the close of its connection, the daemon went on to read and dropped what came: for up to 2 s after a complete response, and until its end behind a stream, whose head is seconds older. A whole request that was on its way then counted as read, and its connection ended later without an answer.

Change: from the head that announces the close, nothing more is read from the socket (RFC 9112, 9.6: such requests aren't processed). Data is only looked at, so that the caller's close is still noticed at once; behind unread data it is asked for every 100 ms. As the kernel resets a connection that is closed with unread data, the close waits until the response is delivered.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -13,21 +13,26 @@
 /* Delay of the end of a connection's time on which data was received but not
  * read: the event loop reads it first. */
 #define UNREAD_RECHECK_MS 20
+/* Interval of checks for the caller's close behind bytes that stay unread. */
+#define CLOSE_POLL_MS 100
 
 static void on_accept(void *ctx, int fd);
 static bool is_accepted(const gc_caller_listener_t *listener, int fd);
 static int conn_destructor(gc_caller_conn_t *conn);
 static void close_conn(gc_caller_conn_t *conn, bool reset, const char *reason);
+static void note_bytes_at_end(gc_caller_conn_t *conn);
 static void log_end(const gc_caller_conn_t *conn);
 static gc_caller_log_t log_values(const gc_caller_conn_t *conn,
 				  const char *reason);
 static int64_t idle_ms(const gc_caller_conn_t *conn);
 static int64_t limit_ms(const gc_caller_conn_t *conn);
 static bool has_unsent(const gc_caller_conn_t *conn);
+static bool has_undelivered(const gc_caller_conn_t *conn);
 static bool is_reading_head(const gc_caller_conn_t *conn);
 static void on_received(void *ctx, gc_str_t data);
 static void on_closed(void *ctx, int error);
 static void on_drained(void *ctx);
+static void on_unread(void *ctx);
 static arrival_t arrival_now(const gc_caller_conn_t *conn);
 static void add_pipelined(gc_caller_conn_t *conn, gc_str_t data,
 			  const arrival_t *arrival);
@@ -44,6 +49,7 @@
 static void raise_timeouts(gc_caller_conn_t *conn);
 static bool may_extend(const gc_caller_conn_t *conn);
 static void extend(gc_caller_conn_t *conn);
+static bool has_caller_left(const gc_caller_conn_t *conn);
 static void on_timer(void *ctx);
 static int64_t time_left_ms(const gc_caller_conn_t *conn);
 
@@ -51,6 +57,7 @@
 	.received = on_received,
 	.closed = on_closed,
 	.drained = on_drained,
+	.unread = on_unread,
 };
 
 gc_caller_listener_t *gc_caller_listener_create(
@@ -101,7 +108,7 @@
 
 	for (const gc_caller_conn_t *c = listener->conns; c; c = c->next)
 		if (c->state == CONN_READING || c->state == CONN_SERVING ||
-		    gc_socket_unsent_bytes(c->sock) > 0 ||
+		    has_undelivered(c) ||
 		    (c->state == CONN_IDLE && gc_socket_has_unread(c->sock)))
 			n++;
 	return n;
@@ -149,7 +156,7 @@
 static int conn_destructor(gc_caller_conn_t *conn)
 {
 	if (conn->sock)
-		conn->unsent_at_end = gc_socket_unsent_bytes(conn->sock);
+		note_bytes_at_end(conn);
 	log_end(conn);
 	gc_socket_destroy(conn->sock);
 	g_byte_array_free(conn->pipelined, TRUE);
@@ -165,7 +172,7 @@
 static void close_conn(gc_caller_conn_t *conn, bool reset, const char *reason)
 {
 	conn->end_reason = reason;
-	conn->unsent_at_end = gc_socket_unsent_bytes(conn->sock);
+	note_bytes_at_end(conn);
 	if (reset)
 		gc_socket_reset(conn->sock);
 	else
@@ -174,12 +181,20 @@
 	talloc_free(conn);
 }
 
+static void note_bytes_at_end(gc_caller_conn_t *conn)
+{
+	conn->unsent_at_end = gc_socket_unsent_bytes(conn->sock);
+	if (conn->has_unread)
+		conn->unread_at_end = gc_socket_unread_bytes(conn->sock);
+}
+
 /* A request that was served ends with a line of its own. */
 static void log_end(const gc_caller_conn_t *conn)
 {
 	gc_caller_log_t log = log_values(conn, conn->end_reason);
 
-	log.bytes = conn->pipelined->len + conn->dropped_bytes;
+	log.bytes = conn->pipelined->len + conn->dropped_bytes +
+		    conn->unread_at_end;
 	if (conn->state == CONN_READING)
 		log.bytes += conn->request_bytes;
 	if (conn->state != CONN_SERVING)
@@ -322,6 +337,7 @@
 	log.bytes = conn->request_bytes;
 	gc_caller_log_rejection(&log, status);
 	conn->state = CONN_SERVING;
+	conn->rejected = true;
 	conn->close_after_response = true;
 	gc_caller_conn_respond(conn, status,
 			       GC_STR_LIT("Content-Type: application/json\r\n"),
@@ -349,6 +365,14 @@
 		conn->listener->ops.drained(conn->listener->ctx, conn);
 }
 
+static void on_unread(void *ctx)
+{
+	gc_caller_conn_t *conn = ctx;
+
+	conn->has_unread = true;
+	arm_timer(conn);
+}
+
 void gc_caller_conn_set_data(gc_caller_conn_t *conn, void *data)
 {
 	conn->data = data;
@@ -421,7 +445,11 @@
 /* One timer per connection; it checks the state when it expires. */
 static void arm_timer(gc_caller_conn_t *conn)
 {
-	gc_timer_set(conn->timer, time_left_ms(conn));
+	int64_t ms = time_left_ms(conn);
+
+	if (conn->has_unread)
+		ms = MIN(ms, CLOSE_POLL_MS);
+	gc_timer_set(conn->timer, ms);
 }
 
 static int64_t time_left_ms(const gc_caller_conn_t *conn)
@@ -439,7 +467,7 @@
 
 static int64_t limit_ms(const gc_caller_conn_t *conn)
 {
-	if (conn->state == CONN_LINGERING && !has_unsent(conn))
+	if (conn->state == CONN_LINGERING && !has_undelivered(conn))
 		return LINGER_TIMEOUT_MS;
 	if (conn->state == CONN_IDLE)
 		return conn->limits.idle_timeout_ms +
@@ -454,6 +482,14 @@
 			  : conn->unsent_at_end > 0;
 }
 
+/* With unread bytes, the close would reset the connection and drop what the kernel
+ * has not delivered. */
+static bool has_undelivered(const gc_caller_conn_t *conn)
+{
+	return has_unsent(conn) || (conn->has_unread && conn->sock &&
+				    gc_socket_delivery(conn->sock).waiting > 0);
+}
+
 static bool is_reading_head(const gc_caller_conn_t *conn)
 {
 	return conn->state == CONN_READING &&
@@ -497,12 +533,27 @@
 	gc_timer_set(conn->timer, UNREAD_RECHECK_MS);
 }
 
+/* Behind unread bytes; a caller that has closed its side of the connection may
+ * still receive the end of the response. */
+static bool has_caller_left(const gc_caller_conn_t *conn)
+{
+	return conn->has_unread && gc_socket_is_peer_closed(conn->sock) &&
+	       (conn->state == CONN_SERVING || !has_undelivered(conn));
+}
+
 static void on_timer(void *ctx)
 {
 	gc_caller_conn_t *conn = ctx;
 
-	if (conn->state == CONN_SERVING)
+	if (has_caller_left(conn)) {
+		on_closed(conn, 0);
 		return;
+	}
+	if (conn->state == CONN_SERVING) {
+		if (conn->has_unread)
+			gc_timer_set(conn->timer, CLOSE_POLL_MS);
+		return;
+	}
 	if (made_send_progress(conn))
 		conn->last_activity = gc_clock_now(conn->listener->clock);
 	raise_timeouts(conn);
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -36,16 +36,19 @@
 	struct timespec last_activity;
 	uint64_t last_sent_bytes; /* sent bytes at the timer's last expiry */
 	uint64_t request_bytes; /* received of the request in progress */
-	uint64_t dropped_bytes; /* received while lingering */
-	/* For the log: why the connection ends, unsent bytes then. */
+	uint64_t dropped_bytes; /* received after a rejection */
+	/* For the log: why the connection ends, unsent and unread bytes then. */
 	const char *end_reason;
 	size_t unsent_at_end;
+	size_t unread_at_end;
 	gc_timer_t *timer;
 	gc_request_limits_t limits;
 	bool chunked;
 	bool responding; /* a response has been started */
 	bool head_request;
 	bool close_after_response;
+	bool rejected; /* the request, before its end was received */
+	bool has_unread; /* bytes behind the last request */
 	bool extended; /* the time for the request, by UNREAD_RECHECK_MS */
 };
 
--- a/lib/caller_response.c
+++ b/lib/caller_response.c
@@ -46,6 +46,11 @@
 
 	if (conn->listener->closing && !has_next_request(conn))
 		conn->close_after_response = true;
+	/* A further request gets no response. While it is unread, its caller may
+	 * send it again. A caller that sends the rest of a body, in contrast, may
+	 * read the rejection only when that is taken. */
+	if (conn->close_after_response && !conn->rejected)
+		gc_socket_stop_reading(conn->sock);
 	g_string_printf(text, "HTTP/1.1 %d %s\r\n", status,
 			http_status_str((enum http_status)status));
 	g_string_append_len(text, head.data, (gssize)head.len);
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -34,6 +34,7 @@
 	bool outgoing; /* opened by gc_socket_connect */
 	bool connecting;
 	bool paused;
+	bool stopped_reading;
 	bool in_callback;
 	bool destroyed;
 };
@@ -58,6 +59,7 @@
 		  uint16_t flags, void *ctx);
 static void finish_connect(gc_socket_t *sock);
 static void read_available(gc_socket_t *sock);
+static void hold_unread(gc_socket_t *sock);
 static bool may_hold_response(const gc_socket_t *sock);
 static void write_buffered(gc_socket_t *sock);
 static size_t try_write(gc_socket_t *sock, gc_str_t data);
@@ -274,7 +276,8 @@
 static void read_available(gc_socket_t *sock)
 {
 	static _Thread_local char buffer[READ_BYTES];
-	ssize_t n = recv(sock->fd, buffer, sizeof(buffer), 0);
+	ssize_t n = recv(sock->fd, buffer, sizeof(buffer),
+			 sock->stopped_reading ? MSG_PEEK : 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -283,10 +286,19 @@
 		report_closed(sock, sock->send_error);
 	else if (n <= 0)
 		report_closed(sock, n < 0 ? errno : 0);
+	else if (sock->stopped_reading)
+		hold_unread(sock);
 	else
 		sock->ops.received(sock->ctx, (gc_str_t){buffer, (size_t)n});
 }
 
+/* The loop would spin while the data is there. */
+static void hold_unread(gc_socket_t *sock)
+{
+	gc_socket_set_paused(sock, true);
+	sock->ops.unread(sock->ctx);
+}
+
 static void report_closed(gc_socket_t *sock, int error)
 {
 	/* Otherwise the loop would spin until the owner destroys the socket. */
@@ -430,6 +442,27 @@
 	update_flags(sock);
 }
 
+void gc_socket_stop_reading(gc_socket_t *sock)
+{
+	sock->stopped_reading = true;
+}
+
+size_t gc_socket_unread_bytes(const gc_socket_t *sock)
+{
+	int n = 0;
+
+	if (sock->destroyed || ioctl(sock->fd, FIONREAD, &n) != 0 || n < 0)
+		return 0;
+	return (size_t)n;
+}
+
+bool gc_socket_is_peer_closed(const gc_socket_t *sock)
+{
+	struct pollfd poll_fd = {.fd = sock->fd, .events = POLLRDHUP};
+
+	return !sock->destroyed && poll(&poll_fd, 1, 0) > 0;
+}
+
 gc_listener_t *gc_listener_create(TALLOC_CTX *mem, struct tevent_context *ev,
 				  const char *address, uint16_t port,
 				  gc_listener_accept_t accept, void *ctx,
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -23,6 +23,9 @@
 	void (*closed)(void *ctx, int error);
 	/* The kernel has accepted all sent bytes; may be NULL. */
 	void (*drained)(void *ctx);
+	/* Data came after gc_socket_stop_reading; may be NULL if that is never
+	 * called. From then on, closed isn't called for the peer's close. */
+	void (*unread)(void *ctx);
 } gc_socket_ops_t;
 
 /* Detection of a peer that became unreachable; 0 disables a member. */
@@ -83,6 +86,16 @@
 /* Stops or resumes reading (back-pressure). */
 void gc_socket_set_paused(gc_socket_t *sock, bool paused);
 
+/*
+ * From now on, received data stays unread in the kernel; the peer's close is still
+ * reported if there is none. Destroying the socket while there is some resets the
+ * connection, and the peer may lose what it hasn't acknowledged.
+ */
+void gc_socket_stop_reading(gc_socket_t *sock);
+size_t gc_socket_unread_bytes(const gc_socket_t *sock);
+/* True if the peer has closed or reset the connection, also behind unread data. */
+bool gc_socket_is_peer_closed(const gc_socket_t *sock);
+
 /* Receives each accepted descriptor and owns it. */
 typedef void (*gc_listener_accept_t)(void *ctx, int fd);
 
--- a/regress/caller.py
+++ b/regress/caller.py
@@ -16,8 +16,17 @@
                       and "close" if it announces the close
   end                 waits for the end of the connection; prints how it ended
   left                prints the bytes that come within 0.3 s, "none" if none do
-
-DEADLINE in the environment is the time limit in ms of all requests.
+  begin               reads the head of a response; prints its status, and "close"
+                      if it announces the close
+  take:N              reads N bytes of the response that has begun
+  finish              reads the rest of a chunked response and the end of the
+                      connection; prints whether it is whole and how it ended
+  unread              prints whether the other side has read all that was sent
+  leave               closes the connection
+  shut                closes the sending side
+
+DEADLINE in the environment is the time limit in ms of all requests, RCVBUF the size
+of the receive buffer.
 """
 
 import os
@@ -34,7 +43,11 @@
 class Caller:
     def __init__(self, address):
         host, port = address.split(":")
-        self.sock = socket.create_connection((host, int(port)))
+        self.sock = socket.socket()
+        if "RCVBUF" in os.environ:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                 int(os.environ["RCVBUF"]))
+        self.sock.connect((host, int(port)))
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock.settimeout(TIMEOUT_S)
         self.data = b""
@@ -117,6 +130,48 @@
               *(["close"] if re.search(rb"(?i)connection: close", head)
                 else []))
 
+    def begin(self):
+        while b"\r\n\r\n" not in self.data:
+            assert self.receive(), "closed before the head"
+        head, _, self.data = self.data.partition(b"\r\n\r\n")
+        print(head.split()[1].decode(),
+              *(["close"] if re.search(rb"(?i)connection: close", head)
+                else []))
+
+    def take(self, n_bytes):
+        n_bytes = int(n_bytes)
+        while n_bytes > 0:
+            part = self.sock.recv(min(n_bytes, 65536))
+            assert part, "closed early"
+            n_bytes -= len(part)
+            self.data = (self.data + part)[-64:]
+
+    def finish(self):
+        how = "closed"
+        try:
+            while self.receive():
+                self.data = self.data[-64:]
+        except ConnectionError:
+            how = "reset"
+        except socket.timeout:
+            how = "open"
+        print("whole" if self.data.endswith(b"\r\n0\r\n\r\n") else "part", how)
+
+    def unread(self):
+        """The receive queue of the other end of the connection."""
+        ends = [f"{port:04X}" for port in (self.sock.getpeername()[1],
+                                           self.sock.getsockname()[1])]
+        with open("/proc/net/tcp", encoding="ascii") as f:
+            queues = [fields[4] for fields in map(str.split, f)
+                      if [end[-4:] for end in fields[1:3]] == ends]
+        print("unread" if int(queues[0].split(":")[1], 16) > 0 else "read")
+
+    def leave(self):
+        self.sock.close()
+
+    def shut(self):
+        self.sock.shutdown(socket.SHUT_WR)
+
     def end(self):
         try:
             while self.receive():
