Wait for the retry budget after a silent server until the time limit

Cause: a stream that left its server for a second of silence took a retry from the budget; if the next server turned it away (503), and the budget had no further one within the route's target latency, the stream was aborted at once, as its caller could take it up elsewhere. No server had failed: a sound server's silence ended it, beside a change of the configuration or not.

Change: a stream that has left a silent server waits for its turn as long as that is foreseen within its time limit. Streams whose server ended are cut as before.

--- a/lib/exchange_retry.c
+++ b/lib/exchange_retry.c
@@ -135,8 +135,10 @@
 			  gc_exchange_elapsed_ms(exchange) - MIN_LEFT_MS;
 
 	/* The caller of a stream can take it up at another daemon, which may
-	 * have retries left, as soon as its connection breaks. */
-	if (exchange->head_sent && exchange->route->resumable &&
+	 * have retries left, as soon as its connection breaks. A server that was
+	 * only silent is no reason to end it. */
+	if (exchange->head_sent && !exchange->left_silent &&
+	    exchange->route->resumable &&
 	    exchange->route->target_latency_ms > 0)
 		left_ms = MIN(left_ms, exchange->route->target_latency_ms);
 	return gc_backends_retry_turn_ms(relay->backends,
--- a/regress/routed_budget.t
+++ b/regress/routed_budget.t
@@ -82,6 +82,14 @@
         1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
   $ echo $(($(now_ms) - START)) | awk '$1 > 1500 { print "held for", $1 }'
 
+A stream leaves a silent server, and the next one turns it away. The first one is sound:
+the end of the stream would be due to its silence. So it waits for its turn until its time
+limit, beside a change of the configuration.
+
+  $ start_routed d6 ',"repeat_ratio":0,"repeat_slack":6,"repeat_window_s":4'
+  $ (requests 1 /draft/turns-pause-shed-ok >left.out) & pid=$!; sleep 0.3; IDLE_MS=400 put_config "$ROUTES"; wait $pid; cat left.out
+        1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
 A lookup leaves a silent server, and the next one turns it away: the route's two attempts
 are those that may have run, so that it goes on to a third server. If nobody runs it, its
 caller is told so.
