Kill only children at the end of a scripted test

At its end a script kills all processes that it started, by their ids, also those that have ended since. There are 32,768 ids, and each call of curl or awk takes one (1,899 in 10 s, measured while scripts ran), so that such an id may be that of another script's daemon or stand-in by then. Seen in routed_cut_off.t (one of 15 runs, load 12 to 17, beside other scripts): "31175 Killed ... standin_server.py", though the script kills no stand-in; which process killed it isn't known. Only children of the shell are killed now.

daemon_cleanup.t fails before: a process that isn't the script's is killed.

--- a/regress/daemon.sh
+++ b/regress/daemon.sh
@@ -5,8 +5,13 @@
 OPERATOR_KEY=operator-key
 pids=
 
+# True if a process of that id is a child of this shell. The id of one that has ended may
+# be that of a process of another script by now.
+is_child() { grep -qsx "PPid:[[:space:]]*$BASHPID" "/proc/$1/status"; }
+
 cleanup() {
 	for pid in $pids; do
+		is_child "$pid" || continue
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
