--- a/core/shared_map.c
+++ b/core/shared_map.c
@@ -29,7 +29,7 @@
 };
 
 static void unref_shard(const gc_shared_map_t *map, shard_t *shard);
-static shard_t *own_shard(gc_shared_map_t *map, uint64_t hash);
+static shard_t *own_shard(gc_shared_map_t *map, shard_t *shard, uint64_t hash);
 static guint first_at(const shard_t *shard, uint64_t hash);
 static const entry_t *find_entry(const gc_shared_map_t *map, uint64_t hash,
 				 gc_shared_map_match_t match, const void *key);
@@ -72,11 +72,9 @@
 	g_free(shard);
 }
 
-/* The shard of the hash, copied if other maps have it, too. */
-static shard_t *own_shard(gc_shared_map_t *map, uint64_t hash)
+/* The shard of the hash (NULL: none yet), copied if other maps have it, too. */
+static shard_t *own_shard(gc_shared_map_t *map, shard_t *shard, uint64_t hash)
 {
-	shard_t **slot = &map->shards[hash >> SHARD_SHIFT];
-	shard_t *shard = *slot;
 	shard_t *copy;
 
 	if (shard && g_atomic_int_get(&shard->n_refs) == 1)
@@ -93,7 +91,7 @@
 		}
 		unref_shard(map, shard);
 	}
-	*slot = copy;
+	map->shards[hash >> SHARD_SHIFT] = copy;
 	return copy;
 }
 
@@ -116,7 +114,7 @@
 
 void gc_shared_map_add(gc_shared_map_t *map, uint64_t hash, void *value)
 {
-	shard_t *shard = own_shard(map, hash);
+	shard_t *shard = own_shard(map, map->shards[hash >> SHARD_SHIFT], hash);
 	guint at = first_at(shard, hash);
 
 	if (shard->n == shard->capacity) {
@@ -148,14 +146,16 @@
 			  gc_shared_map_match_t match, const void *key)
 {
 	const entry_t *entry = find_entry(map, hash, match, key);
-	shard_t *shard;
+	shard_t *shard = map->shards[hash >> SHARD_SHIFT];
+	void *value;
 	guint at;
 
-	if (!entry)
+	if (!entry || !shard)
 		return false;
-	at = (guint)(entry - map->shards[hash >> SHARD_SHIFT]->entries);
-	shard = own_shard(map, hash);
-	map->ops->unref(shard->entries[at].value);
+	value = entry->value;
+	at = (guint)(entry - shard->entries);
+	shard = own_shard(map, shard, hash);
+	map->ops->unref(value);
 	shard->n--;
 	memmove(shard->entries + at, shard->entries + at + 1,
 		(shard->n - at) * sizeof(entry_t));
