End the grace of a daemon's first list in time

It takes its first complete list for the store's return, after which vanished entries are kept for 2.5 s, and that list took 2 s.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -174,6 +174,7 @@
 		.times = times,
 		.lease_ms = settings->lease_ms,
 		.expiry_grace_ms = EXPIRY_GRACE_MS,
+		.contact_ms = settings->contact_ms,
 		.config_wait_ms = settings->revoke_ms,
 		.confirmed = &daemon->confirmed,
 		.publish = publish,
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -14,6 +14,8 @@
 /* Largest difference between the store's and this daemon's measure of a
  * watch's wait. */
 #define MAX_WAIT_SKEW_MS 50
+/* From the start of the process to that of the fleet. */
+#define CREATE_DELAY_MS 250
 /* Pause between two pieces of work on a configuration. */
 #define PIECE_PAUSE_MS 2
 /* Deletions kept for daemons that watch through this one. */
@@ -47,6 +49,8 @@
 static void handle_store_error(gc_fleet_t *fleet, const GError *err);
 static void discard_list(gc_fleet_t *fleet);
 static void mark_store_reachable(gc_fleet_t *fleet);
+static struct timespec reconnected_at(const gc_fleet_t *fleet,
+				      struct timespec now);
 static void on_expiry(void *ctx);
 
 gc_fleet_t *gc_fleet_create(TALLOC_CTX *mem, const gc_fleet_conf_t *conf)
@@ -64,6 +68,7 @@
 	};
 
 	fleet->conf = *conf;
+	fleet->created = gc_clock_now(conf->clock);
 	fleet->servers = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->daemons = gc_registry_create(fleet, conf->expiry_grace_ms);
 	fleet->last_key = g_string_new(NULL);
@@ -531,19 +536,35 @@
 
 static void mark_store_reachable(gc_fleet_t *fleet)
 {
-	struct timespec now = gc_clock_now(fleet->conf.clock);
+	struct timespec at =
+		reconnected_at(fleet, gc_clock_now(fleet->conf.clock));
 
 	if (fleet->store_reachable)
 		return;
 	fleet->store_reachable = true;
-	gc_registry_store_reconnected(fleet->servers, now);
-	gc_registry_store_reconnected(fleet->daemons, now);
+	gc_registry_store_reconnected(fleet->servers, at);
+	gc_registry_store_reconnected(fleet->daemons, at);
 	if (fleet->registration)
 		gc_registration_retry_now(fleet->registration);
 	gc_log(GC_LOG_INFO, GC_EVENT_STORE_FOUND, "the store can be read",
 	       NULL);
 }
 
+/* The first list of a daemon may take seconds, and most often the store was there all
+ * the time: what leaves it meanwhile has gone. */
+static struct timespec reconnected_at(const gc_fleet_t *fleet,
+				      struct timespec now)
+{
+	struct timespec latest =
+		gc_add_ms(fleet->created, fleet->conf.contact_ms -
+						  fleet->conf.expiry_grace_ms -
+						  CREATE_DELAY_MS);
+
+	if (fleet->started || gc_us_between(latest, now) < 0)
+		return now;
+	return latest;
+}
+
 void gc_fleet_advance_confirmed(gc_fleet_t *fleet, struct timespec at)
 {
 	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -67,6 +67,8 @@
 	gc_change_times_t times;
 	int64_t lease_ms; /* of this daemon's entry */
 	int64_t expiry_grace_ms; /* see gc_registry_create */
+	/* A daemon that has just started has no such grace after this time. */
+	int64_t contact_ms;
 	gc_confirmed_time_t *confirmed; /* written by the control thread */
 	/* Called with each new view; must take a reference to keep it. */
 	void (*publish)(void *ctx, gc_fleet_view_t *view);
--- a/lib/fleet_private.h
+++ b/lib/fleet_private.h
@@ -22,6 +22,7 @@
 	uint64_t config_revision; /* in known_era */
 	uint64_t kept_era; /* in the list of the store; 0: none */
 	bool started; /* a full list was read before */
+	struct timespec created;
 	/* routes are the store's, which may have gone back to a copy just before
 	 * this daemon started, and aren't in force yet. */
 	bool config_in_doubt;
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -193,6 +193,7 @@
 		.times = {.watch_wait = WATCH_WAIT_MS},
 		.lease_ms = 3000,
 		.expiry_grace_ms = 2500,
+		.contact_ms = 4000,
 		.confirmed = &fake->confirmed,
 		.publish = on_view,
 		.on_confirmed = on_confirmed,
@@ -823,6 +824,29 @@
 }
 END_TEST
 
+/* Fault of a hunt: a daemon that had started 4 s before sent a request to a server whose
+ * entry had gone over 3 s before. Its first list had taken 2 s. */
+START_TEST(test_grace_of_a_daemon_that_has_started)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	fake.now_ms = 1200;
+	respond_item(&fake, "servers/s1", SERVER("ready"), 3, 5);
+	ck_assert_uint_eq(fake.n_servers, 1);
+	/* It may be written again. */
+	respond_item(&fake, "servers/s1", NULL, 6, 6);
+	ck_assert_uint_eq(fake.n_servers, 1);
+	wait_for_watch(&fake, 6);
+	fake.now_ms = 3900;
+	respond(&fake, 6, NULL);
+	ck_assert_uint_eq(fake.n_servers, 0);
+	talloc_free(mem);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -831,6 +855,7 @@
 		test_invalid_newest_configuration_leaves_the_one_before_it,
 		test_highest_version_of_a_response_counts,
 		test_end_while_a_configuration_is_being_read,
+		test_grace_of_a_daemon_that_has_started,
 		test_confirmed_time_of_an_idle_watch,
 		test_confirmed_time_of_a_watch_with_an_unreadable_key,
 		test_older_version_is_ignored,
