--- a/regress/daemon.sh
+++ b/regress/daemon.sh
@@ -6,8 +6,19 @@
 pids=
 
 # True if a process of that id is a child of this shell. The id of one that has ended may
-# be that of a process of another script by now.
-is_child() { grep -qsx "PPid:[[:space:]]*$BASHPID" "/proc/$1/status"; }
+# be that of a process of another script by now. Runs no command, as the shell would
+# print notices of killed jobs then.
+is_child() {
+	local name value
+	{
+		while read -r name value; do
+			[ "$name" = PPid: ] || continue
+			[ "$value" = "$BASHPID" ] && return 0
+			return 1
+		done <"/proc/$1/status"
+	} 2>/dev/null
+	return 1
+}
 
 cleanup() {
 	for pid in $pids; do
