--- a/regress/builds.py
+++ b/regress/builds.py
@@ -167,10 +167,12 @@
         # Before any server is brittle, whose loss is no crash.
         self.send("/look/crash", 2)
         time.sleep(3)
-        for headers in {"Server-Limit": "50"}, {"Server-Brittle": "6"}:
+        for headers, ask in (({"Server-Limit": "50"}, "ask /peer/permits"),
+                             ({"Server-Brittle": "6"}, "ask /peer/places")):
             for name in apps:
                 self.post(name, "/headers", headers)
             self.send("/look/ok", 60)
+            self.send_until_asked(ask)
         for name in apps:
             self.post(name, "/headers", {})
         self.send("/look/ok", 20)
@@ -183,6 +185,14 @@
             self.post(name, "/cut", {"sources": [SOURCE], "how": "reset"})
         self.send("/look/ok", 6)
 
+    def send_until_asked(self, what):
+        """Which server a request goes to, and so whom it asks, is left to chance."""
+        end = time.monotonic() + START_S
+        while (not any(ask_of(target)["what"] == what
+                       for target in Listener.asks) and
+               time.monotonic() < end):
+            self.send("/look/ok", 20)
+
     def stop(self):
         for process in self.processes:
             if process.poll() is None:
@@ -272,7 +282,10 @@
         yield "", kind_of(value)
     if isinstance(value, dict):
         for name, part in value.items():
-            yield f"{path}.{name}", kind_of(part)
+            # The name of a revision may consist of digits only.
+            yield f"{path}.{name}", (
+                "text" if name == "build" and isinstance(part, str)
+                else kind_of(part))
             yield from members(part, f"{path}.{name}")
     elif isinstance(value, list) and value:
         yield from members(value[0], path + "[]")
