Go on with a begun stream however many servers turn it away

Cause: a stream that left a silent server was aborted after twice max_attempts servers, also if all but the first had only turned it away (503). They are sound, and so may be the silent one. With three servers the attempts were used up within 0.1 s of leaving it, as it came to each again after 25 ms.

Change: for a stream that has begun, has left a silent server, and whose caller is at this daemon, servers that turned it away don't count towards that bound, nor do 16 tried ones end it; it comes to them again after 200 ms at the earliest. Each attempt takes a retry of the budget as before. No request runs at more servers than before.

--- a/core/attempts.c
+++ b/core/attempts.c
@@ -40,12 +40,14 @@
 /* Once the request may have run, servers that did not run it don't count against the
  * operator's limit: its caller couldn't be told that it was not run. Servers that a
  * stream lost don't count either. A request is sent to at most twice as many
- * servers as that limit. A silent server counts, as it may be sound. */
+ * servers as that limit, and to those that turn away what has begun. A silent server
+ * counts, as it may be sound. */
 static bool may_try_another(const gc_attempts_t *attempts)
 {
 	uint32_t max = attempts->route->max_attempts;
 	bool is_stream = attempts->route->kind == GC_ROUTE_STREAM;
 	uint32_t counted = attempts->sent;
+	uint32_t all = attempts->sent;
 
 	if (is_stream)
 		counted -= attempts->lost;
@@ -53,7 +55,9 @@
 		counted -= attempts->replaced;
 	if (attempts->may_have_run)
 		counted -= attempts->refused;
-	return counted < max && attempts->sent < 2 * max;
+	if (attempts->begun)
+		all -= attempts->refused;
+	return counted < max && all < 2 * max;
 }
 
 bool gc_attempts_may_leave(const gc_attempts_t *attempts, int64_t left_ms)
--- a/core/attempts.h
+++ b/core/attempts.h
@@ -35,6 +35,9 @@
 	/* Of these: lost; said that they did not run it; replaced by another one. */
 	uint32_t lost, refused, replaced;
 	bool may_have_run;
+	/* The caller has a part of a stream that left a silent server, which may
+	 * be sound: others that turn it away are no reason to end it. */
+	bool begun;
 } gc_attempts_t;
 
 /* Counts a server to which the request is being sent. */
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -7,6 +7,8 @@
  * of target_latency_ms; and the interval of checks for one. */
 #define SERVER_WAIT_FRACTION 0.125
 #define SERVER_POLL_MS	     25
+/* Time after which servers that turned a begun stream away are tried again. */
+#define TURNED_AWAY_MS 200
 /* Interval of checks for a server with room, each a load probe. */
 #define ROOM_POLL_MS 100
 /* Maximum number of servers whose load is queried before an attempt. */
@@ -59,6 +61,11 @@
 
 	exchange->waiting = false;
 	gc_timer_stop(exchange->retry_timer);
+	if (left_ms > 0 && exchange->attempts.begun &&
+	    exchange->n_tried == GC_EXCHANGE_MAX_TRIED) {
+		wait_for_return(exchange);
+		return;
+	}
 	if (left_ms <= 0 || exchange->n_tried == GC_EXCHANGE_MAX_TRIED) {
 		end_without_time(exchange);
 		return;
@@ -456,12 +463,15 @@
 static void wait_for_return(gc_exchange_t *exchange)
 {
 	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
+	bool too_early =
+		gc_ms_between(exchange->attempt_ended, now) < TURNED_AWAY_MS;
 	size_t n = 0;
 
 	for (size_t i = 0; i < exchange->n_tried; i++) {
 		gc_backend_t *server = exchange->tried[i];
 
-		if (gc_backend_is_sound(server, now)) {
+		if (gc_backend_is_sound(server, now) &&
+		    !(too_early && exchange->turned_away[i])) {
 			gc_backend_unref(server);
 		} else {
 			exchange->turned_away[n] = exchange->turned_away[i];
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -462,6 +462,8 @@
 	}
 	gc_exchange_set_resume_copy(exchange);
 	release_attempt(exchange);
+	exchange->attempts.begun = exchange->head_sent && exchange->sequencer &&
+				   exchange->left_silent && !exchange->received;
 	decision = gc_attempts_decide(&exchange->attempts, end, left_ms,
 				      &uses_budget);
 	if (!exchange->caller) {
--- a/regress/check_attempts.c
+++ b/regress/check_attempts.c
@@ -107,6 +107,22 @@
 }
 END_TEST
 
+/* Those that turn away what a silent server has begun are no reason to end it. */
+START_TEST(test_refusals_do_not_count_for_what_has_begun)
+{
+	const gc_route_t route = {
+		.kind = GC_ROUTE_STREAM, .resumable = true, .max_attempts = 2};
+	gc_attempts_t attempts = {.route = &route, .begun = true};
+
+	end_attempt(&attempts, GC_END_TIMED_OUT);
+	for (int i = 0; i < 20; i++)
+		ck_assert_int_eq(end_attempt(&attempts, GC_END_REFUSED),
+				 GC_DECISION_RETRY);
+	ck_assert_int_eq(end_attempt(&attempts, GC_END_TIMED_OUT),
+			 GC_DECISION_FAIL);
+}
+END_TEST
+
 START_TEST(test_lost_servers_of_a_stream_do_not_count)
 {
 	const gc_route_t route = {
@@ -201,6 +217,7 @@
 		test_non_idempotent_is_retried_if_it_was_not_run,
 		test_idempotent_is_retried_up_to_the_limit,
 		test_refusals_do_not_count_once_it_may_have_run,
+		test_refusals_do_not_count_for_what_has_begun,
 		test_lost_servers_of_a_stream_do_not_count,
 		test_lost_servers_and_refusals_of_a_stream_do_not_count,
 		test_no_retry_without_time_left,
--- a/regress/routed_budget.t
+++ b/regress/routed_budget.t
@@ -90,6 +90,12 @@
   $ (requests 1 /draft/turns-pause-shed-ok >left.out) & pid=$!; sleep 0.3; IDLE_MS=400 put_config "$ROUTES"; wait $pid; cat left.out
         1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
 
+With retries left, it goes on until one takes it, however many turn it away.
+
+  $ start_routed d7 ',"repeat_ratio":10,"repeat_slack":1000'
+  $ requests 1 /draft/turns-pause-shed-shed-shed-shed-shed-shed-shed-shed-shed-ok
+        1 id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
+
 A lookup leaves a silent server, and the next one turns it away: the route's two attempts
 are those that may have run, so that it goes on to a third server. If nobody runs it, its
 caller is told so.
