Run requests of daemons that are stopping, and tell unknown ones

Cause: a daemon removes its entry when it is told to stop, and the others closed every connection from an address that their list doesn't have. So a daemon in its grace period had nobody to pass its requests on to.

Change: daemons that were registered are known for a grace period more (hop_sources). Requests from other addresses, as those of a daemon that left the list before this one started, or isn't in it yet, are no longer cut off but refused as not run, which costs neither an attempt nor a retry; 1134 tells of them. routed_hop.t asks for that refusal where it asked for a closed connection before: nothing runs, and the caller is told.

--- a/core/registry.c
+++ b/core/registry.c
@@ -76,14 +76,7 @@
 
 static gint compare_ids(gconstpointer a, gconstpointer b, gpointer ctx)
 {
-	const gc_str_t *x = a;
-	const gc_str_t *y = b;
-	size_t len = x->len < y->len ? x->len : y->len;
-	int diff = len > 0 ? memcmp(x->data, y->data, len) : 0;
-
-	if (diff != 0 || x->len == y->len)
-		return diff;
-	return x->len < y->len ? -1 : 1;
+	return gc_str_cmp(*(const gc_str_t *)a, *(const gc_str_t *)b);
 }
 
 static void remove_item(gc_registry_t *registry, item_t *item)
--- a/core/str.h
+++ b/core/str.h
@@ -31,6 +31,17 @@
 	       (a.len == 0 || memcmp(a.data, b.data, a.len) == 0);
 }
 
+/* Less than, equal to or greater than 0, by bytes; a prefix comes first. */
+static inline int gc_str_cmp(gc_str_t a, gc_str_t b)
+{
+	size_t len = a.len < b.len ? a.len : b.len;
+	int diff = len > 0 ? memcmp(a.data, b.data, len) : 0;
+
+	if (diff != 0 || a.len == b.len)
+		return diff;
+	return a.len < b.len ? -1 : 1;
+}
+
 /* Copies s into mem; the copy ends in a NUL that len does not count. */
 static inline gc_str_t gc_str_dup(TALLOC_CTX *mem, gc_str_t s)
 {
--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -17,7 +17,7 @@
 #define CLOSE_POLL_MS 100
 
 static void on_accept(void *ctx, int fd);
-static bool is_accepted(const gc_caller_listener_t *listener, int fd);
+static bool is_known(const gc_caller_listener_t *listener, int fd);
 static int conn_destructor(gc_caller_conn_t *conn);
 static void close_conn(gc_caller_conn_t *conn, bool reset, const char *reason);
 static void note_bytes_at_end(gc_caller_conn_t *conn);
@@ -117,14 +117,11 @@
 static void on_accept(void *ctx, int fd)
 {
 	gc_caller_listener_t *listener = ctx;
-	gc_caller_conn_t *conn;
+	gc_caller_conn_t *conn = talloc_zero(listener, gc_caller_conn_t);
 
-	if (!is_accepted(listener, fd)) {
-		close(fd);
-		return;
-	}
-	conn = talloc_zero(listener, gc_caller_conn_t);
 	conn->listener = listener;
+	conn->known = is_known(listener, fd);
+	conn->close_after_response = !conn->known;
 	conn->pipelined = g_byte_array_new();
 	conn->message = gc_http_message_create(conn, GC_HTTP_MESSAGE_REQUEST);
 	conn->sock = gc_socket_adopt(conn, listener->ev, fd, &socket_ops, conn);
@@ -140,17 +137,17 @@
 	arm_timer(conn);
 }
 
-static bool is_accepted(const gc_caller_listener_t *listener, int fd)
+static bool is_known(const gc_caller_listener_t *listener, int fd)
 {
 	struct sockaddr_in sin;
 	socklen_t len = sizeof(sin);
 	char ip[INET_ADDRSTRLEN];
 
-	if (!listener->ops.accepts)
+	if (!listener->ops.knows)
 		return true;
 	return getpeername(fd, (struct sockaddr *)&sin, &len) == 0 &&
 	       inet_ntop(AF_INET, &sin.sin_addr, ip, sizeof(ip)) &&
-	       listener->ops.accepts(listener->ctx, gc_str(ip));
+	       listener->ops.knows(listener->ctx, gc_str(ip));
 }
 
 static int conn_destructor(gc_caller_conn_t *conn)
@@ -383,6 +380,11 @@
 	return conn->data;
 }
 
+bool gc_caller_conn_is_known(const gc_caller_conn_t *conn)
+{
+	return conn->known;
+}
+
 struct timespec gc_caller_conn_arrived(const gc_caller_conn_t *conn)
 {
 	return conn->arrived;
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -40,8 +40,9 @@
 	void (*drained)(void *ctx, gc_caller_conn_t *conn);
 	/* Returns the limits for a new connection or request. */
 	gc_request_limits_t (*limits)(void *ctx);
-	/* False: a connection from this IP is closed; NULL: all are accepted. */
-	bool (*accepts)(void *ctx, gc_str_t ip);
+	/* False: a connection from this IP is marked as unknown, for the handler of
+	 * its request, and closed after the response; NULL: all are known. */
+	bool (*knows)(void *ctx, gc_str_t ip);
 } gc_caller_listener_ops_t;
 
 /* ctx is passed to the callbacks. Errors: GC_ERR_IO. */
@@ -73,6 +74,8 @@
 /* The handler's object for the request in progress. */
 void gc_caller_conn_set_data(gc_caller_conn_t *conn, void *data);
 void *gc_caller_conn_data(const gc_caller_conn_t *conn);
+/* See gc_caller_listener_ops_t.knows. */
+bool gc_caller_conn_is_known(const gc_caller_conn_t *conn);
 /* Arrival of the request's first byte, on the listener's clock. */
 struct timespec gc_caller_conn_arrived(const gc_caller_conn_t *conn);
 /*
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -43,6 +43,7 @@
 	size_t unread_at_end;
 	gc_timer_t *timer;
 	gc_request_limits_t limits;
+	bool known; /* see gc_caller_listener_ops_t */
 	bool chunked;
 	bool responding; /* a response has been started */
 	bool head_request;
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -116,6 +116,7 @@
 
 	/* Passing on (exchange_hop.c). */
 	bool received; /* another daemon passed the request on */
+	bool unknown_daemon; /* received from an address that no daemon has */
 	bool recorded_by_peer; /* that daemon records the version */
 	bool hop; /* the attempt in progress or the last one is at a daemon */
 	gc_backend_t *hops[GC_EXCHANGE_MAX_HOPS]; /* daemons that got it */
@@ -179,6 +180,8 @@
 void gc_exchange_finish_hop(gc_exchange_t *exchange);
 /* For a request that another daemon passed on. NULL or the refusal to send. */
 const gc_refusal_t *gc_exchange_admit_received(gc_exchange_t *exchange);
+/* The refusal of a request from an address that no daemon has. */
+const gc_refusal_t *gc_exchange_reject_unknown(const gc_exchange_t *exchange);
 /* Appends what the daemon that passed the request on has to know. */
 void gc_exchange_append_hop_result(const gc_exchange_t *exchange,
 				   GString *head);
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -55,7 +55,8 @@
 		      const gc_http_message_t *response);
 static uint64_t read_number(const gc_http_message_t *message, const char *name,
 			    uint64_t fallback);
-static void log_received(const gc_exchange_t *exchange);
+static void log_received(const gc_exchange_t *exchange, gc_log_event_t event,
+			 const char *message);
 
 bool gc_is_hop_header(gc_str_t name)
 {
@@ -349,7 +350,8 @@
 	exchange->recorded_by_peer =
 		gc_http_message_find_header(request, HOP_RECORDS_HEADER).data !=
 		NULL;
-	log_received(exchange);
+	log_received(exchange, GC_EVENT_ROUTED_RECEIVED,
+		     "request of another daemon");
 	gc_counter_add(gc_counter("goldcrest_routed_received_total",
 				  "Requests that other daemons passed on.",
 				  NULL, NULL),
@@ -357,15 +359,32 @@
 	return NULL;
 }
 
-static void log_received(const gc_exchange_t *exchange)
+/* A daemon that the list doesn't name yet, or didn't name since this one started, is
+ * told so, as it can't tell a closed connection from a request that was run. */
+const gc_refusal_t *gc_exchange_reject_unknown(const gc_exchange_t *exchange)
+{
+	static const gc_refusal_t unknown = {
+		.status = 503,
+		.code = "unknown_daemon",
+		.message = "the request comes from the address of no daemon",
+		.retry_after_ms = REFUSAL_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+
+	log_received(exchange, GC_EVENT_ROUTED_UNKNOWN,
+		     "request of an unknown daemon");
+	return &unknown;
+}
+
+static void log_received(const gc_exchange_t *exchange, gc_log_event_t event,
+			 const char *message)
 {
 	gc_str_t name =
 		gc_http_message_find_header(exchange->request, HOP_HEADER);
 	g_autofree char *daemon = g_strndup(name.data ? name.data : "",
 					    MIN(name.len, GC_NAME_MAX));
 
-	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_RECEIVED,
-	       "request of another daemon", "request", exchange->id.data,
+	gc_log(GC_LOG_INFO, event, message, "request", exchange->id.data,
 	       "daemon", daemon, NULL);
 }
 
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -36,7 +36,7 @@
 		       const gc_http_message_t *request);
 static void on_forwarded(void *ctx, gc_caller_conn_t *caller,
 			 const gc_http_message_t *request);
-static bool accepts_daemon(void *ctx, gc_str_t ip);
+static bool knows_daemon(void *ctx, gc_str_t ip);
 static gc_request_limits_t get_forward_limits(void *ctx);
 static void on_disconnected(void *ctx, gc_caller_conn_t *caller);
 static void on_drained(void *ctx, gc_caller_conn_t *caller);
@@ -70,7 +70,7 @@
 	.disconnected = on_disconnected,
 	.drained = on_drained,
 	.limits = get_forward_limits,
-	.accepts = accepts_daemon,
+	.knows = knows_daemon,
 };
 
 static const gc_refusal_t no_config = {
@@ -151,6 +151,7 @@
 	relay->upstream = gc_upstream_create(relay, &upstream_conf);
 	relay->backends = gc_backends_create(relay, &backends_conf);
 	relay->crash_suspects = gc_crash_suspects_create(relay);
+	relay->hop_sources = gc_hop_sources_create(relay, conf->departed_ms);
 	if (conf->passes_on)
 		create_hop_peers(relay, &upstream_conf, &backends_conf);
 	gc_relay_create_reach(relay, &upstream_conf);
@@ -197,6 +198,8 @@
 {
 	gc_daemon_rank_t rank;
 
+	gc_hop_sources_set_view(relay->hop_sources,
+				gc_clock_now(relay->conf.clock), view);
 	gc_fleet_view_unref(relay->view);
 	relay->view = gc_fleet_view_ref(view);
 	rank = daemon_rank(relay);
@@ -275,22 +278,16 @@
 	gc_exchange_t *exchange = create_exchange(ctx, caller, request);
 
 	exchange->received = true;
+	exchange->unknown_daemon = !gc_caller_conn_is_known(caller);
 	try_admit(exchange);
 }
 
-/* True for the addresses of registered daemons. */
-static bool accepts_daemon(void *ctx, gc_str_t ip)
+static bool knows_daemon(void *ctx, gc_str_t ip)
 {
-	const gc_fleet_view_t *view = ((const gc_relay_t *)ctx)->view;
-
-	for (size_t i = 0; view && i < view->n_daemons; i++) {
-		gc_str_t address = view->daemons[i].forward_address;
+	const gc_relay_t *relay = ctx;
 
-		if (address.len > ip.len && address.data[ip.len] == ':' &&
-		    memcmp(address.data, ip.data, ip.len) == 0)
-			return true;
-	}
-	return false;
+	return gc_hop_sources_has(relay->hop_sources,
+				  gc_clock_now(relay->conf.clock), ip);
 }
 
 /* The daemon that passes a request on has kept to the limits of callers. */
@@ -402,6 +399,8 @@
 	const char *query;
 	gc_str_t path = target;
 
+	if (exchange->unknown_daemon)
+		return gc_exchange_reject_unknown(exchange);
 	if (gc_http_message_count_header(request, "host") != 1 ||
 	    target.len == 0 || *target.data != '/')
 		return &bad_host;
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -41,6 +41,8 @@
 	const char *source; /* local IP of connections to servers; NULL: any */
 	/* Requests are passed on to other daemons, and taken from them. */
 	bool passes_on;
+	/* How long they are taken from a daemon that has removed its entry. */
+	int64_t departed_ms;
 	double repeat_ratio; /* see gc_backends_conf_t */
 	uint32_t repeat_slack;
 	int64_t pause_max_ms; /* longest Retry-After of a server that counts */
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -7,6 +7,7 @@
 #include "lib/crash_checks.h"
 #include "lib/exchange.h"
 #include "lib/hop_peers.h"
+#include "lib/hop_sources.h"
 #include "lib/refusal.h"
 #include "lib/relay.h"
 
@@ -47,6 +48,7 @@
 	/* Passing on of requests (exchange_hop.c). NULL unless set up. */
 	gc_upstream_t *hop_upstream;
 	gc_hop_peers_t *hop_peers;
+	gc_hop_sources_t *hop_sources;
 	size_t n_received; /* of n_exchanges, passed on by other daemons */
 	gc_reach_t *reach;
 	bool alone; /* no other daemon takes requests; see set_serving */
--- a/regress/routed_hop.t
+++ b/regress/routed_hop.t
@@ -41,10 +41,15 @@
   $ at 1 send_request /draft/ok -H 'Goldcrest-Hop-Version: v9' | ids
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
 
-A daemon's listener closes connections from addresses that no daemon has.
+A daemon's listener runs nothing from addresses that no daemon has, says so and closes
+the connection.
 
-  $ hop 1 /look/ok --interface 127.0.0.77 -H 'Goldcrest-Hop-Config: 3' -o body.out
-  000
+  $ RUNS=$(runs); hop 1 /look/ok --interface 127.0.0.77 -H 'Goldcrest-Hop-Config: 3' -o body.out; grep -o '"code":"[a-z_]*"' body.out; grep -i '^connection' hop.out | tr -d '\r'; echo $(($(runs) - RUNS))
+  503
+  Goldcrest-Hop-Result: not-run
+  "code":"unknown_daemon"
+  Connection: close
+  0
 
 A daemon with an older configuration than that by which the request was admitted,
 or than none is named, doesn't run it; others may. Its own decides what it runs.
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -61,6 +61,7 @@
                the body
   big          sends 200 events of 60 kB without a pause
   slow         sends an event each 150 ms
+  many         sends 30 events, one each 150 ms
   burst        sends the head, and the whole body at once
   burstbad     sends the head, and three events and bytes that are no chunk at
                once
@@ -523,7 +524,7 @@
             writer.write(wire.response_head(200, headers))
             await self.crash(writer)
             return False
-        slow = behaviour in ("slow", "plainslowdie")
+        slow = behaviour in ("slow", "many", "plainslowdie")
         if behaviour == "plainslowdie":
             behaviour = "plaindie"
         if behaviour in ("empty", "plain", "plaincut", "plaindie", "plaindark"):
@@ -560,7 +561,8 @@
                 self.abandoned.append(0)
                 return False
         big = behaviour == "big"
-        for n in range(last + 1, (200 if big else EVENT_COUNT) + 1):
+        count = {"big": 200, "many": 30}.get(behaviour, EVENT_COUNT)
+        for n in range(last + 1, count + 1):
             await asyncio.wait([disconnected],
                                timeout=(0 if big else 0.15 if slow
                                         else EVENT_INTERVAL_S))
