Answer unknown addresses at the head of their request

Change: the handler gets the request of an unknown address when its head is complete; the body is dropped. 64 such connections are kept at once, and a stop doesn't wait for them.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -10,6 +10,9 @@
 #define MAX_PIPELINED_BYTES 65536
 /* Longest wait for the caller to close after the last response was sent. */
 #define LINGER_TIMEOUT_MS 2000
+/* Connections of unknown addresses at once; each is answered at the head of its
+ * request. */
+#define MAX_UNKNOWN 64
 /* Delay of the end of a connection's time on which data was received but not
  * read: the event loop reads it first. */
 #define UNREAD_RECHECK_MS 20
@@ -107,9 +110,10 @@
 	size_t n = 0;
 
 	for (const gc_caller_conn_t *c = listener->conns; c; c = c->next)
-		if (c->state == CONN_READING || c->state == CONN_SERVING ||
-		    has_undelivered(c) ||
-		    (c->state == CONN_IDLE && gc_socket_has_unread(c->sock)))
+		if (c->known &&
+		    (c->state == CONN_READING || c->state == CONN_SERVING ||
+		     has_undelivered(c) ||
+		     (c->state == CONN_IDLE && gc_socket_has_unread(c->sock))))
 			n++;
 	return n;
 }
@@ -117,11 +121,18 @@
 static void on_accept(void *ctx, int fd)
 {
 	gc_caller_listener_t *listener = ctx;
-	gc_caller_conn_t *conn = talloc_zero(listener, gc_caller_conn_t);
+	bool known = is_known(listener, fd);
+	gc_caller_conn_t *conn;
 
+	if (!known && listener->n_unknown >= MAX_UNKNOWN) {
+		close(fd);
+		return;
+	}
+	conn = talloc_zero(listener, gc_caller_conn_t);
 	conn->listener = listener;
-	conn->known = is_known(listener, fd);
-	conn->close_after_response = !conn->known;
+	conn->known = known;
+	conn->close_after_response = !known;
+	listener->n_unknown += !known;
 	conn->pipelined = g_byte_array_new();
 	conn->message = gc_http_message_create(conn, GC_HTTP_MESSAGE_REQUEST);
 	conn->sock = gc_socket_adopt(conn, listener->ev, fd, &socket_ops, conn);
@@ -156,6 +167,7 @@
 		note_bytes_at_end(conn);
 	log_end(conn);
 	gc_socket_destroy(conn->sock);
+	conn->listener->n_unknown -= !conn->known;
 	g_byte_array_free(conn->pipelined, TRUE);
 	if (conn->prev)
 		conn->prev->next = conn->next;
@@ -298,8 +310,13 @@
 	switch (gc_http_message_state(conn->message)) {
 	case GC_HTTP_MESSAGE_EMPTY:
 	case GC_HTTP_MESSAGE_HEAD:
-	case GC_HTTP_MESSAGE_BODY:
 		return;
+	case GC_HTTP_MESSAGE_BODY:
+		if (conn->known)
+			return;
+		/* The rest is dropped, as behind a rejection. */
+		conn->rejected = true;
+		break;
 	case GC_HTTP_MESSAGE_INVALID:
 		reject_request(conn, 400, gc_http_message_error(conn->message));
 		return;
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -40,8 +40,9 @@
 	void (*drained)(void *ctx, gc_caller_conn_t *conn);
 	/* Returns the limits for a new connection or request. */
 	gc_request_limits_t (*limits)(void *ctx);
-	/* False: a connection from this IP is marked as unknown, for the handler of
-	 * its request, and closed after the response; NULL: all are known. */
+	/* False: a connection from this IP is marked as unknown. The handler gets its
+	 * request without the body, and it is closed after the response. NULL: all
+	 * are known. */
 	bool (*knows)(void *ctx, gc_str_t ip);
 } gc_caller_listener_ops_t;
 
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -61,6 +61,7 @@
 	gc_caller_listener_ops_t ops;
 	void *ctx;
 	gc_caller_conn_t *conns;
+	size_t n_unknown; /* of conns */
 	int64_t idle_grace_ms;
 	uint16_t port;
 	bool closing;
