Keep the run at a silent server until another one has begun

Cause: a silent server was left as soon as the request might go on elsewhere, before anybody had taken it. The run ended there for good, and the next step could need a second retry, or a server that was as silent.

Change: the run of a stream stays open beside the next attempt (exchange_standby.c), until that has brought its first event, or for 350 ms if its server is reached. A retry with which nothing was sent is given back to the budget. Not kept are lookups, and streams whose head has come without an event.

--- a/core/backends.c
+++ b/core/backends.c
@@ -573,6 +573,12 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
+void gc_backends_return_retry(gc_backends_t *backends, gc_str_t service)
+{
+	gc_retry_window_return(
+		&find_or_add_service(backends, service)->retries);
+}
+
 int64_t gc_backends_retry_turn_ms(gc_backends_t *backends, struct timespec now,
 				  gc_str_t service, unsigned int n,
 				  int64_t max_ms)
--- a/core/event_sequencer.c
+++ b/core/event_sequencer.c
@@ -164,6 +164,21 @@
 	g_byte_array_set_size(sequencer->buffer, 0);
 }
 
+GByteArray *gc_event_sequencer_take_partial(gc_event_sequencer_t *sequencer)
+{
+	GByteArray *partial = sequencer->buffer;
+
+	sequencer->buffer = g_byte_array_new();
+	return partial;
+}
+
+void gc_event_sequencer_set_partial(gc_event_sequencer_t *sequencer,
+				    const GByteArray *partial)
+{
+	g_byte_array_set_size(sequencer->buffer, 0);
+	g_byte_array_append(sequencer->buffer, partial->data, partial->len);
+}
+
 bool gc_event_sequencer_has_partial(const gc_event_sequencer_t *sequencer)
 {
 	return sequencer->buffer->len > 0;
--- a/core/event_sequencer.h
+++ b/core/event_sequencer.h
@@ -38,6 +38,11 @@
 			     GError **err);
 /* Discards the incomplete event, before another run continues the stream. */
 void gc_event_sequencer_discard_partial(gc_event_sequencer_t *sequencer);
+/* The incomplete event, which is discarded; free with g_byte_array_unref. */
+GByteArray *gc_event_sequencer_take_partial(gc_event_sequencer_t *sequencer);
+/* Replaces the incomplete event when the run goes on that it was taken from. */
+void gc_event_sequencer_set_partial(gc_event_sequencer_t *sequencer,
+				    const GByteArray *partial);
 /* True if an incomplete event is buffered. */
 bool gc_event_sequencer_has_partial(const gc_event_sequencer_t *sequencer);
 int64_t gc_event_sequencer_last_id(const gc_event_sequencer_t *sequencer);
--- a/core/retry_window.c
+++ b/core/retry_window.c
@@ -68,6 +68,19 @@
 	return true;
 }
 
+void gc_retry_window_return(gc_retry_window_t *window)
+{
+	for (int64_t bucket = window->newest;
+	     bucket > window->newest - N_BUCKETS; bucket--) {
+		uint32_t *n = &window->retries[bucket % N_BUCKETS];
+
+		if (*n > 0) {
+			(*n)--;
+			return;
+		}
+	}
+}
+
 int64_t gc_retry_window_turn_ms(const gc_retry_window_t *window,
 				const gc_retry_window_conf_t *conf,
 				struct timespec now, unsigned int n,
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -19,6 +19,25 @@
 /* Maximum number of daemons that one request is passed on to. */
 #define GC_EXCHANGE_MAX_HOPS 6
 
+/* A run that was left for its server's silence, and is kept (exchange_standby.c). */
+typedef struct gc_standby {
+	gc_call_t *call; /* NULL: none */
+	gc_backend_t *backend;
+	gc_timer_t *timer; /* until it has to end beside another attempt */
+	bool overlaps; /* timer runs */
+	/* An attempt has ended whose server may go on with it. */
+	bool other_may_run;
+	struct timespec left_at;
+	/* As in gc_exchange_t. */
+	struct timespec attempt_started;
+	bool received_event;
+	bool success;
+	int attempt_status;
+	gc_backend_t *copy_holder; /* NULL if none, or if it was used */
+	gc_str_t copy_location;
+	GByteArray *partial_event;
+} gc_standby_t;
+
 typedef struct gc_exchange {
 	gc_relay_t *relay;
 	struct gc_exchange *prev, *next;
@@ -57,6 +76,9 @@
 	struct timespec attempt_started;
 	struct timespec attempt_ended; /* of the last one, if any */
 	bool left_silent; /* a server was left that may be sound */
+	gc_standby_t standby;
+	/* A retry was taken from the budget, and no server got it yet. */
+	bool retry_unused;
 	/* It waits for its turn of the retry budget, until retry_timer expires. */
 	bool awaits_retry;
 	gc_attempt_end_t last_end; /* of the last attempt, while it does */
@@ -158,6 +180,8 @@
  */
 void gc_exchange_retry(gc_exchange_t *exchange, gc_attempt_end_t end);
 void gc_exchange_on_retry_turn(gc_exchange_t *exchange);
+/* Ends a wait for a server, a permit or the retry budget. */
+void gc_exchange_stop_waiting(gc_exchange_t *exchange);
 /* True if a request for the service waits for its turn. */
 bool gc_relay_awaits_retry(const gc_relay_t *relay, gc_str_t service);
 
@@ -212,6 +236,10 @@
 
 /* Ends the attempt in progress, without a result (exchange_run.c). */
 void gc_exchange_cancel_call(gc_exchange_t *exchange);
+/* Gives back what the ended attempt held (exchange_run.c). */
+void gc_exchange_release_attempt(gc_exchange_t *exchange);
+/* Of an attempt's call; ctx is the exchange (exchange_run.c). */
+extern const gc_call_ops_t gc_exchange_call_ops;
 /* Records the end of an attempt; starts another one or ends the request, and may
  * free the exchange. */
 void gc_exchange_finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
@@ -250,6 +278,21 @@
 /* Gives up the attempt at a silent server; may free the exchange. */
 void gc_exchange_leave_server(gc_exchange_t *exchange, const char *reason);
 
+/*
+ * A run that is kept after its silent server was left (exchange_standby.c).
+ * gc_exchange_keep_run is to be called before the attempt is finished: false if the
+ * call has to be cancelled. gc_exchange_watch_overlap is to be called when an attempt
+ * was started, gc_exchange_end_overlap when one has ended, with its server still set,
+ * and gc_exchange_drop_standby once another server has taken its place.
+ * gc_exchange_return_to_standby makes the run the attempt in progress again, if there
+ * is one.
+ */
+bool gc_exchange_keep_run(gc_exchange_t *exchange);
+void gc_exchange_watch_overlap(gc_exchange_t *exchange);
+void gc_exchange_end_overlap(gc_exchange_t *exchange, gc_attempt_end_t end);
+void gc_exchange_drop_standby(gc_exchange_t *exchange);
+bool gc_exchange_return_to_standby(gc_exchange_t *exchange);
+
 /*
  * Silent links (exchange_link.c). gc_exchange_watch_link is to be called when the
  * request has been sent; gc_exchange_on_link_timer is the callback of link_timer.
@@ -282,6 +325,9 @@
  */
 void gc_exchange_start_copy(gc_exchange_t *exchange);
 void gc_exchange_stop_copy(gc_exchange_t *exchange);
+/* For a run that was kept: the server that gets its copy, or NULL. */
+void gc_exchange_restore_copy(gc_exchange_t *exchange, gc_backend_t *holder,
+			      gc_str_t location);
 /* After a failed attempt: lets the next one resume from the copy. */
 void gc_exchange_set_resume_copy(gc_exchange_t *exchange);
 /* Timer callback; ctx is the exchange. */
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -471,6 +471,7 @@
 		gc_backend_t *server = exchange->tried[i];
 
 		if (gc_backend_is_sound(server, now) &&
+		    server != exchange->standby.backend &&
 		    !(too_early && exchange->turned_away[i])) {
 			gc_backend_unref(server);
 		} else {
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -126,6 +126,20 @@
 {
 }
 
+void gc_exchange_restore_copy(gc_exchange_t *exchange, gc_backend_t *holder,
+			      gc_str_t location)
+{
+	if (!wants_copy(exchange))
+		return;
+	if (holder) {
+		exchange->copy_holder = gc_backend_ref(holder);
+		exchange->copy_location = location;
+		exchange->copy_handle = GC_STR_EMPTY;
+		gc_backend_add_copy(holder);
+	}
+	gc_timer_set(exchange->copy_timer, COPY_CHECK_MS);
+}
+
 void gc_exchange_set_resume_copy(gc_exchange_t *exchange)
 {
 	gc_backend_unref(exchange->resume_holder);
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -49,6 +49,8 @@
 		.message = "the backend server did not respond in time",
 	};
 
+	if (gc_exchange_return_to_standby(exchange))
+		return;
 	if (exchange->head_sent) {
 		gc_caller_conn_t *caller = exchange->caller;
 
@@ -237,6 +239,7 @@
 		talloc_free(exchange);
 		return;
 	}
+	gc_exchange_drop_standby(exchange);
 	exchange->limit_reached = limit_reached;
 	if (exchange->head_sent) {
 		gc_exchange_give_up(exchange, GC_DECISION_FAIL,
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -78,6 +78,7 @@
 		record_event_gap(exchange);
 		if (!exchange->received_event) {
 			exchange->received_event = true;
+			gc_exchange_drop_standby(exchange);
 			if (exchange->silence_query)
 				gc_backend_query_destroy(
 					exchange->silence_query);
--- a/lib/exchange_retry.c
+++ b/lib/exchange_retry.c
@@ -34,6 +34,7 @@
 	exchange->last_end = end;
 	if (!gc_relay_awaits_retry(relay, exchange->service) &&
 	    gc_backends_take_retry(relay->backends, now, exchange->service)) {
+		exchange->retry_unused = true;
 		gc_exchange_start_next_attempt(exchange);
 		return;
 	}
@@ -71,6 +72,14 @@
 		exchange->relay->n_awaiting_retry--;
 }
 
+void gc_exchange_stop_waiting(gc_exchange_t *exchange)
+{
+	if (exchange->awaits_retry)
+		set_awaiting(exchange, false);
+	exchange->waiting = false;
+	gc_timer_stop(exchange->retry_timer);
+}
+
 void gc_exchange_on_retry_turn(gc_exchange_t *exchange)
 {
 	gc_relay_t *relay = exchange->relay;
@@ -94,6 +103,7 @@
 	while ((first = find_first(relay, service)) &&
 	       gc_backends_take_retry(relay->backends, now, service)) {
 		set_awaiting(first, false);
+		first->retry_unused = true;
 		/* The wait for a server begins now. */
 		first->attempt_ended = now;
 		gc_exchange_start_next_attempt(first);
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -31,9 +31,8 @@
 static void start_end_query(gc_exchange_t *exchange);
 static void on_end_report(void *ctx, int status, gc_str_t response,
 			  gc_attempt_end_t end);
-static void release_attempt(gc_exchange_t *exchange);
 
-static const gc_call_ops_t call_ops = {
+const gc_call_ops_t gc_exchange_call_ops = {
 	.head = on_head,
 	.body = gc_exchange_on_body,
 	.complete = on_complete,
@@ -112,7 +111,8 @@
 	gc_relay_t *relay = exchange->relay;
 
 	gc_exchange_cancel_call(exchange);
-	release_attempt(exchange);
+	gc_exchange_drop_standby(exchange);
+	gc_exchange_release_attempt(exchange);
 	if (exchange->load_probe)
 		gc_load_probe_destroy(exchange->load_probe);
 	for (size_t i = 0; i < exchange->n_tried; i++)
@@ -201,7 +201,7 @@
 	exchange->call = gc_upstream_start(
 		exchange->hop ? relay->hop_upstream : relay->upstream, backend,
 		(gc_str_t){text->str, text->len}, exchange->id,
-		exchange->head_request, &call_ops, exchange);
+		exchange->head_request, &gc_exchange_call_ops, exchange);
 	g_string_free(text, TRUE);
 	if (!exchange->call) {
 		gc_exchange_finish_attempt(
@@ -209,6 +209,7 @@
 			"could not open a connection to the server");
 		return;
 	}
+	gc_exchange_watch_overlap(exchange);
 	gc_exchange_watch_link(exchange);
 	if (!exchange->hop)
 		gc_relay_watch_silence(relay);
@@ -460,8 +461,11 @@
 		gc_exchange_record_loss(exchange, end);
 		gc_relay_record_link(relay, exchange->backend, end);
 	}
+	gc_exchange_end_overlap(exchange, end);
+	if (end != GC_END_UNREACHABLE)
+		exchange->retry_unused = false;
 	gc_exchange_set_resume_copy(exchange);
-	release_attempt(exchange);
+	gc_exchange_release_attempt(exchange);
 	exchange->attempts.begun = exchange->head_sent && exchange->sequencer &&
 				   exchange->left_silent && !exchange->received;
 	decision = gc_attempts_decide(&exchange->attempts, end, left_ms,
@@ -490,7 +494,7 @@
 		gc_exchange_give_up(exchange, decision, end);
 }
 
-static void release_attempt(gc_exchange_t *exchange)
+void gc_exchange_release_attempt(gc_exchange_t *exchange)
 {
 	gc_timer_stop(exchange->inactivity_timer);
 	gc_timer_stop(exchange->link_timer);
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -80,7 +80,8 @@
 
 void gc_exchange_leave_server(gc_exchange_t *exchange, const char *reason)
 {
-	gc_exchange_cancel_call(exchange);
+	if (!gc_exchange_keep_run(exchange))
+		gc_exchange_cancel_call(exchange);
 	exchange->left_silent = true;
 	gc_exchange_finish_attempt(exchange, GC_END_TIMED_OUT, reason);
 }
--- /dev/null
+++ b/lib/exchange_standby.c
@@ -0,0 +1,276 @@
+/*
+ * The run of a stream that was left because its server is silent. The server may be
+ * sound, so the run is kept until another one has taken its place: what it sends
+ * first goes to the caller, and the stream goes back to it if nobody else can go on.
+ */
+#include "lib/log.h"
+#include "lib/log_events.h"
+#include "lib/metrics.h"
+#include "lib/relay_private.h"
+
+/* Two servers must not work on a stream for 400 ms. */
+#define OVERLAP_MS 350
+
+static bool may_keep(const gc_exchange_t *exchange);
+static void on_head(void *ctx, const gc_http_message_t *response);
+static void on_body(void *ctx, gc_str_t data);
+static void on_complete(void *ctx, const gc_http_message_t *response);
+static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
+static void on_overlap_end(void *ctx);
+static void go_back(gc_exchange_t *exchange, const char *reason);
+static void end_next_attempt(gc_exchange_t *exchange);
+static void restore_attempt(gc_exchange_t *exchange);
+static void put_last(gc_exchange_t *exchange, gc_backend_t *server);
+static void release(gc_exchange_t *exchange);
+static void log_return(const gc_exchange_t *exchange, const char *reason);
+
+static const gc_call_ops_t standby_ops = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.failed = on_failed,
+};
+
+bool gc_exchange_keep_run(gc_exchange_t *exchange)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	if (!may_keep(exchange))
+		return false;
+	if (!standby->timer)
+		standby->timer =
+			gc_timer_create(exchange, exchange->relay->conf.timers,
+					on_overlap_end, exchange);
+	standby->call = exchange->call;
+	standby->backend = gc_backend_ref(exchange->backend);
+	gc_backend_add_request(standby->backend);
+	standby->attempt_started = exchange->attempt_started;
+	standby->left_at = gc_clock_now(exchange->relay->conf.clock);
+	standby->received_event = exchange->received_event;
+	standby->success = exchange->success;
+	standby->attempt_status = exchange->attempt_status;
+	standby->partial_event =
+		gc_event_sequencer_take_partial(exchange->sequencer);
+	/* One that was requested ends with the attempt. */
+	if (exchange->copy_holder && exchange->copy_handle.len == 0) {
+		standby->copy_holder = gc_backend_ref(exchange->copy_holder);
+		standby->copy_location = exchange->copy_location;
+	}
+	gc_call_set_ops(standby->call, &standby_ops, exchange);
+	exchange->call = NULL;
+	return true;
+}
+
+/* Of a stream whose head has come but no event, the head would be lost. */
+static bool may_keep(const gc_exchange_t *exchange)
+{
+	return exchange->call && exchange->sequencer && !exchange->hop &&
+	       !exchange->standby.call && !exchange->held_events &&
+	       (exchange->attempt_status == 0 ||
+		(exchange->head_sent && exchange->received_event));
+}
+
+/* While requests are passed on, this daemon doesn't reach the server. */
+void gc_exchange_watch_overlap(gc_exchange_t *exchange)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	if (!standby->call || exchange->hop)
+		return;
+	if (exchange->backend == exchange->resume_holder) {
+		gc_backend_unref(standby->copy_holder);
+		standby->copy_holder = NULL;
+	}
+	if (!standby->overlaps)
+		gc_timer_set(standby->timer, OVERLAP_MS);
+	standby->overlaps = true;
+}
+
+void gc_exchange_end_overlap(gc_exchange_t *exchange, gc_attempt_end_t end)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	if (!standby->call || exchange->backend == standby->backend)
+		return;
+	if (end != GC_END_UNREACHABLE && end != GC_END_REFUSED &&
+	    end != GC_END_REPLACED)
+		standby->other_may_run = true;
+	if (standby->other_may_run)
+		return;
+	gc_timer_stop(standby->timer);
+	standby->overlaps = false;
+}
+
+static void on_overlap_end(void *ctx)
+{
+	gc_exchange_drop_standby(ctx);
+}
+
+void gc_exchange_drop_standby(gc_exchange_t *exchange)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	if (!standby->call)
+		return;
+	gc_call_cancel(standby->call);
+	gc_backend_abandon_request(standby->backend,
+				   gc_clock_now(exchange->relay->conf.clock));
+	gc_backend_remove_request(standby->backend);
+	gc_relay_report_places(exchange->relay, standby->backend);
+	gc_backend_unref(standby->backend);
+	release(exchange);
+}
+
+static void release(gc_exchange_t *exchange)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	gc_timer_stop(standby->timer);
+	if (standby->partial_event)
+		g_byte_array_unref(standby->partial_event);
+	gc_backend_unref(standby->copy_holder);
+	*standby = (gc_standby_t){.timer = standby->timer};
+}
+
+bool gc_exchange_return_to_standby(gc_exchange_t *exchange)
+{
+	if (!exchange->standby.call)
+		return false;
+	go_back(exchange, "nobody else could go on");
+	return true;
+}
+
+static void on_head(void *ctx, const gc_http_message_t *response)
+{
+	gc_exchange_t *exchange = ctx;
+
+	go_back(exchange, "it responded");
+	gc_exchange_call_ops.head(exchange, response);
+}
+
+static void on_body(void *ctx, gc_str_t data)
+{
+	gc_exchange_t *exchange = ctx;
+
+	go_back(exchange, "it sent more");
+	gc_exchange_call_ops.body(exchange, data);
+}
+
+static void on_complete(void *ctx, const gc_http_message_t *response)
+{
+	gc_exchange_t *exchange = ctx;
+
+	go_back(exchange, "it ended the stream");
+	gc_exchange_call_ops.complete(exchange, response);
+}
+
+/* The stream goes on elsewhere as before. */
+static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason)
+{
+	gc_exchange_t *exchange = ctx;
+	gc_standby_t *standby = &exchange->standby;
+
+	gc_backend_record_failure(standby->backend,
+				  gc_clock_now(exchange->relay->conf.clock),
+				  end);
+	gc_backend_remove_request(standby->backend);
+	gc_relay_report_places(exchange->relay, standby->backend);
+	gc_backend_unref(standby->backend);
+	release(exchange);
+}
+
+static void go_back(gc_exchange_t *exchange, const char *reason)
+{
+	end_next_attempt(exchange);
+	log_return(exchange, reason);
+	restore_attempt(exchange);
+	release(exchange);
+}
+
+/* Or the wait for one. */
+static void end_next_attempt(gc_exchange_t *exchange)
+{
+	if (exchange->call && gc_call_was_sent(exchange->call))
+		exchange->retry_unused = false;
+	gc_exchange_cancel_call(exchange);
+	gc_exchange_release_attempt(exchange);
+	gc_exchange_stop_waiting(exchange);
+	exchange->limit_reached = "";
+	if (exchange->load_probe)
+		gc_load_probe_destroy(exchange->load_probe);
+	exchange->load_probe = NULL;
+	gc_backend_unref(exchange->resume_holder);
+	exchange->resume_holder = NULL;
+	if (exchange->retry_unused)
+		gc_backends_return_retry(exchange->relay->backends,
+					 exchange->service);
+	exchange->retry_unused = false;
+}
+
+static void restore_attempt(gc_exchange_t *exchange)
+{
+	gc_standby_t *standby = &exchange->standby;
+
+	exchange->call = standby->call;
+	exchange->backend = standby->backend;
+	put_last(exchange, standby->backend);
+	exchange->hop = false;
+	exchange->attempt_started = standby->attempt_started;
+	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
+	exchange->received_event = standby->received_event;
+	exchange->silence = (gc_silence_t){0};
+	exchange->read_paused = false;
+	exchange->success = standby->success;
+	exchange->identified = true;
+	exchange->misdirected = false;
+	exchange->not_run = false;
+	exchange->not_a_stream = false;
+	exchange->attempt_status = standby->attempt_status;
+	gc_event_sequencer_set_partial(exchange->sequencer,
+				       standby->partial_event);
+	gc_call_set_ops(exchange->call, &gc_exchange_call_ops, exchange);
+	gc_exchange_restore_copy(exchange, standby->copy_holder,
+				 standby->copy_location);
+	gc_exchange_watch_link(exchange);
+	gc_relay_watch_silence(exchange->relay);
+	gc_timer_set(exchange->inactivity_timer,
+		     gc_exchange_inactivity_ms(exchange));
+}
+
+/* The last one in the list is that of the attempt in progress. */
+static void put_last(gc_exchange_t *exchange, gc_backend_t *server)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < exchange->n_tried; i++) {
+		if (exchange->tried[i] == server ||
+		    (i == 0 && exchange->n_tried == GC_EXCHANGE_MAX_TRIED)) {
+			gc_backend_unref(exchange->tried[i]);
+			continue;
+		}
+		exchange->turned_away[n] = exchange->turned_away[i];
+		exchange->tried[n++] = exchange->tried[i];
+	}
+	exchange->turned_away[n] = false;
+	exchange->tried[n++] = gc_backend_ref(server);
+	exchange->n_tried = n;
+}
+
+static void log_return(const gc_exchange_t *exchange, const char *reason)
+{
+	const gc_standby_t *standby = &exchange->standby;
+	g_autofree char *ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT,
+		gc_ms_between(standby->left_at,
+			      gc_clock_now(exchange->relay->conf.clock)));
+
+	gc_log(GC_LOG_INFO, GC_EVENT_STREAM_WENT_BACK,
+	       "stream went back to its server", "request", exchange->id.data,
+	       "server", gc_backend_id(standby->backend).data, "reason", reason,
+	       "left_ms", ms, NULL);
+	gc_counter_add(gc_counter("goldcrest_routed_went_back_total",
+				  "Streams that went back to a server that was "
+				  "silent.",
+				  NULL, NULL),
+		       1);
+}
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -544,6 +544,12 @@
 	close_conn(conn);
 }
 
+void gc_call_set_ops(gc_call_t *call, const gc_call_ops_t *ops, void *ctx)
+{
+	call->ops = *ops;
+	call->ctx = ctx;
+}
+
 void gc_call_set_paused(gc_call_t *call, bool paused)
 {
 	gc_socket_set_paused(call->conn->sock, paused);
--- a/lib/upstream.h
+++ b/lib/upstream.h
@@ -82,6 +82,8 @@
  * the server may have read it: an acknowledgement can be lost.
  */
 void gc_call_cancel(gc_call_t *call);
+/* Callbacks from now on, also from within one. */
+void gc_call_set_ops(gc_call_t *call, const gc_call_ops_t *ops, void *ctx);
 /* Stops or resumes reading the response (back-pressure). */
 void gc_call_set_paused(gc_call_t *call, bool paused);
 /* True if the server has connected, answered or closed, unnoticed so far. */
--- a/regress/check_event_sequencer.c
+++ b/regress/check_event_sequencer.c
@@ -118,6 +118,27 @@
 }
 END_TEST
 
+/* A run that was left sends the rest of an event that it had begun, while another
+ * one has begun the same event. */
+START_TEST(test_a_run_goes_on_inside_its_event)
+{
+	gc_event_sequencer_t *sequencer =
+		gc_event_sequencer_create(NULL, GC_EVENT_ID_NONE);
+	GByteArray *partial;
+
+	ck_assert(feed(sequencer, "id: 1\ndata: a\n\nid: 2\nda"));
+	partial = gc_event_sequencer_take_partial(sequencer);
+	ck_assert(!gc_event_sequencer_has_partial(sequencer));
+	ck_assert(feed(sequencer, "id: 2\ndata: from the oth"));
+	gc_event_sequencer_set_partial(sequencer, partial);
+	g_byte_array_unref(partial);
+	ck_assert(feed(sequencer, "ta: b\n\nid: 3\ndata: c\n\n"));
+	ck_assert_str_eq(emitted->str, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+	ck_assert(!gc_event_sequencer_has_partial(sequencer));
+	talloc_free(sequencer);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -126,6 +147,7 @@
 		test_gap_is_an_error,
 		test_event_without_id_is_an_error,
 		test_event_over_the_limit_is_an_error,
+		test_a_run_goes_on_inside_its_event,
 		NULL,
 	};
 
--- a/regress/check_retry_window.c
+++ b/regress/check_retry_window.c
@@ -125,6 +125,28 @@
 }
 END_TEST
 
+/* What is given back can be taken again, once, and only while its window lasts. */
+START_TEST(test_unused_retries_are_given_back)
+{
+	const gc_retry_window_conf_t two = {WINDOW_MS, 0, 2};
+	gc_retry_window_t window = {0};
+
+	gc_retry_window_return(&window);
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(0)));
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
+	ck_assert(!gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
+	gc_retry_window_return(&window);
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
+	ck_assert(!gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
+	gc_retry_window_return(&window);
+	gc_retry_window_return(&window);
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
+	ck_assert(!gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -132,6 +154,7 @@
 		test_old_requests_allow_no_retries,
 		test_turns_come_when_foreseen,
 		test_turns_are_bounded,
+		test_unused_retries_are_given_back,
 		NULL,
 	};
 
