Send requests to other daemons from the address that they know

Daemons know each other by the IP of the listener for passed-on requests, but opened connections to others from whatever address the kernel chose.

Change: these connections are opened from that IP. The daemons of the soak have one each, but in its mode upgrade, as earlier builds send from 127.0.0.1.

--- a/lib/relay.c
+++ b/lib/relay.c
@@ -177,7 +177,7 @@
 {
 	gc_upstream_conf_t hop_conf = *conf;
 
-	hop_conf.source = NULL;
+	hop_conf.source = relay->conf.forward_source;
 	hop_conf.leaving_header = NULL;
 	hop_conf.keep_alive_ms = HOP_KEEP_ALIVE_MS;
 	relay->hop_upstream = gc_upstream_create(relay, &hop_conf);
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -41,6 +41,8 @@
 	const char *source; /* local IP of connections to servers; NULL: any */
 	/* Requests are passed on to other daemons, and taken from them. */
 	bool passes_on;
+	/* Local IP of connections to them, by which they know this daemon. */
+	const char *forward_source;
 	/* How long they are taken from a daemon that has removed its entry. */
 	int64_t departed_ms;
 	double repeat_ratio; /* see gc_backends_conf_t */
--- a/regress/routed_stop_cut_off.t
+++ b/regress/routed_stop_cut_off.t
@@ -10,12 +10,11 @@
   $ touch runs.log; runs() { wc -l <runs.log; }
   $ reached() { [ "$(runs)" -ge "$1" ]; }; running() { await reached $((RUNS + $1)); }
 
-Each daemon has an address of its own, and takes requests of others there. What it
-sends to others comes from 127.0.0.1, the address of d1 alone.
+Each daemon has an address of its own, by which the others know it.
 
   $ listed() { [ "$(curl -s "http://$STORE/v1/kv-range?path_prefix=goldcrest/daemons/" | grep -o '"key"' | wc -l)" = "$1" ]; }
   $ start() { start_routed d$1 ",\"source\":\"127.0.0.1$1\",\"forward\":\"$2:$(free_port)\",\"repeat_ratio\":0,\"repeat_slack\":12,\"repeat_window_s\":9,\"stop_grace_s\":8"; eval "d$1_caller=$CALLER_ADDR"; }
-  $ start 2 127.0.0.22; start 3 127.0.0.23; start 1 127.0.0.1; await knows_daemons 3
+  $ start 2 127.0.0.22; start 3 127.0.0.23; start 1 127.0.0.21; await knows_daemons 3
 
 A stream and a lookup, each with one retry.
 
@@ -28,7 +27,7 @@
 Daemons that have started since don't know that it is one. They say so, which costs no
 retry, and the stream goes on once its servers can be reached again.
 
-  $ reconnect "$SERVERS"; wait $d1_pid; cp d1.log first.log; start 1 127.0.0.1; await knows_daemons 3
+  $ reconnect "$SERVERS"; wait $d1_pid; cp d1.log first.log; start 1 127.0.0.21; await knows_daemons 3
   $ RUNS=$(runs); (send_request /draft/many >started.out) & pid=$!; running 1; sleep 0.2
   $ kill -TERM $d1_pid; await listed 2; for n in 2 3; do eval "kill_9 \$d${n}_pid"; done
   $ start 2 127.0.0.22; start 3 127.0.0.23; partition reset "$SERVERS" 11; sleep 1.5; reconnect "$SERVERS"; wait $pid
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -280,7 +280,7 @@
             "caller": f"127.0.0.1:{ports[0]}",
             "ready": f"127.0.0.1:{ports[1]}",
             "addresses": "127.0.0.1:0", "peer": f"127.0.0.1:{ports[2]}",
-            "forward": f"127.0.0.1:{ports[3]}",
+            "forward": f"{self.forward_ip(name)}:{ports[3]}",
             "source": self.source_of(name),
             "store": f"127.0.0.1:{store_proxy.port}", "stop_grace_s": 3})
         with open(self.path(name + ".json"), "w", encoding="ascii") as f:
@@ -302,6 +302,11 @@
             await self.start_daemon(name, self.daemons[name][0])
             self.restarting.discard(name)
 
+    def forward_ip(self, daemon):
+        """Builds before this one send to other daemons from 127.0.0.1."""
+        return ("127.0.0.1" if "upgrade" in self.modes
+                else self.source_of(daemon))
+
     @staticmethod
     def source_of(daemon):
         return f"127.0.0.1{daemon[1:]}"
