Keep only runs of streams that have begun

A retry that was given back came off the newest bucket of the window, so that three of two could be sent within 2 s. By reading: a retry was given back though another daemon's server may have rejected the request, and a kept run had no limit beside a request that was passed on, though connections from before may live on.

Change: only a run that has brought events to its caller is kept, as its version is decided. A retry is given back to the bucket that it was taken from, and not once the request was passed on. The overlap has its limit, too, while open connections bring responses. A run whose server was removed, or whose stream can't be recorded, isn't gone back to.

--- a/core/backends.c
+++ b/core/backends.c
@@ -573,10 +573,13 @@
 		&find_or_add_service(backends, service)->retries, &conf, now);
 }
 
-void gc_backends_return_retry(gc_backends_t *backends, gc_str_t service)
+void gc_backends_return_retry(gc_backends_t *backends, gc_str_t service,
+			      struct timespec taken)
 {
-	gc_retry_window_return(
-		&find_or_add_service(backends, service)->retries);
+	gc_retry_window_conf_t conf = retry_conf(backends);
+
+	gc_retry_window_return(&find_or_add_service(backends, service)->retries,
+			       &conf, taken);
 }
 
 int64_t gc_backends_retry_turn_ms(gc_backends_t *backends, struct timespec now,
--- a/core/backends.h
+++ b/core/backends.h
@@ -247,7 +247,8 @@
 bool gc_backends_take_retry(gc_backends_t *backends, struct timespec now,
 			    gc_str_t service);
 /* Gives back one with which nothing was sent to a server. */
-void gc_backends_return_retry(gc_backends_t *backends, gc_str_t service);
+void gc_backends_return_retry(gc_backends_t *backends, gc_str_t service,
+			      struct timespec taken);
 /* Time in ms until the n-th retry of the service from now on, or -1 if it is later
  * than in max_ms; see gc_retry_window_turn_ms. */
 int64_t gc_backends_retry_turn_ms(gc_backends_t *backends, struct timespec now,
--- a/core/retry_window.c
+++ b/core/retry_window.c
@@ -4,6 +4,8 @@
 
 #define N_BUCKETS (GC_RETRY_WINDOW_BUCKETS + 1)
 
+static int64_t bucket_at(const gc_retry_window_conf_t *conf,
+			 struct timespec at);
 static void advance_window(gc_retry_window_t *window,
 			   const gc_retry_window_conf_t *conf,
 			   struct timespec now);
@@ -12,14 +14,20 @@
 			      const gc_retry_window_conf_t *conf,
 			      struct timespec now);
 
+static int64_t bucket_at(const gc_retry_window_conf_t *conf, struct timespec at)
+{
+	int64_t ms = at.tv_sec * INT64_C(1000) + at.tv_nsec / 1000000;
+
+	return ms * GC_RETRY_WINDOW_BUCKETS / conf->window_ms;
+}
+
 /* Moves to the current bucket and clears those that have begun since the last
  * call. */
 static void advance_window(gc_retry_window_t *window,
 			   const gc_retry_window_conf_t *conf,
 			   struct timespec now)
 {
-	int64_t ms = now.tv_sec * INT64_C(1000) + now.tv_nsec / 1000000;
-	int64_t bucket = ms * GC_RETRY_WINDOW_BUCKETS / conf->window_ms;
+	int64_t bucket = bucket_at(conf, now);
 
 	if (bucket - window->newest > N_BUCKETS)
 		window->newest = bucket - N_BUCKETS;
@@ -68,17 +76,16 @@
 	return true;
 }
 
-void gc_retry_window_return(gc_retry_window_t *window)
+void gc_retry_window_return(gc_retry_window_t *window,
+			    const gc_retry_window_conf_t *conf,
+			    struct timespec taken)
 {
-	for (int64_t bucket = window->newest;
-	     bucket > window->newest - N_BUCKETS; bucket--) {
-		uint32_t *n = &window->retries[bucket % N_BUCKETS];
-
-		if (*n > 0) {
-			(*n)--;
-			return;
-		}
-	}
+	int64_t bucket = bucket_at(conf, taken);
+	uint32_t *n = &window->retries[bucket % N_BUCKETS];
+
+	if (bucket > window->newest - N_BUCKETS && bucket <= window->newest &&
+	    *n > 0)
+		(*n)--;
 }
 
 int64_t gc_retry_window_turn_ms(const gc_retry_window_t *window,
--- a/core/retry_window.h
+++ b/core/retry_window.h
@@ -39,8 +39,10 @@
 bool gc_retry_window_take(gc_retry_window_t *window,
 			  const gc_retry_window_conf_t *conf,
 			  struct timespec now);
-/* Gives back one that was taken and not used, if the window still has it. */
-void gc_retry_window_return(gc_retry_window_t *window);
+/* Gives back one that was taken at this time and not used, if the window has it. */
+void gc_retry_window_return(gc_retry_window_t *window,
+			    const gc_retry_window_conf_t *conf,
+			    struct timespec taken);
 /*
  * Time in ms until the n-th retry from now on can be taken, if requests go on to
  * come at the window's rate and each retry is taken as early as possible; 0: at
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -30,8 +30,6 @@
 	struct timespec left_at;
 	/* As in gc_exchange_t. */
 	struct timespec attempt_started;
-	bool received_event;
-	bool success;
 	int attempt_status;
 	gc_backend_t *copy_holder; /* NULL if none, or if it was used */
 	gc_str_t copy_location;
@@ -79,6 +77,7 @@
 	gc_standby_t standby;
 	/* A retry was taken from the budget, and no server got it yet. */
 	bool retry_unused;
+	struct timespec retry_taken; /* when, if retry_unused */
 	/* It waits for its turn of the retry budget, until retry_timer expires. */
 	bool awaits_retry;
 	gc_attempt_end_t last_end; /* of the last attempt, while it does */
--- a/lib/exchange_retry.c
+++ b/lib/exchange_retry.c
@@ -35,6 +35,7 @@
 	if (!gc_relay_awaits_retry(relay, exchange->service) &&
 	    gc_backends_take_retry(relay->backends, now, exchange->service)) {
 		exchange->retry_unused = true;
+		exchange->retry_taken = now;
 		gc_exchange_start_next_attempt(exchange);
 		return;
 	}
@@ -104,6 +105,7 @@
 	       gc_backends_take_retry(relay->backends, now, service)) {
 		set_awaiting(first, false);
 		first->retry_unused = true;
+		first->retry_taken = now;
 		/* The wait for a server begins now. */
 		first->attempt_ended = now;
 		gc_exchange_start_next_attempt(first);
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -270,6 +270,7 @@
 			: gc_attempts_final_decision(&exchange->attempts);
 
 	gc_exchange_cancel_call(exchange);
+	gc_exchange_drop_standby(exchange);
 	exchange->limit_reached = "record";
 	if (exchange->caller)
 		gc_exchange_give_up(exchange, decision, GC_END_BROKEN);
@@ -462,7 +463,8 @@
 		gc_relay_record_link(relay, exchange->backend, end);
 	}
 	gc_exchange_end_overlap(exchange, end);
-	if (end != GC_END_UNREACHABLE)
+	/* A server of another daemon may have rejected it. */
+	if (end != GC_END_UNREACHABLE || exchange->hop)
 		exchange->retry_unused = false;
 	gc_exchange_set_resume_copy(exchange);
 	gc_exchange_release_attempt(exchange);
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -12,7 +12,7 @@
 #define OVERLAP_MS 350
 
 static bool may_keep(const gc_exchange_t *exchange);
-static void on_head(void *ctx, const gc_http_message_t *response);
+static bool may_reach(const gc_exchange_t *exchange);
 static void on_body(void *ctx, gc_str_t data);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
@@ -25,7 +25,6 @@
 static void log_return(const gc_exchange_t *exchange, const char *reason);
 
 static const gc_call_ops_t standby_ops = {
-	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
 	.failed = on_failed,
@@ -46,8 +45,6 @@
 	gc_backend_add_request(standby->backend);
 	standby->attempt_started = exchange->attempt_started;
 	standby->left_at = gc_clock_now(exchange->relay->conf.clock);
-	standby->received_event = exchange->received_event;
-	standby->success = exchange->success;
 	standby->attempt_status = exchange->attempt_status;
 	standby->partial_event =
 		gc_event_sequencer_take_partial(exchange->sequencer);
@@ -61,21 +58,19 @@
 	return true;
 }
 
-/* Of a stream whose head has come but no event, the head would be lost. */
+/* The version of a stream that has begun is decided and on record. */
 static bool may_keep(const gc_exchange_t *exchange)
 {
 	return exchange->call && exchange->sequencer && !exchange->hop &&
-	       !exchange->standby.call && !exchange->held_events &&
-	       (exchange->attempt_status == 0 ||
-		(exchange->head_sent && exchange->received_event));
+	       !exchange->standby.call && exchange->head_sent &&
+	       exchange->received_event;
 }
 
-/* While requests are passed on, this daemon doesn't reach the server. */
 void gc_exchange_watch_overlap(gc_exchange_t *exchange)
 {
 	gc_standby_t *standby = &exchange->standby;
 
-	if (!standby->call || exchange->hop)
+	if (!standby->call || (exchange->hop && !may_reach(exchange)))
 		return;
 	if (exchange->backend == exchange->resume_holder) {
 		gc_backend_unref(standby->copy_holder);
@@ -86,6 +81,15 @@
 	standby->overlaps = true;
 }
 
+/* Of a daemon that passes requests on: connections that were open before may live on. */
+static bool may_reach(const gc_exchange_t *exchange)
+{
+	const gc_relay_t *relay = exchange->relay;
+
+	return gc_reach_has_kept(relay->reach, gc_clock_now(relay->conf.clock),
+				 exchange->service);
+}
+
 void gc_exchange_end_overlap(gc_exchange_t *exchange, gc_attempt_end_t end)
 {
 	gc_standby_t *standby = &exchange->standby;
@@ -135,18 +139,14 @@
 {
 	if (!exchange->standby.call)
 		return false;
+	if (gc_backend_is_removed(exchange->standby.backend)) {
+		gc_exchange_drop_standby(exchange);
+		return false;
+	}
 	go_back(exchange, "nobody else could go on");
 	return true;
 }
 
-static void on_head(void *ctx, const gc_http_message_t *response)
-{
-	gc_exchange_t *exchange = ctx;
-
-	go_back(exchange, "it responded");
-	gc_exchange_call_ops.head(exchange, response);
-}
-
 static void on_body(void *ctx, gc_str_t data)
 {
 	gc_exchange_t *exchange = ctx;
@@ -191,6 +191,8 @@
 {
 	if (exchange->call && gc_call_was_sent(exchange->call))
 		exchange->retry_unused = false;
+	else if (exchange->call)
+		exchange->attempts.sent--;
 	gc_exchange_cancel_call(exchange);
 	gc_exchange_release_attempt(exchange);
 	gc_exchange_stop_waiting(exchange);
@@ -202,7 +204,8 @@
 	exchange->resume_holder = NULL;
 	if (exchange->retry_unused)
 		gc_backends_return_retry(exchange->relay->backends,
-					 exchange->service);
+					 exchange->service,
+					 exchange->retry_taken);
 	exchange->retry_unused = false;
 }
 
@@ -216,15 +219,16 @@
 	exchange->hop = false;
 	exchange->attempt_started = standby->attempt_started;
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
-	exchange->received_event = standby->received_event;
+	exchange->received_event = true;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
-	exchange->success = standby->success;
+	exchange->success = true;
 	exchange->identified = true;
 	exchange->misdirected = false;
 	exchange->not_run = false;
 	exchange->not_a_stream = false;
 	exchange->attempt_status = standby->attempt_status;
+	g_byte_array_set_size(exchange->response_body, 0);
 	gc_event_sequencer_set_partial(exchange->sequencer,
 				       standby->partial_event);
 	gc_call_set_ops(exchange->call, &gc_exchange_call_ops, exchange);
--- a/regress/check_retry_window.c
+++ b/regress/check_retry_window.c
@@ -125,25 +125,28 @@
 }
 END_TEST
 
-/* What is given back can be taken again, once, and only while its window lasts. */
+/* What is given back can be taken again, and what was used counts until its window has
+ * passed, whichever was taken first. */
 START_TEST(test_unused_retries_are_given_back)
 {
 	const gc_retry_window_conf_t two = {WINDOW_MS, 0, 2};
+	const int64_t late = WINDOW_MS * 9 / 10;
 	gc_retry_window_t window = {0};
 
-	gc_retry_window_return(&window);
+	gc_retry_window_return(&window, &two, unit_at(0));
 	ck_assert(gc_retry_window_take(&window, &two, unit_at(0)));
-	ck_assert(gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
-	ck_assert(!gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
-	gc_retry_window_return(&window);
-	ck_assert(gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
-	ck_assert(!gc_retry_window_take(&window, &two, unit_at(WINDOW_MS / 2)));
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(late)));
+	ck_assert(!gc_retry_window_take(&window, &two, unit_at(late)));
+	gc_retry_window_return(&window, &two, unit_at(0));
+	ck_assert(gc_retry_window_take(&window, &two, unit_at(late)));
+	/* Two were used at `late`. */
+	for (int64_t ms = late; ms <= late + WINDOW_MS; ms += STEP_MS)
+		ck_assert(!gc_retry_window_has(&window, &two, unit_at(ms)));
+	/* It is too old. */
 	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
-	gc_retry_window_return(&window);
-	gc_retry_window_return(&window);
 	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
-	ck_assert(gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
-	ck_assert(!gc_retry_window_take(&window, &two, unit_at(4 * WINDOW_MS)));
+	gc_retry_window_return(&window, &two, unit_at(late));
+	ck_assert(!gc_retry_window_has(&window, &two, unit_at(4 * WINDOW_MS)));
 }
 END_TEST
 
