Tell why no kept connection to a server was used

Whether the kept connections were closed, unusable or never looked at was in no log.

1144 (a connection is opened, with the number of those that are kept and can't be used) and 1145 (a kept connection is closed, why and after what time), both at level debug.

check_upstream: both events and their reasons.

--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -6,6 +6,8 @@
 
 #include "core/number.h"
 #include "lib/backend_signals.h"
+#include "lib/log.h"
+#include "lib/log_events.h"
 #include "lib/upstream.h"
 
 /*
@@ -45,6 +47,7 @@
 	gc_http_message_t *message;
 	gc_timer_t *connect_timer;
 	gc_call_t *call; /* NULL while idle */
+	struct timespec idle_since;
 	struct timespec idle_until;
 	uint64_t answered[MAX_ANSWERED]; /* hashes of request ids */
 	uint64_t n_answered;
@@ -70,7 +73,10 @@
 			     const gc_call_ops_t *ops, void *ctx);
 static bool was_answered(const conn_t *conn, gc_str_t request_id, bool apart);
 static void remember_answer(conn_t *conn, gc_str_t request_id);
-static conn_t *open_conn(gc_upstream_t *upstream, gc_backend_t *backend);
+static conn_t *open_conn(gc_upstream_t *upstream, gc_backend_t *backend,
+			 gc_str_t request_id);
+static void log_opened(const conn_t *conn, gc_str_t request_id);
+static void close_idle(conn_t *conn, const char *reason);
 static void unlink_idle(conn_t *conn);
 static void close_conn(conn_t *conn);
 static void on_sweep(void *ctx);
@@ -116,7 +122,7 @@
 	conn_t *conn = take_idle(upstream, backend, request_id, false);
 
 	if (!conn)
-		conn = open_conn(upstream, backend);
+		conn = open_conn(upstream, backend, request_id);
 	return conn ? start_call(conn, request, request_id, head_request, ops,
 				 ctx)
 		    : NULL;
@@ -129,7 +135,7 @@
 	conn_t *conn = take_idle(upstream, backend, GC_STR_EMPTY, true);
 
 	if (!conn)
-		conn = open_conn(upstream, backend);
+		conn = open_conn(upstream, backend, GC_STR_EMPTY);
 	return conn ? start_call(conn, request, GC_STR_EMPTY, false, ops, ctx)
 		    : NULL;
 }
@@ -169,7 +175,7 @@
 			continue;
 		/* The server's close or unsolicited bytes. */
 		if (gc_socket_has_unread(conn->sock)) {
-			close_conn(conn);
+			close_idle(conn, "the server closed it or sent bytes");
 			continue;
 		}
 		if (was_answered(conn, request_id, apart))
@@ -228,11 +234,12 @@
 	for (conn_t *conn = upstream->idle; conn; conn = next) {
 		next = conn->next;
 		if (conn->backend == backend)
-			close_conn(conn);
+			close_idle(conn, "the link to the server failed");
 	}
 }
 
-static conn_t *open_conn(gc_upstream_t *upstream, gc_backend_t *backend)
+static conn_t *open_conn(gc_upstream_t *upstream, gc_backend_t *backend,
+			 gc_str_t request_id)
 {
 	conn_t *conn = talloc_zero(upstream, conn_t);
 
@@ -252,9 +259,47 @@
 					      on_connect_timeout, conn);
 	gc_timer_set(conn->connect_timer, upstream->conf.connect_timeout_ms);
 	upstream->connections_made++;
+	log_opened(conn, request_id);
 	return conn;
 }
 
+/* Tells how many connections to the server are kept and can't be used. */
+static void log_opened(const conn_t *conn, gc_str_t request_id)
+{
+	g_autofree char *request = g_strndup(
+		request_id.len > 0 ? request_id.data : "", request_id.len);
+	g_autofree char *kept_text = NULL;
+	unsigned int kept = 0;
+
+	for (const conn_t *other = conn->upstream->idle; other;
+	     other = other->next)
+		kept += gc_str_eq(gc_backend_address(other->backend),
+				  gc_backend_address(conn->backend));
+	kept_text = g_strdup_printf("%u", kept);
+	gc_log(GC_LOG_DEBUG, GC_EVENT_CONNECTION_OPENED, "connection opened",
+	       "server", gc_backend_id(conn->backend).data, "request", request,
+	       "kept", kept_text, NULL);
+}
+
+/* The response that ends with the connection has closed it already. */
+static void close_idle(conn_t *conn, const char *reason)
+{
+	struct timespec now = gc_clock_now(conn->upstream->conf.clock);
+	g_autofree char *idle_ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT, gc_ms_between(conn->idle_since, now));
+	g_autofree char *limit_ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT,
+		gc_ms_between(conn->idle_since, conn->idle_until));
+
+	if (conn->closed)
+		return;
+	gc_log(GC_LOG_DEBUG, GC_EVENT_KEPT_CONNECTION_CLOSED,
+	       "kept connection closed", "server",
+	       gc_backend_id(conn->backend).data, "reason", reason, "idle_ms",
+	       idle_ms, "limit_ms", limit_ms, NULL);
+	close_conn(conn);
+}
+
 static void unlink_idle(conn_t *conn)
 {
 	if (!conn->idle)
@@ -305,9 +350,10 @@
 
 	for (conn_t *conn = upstream->idle; conn; conn = next) {
 		next = conn->next;
-		if (gc_ms_between(now, conn->idle_until) <= 0 ||
-		    gc_backend_is_removed(conn->backend))
-			close_conn(conn);
+		if (gc_backend_is_removed(conn->backend))
+			close_idle(conn, "the server's entry is gone");
+		else if (gc_ms_between(now, conn->idle_until) <= 0)
+			close_idle(conn, "its time is over");
 	}
 	if (upstream->idle)
 		gc_timer_set(upstream->sweep_timer, IDLE_SWEEP_MS);
@@ -351,7 +397,7 @@
 {
 	/* Data without a call in progress is unsolicited. */
 	if (!conn->call) {
-		close_conn(conn);
+		close_idle(conn, "the server sent bytes");
 		return;
 	}
 	while (data.len > 0 && conn->call && !conn->closed)
@@ -459,6 +505,7 @@
 		return;
 	}
 	gc_socket_set_paused(conn->sock, false);
+	conn->idle_since = now;
 	conn->idle_until = gc_add_ms(now, ms);
 	conn->idle = true;
 	conn->next = upstream->idle;
@@ -509,7 +556,8 @@
 			  error == 0 ? "the server closed the connection"
 				     : g_strerror(error));
 	else
-		close_conn(conn);
+		close_idle(conn, error == 0 ? "the server closed it"
+					    : g_strerror(error));
 	end_callback(conn);
 }
 
--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "lib/log.h"
 #include "lib/upstream.h"
 #include "regress/unit.h"
 
@@ -570,6 +571,54 @@
 }
 END_TEST
 
+/*
+ * A request was sent on a new connection although one was kept, and nothing told
+ * why. The server closes the first connection; the time of the second one ends.
+ */
+START_TEST(test_ends_of_kept_connections_are_logged)
+{
+	static const char brief[] =
+		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		"Keep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n";
+	static const char *const expected[] = {
+		"\"connection opened\",\"server\":\"a0\",\"request\":\"r1\","
+		"\"kept\":\"0\"",
+		"\"connection opened\",\"server\":\"a0\",\"request\":\"r1\","
+		"\"kept\":\"1\"",
+		"\"reason\":\"the server closed it\"",
+		"\"reason\":\"its time is over\"",
+	};
+	uint64_t state = 1;
+	test_t *test = start_test(&state);
+	char text[8192] = "";
+	const char *next = text;
+	int fds[2];
+	int first;
+	int second;
+
+	ck_assert_int_eq(pipe(fds), 0);
+	ck_assert_int_eq(dup2(fds[1], STDOUT_FILENO), STDOUT_FILENO);
+	gc_log_init("check", "d1", true, GC_LOG_DEBUG);
+	gc_log_to_stdout(100);
+	start_named(test, "r1", false);
+	first = answer(test, -1, ANSWER("r1"));
+	start_named(test, "r1", false);
+	second = answer(test, -1, brief);
+	shutdown(first, SHUT_WR);
+	/* Longer than the time for reuse and the interval of the sweep. */
+	run_for(test, 2200);
+	ck_assert_int_gt(read(fds[0], text, sizeof(text) - 1), 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(expected); i++) {
+		next = strstr(next, expected[i]);
+		ck_assert_msg(next != NULL, "%s not in %s", expected[i], text);
+	}
+	ck_assert_ptr_nonnull(strstr(next, "\"limit_ms\":\"100\""));
+	close(first);
+	close(second);
+	end_test(test);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -583,6 +632,7 @@
 		test_earlier_refusal_of_the_same_request,
 		test_earlier_refusal_before_a_query,
 		test_calls_apart,
+		test_ends_of_kept_connections_are_logged,
 		NULL,
 	};
 
