Read a configuration by the edits that the change log finds

Cause: each record was copied and compared with the former one whole, so that a change of one of 10,000 routes cost what there is, not what changes.

Change: the log and the table share the record's text (core/shared_text). A logged change names the text that its edits are of; if the table was read from that one, the reader takes what the edits keep without a look at it, in groups of blocks that are shared whole. If only the version and routes have changed, the services, keys and limits are shared, too. In all other cases (a record that was passed over, another daemon's, a restore) the record is compared as before.

prop_config has a second property: records read by the edits of a log, with some not taken and the log begun anew, are as read from nothing. It fails if the check of the texts' id is taken out.

--- a/bench/config_cost_measure.c
+++ b/bench/config_cost_measure.c
@@ -44,6 +44,8 @@
 static void on_items(void *ctx, const gc_store_items_t *items,
 		     const GError *err);
 static void take_record(bench_t *bench, const gc_store_item_t *item);
+static gc_routes_t *read_change(const gc_logged_change_t *change,
+				gc_routes_t *former, GError **err);
 static uint64_t write_to_daemon(bench_t *bench, step_t step, bool takes_edits);
 static int64_t cpu_ns(void);
 static void add_time(bench_t *bench, step_t step, int64_t ns);
@@ -151,15 +153,16 @@
 	g_autoptr(GError) err = NULL;
 	row_t *row = bench->row;
 	int64_t start = cpu_ns();
+	const gc_logged_change_t *change;
 	gc_routes_t *routes;
 	gc_fleet_view_t *view;
 
-	gc_change_log_add(bench->change_log, item);
+	change = gc_change_log_add(bench->change_log, item);
 	gc_change_log_advance(bench->change_log, item->revision);
 	add_time(bench, STEP_LOG, cpu_ns() - start);
 
 	start = cpu_ns();
-	routes = gc_platform_read_routes(item->value, bench->routes, &err);
+	routes = read_change(change, bench->routes, &err);
 	add_time(bench, STEP_READ, cpu_ns() - start);
 	if (!routes) {
 		g_strlcpy(row->error, err->message, sizeof(row->error));
@@ -184,6 +187,18 @@
 	bench->revision = item->revision;
 }
 
+/* As gc_platform_read_routes, of what the log has. */
+static gc_routes_t *read_change(const gc_logged_change_t *change,
+				gc_routes_t *former, GError **err)
+{
+	gc_routes_reader_t *reader = gc_platform_start_change(change, former);
+	gc_routes_t *routes;
+
+	gc_platform_step_routes(reader, SIZE_MAX, &routes, err);
+	gc_platform_end_routes(reader);
+	return routes;
+}
+
 static uint64_t write_to_daemon(bench_t *bench, step_t step, bool takes_edits)
 {
 	int64_t start = cpu_ns();
--- a/core/change_log.c
+++ b/core/change_log.c
@@ -22,8 +22,9 @@
 };
 
 static int change_log_destructor(gc_change_log_t *change_log);
+static int entry_destructor(entry_t *entry);
 static void remove_entry(gc_change_log_t *change_log, entry_t *entry);
-static void find_edits(entry_t *entry, const gc_store_item_t *former);
+static void find_edits(entry_t *entry, const gc_logged_change_t *former);
 static void insert_by_revision(gc_change_log_t *change_log, entry_t *entry);
 static void discard_oldest_deletion(gc_change_log_t *change_log);
 
@@ -43,6 +44,12 @@
 	return 0;
 }
 
+static int entry_destructor(entry_t *entry)
+{
+	gc_shared_text_unref(entry->change.text);
+	return 0;
+}
+
 void gc_change_log_reset(gc_change_log_t *change_log, uint64_t era,
 			 uint64_t revision)
 {
@@ -73,39 +80,44 @@
 	talloc_free(entry);
 }
 
-void gc_change_log_add(gc_change_log_t *change_log, const gc_store_item_t *item)
+const gc_logged_change_t *gc_change_log_add(gc_change_log_t *change_log,
+					    const gc_store_item_t *item)
 {
 	entry_t *old = g_hash_table_lookup(change_log->by_key, &item->key);
 	entry_t *entry;
 
 	if (old && old->change.item.revision >= item->revision)
-		return;
+		return NULL;
 	entry = talloc_zero(change_log, entry_t);
 	entry->change.mem = entry;
 	entry->change.item = *item;
 	entry->change.item.key = gc_str_dup(entry, item->key);
-	entry->change.item.value = gc_str_dup(entry, item->value);
+	entry->change.text = gc_shared_text_create(item->value);
+	entry->change.item.value = gc_shared_text_str(entry->change.text);
+	talloc_set_destructor(entry, entry_destructor);
 	if (old) {
-		find_edits(entry, &old->change.item);
+		find_edits(entry, &old->change);
 		remove_entry(change_log, old);
 	}
 	g_hash_table_insert(change_log->by_key, &entry->change.item.key, entry);
 	insert_by_revision(change_log, entry);
 	if (item->deleted && ++change_log->n_deleted > change_log->max_deleted)
 		discard_oldest_deletion(change_log);
+	return item->deleted ? NULL : &entry->change;
 }
 
-static void find_edits(entry_t *entry, const gc_store_item_t *former)
+static void find_edits(entry_t *entry, const gc_logged_change_t *former)
 {
 	gc_logged_change_t *change = &entry->change;
 	GArray *edits;
 
-	if (former->value.len < MIN_EDITED_BYTES ||
+	if (former->item.value.len < MIN_EDITED_BYTES ||
 	    change->item.value.len < MIN_EDITED_BYTES)
 		return;
 	edits = g_array_new(FALSE, FALSE, sizeof(gc_text_edit_t));
-	if (gc_text_diff(former->value, change->item.value, edits)) {
-		change->former_revision = former->revision;
+	if (gc_text_diff(former->item.value, change->item.value, edits)) {
+		change->former_revision = former->item.revision;
+		change->former_text = gc_shared_text_id(former->text);
 		change->n_edits = edits->len;
 		change->edits =
 			talloc_memdup(entry, edits->data,
--- a/core/change_log.h
+++ b/core/change_log.h
@@ -12,6 +12,7 @@
 
 #include <talloc.h>
 
+#include "core/shared_text.h"
 #include "core/str.h"
 #include "core/text_diff.h"
 
@@ -27,9 +28,11 @@
 typedef struct gc_logged_change {
 	TALLOC_CTX *mem; /* lives as long as the change */
 	gc_store_item_t item;
+	gc_shared_text_t *text; /* of the item's value */
 	/* The value compressed, in mem, by whoever sends it; empty: not yet. */
 	gc_str_t compressed;
 	uint64_t former_revision; /* 0: the edits aren't known */
+	uint64_t former_text; /* id of the text that they are of */
 	const gc_text_edit_t *edits; /* of the value */
 	size_t n_edits;
 } gc_logged_change_t;
@@ -46,9 +49,10 @@
 			 uint64_t revision);
 /* The era of all revisions in the log; 0: unknown. */
 uint64_t gc_change_log_era(const gc_change_log_t *change_log);
-/* Adds a change, unless a newer one of its key is known; copies strings. */
-void gc_change_log_add(gc_change_log_t *change_log,
-		       const gc_store_item_t *item);
+/* Adds a change, unless a newer one of its key is known; copies strings. Returns it,
+ * valid until the next one, or NULL if it wasn't added or is a deletion. */
+const gc_logged_change_t *gc_change_log_add(gc_change_log_t *change_log,
+					    const gc_store_item_t *item);
 /* Records that all changes up to this revision have been added. */
 void gc_change_log_advance(gc_change_log_t *change_log, uint64_t revision);
 uint64_t gc_change_log_revision(const gc_change_log_t *change_log);
--- a/core/json_list.h
+++ b/core/json_list.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "core/str.h"
+#include "core/text_diff.h"
 
 typedef struct gc_json_list gc_json_list_t;
 
@@ -38,6 +39,13 @@
 gc_json_reader_t *gc_json_reader_create(gc_str_t text, size_t at,
 					const gc_json_list_t *former,
 					const gc_json_list_ops_t *ops);
+/*
+ * Before the first step: the text is the former list's with these edits, as
+ * gc_text_diff found them, so that what they keep isn't compared. They are copied. The
+ * former list was read from all of the text that they are of.
+ */
+void gc_json_reader_set_edits(gc_json_reader_t *reader,
+			      const gc_text_edit_t *edits, size_t n);
 /* Decodes up to so many elements that the former list hasn't, and what is taken over
  * between them. Sets *err, which names the element, if the array is invalid. */
 gc_json_progress_t gc_json_reader_step(gc_json_reader_t *reader, size_t n,
@@ -49,6 +57,9 @@
 const GPtrArray *gc_json_reader_removed(const gc_json_reader_t *reader);
 /* The place after the array's "]". */
 size_t gc_json_reader_end(const gc_json_reader_t *reader);
+/* After GC_JSON_DONE: true if the edits tell that the text after the array is the same
+ * as after the former list's. */
+bool gc_json_reader_keeps_end(gc_json_reader_t *reader);
 /* The list, which is the caller's from now on. */
 gc_json_list_t *gc_json_reader_take_list(gc_json_reader_t *reader);
 void gc_json_reader_destroy(gc_json_reader_t *reader);
--- a/core/routes.c
+++ b/core/routes.c
@@ -8,21 +8,25 @@
 
 #define STRING_BLOCK_BYTES 4096
 
-struct gc_routes {
+/* What versions with other routes may share. */
+typedef struct settings {
 	GStringChunk *strings;
-	uint64_t version;
 	gc_request_limits_t limits;
-	gc_shared_map_t *routes; /* gc_route_t, by host and path prefix */
-	gc_shared_map_t *hosts; /* host_t, by name */
-	gc_shared_map_t *targets; /* target_t, by service */
 	GHashTable *services; /* gc_str_t: gc_route_service_t */
 	GHashTable *keys; /* gc_str_t: gc_str_t of the account */
 	GHashTable *priorities; /* gc_str_t of the account: number */
-	size_t n_routes;
 	bool keys_required;
+} settings_t;
+
+struct gc_routes {
+	uint64_t version;
+	settings_t *settings;
+	gc_shared_map_t *routes; /* gc_route_t, by host and path prefix */
+	gc_shared_map_t *hosts; /* host_t, by name */
+	gc_shared_map_t *targets; /* target_t, by service */
+	size_t n_routes;
 	bool has_duplicates; /* routes were left out */
-	char *record; /* NULL: none */
-	size_t record_len;
+	gc_shared_text_t *record; /* NULL: none */
 	gc_json_list_t *list; /* of routes in the record; NULL: none */
 };
 
@@ -59,7 +63,10 @@
 	.idle_timeout_ms = 15000,
 };
 
-static gc_routes_t *create_empty(uint64_t version);
+static gc_routes_t *copy_routes(const gc_routes_t *former, uint64_t version,
+				settings_t *settings);
+static settings_t *create_settings(void);
+static void settings_clear(gpointer data);
 static void *ref_box(void *value);
 static void unref_box(void *value);
 static void routes_clear(gpointer data);
@@ -93,8 +100,10 @@
 
 gc_routes_t *gc_routes_create(uint64_t version)
 {
-	gc_routes_t *routes = create_empty(version);
+	gc_routes_t *routes = g_atomic_rc_box_new0(gc_routes_t);
 
+	routes->version = version;
+	routes->settings = create_settings();
 	routes->routes = gc_shared_map_create(&box_ops);
 	routes->hosts = gc_shared_map_create(&box_ops);
 	routes->targets = gc_shared_map_create(&box_ops);
@@ -103,8 +112,23 @@
 
 gc_routes_t *gc_routes_create_after(const gc_routes_t *former, uint64_t version)
 {
-	gc_routes_t *routes = create_empty(version);
+	return copy_routes(former, version, create_settings());
+}
 
+gc_routes_t *gc_routes_create_same(const gc_routes_t *former, uint64_t version)
+{
+	return copy_routes(former, version,
+			   g_atomic_rc_box_acquire(former->settings));
+}
+
+/* Takes ownership of a reference to the settings. */
+static gc_routes_t *copy_routes(const gc_routes_t *former, uint64_t version,
+				settings_t *settings)
+{
+	gc_routes_t *routes = g_atomic_rc_box_new0(gc_routes_t);
+
+	routes->version = version;
+	routes->settings = settings;
 	routes->routes = gc_shared_map_copy(former->routes);
 	routes->hosts = gc_shared_map_copy(former->hosts);
 	routes->targets = gc_shared_map_copy(former->targets);
@@ -112,21 +136,29 @@
 	return routes;
 }
 
-/* Without maps. */
-static gc_routes_t *create_empty(uint64_t version)
+static settings_t *create_settings(void)
 {
-	gc_routes_t *routes = g_atomic_rc_box_new0(gc_routes_t);
+	settings_t *settings = g_atomic_rc_box_new0(settings_t);
 
-	routes->strings = g_string_chunk_new(STRING_BLOCK_BYTES);
-	routes->version = version;
-	routes->limits = default_limits;
-	routes->services = g_hash_table_new_full(gc_str_hash, gc_str_equal,
-						 g_free, g_free);
-	routes->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free,
-					     g_free);
-	routes->priorities =
+	settings->strings = g_string_chunk_new(STRING_BLOCK_BYTES);
+	settings->limits = default_limits;
+	settings->services = g_hash_table_new_full(gc_str_hash, gc_str_equal,
+						   g_free, g_free);
+	settings->keys = g_hash_table_new_full(gc_str_hash, gc_str_equal,
+					       g_free, g_free);
+	settings->priorities =
 		g_hash_table_new_full(gc_str_hash, gc_str_equal, g_free, NULL);
-	return routes;
+	return settings;
+}
+
+static void settings_clear(gpointer data)
+{
+	settings_t *settings = data;
+
+	g_hash_table_unref(settings->services);
+	g_hash_table_unref(settings->keys);
+	g_hash_table_unref(settings->priorities);
+	g_string_chunk_free(settings->strings);
 }
 
 gc_routes_t *gc_routes_ref(gc_routes_t *routes)
@@ -147,18 +179,15 @@
 	gc_shared_map_destroy(routes->routes);
 	gc_shared_map_destroy(routes->hosts);
 	gc_shared_map_destroy(routes->targets);
-	g_hash_table_unref(routes->services);
-	g_hash_table_unref(routes->keys);
-	g_hash_table_unref(routes->priorities);
-	g_string_chunk_free(routes->strings);
+	g_atomic_rc_box_release_full(routes->settings, settings_clear);
 	gc_json_list_destroy(routes->list);
-	g_free(routes->record);
+	gc_shared_text_unref(routes->record);
 }
 
 static gc_str_t copy_string(gc_routes_t *routes, gc_str_t s)
 {
-	const char *data = g_string_chunk_insert_len(routes->strings, s.data,
-						     (gssize)s.len);
+	const char *data = g_string_chunk_insert_len(routes->settings->strings,
+						     s.data, (gssize)s.len);
 
 	return (gc_str_t){data, s.len};
 }
@@ -289,17 +318,22 @@
 	routes->n_routes--;
 }
 
-void gc_routes_set_record(gc_routes_t *routes, char *record, size_t len,
+void gc_routes_set_record(gc_routes_t *routes, gc_shared_text_t *record,
 			  gc_json_list_t *list)
 {
 	routes->record = record;
-	routes->record_len = len;
 	routes->list = list;
 }
 
 gc_str_t gc_routes_record(const gc_routes_t *routes)
 {
-	return (gc_str_t){routes->record, routes->record_len};
+	return routes->record ? gc_shared_text_str(routes->record)
+			      : GC_STR_EMPTY;
+}
+
+uint64_t gc_routes_record_id(const gc_routes_t *routes)
+{
+	return routes->record ? gc_shared_text_id(routes->record) : 0;
 }
 
 const gc_json_list_t *gc_routes_list(const gc_routes_t *routes)
@@ -386,20 +420,21 @@
 
 	*copy = *service;
 	copy->name = copy_string(routes, service->name);
-	g_hash_table_replace(routes->services, alloc_string(routes, copy->name),
-			     copy);
+	g_hash_table_replace(routes->settings->services,
+			     alloc_string(routes, copy->name), copy);
 }
 
 void gc_routes_add_key(gc_routes_t *routes, gc_str_t key, gc_str_t account)
 {
-	g_hash_table_replace(routes->keys, alloc_string(routes, key),
+	g_hash_table_replace(routes->settings->keys, alloc_string(routes, key),
 			     alloc_string(routes, account));
 }
 
 void gc_routes_set_account_priority(gc_routes_t *routes, gc_str_t account,
 				    uint32_t priority)
 {
-	g_hash_table_replace(routes->priorities, alloc_string(routes, account),
+	g_hash_table_replace(routes->settings->priorities,
+			     alloc_string(routes, account),
 			     GUINT_TO_POINTER(priority));
 }
 
@@ -408,8 +443,8 @@
 {
 	gpointer priority;
 
-	if (g_hash_table_lookup_extended(routes->priorities, &account, NULL,
-					 &priority))
+	if (g_hash_table_lookup_extended(routes->settings->priorities, &account,
+					 NULL, &priority))
 		return GPOINTER_TO_UINT(priority);
 	return route->priority;
 }
@@ -417,17 +452,17 @@
 void gc_routes_set_limits(gc_routes_t *routes,
 			  const gc_request_limits_t *limits)
 {
-	routes->limits = *limits;
+	routes->settings->limits = *limits;
 }
 
 void gc_routes_require_keys(gc_routes_t *routes)
 {
-	routes->keys_required = true;
+	routes->settings->keys_required = true;
 }
 
 bool gc_routes_needs_key(const gc_routes_t *routes, const gc_route_t *route)
 {
-	return routes->keys_required && !route->anonymous;
+	return routes->settings->keys_required && !route->anonymous;
 }
 
 uint64_t gc_routes_version(const gc_routes_t *routes)
@@ -437,7 +472,7 @@
 
 const gc_request_limits_t *gc_routes_limits(const gc_routes_t *routes)
 {
-	return &routes->limits;
+	return &routes->settings->limits;
 }
 
 size_t gc_routes_count(const gc_routes_t *routes)
@@ -468,7 +503,8 @@
 bool gc_routes_find_account(const gc_routes_t *routes, gc_str_t key,
 			    gc_str_t *account)
 {
-	const gc_str_t *found = g_hash_table_lookup(routes->keys, &key);
+	const gc_str_t *found =
+		g_hash_table_lookup(routes->settings->keys, &key);
 
 	if (!found)
 		return false;
@@ -479,7 +515,7 @@
 const gc_route_service_t *gc_routes_find_service(const gc_routes_t *routes,
 						 gc_str_t name)
 {
-	return g_hash_table_lookup(routes->services, &name);
+	return g_hash_table_lookup(routes->settings->services, &name);
 }
 
 bool gc_routes_names_service(const gc_routes_t *routes, gc_str_t name)
--- a/core/routes.h
+++ b/core/routes.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "core/json_list.h"
+#include "core/shared_text.h"
 #include "core/str.h"
 
 typedef enum gc_route_kind {
@@ -63,6 +64,8 @@
 /* A table with the routes of another one, which it shares, and nothing else of it. */
 gc_routes_t *gc_routes_create_after(const gc_routes_t *former,
 				    uint64_t version);
+/* One that shares all but the version and the record. Only its routes may change. */
+gc_routes_t *gc_routes_create_same(const gc_routes_t *former, uint64_t version);
 gc_routes_t *gc_routes_ref(gc_routes_t *routes);
 void gc_routes_unref(gc_routes_t *routes);
 
@@ -82,9 +85,9 @@
 bool gc_routes_has_duplicates(const gc_routes_t *routes);
 /* Removes a route that was added. */
 void gc_routes_remove(gc_routes_t *routes, const gc_route_t *route);
-/* Takes ownership of the record that the table was read from, of g_malloc, and of the
+/* Takes ownership of a reference to the record that the table was read from, and of the
  * list of its routes, NULL for none. */
-void gc_routes_set_record(gc_routes_t *routes, char *record, size_t len,
+void gc_routes_set_record(gc_routes_t *routes, gc_shared_text_t *record,
 			  gc_json_list_t *list);
 void gc_routes_add_service(gc_routes_t *routes,
 			   const gc_route_service_t *service);
@@ -99,6 +102,8 @@
 
 /* Empty if it isn't known. */
 gc_str_t gc_routes_record(const gc_routes_t *routes);
+/* The id of the record's text; 0 if it isn't known. */
+uint64_t gc_routes_record_id(const gc_routes_t *routes);
 const gc_json_list_t *gc_routes_list(const gc_routes_t *routes);
 uint64_t gc_routes_version(const gc_routes_t *routes);
 const gc_request_limits_t *gc_routes_limits(const gc_routes_t *routes);
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -14,6 +14,7 @@
 #include <talloc.h>
 
 #include "core/backends.h"
+#include "core/change_log.h"
 #include "core/registry.h"
 #include "core/routes.h"
 #include "core/str.h"
@@ -67,6 +68,10 @@
 	 */
 	gc_routes_reader_t *(*start_routes)(gc_str_t record,
 					    gc_routes_t *former);
+	/* The same for a change that was logged, whose text the table keeps. If its
+	 * edits are of the former one's record, what they keep isn't compared. */
+	gc_routes_reader_t *(*start_change)(const gc_logged_change_t *change,
+					    gc_routes_t *former);
 	bool (*step_routes)(gc_routes_reader_t *reader, size_t n,
 			    gc_routes_t **routes, GError **err);
 	void (*end_routes)(gc_routes_reader_t *reader);
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -289,7 +289,6 @@
 				    items->revision);
 	}
 	for (size_t i = 0; i < items->n; i++) {
-		gc_change_log_add(fleet->change_log, &items->items[i]);
 		gc_fleet_apply_item(fleet, &items->items[i]);
 	}
 	while (!gc_fleet_step_config(fleet))
@@ -435,7 +434,6 @@
 	fleet->batch_confirmed = confirmed_until(fleet, items);
 	fleet->had_changes = items->n > 0;
 	for (size_t i = 0; i < items->n; i++) {
-		gc_change_log_add(fleet->change_log, &items->items[i]);
 		fleet->batch_changed |=
 			gc_fleet_apply_item(fleet, &items->items[i]);
 	}
--- a/lib/fleet_config.c
+++ b/lib/fleet_config.c
@@ -22,6 +22,7 @@
 } reading_t;
 
 static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
+				const gc_logged_change_t *change,
 				uint64_t revision);
 static void end_reading(void *data);
 static gint compare_readings(gconstpointer a, gconstpointer b);
@@ -36,10 +37,11 @@
 	return g_ptr_array_new_with_free_func(end_reading);
 }
 
-void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item)
+void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item,
+			   const gc_logged_change_t *change)
 {
-	g_ptr_array_add(fleet->readings,
-			start_reading(fleet, item->value, item->revision));
+	g_ptr_array_add(fleet->readings, start_reading(fleet, item->value,
+						       change, item->revision));
 	g_ptr_array_sort(fleet->readings, compare_readings);
 }
 
@@ -101,18 +103,21 @@
 	}
 }
 
+/* change: NULL if the record wasn't logged. */
 static reading_t *start_reading(gc_fleet_t *fleet, gc_str_t record,
+				const gc_logged_change_t *change,
 				uint64_t revision)
 {
+	const gc_adapter_t *adapter = fleet->conf.adapter;
 	struct timespec start = gc_clock_now(fleet->conf.clock);
 	reading_t *reading = g_new0(reading_t, 1);
 
 	reading->fleet = fleet;
 	reading->revision = revision;
 	reading->bytes = record.len;
-	reading->version = fleet->conf.adapter->config_version(record);
-	reading->routes =
-		fleet->conf.adapter->start_routes(record, fleet->routes);
+	reading->version = adapter->config_version(record);
+	reading->routes = change ? adapter->start_change(change, fleet->routes)
+				 : adapter->start_routes(record, fleet->routes);
 	reading->us = gc_us_between(start, gc_clock_now(fleet->conf.clock));
 	return reading;
 }
@@ -190,7 +195,7 @@
 	gc_fleet_t *fleet = ctx;
 
 	if (record.len > 0) {
-		reading_t *reading = start_reading(fleet, record, 0);
+		reading_t *reading = start_reading(fleet, record, NULL, 0);
 		gc_routes_t *routes;
 
 		while (!step_reading(reading, &routes))
--- a/lib/fleet_items.c
+++ b/lib/fleet_items.c
@@ -25,12 +25,14 @@
 
 bool gc_fleet_apply_item(gc_fleet_t *fleet, const gc_store_item_t *item)
 {
+	const gc_logged_change_t *change =
+		gc_change_log_add(fleet->change_log, item);
 	gc_str_t id;
 
 	if (gc_str_eq(item->key, gc_str(fleet->conf.adapter->config_key))) {
 		if (item->deleted || item->revision <= fleet->config_revision)
 			return false;
-		gc_fleet_start_config(fleet, item);
+		gc_fleet_start_config(fleet, item, change);
 		return true;
 	}
 	if (strip_prefix(item->key, fleet->conf.adapter->servers_prefix, &id)) {
--- a/lib/fleet_private.h
+++ b/lib/fleet_private.h
@@ -56,10 +56,11 @@
 void gc_fleet_publish(gc_fleet_t *fleet);
 /* Moves the confirmed time forward to `at`, never back, and reports it. */
 void gc_fleet_advance_confirmed(gc_fleet_t *fleet, struct timespec at);
-/* Returns true if a new view must be published. */
+/* Adds the item to the change log. Returns true if a new view must be published. */
 bool gc_fleet_apply_item(gc_fleet_t *fleet, const gc_store_item_t *item);
-/* Starts to read a configuration of the store. */
-void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item);
+/* Starts to read a configuration of the store. change: NULL if it wasn't logged. */
+void gc_fleet_start_config(gc_fleet_t *fleet, const gc_store_item_t *item,
+			   const gc_logged_change_t *change);
 /* Works for a few ms on the configuration that is being read; true if none is left. */
 bool gc_fleet_step_config(gc_fleet_t *fleet);
 GPtrArray *gc_fleet_create_readings(void);
--- a/regress/prop_config.cc
+++ b/regress/prop_config.cc
@@ -10,6 +10,7 @@
 #include <rapidcheck.h>
 
 extern "C" {
+#include "core/change_log.h"
 #include "platform/records.h"
 }
 
@@ -19,6 +20,8 @@
 constexpr int n_hosts = 3;
 constexpr int n_prefixes = 150;
 constexpr int max_edits = 6;
+/* More than the reader keeps in two of its groups. */
+constexpr int max_many = 1200;
 
 struct route_t {
 	int host;
@@ -64,19 +67,35 @@
 	return text + "}";
 }
 
-std::string config_text(const std::vector<route_t> &routes, int version)
+/* settings: chooses what stands beside the routes. */
+/* The same for the same number. */
+std::string space_of(int number)
 {
-	std::string text = "{" + space() +
+	static const char *const spaces[] = {"",  "",	  "",	 "",
+					     " ", "\n\t", "\r\n"};
+
+	return spaces[number % 7];
+}
+
+/* steady: the space around a route stays from version to version. */
+std::string config_text(const std::vector<route_t> &routes, int version,
+			int settings, bool steady)
+{
+	std::string text = "{" + (steady ? "" : space()) +
 			   "\"version\":" + std::to_string(version) + "," +
-			   space() + "\"routes\":[";
+			   (steady ? "" : space()) + "\"routes\":[";
+
+	for (size_t i = 0; i < routes.size(); i++) {
+		int number = routes[i].prefix;
 
-	for (size_t i = 0; i < routes.size(); i++)
-		text += (i ? "," : "") + space() + route_text(routes[i]) +
-			space();
+		text += (i ? "," : "") + (steady ? space_of(number) : space()) +
+			route_text(routes[i]) +
+			(steady ? space_of(number / 7) : space());
+	}
 	return text + "],\"services\":[{\"name\":\"s" +
-	       std::to_string(version % 5) +
+	       std::to_string(settings % 5) +
 	       "\"}],\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k" +
-	       std::to_string(version % 3) + "\"]}]}";
+	       std::to_string(settings % 3) + "\"]}]}";
 }
 
 int arbitrary(int below)
@@ -151,7 +170,7 @@
 	}
 }
 
-void check_same(const gc_routes_t *a, const gc_routes_t *b)
+void check_same(const gc_routes_t *a, const gc_routes_t *b, int prefixes)
 {
 	RC_ASSERT(gc_routes_version(a) == gc_routes_version(b));
 	RC_ASSERT(gc_routes_count(a) == gc_routes_count(b));
@@ -168,7 +187,7 @@
 						 &account));
 	}
 	for (int host = 0; host < n_hosts; host++)
-		for (int prefix = 0; prefix < n_prefixes; prefix++) {
+		for (int prefix = 0; prefix < prefixes; prefix++) {
 			std::string name = host_name(host);
 			std::string path = prefix_name(prefix) + "y";
 			const gc_route_t *first = gc_routes_find(
@@ -214,8 +233,9 @@
 	int n_versions = arbitrary(8) + 2;
 
 	for (int i = 0; i < n_versions; i++) {
-		std::string text =
-			maybe_broken(config_text(routes, 1 + arbitrary(9)));
+		int version = 1 + arbitrary(9);
+		std::string text = maybe_broken(
+			config_text(routes, version, version, false));
 		gc_str_t record = {text.data(), text.size()};
 		gc_routes_t *scratch =
 			gc_platform_read_routes(record, nullptr, nullptr);
@@ -224,7 +244,7 @@
 
 		RC_ASSERT(!next == !scratch);
 		if (next) {
-			check_same(next, scratch);
+			check_same(next, scratch, n_prefixes);
 			gc_routes_unref(former);
 			former = next;
 		}
@@ -235,12 +255,87 @@
 	gc_routes_unref(former);
 }
 
+std::vector<route_t> many_routes()
+{
+	std::vector<route_t> routes;
+	int n = arbitrary(max_many);
+
+	for (int i = 0; i < n; i++)
+		routes.push_back({i % n_hosts, i, i % 1000});
+	return routes;
+}
+
+gc_routes_t *read_change_in_steps(const gc_logged_change_t *change,
+				  gc_routes_t *former)
+{
+	size_t n = static_cast<size_t>(arbitrary(20)) + 1;
+	gc_routes_reader_t *reader = gc_platform_start_change(change, former);
+	gc_routes_t *routes = nullptr;
+
+	while (!gc_platform_step_routes(reader, n, &routes, nullptr))
+		continue;
+	gc_platform_end_routes(reader);
+	return routes;
+}
+
+/* As a daemon takes them: some are logged and not read, or read and not taken, so that
+ * the edits are of another text than the former one's; at a restore the log begins
+ * anew. */
+void check_logged_series()
+{
+	std::vector<route_t> routes =
+		arbitrary(2) ? many_routes() : arbitrary_routes();
+	gc_change_log_t *log = gc_change_log_create(nullptr, 1);
+	gc_routes_t *former = nullptr;
+	int settings = arbitrary(15);
+	int n_versions = arbitrary(8) + 2;
+
+	for (int i = 0; i < n_versions; i++) {
+		std::string text = maybe_broken(
+			config_text(routes, arbitrary(1000), settings, true));
+		gc_store_item_t item = {};
+		gc_routes_t *scratch;
+		gc_routes_t *next;
+		const gc_logged_change_t *change;
+		int n_edits = arbitrary(3);
+
+		item.key = gc_str("op/config");
+		item.value = {text.data(), text.size()};
+		item.revision = static_cast<uint64_t>(i) + 1;
+		change = gc_change_log_add(log, &item);
+		RC_ASSERT(change);
+		scratch = gc_platform_read_routes(item.value, nullptr, nullptr);
+		next = read_change_in_steps(change, former);
+		RC_ASSERT(!next == !scratch);
+		if (next)
+			check_same(next, scratch, max_many);
+		if (next && arbitrary(5) > 0) {
+			gc_routes_unref(former);
+			former = gc_routes_ref(next);
+		}
+		gc_routes_unref(next);
+		gc_routes_unref(scratch);
+		if (arbitrary(12) == 0)
+			gc_change_log_reset(log, 2, 0);
+		for (int j = 0; j < n_edits; j++)
+			edit(routes);
+		if (arbitrary(4) == 0)
+			settings = arbitrary(15);
+	}
+	gc_routes_unref(former);
+	talloc_free(log);
+}
+
 } // namespace
 
 int main()
 {
-	return rc::check("a configuration is the same after any others",
-			 check_series)
+	bool same = rc::check("a configuration is the same after any others",
+			      check_series);
+
+	return rc::check("a configuration is the same if it is read by edits",
+			 check_logged_series) &&
+			       same
 		       ? 0
 		       : 1;
 }
