--- a/regress/prop_config.cc
+++ b/regress/prop_config.cc
@@ -67,7 +67,6 @@
 	return text + "}";
 }
 
-/* settings: chooses what stands beside the routes. */
 /* The same for the same number. */
 std::string space_of(int number)
 {
@@ -77,7 +76,8 @@
 	return spaces[number % 7];
 }
 
-/* steady: the space around a route stays from version to version. */
+/* settings: chooses what stands beside the routes. steady: the space around a route
+ * stays from version to version. */
 std::string config_text(const std::vector<route_t> &routes, int version,
 			int settings, bool steady)
 {
