Record what writes for other builds

The last landing's messages, so that routed_builds.t compares this and later builds with them: each member is still written and read. The script passes.

--- a/regress/routed_builds.t
+++ b/regress/routed_builds.t
@@ -32,6 +32,12 @@
   ab48416: ask /peer/places: 200
   ab48416: ask /peer/places told: 200
   ab48416: ask /peer/reached: 404
+  cb5c150: ask /peer/changes: 200
+  cb5c150: ask /peer/config: 200
+  cb5c150: ask /peer/permits: 200
+  cb5c150: ask /peer/places: 200
+  cb5c150: ask /peer/places told: 200
+  cb5c150: ask /peer/reached: 404
   fbd64e0: ask /peer/changes: 200
   $ sleep 0.5; grep -o '"event":\(1606\|1609\|1615\|1619\|1620\),.*' d1.log
   [1]
