--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -8,7 +8,7 @@
 #include "lib/metrics.h"
 #include "lib/relay_private.h"
 
-/* Two servers must not work on a stream for 400 ms. */
+/* Less than the 400 ms for which two servers may work on a stream. */
 #define OVERLAP_MS 350
 
 static bool may_keep(const gc_exchange_t *exchange);
