Give requests of scripts an id of their own

Traced in the logs of its daemons: d1 and d2 each got a request with this id in the same millisecond from two shells beside each other, and each sent it to a server once; the ids were the nanoseconds of the time, which both shells had read alike.

Change: the id holds the process of the shell, too. The check itself is as it was.

--- a/regress/routed.sh
+++ b/regress/routed.sh
@@ -122,16 +122,16 @@
 # ready: true if the daemon at CONTROL_ADDR is ready.
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$CONTROL_ADDR/v1/ready")" = 200 ]; }
 
-# send_request PATH [CURL OPTION...]: sends a request with a new request id to
-# the daemon at CALLER_ADDR; prints the response body and the status code. HOST,
-# AUTH and DEADLINE (ms) override the Host, Authorization and deadline headers,
-# ID_PREFIX the begin of the request id.
+# send_request PATH [CURL OPTION...]: sends a request with a new request id, of the shell's
+# process and the time, as two shells may read the same one, to the daemon at CALLER_ADDR;
+# prints the response body and the status code. HOST, AUTH and DEADLINE (ms) override the
+# Host, Authorization and deadline headers, ID_PREFIX the begin of the request id.
 send_request() {
 	local path=$1
 	shift
 	curl -sN --max-time 10 -w '%{http_code}\n' "http://$CALLER_ADDR$path" \
 		-H "Host: ${HOST-h.example}" \
-		-H "Goldcrestfield-Request-Id: ${ID_PREFIX-r}$(date +%N)" \
+		-H "Goldcrestfield-Request-Id: ${ID_PREFIX-r}$BASHPID$(date +%N)" \
 		-H "Authorization:${AUTH- Token key-1}" \
 		-H "Goldcrestfield-Deadline-Ms: ${DEADLINE-3000}" "$@"
 }
