--- a/regress/soak.t
+++ b/regress/soak.t
@@ -23,3 +23,9 @@
 
   $ python3 "$TOP/regress/soak/soak.py" --seed 9125 --seconds 8 --modes crash,restore,leaving,busy,unframed,silent,limits,versions
   seed 9125: 0 violations
+
+With this seed, a second revocation of the same key disturbed a daemon's callers, and the
+soak test took that daemon for undisturbed.
+
+  $ python3 "$TOP/regress/soak/soak.py" --seed 531106 --seconds 12 --modes crash,restore,leaving,limits,versions,busy,unframed,silent,brittle,cutoff,links
+  seed 531106: 0 violations
