Log what a request waited for when its caller left

Callers of 41 requests left without an answer in a silent second; the only line of 40 of them is 1115, which said neither where the request was nor how long its caller would wait. 1115 now has the caller's time, the time limit, what the request waited for, its server and attempts, and what kept it from another one; goldcrest_routed_unanswered_total counts callers that waited for all of their time. gc_exchange_can_fail_over() tells its reason, without another change.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -54,7 +54,9 @@
 	unsigned int n_losses; /* servers that may have crashed under it */
 	bool head_request; /* its method is HEAD */
 	struct timespec arrived;
-	int64_t deadline_ms; /* after arrival, set by the caller */
+	/* After arrival, as named by the caller, or the route's limit. */
+	int64_t deadline_ms;
+	bool named_deadline; /* by the caller */
 	/* After arrival: the lower of deadline_ms and the route's limit. */
 	int64_t time_limit_ms;
 
@@ -271,7 +273,13 @@
 					 gc_str_t response,
 					 gc_attempt_end_t end));
 
-/* True if the request can be sent to another server after this attempt. */
+/*
+ * What keeps the request from another server after this attempt: "body", "attempts",
+ * "repeats" (the retry budget) or "servers"; "": nothing. gc_exchange_can_fail_over
+ * is true if nothing does.
+ */
+const char *gc_exchange_failover_limit(const gc_exchange_t *exchange,
+				       struct timespec now);
 bool gc_exchange_can_fail_over(const gc_exchange_t *exchange,
 			       struct timespec now);
 /* Gives up the attempt at a silent server; may free the exchange. */
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -1,6 +1,7 @@
 /* End of a routed request: response, refusal or failure. */
 #include "lib/log.h"
 #include "lib/log_events.h"
+#include "lib/metrics.h"
 #include "lib/relay_private.h"
 
 /* Least Retry-After of a refusal. */
@@ -15,6 +16,12 @@
 #define RETURN_PERCENT 33
 #define RETURN_MAX_MS  60000
 
+/* A caller that leaves so long before the end of its time has waited for all of it. */
+#define DEADLINE_TOLERANCE_MS 50
+
+static void log_disconnect(const gc_exchange_t *exchange);
+static const char *awaited(const gc_exchange_t *exchange);
+static void count_unanswered(const gc_exchange_t *exchange);
 static void spread_return(const gc_exchange_t *exchange, gc_refusal_t *refusal);
 static void refuse_without_server(gc_exchange_t *exchange,
 				  const gc_refusal_t *refusal);
@@ -252,3 +259,85 @@
 	else
 		refuse_without_server(exchange, not_run);
 }
+
+void gc_exchange_on_disconnect(gc_exchange_t *exchange)
+{
+	log_disconnect(exchange);
+	count_unanswered(exchange);
+	exchange->caller = NULL;
+	exchange->request = NULL;
+	/* No attempt was made: the request waits for a configuration. */
+	if (!exchange->route) {
+		talloc_free(exchange);
+		return;
+	}
+	/* A request that must not be retried is left to complete. */
+	if (exchange->route->kind == GC_ROUTE_NON_IDEMPOTENT && exchange->call)
+		return;
+	talloc_free(exchange);
+}
+
+/* The only line of a request that was waiting for its first server. */
+static void log_disconnect(const gc_exchange_t *exchange)
+{
+	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
+	const gc_route_t *route = exchange->route;
+	g_autofree char *ms = g_strdup_printf("%" G_GINT64_FORMAT,
+					      gc_exchange_elapsed_ms(exchange));
+	g_autofree char *deadline_ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT,
+		exchange->named_deadline ? exchange->deadline_ms : 0);
+	g_autofree char *limit_ms =
+		g_strdup_printf("%" G_GINT64_FORMAT, exchange->time_limit_ms);
+	g_autofree char *attempts =
+		g_strdup_printf("%u", exchange->attempts.sent);
+	g_autofree char *after_ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT,
+		exchange->call ? gc_ms_between(exchange->attempt_started, now)
+			       : 0);
+	g_autofree char *silence_ms = g_strdup_printf(
+		"%" G_GINT64_FORMAT,
+		exchange->call ? gc_exchange_inactivity_ms(exchange) : 0);
+	g_autofree char *version = g_strdup_printf(
+		"%" G_GUINT64_FORMAT,
+		route ? gc_routes_version(exchange->view->routes) : 0);
+
+	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ABANDONED, "caller disconnected",
+	       "request", exchange->id.data, "ms", ms, "deadline_ms",
+	       deadline_ms, "limit_ms", limit_ms, "begun",
+	       exchange->head_sent ? "yes" : "no", "waits_for",
+	       awaited(exchange), "server",
+	       exchange->backend ? gc_backend_id(exchange->backend).data : "",
+	       "attempts", attempts, "after_ms", after_ms, "silence_ms",
+	       silence_ms, "limit",
+	       exchange->call ? gc_exchange_failover_limit(exchange, now) : "",
+	       "version", version, NULL);
+}
+
+static const char *awaited(const gc_exchange_t *exchange)
+{
+	if (!exchange->route)
+		return "configuration";
+	if (exchange->call)
+		return exchange->hop ? "daemon" : "response";
+	if (exchange->load_probe)
+		return "load reports";
+	if (exchange->awaits_retry)
+		return "retry budget";
+	return exchange->waiting ? "server" : "version";
+}
+
+static void count_unanswered(const gc_exchange_t *exchange)
+{
+	if (!exchange->named_deadline || exchange->head_sent ||
+	    exchange->received ||
+	    gc_exchange_elapsed_ms(exchange) + DEADLINE_TOLERANCE_MS <
+		    exchange->deadline_ms)
+		return;
+	gc_counter_add(
+		gc_counter("goldcrest_routed_unanswered_total",
+			   "Requests whose callers waited for the time that "
+			   "they had named and got no answer.",
+			   NULL, NULL),
+		1);
+}
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -522,23 +522,3 @@
 	}
 	exchange->call = NULL;
 }
-
-void gc_exchange_on_disconnect(gc_exchange_t *exchange)
-{
-	g_autofree char *ms = g_strdup_printf("%" G_GINT64_FORMAT,
-					      gc_exchange_elapsed_ms(exchange));
-
-	gc_log(GC_LOG_INFO, GC_EVENT_ROUTED_ABANDONED, "caller disconnected",
-	       "request", exchange->id.data, "ms", ms, NULL);
-	exchange->caller = NULL;
-	exchange->request = NULL;
-	/* No attempt was made: the request waits for a configuration. */
-	if (!exchange->route) {
-		talloc_free(exchange);
-		return;
-	}
-	/* A request that must not be retried is left to complete. */
-	if (exchange->route->kind == GC_ROUTE_NON_IDEMPOTENT && exchange->call)
-		return;
-	talloc_free(exchange);
-}
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -165,6 +165,12 @@
  */
 bool gc_exchange_can_fail_over(const gc_exchange_t *exchange,
 			       struct timespec now)
+{
+	return *gc_exchange_failover_limit(exchange, now) == '\0';
+}
+
+const char *gc_exchange_failover_limit(const gc_exchange_t *exchange,
+				       struct timespec now)
 {
 	gc_relay_t *relay = exchange->relay;
 	int64_t left_ms =
@@ -172,13 +178,14 @@
 
 	/* The caller has a part of this server's body. */
 	if (exchange->head_sent && !exchange->sequencer)
-		return false;
+		return "body";
 	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
-	    !gc_attempts_may_leave(&exchange->attempts, left_ms) ||
-	    gc_relay_awaits_retry(relay, exchange->service) ||
+	    !gc_attempts_may_leave(&exchange->attempts, left_ms))
+		return "attempts";
+	if (gc_relay_awaits_retry(relay, exchange->service) ||
 	    !gc_backends_has_retry(relay->backends, now, exchange->service))
-		return false;
-	return has_other_server(exchange, now);
+		return "repeats";
+	return has_other_server(exchange, now) ? "" : "servers";
 }
 
 static bool has_other_server(const gc_exchange_t *exchange, struct timespec now)
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -54,8 +54,8 @@
 static void set_time_limit(gc_exchange_t *exchange);
 static gc_str_t request_host(const gc_http_message_t *request);
 static bool parse_api_key(const gc_exchange_t *exchange, gc_str_t *key);
-static int64_t read_deadline(const gc_http_message_t *request, const char *name,
-			     int64_t fallback);
+static bool read_deadline(const gc_http_message_t *request, const char *name,
+			  int64_t *ms);
 static gc_daemon_rank_t daemon_rank(const gc_relay_t *relay);
 
 const gc_caller_listener_ops_t gc_relay_listener_ops = {
@@ -489,21 +489,20 @@
 	int64_t limit = route->timeout_ms > 0 ? route->timeout_ms
 					      : DEFAULT_TIME_LIMIT_MS;
 
-	exchange->deadline_ms = read_deadline(exchange->request, name, limit);
+	exchange->deadline_ms = limit;
+	exchange->named_deadline =
+		read_deadline(exchange->request, name, &exchange->deadline_ms);
 	exchange->time_limit_ms = MIN(limit, exchange->deadline_ms);
 	exchange->attempts.route = route;
 }
 
-/* A deadline that isn't a number, or comes twice, counts as absent. */
-static int64_t read_deadline(const gc_http_message_t *request, const char *name,
-			     int64_t fallback)
+/* False for a deadline that isn't a number, or comes twice, as for an absent one. */
+static bool read_deadline(const gc_http_message_t *request, const char *name,
+			  int64_t *ms)
 {
-	int64_t ms = fallback;
-
-	if (gc_http_message_count_header(request, name) == 1)
-		gc_parse_whole(gc_http_message_find_header(request, name),
-			       DEADLINE_MAX_MS, &ms);
-	return ms;
+	return gc_http_message_count_header(request, name) == 1 &&
+	       gc_parse_whole(gc_http_message_find_header(request, name),
+			      DEADLINE_MAX_MS, ms);
 }
 
 static void on_disconnected(void *ctx, gc_caller_conn_t *caller)
