Send the last answer within the time that the caller names

Callers that wait no longer than they say got nothing: the answer of last resort was due 100 ms after the time limit, which is the caller's own if that is shorter, so that nobody was there to read it.

The round trip is the shortest one that the kernel has measured: others include delayed acknowledgements.

--- /dev/null
+++ b/core/request_time.h
@@ -0,0 +1,26 @@
+/*
+ * Times of one routed request, whose caller may wait for less time than the settings of
+ * its route allow for.
+ */
+#ifndef GC_CORE_REQUEST_TIME_H
+#define GC_CORE_REQUEST_TIME_H
+
+#include <stdint.h>
+
+#define GC_NO_DEADLINE INT64_MAX /* the caller names no time */
+
+/* In ms after the arrival of the request. */
+typedef struct gc_request_time {
+	int64_t limit_ms; /* end of the time that servers have */
+	int64_t last_answer_ms; /* when the final answer is sent at the latest */
+} gc_request_time_t;
+
+/*
+ * timeout_ms: the route's limit; deadline_ms: the time for which the caller waits, or
+ * GC_NO_DEADLINE; round_trip_ms: to the caller. A caller that waits no longer than it
+ * says still gets the last answer.
+ */
+gc_request_time_t gc_request_time(int64_t timeout_ms, int64_t deadline_ms,
+				  int64_t round_trip_ms);
+
+#endif
--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -407,6 +407,14 @@
 	return conn->arrived;
 }
 
+int64_t gc_caller_conn_round_trip_ms(gc_caller_conn_t *conn)
+{
+	if (!conn->round_trip_known)
+		conn->round_trip_ms = gc_socket_round_trip_ms(conn->sock);
+	conn->round_trip_known = true;
+	return conn->round_trip_ms;
+}
+
 /* Without chunks, only a reset differs from the end of the response. */
 void gc_caller_conn_abort(gc_caller_conn_t *conn)
 {
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -79,6 +79,8 @@
 bool gc_caller_conn_is_known(const gc_caller_conn_t *conn);
 /* Arrival of the request's first byte, on the listener's clock. */
 struct timespec gc_caller_conn_arrived(const gc_caller_conn_t *conn);
+/* See gc_socket_round_trip_ms; measured once for the connection. */
+int64_t gc_caller_conn_round_trip_ms(gc_caller_conn_t *conn);
 /*
  * Sends a complete response. head holds further header lines, each ended by
  * CRLF; Content-Length and Connection are added.
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -43,6 +43,8 @@
 	size_t unread_at_end;
 	gc_timer_t *timer;
 	gc_request_limits_t limits;
+	int64_t round_trip_ms;
+	bool round_trip_known;
 	bool known; /* see gc_caller_listener_ops_t */
 	bool chunked;
 	bool responding; /* a response has been started */
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -57,8 +57,9 @@
 	/* After arrival, as named by the caller, or the route's limit. */
 	int64_t deadline_ms;
 	bool named_deadline; /* by the caller */
-	/* After arrival: the lower of deadline_ms and the route's limit. */
+	/* After arrival; see core/request_time.h. */
 	int64_t time_limit_ms;
+	int64_t last_answer_ms;
 
 	gc_attempts_t attempts;
 	gc_backend_t *tried[GC_EXCHANGE_MAX_TRIED];
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -8,8 +8,6 @@
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
 
-/* Added to the time limit, so that a response sent at the limit arrives. */
-#define TIME_LIMIT_SLACK_MS 100
 /* Time for the load report of a server whose response may be cut. Less than the
  * time for a connect, so that one that hangs differs from one that is refused. */
 #define END_QUERY_TIMEOUT_MS 240
@@ -80,9 +78,8 @@
 			exchange->resumed ? last_id : GC_EVENT_ID_NONE);
 	}
 	gc_timer_set(exchange->time_limit_timer,
-		     exchange->time_limit_ms -
-			     gc_exchange_elapsed_ms(exchange) +
-			     TIME_LIMIT_SLACK_MS);
+		     exchange->last_answer_ms -
+			     gc_exchange_elapsed_ms(exchange));
 	if (gc_exchange_find_version(exchange))
 		gc_exchange_start_next_attempt(exchange);
 }
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "core/number.h"
+#include "core/request_time.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/relay_private.h"
@@ -486,13 +487,19 @@
 {
 	const gc_route_t *route = exchange->route;
 	const char *name = exchange->relay->conf.adapter->headers.deadline_ms;
-	int64_t limit = route->timeout_ms > 0 ? route->timeout_ms
-					      : DEFAULT_TIME_LIMIT_MS;
+	int64_t timeout_ms = route->timeout_ms > 0 ? route->timeout_ms
+						   : DEFAULT_TIME_LIMIT_MS;
+	gc_request_time_t time;
 
-	exchange->deadline_ms = limit;
+	exchange->deadline_ms = timeout_ms;
 	exchange->named_deadline =
 		read_deadline(exchange->request, name, &exchange->deadline_ms);
-	exchange->time_limit_ms = MIN(limit, exchange->deadline_ms);
+	time = gc_request_time(timeout_ms,
+			       exchange->named_deadline ? exchange->deadline_ms
+							: GC_NO_DEADLINE,
+			       gc_caller_conn_round_trip_ms(exchange->caller));
+	exchange->time_limit_ms = time.limit_ms;
+	exchange->last_answer_ms = time.last_answer_ms;
 	exchange->attempts.route = route;
 }
 
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -3,8 +3,8 @@
 #include <errno.h>
 #include <linux/filter.h>
 #include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -20,6 +20,9 @@
 #define LISTEN_BACKLOG 512
 /* Of the flags in the header of a segment, bytes. */
 #define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_BIT_SYN 0x02
+/* A longer one counts as unknown, as the kernel has no sample yet. */
+#define MAX_ROUND_TRIP_US 60000000
 
 struct gc_socket {
 	struct tevent_context *ev;
@@ -429,6 +432,19 @@
 	return delivery;
 }
 
+/* The shortest one, as others include the peer's delayed acknowledgements. */
+int64_t gc_socket_round_trip_ms(const gc_socket_t *sock)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+
+	if (sock->destroyed ||
+	    getsockopt(sock->fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0 ||
+	    info.tcpi_min_rtt > MAX_ROUND_TRIP_US)
+		return 0;
+	return (info.tcpi_min_rtt + 999) / 1000;
+}
+
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock)
 {
 	return sock->sent;
@@ -542,7 +558,7 @@
 {
 	struct sock_filter code[] = {
 		BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
-		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+		BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TCP_FLAG_BIT_SYN, 0, 1),
 		BPF_STMT(BPF_RET | BPF_K, 0),
 		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
 	};
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -81,6 +81,8 @@
  */
 bool gc_socket_has_unread(const gc_socket_t *sock);
 gc_socket_delivery_t gc_socket_delivery(const gc_socket_t *sock);
+/* To the peer and back, as measured on an open connection; 0 if that isn't known. */
+int64_t gc_socket_round_trip_ms(const gc_socket_t *sock);
 /* Bytes that the kernel has accepted since the connection was opened. */
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock);
 /* Stops or resumes reading (back-pressure). */
