Leave silent servers by a share of the time that a request has

The class: a limit of one step that is taken from the configuration alone, whatever time the request has left.

Such limits are bounded by a share of what is left (gc_share_of_time_ms): the silence of a server, the load report of a silent engine, the wait for a server or for room, and that for the first configuration. As a server that is left before its target may only be slow, the run of a lookup is kept beside the next attempt and the first answer counts; an engine that still reports keeps its stream. Both take an attempt and a retry, as before.

--- a/core/request_time.c
+++ b/core/request_time.c
@@ -27,3 +27,11 @@
 	time.last_answer_ms = MIN(time.last_answer_ms, answer_by_ms);
 	return time;
 }
+
+int64_t gc_share_of_time_ms(int64_t limit_ms, int64_t left_ms, double share,
+			    int64_t least_ms)
+{
+	int64_t share_ms = (int64_t)(share * (double)MAX(left_ms, 0));
+
+	return MIN(limit_ms, MAX(share_ms, least_ms));
+}
--- a/core/request_time.h
+++ b/core/request_time.h
@@ -1,6 +1,7 @@
 /*
  * Times of one routed request, whose caller may wait for less time than the settings of
- * its route allow for.
+ * its route allow for. Each limit that comes from these is bounded by a share of the
+ * time that the request has left.
  */
 #ifndef GC_CORE_REQUEST_TIME_H
 #define GC_CORE_REQUEST_TIME_H
@@ -23,4 +24,12 @@
 gc_request_time_t gc_request_time(int64_t timeout_ms, int64_t deadline_ms,
 				  int64_t round_trip_ms);
 
+/*
+ * The limit of one step: limit_ms, but no more than the share of left_ms, the time that
+ * is left when the step begins. At least least_ms remain, if limit_ms isn't shorter, as
+ * a sound peer needs so long.
+ */
+int64_t gc_share_of_time_ms(int64_t limit_ms, int64_t left_ms, double share,
+			    int64_t least_ms);
+
 #endif
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -260,14 +260,17 @@
 
 /*
  * Silent servers (exchange_silence.c). gc_exchange_inactivity_ms is the time
- * without data after which a server counts as silent; gc_exchange_on_inactivity is
- * the callback of inactivity_timer. gc_exchange_query_load asks the server of the
+ * without data after which a server counts as silent; gc_exchange_is_within_target is
+ * true while the server has not had the time that the route sets for that;
+ * gc_exchange_on_inactivity is the callback of inactivity_timer. gc_exchange_query_load asks the server of the
  * attempt for its load, as silence_query.
  */
 /* Time for the load report of a server that has sent no event. Longer than
  * LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a prompt. */
 #define GC_SILENCE_QUERY_TIMEOUT_MS 300
 int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange);
+bool gc_exchange_is_within_target(const gc_exchange_t *exchange,
+				  struct timespec now);
 void gc_exchange_on_inactivity(void *ctx);
 void gc_exchange_query_load(gc_exchange_t *exchange, int64_t timeout_ms,
 			    void (*done)(void *ctx, int status,
@@ -276,7 +279,7 @@
 
 /*
  * What keeps the request from another server after this attempt: "body", "attempts",
- * "repeats" (the retry budget) or "servers"; "": nothing. gc_exchange_can_fail_over
+ * "time", "repeats" (the retry budget) or "servers"; "": nothing. gc_exchange_can_fail_over
  * is true if nothing does.
  */
 const char *gc_exchange_failover_limit(const gc_exchange_t *exchange,
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -3,8 +3,9 @@
 
 #include "lib/relay_private.h"
 
-/* Longest wait for a usable server before a response has begun, as a fraction
- * of target_latency_ms; and the interval of checks for one. */
+/* Longest wait for a usable server before a response has begun, as a fraction of
+ * target_latency_ms, or of the request's time if that is shorter; and the interval of
+ * checks for one. */
 #define SERVER_WAIT_FRACTION 0.125
 #define SERVER_POLL_MS	     25
 /* Time after which servers that turned a begun stream away are tried again. */
@@ -40,6 +41,7 @@
 		     int64_t left_ms);
 static bool may_start(const gc_exchange_t *exchange,
 		      const gc_backend_t *backend);
+static double max_wait_ms(const gc_exchange_t *exchange);
 static void wait_for_room(gc_exchange_t *exchange);
 static void wait_for_server(gc_exchange_t *exchange);
 static void ask_for(gc_exchange_t *exchange, gc_backend_t *server,
@@ -353,12 +355,16 @@
 				   exchange->prompt);
 }
 
-static void wait_for_room(gc_exchange_t *exchange)
+static double max_wait_ms(const gc_exchange_t *exchange)
 {
-	double max_wait_ms = SERVER_WAIT_FRACTION *
-			     (double)exchange->route->target_latency_ms;
+	return SERVER_WAIT_FRACTION *
+	       (double)MIN(exchange->route->target_latency_ms,
+			   exchange->time_limit_ms);
+}
 
-	if ((double)gc_exchange_elapsed_ms(exchange) < max_wait_ms) {
+static void wait_for_room(gc_exchange_t *exchange)
+{
+	if ((double)gc_exchange_elapsed_ms(exchange) < max_wait_ms(exchange)) {
 		gc_timer_set(exchange->retry_timer, ROOM_POLL_MS);
 		return;
 	}
@@ -373,11 +379,9 @@
  */
 static void wait_for_server(gc_exchange_t *exchange)
 {
-	double max_wait_ms =
-		exchange->head_sent
-			? (double)exchange->route->target_gap_ms
-			: SERVER_WAIT_FRACTION *
-				  (double)exchange->route->target_latency_ms;
+	double wait_ms = exchange->head_sent
+				 ? (double)exchange->route->target_gap_ms
+				 : max_wait_ms(exchange);
 	int64_t waited_ms =
 		exchange->n_tried > 0
 			? gc_ms_between(
@@ -391,8 +395,8 @@
 		return;
 	}
 	if (may_wait_for_full(exchange) ||
-	    ((double)waited_ms < max_wait_ms &&
-	     !is_wait_useless(exchange, max_wait_ms - (double)waited_ms))) {
+	    ((double)waited_ms < wait_ms &&
+	     !is_wait_useless(exchange, wait_ms - (double)waited_ms))) {
 		exchange->waiting = true;
 		gc_timer_set(exchange->retry_timer, SERVER_POLL_MS);
 		return;
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -56,7 +56,9 @@
 		.message = "the backend server did not respond in time",
 	};
 
-	if (gc_exchange_return_to_standby(exchange))
+	/* A server's failure is an answer to a lookup. */
+	if ((exchange->sequencer || decision != GC_DECISION_FORWARD) &&
+	    gc_exchange_return_to_standby(exchange))
 		return;
 	if (exchange->head_sent) {
 		gc_caller_conn_t *caller = exchange->caller;
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -2,6 +2,7 @@
  * Servers that send nothing: whether a request is left with its server, which may
  * only be busy or slow, or goes on elsewhere.
  */
+#include "core/request_time.h"
 #include "lib/relay_private.h"
 
 /* Inactivity after which a stream fails over, as a fraction of the route's
@@ -13,6 +14,15 @@
 #define FIRST_EVENT_FRACTION 1.0
 /* For routes without target_latency_ms or target_gap_ms. */
 #define DEFAULT_INACTIVITY_MS 5000
+/* Share of the time left, at the start of the attempt or at the last event, after which
+ * a silent server is left or joined by another one in any case; and the shortest such
+ * time, of a stream while engines may be busy with other prompts. */
+#define SILENCE_SHARE	      0.5
+#define MIN_SILENCE_MS	      100
+#define MIN_STREAM_SILENCE_MS 500
+/* Share of the time left for a load report of a silent server, and its shortest time. */
+#define QUERY_SHARE  0.25
+#define MIN_QUERY_MS 50
 /* Pause between such reports, as a fraction of the limit. */
 #define SILENCE_QUERY_FRACTION 0.25
 /* A timer that fires this late shows that the daemon itself was stalled. */
@@ -27,25 +37,49 @@
 static const char INACTIVE[] =
 	"the server sent nothing within the inactivity limit";
 
+static int64_t route_inactivity_ms(const gc_exchange_t *exchange);
+static int64_t query_timeout_ms(const gc_exchange_t *exchange);
 static bool has_other_server(const gc_exchange_t *exchange,
 			     struct timespec now);
+static bool keeps_silent(gc_exchange_t *exchange,
+			 const gc_backend_load_t *load);
 static void start_silence_query(gc_exchange_t *exchange);
 static void on_silence_report(void *ctx, int status, gc_str_t response,
 			      gc_attempt_end_t end);
 
 int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange)
+{
+	struct timespec since = exchange->received_event
+					? exchange->last_activity
+					: exchange->attempt_started;
+	int64_t left_ms = exchange->time_limit_ms -
+			  gc_ms_between(exchange->arrived, since);
+
+	/* The other daemon leaves a silent server itself. */
+	if (exchange->hop)
+		return HOP_FACTOR * route_inactivity_ms(exchange);
+	return gc_share_of_time_ms(
+		route_inactivity_ms(exchange), left_ms, SILENCE_SHARE,
+		exchange->sequencer ? MIN_STREAM_SILENCE_MS : MIN_SILENCE_MS);
+}
+
+static int64_t route_inactivity_ms(const gc_exchange_t *exchange)
 {
 	const gc_route_t *route = exchange->route;
 	double ms = FIRST_EVENT_FRACTION * (double)route->target_latency_ms;
 
 	if (exchange->received_event)
 		ms = EVENT_GAP_FRACTION * (double)route->target_gap_ms;
-	/* The other daemon leaves a silent server itself. */
-	if (exchange->hop)
-		ms *= HOP_FACTOR;
 	return ms > 0 ? (int64_t)ms : DEFAULT_INACTIVITY_MS;
 }
 
+bool gc_exchange_is_within_target(const gc_exchange_t *exchange,
+				  struct timespec now)
+{
+	return gc_ms_between(exchange->attempt_started, now) <
+	       route_inactivity_ms(exchange);
+}
+
 void gc_exchange_on_inactivity(void *ctx)
 {
 	gc_exchange_t *exchange = ctx;
@@ -95,10 +129,18 @@
 				  gc_clock_now(relay->conf.clock)))
 		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
 	else if (!exchange->silence_query)
-		gc_exchange_query_load(exchange, GC_SILENCE_QUERY_TIMEOUT_MS,
+		gc_exchange_query_load(exchange, query_timeout_ms(exchange),
 				       on_silence_report);
 }
 
+static int64_t query_timeout_ms(const gc_exchange_t *exchange)
+{
+	return gc_share_of_time_ms(GC_SILENCE_QUERY_TIMEOUT_MS,
+				   exchange->time_limit_ms -
+					   gc_exchange_elapsed_ms(exchange),
+				   QUERY_SHARE, MIN_QUERY_MS);
+}
+
 void gc_exchange_query_load(gc_exchange_t *exchange, int64_t timeout_ms,
 			    void (*done)(void *ctx, int status,
 					 gc_str_t response,
@@ -140,7 +182,7 @@
 		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
 		return;
 	}
-	if (!gc_silence_keep(&exchange->silence, reported ? &load : NULL)) {
+	if (!keeps_silent(exchange, reported ? &load : NULL)) {
 		if (gc_exchange_can_fail_over(
 			    exchange,
 			    gc_clock_now(exchange->relay->conf.clock)))
@@ -158,6 +200,16 @@
 	gc_timer_set(exchange->inactivity_timer, wait_ms);
 }
 
+/* A server that reports is alive, and may need all of the target for the prompt. */
+static bool keeps_silent(gc_exchange_t *exchange, const gc_backend_load_t *load)
+{
+	if (load &&
+	    gc_exchange_is_within_target(
+		    exchange, gc_clock_now(exchange->relay->conf.clock)))
+		return true;
+	return gc_silence_keep(&exchange->silence, load);
+}
+
 /*
  * A silent server may only be slow, so it is kept until the time limit unless
  * the request can go on elsewhere: it may be repeated, and attempts, retry
@@ -180,8 +232,10 @@
 	if (exchange->head_sent && !exchange->sequencer)
 		return "body";
 	if (exchange->n_tried == GC_EXCHANGE_MAX_TRIED ||
-	    !gc_attempts_may_leave(&exchange->attempts, left_ms))
+	    !gc_attempts_may_leave(&exchange->attempts, INT64_MAX))
 		return "attempts";
+	if (!gc_attempts_may_leave(&exchange->attempts, left_ms))
+		return "time";
 	if (gc_relay_awaits_retry(relay, exchange->service) ||
 	    !gc_backends_has_retry(relay->backends, now, exchange->service))
 		return "repeats";
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -1,7 +1,9 @@
 /*
- * The run of a stream that was left because its server is silent. The server may be
+ * The run of a request that was left because its server is silent. The server may be
  * sound, so the run is kept until another one has taken its place: what it sends
- * first goes to the caller, and the stream goes back to it if nobody else can go on.
+ * first goes to the caller, and the request goes back to it if nobody else can go on.
+ * That is done for streams that have begun, and for lookups that leave a server before
+ * it has had the time that their route sets, as their callers' own time is short.
  */
 #include "lib/log.h"
 #include "lib/log_events.h"
@@ -12,7 +14,10 @@
 #define OVERLAP_MS 350
 
 static bool may_keep(const gc_exchange_t *exchange);
+static bool is_begun_stream(const gc_exchange_t *exchange);
+static bool is_early_lookup(const gc_exchange_t *exchange);
 static bool may_reach(const gc_exchange_t *exchange);
+static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
@@ -25,6 +30,7 @@
 static void log_return(const gc_exchange_t *exchange, const char *reason);
 
 static const gc_call_ops_t standby_ops = {
+	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
 	.failed = on_failed,
@@ -46,8 +52,9 @@
 	standby->attempt_started = exchange->attempt_started;
 	standby->left_at = gc_clock_now(exchange->relay->conf.clock);
 	standby->attempt_status = exchange->attempt_status;
-	standby->partial_event =
-		gc_event_sequencer_take_partial(exchange->sequencer);
+	if (exchange->sequencer)
+		standby->partial_event =
+			gc_event_sequencer_take_partial(exchange->sequencer);
 	/* One that was requested ends with the attempt. */
 	if (exchange->copy_holder && exchange->copy_handle.len == 0) {
 		standby->copy_holder = gc_backend_ref(exchange->copy_holder);
@@ -58,19 +65,34 @@
 	return true;
 }
 
-/* The version of a stream that has begun is decided and on record. */
 static bool may_keep(const gc_exchange_t *exchange)
 {
-	return exchange->call && exchange->sequencer && !exchange->hop &&
-	       !exchange->standby.call && exchange->head_sent &&
+	return exchange->call && !exchange->hop && !exchange->standby.call &&
+	       (is_begun_stream(exchange) || is_early_lookup(exchange));
+}
+
+/* Its version is decided and on record. */
+static bool is_begun_stream(const gc_exchange_t *exchange)
+{
+	return exchange->sequencer && exchange->head_sent &&
 	       exchange->received_event;
 }
 
+/* Its server's host has all of the request, and no response has begun. */
+static bool is_early_lookup(const gc_exchange_t *exchange)
+{
+	return !exchange->sequencer && exchange->attempt_status == 0 &&
+	       gc_call_delivery(exchange->call).waiting == 0 &&
+	       gc_exchange_is_within_target(
+		       exchange, gc_clock_now(exchange->relay->conf.clock));
+}
+
 void gc_exchange_watch_overlap(gc_exchange_t *exchange)
 {
 	gc_standby_t *standby = &exchange->standby;
 
-	if (!standby->call || (exchange->hop && !may_reach(exchange)))
+	if (!standby->call || !exchange->sequencer ||
+	    (exchange->hop && !may_reach(exchange)))
 		return;
 	if (exchange->backend == exchange->resume_holder) {
 		gc_backend_unref(standby->copy_holder);
@@ -147,6 +169,15 @@
 	return true;
 }
 
+/* Of a lookup. */
+static void on_head(void *ctx, const gc_http_message_t *response)
+{
+	gc_exchange_t *exchange = ctx;
+
+	go_back(exchange, "it sent more");
+	gc_exchange_call_ops.head(exchange, response);
+}
+
 static void on_body(void *ctx, gc_str_t data)
 {
 	gc_exchange_t *exchange = ctx;
@@ -219,7 +250,7 @@
 	exchange->hop = false;
 	exchange->attempt_started = standby->attempt_started;
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
-	exchange->received_event = true;
+	exchange->received_event = exchange->sequencer != NULL;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
 	exchange->success = true;
@@ -229,8 +260,9 @@
 	exchange->not_a_stream = false;
 	exchange->attempt_status = standby->attempt_status;
 	g_byte_array_set_size(exchange->response_body, 0);
-	gc_event_sequencer_set_partial(exchange->sequencer,
-				       standby->partial_event);
+	if (exchange->sequencer)
+		gc_event_sequencer_set_partial(exchange->sequencer,
+					       standby->partial_event);
 	gc_call_set_ops(exchange->call, &gc_exchange_call_ops, exchange);
 	gc_exchange_restore_copy(exchange, standby->copy_holder,
 				 standby->copy_location);
@@ -268,12 +300,14 @@
 			      gc_clock_now(exchange->relay->conf.clock)));
 
 	gc_log(GC_LOG_INFO, GC_EVENT_STREAM_WENT_BACK,
-	       "stream went back to its server", "request", exchange->id.data,
-	       "server", gc_backend_id(standby->backend).data, "reason", reason,
+	       exchange->sequencer ? "stream went back to its server"
+				   : "lookup went back to its server",
+	       "request", exchange->id.data, "server",
+	       gc_backend_id(standby->backend).data, "reason", reason,
 	       "left_ms", ms, NULL);
 	gc_counter_add(gc_counter("goldcrest_routed_went_back_total",
-				  "Streams that went back to a server that was "
-				  "silent.",
+				  "Requests that went back to a server that "
+				  "was silent.",
 				  NULL, NULL),
 		       1);
 }
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -14,6 +14,8 @@
  * time that a request may wait for a server. */
 #define INITIAL_CONFIG_WAIT_MS 150
 #define INITIAL_CONFIG_POLL_MS 5
+/* Longest share of the caller's time that it waits. */
+#define INITIAL_CONFIG_SHARE 0.5
 /* Least Retry-After while the configuration can't be confirmed. */
 #define MIN_OUTAGE_RETRY_AFTER_MS 900
 /* Request limits until the operator's configuration is known. */
@@ -352,8 +354,13 @@
 	gc_relay_t *relay = exchange->relay;
 	int64_t waited_ms = gc_ms_between(exchange->arrived,
 					  gc_clock_now(relay->conf.clock));
+	int64_t deadline_ms = DEADLINE_MAX_MS;
 
-	if (waited_ms >= INITIAL_CONFIG_WAIT_MS)
+	read_deadline(exchange->request,
+		      relay->conf.adapter->headers.deadline_ms, &deadline_ms);
+	if (waited_ms >= gc_share_of_time_ms(INITIAL_CONFIG_WAIT_MS,
+					     deadline_ms, INITIAL_CONFIG_SHARE,
+					     0))
 		return false;
 	if (!exchange->retry_timer)
 		exchange->retry_timer =
--- a/regress/check_request_time.c
+++ b/regress/check_request_time.c
@@ -1,5 +1,8 @@
-/* Guards against callers that get neither an answer nor a refusal, as the last answer
- * comes when the time that they named is over. */
+/*
+ * Guards against callers that get neither an answer nor a refusal: by a last answer that
+ * comes when the time that they named is over, and by limits of single steps that are
+ * longer than the time that the request has.
+ */
 #include "core/request_time.h"
 #include "regress/unit.h"
 
@@ -58,12 +61,30 @@
 }
 END_TEST
 
+START_TEST(test_a_step_leaves_time_for_the_next_one)
+{
+	ck_assert_int_eq(gc_share_of_time_ms(1000, 950, 0.5, 100), 475);
+	ck_assert_int_eq(gc_share_of_time_ms(150, 950, 0.5, 100), 150);
+	ck_assert_int_eq(gc_share_of_time_ms(1000, 9000, 0.5, 100), 1000);
+}
+END_TEST
+
+START_TEST(test_a_step_has_the_time_that_a_sound_peer_needs)
+{
+	ck_assert_int_eq(gc_share_of_time_ms(1000, 120, 0.5, 100), 100);
+	ck_assert_int_eq(gc_share_of_time_ms(1000, -50, 0.5, 100), 100);
+	ck_assert_int_eq(gc_share_of_time_ms(60, 120, 0.5, 100), 60);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
 		test_last_answer_arrives_in_the_callers_time,
 		test_no_time_is_given_up_without_need,
 		test_far_callers_get_their_answer_earlier,
+		test_a_step_leaves_time_for_the_next_one,
+		test_a_step_has_the_time_that_a_sound_peer_needs,
 		NULL,
 	};
 
--- a/regress/routed_silent_deadline.t
+++ b/regress/routed_silent_deadline.t
@@ -5,7 +5,7 @@
 
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ route() { echo ",{\"name\":\"$1\",\"host\":\"h.example\",\"path_prefix\":\"/$1/\",\"kind\":\"$2\",\"service\":\"$3\",\"max_attempts\":${5-2},\"timeout_ms\":9000$4}"; }
-  $ ROUTES="$(route read idempotent app ',"target_latency_ms":3000')$(route plain idempotent app '')$(route text streaming llm ',"target_latency_ms":6000,"target_gap_ms":6000,"resumable":true' 4)"
+  $ ROUTES="$(route read idempotent app ',"target_latency_ms":3000')$(route plain idempotent app '')$(route text streaming llm ',"target_latency_ms":6000,"target_gap_ms":6000,"resumable":true' 4)$(route none idempotent none ',"target_latency_ms":8000')"
   $ start_store; put_config "$ROUTES"
   $ start_server app1 app a; start_server app2 app b; start_server app3 app c
   $ start_server llm1 llm a engine; start_server llm2 llm b engine; start_server llm3 llm c engine
@@ -29,17 +29,36 @@
   200
   runs: 2
 
-Streams without a first event, and without the next one.
+A server that is only slow still answers, though another one was asked.
 
-  $ at 1 ran within 2000 /text/once-lost; grep -c '^id:' own.out
+  $ at 1 ran within 900 /read/turns-mostly-hang
   200
   runs: 2
+
+What the other server answers first is delivered, also a failure.
+
+  $ at 1 ran within 900 /read/turns-hang-fail
+  500
+  runs: 2
+
+A stream whose engine stops before the first event, and one that gets no further event.
+
+  $ holder() { grep '"message":"attempt started"' d1.log | tail -n 1 | grep -o '"server":"[a-z0-9]*"' | cut -d'"' -f4; }
+  $ (at 1 within 2500 /text/once-wait; cp own.out first.out) >first.status & pid=$!; sleep 0.3; ENGINE=$(holder); eval kill -STOP \$${ENGINE}_pid; wait $pid; cat first.status; grep -c '^id:' first.out; eval kill -CONT \$${ENGINE}_pid
+  200
   8
-  $ at 1 ran within 2000 /text/once-mute; grep -c '^id:' own.out
+  $ at 1 ran within 2500 /text/once-mute; grep -c '^id:' own.out
   200
   runs: 2
   8
 
+An engine that reports that it is alive keeps the stream until its first event.
+
+  $ at 1 ran within 4400 /text/wait; grep -c '^id:' own.out
+  200
+  runs: 1
+  8
+
 A process that is stopped takes requests and answers none. The configuration changes beside
 them.
 
@@ -56,3 +75,9 @@
   200
   runs: 2
   $ reconnect "app1 app2 app3"
+
+No server is there: the caller is refused early enough to come back.
+
+  $ at 1 within 800 /none/ok -w '%{http_code} %{time_total}\n' | awk '{ print $1, ($2 < 0.4 ? "in time" : $2) }'; grep -o '"run":"[a-z_]*"' own.out
+  503 in time
+  "run":"not_run"
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -33,6 +33,7 @@
   endless*     the responses that don't end, in bad_responses.py
   trickle      sends a byte of the body each 100 ms
   hang         does not respond
+  mostly       responds after 650 ms
   long         responds after 2.5 s
   pause        sends nothing for a second (engines: after the third
                event that it sends), then the rest
@@ -479,6 +480,8 @@
             return False
         elif behaviour == "slow":
             await asyncio.sleep(0.4)
+        elif behaviour == "mostly":
+            await asyncio.sleep(0.65)
         elif behaviour == "long":
             await asyncio.sleep(LONG_S)
         elif behaviour == "copylate":
