Go on with begun answers until the end of the caller's time

The last answer leaves some 20 ms before the caller's time is over, and the mend for that ended streams then, too, whose events would still have come in time. Only requests without any answer end early now; servers get all of the time again, as what they say at its end could not have been waited for either.

routed_late_answer.t: a stream that lasts longer than its caller's 2 s is ended at 2.0 s or later.

--- a/core/request_time.c
+++ b/core/request_time.c
@@ -6,25 +6,25 @@
 #define ANSWER_MARGIN_MS 20
 /* The margin and the way are at most this part of the caller's time. */
 #define MAX_MARGIN_SHARE 0.25
-/* Added to the route's limit, so that a response sent at the limit arrives. */
-#define TIMEOUT_SLACK_MS 100
+/* Added to the limit, so that what a server sends at the limit arrives. */
+#define LIMIT_SLACK_MS 100
 
 gc_request_time_t gc_request_time(int64_t timeout_ms, int64_t deadline_ms,
 				  int64_t round_trip_ms)
 {
+	int64_t limit_ms = MIN(timeout_ms, deadline_ms);
 	gc_request_time_t time = {
-		.limit_ms = timeout_ms,
-		.last_answer_ms = timeout_ms + TIMEOUT_SLACK_MS,
+		.limit_ms = limit_ms,
+		.last_answer_ms = limit_ms + LIMIT_SLACK_MS,
+		.end_ms = limit_ms + LIMIT_SLACK_MS,
 	};
-	int64_t margin_ms, answer_by_ms;
+	int64_t margin_ms;
 
 	if (deadline_ms == GC_NO_DEADLINE)
 		return time;
 	margin_ms = MIN(ANSWER_MARGIN_MS + round_trip_ms,
 			(int64_t)(MAX_MARGIN_SHARE * (double)deadline_ms));
-	answer_by_ms = deadline_ms - margin_ms;
-	time.limit_ms = MIN(time.limit_ms, answer_by_ms);
-	time.last_answer_ms = MIN(time.last_answer_ms, answer_by_ms);
+	time.last_answer_ms = MIN(time.last_answer_ms, deadline_ms - margin_ms);
 	return time;
 }
 
--- a/core/request_time.h
+++ b/core/request_time.h
@@ -13,7 +13,10 @@
 /* In ms after the arrival of the request. */
 typedef struct gc_request_time {
 	int64_t limit_ms; /* end of the time that servers have */
-	int64_t last_answer_ms; /* when the final answer is sent at the latest */
+	/* When a request that has no answer yet gets its last one. */
+	int64_t last_answer_ms;
+	/* When an answer that has begun is ended. */
+	int64_t end_ms;
 } gc_request_time_t;
 
 /*
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -60,6 +60,7 @@
 	/* After arrival; see core/request_time.h. */
 	int64_t time_limit_ms;
 	int64_t last_answer_ms;
+	int64_t end_ms;
 
 	gc_attempts_t attempts;
 	gc_backend_t *tried[GC_EXCHANGE_MAX_TRIED];
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -507,6 +507,7 @@
 			       gc_caller_conn_round_trip_ms(exchange->caller));
 	exchange->time_limit_ms = time.limit_ms;
 	exchange->last_answer_ms = time.last_answer_ms;
+	exchange->end_ms = time.end_ms;
 	exchange->attempts.route = route;
 }
 
--- a/regress/check_request_time.c
+++ b/regress/check_request_time.c
@@ -18,12 +18,12 @@
 		gc_request_time_t time =
 			gc_request_time(ROUTE_MS, deadline_ms, ROUND_TRIP_MS);
 
-		ck_assert_int_ge(time.last_answer_ms, time.limit_ms);
 		ck_assert_int_le(time.limit_ms, ROUTE_MS);
+		ck_assert_int_le(time.limit_ms, deadline_ms);
 		ck_assert_int_le(time.last_answer_ms, deadline_ms);
-		ck_assert_int_ge(time.limit_ms, deadline_ms < ROUTE_MS
-							? deadline_ms / 2
-							: ROUTE_MS / 2);
+		ck_assert_int_ge(time.last_answer_ms, deadline_ms < ROUTE_MS
+							      ? deadline_ms / 2
+							      : ROUTE_MS / 2);
 		if (deadline_ms >= 8 * ROUND_TRIP_MS)
 			ck_assert_int_le(time.last_answer_ms,
 					 deadline_ms - ROUND_TRIP_MS);
@@ -43,8 +43,10 @@
 	ck_assert_int_eq(time.limit_ms, ROUTE_MS);
 	ck_assert_int_gt(time.last_answer_ms, ROUTE_MS);
 	time = gc_request_time(ROUTE_MS, 1000, ROUND_TRIP_MS);
+	ck_assert_int_eq(time.limit_ms, 1000);
 	ck_assert_int_ge(time.last_answer_ms, 950);
-	ck_assert_int_eq(time.last_answer_ms, time.limit_ms);
+	/* What has begun goes on while its caller waits. */
+	ck_assert_int_ge(time.end_ms, 1000);
 }
 END_TEST
 
@@ -57,7 +59,7 @@
 	ck_assert_int_ge(far.last_answer_ms, 750);
 	/* A round trip that was measured wrong doesn't take all of the time. */
 	far = gc_request_time(ROUTE_MS, 1000, 60000);
-	ck_assert_int_ge(far.limit_ms, 750);
+	ck_assert_int_ge(far.last_answer_ms, 750);
 }
 END_TEST
 
--- a/regress/routed_late_answer.t
+++ b/regress/routed_late_answer.t
@@ -54,6 +54,11 @@
   200
    runs 1
 
+A stream that has begun goes on until the end of the caller's time.
+
+  $ DEADLINE=2000 at 1 send_request /text/many -o own.out -w '%{http_code} %{time_total}\n' | awk '{ print $1, ($2 >= 2 && $2 < 3 ? "in time" : $2) }'
+  200 in time
+
 Beside changes of the configuration, to stopped processes.
 
   $ kill -STOP $app1_pid $app2_pid
