Take no response for whole that ends before the request is taken

A server answered a long upload with a 200 without a length before it had read it, sent a part of the body and closed. If nothing that had arrived was unread, its kernel sends an orderly close first and the reset only when more of the upload arrives. Callers got the part as a complete answer, directly and through another daemon, also from a daemon that does so; streams ended as if complete. A reset without a close before it was seen as one already.

lib/upstream took the close as the end of the response, whatever was left of the request, and the server's load report then confirmed that the server lives. A server's close acknowledges all that it can have read: a response without a length is now complete only if the whole request is acknowledged by then, and the attempt has broken off otherwise. That holds as well for a server that closes only its sending side and reads on: whether it will reset isn't known yet. Responses with a length or in chunks are complete as before.

--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -93,6 +93,8 @@
 		      const char *reason);
 static gc_attempt_end_t end_of_error(int error);
 static bool is_mismatched(const conn_t *conn);
+static void end_response(conn_t *conn);
+static bool has_taken_request(const conn_t *conn);
 static int64_t reuse_ms(const conn_t *conn);
 static bool is_usable(const conn_t *conn, struct timespec now);
 static void end_callback(conn_t *conn);
@@ -541,16 +543,8 @@
 	conn_t *conn = ctx;
 
 	conn->in_callback = true;
-	if (conn->call && error == 0) {
-		gc_http_message_feed_eof(conn->message);
-		if (gc_http_message_state(conn->message) ==
-			    GC_HTTP_MESSAGE_COMPLETE &&
-		    conn->call->head_delivered) {
-			deliver_body(conn);
-			if (conn->call)
-				complete_call(conn, 0);
-		}
-	}
+	if (conn->call && error == 0 && has_taken_request(conn))
+		end_response(conn);
 	if (conn->call)
 		fail_call(conn, end_of_error(error),
 			  error == 0 ? "the server closed the connection"
@@ -561,6 +555,28 @@
 	end_callback(conn);
 }
 
+/* A response without a length is complete now. */
+static void end_response(conn_t *conn)
+{
+	gc_http_message_feed_eof(conn->message);
+	if (gc_http_message_state(conn->message) != GC_HTTP_MESSAGE_COMPLETE ||
+	    !conn->call->head_delivered)
+		return;
+	deliver_body(conn);
+	if (conn->call)
+		complete_call(conn, 0);
+}
+
+/*
+ * The close of a server acknowledges all that it has read. Without the rest of the
+ * request it may have broken off: the reset, which is its kernel's answer to that
+ * rest, arrives after the close.
+ */
+static bool has_taken_request(const conn_t *conn)
+{
+	return gc_socket_delivery(conn->sock).waiting == 0;
+}
+
 /* Only a server, or its host, closes or resets a connection. */
 static gc_attempt_end_t end_of_error(int error)
 {
--- a/regress/check_upstream.c
+++ b/regress/check_upstream.c
@@ -45,6 +45,7 @@
 static int answer(test_t *test, int sock, const char *response);
 static void run_until_done(test_t *test);
 static void respond_early(test_t *test, const char *response);
+static int answer_early(test_t *test, size_t body_bytes, const char *response);
 static void respond(test_t *test, const char *response);
 static void run_for(test_t *test, int64_t ms);
 static void drop_segments(int sock, bool drop);
@@ -232,24 +233,24 @@
 /* The server answers a long request and closes without reading it. */
 static void respond_early(test_t *test, const char *response)
 {
-	bool sent = false;
-	gc_timer_t *timer =
-		gc_timer_create(test, test->timers, set_flag, &sent);
+	close(answer_early(test, LONG_BODY_BYTES, response));
+	run_until_done(test);
+}
+
+/* The server answers a request of which it has read the begin. */
+static int answer_early(test_t *test, size_t body_bytes, const char *response)
+{
 	char buffer[1024];
 	int sock;
 
-	start_call(test, LONG_BODY_BYTES);
-	gc_timer_set(timer, SEND_MS);
-	while (!sent)
-		tevent_loop_once(test->ev);
-	gc_timer_destroy(timer);
+	start_call(test, body_bytes);
+	run_for(test, SEND_MS);
 	sock = accept(test->listener, NULL, NULL);
 	ck_assert_int_ge(sock, 0);
 	ck_assert_int_gt(recv(sock, buffer, sizeof(buffer), 0), 0);
 	ck_assert_int_eq(send(sock, response, strlen(response), 0),
 			 (ssize_t)strlen(response));
-	close(sock);
-	run_until_done(test);
+	return sock;
 }
 
 START_TEST(test_early_response_is_received)
@@ -293,6 +294,51 @@
 }
 END_TEST
 
+/* A server that closes before it has taken the request may have broken off: the reset
+ * follows its close. Only a length tells that the response is complete. */
+START_TEST(test_close_before_request_is_taken)
+{
+	static const struct {
+		size_t body_bytes;
+		const char *response;
+		bool complete;
+	} cases[] = {
+		{LONG_BODY_BYTES, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok",
+		 false},
+		{LONG_BODY_BYTES, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n",
+		 false},
+		{LONG_BODY_BYTES, "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\n\r\nok",
+		 false},
+		{LONG_BODY_BYTES,
+		 "HTTP/1.1 100 Continue\r\n\r\n"
+		 "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok",
+		 false},
+		{LONG_BODY_BYTES,
+		 "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+		 "Content-Length: 2\r\n\r\nok",
+		 true},
+		{0, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok", true},
+		{10, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nok", true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t state = 1;
+		test_t *test = start_test(&state);
+		int sock = answer_early(test, cases[i].body_bytes,
+					cases[i].response);
+
+		ck_assert_int_eq(shutdown(sock, SHUT_WR), 0);
+		run_until_done(test);
+		ck_assert_msg(test->completed == cases[i].complete, "case %zu",
+			      i);
+		if (!cases[i].complete)
+			ck_assert_int_eq(test->end, GC_END_BROKEN);
+		close(sock);
+		end_test(test);
+	}
+}
+END_TEST
+
 /* The server's host is silent until the call has been cancelled. */
 START_TEST(test_cancelled_request_is_not_sent_again)
 {
@@ -625,6 +671,7 @@
 		test_connect_during_stall,
 		test_early_response_is_received,
 		test_incomplete_early_response_fails,
+		test_close_before_request_is_taken,
 		test_cancelled_request_is_not_sent_again,
 		test_full_window_is_not_in_flight,
 		test_leaving_server_is_recorded,
--- a/standins/routed/bad_responses.py
+++ b/standins/routed/bad_responses.py
@@ -2,6 +2,8 @@
 writes one and returns whether the connection is kept."""
 
 import asyncio
+import socket
+import struct
 
 import wire
 
@@ -12,6 +14,8 @@
 # memory of the machine.
 ENDLESS_MAX_BYTES = 400 << 20
 LARGE_BODY_BYTES = 200000
+EARLY_PART = b"id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n"
+EARLY_RESET_S = 0.05
 
 
 def head(headers, framing, status=200):
@@ -116,6 +120,32 @@
     return False
 
 
+async def write_early(writer, name, headers):
+    """Sends a part of a response without a length while the request's body is unread,
+    and resets the connection. In the name: "continue" sends a 100 before it, "old" is
+    HTTP/1.0, "close" says that the connection closes, "bare" ends after the head,
+    "late" resets later, "end" sends an orderly close before the reset: so does the kernel
+    of a server that closes when it has read all that has arrived."""
+    words = name.split("-")
+    if "close" in words:
+        headers = {**headers, "Connection": "close"}
+    text = head(headers, {})
+    if "old" in words:
+        text = text.replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    if "continue" in words:
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    writer.write(text + (b"" if "bare" in words else EARLY_PART))
+    await writer.drain()
+    if "end" in words:
+        writer.write_eof()
+    if "late" in words or "end" in words:
+        await asyncio.sleep(EARLY_RESET_S)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+    return False
+
+
 async def write_endless(writer, name, start):
     """Returns the number of bytes that were taken until the peer closed."""
     n = len(start)
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -47,6 +47,9 @@
   badthen-NAME, badever-NAME  the same, but as "burstbad" on the first server
   head-NAME    sends a part of a head, see heads.py; the same after badever-. With
                "unread" in the query, the request's body is not read
+  early-NAME   sends a part of an answer before it has read the request's body and
+               resets the connection, see bad_responses.py; with "unread" in the
+               query
   answer-NAME  (engines) the answers that aren't the rest of a stream, in
                bad_responses.py; after then- or ever-, without "answer-"
 These apply to engines:
@@ -419,6 +422,12 @@
             return await heads.write_head(
                 writer, "-".join(behaviour[behaviour.index("head") + 1:]),
                 headers)
+        if behaviour[0] == "early":
+            headers = self.response_headers(request)
+            if self.engine:
+                headers["Content-Type"] = "text/event-stream"
+            return await bad_responses.write_early(
+                writer, "-".join(behaviour[1:]), headers)
         if behaviour[0] == "answer":
             return await bad_responses.write_other(
                 writer, behaviour[1], self.response_headers(request),
