Take no call for whole that ends before its request is taken

The same in the HTTP client of the own protocol, of the stores and among daemons: a peer answered a long request without a length before it had read it, closed, and its kernel reset the connection when more arrived. libcurl stops sending at such a close and reports success, so that a part of the body, or an empty body with status 200, 404 or 503, counted as the answer. Most bodies are JSON and a part of one is refused; where the status alone counts nothing tells. A reset without a close before it was an error already.

A response without a length now counts only if the whole request was sent and acknowledged when libcurl left the socket; otherwise the call fails as one whose response was cut.

check_httpc: before, "test_end_before_request_is_taken:0: response 0, orderly 1" failed, 4 of 5 passed; after, 5 of 5, five times. test_end_after_request_is_taken, bodies of 0 to 1000000 bytes that are read first, passed before too. Passed after, once each: check_kv, check_platform, check_peers_watch, check_filter_service, daemon_stream.t, daemon_engine.t, daemon_resume.t, daemon_input.t, actions_faults.t, actions_daemons.t, system_faults.t, control_outage.t.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -1,6 +1,8 @@
 /* HTTP client on a tevent loop, built on libcurl's multi interface. */
+#include <linux/sockios.h>
 #include <poll.h>
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include <curl/curl.h>
 
@@ -37,6 +39,8 @@
 	size_t max_body;
 	bool too_large;
 	size_t head_bytes; /* lines of heads and trailers */
+	size_t request_bytes; /* of the body */
+	bool unacked; /* bytes of the request, when libcurl left the socket */
 };
 
 /* A socket that libcurl watches. */
@@ -58,6 +62,7 @@
 		     struct timeval now, void *ctx);
 static void on_fd(struct tevent_context *ev, struct tevent_fd *fde,
 		  uint16_t flags, void *ctx);
+static void record_unacked(CURL *easy, curl_socket_t sock);
 static bool has_error(curl_socket_t sock);
 static void on_unpause(struct tevent_context *ev, struct tevent_immediate *im,
 		       void *ctx);
@@ -66,6 +71,8 @@
 static size_t on_head_line(char *line, size_t size, size_t n, void *ctx);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static size_t collect_body(gc_http_call_t *call, const char *data, size_t n);
+static bool ends_with_connection(gc_http_call_t *call, long status);
+static bool was_taken(const gc_http_call_t *call);
 static void set_options(gc_http_call_t *call, const gc_http_call_conf_t *conf);
 static gc_errcode_t error_code(CURLcode code);
 
@@ -108,6 +115,7 @@
 	call->bytes = conf->bytes;
 	call->peer = talloc_strdup(call, conf->peer ? conf->peer : conf->url);
 	call->body = g_byte_array_new();
+	call->request_bytes = conf->body.len;
 	call->max_body = conf->max_body ? conf->max_body : GC_HTTPC_MAX_BODY;
 	call->easy = curl_easy_init();
 	call->next = client->calls;
@@ -293,6 +301,7 @@
 	uint16_t flags = 0;
 
 	if (what == CURL_POLL_REMOVE) {
+		record_unacked(easy, sock);
 		talloc_free(socket_watch);
 		curl_multi_assign(client->multi, sock, NULL);
 		return 0;
@@ -319,6 +328,18 @@
 	return 0;
 }
 
+/* libcurl may close the socket before it reports the end of the call. Its handle for
+ * kept connections has no call. */
+static void record_unacked(CURL *easy, curl_socket_t sock)
+{
+	gc_http_call_t *call = NULL;
+	int queued = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+	if (call && ioctl(sock, SIOCOUTQ, &queued) == 0)
+		call->unacked = queued > 0;
+}
+
 static int on_timeout(CURLM *multi, long ms, void *ctx)
 {
 	gc_httpc_t *client = ctx;
@@ -431,12 +452,33 @@
 	else if (code != CURLE_OK)
 		gc_error_set(&err, error_code(code), "http", call->peer, "%s",
 			     curl_easy_strerror(code));
+	else if (ends_with_connection(call, status) && !was_taken(call))
+		gc_error_set(&err, GC_ERR_IO, "http", call->peer,
+			     "the connection closed before the request was "
+			     "taken");
 	if (call->ops.done)
 		call->ops.done(call->ctx, (int)status, body, sent, err);
 	g_clear_error(&err);
 	talloc_free(call);
 }
 
+static bool ends_with_connection(gc_http_call_t *call, long status)
+{
+	return status != 204 && status != 304 &&
+	       !gc_http_call_header(call, "Content-Length") &&
+	       !gc_http_call_header(call, "Transfer-Encoding");
+}
+
+/* Without the rest of the request, a server that closes may have broken off its response:
+ * its reset comes after the close. */
+static bool was_taken(const gc_http_call_t *call)
+{
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return !call->unacked && (size_t)sent >= call->request_bytes;
+}
+
 static gc_errcode_t error_code(CURLcode code)
 {
 	if (code == CURLE_OPERATION_TIMEDOUT)
--- a/regress/check_httpc.c
+++ b/regress/check_httpc.c
@@ -1,7 +1,7 @@
 /*
  * Guards against a refused connection that is detected only by a timer, against
- * bytes missing from the byte counter of a call, and against responses without end
- * that are kept.
+ * bytes missing from the byte counter of a call, against responses without end that
+ * are kept, and against parts of responses that look complete.
  */
 #include <arpa/inet.h>
 #include <check.h>
@@ -31,9 +31,18 @@
 	size_t received;
 } one_shot_server_t;
 
+typedef struct early_server {
+	one_shot_server_t server;
+	const char *response;
+	bool whole; /* reads a body to its last byte, END, first */
+	bool orderly; /* a close before the reset */
+} early_server_t;
+
 static uint16_t closed_port(void);
 static uint16_t start_listening(one_shot_server_t *server);
 static void *serve_one_request(void *ctx);
+static void *answer_early(void *ctx);
+static int call_early(early_server_t *early, size_t body_bytes);
 static void on_done(void *ctx, int status, gc_str_t body, bool sent,
 		    const GError *err);
 
@@ -234,6 +243,104 @@
 }
 END_TEST
 
+/* More than the buffers of both sockets hold. */
+#define LONG_BODY_BYTES (32 << 20)
+#define EARLY_END_US	50000
+#define END		'.'
+
+static void *answer_early(void *ctx)
+{
+	early_server_t *early = ctx;
+	struct linger linger = {.l_onoff = 1};
+	int sock = accept(early->server.sock, NULL, NULL);
+	char request[4096];
+	ssize_t n = read(sock, request, sizeof(request));
+
+	while (n > 0 && early->whole && request[n - 1] != END)
+		n = read(sock, request, sizeof(request));
+	if (n > 0)
+		n = send(sock, early->response, strlen(early->response),
+			 MSG_NOSIGNAL);
+	if (n > 0 && early->orderly)
+		shutdown(sock, SHUT_WR);
+	g_usleep(EARLY_END_US);
+	setsockopt(sock, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(sock);
+	close(early->server.sock);
+	return NULL;
+}
+
+/* Returns the code of the result of a call. */
+static int call_early(early_server_t *early, size_t body_bytes)
+{
+	static const gc_http_call_ops_t ops = {.done = on_done};
+	struct tevent_context *ev = tevent_context_init(NULL);
+	gc_httpc_t *client = gc_httpc_create(ev, ev);
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/",
+					       start_listening(&early->server));
+	g_autofree char *body = g_strnfill(body_bytes, 'x');
+	gc_http_call_conf_t conf = {.method = "POST",
+				    .url = url,
+				    .body = {body, body_bytes},
+				    .timeout_ms = 5000};
+	call_result_t call_result = {0};
+	GThread *thread = g_thread_new("server", answer_early, early);
+
+	if (body_bytes > 0)
+		body[body_bytes - 1] = END;
+	gc_httpc_start(client, &conf, &ops, &call_result);
+	while (!call_result.done)
+		tevent_loop_once(ev);
+	talloc_free(ev);
+	g_thread_join(thread);
+	return call_result.code;
+}
+
+/* With and without a close, the server breaks off; only a length tells that its
+ * response is complete. */
+START_TEST(test_end_before_request_is_taken)
+{
+	static const char *const responses[] = {
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
+		"HTTP/1.0 200 OK\r\n\r\n{}",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n{}",
+		"HTTP/1.1 404 Not Found\r\n\r\n{}",
+		"HTTP/1.1 503 Busy\r\n\r\n{}",
+	};
+	early_server_t sized = {
+		.response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+			    "Connection: close\r\n\r\n{}",
+		.orderly = true};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(responses); i++) {
+		early_server_t early = {.response = responses[i / 2],
+					.orderly = i % 2};
+
+		ck_assert_msg(call_early(&early, LONG_BODY_BYTES) == GC_ERR_IO,
+			      "response %zu, orderly %d", i / 2, early.orderly);
+	}
+	ck_assert_int_eq(call_early(&sized, LONG_BODY_BYTES), -1);
+}
+END_TEST
+
+/* Bodies that libcurl sends with the head, and others. */
+START_TEST(test_end_after_request_is_taken)
+{
+	static const size_t sizes[] = {0, 10, 60000, 1000000};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		early_server_t early = {.response = "HTTP/1.1 200 OK\r\n\r\n{}",
+					.whole = sizes[i] > 0,
+					.orderly = true};
+
+		ck_assert_msg(call_early(&early, sizes[i]) == -1, "size %zu",
+			      sizes[i]);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("httpc");
@@ -244,6 +351,8 @@
 	tcase_add_test(tcase, test_connection_refused_at_once);
 	tcase_add_test(tcase, test_counts_headers_and_bodies);
 	tcase_add_test(tcase, test_endless_responses);
+	tcase_add_test(tcase, test_end_before_request_is_taken);
+	tcase_add_test(tcase, test_end_after_request_is_taken);
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
