Report a change as made only if the answer is complete

goldcrestctl took any answer with status 200 or 202 for a change that was made, also one without a length that its daemon, or what is at its address, closed before or in the body: it printed "version 0" and ended with status 0.

An answer of success whose body isn't a JSON object is incomplete now. For a change, the exit status is 1, "it is not known whether the change was made"; reads go on to the next daemon.

control_cut.t: before, of four answers that were cut with an orderly close, two ended with status 0 and two with 5, and none with an error; after, all eight cut answers, with and without a reset, end with 1. A reset was an error before. Passed after, once each: control_operators.t, control_list.t, control_instances.t, control_outage.t, control_silent.t.

--- a/goldcrestctl/client.c
+++ b/goldcrestctl/client.c
@@ -15,6 +15,7 @@
 			   const char *if_match, const char *body,
 			   ctl_response_t *response);
 static struct curl_slist *make_headers(const ctl_t *ctl, const char *if_match);
+static bool is_success(long status);
 static size_t append_response(char *data, size_t size, size_t n, void *ctx);
 
 void ctl_request(const ctl_t *ctl, const char *method, const char *path,
@@ -68,17 +69,26 @@
 	curl_easy_getinfo(curl, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
 	response->request_sent = pretransfer_us > 0;
 	response->url = g_strdup(base_url);
-	if (code == CURLE_OK)
-		response->body = json_loadb(response_body->str,
-					    response_body->len, 0, NULL);
-	else
+	response->body =
+		json_loadb(response_body->str, response_body->len, 0, NULL);
+	if (code != CURLE_OK)
 		response->transport_error = g_strdup_printf(
 			"%s: %s", base_url, curl_easy_strerror(code));
+	else if (is_success(response->status) &&
+		 !json_is_object(response->body))
+		/* Without a length, a part of it ends with the connection. */
+		response->transport_error = g_strdup_printf(
+			"%s: the response is incomplete", base_url);
 	curl_easy_cleanup(curl);
 	curl_slist_free_all(headers);
-	if (code != CURLE_OK)
+	if (response->transport_error)
 		response->status = 0;
-	return code == CURLE_OK;
+	return !response->transport_error;
+}
+
+static bool is_success(long status)
+{
+	return status >= 200 && status < 300;
 }
 
 static struct curl_slist *make_headers(const ctl_t *ctl, const char *if_match)
