Take an answer whose status is none for a broken one

What callers saw: a server's answer with a status under 200 (000, 099, 20) was read over like an interim response. The request then waited for its time limit, although its connection was known to be bad, or the head that followed was taken for the answer. 0200 was given as a 200, 600 and 999 as they were. A 101 that no request asks for was waited on. A booking whose answer said 999 (or 0200, 600) with the header of a request that was not run was sent to the next server as well, after it had run.

Cause: http-parser accepts every number up to 999 of any digits, and what is under 200 was an interim response to lib/http_message.

Change: the status of a response, interim ones too, is checked as soon as it is read. Other than three digits from 100 to 599, or 101, makes the message invalid, so that the attempt ends as broken: a booking is neither repeated nor said not to be run, others go on at the next server at once. Interim responses were bounded by the size of a head already, which has a test now.

--- a/lib/http_framing.c
+++ b/lib/http_framing.c
@@ -1,14 +1,20 @@
-/* Line ends and chunk frames of requests. */
+/* Line ends and chunk frames of requests, and statuses of responses. */
 #include <glib.h>
 
 #include "lib/http_framing.h"
 
 /* Larger chunks are over every limit on bodies. */
 #define MAX_SIZE_DIGITS 8
+/* RFC 9112, 4 and RFC 9110, 15. */
+#define STATUS_DIGITS		   3
+#define MIN_STATUS		   100
+#define MAX_STATUS		   599
+#define STATUS_SWITCHING_PROTOCOLS 101
 
 static size_t scan_lines(gc_http_framing_t *framing, gc_str_t data);
 static void scan_chunk_byte(gc_http_framing_t *framing, char c);
 static void begin_trailers(gc_http_framing_t *framing);
+static const char *status_fault(const gc_http_framing_t *framing);
 
 size_t gc_http_framing_head(gc_http_framing_t *framing, gc_str_t data)
 {
@@ -129,3 +135,40 @@
 	framing->line = GC_HTTP_LINE_BEGINS;
 	framing->after_cr = false;
 }
+
+void gc_http_framing_status(gc_http_framing_t *framing, gc_str_t data)
+{
+	for (size_t i = 0; i < data.len && !framing->fault; i++) {
+		char c = data.data[i];
+
+		if (framing->status_line == GC_HTTP_STATUS_LINE_PASSED)
+			return;
+		if (framing->status_line == GC_HTTP_STATUS_LINE_VERSION) {
+			if (c == ' ')
+				framing->status_line = GC_HTTP_STATUS_LINE_CODE;
+		} else if (g_ascii_isdigit(c) &&
+			   framing->n_status_digits < STATUS_DIGITS) {
+			framing->status = framing->status * 10 +
+					  (unsigned int)g_ascii_digit_value(c);
+			framing->n_status_digits++;
+		} else if (c != ' ' || framing->n_status_digits > 0) {
+			framing->status_line = GC_HTTP_STATUS_LINE_PASSED;
+			framing->fault = g_ascii_isdigit(c)
+						 ? "the status has more than "
+						   "three digits"
+						 : status_fault(framing);
+		}
+	}
+}
+
+static const char *status_fault(const gc_http_framing_t *framing)
+{
+	if (framing->n_status_digits != STATUS_DIGITS ||
+	    framing->status < MIN_STATUS || framing->status > MAX_STATUS)
+		return "the status is not a number of three digits from 100 to "
+		       "599";
+	/* No request of this system offers another protocol. */
+	if (framing->status == STATUS_SWITCHING_PROTOCOLS)
+		return "status 101 without a request to switch protocols";
+	return NULL;
+}
--- a/lib/http_message.c
+++ b/lib/http_message.c
@@ -29,16 +29,18 @@
 	guint target_len;
 	GByteArray *body;
 	size_t head_bytes_fed; /* while the head was incomplete */
-	gc_http_framing_t framing; /* of a request */
+	gc_http_framing_t framing;
 	size_t body_bytes_received; /* including discarded bytes */
 	bool expect_no_body;
 	bool in_value; /* the last header's value has begun */
 	bool keep_alive;
 	bool body_until_close;
+	bool interim_ended;
 };
 
 static int message_destructor(gc_http_message_t *message);
 static void init_parser(gc_http_message_t *message);
+static size_t feed_response(gc_http_message_t *message, gc_str_t data);
 static size_t feed_parser(gc_http_message_t *message, gc_str_t data);
 static bool has_fault(gc_http_message_t *message);
 static void check_result(gc_http_message_t *message, size_t consumed,
@@ -136,6 +138,7 @@
 	message->expect_no_body = false;
 	message->in_value = false;
 	message->body_until_close = false;
+	message->interim_ended = false;
 	init_parser(message);
 }
 
@@ -147,7 +150,7 @@
 	if (message->state >= GC_HTTP_MESSAGE_COMPLETE || data.len == 0)
 		return 0;
 	if (message->kind == GC_HTTP_MESSAGE_RESPONSE)
-		return feed_parser(message, data);
+		return feed_response(message, data);
 	if (!gc_http_framing_has_head(framing)) {
 		size_t n = gc_http_framing_head(framing, data);
 
@@ -166,11 +169,34 @@
 	return used + feed_parser(message, data);
 }
 
+/* http-parser is stopped at the end of each interim response, as the status line of the
+ * next response begins there. */
+static size_t feed_response(gc_http_message_t *message, gc_str_t data)
+{
+	size_t used = 0;
+
+	while (used < data.len && message->state < GC_HTTP_MESSAGE_COMPLETE) {
+		gc_str_t rest = {data.data + used, data.len - used};
+
+		gc_http_framing_status(&message->framing, rest);
+		if (has_fault(message))
+			break;
+		used += feed_parser(message, rest);
+	}
+	return used;
+}
+
 static size_t feed_parser(gc_http_message_t *message, gc_str_t data)
 {
 	size_t consumed = http_parser_execute(
 		&message->parser, &parser_callbacks, data.data, data.len);
 
+	if (message->interim_ended) {
+		message->interim_ended = false;
+		message->framing = (gc_http_framing_t){0};
+		http_parser_pause(&message->parser, 0);
+		data.len = consumed;
+	}
 	if (message->state < GC_HTTP_MESSAGE_BODY)
 		message->head_bytes_fed += consumed;
 	check_result(message, consumed, data.len);
@@ -386,8 +412,11 @@
 	gc_http_message_t *message = parser->data;
 
 	if (message->kind == GC_HTTP_MESSAGE_RESPONSE &&
-	    parser->status_code < 200)
+	    parser->status_code < 200) {
+		message->interim_ended = true;
+		http_parser_pause(parser, 1);
 		return 0;
+	}
 	message->state = GC_HTTP_MESSAGE_COMPLETE;
 	/* What follows belongs to the next message. */
 	http_parser_pause(parser, 1);
--- a/regress/check_http_message.c
+++ b/regress/check_http_message.c
@@ -1,7 +1,7 @@
 /*
  * Guards against request smuggling (requests that two parsers interpret
- * differently), truncated responses that are accepted as complete, and trailers
- * that are taken for headers.
+ * differently), truncated responses that are accepted as complete, statuses out of
+ * range that are passed over or accepted, and trailers that are taken for headers.
  */
 #include "lib/http_message.h"
 #include "regress/unit.h"
@@ -311,6 +311,110 @@
 }
 END_TEST
 
+/* A status under 200 was read as an interim response, and the next head was taken for
+ * the answer. */
+START_TEST(test_statuses_out_of_range_are_invalid)
+{
+	static const char *const statuses[] = {
+		"000",	 "001",	 "020",	 "099",	 "0",	 "20",	"99",  "0200",
+		"00200", "0100", "0103", "1000", "2000", "600", "700", "999",
+		"-20",	 "2x0",	 "2 00", "0x64", "+200", "",
+	};
+	static const char *const starts[] = {
+		"",
+		"\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(starts); j++) {
+			g_autofree char *text = g_strdup_printf(
+				"%sHTTP/1.1 %s OK\r\nContent-Length: 2\r\n\r\nok"
+				"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+				starts[j], statuses[i]);
+
+			for (size_t step = 1; step <= strlen(text); step++) {
+				gc_http_message_t *m = parse(
+					GC_HTTP_MESSAGE_RESPONSE, text, step);
+
+				ck_assert_msg(gc_http_message_state(m) ==
+						      GC_HTTP_MESSAGE_INVALID,
+					      "%s, by %zu", text, step);
+				ck_assert_str_ne(gc_http_message_error(m), "");
+				talloc_free(m);
+			}
+		}
+}
+END_TEST
+
+START_TEST(test_status_is_checked_before_the_end_of_the_head)
+{
+	ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_RESPONSE, "HTTP/1.1 000 "),
+			 GC_HTTP_MESSAGE_INVALID);
+	ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_RESPONSE, "HTTP/1.1 0200"),
+			 GC_HTTP_MESSAGE_INVALID);
+	ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_RESPONSE, "HTTP/1.1 200\r"),
+			 GC_HTTP_MESSAGE_HEAD);
+}
+END_TEST
+
+START_TEST(test_statuses_in_range)
+{
+	for (int status = 200; status <= 599; status++) {
+		g_autofree char *text = g_strdup_printf(
+			"\r\nHTTP/1.1 %d\r\nContent-Length: 0\r\n\r\n", status);
+		gc_http_message_t *m = parse(GC_HTTP_MESSAGE_RESPONSE, text,
+					     (size_t)status % 5 + 1);
+
+		ck_assert_int_eq(gc_http_message_state(m),
+				 GC_HTTP_MESSAGE_COMPLETE);
+		ck_assert_int_eq(gc_http_message_status(m), status);
+		talloc_free(m);
+	}
+}
+END_TEST
+
+/* Nothing was sent that asks for another protocol. */
+START_TEST(test_protocol_switch_is_invalid)
+{
+	static const char *const heads[] = {
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n"
+		"Connection: upgrade\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++)
+		for (size_t step = 1; step <= strlen(heads[i]); step++) {
+			gc_http_message_t *m =
+				parse(GC_HTTP_MESSAGE_RESPONSE, heads[i], step);
+
+			ck_assert_msg(gc_http_message_state(m) ==
+					      GC_HTTP_MESSAGE_INVALID,
+				      "%s", heads[i]);
+			talloc_free(m);
+		}
+}
+END_TEST
+
+START_TEST(test_interim_responses_without_end)
+{
+	const gc_str_t interim =
+		gc_str("HTTP/1.1 102 Processing\r\nX: y\r\n\r\n");
+	gc_http_message_t *m =
+		gc_http_message_create(NULL, GC_HTTP_MESSAGE_RESPONSE);
+	const gc_http_message_limits_t limits = {.max_head = 400};
+	size_t n = 0;
+
+	gc_http_message_set_limits(m, &limits);
+	while (n < 1000 && gc_http_message_state(m) < GC_HTTP_MESSAGE_COMPLETE)
+		n += gc_http_message_feed(m, interim);
+	ck_assert_int_eq(gc_http_message_state(m),
+			 GC_HTTP_MESSAGE_HEAD_TOO_LARGE);
+	ck_assert_uint_le(n, 400 + interim.len);
+	talloc_free(m);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -324,6 +428,11 @@
 		test_responses_without_length_end_their_connection,
 		test_truncated_responses_are_invalid,
 		test_response_to_head_has_no_body,
+		test_statuses_out_of_range_are_invalid,
+		test_status_is_checked_before_the_end_of_the_head,
+		test_statuses_in_range,
+		test_protocol_switch_is_invalid,
+		test_interim_responses_without_end,
 		NULL,
 	};
 
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -50,6 +50,8 @@
   early-NAME   sends a part of an answer before it has read the request's body and
                resets the connection, see bad_responses.py; with "unread" in the
                query
+  status-NAME  answers with a status that is none, see statuses.py; also after once-
+               and badthen-
   answer-NAME  (engines) the answers that aren't the rest of a stream, in
                bad_responses.py; after then- or ever-, without "answer-"
 These apply to engines:
@@ -120,6 +122,7 @@
 import cut
 import heads
 import silent_link
+import statuses
 import wire
 
 EVENT_COUNT = 8
@@ -428,6 +431,10 @@
                 headers["Content-Type"] = "text/event-stream"
             return await bad_responses.write_early(
                 writer, "-".join(behaviour[1:]), headers)
+        if behaviour[0] == "status" or behaviour[:2] == ["answer", "status"]:
+            return await statuses.write_status(
+                writer, "-".join(behaviour[behaviour.index("status") + 1:]),
+                self.response_headers(request))
         if behaviour[0] == "answer":
             return await bad_responses.write_other(
                 writer, behaviour[1], self.response_headers(request),
