Take a status out of range for no answer in calls through libcurl too

What callers saw: a backend server's answer with status 999 to an action was stored as its outcome and given to the caller, also one to a GET. 101 was waited on until the time limit.

Other callers of lib/httpc compare with the statuses that they know.

Change: lib/httpc checks each status line as lib/http_message does and ends the call with GC_ERR_PROTOCOL. As the request was sent, the action is in doubt. The status given with that error is 0; it was that of an interim response, if there was one.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include "core/error.h"
+#include "lib/http_framing.h"
 #include "lib/httpc.h"
 
 /* Most bytes of the lines of a response outside of its body. */
@@ -41,6 +42,7 @@
 	size_t head_bytes; /* lines of heads and trailers */
 	size_t request_bytes; /* of the body */
 	bool unacked; /* bytes of the request, when libcurl left the socket */
+	const char *fault; /* of the status; NULL: none */
 };
 
 /* A socket that libcurl watches. */
@@ -69,6 +71,7 @@
 static void finish_completed_calls(gc_httpc_t *client);
 static void finish_call(gc_http_call_t *call, CURLcode code);
 static size_t on_head_line(char *line, size_t size, size_t n, void *ctx);
+static const char *status_line_fault(gc_str_t line);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static size_t collect_body(gc_http_call_t *call, const char *data, size_t n);
 static bool ends_with_connection(gc_http_call_t *call, long status);
@@ -264,7 +267,23 @@
 	gc_http_call_t *call = ctx;
 
 	call->head_bytes += n;
-	return call->head_bytes <= MAX_HEAD_BYTES ? n : CURL_WRITEFUNC_ERROR;
+	call->fault = status_line_fault((gc_str_t){line, n});
+	return call->head_bytes <= MAX_HEAD_BYTES && !call->fault
+		       ? n
+		       : CURL_WRITEFUNC_ERROR;
+}
+
+/* libcurl accepts statuses above 599, and waits for another protocol after a 101. No
+ * other line begins so, as names of headers have no slash. */
+static const char *status_line_fault(gc_str_t line)
+{
+	static const char start[] = "HTTP/";
+	gc_http_framing_t framing = {0};
+
+	if (line.len >= strlen(start) &&
+	    memcmp(line.data, start, strlen(start)) == 0)
+		gc_http_framing_status(&framing, line);
+	return framing.fault;
 }
 
 static size_t on_data(char *data, size_t size, size_t n, void *ctx)
@@ -449,6 +468,9 @@
 		gc_error_set(&err, GC_ERR_TOO_LARGE, "http", call->peer,
 			     "the response body is longer than %zu bytes",
 			     call->max_body);
+	else if (call->fault)
+		gc_error_set(&err, GC_ERR_PROTOCOL, "http", call->peer, "%s",
+			     call->fault);
 	else if (code != CURLE_OK)
 		gc_error_set(&err, error_code(code), "http", call->peer, "%s",
 			     curl_easy_strerror(code));
@@ -456,6 +478,9 @@
 		gc_error_set(&err, GC_ERR_IO, "http", call->peer,
 			     "the connection closed before the request was "
 			     "taken");
+	/* It may be that of an interim response. */
+	if (err && err->code == GC_ERR_PROTOCOL)
+		status = 0;
 	if (call->ops.done)
 		call->ops.done(call->ctx, (int)status, body, sent, err);
 	g_clear_error(&err);
--- a/regress/check_filter_service.c
+++ b/regress/check_filter_service.c
@@ -27,6 +27,7 @@
 typedef enum backend_mode {
 	BACKEND_REPLY,
 	BACKEND_DISCONNECT, /* closes the connection of an action */
+	BACKEND_NO_STATUS, /* answers with 999 */
 	BACKEND_DEFER, /* the test sends the response later */
 } backend_mode_t;
 
@@ -379,6 +380,11 @@
 	if (strcmp(gc_http_req_method(req), "GET") == 0) {
 		f->n_reads++;
 		ck_assert_str_eq(gc_http_req_query_arg(req, "day"), "a b");
+		if (f->mode == BACKEND_NO_STATUS) {
+			gc_http_reply(req, 999, "text/plain",
+				      GC_STR_LIT("list"));
+			return;
+		}
 		gc_http_reply(req, 200, "text/plain",
 			      f->response_bytes ? gc_str(filler)
 						: GC_STR_LIT("list"));
@@ -389,7 +395,10 @@
 	fencing_token = gc_http_req_header(req, "Fencing-Token");
 	g_free(f->fencing_token);
 	f->fencing_token = g_strdup(fencing_token);
-	if (f->mode == BACKEND_DEFER) {
+	if (f->mode == BACKEND_NO_STATUS) {
+		gc_http_reply(req, 999, "application/json",
+			      GC_STR_LIT("{\"id\":7}"));
+	} else if (f->mode == BACKEND_DEFER) {
 		f->deferred = req;
 	} else if (f->mode == BACKEND_DISCONNECT) {
 		gc_http_stream_begin(req, 200, "text/plain");
@@ -624,6 +633,28 @@
 }
 END_TEST
 
+/* 999 was stored and given to the caller as the outcome. */
+START_TEST(test_status_out_of_range_in_doubt)
+{
+	fixture_t f;
+	char *key = new_key();
+
+	set_up(&f);
+	f.mode = BACKEND_NO_STATUS;
+	run_request(&f, "POST", key, "{}");
+	ck_assert_int_eq(f.response.status, 409);
+	ck_assert_str_eq(f.response.run, "in_doubt");
+	f.status_done = true;
+	run_request(&f, "POST", key, "{}");
+	ck_assert_int_eq(f.response.status, 200);
+	ck_assert_uint_eq(f.n_actions, 1);
+	run_request(&f, "GET", NULL, "");
+	ck_assert_int_eq(f.response.status, 502);
+	tear_down(&f);
+	g_free(key);
+}
+END_TEST
+
 START_TEST(test_connection_lost_done)
 {
 	fixture_t f;
@@ -822,6 +853,7 @@
 	tcase_add_test(tcase, test_oversized_response);
 	tcase_add_test(tcase, test_kv_response_lost);
 	tcase_add_test(tcase, test_connection_lost_in_doubt);
+	tcase_add_test(tcase, test_status_out_of_range_in_doubt);
 	tcase_add_test(tcase, test_connection_lost_done);
 	tcase_add_test(tcase, test_libcurl_does_not_repeat);
 	tcase_add_test(tcase, test_connection_refused);
--- a/regress/check_httpc.c
+++ b/regress/check_httpc.c
@@ -1,7 +1,8 @@
 /*
  * Guards against a refused connection that is detected only by a timer, against
  * bytes missing from the byte counter of a call, against responses without end that
- * are kept, and against parts of responses that look complete.
+ * are kept, and against parts of responses and statuses out of range that count as
+ * answers.
  */
 #include <arpa/inet.h>
 #include <check.h>
@@ -23,6 +24,7 @@
 	bool done;
 	bool sent;
 	int code; /* gc_errcode_t; -1: no error */
+	int status;
 } call_result_t;
 
 /* A server that answers one request in its own thread. */
@@ -67,6 +69,7 @@
 	call_result->done = true;
 	call_result->sent = sent;
 	call_result->code = err ? err->code : -1;
+	call_result->status = status;
 }
 
 START_TEST(test_connection_refused_at_once)
@@ -341,6 +344,79 @@
 }
 END_TEST
 
+typedef struct status_server {
+	one_shot_server_t server;
+	const char *response;
+} status_server_t;
+
+/* Leaves the connection open until the client closes it. */
+static void *send_status(void *ctx)
+{
+	status_server_t *server = ctx;
+	int sock = accept(server->server.sock, NULL, NULL);
+	char request[4096];
+	ssize_t n = read(sock, request, sizeof(request));
+
+	if (n > 0)
+		n = send(sock, server->response, strlen(server->response),
+			 MSG_NOSIGNAL);
+	while (n > 0)
+		n = read(sock, request, sizeof(request));
+	close(sock);
+	close(server->server.sock);
+	return NULL;
+}
+
+static void on_any_data(void *ctx, int status, gc_str_t data)
+{
+	ck_abort_msg("data with status %d", status);
+}
+
+/* libcurl gives those above 599 as an answer, and waits after a 101. */
+START_TEST(test_statuses_out_of_range_are_errors)
+{
+	static const char *const lines[] = {
+		"600 OK",  "700 OK",
+		"999 OK",  "1000 OK",
+		"000 OK",  "001 OK",
+		"099 OK",  "20 OK",
+		"0200 OK", "101 Switch\r\nUpgrade: x\r\nConnection: upgrade",
+	};
+	static const char *const starts[] = {
+		"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"};
+
+	for (size_t i = 0; i < 4 * G_N_ELEMENTS(lines); i++) {
+		const gc_http_call_ops_t ops = {
+			.done = on_done,
+			.data = i % 2 ? on_any_data : NULL,
+		};
+		struct tevent_context *ev = tevent_context_init(NULL);
+		gc_httpc_t *client = gc_httpc_create(ev, ev);
+		g_autofree char *response = g_strdup_printf(
+			"%sHTTP/1.1 %s\r\nContent-Length: 2\r\n\r\n{}",
+			starts[i / 2 % 2], lines[i / 4]);
+		status_server_t server = {.response = response};
+		g_autofree char *url =
+			g_strdup_printf("http://127.0.0.1:%u/",
+					start_listening(&server.server));
+		gc_http_call_conf_t conf = {
+			.method = "GET", .url = url, .timeout_ms = 2000};
+		call_result_t call_result = {0};
+		GThread *thread = g_thread_new("server", send_status, &server);
+
+		gc_httpc_start(client, &conf, &ops, &call_result);
+		while (!call_result.done)
+			tevent_loop_once(ev);
+		talloc_free(ev);
+		g_thread_join(thread);
+		ck_assert_msg(call_result.code == GC_ERR_PROTOCOL, "%s: %d",
+			      response, call_result.code);
+		ck_assert(call_result.sent);
+		ck_assert_int_eq(call_result.status, 0);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("httpc");
@@ -353,6 +429,7 @@
 	tcase_add_test(tcase, test_endless_responses);
 	tcase_add_test(tcase, test_end_before_request_is_taken);
 	tcase_add_test(tcase, test_end_after_request_is_taken);
+	tcase_add_test(tcase, test_statuses_out_of_range_are_errors);
 	tcase_set_timeout(tcase, 60);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
