End answers that never have a body with their head

What callers saw: a 304 or 204 that names the length of a body was waited for until the time limit: 504 to a lookup. What follows a 103 that names a length was taken for the begin of the answer's body, so that a whole answer behind it ended as 502.

Cause: http-parser reads a body wherever a length or chunks are named, if it isn't told that there is none.

Change: 1xx, 204 and 304 end with their head (RFC 9112, 6.3). After a 204 that names a body its connection isn't used again, as the body may follow nevertheless.

--- a/lib/http_message.c
+++ b/lib/http_message.c
@@ -50,6 +50,8 @@
 static int on_header_name(http_parser *parser, const char *at, size_t len);
 static int on_header_value(http_parser *parser, const char *at, size_t len);
 static int on_head_complete(http_parser *parser);
+static bool never_has_body(const gc_http_message_t *message);
+static bool names_body(const http_parser *parser);
 static bool has_known_coding(const gc_http_message_t *message);
 static bool header_names_valid(const gc_http_message_t *message);
 static int on_body(http_parser *parser, const char *at, size_t len);
@@ -303,11 +305,11 @@
 static int on_head_complete(http_parser *parser)
 {
 	gc_http_message_t *message = parser->data;
-	bool skip_body = message->expect_no_body;
+	bool skip_body = message->expect_no_body || never_has_body(message);
 
 	if (message->kind == GC_HTTP_MESSAGE_RESPONSE &&
 	    parser->status_code < 200)
-		return 0;
+		return 1;
 	if (parser->http_major != 1) {
 		message->state = GC_HTTP_MESSAGE_INVALID;
 		message->error = "the protocol version is not HTTP/1.x";
@@ -346,10 +348,11 @@
 		return 0;
 	}
 	message->state = GC_HTTP_MESSAGE_BODY;
-	message->keep_alive = http_should_keep_alive(parser);
+	message->keep_alive =
+		http_should_keep_alive(parser) &&
+		!(parser->status_code == 204 && names_body(parser));
 	message->body_until_close = message->kind == GC_HTTP_MESSAGE_RESPONSE &&
-				    !skip_body && parser->status_code != 204 &&
-				    parser->status_code != 304 &&
+				    !skip_body &&
 				    !(parser->flags & F_CHUNKED) &&
 				    parser->content_length == UINT64_MAX;
 	if (message->limits.max_body > 0 &&
@@ -364,6 +367,23 @@
 	return skip_body ? 1 : 0;
 }
 
+/* Such a response ends with its head, whatever it names (RFC 9112, 6.3). */
+static bool never_has_body(const gc_http_message_t *message)
+{
+	unsigned int status = message->parser.status_code;
+
+	return message->kind == GC_HTTP_MESSAGE_RESPONSE &&
+	       (status < 200 || status == 204 || status == 304);
+}
+
+/* A 204 that does may send one nevertheless, which would be read as the next response. */
+static bool names_body(const http_parser *parser)
+{
+	return (parser->flags & F_CHUNKED) ||
+	       (parser->content_length != UINT64_MAX &&
+		parser->content_length > 0);
+}
+
 /* True without a transfer coding, or with "chunked" alone. */
 static bool has_known_coding(const gc_http_message_t *message)
 {
--- a/regress/check_http_message.c
+++ b/regress/check_http_message.c
@@ -415,6 +415,57 @@
 }
 END_TEST
 
+/* These end with their head, whatever it says of a body (RFC 9112, 6.3): http-parser
+ * took what follows an interim response for the begin of the answer's body, and waited
+ * for the bytes that a 304 tells the length of. */
+START_TEST(test_responses_that_never_have_a_body)
+{
+	static const char *const lengths[] = {"Content-Length: 2",
+					      "Transfer-Encoding: chunked"};
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths); i++) {
+		g_autofree char *interim = g_strdup_printf(
+			"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n%s", lengths[i],
+			answer);
+		g_autofree char *with_body = g_strdup_printf(
+			"HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n2\r\nno\r\n%s",
+			lengths[i], answer);
+		g_autofree char *empty = g_strdup_printf(
+			"HTTP/1.1 204 No Content\r\n%s\r\n\r\n", lengths[i]);
+		g_autofree char *unchanged = g_strdup_printf(
+			"HTTP/1.1 304 Not Modified\r\n%s\r\n\r\n", lengths[i]);
+
+		for (size_t step = 1; step <= strlen(interim); step++) {
+			gc_http_message_t *m =
+				parse(GC_HTTP_MESSAGE_RESPONSE, interim, step);
+
+			ck_assert_msg(gc_http_message_state(m) ==
+					      GC_HTTP_MESSAGE_COMPLETE,
+				      "%s", interim);
+			ck_assert_int_eq(gc_http_message_status(m), 200);
+			ck_assert_str_eq(body_of(m), "ok");
+			talloc_free(m);
+		}
+		ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_RESPONSE, with_body),
+				 GC_HTTP_MESSAGE_INVALID);
+		/* The body may follow, and belongs to no other response. */
+		{
+			gc_http_message_t *m = parse(GC_HTTP_MESSAGE_RESPONSE,
+						     empty, strlen(empty));
+
+			ck_assert_int_eq(gc_http_message_state(m),
+					 GC_HTTP_MESSAGE_COMPLETE);
+			ck_assert(!gc_http_message_keep_alive(m));
+			talloc_free(m);
+		}
+		ck_assert_int_eq(state_of(GC_HTTP_MESSAGE_RESPONSE, unchanged),
+				 GC_HTTP_MESSAGE_COMPLETE);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -433,6 +484,7 @@
 		test_statuses_in_range,
 		test_protocol_switch_is_invalid,
 		test_interim_responses_without_end,
+		test_responses_that_never_have_a_body,
 		NULL,
 	};
 
--- a/regress/routed_statuses.t
+++ b/regress/routed_statuses.t
@@ -1,5 +1,6 @@
 Guards against answers whose status is none (000, 600, four digits, a switch of the
-protocol that nobody asked for) which are given to callers, or read over and waited for.
+protocol that nobody asked for) which are given to callers, or read over and waited for,
+and answers without a body that are waited for the body's length.
 
   $ . "$TOP/regress/daemon.sh"; . "$TOP/regress/routed.sh"
   $ start_store
@@ -26,6 +27,17 @@
   200: 16
   0
 
+Those that never have a body end with their head, and the next answers are whole.
+
+  $ for answer in 304 204 103; do send_request /look/status-$answer-length -o $answer.out -w '%{http_code} %{time_total}\n' | awk '{ print $1, ($2 < 0.5) }'; done; cat 103.out
+  304 1
+  204 1
+  200 1
+  id: 1
+  
+  $ for n in 1 2 3 4 5 6; do status /look/ok; done | uniq -c | tr -s ' '
+   6 200
+
 Through another daemon.
 
   $ kill_9 $d0_pid; for n in 1 2; do start_forwarding $n a "$BUDGET"; done; await knows_daemons 2
--- a/standins/routed/statuses.py
+++ b/standins/routed/statuses.py
@@ -2,7 +2,8 @@
 
 SHAPE: kept (the connection stays open), close (it ends after the answer), next (an
 answer with status 200 follows), line (nothing follows the status line), notrun (says
-that the request was not run).
+that the request was not run). Beside these: 103-length, 204-length and 304-length name
+the length of a body that they never have; a 200 follows the 103.
 """
 
 import asyncio
@@ -22,6 +23,10 @@
     status, shape = name.split("-")
     if status == "switch":
         status, headers = "101", {**headers, **SWITCH}
+    if shape == "length":
+        head = wire.response_head(status, {**headers, "Content-Length": "2"})
+        return head + (wire.response(200, body, headers)
+                       if status == "103" else b"")
     if shape == "line":
         return f"HTTP/1.1 {status} OK\r\n".encode()
     if shape == "notrun":
