Go back to the kept run of a lookup only for a whole answer

A lookup that had asked a second server early went back to its first one at any head: 200 with parts of two bodies if the second one had more than 64 KiB or was cut, and 504, 502 or 500 instead of the second one's answer if the first one was full, unnamed or failed. The kept run was handled like that of a stream, which has begun and is checked.

The answer at the first server is now received whole, up to 64 KiB, and counts only if it names the request and is authenticated, or is a failure that no other server would change; otherwise the run ends. It ends too when another answer is being forwarded. A retry counts as used once a response has begun. Losses of the kept run's server are evidence of crashes again, and its silence within the target is no failure.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -33,7 +33,8 @@
 	int attempt_status;
 	gc_backend_t *copy_holder; /* NULL if none, or if it was used */
 	gc_str_t copy_location;
-	GByteArray *partial_event;
+	GByteArray *partial_event; /* of a stream */
+	GByteArray *body; /* of the answer to a lookup, so far */
 } gc_standby_t;
 
 typedef struct gc_exchange {
@@ -297,13 +298,15 @@
  * was started, gc_exchange_end_overlap when one has ended, with its server still set,
  * and gc_exchange_drop_standby once another server has taken its place.
  * gc_exchange_return_to_standby makes the run the attempt in progress again, if there
- * is one.
+ * is one. gc_exchange_is_kept is true if it is one at the server.
  */
 bool gc_exchange_keep_run(gc_exchange_t *exchange);
 void gc_exchange_watch_overlap(gc_exchange_t *exchange);
 void gc_exchange_end_overlap(gc_exchange_t *exchange, gc_attempt_end_t end);
 void gc_exchange_drop_standby(gc_exchange_t *exchange);
 bool gc_exchange_return_to_standby(gc_exchange_t *exchange);
+bool gc_exchange_is_kept(const gc_exchange_t *exchange,
+			 const gc_backend_t *server);
 
 /*
  * Silent links (exchange_link.c). gc_exchange_watch_link is to be called when the
@@ -354,7 +357,8 @@
  */
 void gc_exchange_read_traits(gc_exchange_t *exchange);
 bool gc_exchange_check_suspects(gc_exchange_t *exchange);
-void gc_exchange_record_loss(gc_exchange_t *exchange, gc_attempt_end_t end);
+void gc_exchange_record_loss(gc_exchange_t *exchange, gc_backend_t *server,
+			     gc_attempt_end_t end);
 /* To be called with each response that names the request. */
 void gc_exchange_record_alive(const gc_exchange_t *exchange);
 /* To be called when a server has run the request: at the first event of a
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -29,7 +29,7 @@
 static bool is_taken_for_crashed(const gc_relay_t *relay, struct timespec sent,
 				 const gc_backend_t *server);
 static void record_alive(gc_relay_t *relay, const gc_alive_t *alive);
-static uint64_t domain_hash(const gc_exchange_t *exchange);
+static uint64_t domain_hash(const gc_backend_t *server);
 static void settle(gc_relay_t *relay, const gc_crash_loss_t *loss,
 		   bool crashed);
 static char *format_traits(const gc_request_traits_t *traits);
@@ -197,11 +197,11 @@
 						 told[i]);
 }
 
-void gc_exchange_record_loss(gc_exchange_t *exchange, gc_attempt_end_t end)
+void gc_exchange_record_loss(gc_exchange_t *exchange, gc_backend_t *server,
+			     gc_attempt_end_t end)
 {
 	gc_relay_t *relay = exchange->relay;
 	struct timespec now = gc_clock_now(relay->conf.clock);
-	gc_backend_t *server = exchange->backend;
 	gc_crash_report_t report = {
 		.at_ms = g_get_real_time() / 1000,
 		.resent = exchange->n_losses > 0,
@@ -213,7 +213,7 @@
 		return;
 	report.id = relay->conf.random->next(relay->conf.random->ctx);
 	report.server = gc_backend_incarnation(server);
-	report.domain = domain_hash(exchange);
+	report.domain = domain_hash(server);
 	exchange->n_losses++;
 	/* Counts at once, as the next attempt follows before the check ends. */
 	gc_crash_suspects_add_loss(relay->crash_suspects, now, &report);
@@ -230,12 +230,13 @@
 	       !gc_backend_is_leaving(server);
 }
 
-static uint64_t domain_hash(const gc_exchange_t *exchange)
+static uint64_t domain_hash(const gc_backend_t *server)
 {
-	gc_str_t domain = gc_backend_domain(exchange->backend);
+	gc_str_t domain = gc_backend_domain(server);
+	gc_str_t service = gc_backend_service(server);
 
 	return XXH64(domain.data, domain.len,
-		     XXH64(exchange->service.data, exchange->service.len, 0));
+		     XXH64(service.data, service.len, 0));
 }
 
 /* False if there is no other daemon to ask. */
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -56,8 +56,10 @@
 		.message = "the backend server did not respond in time",
 	};
 
-	/* A server's failure is an answer to a lookup. */
-	if ((exchange->sequencer || decision != GC_DECISION_FORWARD) &&
+	/* A server's failure is an answer to a lookup, and no other answer can follow
+	 * one that has begun. */
+	if ((exchange->sequencer ||
+	     (!exchange->head_sent && decision != GC_DECISION_FORWARD)) &&
 	    gc_exchange_return_to_standby(exchange))
 		return;
 	if (exchange->head_sent) {
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -53,6 +53,7 @@
 {
 	GByteArray *body = exchange->response_body;
 
+	gc_exchange_drop_standby(exchange);
 	gc_caller_conn_begin_stream(exchange->caller, exchange->response_status,
 				    (gc_str_t){exchange->response_head->str,
 					       exchange->response_head->len});
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -245,6 +245,7 @@
 		status < 300 &&
 		gc_http_message_find_header(response, names->mac).data;
 	exchange->attempt_status = status;
+	exchange->retry_unused = false;
 	/* The caller gets the head of the server that sent the first event. */
 	if (exchange->head_sent || exchange->held_events) {
 		exchange->not_a_stream =
@@ -451,12 +452,13 @@
 	exchange->attempt_ended = now;
 	if (exchange->hop && exchange->not_run)
 		gc_hop_peers_record_refusal(exchange->backend, now);
-	else
+	else if (exchange->sequencer ||
+		 !gc_exchange_is_kept(exchange, exchange->backend))
 		gc_backend_record_failure(exchange->backend, now, end);
 	if (!exchange->hop) {
 		exchange->turned_away[exchange->n_tried - 1] =
 			end == GC_END_REFUSED;
-		gc_exchange_record_loss(exchange, end);
+		gc_exchange_record_loss(exchange, exchange->backend, end);
 		gc_relay_record_link(relay, exchange->backend, end);
 	}
 	gc_exchange_end_overlap(exchange, end);
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -10,6 +10,8 @@
 #include "lib/metrics.h"
 #include "lib/relay_private.h"
 
+/* Of the answer to a lookup. */
+#define MAX_KEPT_BYTES 65536
 /* Less than the 400 ms for which two servers may work on a stream. */
 #define OVERLAP_MS 350
 
@@ -17,7 +19,11 @@
 static bool is_begun_stream(const gc_exchange_t *exchange);
 static bool is_early_lookup(const gc_exchange_t *exchange);
 static bool may_reach(const gc_exchange_t *exchange);
-static void on_head(void *ctx, const gc_http_message_t *response);
+static void on_lookup_head(void *ctx, const gc_http_message_t *response);
+static void on_lookup_body(void *ctx, gc_str_t data);
+static void on_lookup_complete(void *ctx, const gc_http_message_t *response);
+static bool is_answer(const gc_exchange_t *exchange,
+		      const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
@@ -29,13 +35,19 @@
 static void release(gc_exchange_t *exchange);
 static void log_return(const gc_exchange_t *exchange, const char *reason);
 
-static const gc_call_ops_t standby_ops = {
-	.head = on_head,
+static const gc_call_ops_t stream_ops = {
 	.body = on_body,
 	.complete = on_complete,
 	.failed = on_failed,
 };
 
+static const gc_call_ops_t lookup_ops = {
+	.head = on_lookup_head,
+	.body = on_lookup_body,
+	.complete = on_lookup_complete,
+	.failed = on_failed,
+};
+
 bool gc_exchange_keep_run(gc_exchange_t *exchange)
 {
 	gc_standby_t *standby = &exchange->standby;
@@ -55,12 +67,16 @@
 	if (exchange->sequencer)
 		standby->partial_event =
 			gc_event_sequencer_take_partial(exchange->sequencer);
+	else
+		standby->body = g_byte_array_new();
 	/* One that was requested ends with the attempt. */
 	if (exchange->copy_holder && exchange->copy_handle.len == 0) {
 		standby->copy_holder = gc_backend_ref(exchange->copy_holder);
 		standby->copy_location = exchange->copy_location;
 	}
-	gc_call_set_ops(standby->call, &standby_ops, exchange);
+	gc_call_set_ops(standby->call,
+			exchange->sequencer ? &stream_ops : &lookup_ops,
+			exchange);
 	exchange->call = NULL;
 	return true;
 }
@@ -153,10 +169,18 @@
 	gc_timer_stop(standby->timer);
 	if (standby->partial_event)
 		g_byte_array_unref(standby->partial_event);
+	if (standby->body)
+		g_byte_array_unref(standby->body);
 	gc_backend_unref(standby->copy_holder);
 	*standby = (gc_standby_t){.timer = standby->timer};
 }
 
+bool gc_exchange_is_kept(const gc_exchange_t *exchange,
+			 const gc_backend_t *server)
+{
+	return exchange->standby.call && exchange->standby.backend == server;
+}
+
 bool gc_exchange_return_to_standby(gc_exchange_t *exchange)
 {
 	if (!exchange->standby.call)
@@ -169,13 +193,56 @@
 	return true;
 }
 
-/* Of a lookup. */
-static void on_head(void *ctx, const gc_http_message_t *response)
+/* A lookup goes back only to a whole answer: the next attempt may be about to give one. */
+static void on_lookup_head(void *ctx, const gc_http_message_t *response)
 {
 	gc_exchange_t *exchange = ctx;
 
-	go_back(exchange, "it sent more");
+	if (!is_answer(exchange, response))
+		gc_exchange_drop_standby(exchange);
+}
+
+static bool is_answer(const gc_exchange_t *exchange,
+		      const gc_http_message_t *response)
+{
+	const gc_header_names_t *names =
+		&exchange->relay->conf.adapter->headers;
+	int status = gc_http_message_status(response);
+
+	if ((exchange->id.len > 0 &&
+	     !gc_http_message_find_header(response, names->request_id).data) ||
+	    gc_http_message_find_header(response, names->not_run).data ||
+	    gc_status_means_not_run(status) || status >= 500 ||
+	    gc_http_message_body_until_close(response))
+		return false;
+	return status >= 300 ||
+	       gc_http_message_find_header(response, names->mac).data != NULL;
+}
+
+static void on_lookup_body(void *ctx, gc_str_t data)
+{
+	gc_exchange_t *exchange = ctx;
+	GByteArray *body = exchange->standby.body;
+
+	if (body->len + data.len > MAX_KEPT_BYTES)
+		gc_exchange_drop_standby(exchange);
+	else
+		g_byte_array_append(body, (const guint8 *)data.data,
+				    (guint)data.len);
+}
+
+static void on_lookup_complete(void *ctx, const gc_http_message_t *response)
+{
+	gc_exchange_t *exchange = ctx;
+	g_autoptr(GByteArray) body = g_byte_array_ref(exchange->standby.body);
+
+	go_back(exchange, "it answered");
 	gc_exchange_call_ops.head(exchange, response);
+	if (body->len > 0)
+		gc_exchange_call_ops.body(exchange,
+					  (gc_str_t){(const char *)body->data,
+						     body->len});
+	gc_exchange_call_ops.complete(exchange, response);
 }
 
 static void on_body(void *ctx, gc_str_t data)
@@ -194,12 +261,17 @@
 	gc_exchange_call_ops.complete(exchange, response);
 }
 
-/* The stream goes on elsewhere as before. */
+/* The request goes on elsewhere as before. */
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason)
 {
 	gc_exchange_t *exchange = ctx;
 	gc_standby_t *standby = &exchange->standby;
 
+	/* That of a stream was recorded when its server was left. */
+	if (!exchange->sequencer) {
+		gc_exchange_record_loss(exchange, standby->backend, end);
+		gc_relay_record_link(exchange->relay, standby->backend, end);
+	}
 	gc_backend_record_failure(standby->backend,
 				  gc_clock_now(exchange->relay->conf.clock),
 				  end);
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -34,6 +34,10 @@
   trickle      sends a byte of the body each 100 ms
   hang         does not respond
   mostly       responds after 650 ms
+  mostshed, mostbare, mostfail, mostcrash  as shed, bare, fail after 650 ms, or
+               crashes then
+  bulky        sends the half of a body of 200 kB, and the rest after 350 ms
+  bulkycut     sends that half and closes the connection after 100 ms
   long         responds after 2.5 s
   pause        sends nothing for a second (engines: after the third
                event that it sends), then the rest
@@ -129,6 +133,8 @@
 EVENT_INTERVAL_S = 0.03
 PAUSE_S = 1
 LONG_S = 2.5
+MOSTLY_S = 0.65
+BULKY_BYTES = 200000
 SILENCE_MS = 1200
 STALL_S = 0.2
 CRASH_AFTER_S = 0.4
@@ -497,7 +503,33 @@
         elif behaviour == "slow":
             await asyncio.sleep(0.4)
         elif behaviour == "mostly":
-            await asyncio.sleep(0.65)
+            await asyncio.sleep(MOSTLY_S)
+        elif behaviour == "mostshed":
+            await asyncio.sleep(MOSTLY_S)
+            response = wire.response(503, b"", {
+                HEADER_PREFIX + "Request-Id": self.request_id(request),
+                HEADER_PREFIX + "Not-Executed": "1"})
+        elif behaviour == "mostbare":
+            await asyncio.sleep(MOSTLY_S)
+            response = wire.response(200, b"not yours\n", {
+                HEADER_PREFIX + "Response-Seal": "seal"})
+        elif behaviour == "mostfail":
+            await asyncio.sleep(MOSTLY_S)
+            response = wire.response(500, b"failed\n",
+                                     self.response_headers(request))
+        elif behaviour == "mostcrash":
+            await asyncio.sleep(MOSTLY_S)
+            await self.crash(writer)
+            return False
+        elif behaviour in ("bulky", "bulkycut"):
+            response = wire.response(200, b"B" * BULKY_BYTES,
+                                     self.response_headers(request))
+            writer.write(response[:-BULKY_BYTES // 2])
+            await writer.drain()
+            await asyncio.sleep(0.1 if behaviour == "bulkycut" else 0.35)
+            if behaviour == "bulkycut":
+                return False
+            response = response[-BULKY_BYTES // 2:]
         elif behaviour == "long":
             await asyncio.sleep(LONG_S)
         elif behaviour == "copylate":
