Find the daemon of a stream in routed_cut_off.t by the request

The script took the daemon whose log ends with "attempt started" for the one that runs the stream. It looks for the attempt of the stream's own request now; what it checks is the same.

--- a/regress/routed_cut_off.t
+++ b/regress/routed_cut_off.t
@@ -90,8 +90,8 @@
 
 The daemon that runs a stream dies in the middle of it: the stream goes on.
 
-  $ (at 1 send_request /draft/slow >stream.out) & stream=$!; sleep 0.5
-  $ victim=$(for d in d3 d4; do tail -n 1 $d.log | grep -q '"event":1113' && echo $d; done); echo $victim | grep -c '^d[34]$'
+  $ (ID_PREFIX=victim at 1 send_request /draft/slow >stream.out) & stream=$!; sleep 0.5
+  $ victim=$(for d in d3 d4; do grep -q '"event":1113.*"request":"victim' $d.log && echo $d; done); echo $victim | grep -c '^d[34]$'
   1
   $ eval "kill_9 \$${victim}_pid"; wait $stream; cat stream.out | ids
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
