--- a/regress/routed_builds.t
+++ b/regress/routed_builds.t
@@ -19,6 +19,12 @@
   $ start_routed d1 ",\"forward\":\"127.0.0.1:$(free_port)\""
   $ for f in $TRACES/*.jsonl; do builds read $f http://$PEER_ADDR http://$STORE; done
   43f2978: ask /peer/changes: 200
+  7ed37cc: ask /peer/changes: 200
+  7ed37cc: ask /peer/config: 200
+  7ed37cc: ask /peer/permits: 200
+  7ed37cc: ask /peer/places: 200
+  7ed37cc: ask /peer/places told: 200
+  7ed37cc: ask /peer/reached: 404
   8957ce8: ask /peer/changes: 200
   8957ce8: ask /peer/config: 200
   8957ce8: ask /peer/permits: 200
