--- a/core/request_time.c
+++ b/core/request_time.c
@@ -1,3 +1,4 @@
+/* Times of one routed request. */
 #include <glib.h>
 
 #include "core/request_time.h"
