Ask a server for its load before a stream leaves it between events

Cause: a stream left its server after 0.55 of the longest gap between events, whatever the server was doing.

Change: after 0.4 of the gap the server is asked for its load.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -262,7 +262,9 @@
 
 /*
  * Silent servers (exchange_silence.c). gc_exchange_inactivity_ms is the time
- * without data after which a server counts as silent; gc_exchange_is_within_target is
+ * without data after which a server counts as silent, unless it still reports its load
+ * between two events; gc_exchange_watch_silence starts inactivity_timer for the first
+ * look at it; gc_exchange_is_within_target is
  * true while the server has not had the time that the route sets for that;
  * gc_exchange_on_inactivity is the callback of inactivity_timer. gc_exchange_query_load asks the server of the
  * attempt for its load, as silence_query.
@@ -271,6 +273,7 @@
  * LOAD_PROBE_TIMEOUT_MS: a wrong verdict costs a prompt. */
 #define GC_SILENCE_QUERY_TIMEOUT_MS 300
 int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange);
+void gc_exchange_watch_silence(gc_exchange_t *exchange);
 bool gc_exchange_is_within_target(const gc_exchange_t *exchange,
 				  struct timespec now);
 void gc_exchange_on_inactivity(void *ctx);
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -91,8 +91,7 @@
 						  ? exchange->hop_version
 						  : gc_backend_version(
 							    exchange->backend));
-			gc_timer_set(exchange->inactivity_timer,
-				     gc_exchange_inactivity_ms(exchange));
+			gc_exchange_watch_silence(exchange);
 		}
 		if (gc_exchange_is_held(exchange))
 			hold_events(exchange, complete_events);
@@ -180,8 +179,7 @@
 	/* Time without reading does not count as server inactivity. */
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
 	if (!paused && exchange->route->kind != GC_ROUTE_NON_IDEMPOTENT)
-		gc_timer_set(exchange->inactivity_timer,
-			     gc_exchange_inactivity_ms(exchange));
+		gc_exchange_watch_silence(exchange);
 }
 
 void gc_exchange_on_drained(gc_exchange_t *exchange)
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -211,8 +211,7 @@
 	if (!exchange->hop)
 		gc_relay_watch_silence(relay);
 	if (exchange->route->kind != GC_ROUTE_NON_IDEMPOTENT)
-		gc_timer_set(exchange->inactivity_timer,
-			     gc_exchange_inactivity_ms(exchange));
+		gc_exchange_watch_silence(exchange);
 }
 
 static void on_head(void *ctx, const gc_http_message_t *response)
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -44,6 +44,14 @@
 static bool keeps_silent(gc_exchange_t *exchange,
 			 const gc_backend_load_t *load);
 static void start_silence_query(gc_exchange_t *exchange);
+static void check_gap(gc_exchange_t *exchange, struct timespec now);
+static void check_gap_later(gc_exchange_t *exchange, struct timespec now,
+			    int64_t ms);
+static void ask_in_gap(gc_exchange_t *exchange, struct timespec now,
+		       bool is_over_limit, int64_t timeout_ms);
+static void leave_in_gap(gc_exchange_t *exchange, struct timespec now);
+static void on_gap_report(void *ctx, int status, gc_str_t response,
+			  gc_attempt_end_t end);
 static void on_silence_report(void *ctx, int status, gc_str_t response,
 			      gc_attempt_end_t end);
 
@@ -80,6 +88,15 @@
 	       route_inactivity_ms(exchange);
 }
 
+void gc_exchange_watch_silence(gc_exchange_t *exchange)
+{
+	int64_t limit_ms = gc_exchange_inactivity_ms(exchange);
+
+	if (exchange->received_event && !exchange->hop)
+		limit_ms = gc_silence_ask_ms(limit_ms);
+	gc_timer_set(exchange->inactivity_timer, limit_ms);
+}
+
 void gc_exchange_on_inactivity(void *ctx)
 {
 	gc_exchange_t *exchange = ctx;
@@ -90,6 +107,10 @@
 	/* The inactivity time restarts when reading resumes. */
 	if (!exchange->call || exchange->read_paused)
 		return;
+	if (exchange->sequencer && exchange->received_event && !exchange->hop) {
+		check_gap(exchange, now);
+		return;
+	}
 	if (inactive_ms < limit_ms) {
 		gc_timer_set(exchange->inactivity_timer,
 			     limit_ms - inactive_ms);
@@ -106,12 +127,97 @@
 		gc_timer_set(exchange->inactivity_timer, FAILOVER_POLL_MS);
 		return;
 	}
-	if (exchange->sequencer && !exchange->received_event && !exchange->hop)
+	if (exchange->sequencer && !exchange->hop)
 		start_silence_query(exchange);
 	else
 		gc_exchange_leave_server(exchange, INACTIVE);
 }
 
+/* The server has sent events, but perhaps no further one for a while. */
+static void check_gap(gc_exchange_t *exchange, struct timespec now)
+{
+	gc_silence_t *silence = &exchange->silence;
+	int64_t limit_ms = gc_exchange_inactivity_ms(exchange);
+	int64_t silent_ms = gc_ms_between(exchange->last_activity, now);
+	int64_t late_ms = MIN(silent_ms - gc_silence_ask_ms(limit_ms),
+			      gc_ms_between(silence->check_at, now));
+	int64_t reported_ms =
+		gc_us_between(exchange->last_activity, silence->reported_at) > 0
+			? gc_ms_between(silence->reported_at, now)
+			: -1;
+	int64_t next_ms;
+
+	if (exchange->silence_query)
+		return;
+	/* Data may have arrived while the daemon was stalled. */
+	if (late_ms > DAEMON_STALL_MS) {
+		check_gap_later(exchange, now, STALL_CATCH_UP_MS);
+		return;
+	}
+	switch (gc_silence_step(silent_ms, reported_ms, limit_ms, &next_ms)) {
+	case GC_SILENCE_KEEP:
+		check_gap_later(exchange, now, next_ms);
+		break;
+	case GC_SILENCE_ASK:
+		ask_in_gap(exchange, now, silent_ms >= limit_ms, next_ms);
+		break;
+	case GC_SILENCE_LEAVE:
+		leave_in_gap(exchange, now);
+		break;
+	}
+}
+
+/* A server that pauses can't be asked. */
+static void ask_in_gap(gc_exchange_t *exchange, struct timespec now,
+		       bool is_over_limit, int64_t timeout_ms)
+{
+	bool pausing = gc_backend_is_pausing(exchange->backend, now);
+
+	if (pausing && is_over_limit) {
+		leave_in_gap(exchange, now);
+	} else if (pausing || !gc_exchange_can_fail_over(exchange, now)) {
+		check_gap_later(exchange, now, FAILOVER_POLL_MS);
+	} else {
+		exchange->silence.check_at = now;
+		gc_exchange_query_load(exchange, timeout_ms, on_gap_report);
+	}
+}
+
+static void check_gap_later(gc_exchange_t *exchange, struct timespec now,
+			    int64_t ms)
+{
+	exchange->silence.check_at = gc_add_ms(now, ms);
+	gc_timer_set(exchange->inactivity_timer, ms);
+}
+
+static void leave_in_gap(gc_exchange_t *exchange, struct timespec now)
+{
+	if (gc_exchange_can_fail_over(exchange, now))
+		gc_exchange_leave_server(exchange, INACTIVE);
+	else
+		check_gap_later(exchange, now, FAILOVER_POLL_MS);
+}
+
+static void on_gap_report(void *ctx, int status, gc_str_t response,
+			  gc_attempt_end_t end)
+{
+	gc_exchange_t *exchange = ctx;
+	struct timespec now = gc_clock_now(exchange->relay->conf.clock);
+
+	/* The query frees itself after this callback. */
+	talloc_steal(NULL, exchange->silence_query);
+	exchange->silence_query = NULL;
+	if (status == 0 && gc_us_between(exchange->silence.check_at,
+					 exchange->last_activity) <= 0) {
+		leave_in_gap(exchange, now);
+		return;
+	}
+	exchange->silence.check_at = now;
+	if (status != 0)
+		exchange->silence.reported_at = now;
+	check_gap(exchange, now);
+}
+
 void gc_exchange_leave_server(gc_exchange_t *exchange, const char *reason)
 {
 	if (!gc_exchange_keep_run(exchange))
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -340,8 +340,7 @@
 				 standby->copy_location);
 	gc_exchange_watch_link(exchange);
 	gc_relay_watch_silence(exchange->relay);
-	gc_timer_set(exchange->inactivity_timer,
-		     gc_exchange_inactivity_ms(exchange));
+	gc_exchange_watch_silence(exchange);
 }
 
 /* The last one in the list is that of the attempt in progress. */
