Order the streams of a service by priority while engines have too little room

Change: where the streaming routes of a service differ in priority, each stream is sent with a level (Goldcrestfield-Request-Urgency): by account, then by route; what can't be in time any more goes last. Routes of one priority are served as before.

--- a/core/backends.h
+++ b/core/backends.h
@@ -62,6 +62,9 @@
 	bool resumed; /* the caller has events: a server has read the prompt */
 	int64_t tokens; /* of the prompt; 0: unknown */
 	int64_t max_output_tokens;
+	/* Further streams of this size for which a server must have room, so that
+	 * more urgent ones find it; see core/urgency.h. */
+	unsigned int reserve;
 } gc_prompt_t;
 
 gc_backends_t *gc_backends_create(TALLOC_CTX *mem,
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -432,7 +432,8 @@
 
 	if (!has_recent_report(backend, now) || load->kv_total == 0)
 		return true;
-	return load->kv_used + growth + (load->queued + 1) * needed <=
+	return load->kv_used + growth +
+		       (load->queued + 1 + prompt->reserve) * needed <=
 	       load->kv_total;
 }
 
--- a/core/routes.c
+++ b/core/routes.c
@@ -46,6 +46,8 @@
 /* A service that routes name as a target. Immutable. */
 typedef struct target {
 	size_t n_routes;
+	/* Of these, streaming ones by priority; the last one counts all above. */
+	size_t n_streams[GC_MAX_STREAM_PRIORITY + 1];
 	gc_str_t service;
 	char name[];
 } target_t;
@@ -396,18 +398,22 @@
 		uint64_t hash = hash_string(service, 0);
 		const target_t *target = gc_shared_map_find(
 			routes->targets, hash, is_service, &service);
-		size_t n_routes =
-			(target ? target->n_routes : 0) + (size_t)change;
 		target_t *copy =
-			g_atomic_rc_box_alloc(sizeof(*copy) + service.len + 1);
+			g_atomic_rc_box_alloc0(sizeof(*copy) + service.len + 1);
 		char *text = copy->name;
 
-		copy->n_routes = n_routes;
+		if (target)
+			*copy = *target;
+		copy->n_routes += (size_t)change;
+		if (route->kind == GC_ROUTE_STREAM)
+			copy->n_streams[MIN(route->priority,
+					    GC_MAX_STREAM_PRIORITY)] +=
+				(size_t)change;
 		copy->service = move_string(&text, service);
 		if (target)
 			gc_shared_map_remove(routes->targets, hash, is_service,
 					     &service);
-		if (n_routes > 0)
+		if (copy->n_routes > 0)
 			gc_shared_map_add(routes->targets, hash, copy);
 		unref_box(copy);
 	}
@@ -441,12 +447,41 @@
 uint32_t gc_routes_priority(const gc_routes_t *routes, const gc_route_t *route,
 			    gc_str_t account)
 {
-	gpointer priority;
+	uint32_t priority;
+
+	return gc_routes_account_priority(routes, account, &priority)
+		       ? priority
+		       : route->priority;
+}
 
-	if (g_hash_table_lookup_extended(routes->settings->priorities, &account,
-					 NULL, &priority))
-		return GPOINTER_TO_UINT(priority);
-	return route->priority;
+bool gc_routes_account_priority(const gc_routes_t *routes, gc_str_t account,
+				uint32_t *priority)
+{
+	gpointer found;
+
+	if (!g_hash_table_lookup_extended(routes->settings->priorities,
+					  &account, NULL, &found))
+		return false;
+	*priority = GPOINTER_TO_UINT(found);
+	return true;
+}
+
+bool gc_routes_stream_priorities(const gc_routes_t *routes, gc_str_t service,
+				 uint32_t *first, uint32_t *last)
+{
+	const target_t *target = gc_shared_map_find(
+		routes->targets, hash_string(service, 0), is_service, &service);
+	bool found = false;
+
+	for (uint32_t i = 0; target && i <= GC_MAX_STREAM_PRIORITY; i++) {
+		if (target->n_streams[i] == 0)
+			continue;
+		if (!found)
+			*first = i;
+		*last = i;
+		found = true;
+	}
+	return found;
 }
 
 void gc_routes_set_limits(gc_routes_t *routes,
--- a/core/routes.h
+++ b/core/routes.h
@@ -116,6 +116,15 @@
 			    gc_str_t *account);
 /* True if a request on the route needs a key. */
 bool gc_routes_needs_key(const gc_routes_t *routes, const gc_route_t *route);
+/* Priority of the account's requests, on any route; false if it has none. */
+bool gc_routes_account_priority(const gc_routes_t *routes, gc_str_t account,
+				uint32_t *priority);
+/* Streams of a higher priority number count as of this one. */
+#define GC_MAX_STREAM_PRIORITY 3
+/* The most and the least urgent priority of the streaming routes to the service;
+ * false if there are none. */
+bool gc_routes_stream_priorities(const gc_routes_t *routes, gc_str_t service,
+				 uint32_t *first, uint32_t *last);
 /* Priority of the account's requests on the route. */
 uint32_t gc_routes_priority(const gc_routes_t *routes, const gc_route_t *route,
 			    gc_str_t account);
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -37,6 +37,8 @@
 	/* Request id of the try that brought the first event of a stream which
 	 * the caller resumes. */
 	const char *resumes;
+	const char *
+		urgency; /* among the requests of a server, see core/urgency.h */
 	const char *auth_scheme; /* before the key in Authorization */
 	/* Removed from callers' requests; ended by NULL. */
 	const char *const *internal;
--- a/lib/exchange.c
+++ b/lib/exchange.c
@@ -7,6 +7,7 @@
 static void append_header(GString *text, gc_str_t name, gc_str_t value);
 static void append_daemon_headers(GString *text, const gc_exchange_t *exchange,
 				  const gc_backend_t *backend, int64_t left_ms);
+static void append_urgency(GString *text, const gc_exchange_t *exchange);
 
 GString *gc_exchange_request_text(const gc_exchange_t *exchange,
 				  const gc_backend_t *backend, int64_t left_ms)
@@ -97,6 +98,7 @@
 			       names->deadline_ms, left_ms);
 	if (exchange->account.len > 0)
 		append_header(text, gc_str(names->account), exchange->account);
+	append_urgency(text, exchange);
 	if (last_event_id != GC_EVENT_ID_NONE)
 		g_string_append_printf(text,
 				       "Last-Event-Id: %" G_GINT64_FORMAT
@@ -110,6 +112,34 @@
 			      exchange->resume_location);
 }
 
+/* Only engines order their requests. */
+static void append_urgency(GString *text, const gc_exchange_t *exchange)
+{
+	gc_urgency_t urgency;
+
+	if (!exchange->prompt)
+		return;
+	urgency = gc_exchange_urgency(exchange);
+	if (urgency.level != GC_URGENCY_NONE)
+		g_string_append_printf(
+			text, "%s: %d\r\n",
+			exchange->relay->conf.adapter->headers.urgency,
+			urgency.level);
+}
+
+gc_urgency_t gc_exchange_urgency(const gc_exchange_t *exchange)
+{
+	gc_urgency_request_t request = {
+		.route = exchange->route,
+		.service = exchange->service,
+		.account = exchange->account,
+		.waited_ms = gc_exchange_elapsed_ms(exchange),
+		.begun = exchange->resumed || exchange->head_sent,
+	};
+
+	return gc_urgency(exchange->view->routes, &request);
+}
+
 void gc_exchange_append_headers(GString *head,
 				const gc_http_message_t *response)
 {
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -9,6 +9,7 @@
 #include "core/crash_suspects.h"
 #include "core/event_sequencer.h"
 #include "core/silence.h"
+#include "core/urgency.h"
 #include "lib/backend_query.h"
 #include "lib/load_probe.h"
 #include "lib/refusal.h"
@@ -216,6 +217,8 @@
 /* True for a header of the protocol between daemons. */
 bool gc_is_hop_header(gc_str_t name);
 
+/* How urgent the stream is now. */
+gc_urgency_t gc_exchange_urgency(const gc_exchange_t *exchange);
 /* Rank of the request among those that need permits, see core/permits.h. */
 unsigned int gc_exchange_rank(const gc_exchange_t *exchange);
 /* Asks for permits of the server for the request and others that wait. */
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -100,6 +100,7 @@
 		&prompt->tokens, &prompt->max_output_tokens);
 	prompt->hash = XXH64(id.data, id.len, 0);
 	prompt->resumed = exchange->resumed;
+	prompt->reserve = gc_exchange_urgency(exchange).reserve;
 	return prompt;
 }
 
