--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/number.h"
 #include "lib/caller_listener_private.h"
 #include "lib/caller_log.h"
 
@@ -18,6 +19,9 @@
 #define UNREAD_RECHECK_MS 20
 /* Interval of checks for the caller's close behind bytes that stay unread. */
 #define CLOSE_POLL_MS 100
+/* A caller that sends less of a request in the last seconds counts as one that has
+ * stopped. */
+#define UPLOAD_PACE_BYTES 4096
 
 static void on_accept(void *ctx, int fd);
 static bool is_known(const gc_caller_listener_t *listener, int fd);
@@ -55,6 +59,13 @@
 static bool has_caller_left(const gc_caller_conn_t *conn);
 static void on_timer(void *ctx);
 static int64_t time_left_ms(const gc_caller_conn_t *conn);
+static void count_request(gc_caller_conn_t *conn);
+static uint64_t announced_bytes(const gc_caller_conn_t *conn);
+static void count_response_end(gc_caller_conn_t *conn);
+static void on_refresh(void *ctx);
+static void on_resume_upload(void *ctx);
+static gc_str_t current_request_id(void *ctx);
+static void on_end_slow(void *ctx);
 
 static const gc_socket_ops_t socket_ops = {
 	.received = on_received,
@@ -63,6 +74,13 @@
 	.unread = on_unread,
 };
 
+static const gc_buffer_ops_t buffer_ops = {
+	.refresh = on_refresh,
+	.resume = on_resume_upload,
+	.request_id = current_request_id,
+	.end = on_end_slow,
+};
+
 gc_caller_listener_t *gc_caller_listener_create(
 	TALLOC_CTX *mem, struct tevent_context *ev, gc_timers_t *timers,
 	const gc_clock_t *clock, const char *address, uint16_t port,
@@ -95,6 +113,12 @@
 	listener->idle_grace_ms = ms;
 }
 
+void gc_caller_listener_set_bound(gc_caller_listener_t *listener,
+				  gc_buffer_bound_t *bound)
+{
+	listener->bound = bound;
+}
+
 void gc_caller_listener_set_closing(gc_caller_listener_t *listener)
 {
 	listener->closing = true;
@@ -136,6 +160,11 @@
 	conn->pipelined = g_byte_array_new();
 	conn->message = gc_http_message_create(conn, GC_HTTP_MESSAGE_REQUEST);
 	conn->sock = gc_socket_adopt(conn, listener->ev, fd, &socket_ops, conn);
+	if (listener->bound) {
+		conn->account = gc_buffer_account_create(conn, listener->bound,
+							 &buffer_ops, conn);
+		gc_socket_set_unsent_max(conn->sock, GC_KERNEL_UNSENT_BYTES);
+	}
 	conn->next = listener->conns;
 	if (listener->conns)
 		listener->conns->prev = conn;
@@ -248,8 +277,10 @@
 		add_pipelined(conn, data, &arrival);
 		if (conn->pipelined->len > MAX_PIPELINED_BYTES)
 			gc_socket_set_paused(conn->sock, true);
+		count_request(conn);
 		return;
 	}
+	gc_buffer_add_progress(conn->account, data.len);
 	feed_request(conn, data, &arrival);
 }
 
@@ -284,9 +315,119 @@
 		add_pipelined(conn,
 			      (gc_str_t){data.data + used, data.len - used},
 			      arrival);
+	count_request(conn);
 	handle_message_state(conn);
 }
 
+/* A request that is received waits for its caller, and a complete one for none. */
+static void count_request(gc_caller_conn_t *conn)
+{
+	gc_http_message_state_t state = gc_http_message_state(conn->message);
+	uint64_t bytes = conn->request_bytes + conn->pipelined->len;
+	uint64_t waiting = 0;
+
+	if (!conn->account)
+		return;
+	if (conn->state == CONN_READING && state == GC_HTTP_MESSAGE_BODY) {
+		if (conn->announced == 0)
+			conn->announced = announced_bytes(conn);
+		bytes = MAX(bytes, conn->announced);
+		conn->upload_delayed =
+			!gc_buffer_admit_upload(conn->account, bytes);
+		if (conn->upload_delayed)
+			bytes = conn->request_bytes;
+		gc_socket_set_paused(conn->sock, conn->upload_delayed);
+	}
+	if (conn->state == CONN_READING && state < GC_HTTP_MESSAGE_COMPLETE &&
+	    !conn->upload_delayed)
+		waiting = MIN(bytes, UPLOAD_PACE_BYTES);
+	gc_buffer_set(conn->account, GC_HELD_UPLOAD, waiting);
+	gc_buffer_set(conn->account, GC_HELD_REQUEST, bytes - waiting);
+}
+
+/* Of the head and the body; 0: the length isn't known. */
+static uint64_t announced_bytes(const gc_caller_conn_t *conn)
+{
+	gc_str_t length =
+		gc_http_message_find_header(conn->message, "content-length");
+	int64_t bytes = 0;
+
+	gc_parse_whole(length, INT64_MAX, &bytes);
+	return bytes > 0 ? (uint64_t)bytes + conn->limits.max_header_bytes : 0;
+}
+
+static void on_resume_upload(void *ctx)
+{
+	gc_caller_conn_t *conn = ctx;
+
+	conn->last_activity = gc_clock_now(conn->listener->clock);
+	arm_timer(conn);
+	count_request(conn);
+}
+
+static void on_refresh(void *ctx)
+{
+	gc_caller_conn_t *conn = ctx;
+	uint64_t sent = gc_socket_sent_bytes(conn->sock);
+
+	gc_buffer_add_progress(conn->account, sent - conn->counted_sent);
+	conn->counted_sent = sent;
+	gc_caller_conn_count_unsent(conn);
+	if (conn->state == CONN_SERVING && conn->data)
+		conn->listener->ops.refresh(conn->listener->ctx, conn);
+}
+
+static gc_str_t current_request_id(void *ctx)
+{
+	const gc_caller_conn_t *conn = ctx;
+
+	if (conn->state == CONN_IDLE || conn->state == CONN_LINGERING)
+		return conn->unsent_id;
+	return gc_http_message_state(conn->message) < GC_HTTP_MESSAGE_BODY
+		       ? GC_STR_EMPTY
+		       : conn->listener->ops.request_id(conn->listener->ctx,
+							conn->message);
+}
+
+/* A close without a reset would leave what is unsent to the kernel. */
+static void on_end_slow(void *ctx)
+{
+	gc_caller_conn_t *conn = ctx;
+
+	if (conn->state != CONN_SERVING || !conn->data) {
+		close_conn(conn, true, "its caller took too little");
+		return;
+	}
+	if (gc_socket_unsent_bytes(conn->sock) > 0)
+		gc_socket_set_reset_on_close(conn->sock, true);
+	conn->listener->ops.end_slow(conn->listener->ctx, conn);
+}
+
+void gc_caller_conn_count_unsent(gc_caller_conn_t *conn)
+{
+	if (conn->account)
+		gc_buffer_set_unsent(conn->account, GC_HELD_TO_CALLER,
+				     gc_socket_unsent_bytes(conn->sock));
+}
+
+void gc_caller_conn_hold(gc_caller_conn_t *conn, gc_held_part_t part,
+			 size_t bytes)
+{
+	gc_buffer_set(conn->account, part, bytes);
+}
+
+void gc_caller_conn_hold_for_server(gc_caller_conn_t *conn, size_t unsent,
+				    uint64_t taken)
+{
+	gc_buffer_add_progress(conn->account, taken);
+	gc_buffer_set_unsent(conn->account, GC_HELD_TO_SERVER, unsent);
+}
+
+size_t gc_caller_conn_allowance(const gc_caller_conn_t *conn, size_t fallback)
+{
+	return gc_buffer_allowance(conn->account, fallback);
+}
+
 static void start_request(gc_caller_conn_t *conn, const arrival_t *arrival)
 {
 	gc_http_message_limits_t limits;
@@ -299,6 +440,7 @@
 	conn->head_started = conn->last_activity;
 	conn->state = CONN_READING;
 	conn->request_bytes = 0;
+	conn->announced = 0;
 	conn->extended = false;
 	arm_timer(conn);
 }
@@ -373,6 +515,7 @@
 {
 	gc_caller_conn_t *conn = ctx;
 
+	gc_caller_conn_count_unsent(conn);
 	if (conn->state == CONN_LINGERING)
 		start_lingering(conn);
 	else if (conn->state == CONN_SERVING && conn->responding)
@@ -427,6 +570,8 @@
 	conn->responding = false;
 	conn->chunked = false;
 	conn->last_activity = gc_clock_now(conn->listener->clock);
+	if (conn->account)
+		count_response_end(conn);
 	if (conn->close_after_response) {
 		start_lingering(conn);
 		return;
@@ -438,6 +583,24 @@
 	feed_pipelined(conn);
 }
 
+static void count_response_end(gc_caller_conn_t *conn)
+{
+	gc_caller_conn_count_unsent(conn);
+	gc_buffer_end_upload(conn->account);
+	gc_buffer_set(conn->account, GC_HELD_TO_SERVER, 0);
+	gc_buffer_set(conn->account, GC_HELD_RESPONSE, 0);
+	gc_buffer_set(conn->account, GC_HELD_UPLOAD, 0);
+	gc_buffer_set(conn->account, GC_HELD_REQUEST, conn->pipelined->len);
+	conn->upload_delayed = false;
+	talloc_free((char *)conn->unsent_id.data);
+	conn->unsent_id = (gc_str_t){NULL, 0};
+	if (gc_socket_unsent_bytes(conn->sock) > 0 &&
+	    gc_http_message_state(conn->message) == GC_HTTP_MESSAGE_COMPLETE)
+		conn->unsent_id = gc_str_dup(
+			conn, conn->listener->ops.request_id(
+				      conn->listener->ctx, conn->message));
+}
+
 /* Handles bytes that arrived while the previous request was served. */
 static void feed_pipelined(gc_caller_conn_t *conn)
 {
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -17,6 +17,7 @@
 #include "core/clock.h"
 #include "core/routes.h"
 #include "core/str.h"
+#include "lib/buffer_bound.h"
 #include "lib/http_message.h"
 #include "lib/timer.h"
 
@@ -44,6 +45,15 @@
 	 * request without the body, and it is closed after the response. NULL: all
 	 * are known. */
 	bool (*knows)(void *ctx, gc_str_t ip);
+	/* The following are only called with a bound, see
+	 * gc_caller_listener_set_bound. */
+
+	/* Id of the request; empty if it has none. */
+	gc_str_t (*request_id)(void *ctx, const gc_http_message_t *request);
+	/* Calls gc_caller_conn_hold for what waits for a server. */
+	void (*refresh)(void *ctx, gc_caller_conn_t *conn);
+	/* The request is to be ended, as its caller or server takes too little. */
+	void (*end_slow)(void *ctx, gc_caller_conn_t *conn);
 } gc_caller_listener_ops_t;
 
 /* ctx is passed to the callbacks. Errors: GC_ERR_IO. */
@@ -59,6 +69,10 @@
  */
 void gc_caller_listener_set_idle_grace(gc_caller_listener_t *listener,
 				       int64_t ms);
+/* Counts what is buffered for connections from now on. The bound has to outlive the
+ * listener. */
+void gc_caller_listener_set_bound(gc_caller_listener_t *listener,
+				  gc_buffer_bound_t *bound);
 /*
  * From now on, each connection is closed after the response to the last request
  * that was received on it.
@@ -99,5 +113,15 @@
 void gc_caller_conn_abort(gc_caller_conn_t *conn);
 /* Response bytes that the kernel has not accepted yet. */
 size_t gc_caller_conn_unsent_bytes(const gc_caller_conn_t *conn);
+/* What is buffered for the request in progress, until its response ends. Ignored
+ * without a bound, as the next two. */
+void gc_caller_conn_hold(gc_caller_conn_t *conn, gc_held_part_t part,
+			 size_t bytes);
+/* The same for the unsent bytes of the request, with those that the server has taken
+ * since the last call. */
+void gc_caller_conn_hold_for_server(gc_caller_conn_t *conn, size_t unsent,
+				    uint64_t taken);
+/* Unsent bytes above which the server isn't to be read; fallback without a bound. */
+size_t gc_caller_conn_allowance(const gc_caller_conn_t *conn, size_t fallback);
 
 #endif
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -42,6 +42,11 @@
 	size_t unsent_at_end;
 	size_t unread_at_end;
 	gc_timer_t *timer;
+	gc_buffer_account_t *account; /* NULL without a bound */
+	uint64_t counted_sent; /* sent bytes that count as progress already */
+	uint64_t announced; /* length of the body that is received, or 0 */
+	/* Of the last request, if its response is not sent yet. */
+	gc_str_t unsent_id;
 	gc_request_limits_t limits;
 	int64_t round_trip_ms;
 	bool round_trip_known;
@@ -52,12 +57,14 @@
 	bool close_after_response;
 	bool rejected; /* the request, before its end was received */
 	bool has_unread; /* bytes behind the last request */
+	bool upload_delayed; /* not read for the bound's sake */
 	bool extended; /* the time for the request, by UNREAD_RECHECK_MS */
 };
 
 struct gc_caller_listener {
 	struct tevent_context *ev;
 	gc_timers_t *timers;
+	gc_buffer_bound_t *bound; /* NULL: none */
 	const gc_clock_t *clock;
 	gc_listener_t *tcp_listener;
 	gc_caller_listener_ops_t ops;
@@ -71,5 +78,7 @@
 
 /* To be called at the end of each response; may free the connection. */
 void gc_caller_conn_finish_response(gc_caller_conn_t *conn);
+/* To be called when bytes were sent. */
+void gc_caller_conn_count_unsent(gc_caller_conn_t *conn);
 
 #endif
--- a/lib/caller_response.c
+++ b/lib/caller_response.c
@@ -96,6 +96,7 @@
 		return;
 	if (!conn->chunked) {
 		gc_socket_send(conn->sock, data);
+		gc_caller_conn_count_unsent(conn);
 		return;
 	}
 	/* One send for the whole chunk, as each system call costs CPU time. */
@@ -104,6 +105,7 @@
 	g_string_append_len(chunk, data.data, (gssize)data.len);
 	g_string_append(chunk, "\r\n");
 	gc_socket_send(conn->sock, (gc_str_t){chunk->str, chunk->len});
+	gc_caller_conn_count_unsent(conn);
 }
 
 void gc_caller_conn_end_stream(gc_caller_conn_t *conn)
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -108,6 +108,7 @@
 	/* Load query in progress, on a silent server or at an uncertain end of a
 	 * response, or NULL. */
 	gc_backend_query_t *silence_query;
+	uint64_t counted_sent; /* of the request, as progress of the server */
 	size_t unacked_bytes; /* of the request, at the last look */
 	unsigned int stuck_looks; /* in a row at which it had not changed */
 	bool link_failed; /* the server counts as failed for new requests */
@@ -382,6 +383,11 @@
 			 const char *message);
 /* Timer callback for the time limit; ctx is the exchange. */
 void gc_exchange_on_time_limit(void *ctx);
+/* Ends a request whose caller or server takes too little for the bound of what the
+ * daemon buffers. */
+void gc_exchange_on_slow_peer(gc_exchange_t *exchange);
+/* Counts what waits for the server of the attempt (exchange_run.c). */
+void gc_exchange_count_unsent(gc_exchange_t *exchange);
 /* Ends a request at the end of the daemon's grace period. */
 void gc_exchange_on_stop(gc_exchange_t *exchange);
 /* True for statuses from which callers conclude that a request did not run. */
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -248,6 +248,25 @@
 	end_unfinished(exchange, "stop", &not_run, &in_doubt);
 }
 
+void gc_exchange_on_slow_peer(gc_exchange_t *exchange)
+{
+	static const gc_refusal_t not_run = {
+		.status = 503,
+		.code = "memory",
+		.message = "the daemon had no room for the request",
+		.retry_after_ms = REFUSAL_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+	static const gc_refusal_t in_doubt = {
+		.status = 504,
+		.code = "memory",
+		.message =
+			"the backend server did not take the request in time",
+	};
+
+	end_unfinished(exchange, "memory", &not_run, &in_doubt);
+}
+
 static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
 			   const gc_refusal_t *not_run,
 			   const gc_refusal_t *in_doubt)
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -16,6 +16,8 @@
 static void record_event_gap(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data);
+static void count_response(gc_exchange_t *exchange);
+static bool is_caller_behind(const gc_exchange_t *exchange);
 static void set_server_paused(gc_exchange_t *exchange, bool paused);
 
 void gc_exchange_on_body(void *ctx, gc_str_t data)
@@ -38,6 +40,7 @@
 	}
 	g_byte_array_append(exchange->response_body, (const guint8 *)data.data,
 			    (guint)data.len);
+	count_response(exchange);
 	if (exchange->success &&
 	    exchange->response_body->len > MAX_BUFFERED_RESPONSE_BYTES) {
 		begin_forwarding(exchange);
@@ -61,6 +64,15 @@
 	forward_bytes(exchange,
 		      (gc_str_t){(const char *)body->data, body->len});
 	g_byte_array_set_size(body, 0);
+	count_response(exchange);
+}
+
+static void count_response(gc_exchange_t *exchange)
+{
+	size_t events = exchange->held_events ? exchange->held_events->len : 0;
+
+	gc_caller_conn_hold(exchange->caller, GC_HELD_RESPONSE,
+			    exchange->response_body->len + events);
 }
 
 static void forward_events(gc_exchange_t *exchange, gc_str_t data)
@@ -124,6 +136,7 @@
 		exchange->held_events = g_string_new(NULL);
 	g_string_append_len(exchange->held_events, events->str,
 			    (gssize)events->len);
+	count_response(exchange);
 	set_server_paused(exchange, true);
 }
 
@@ -136,12 +149,12 @@
 						 exchange->held_events->len});
 		g_string_free(exchange->held_events, TRUE);
 		exchange->held_events = NULL;
+		count_response(exchange);
 	}
 	/* A response without events may have ended, too. */
 	if (exchange->ended_held)
 		gc_exchange_finish_stream(exchange);
-	else if (gc_caller_conn_unsent_bytes(exchange->caller) <=
-		 MAX_UNSENT_BYTES)
+	else if (!is_caller_behind(exchange))
 		set_server_paused(exchange, false);
 }
 
@@ -167,10 +180,16 @@
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data)
 {
 	gc_caller_conn_send_data(exchange->caller, data);
-	if (gc_caller_conn_unsent_bytes(exchange->caller) > MAX_UNSENT_BYTES)
+	if (is_caller_behind(exchange))
 		set_server_paused(exchange, true);
 }
 
+static bool is_caller_behind(const gc_exchange_t *exchange)
+{
+	return gc_caller_conn_unsent_bytes(exchange->caller) >
+	       gc_caller_conn_allowance(exchange->caller, MAX_UNSENT_BYTES);
+}
+
 static void set_server_paused(gc_exchange_t *exchange, bool paused)
 {
 	if (!exchange->call || exchange->read_paused == paused)
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -200,6 +200,8 @@
 		(gc_str_t){text->str, text->len}, exchange->id,
 		exchange->head_request, &gc_exchange_call_ops, exchange);
 	g_string_free(text, TRUE);
+	exchange->counted_sent = 0;
+	gc_exchange_count_unsent(exchange);
 	if (!exchange->call) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_UNREACHABLE,
@@ -215,6 +217,23 @@
 			     gc_exchange_inactivity_ms(exchange));
 }
 
+void gc_exchange_count_unsent(gc_exchange_t *exchange)
+{
+	uint64_t sent;
+
+	if (!exchange->caller)
+		return;
+	if (!exchange->call) {
+		gc_caller_conn_hold_for_server(exchange->caller, 0, 0);
+		return;
+	}
+	sent = gc_call_sent_bytes(exchange->call);
+	gc_caller_conn_hold_for_server(exchange->caller,
+				       gc_call_unsent_bytes(exchange->call),
+				       sent - exchange->counted_sent);
+	exchange->counted_sent = sent;
+}
+
 static void on_head(void *ctx, const gc_http_message_t *response)
 {
 	gc_exchange_t *exchange = ctx;
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -44,6 +44,9 @@
 static void on_disconnected(void *ctx, gc_caller_conn_t *caller);
 static void on_drained(void *ctx, gc_caller_conn_t *caller);
 static gc_request_limits_t get_limits(void *ctx);
+static gc_str_t get_request_id(void *ctx, const gc_http_message_t *request);
+static void on_refresh(void *ctx, gc_caller_conn_t *caller);
+static void on_end_slow(void *ctx, gc_caller_conn_t *caller);
 static void try_admit(gc_exchange_t *exchange);
 static bool wait_for_config(gc_exchange_t *exchange);
 static void on_config_timer(void *ctx);
@@ -66,6 +69,9 @@
 	.disconnected = on_disconnected,
 	.drained = on_drained,
 	.limits = get_limits,
+	.request_id = get_request_id,
+	.refresh = on_refresh,
+	.end_slow = on_end_slow,
 };
 
 const gc_caller_listener_ops_t gc_relay_forward_ops = {
@@ -74,6 +80,9 @@
 	.drained = on_drained,
 	.limits = get_forward_limits,
 	.knows = knows_daemon,
+	.request_id = get_request_id,
+	.refresh = on_refresh,
+	.end_slow = on_end_slow,
 };
 
 static const gc_refusal_t no_config = {
@@ -131,6 +140,7 @@
 		.connect_timeout_ms = conf->connect_timeout_ms,
 		.source = conf->source,
 		.liveness = conf->liveness,
+		.unsent_max = conf->bounds_buffers ? GC_KERNEL_UNSENT_BYTES : 0,
 	};
 	gc_backends_conf_t backends_conf = {
 		.failure_domain = conf->failure_domain,
@@ -267,6 +277,24 @@
 	};
 }
 
+static gc_str_t get_request_id(void *ctx, const gc_http_message_t *request)
+{
+	const gc_relay_t *relay = ctx;
+
+	return gc_http_message_find_header(
+		request, relay->conf.adapter->headers.request_id);
+}
+
+static void on_refresh(void *ctx, gc_caller_conn_t *caller)
+{
+	gc_exchange_count_unsent(gc_caller_conn_data(caller));
+}
+
+static void on_end_slow(void *ctx, gc_caller_conn_t *caller)
+{
+	gc_exchange_on_slow_peer(gc_caller_conn_data(caller));
+}
+
 static void on_request(void *ctx, gc_caller_conn_t *caller,
 		       const gc_http_message_t *request)
 {
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -38,6 +38,8 @@
 	int64_t admit_age_ms;
 	int64_t connect_timeout_ms;
 	gc_socket_liveness_t liveness;
+	/* What is buffered for callers and servers is bounded. */
+	bool bounds_buffers;
 	const char *source; /* local IP of connections to servers; NULL: any */
 	/* Requests are passed on to other daemons, and taken from them. */
 	bool passes_on;
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -8,6 +8,19 @@
 #include "core/error.h"
 #include "lib/routed_settings.h"
 
+/* Part of the instance's memory that is left for buffered bytes by default; an idle
+ * daemon takes about 15 MB. */
+#define HELD_FRACTION 0.25
+#define BYTES_PER_MB  1000000
+/* Below, single requests would not fit in. */
+#define HELD_MIN_BYTES 1000000
+/*
+ * Name in the list "contracts" of a deployment that asks for the bound. It is decoded
+ * only here: the template of the settings can't compare, so that it passes memory_mb
+ * and the whole list.
+ */
+#define CONTRACT_PRESSURE "pressure"
+
 typedef struct reader {
 	TALLOC_CTX *mem;
 	const json_t *json;
@@ -23,6 +36,8 @@
 static double number(reader_t *reader, const char *name, double fallback,
 		     double min, double max);
 static bool flag(reader_t *reader, const char *name, bool fallback);
+static uint64_t read_held_bytes_max(reader_t *reader);
+static bool has_contract(reader_t *reader, const char *contract);
 static void add_error(reader_t *reader, const char *name, const char *message);
 
 bool gc_routed_settings_selected(const char *path)
@@ -107,6 +122,7 @@
 		(uint32_t)number(reader, "address_ttl_s", 2, 1, 3600);
 	settings->lease_ms =
 		(int64_t)number(reader, "lease_ms", 3000, 1000, 600000);
+	settings->held_bytes_max = read_held_bytes_max(reader);
 	settings->log_level = GC_LOG_INFO;
 	if (level && !gc_log_level_parse(level, &settings->log_level))
 		add_error(reader, "log_level",
@@ -198,3 +214,36 @@
 		add_error(reader, name, "neither true nor false");
 	return json_is_true(value);
 }
+
+/* 0: no bound. */
+static uint64_t read_held_bytes_max(reader_t *reader)
+{
+	double memory_mb = number(reader, "memory_mb", 0, 8, 1e9);
+	bool asked = has_contract(reader, CONTRACT_PRESSURE);
+	double fallback = asked ? memory_mb * BYTES_PER_MB * HELD_FRACTION : 0;
+
+	return (uint64_t)number(reader, "held_bytes_max", fallback,
+				HELD_MIN_BYTES, 1e15);
+}
+
+/* True without a list: memory_mb was set by hand. Unknown names are those of other
+ * builds. */
+static bool has_contract(reader_t *reader, const char *contract)
+{
+	const json_t *list = json_object_get(reader->json, "contracts");
+	const json_t *entry;
+	size_t i;
+
+	if (!list || json_is_null(list))
+		return true;
+	if (!json_is_array(list)) {
+		add_error(reader, "contracts", "not a list");
+		return false;
+	}
+	json_array_foreach (list, i, entry) {
+		if (json_is_string(entry) &&
+		    strcmp(json_string_value(entry), contract) == 0)
+			return true;
+	}
+	return false;
+}
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -52,6 +52,9 @@
 	int64_t retry_after_max_ms;
 	uint32_t address_ttl_s; /* 2: how long callers may use addresses */
 	int64_t lease_ms; /* 3000: of the daemon's entry in the store */
+	/* None (0): bound over the bytes that are buffered for callers and servers;
+	 * a quarter of "memory_mb" if that is given and in force. */
+	uint64_t held_bytes_max;
 	gc_log_level_t log_level;
 } gc_routed_settings_t;
 
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -69,6 +69,7 @@
 	gc_caller_listener_t *listener;
 	gc_caller_listener_t *forward_listener; /* NULL: none */
 	gc_relay_t *relay;
+	gc_buffer_bound_t *bound; /* NULL: none */
 	uint64_t config_version; /* of the relay's view; 0: none */
 	/* When the relay's view was last confirmed. */
 	gc_confirmed_time_t confirmed;
@@ -141,6 +142,7 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.liveness = {KEEPALIVE_INTERVAL_S, UNACKED_TIMEOUT_MS},
 		.source = settings->source,
+		.bounds_buffers = settings->held_bytes_max > 0,
 		.passes_on = settings->forward.address != NULL,
 		.forward_source = settings->forward.address,
 		.departed_ms = settings->stop_grace_ms,
@@ -171,6 +173,11 @@
 	traffic->mailbox = gc_mailbox_create(traffic, traffic->ev, traffic);
 	traffic->drain_timer = gc_timer_create(traffic, traffic->timers,
 					       on_drain_poll, traffic);
+	if (settings->held_bytes_max > 0)
+		traffic->bound =
+			gc_buffer_bound_create(traffic, traffic->timers,
+					       conf->clock,
+					       settings->held_bytes_max);
 	relay_conf.ev = traffic->ev;
 	relay_conf.timers = traffic->timers;
 	traffic->relay = gc_relay_create(traffic, &relay_conf);
@@ -180,6 +187,7 @@
 		&gc_relay_listener_ops, traffic->relay, err);
 	if (!traffic->listener)
 		return false;
+	gc_caller_listener_set_bound(traffic->listener, traffic->bound);
 	gc_caller_listener_set_idle_grace(traffic->listener,
 					  settings->config_in_force_ms);
 	if (!settings->forward.address)
@@ -188,7 +196,10 @@
 		traffic, traffic->ev, traffic->timers, conf->clock,
 		settings->forward.address, settings->forward.port,
 		&gc_relay_forward_ops, traffic->relay, err);
-	return traffic->forward_listener != NULL;
+	if (!traffic->forward_listener)
+		return false;
+	gc_caller_listener_set_bound(traffic->forward_listener, traffic->bound);
+	return true;
 }
 
 int64_t gc_routed_traffic_admit_age_ms(const gc_routed_settings_t *settings)
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -450,6 +450,13 @@
 	return sock->sent;
 }
 
+void gc_socket_set_unsent_max(gc_socket_t *sock, int bytes)
+{
+	if (!sock->destroyed)
+		set_socket_option(sock->fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+				  bytes);
+}
+
 void gc_socket_set_paused(gc_socket_t *sock, bool paused)
 {
 	if (sock->destroyed || sock->paused == paused)
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -85,6 +85,11 @@
 int64_t gc_socket_round_trip_ms(const gc_socket_t *sock);
 /* Bytes that the kernel has accepted since the connection was opened. */
 uint64_t gc_socket_sent_bytes(const gc_socket_t *sock);
+/*
+ * Bounds the bytes that the kernel accepts beyond those in flight. The bytes in flight
+ * aren't bounded, so that distant peers are sent as much at once as before.
+ */
+void gc_socket_set_unsent_max(gc_socket_t *sock, int bytes);
 /* Stops or resumes reading (back-pressure). */
 void gc_socket_set_paused(gc_socket_t *sock, bool paused);
 
--- a/lib/upstream.c
+++ b/lib/upstream.c
@@ -255,6 +255,8 @@
 		talloc_free(conn);
 		return NULL;
 	}
+	if (upstream->conf.unsent_max > 0)
+		gc_socket_set_unsent_max(conn->sock, upstream->conf.unsent_max);
 	conn->backend = gc_backend_ref(backend);
 	conn->message = gc_http_message_create(conn, GC_HTTP_MESSAGE_RESPONSE);
 	conn->connect_timer = gc_timer_create(conn, upstream->conf.timers,
@@ -632,6 +634,16 @@
 	       gc_socket_sent_bytes(conn->sock) > call->sent_before;
 }
 
+size_t gc_call_unsent_bytes(const gc_call_t *call)
+{
+	return gc_socket_unsent_bytes(call->conn->sock);
+}
+
+uint64_t gc_call_sent_bytes(const gc_call_t *call)
+{
+	return gc_socket_sent_bytes(call->conn->sock) - call->sent_before;
+}
+
 gc_socket_delivery_t gc_call_delivery(const gc_call_t *call)
 {
 	return gc_socket_delivery(call->conn->sock);
--- a/lib/upstream.h
+++ b/lib/upstream.h
@@ -39,6 +39,7 @@
 	 * default. */
 	int64_t keep_alive_ms;
 	gc_socket_liveness_t liveness;
+	int unsent_max; /* see gc_socket_set_unsent_max; 0: the kernel's */
 } gc_upstream_conf_t;
 
 /* Every callback may cancel the call. */
@@ -90,6 +91,9 @@
 bool gc_call_has_unread(const gc_call_t *call);
 /* True if the kernel got a byte of the request on an open connection. */
 bool gc_call_was_sent(const gc_call_t *call);
+/* Bytes of the request that the kernel has not accepted, and that it has. */
+size_t gc_call_unsent_bytes(const gc_call_t *call);
+uint64_t gc_call_sent_bytes(const gc_call_t *call);
 /* Of the request. */
 gc_socket_delivery_t gc_call_delivery(const gc_call_t *call);
 /* True if the call is the first one on its connection. */
