--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -38,6 +38,7 @@
 static bool flag(reader_t *reader, const char *name, bool fallback);
 static uint64_t read_held_bytes_max(reader_t *reader);
 static bool has_contract(reader_t *reader, const char *contract);
+static const json_t *list(reader_t *reader, const char *name);
 static void add_error(reader_t *reader, const char *name, const char *message);
 
 bool gc_routed_settings_selected(const char *path)
@@ -230,20 +231,28 @@
  * builds. */
 static bool has_contract(reader_t *reader, const char *contract)
 {
-	const json_t *list = json_object_get(reader->json, "contracts");
+	const json_t *contracts = list(reader, "contracts");
 	const json_t *entry;
 	size_t i;
 
-	if (!list || json_is_null(list))
+	if (!contracts)
 		return true;
-	if (!json_is_array(list)) {
-		add_error(reader, "contracts", "not a list");
-		return false;
-	}
-	json_array_foreach (list, i, entry) {
+	json_array_foreach (contracts, i, entry) {
 		if (json_is_string(entry) &&
 		    strcmp(json_string_value(entry), contract) == 0)
 			return true;
 	}
 	return false;
 }
+
+/* NULL: there is none. */
+static const json_t *list(reader_t *reader, const char *name)
+{
+	const json_t *value = json_object_get(reader->json, name);
+
+	if (!value || json_is_null(value))
+		return NULL;
+	if (!json_is_array(value))
+		add_error(reader, name, "not a list");
+	return value;
+}
--- a/regress/check_settings.c
+++ b/regress/check_settings.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "core/error.h"
+#include "lib/routed_settings.h"
 #include "lib/settings.h"
 
 #define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -152,6 +153,81 @@
 }
 END_TEST
 
+/* Loads the settings of the routed mode with the members, which end with a comma. */
+static gc_routed_settings_t *load_routed(const char *members, GError **err)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{%s\"mode\":\"routed\",\"instance\":\"d1\","
+		"\"failure_domain\":\"a\",\"store\":\"127.0.0.1:1\","
+		"\"caller\":\"127.0.0.1:2\",\"ready\":\"127.0.0.1:3\","
+		"\"addresses\":\"127.0.0.1:4\"}",
+		members);
+	char path[] = "/tmp/check_settings.XXXXXX";
+	int fd = g_mkstemp(path);
+	gc_routed_settings_t *settings;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(write(fd, text, strlen(text)), (int)strlen(text));
+	close(fd);
+	settings = gc_routed_settings_load(NULL, path, err);
+	unlink(path);
+	return settings;
+}
+
+static uint64_t held_bytes_max(const char *members)
+{
+	gc_routed_settings_t *settings = load_routed(members, NULL);
+	uint64_t max;
+
+	ck_assert_ptr_nonnull(settings);
+	max = settings->held_bytes_max;
+	talloc_free(settings);
+	return max;
+}
+
+/* A bound that applies to a deployment that didn't ask for it would change how it
+ * serves. */
+START_TEST(test_held_bytes_are_bounded_only_if_asked_for)
+{
+	ck_assert_uint_eq(held_bytes_max(""), 0);
+	ck_assert_uint_eq(held_bytes_max("\"memory_mb\":96,"), 24000000);
+	ck_assert_uint_eq(held_bytes_max("\"memory_mb\":96,\"contracts\":[],"),
+			  0);
+	ck_assert_uint_eq(
+		held_bytes_max("\"memory_mb\":96,\"contracts\":null,"),
+		24000000);
+	ck_assert_uint_eq(held_bytes_max("\"memory_mb\":96,"
+					 "\"contracts\":[\"other\",7],"),
+			  0);
+	ck_assert_uint_eq(held_bytes_max("\"memory_mb\":96,\"contracts\":"
+					 "[\"other\",\"pressure\"],"),
+			  24000000);
+	ck_assert_uint_eq(held_bytes_max("\"contracts\":[\"pressure\"],"), 0);
+	ck_assert_uint_eq(held_bytes_max("\"memory_mb\":96,\"contracts\":[],"
+					 "\"held_bytes_max\":5000000,"),
+			  5000000);
+}
+END_TEST
+
+START_TEST(test_invalid_bounds_are_named)
+{
+	static const char *const cases[][2] = {
+		{"\"held_bytes_max\":5,", "held_bytes_max: "},
+		{"\"held_bytes_max\":\"5000000\",", "held_bytes_max: "},
+		{"\"memory_mb\":-1,", "memory_mb: "},
+		{"\"memory_mb\":\"96\",", "memory_mb: "},
+		{"\"contracts\":\"pressure\",", "contracts: not a list"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GError) err = NULL;
+
+		ck_assert_ptr_null(load_routed(cases[i][0], &err));
+		ck_assert_ptr_nonnull(strstr(err->message, cases[i][1]));
+	}
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("settings");
@@ -164,6 +240,8 @@
 	tcase_add_test(tcase, test_reports_all_errors);
 	tcase_add_test(tcase, test_missing_setting);
 	tcase_add_test(tcase, test_invalid_file);
+	tcase_add_test(tcase, test_held_bytes_are_bounded_only_if_asked_for);
+	tcase_add_test(tcase, test_invalid_bounds_are_named);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/regress/docs.py
+++ b/regress/docs.py
@@ -146,7 +146,7 @@
 def check_routed_settings():
     table = read("lib/routed_settings.c")
     code = require("routed settings", re.findall(
-        r'(?:text|endpoint|number|flag)\(\s*reader,\s*"(\w+)"', table))
+        r'(?:text|endpoint|number|flag|list)\(\s*reader,\s*"(\w+)"', table))
     code.append("mode")
     man = []
     for line in read("goldcrestd/goldcrestd-routed.conf.5").splitlines():
--- a/regress/routed_pressure.t
+++ b/regress/routed_pressure.t
@@ -35,7 +35,7 @@
   $ fits() { kill -0 $d1_pid && [ $(rss VmHWM) -le $((IDLE_KB + BOUND_KB)) ] && echo fits || echo "$(rss VmHWM) kB of $IDLE_KB + $BOUND_KB"; echo "$1: idle $IDLE_KB kB, peak $(rss VmHWM) kB" >>figures.txt; }
   $ events() { grep -c "\"event\":$1" d1.log || true; }
   $ slow() { rm -f ready; "$TOP/regress/slow_peers.py" slow $CALLER_ADDR "$1" "$2" "$3" "$4" ready $5 $6 >slow.out 2>slow.err & slow=$!; }
-  $ sound() { "$TOP/regress/slow_peers.py" sound $CALLER_ADDR "$1" 50 3000 /look/ok '/draft/ok' 2>>figures.txt; }
+  $ sound() { "$TOP/regress/slow_peers.py" sound $CALLER_ADDR "$1" 50 2000 /look/ok '/draft/ok' 2>>figures.txt; }
   $ metric() { curl -s "http://$PEER_ADDR/metrics" | awk -v n="goldcrest_held_$1" '$1 == n { print $2 }'; }
 
 Bursts that stay under the bound lose nobody, although they are slow.
