--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -20,6 +20,7 @@
 #define DEADLINE_TOLERANCE_MS 50
 
 static void log_disconnect(const gc_exchange_t *exchange);
+static bool is_partly_unsent(const gc_exchange_t *exchange);
 static const char *awaited(const gc_exchange_t *exchange);
 static void count_unanswered(const gc_exchange_t *exchange);
 static void spread_return(const gc_exchange_t *exchange, gc_refusal_t *refusal);
@@ -248,6 +249,25 @@
 	end_unfinished(exchange, "stop", &not_run, &in_doubt);
 }
 
+void gc_exchange_on_slow_peer(gc_exchange_t *exchange)
+{
+	static const gc_refusal_t not_run = {
+		.status = 503,
+		.code = "memory",
+		.message = "the daemon had no room for the request",
+		.retry_after_ms = REFUSAL_RETRY_AFTER_MS,
+		.not_run = true,
+	};
+	static const gc_refusal_t in_doubt = {
+		.status = 504,
+		.code = "memory",
+		.message =
+			"the backend server did not take the request in time",
+	};
+
+	end_unfinished(exchange, "memory", &not_run, &in_doubt);
+}
+
 static void end_unfinished(gc_exchange_t *exchange, const char *limit_reached,
 			   const gc_refusal_t *not_run,
 			   const gc_refusal_t *in_doubt)
@@ -282,11 +302,20 @@
 		return;
 	}
 	/* A request that must not be retried is left to complete. */
-	if (exchange->route->kind == GC_ROUTE_NON_IDEMPOTENT && exchange->call)
+	if (exchange->route->kind == GC_ROUTE_NON_IDEMPOTENT &&
+	    exchange->call && !is_partly_unsent(exchange))
 		return;
 	talloc_free(exchange);
 }
 
+/* True for a request that its server can't run yet, as it doesn't have all of it. Without a
+ * caller, its bytes would not count for the bound of what is buffered. */
+static bool is_partly_unsent(const gc_exchange_t *exchange)
+{
+	return exchange->relay->conf.bounds_buffers &&
+	       gc_call_unsent_bytes(exchange->call) > 0;
+}
+
 /* The only line of a request that was waiting for its first server. */
 static void log_disconnect(const gc_exchange_t *exchange)
 {
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -1,11 +1,13 @@
 /* The traffic thread of the routed mode. */
-#include "lib/routed_traffic.h"
+#include <malloc.h>
+
 #include "core/error.h"
 #include "lib/caller_listener.h"
 #include "lib/loop_watch.h"
 #include "lib/mailbox.h"
 #include "lib/metrics.h"
 #include "lib/relay.h"
+#include "lib/routed_traffic.h"
 
 /* Connecting to a backend server takes about a round trip. */
 #define CONNECT_TIMEOUT_MS 250
@@ -30,6 +32,9 @@
 /* Fraction of revoke_ms after which requests with a key are refused. The rest
  * covers the time from the sending of a request to the check of its key. */
 #define ADMIT_AGE_FRACTION 0.9
+/* With a bound of what is buffered, larger buffers are allocated apart. Those of sound
+ * requests are smaller. */
+#define MMAP_THRESHOLD_BYTES 32768
 
 typedef struct crash_message {
 	gc_crash_report_t report;
@@ -69,6 +74,7 @@
 	gc_caller_listener_t *listener;
 	gc_caller_listener_t *forward_listener; /* NULL: none */
 	gc_relay_t *relay;
+	gc_buffer_bound_t *bound; /* NULL: none */
 	uint64_t config_version; /* of the relay's view; 0: none */
 	/* When the relay's view was last confirmed. */
 	gc_confirmed_time_t confirmed;
@@ -88,6 +94,8 @@
 static bool create_components(gc_routed_traffic_t *traffic,
 			      const gc_routed_traffic_conf_t *conf,
 			      GError **err);
+static void create_bound(gc_routed_traffic_t *traffic,
+			 const gc_routed_traffic_conf_t *conf);
 static gpointer run(gpointer data);
 static void handle_view(void *ctx, void *message);
 static void handle_confirmed(void *ctx, void *message);
@@ -141,6 +149,7 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.liveness = {KEEPALIVE_INTERVAL_S, UNACKED_TIMEOUT_MS},
 		.source = settings->source,
+		.bounds_buffers = settings->held_bytes_max > 0,
 		.passes_on = settings->forward.address != NULL,
 		.forward_source = settings->forward.address,
 		.departed_ms = settings->stop_grace_ms,
@@ -171,6 +180,8 @@
 	traffic->mailbox = gc_mailbox_create(traffic, traffic->ev, traffic);
 	traffic->drain_timer = gc_timer_create(traffic, traffic->timers,
 					       on_drain_poll, traffic);
+	if (settings->held_bytes_max > 0)
+		create_bound(traffic, conf);
 	relay_conf.ev = traffic->ev;
 	relay_conf.timers = traffic->timers;
 	traffic->relay = gc_relay_create(traffic, &relay_conf);
@@ -180,6 +191,7 @@
 		&gc_relay_listener_ops, traffic->relay, err);
 	if (!traffic->listener)
 		return false;
+	gc_caller_listener_set_bound(traffic->listener, traffic->bound);
 	gc_caller_listener_set_idle_grace(traffic->listener,
 					  settings->config_in_force_ms);
 	if (!settings->forward.address)
@@ -188,7 +200,20 @@
 		traffic, traffic->ev, traffic->timers, conf->clock,
 		settings->forward.address, settings->forward.port,
 		&gc_relay_forward_ops, traffic->relay, err);
-	return traffic->forward_listener != NULL;
+	if (!traffic->forward_listener)
+		return false;
+	gc_caller_listener_set_bound(traffic->forward_listener, traffic->bound);
+	return true;
+}
+
+static void create_bound(gc_routed_traffic_t *traffic,
+			 const gc_routed_traffic_conf_t *conf)
+{
+	/* Otherwise what was freed stays with the process. */
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
+	traffic->bound =
+		gc_buffer_bound_create(traffic, traffic->timers, conf->clock,
+				       conf->settings->held_bytes_max);
 }
 
 int64_t gc_routed_traffic_admit_age_ms(const gc_routed_settings_t *settings)
