Translate orders and records of roll-outs, and add their settings

The controller of roll-outs needs the keys and formats of the platform, the limits from the settings and the capability that daemons name. gc_routed_traffic_set_rollout is a stub until the relay splits requests. Without the settings nothing changes.

--- a/core/registry.h
+++ b/core/registry.h
@@ -19,6 +19,7 @@
 typedef enum gc_capability {
 	GC_CAN_GRANT_PLACES = 1 << 0, /* see core/places.h */
 	GC_CAN_WITNESS = 1 << 1, /* asks others whether a lost server crashed */
+	GC_CAN_ROLL_OUT = 1 << 2, /* see core/rollout.h */
 } gc_capability_t;
 
 /* A backend server or a daemon; a restarted server has a new entry. */
--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -169,7 +169,8 @@
 			 .address = gc_str(settings->caller_address),
 			 .peer_address = gc_str(settings->peer_address),
 			 .forward_address = gc_str(settings->forward_address),
-			 .capabilities = GC_CAN_GRANT_PLACES | GC_CAN_WITNESS,
+			 .capabilities = GC_CAN_GRANT_PLACES | GC_CAN_WITNESS |
+					 GC_CAN_ROLL_OUT,
 			 .failure_domain = gc_str(settings->failure_domain)},
 		.times = times,
 		.lease_ms = settings->lease_ms,
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -16,6 +16,7 @@
 #include "core/backends.h"
 #include "core/change_log.h"
 #include "core/registry.h"
+#include "core/rollout.h"
 #include "core/routes.h"
 #include "core/str.h"
 
@@ -78,6 +79,24 @@
 	/* Strings of the entry are allocated in mem. Errors: GC_ERR_INVALID. */
 	bool (*read_server)(TALLOC_CTX *mem, gc_str_t id, gc_str_t record,
 			    gc_registry_entry_t *entry, GError **err);
+	/* Of the keys of the operator's orders of roll-outs and of their records; the
+	 * rest of a key is the service. */
+	const char *rollout_orders_prefix;
+	const char *rollout_records_prefix;
+	/*
+	 * Strings are allocated in mem; service: of the key. The id of an order and the
+	 * revision of a record are left 0. Errors: GC_ERR_INVALID, whose message begins
+	 * with the member's name; the valid members of the order are set even then, the
+	 * others are empty or 0. A record needs a target and a state only.
+	 */
+	bool (*read_rollout_order)(TALLOC_CTX *mem, gc_str_t service,
+				   gc_str_t value, gc_rollout_order_t *order,
+				   GError **err);
+	bool (*read_rollout_record)(TALLOC_CTX *mem, gc_str_t service,
+				    gc_str_t value, gc_rollout_record_t *record,
+				    GError **err);
+	/* Free with g_free. */
+	char *(*write_rollout_record)(const gc_rollout_record_t *record);
 	/* POST to a backend server: copies a run's KV cache to another one. */
 	const char *copy_request_path;
 	/* Body of such a request; free with g_free. */
--- a/lib/capabilities.c
+++ b/lib/capabilities.c
@@ -11,6 +11,7 @@
 } names[] = {
 	{GC_CAN_GRANT_PLACES, "places"},
 	{GC_CAN_WITNESS, "witness"},
+	{GC_CAN_ROLL_OUT, "rollouts"},
 };
 
 static uint32_t find(const char *name);
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -107,6 +107,11 @@
 		(uint32_t)number(reader, "address_ttl_s", 2, 1, 3600);
 	settings->lease_ms =
 		(int64_t)number(reader, "lease_ms", 3000, 1000, 600000);
+	settings->rollout.share = number(reader, "rollout_share", 0, 0, 1);
+	settings->rollout.slack =
+		(uint32_t)number(reader, "rollout_slack", 0, 0, 1e9);
+	settings->rollout.withdraw_ms = (int64_t)number(
+		reader, "rollout_withdraw_ms", 5000, 500, 600000);
 	settings->log_level = GC_LOG_INFO;
 	if (level && !gc_log_level_parse(level, &settings->log_level))
 		add_error(reader, "log_level",
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "core/rollout.h"
 #include "lib/log.h"
 #include "lib/settings.h"
 
@@ -52,6 +53,8 @@
 	int64_t retry_after_max_ms;
 	uint32_t address_ttl_s; /* 2: how long callers may use addresses */
 	int64_t lease_ms; /* 3000: of the daemon's entry in the store */
+	/* 0, 0, 5000: "rollout_share", "rollout_slack", "rollout_withdraw_ms" */
+	gc_rollout_limits_t rollout;
 	gc_log_level_t log_level;
 } gc_routed_settings_t;
 
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -425,6 +425,14 @@
 	gc_relay_set_restored(traffic->relay);
 }
 
+/* Roll-outs don't reach the relay yet. */
+void gc_routed_traffic_set_rollout(gc_routed_traffic_t *traffic,
+				   const gc_rollout_record_t *record)
+{
+	(void)traffic;
+	(void)record;
+}
+
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
 			    void (*stopped)(void *ctx), void *ctx)
 {
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "core/crash_suspects.h"
+#include "core/rollout.h"
 #include "lib/adapter.h"
 #include "lib/crash_checks.h"
 #include "lib/fleet.h"
@@ -76,6 +77,10 @@
 				  const gc_place_answer_t *answer);
 void gc_routed_traffic_add_served(gc_routed_traffic_t *traffic, uint64_t trait,
 				  uint64_t revision);
+/* The record of a service's roll-out that is in force; copied. May be called from any
+ * thread. */
+void gc_routed_traffic_set_rollout(gc_routed_traffic_t *traffic,
+				   const gc_rollout_record_t *record);
 /*
  * Starts draining: serves until no request is in flight or the grace period
  * ends, then calls stopped(ctx) in the traffic thread.
