Split requests of a service during a roll-out, and count its answers

New servers of a service got requests as soon as they were listed. The traffic thread now keeps the record of each service's roll-out: barred versions get nothing, the target gets the requests that the split selects, at the servers where it is judged, and streams that began there.

Requests that another daemon passed on are never selected: that daemon may have sent them to the target before.

--- a/core/backends.h
+++ b/core/backends.h
@@ -54,6 +54,15 @@
 	size_t n;
 	/* If data isn't NULL, all servers of other versions belong to the set. */
 	gc_str_t only_version;
+	/* If data isn't NULL, the servers of this version do, too. */
+	gc_str_t not_version;
+	/* And those of these versions. */
+	const gc_str_t *barred;
+	size_t n_barred;
+	/* And those that come later than this one in the order of
+	 * gc_backends_nth_judged; NULL: none. */
+	const gc_backend_t *last_judged;
+	uint64_t judged_key; /* of that order */
 } gc_backend_set_t;
 
 /* The prompt of a stream. */
@@ -91,6 +100,20 @@
 /* True if a request that avoids these servers doesn't go to this one. */
 bool gc_backend_is_avoided(const gc_backend_t *backend,
 			   const gc_backend_set_t *avoid);
+/* True if it doesn't go there for the server's version. */
+bool gc_backend_is_version_avoided(const gc_backend_t *backend,
+				   const gc_backend_set_t *avoid);
+/*
+ * The n-th, from 0, of the sound servers of the service and version, in an order by
+ * the hash of key and server id, which is the same in all daemons; the last one if
+ * there are fewer, NULL if there is none.
+ */
+gc_backend_t *gc_backends_nth_judged(const gc_backends_t *backends,
+				     struct timespec now, gc_str_t service,
+				     gc_str_t version, uint64_t key, size_t n);
+size_t gc_backends_count_sound(const gc_backends_t *backends,
+			       struct timespec now, gc_str_t service,
+			       gc_str_t version);
 /*
  * The best server of the service, preferably in this daemon's failure domain,
  * or NULL. Servers in `avoid` (may be NULL), draining, leaving, pausing and
--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -60,6 +60,10 @@
 static bool is_ejected(const gc_backend_t *backend, struct timespec now);
 static bool is_ejected_itself(const gc_backend_t *backend, struct timespec now);
 static int64_t return_ms(const gc_backend_t *backend, struct timespec now);
+static bool is_judged_before(const gc_backend_t *left,
+			     const gc_backend_t *right, uint64_t key);
+static bool is_sound_at(const gc_backend_t *backend, struct timespec now,
+			gc_str_t service, gc_str_t version);
 static bool is_domain_ejected(const gc_backend_t *backend, struct timespec now);
 
 gc_backend_t *gc_backends_choose(gc_backends_t *backends, struct timespec now,
@@ -342,15 +346,86 @@
 bool gc_backend_is_avoided(const gc_backend_t *backend,
 			   const gc_backend_set_t *avoid)
 {
-	if (avoid && avoid->only_version.data &&
-	    !gc_str_eq(avoid->only_version, backend->entry.version))
+	if (!avoid)
+		return false;
+	if (gc_backend_is_version_avoided(backend, avoid))
 		return true;
-	for (size_t i = 0; avoid && i < avoid->n; i++)
+	for (size_t i = 0; i < avoid->n; i++)
 		if (avoid->list[i] == backend)
 			return true;
+	return avoid->last_judged &&
+	       is_judged_before(avoid->last_judged, backend, avoid->judged_key);
+}
+
+bool gc_backend_is_version_avoided(const gc_backend_t *backend,
+				   const gc_backend_set_t *avoid)
+{
+	gc_str_t version = backend->entry.version;
+
+	if (avoid->only_version.data &&
+	    !gc_str_eq(avoid->only_version, version))
+		return true;
+	if (avoid->not_version.data && gc_str_eq(avoid->not_version, version))
+		return true;
+	for (size_t i = 0; i < avoid->n_barred; i++)
+		if (gc_str_eq(avoid->barred[i], version))
+			return true;
 	return false;
 }
 
+static bool is_judged_before(const gc_backend_t *left,
+			     const gc_backend_t *right, uint64_t key)
+{
+	uint64_t left_hash =
+		XXH64(&left->id_hash, sizeof(left->id_hash), key);
+	uint64_t right_hash =
+		XXH64(&right->id_hash, sizeof(right->id_hash), key);
+
+	return left_hash < right_hash ||
+	       (left_hash == right_hash && left->id_hash < right->id_hash);
+}
+
+static bool is_sound_at(const gc_backend_t *backend, struct timespec now,
+			gc_str_t service, gc_str_t version)
+{
+	return gc_str_eq(backend->entry.service, service) &&
+	       gc_str_eq(backend->entry.version, version) &&
+	       gc_backend_is_sound(backend, now);
+}
+
+size_t gc_backends_count_sound(const gc_backends_t *backends,
+			       struct timespec now, gc_str_t service,
+			       gc_str_t version)
+{
+	size_t n = 0;
+
+	for (const gc_backend_t *b = backends->first; b; b = b->next)
+		n += is_sound_at(b, now, service, version);
+	return n;
+}
+
+/* Quadratic, for the few servers that are judged at once. */
+gc_backend_t *gc_backends_nth_judged(const gc_backends_t *backends,
+				     struct timespec now, gc_str_t service,
+				     gc_str_t version, uint64_t key, size_t n)
+{
+	gc_backend_t *last = NULL;
+
+	for (size_t i = 0; i <= n; i++) {
+		gc_backend_t *next = NULL;
+
+		for (gc_backend_t *b = backends->first; b; b = b->next)
+			if (is_sound_at(b, now, service, version) &&
+			    (!last || is_judged_before(last, b, key)) &&
+			    (!next || is_judged_before(b, next, key)))
+				next = b;
+		if (!next)
+			break;
+		last = next;
+	}
+	return last;
+}
+
 /* Requests without a stream are short, so the distance to the server counts. */
 static double request_score(const gc_backends_t *backends,
 			    const gc_backend_t *backend, struct timespec now)
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -30,6 +30,8 @@
 	struct timespec left_at;
 	/* As in gc_exchange_t. */
 	struct timespec attempt_started;
+	uint64_t rollout_order;
+	bool rollout_target;
 	int attempt_status;
 	gc_backend_t *copy_holder; /* NULL if none, or if it was used */
 	gc_str_t copy_location;
@@ -121,6 +123,13 @@
 	/* The software version at which the stream goes on, as what two versions
 	 * write doesn't fit together; data NULL if that isn't decided. */
 	gc_str_t version;
+	/* Roll-out of the service (exchange_rollout.c). */
+	uint64_t rollout_order; /* while which the attempt began; 0: not counted */
+	bool rollout_target; /* the attempt is at the target */
+	bool rollout_given_up; /* the target had no server for the request */
+	bool slow_reader; /* the attempt's server was not read for a while */
+	int64_t rollout_first_id; /* of the attempt's first events */
+	struct timespec rollout_first_at; /* when these came */
 	bool recorded; /* a record of the version is written, or will be */
 	/* Of a record or a search for one under way; 0: none. */
 	uint64_t version_token;
@@ -332,6 +341,34 @@
 /* Ends a stream that can't be put on record (exchange_run.c). */
 void gc_exchange_abandon_unrecorded(gc_exchange_t *exchange);
 
+/*
+ * Roll-outs (exchange_rollout.c). gc_exchange_limit_versions leaves out of `avoid` the
+ * servers of versions that the next attempt must not go to. gc_exchange_may_go_to is
+ * false for a server of such a version. gc_exchange_is_barred is true if the version
+ * gets nothing new.
+ */
+void gc_exchange_limit_versions(const gc_exchange_t *exchange,
+				gc_backend_set_t *avoid);
+bool gc_exchange_may_go_to(const gc_exchange_t *exchange,
+			   const gc_backend_t *server);
+bool gc_exchange_is_barred(const gc_exchange_t *exchange, gc_str_t version);
+/* True if the roll-out's target gets nothing new that isn't selected for it. */
+bool gc_exchange_is_judged(const gc_exchange_t *exchange, gc_str_t version);
+/* The target had no server with room: the request goes elsewhere. */
+void gc_exchange_give_up_target(gc_exchange_t *exchange);
+/*
+ * What a roll-out is judged by; nothing is counted without one. In this order:
+ * a request of a caller was admitted; an attempt starts at the server; events were
+ * received; a response is complete; the time limit has come without a response.
+ */
+void gc_exchange_count_admitted(const gc_exchange_t *exchange);
+void gc_exchange_count_attempt(gc_exchange_t *exchange,
+			       const gc_backend_t *server);
+void gc_exchange_count_first_event(gc_exchange_t *exchange);
+void gc_exchange_count_response(const gc_exchange_t *exchange);
+void gc_exchange_count_stream_end(const gc_exchange_t *exchange);
+void gc_exchange_count_time_limit(const gc_exchange_t *exchange);
+
 /*
  * Copies of a run's KV cache (exchange_copy.c). gc_exchange_start_copy chooses
  * the server that receives the copy, before the attempt is sent.
--- a/lib/exchange_choose.c
+++ b/lib/exchange_choose.c
@@ -33,6 +33,7 @@
 				   bool *has_choice);
 static bool asks_for_load(const gc_exchange_t *exchange);
 static void end_without_time(gc_exchange_t *exchange);
+static void end_without_version(gc_exchange_t *exchange);
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now);
 static void on_load_probe_done(void *ctx);
 static gc_backend_t *best_of(const gc_exchange_t *exchange,
@@ -72,6 +73,16 @@
 		end_without_time(exchange);
 		return;
 	}
+	if (exchange->version.data &&
+	    gc_exchange_is_barred(exchange, exchange->version)) {
+		end_without_version(exchange);
+		return;
+	}
+	if (exchange->resume_holder &&
+	    !gc_exchange_may_go_to(exchange, exchange->resume_holder)) {
+		gc_backend_unref(exchange->resume_holder);
+		exchange->resume_holder = NULL;
+	}
 	if (!gc_exchange_check_suspects(exchange) ||
 	    gc_exchange_leave_service(exchange) ||
 	    wait_for_permit(exchange, now))
@@ -265,6 +276,15 @@
 			    GC_END_TIMED_OUT);
 }
 
+/* The stream's version gets nothing new since a roll-out was decided. */
+static void end_without_version(gc_exchange_t *exchange)
+{
+	exchange->limit_reached = "version";
+	gc_exchange_give_up(exchange,
+			    gc_attempts_final_decision(&exchange->attempts),
+			    GC_END_UNREACHABLE);
+}
+
 /* True if a load probe was started; its completion starts the attempt. */
 static bool start_load_probe(gc_exchange_t *exchange, struct timespec now)
 {
@@ -322,12 +342,19 @@
 	gc_load_probe_destroy(probe);
 }
 
+/* Versions may have been barred since the servers were asked. */
 static gc_backend_t *best_of(const gc_exchange_t *exchange,
 			     const gc_backend_set_t *servers)
 {
+	gc_backend_t *allowed[LOAD_PROBE_SERVERS];
+	gc_backend_set_t set = {.list = allowed};
+
+	for (size_t i = 0; i < servers->n; i++)
+		if (gc_exchange_may_go_to(exchange, servers->list[i]))
+			allowed[set.n++] = servers->list[i];
 	return gc_backends_best_of(exchange->relay->backends,
 				   gc_clock_now(exchange->relay->conf.clock),
-				   exchange->prompt, servers);
+				   exchange->prompt, &set);
 }
 
 /* backend: the best of those that responded to the load queries, or NULL. */
@@ -364,6 +391,7 @@
 
 static void wait_for_room(gc_exchange_t *exchange)
 {
+	gc_exchange_give_up_target(exchange);
 	if ((double)gc_exchange_elapsed_ms(exchange) < max_wait_ms(exchange)) {
 		gc_timer_set(exchange->retry_timer, ROOM_POLL_MS);
 		return;
@@ -389,6 +417,7 @@
 				  gc_clock_now(exchange->relay->conf.clock))
 			: gc_exchange_elapsed_ms(exchange);
 
+	gc_exchange_give_up_target(exchange);
 	if (exchange->head_sent &&
 	    (exchange->left_silent || may_servers_return(exchange))) {
 		wait_for_return(exchange);
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -59,6 +59,8 @@
 {
 	gc_backend_set_t avoid = gc_exchange_avoid(exchange);
 
+	/* A run at a version that is being judged has its copy there, too. */
+	avoid.not_version = GC_STR_EMPTY;
 	return gc_backends_choose_copy_holder(exchange->relay->backends,
 					      current_time(exchange),
 					      exchange->backend, &avoid);
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -224,10 +224,12 @@
 	gc_exchange_t *exchange = ctx;
 	int64_t left_ms = exchange->end_ms - gc_exchange_elapsed_ms(exchange);
 
-	if (exchange->head_sent && left_ms > 0)
+	if (exchange->head_sent && left_ms > 0) {
 		gc_timer_set(exchange->time_limit_timer, left_ms);
-	else
-		end_unfinished(exchange, "time", &not_run, &timed_out);
+		return;
+	}
+	gc_exchange_count_time_limit(exchange);
+	end_unfinished(exchange, "time", &not_run, &timed_out);
 }
 
 void gc_exchange_on_stop(gc_exchange_t *exchange)
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -86,6 +86,7 @@
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_exchange_record_served(exchange);
+			gc_exchange_count_first_event(exchange);
 			gc_exchange_begin_at(
 				exchange, exchange->hop
 						  ? exchange->hop_version
@@ -167,8 +168,10 @@
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data)
 {
 	gc_caller_conn_send_data(exchange->caller, data);
-	if (gc_caller_conn_unsent_bytes(exchange->caller) > MAX_UNSENT_BYTES)
-		set_server_paused(exchange, true);
+	if (gc_caller_conn_unsent_bytes(exchange->caller) <= MAX_UNSENT_BYTES)
+		return;
+	exchange->slow_reader = true;
+	set_server_paused(exchange, true);
 }
 
 static void set_server_paused(gc_exchange_t *exchange, bool paused)
@@ -198,6 +201,8 @@
 					   "the stream ended inside an event");
 		return;
 	}
+	if (!exchange->ended_held)
+		gc_exchange_count_stream_end(exchange);
 	if (gc_exchange_is_held(exchange)) {
 		exchange->attempts.may_have_run = true;
 		exchange->ended_held = true;
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -80,6 +80,7 @@
 	gc_timer_set(exchange->time_limit_timer,
 		     exchange->last_answer_ms -
 			     gc_exchange_elapsed_ms(exchange));
+	gc_exchange_count_admitted(exchange);
 	if (gc_exchange_find_version(exchange))
 		gc_exchange_start_next_attempt(exchange);
 }
@@ -171,6 +172,7 @@
 		gc_exchange_start_copy(exchange);
 	}
 	exchange->attempt_started = now;
+	gc_exchange_count_attempt(exchange, backend);
 	exchange->last_activity = now;
 	exchange->received_event = false;
 	exchange->suspect_trial = false;
@@ -289,6 +291,8 @@
 	if (exchange->identified && !exchange->not_run &&
 	    (!exchange->sequencer || exchange->attempt_status >= 300))
 		gc_exchange_record_served(exchange);
+	if (!exchange->success || !is_end_uncertain(exchange, response))
+		gc_exchange_count_response(exchange);
 	if (!exchange->identified) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
@@ -414,6 +418,7 @@
 	} else if (exchange->sequencer) {
 		gc_exchange_finish_stream(exchange);
 	} else {
+		gc_exchange_count_response(exchange);
 		gc_backend_record_success(exchange->backend);
 		gc_exchange_respond(exchange);
 	}
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -62,6 +62,8 @@
 	standby->backend = gc_backend_ref(exchange->backend);
 	gc_backend_add_request(standby->backend);
 	standby->attempt_started = exchange->attempt_started;
+	standby->rollout_order = exchange->rollout_order;
+	standby->rollout_target = exchange->rollout_target;
 	standby->left_at = gc_clock_now(exchange->relay->conf.clock);
 	standby->attempt_status = exchange->attempt_status;
 	if (exchange->sequencer)
@@ -321,6 +323,8 @@
 	put_last(exchange, standby->backend);
 	exchange->hop = false;
 	exchange->attempt_started = standby->attempt_started;
+	exchange->rollout_order = standby->rollout_order;
+	exchange->rollout_target = standby->rollout_target;
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
 	exchange->received_event = exchange->sequencer != NULL;
 	exchange->silence = (gc_silence_t){0};
--- a/lib/exchange_version.c
+++ b/lib/exchange_version.c
@@ -175,7 +175,8 @@
 	       "stream resumed at its version", "request", exchange->id.data,
 	       "resumes", resumes_text, "version", exchange->version.data,
 	       "source", source, NULL);
-	if (gc_backends_has_version(exchange->relay->backends,
+	if (!gc_exchange_is_barred(exchange, exchange->version) &&
+	    gc_backends_has_version(exchange->relay->backends,
 				    exchange->service, exchange->version))
 		return true;
 	exchange->limit_reached = "version";
@@ -250,9 +251,12 @@
 
 	if (!avoid.only_version.data && is_resumable(exchange) &&
 	    !relay->store_answers && base &&
+	    !gc_exchange_is_barred(exchange, base->version) &&
+	    !gc_exchange_is_judged(exchange, base->version) &&
 	    gc_backends_has_version(relay->backends, exchange->service,
 				    base->version))
 		avoid.only_version = base->version;
+	gc_exchange_limit_versions(exchange, &avoid);
 	return avoid;
 }
 
--- a/lib/relay.h
+++ b/lib/relay.h
@@ -13,6 +13,8 @@
 #include "core/clock.h"
 #include "core/crash_suspects.h"
 #include "core/placement.h"
+#include "core/rollout.h"
+#include "core/rollout_evidence.h"
 #include "lib/adapter.h"
 #include "lib/caller_listener.h"
 #include "lib/crash_checks.h"
@@ -73,6 +75,12 @@
 	void (*record_version)(void *ctx, uint64_t token, const char *key,
 			       gc_str_t version);
 	void (*find_version)(void *ctx, uint64_t token, const char *key);
+	/* Counts of a roll-out that runs, every GC_ROLLOUT_REPORT_MS; valid during the
+	 * call. May be NULL. */
+	void (*report_rollout)(void *ctx, gc_str_t service,
+			       const gc_rollout_report_t *report);
+	/* See gc_rollout_limits_t.withdraw_ms; 0: roll-outs are not enabled. */
+	int64_t rollout_withdraw_ms;
 	void *share_ctx;
 } gc_relay_conf_t;
 
@@ -89,6 +97,8 @@
 void gc_relay_set_recorded(gc_relay_t *relay, uint64_t token, bool ok);
 void gc_relay_set_found_version(gc_relay_t *relay, uint64_t token,
 				gc_version_result_t result, gc_str_t version);
+/* A record of a roll-out, which replaces the service's last one; it is copied. */
+void gc_relay_set_rollout(gc_relay_t *relay, const gc_rollout_record_t *record);
 /* To be called before the confirmed time moves forward. */
 void gc_relay_note_confirmation(gc_relay_t *relay);
 /* Whether the store answers, so that records can be written. */
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -11,6 +11,9 @@
 #include "lib/refusal.h"
 #include "lib/relay.h"
 
+/* The roll-out of a service as the traffic thread knows it (exchange_rollout.c). */
+typedef struct gc_service_rollout gc_service_rollout_t;
+
 /* Answers that are weighed at once, each of another server. */
 #define GC_MAX_ALIVE 32
 
@@ -36,6 +39,9 @@
 	gc_timer_t *places_timer; /* names places that are held anew */
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
+	gc_service_rollout_t *rollouts; /* one for each service */
+	gc_timer_t *rollout_timer; /* reports what is counted; NULL: no record */
+	bool rollout_timer_runs;
 	size_t n_exchanges;
 	size_t n_awaiting_retry; /* of n_exchanges */
 	gc_base_versions_t *base_versions;
--- a/lib/routed_traffic.c
+++ b/lib/routed_traffic.c
@@ -98,6 +98,7 @@
 static void handle_places(void *ctx, void *message);
 static void handle_recorded(void *ctx, void *message);
 static void handle_found_version(void *ctx, void *message);
+static void handle_rollout(void *ctx, void *message);
 static void handle_store_answers(void *ctx, void *message);
 static void handle_restored(void *ctx, void *message);
 static void handle_stop(void *ctx, void *message);
@@ -157,6 +158,8 @@
 		.ask_places = conf->ask_places,
 		.record_version = conf->record_version,
 		.find_version = conf->find_version,
+		.report_rollout = conf->report_rollout,
+		.rollout_withdraw_ms = settings->rollout.withdraw_ms,
 		.share_ctx = conf->share_ctx,
 	};
 
@@ -425,12 +428,20 @@
 	gc_relay_set_restored(traffic->relay);
 }
 
-/* Roll-outs don't reach the relay yet. */
+/* The copy has no parent, so that either thread may use it in turn. */
 void gc_routed_traffic_set_rollout(gc_routed_traffic_t *traffic,
 				   const gc_rollout_record_t *record)
 {
-	(void)traffic;
-	(void)record;
+	gc_mailbox_post(traffic->mailbox, handle_rollout,
+			gc_rollout_record_copy(NULL, record));
+}
+
+static void handle_rollout(void *ctx, void *message)
+{
+	gc_routed_traffic_t *traffic = ctx;
+
+	gc_relay_set_rollout(traffic->relay, message);
+	talloc_free(message);
 }
 
 void gc_routed_traffic_stop(gc_routed_traffic_t *traffic,
--- a/lib/routed_traffic.h
+++ b/lib/routed_traffic.h
@@ -6,6 +6,7 @@
 
 #include "core/crash_suspects.h"
 #include "core/rollout.h"
+#include "core/rollout_evidence.h"
 #include "lib/adapter.h"
 #include "lib/crash_checks.h"
 #include "lib/fleet.h"
@@ -32,6 +33,8 @@
 	void (*record_version)(void *ctx, uint64_t token, const char *key,
 			       gc_str_t version);
 	void (*find_version)(void *ctx, uint64_t token, const char *key);
+	void (*report_rollout)(void *ctx, gc_str_t service,
+			       const gc_rollout_report_t *report);
 	void *share_ctx;
 } gc_routed_traffic_conf_t;
 
