--- a/core/backends_choose.c
+++ b/core/backends_choose.c
@@ -376,8 +376,7 @@
 static bool is_judged_before(const gc_backend_t *left,
 			     const gc_backend_t *right, uint64_t key)
 {
-	uint64_t left_hash =
-		XXH64(&left->id_hash, sizeof(left->id_hash), key);
+	uint64_t left_hash = XXH64(&left->id_hash, sizeof(left->id_hash), key);
 	uint64_t right_hash =
 		XXH64(&right->id_hash, sizeof(right->id_hash), key);
 
--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -124,7 +124,8 @@
 	 * write doesn't fit together; data NULL if that isn't decided. */
 	gc_str_t version;
 	/* Roll-out of the service (exchange_rollout.c). */
-	uint64_t rollout_order; /* while which the attempt began; 0: not counted */
+	uint64_t
+		rollout_order; /* while which the attempt began; 0: not counted */
 	bool rollout_target; /* the attempt is at the target */
 	bool rollout_given_up; /* the target had no server for the request */
 	bool slow_reader; /* the attempt's server was not read for a while */
--- a/lib/exchange_rollout.c
+++ b/lib/exchange_rollout.c
@@ -186,9 +186,10 @@
 	judged.only_version = record->target;
 	judged.judged_key = XXH64(exchange->service.data, exchange->service.len,
 				  record->order);
-	judged.last_judged = gc_backends_nth_judged(
-		relay->backends, now, exchange->service, record->target,
-		judged.judged_key, MAX(n, 1) - 1);
+	judged.last_judged =
+		gc_backends_nth_judged(relay->backends, now, exchange->service,
+				       record->target, judged.judged_key,
+				       MAX(n, 1) - 1);
 	if (!has_server(exchange, &judged))
 		return false;
 	*avoid = judged;
@@ -265,8 +266,8 @@
 	if (!rollout)
 		return;
 	exchange->rollout_order = rollout->record->order;
-	exchange->rollout_target = gc_str_eq(gc_backend_version(server),
-					     rollout->record->target);
+	exchange->rollout_target =
+		gc_str_eq(gc_backend_version(server), rollout->record->target);
 	if (exchange->rollout_target)
 		gc_rollout_evidence_count_sent(rollout->evidence);
 }
@@ -322,11 +323,11 @@
 	if (!evidence || !exchange->identified || exchange->not_run)
 		return;
 	if (status >= 500)
-		gc_rollout_evidence_add_failure(
-			evidence, route_hash(exchange),
-			exchange->sequencer ? GC_ROLLOUT_FIRST_EVENT
-					    : GC_ROLLOUT_ANSWER,
-			exchange->rollout_target);
+		gc_rollout_evidence_add_failure(evidence, route_hash(exchange),
+						exchange->sequencer
+							? GC_ROLLOUT_FIRST_EVENT
+							: GC_ROLLOUT_ANSWER,
+						exchange->rollout_target);
 	else if (!exchange->sequencer && !exchange->slow_reader &&
 		 (exchange->success || status >= 300))
 		add_time(exchange, GC_ROLLOUT_ANSWER, attempt_ms(exchange));
--- a/lib/relay_private.h
+++ b/lib/relay_private.h
@@ -40,7 +40,8 @@
 	gc_fleet_view_t *view; /* NULL until the first one is set */
 	gc_exchange_t *exchanges; /* in flight */
 	gc_service_rollout_t *rollouts; /* one for each service */
-	gc_timer_t *rollout_timer; /* reports what is counted; NULL: no record */
+	gc_timer_t
+		*rollout_timer; /* reports what is counted; NULL: no record */
 	bool rollout_timer_runs;
 	size_t n_exchanges;
 	size_t n_awaiting_retry; /* of n_exchanges */
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -101,14 +101,17 @@
 POST /cut {"sources", "how"} partitions it from clients with these addresses, see
 cut.py; without members the partition ends.
 POST /headers {NAME: VALUE} sets the headers that all responses get.
-POST /slots, POST /brittle and POST /fall: see brittle.py.
+POST /slots, POST /brittle and POST /fall: see brittle.py. POST /bad: see
+bad_version.py.
 SIGUSR1 and SIGUSR2 write its entry again, as draining or ready.
 GET /stats returns the number of requests of callers ("requests") and of others
 ("queries") that arrived, the times at which any of them did ("arrivals", in s of
 the monotonic clock), the ids of executed requests ("runs"), the requests for
 copies ("orders"), the event numbers at which clients disconnected
 ("abandoned") and headers of executed requests ("seen"), and with /slots the times of
-falls ("falls"), of requests turned away ("turned_away") and of work ("work").
+falls ("falls"), of requests turned away ("turned_away") and of work ("work"). "bad"
+has the times of bad answers (POST /bad), "begun" those at which requests began to
+run.
 """
 
 import asyncio
@@ -122,6 +125,7 @@
 import weakref
 
 import bad_responses
+import bad_version
 import brittle
 import cut
 import heads
@@ -174,6 +178,8 @@
         self.writers = weakref.WeakSet()
         self.cut = cut.Cut()
         self.slots = brittle.Slots()
+        self.bad = bad_version.BadVersion()
+        self.begun = []
 
     def register(self, port, state="ready"):
         value = {"service": self.service, "address": f"127.0.0.1:{port}",
@@ -300,6 +306,10 @@
             self.slots.configure(request.path, request.json())
             writer.write(wire.json_response(200, {}))
             return True
+        if request.path == "/bad":
+            self.bad.configure(request.json())
+            writer.write(wire.json_response(200, {}))
+            return True
         if request.path == "/fall":
             writer.write(wire.json_response(200, {}))
             await writer.drain()
@@ -314,7 +324,8 @@
                 **self.slots.stats(), "requests": self.n_requests, "queries": self.n_queries,
                 "runs": self.runs, "orders": self.copy_requests, "arrivals": self.arrivals,
                 "abandoned": self.abandoned, "seen": self.seen,
-                "endless": self.endless_bytes, "queued": self.queued}))
+                "endless": self.endless_bytes, "queued": self.queued,
+                "bad": self.bad.bad, "begun": self.begun}))
             return True
         if request.path == "/memory":
             self.kv_used = request.json()["used"]
@@ -412,6 +423,7 @@
                 return False
             return True
         self.runs.append(run_id)
+        self.begun.append(round(time.monotonic(), 3))
         # Persists after exit; tests count the runs of all servers in it.
         with open("runs.log", "a", encoding="ascii") as f:
             f.write(f"{run_id} {self.service}\n")
@@ -447,9 +459,16 @@
                 int(request.headers.get("last-event-id", 0)))
         if self.slots.slots and not await self.slots.work(reader):
             return False
+        event_s = 0
+        if self.bad.command:
+            fails, event_s = await self.bad.delay(request.path)
+            if fails:
+                writer.write(wire.response(500, b"failed\n",
+                                           self.response_headers(request)))
+                return True
         if self.engine:
             return await self.stream_events(request, behaviour[0], reader,
-                                            writer)
+                                            writer, event_s)
         return await self.respond(request, behaviour[0], reader, writer)
 
     async def respond(self, request, behaviour, reader, writer):
@@ -565,7 +584,8 @@
         await writer.drain()
         return True
 
-    async def stream_events(self, request, behaviour, reader, writer):
+    async def stream_events(self, request, behaviour, reader, writer,
+                            event_s=0):
         last = int(request.headers.get("last-event-id", 0))
         headers = self.response_headers(request, **{
             "Transfer-Encoding": "chunked",
@@ -616,7 +636,7 @@
         for n in range(last + 1, count + 1):
             await asyncio.wait([disconnected],
                                timeout=(0 if big else 0.15 if slow
-                                        else EVENT_INTERVAL_S))
+                                        else EVENT_INTERVAL_S) + event_s)
             if disconnected.done():
                 self.abandoned.append(n)
                 return False
