--- /dev/null
+++ b/core/rollout_shares.h
@@ -0,0 +1,43 @@
+/* Plans the share of each route's requests that a roll-out's target gets while it is
+ * judged. */
+#ifndef GC_CORE_ROLLOUT_SHARES_H
+#define GC_CORE_ROLLOUT_SHARES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/rollout.h"
+#include "core/rollout_reports.h"
+
+typedef struct gc_rollout_plan {
+	double share; /* of all requests, and of routes that are not listed */
+	gc_rollout_route_share_t routes[GC_ROLLOUT_MAX_ROUTES]; /* sorted */
+	size_t n_routes;
+} gc_rollout_plan_t;
+
+/* The plan until the first answers have come. */
+void gc_rollout_plan_start(gc_rollout_plan_t *plan);
+/* The plan in force, of a record. */
+void gc_rollout_plan_read(gc_rollout_plan_t *plan,
+			  const gc_rollout_record_t *record);
+/* Requests that the target may get if the service gets n_requests in the whole time. */
+double gc_rollout_budget(const gc_rollout_limits_t *limits, double n_requests);
+/* Fills in the routes with their parts of all answers instead of shares. Returns the
+ * number of answers. */
+size_t gc_rollout_plan_weigh(gc_rollout_plan_t *plan,
+			     const gc_rollout_reports_t *reports);
+/*
+ * Stores a plan that uses up the budget by the time of the decision, and with which
+ * the bound holds while reports and records are under way. requests_per_ms: in the
+ * last moments. Returns false if too little is known of the routes.
+ */
+bool gc_rollout_plan_compute(gc_rollout_plan_t *plan,
+			     const gc_rollout_limits_t *limits,
+			     const gc_rollout_reports_t *reports,
+			     double requests_per_ms, int64_t elapsed_ms,
+			     int64_t duration_ms);
+/* True if the plan differs from the one in force by enough to be written. */
+bool gc_rollout_plan_differs(const gc_rollout_plan_t *plan,
+			     const gc_rollout_plan_t *current);
+
+#endif
--- /dev/null
+++ b/core/rollout_tests.c
@@ -0,0 +1,407 @@
+/*
+ * One-sided CUSUM tests: log-likelihood ratios of a raised rate to that of the other
+ * versions are summed up, and a sum below 0 starts anew, so that a version that turns
+ * bad late is found as fast as one that is bad from the start.
+ */
+#include <math.h>
+
+#include <glib.h>
+
+#include "core/clock.h"
+#include "core/rollout_tests.h"
+
+/* Time constant of the others' counts: a few intervals between reports, and short
+ * enough to follow a burst. */
+#define FAILURE_WINDOW_S 6.0
+#define SLOW_WINDOW_S	 3.0
+/* Least rate that is assumed for the others, so that a few bad answers of a service
+ * that seems to have none raise no alarm. */
+#define MIN_RATE 0.02
+/* The raised rate that is tested: at least this ratio and this difference. */
+#define RAISED_RATIO 2.0
+#define RAISED_STEP  0.18
+/* Where so many of the others' answers are bad, those of the target tell nothing. */
+#define MAX_RATE   0.6
+#define MAX_RAISED 0.95
+/* Sum that raises an alarm. */
+#define ALARM 9.0
+/* The others' counts don't decay below this number of answers. */
+#define MIN_RECENT 16.0
+/* Answers of the others before the target's times are compared with theirs. */
+#define MIN_OTHERS 8
+/* Answers by which the rate of a route is drawn to that of all routes. */
+#define PRIOR_ANSWERS	     10.0
+#define PRIOR_LATEST_ANSWERS 3.0
+#define BASE_DEVIATIONS	     1.0
+/* Slow: at least four buckets above the median's, that is by a factor between 2.8
+ * and 4. */
+#define SLOW_BUCKETS 4
+
+/* Bad ones of a number of answers. */
+typedef struct tally {
+	double n;
+	double n_bad;
+} tally_t;
+
+/* Of the other versions. */
+typedef struct recent {
+	double n;
+	double n_failed;
+	double n_timed;
+	double times[GC_ROLLOUT_TIME_BUCKETS];
+} recent_t;
+
+typedef struct test {
+	double sum;
+	tally_t tally; /* since the sum was 0 */
+	double rate; /* of the others, at the last step */
+} test_t;
+
+typedef struct tested_series {
+	recent_t others;
+	test_t failures;
+	test_t slow;
+} tested_series_t;
+
+struct gc_rollout_tests {
+	struct timespec stepped_at;
+	tested_series_t *series; /* indexed as those of the reports */
+	size_t n_series;
+	/* Over all routes. */
+	test_t failures[GC_ROLLOUT_N_MEASURES];
+	test_t slow[GC_ROLLOUT_N_MEASURES];
+};
+
+/* What the target's answers on a route are compared with. */
+typedef struct base {
+	tally_t route;
+	tally_t all; /* routes */
+	/* Of these, those that came since the last step. */
+	tally_t route_now;
+	tally_t all_now;
+} base_t;
+
+/* One step of a test over all routes. */
+typedef struct pooled_step {
+	double ratio;
+	tally_t tally;
+	double n_expected; /* bad answers at the others' rates */
+} pooled_step_t;
+
+static void add_others(gc_rollout_tests_t *tests, struct timespec now,
+		       const gc_rollout_series_t *series, size_t n);
+static void decay(recent_t *recent, double s);
+static void test_failures(gc_rollout_tests_t *tests,
+			  gc_rollout_series_t *series, size_t n,
+			  gc_rollout_measure_t measure);
+static void test_times(gc_rollout_tests_t *tests, gc_rollout_series_t *series,
+		       size_t n, gc_rollout_measure_t measure);
+static void pool_times(const gc_rollout_tests_t *tests,
+		       const gc_rollout_series_t *series, size_t n,
+		       gc_rollout_measure_t measure, recent_t *pooled,
+		       base_t *base);
+static size_t slow_bucket(const recent_t *others);
+static double count_slow(const recent_t *recent, size_t bucket);
+static tally_t tally_times(const gc_rollout_counts_t *counts, size_t bucket);
+static double base_rate(const base_t *base);
+static double add_step(test_t *test, double rate, tally_t tally);
+static void add_pooled(test_t *test, const pooled_step_t *step);
+static bool is_alarm(const test_t *test, gc_rollout_alarm_t *alarm);
+
+gc_rollout_tests_t *gc_rollout_tests_create(TALLOC_CTX *mem)
+{
+	return talloc_zero(mem, gc_rollout_tests_t);
+}
+
+bool gc_rollout_tests_step(gc_rollout_tests_t *tests, struct timespec now,
+			   const gc_rollout_reports_t *reports,
+			   gc_rollout_alarm_t *alarm)
+{
+	gc_rollout_series_t *series;
+	size_t n;
+
+	series = gc_rollout_reports_series(reports, &n);
+	if (n > tests->n_series)
+		tests->series = talloc_realloc(tests, tests->series,
+					       tested_series_t, n);
+	for (; tests->n_series < n; tests->n_series++)
+		tests->series[tests->n_series] = (tested_series_t){0};
+	add_others(tests, now, series, n);
+	for (int i = 0; i < GC_ROLLOUT_N_MEASURES; i++) {
+		test_failures(tests, series, n, i);
+		test_times(tests, series, n, i);
+	}
+	for (size_t i = 0; i < n; i++) {
+		series[i].others = (gc_rollout_counts_t){0};
+		*alarm = (gc_rollout_alarm_t){
+			.route = series[i].route,
+			.measure = series[i].measure,
+		};
+		if (is_alarm(&tests->series[i].failures, alarm))
+			return true;
+		alarm->slow = true;
+		if (is_alarm(&tests->series[i].slow, alarm))
+			return true;
+	}
+	for (int i = 0; i < GC_ROLLOUT_N_MEASURES; i++) {
+		*alarm = (gc_rollout_alarm_t){.all_routes = true, .measure = i};
+		if (is_alarm(&tests->failures[i], alarm))
+			return true;
+		alarm->slow = true;
+		if (is_alarm(&tests->slow[i], alarm))
+			return true;
+	}
+	return false;
+}
+
+static void add_others(gc_rollout_tests_t *tests, struct timespec now,
+		       const gc_rollout_series_t *series, size_t n)
+{
+	double s = (double)gc_us_between(tests->stepped_at, now) / 1e6;
+
+	tests->stepped_at = now;
+	for (size_t i = 0; i < n; i++) {
+		recent_t *recent = &tests->series[i].others;
+		const gc_rollout_counts_t *others = &series[i].others;
+
+		decay(recent, MAX(s, 0));
+		recent->n += others->n;
+		recent->n_failed += others->n_failed;
+		for (size_t j = 0; j < GC_ROLLOUT_TIME_BUCKETS; j++) {
+			recent->times[j] += others->times[j];
+			recent->n_timed += others->times[j];
+		}
+	}
+}
+
+static void decay(recent_t *recent, double s)
+{
+	double failures = MAX(exp(-s / FAILURE_WINDOW_S),
+			      MIN_RECENT / MAX(recent->n, MIN_RECENT));
+	double times = MAX(exp(-s / SLOW_WINDOW_S),
+			   MIN_RECENT / MAX(recent->n_timed, MIN_RECENT));
+
+	recent->n *= failures;
+	recent->n_failed *= failures;
+	recent->n_timed *= times;
+	for (size_t i = 0; i < GC_ROLLOUT_TIME_BUCKETS; i++)
+		recent->times[i] *= times;
+}
+
+static void test_failures(gc_rollout_tests_t *tests,
+			  gc_rollout_series_t *series, size_t n,
+			  gc_rollout_measure_t measure)
+{
+	pooled_step_t pooled = {0};
+	base_t base = {0};
+
+	for (size_t i = 0; i < n; i++) {
+		const recent_t *others = &tests->series[i].others;
+
+		if (series[i].measure != measure)
+			continue;
+		base.all.n += others->n;
+		base.all.n_bad += others->n_failed;
+		base.all_now.n += series[i].others.n;
+		base.all_now.n_bad += series[i].others.n_failed;
+	}
+	for (size_t i = 0; i < n; i++) {
+		const recent_t *others = &tests->series[i].others;
+		gc_rollout_counts_t *target = &series[i].target;
+		tally_t tally = {target->n, target->n_failed};
+		double rate;
+
+		if (series[i].measure != measure || target->n == 0)
+			continue;
+		base.route = (tally_t){others->n, others->n_failed};
+		base.route_now = (tally_t){series[i].others.n,
+					   series[i].others.n_failed};
+		rate = base_rate(&base);
+		pooled.ratio +=
+			add_step(&tests->series[i].failures, rate, tally);
+		pooled.tally.n += tally.n;
+		pooled.tally.n_bad += tally.n_bad;
+		pooled.n_expected += rate * tally.n;
+		target->n = 0;
+		target->n_failed = 0;
+	}
+	add_pooled(&tests->failures[measure], &pooled);
+}
+
+/* The target's times on a route wait until enough is known of the others there. Only
+ * if they have answered nothing there, their times on all routes are taken. */
+static void test_times(gc_rollout_tests_t *tests, gc_rollout_series_t *series,
+		       size_t n, gc_rollout_measure_t measure)
+{
+	pooled_step_t pooled = {0};
+	recent_t all = {0};
+	base_t base = {0};
+
+	pool_times(tests, series, n, measure, &all, &base);
+	for (size_t i = 0; i < n; i++) {
+		const recent_t *others = &tests->series[i].others;
+		tally_t tally =
+			tally_times(&series[i].target, slow_bucket(others));
+		double rate;
+
+		if (series[i].measure != measure || tally.n < 1)
+			continue;
+		if (series[i].n_others == 0 && tally.n >= MIN_OTHERS) {
+			others = &all;
+			tally = tally_times(&series[i].target,
+					    slow_bucket(others));
+		}
+		if (others->n_timed < MIN_OTHERS)
+			continue;
+		base.route = (tally_t){
+			others->n_timed,
+			count_slow(others, slow_bucket(others)),
+		};
+		base.route_now =
+			tally_times(&series[i].others, slow_bucket(others));
+		rate = base_rate(&base);
+		pooled.ratio += add_step(&tests->series[i].slow, rate, tally);
+		pooled.tally.n += tally.n;
+		pooled.tally.n_bad += tally.n_bad;
+		pooled.n_expected += rate * tally.n;
+		for (size_t j = 0; j < GC_ROLLOUT_TIME_BUCKETS; j++)
+			series[i].target.times[j] = 0;
+	}
+	add_pooled(&tests->slow[measure], &pooled);
+}
+
+static void pool_times(const gc_rollout_tests_t *tests,
+		       const gc_rollout_series_t *series, size_t n,
+		       gc_rollout_measure_t measure, recent_t *pooled,
+		       base_t *base)
+{
+	for (size_t i = 0; i < n; i++) {
+		const recent_t *others = &tests->series[i].others;
+		size_t bucket = slow_bucket(others);
+		tally_t latest = tally_times(&series[i].others, bucket);
+
+		if (series[i].measure != measure)
+			continue;
+		pooled->n_timed += others->n_timed;
+		for (size_t j = 0; j < GC_ROLLOUT_TIME_BUCKETS; j++)
+			pooled->times[j] += others->times[j];
+		base->all.n += others->n_timed;
+		base->all.n_bad += count_slow(others, bucket);
+		base->all_now.n += latest.n;
+		base->all_now.n_bad += latest.n_bad;
+	}
+}
+
+/* The first bucket of slow answers. */
+static size_t slow_bucket(const recent_t *others)
+{
+	double below = 0;
+	size_t median = 0;
+
+	for (; median < GC_ROLLOUT_TIME_BUCKETS; median++) {
+		below += others->times[median];
+		if (below >= others->n_timed / 2)
+			break;
+	}
+	return median + SLOW_BUCKETS;
+}
+
+static double count_slow(const recent_t *recent, size_t bucket)
+{
+	double n = 0;
+
+	for (size_t i = bucket; i < GC_ROLLOUT_TIME_BUCKETS; i++)
+		n += recent->times[i];
+	return n;
+}
+
+static tally_t tally_times(const gc_rollout_counts_t *counts, size_t bucket)
+{
+	tally_t tally = {0};
+
+	for (size_t i = 0; i < GC_ROLLOUT_TIME_BUCKETS; i++) {
+		tally.n += counts->times[i];
+		if (i >= bucket)
+			tally.n_bad += counts->times[i];
+	}
+	return tally;
+}
+
+/*
+ * Rate of bad answers that the other versions would have. In the first moments of a
+ * burst the latest answers tell more than the recent ones. The recent rate is taken
+ * one standard deviation too high, as it is itself known from few answers.
+ */
+static double base_rate(const base_t *base)
+{
+	double all = (base->all.n_bad + MIN_RATE * PRIOR_ANSWERS) /
+		     (base->all.n + PRIOR_ANSWERS);
+	double route = (base->route.n_bad + all * PRIOR_ANSWERS) /
+		       (base->route.n + PRIOR_ANSWERS);
+	double all_now = (base->all_now.n_bad + all * PRIOR_LATEST_ANSWERS) /
+			 (base->all_now.n + PRIOR_LATEST_ANSWERS);
+	double now = (base->route_now.n_bad + all_now * PRIOR_LATEST_ANSWERS) /
+		     (base->route_now.n + PRIOR_LATEST_ANSWERS);
+
+	route += BASE_DEVIATIONS *
+		 sqrt(route * (1 - route) / (base->route.n + PRIOR_ANSWERS));
+	return MAX(MAX(route, now), MIN_RATE);
+}
+
+/* Returns the log-likelihood ratio of the answers. */
+static double add_step(test_t *test, double rate, tally_t tally)
+{
+	double raised =
+		MIN(MAX(rate * RAISED_RATIO, rate + RAISED_STEP), MAX_RAISED);
+	double ratio;
+
+	test->rate = rate;
+	if (rate >= MAX_RATE)
+		return 0;
+	ratio = tally.n_bad * log(raised / rate) +
+		(tally.n - tally.n_bad) * log((1 - raised) / (1 - rate));
+	test->sum += ratio;
+	test->tally.n += tally.n;
+	test->tally.n_bad += tally.n_bad;
+	if (test->sum <= 0) {
+		test->sum = 0;
+		test->tally = (tally_t){0};
+	}
+	return ratio;
+}
+
+static void add_pooled(test_t *test, const pooled_step_t *step)
+{
+	if (step->tally.n < 1)
+		return;
+	test->rate = step->n_expected / step->tally.n;
+	test->sum += step->ratio;
+	test->tally.n += step->tally.n;
+	test->tally.n_bad += step->tally.n_bad;
+	if (test->sum <= 0) {
+		test->sum = 0;
+		test->tally = (tally_t){0};
+	}
+}
+
+static bool is_alarm(const test_t *test, gc_rollout_alarm_t *alarm)
+{
+	if (test->sum < ALARM)
+		return false;
+	alarm->n = (uint64_t)test->tally.n;
+	alarm->n_bad = (uint64_t)test->tally.n_bad;
+	alarm->rate = test->rate;
+	return true;
+}
+
+double gc_rollout_tests_suspicion(const gc_rollout_tests_t *tests)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < tests->n_series; i++)
+		sum = MAX(sum, MAX(tests->series[i].failures.sum,
+				   tests->series[i].slow.sum));
+	for (int i = 0; i < GC_ROLLOUT_N_MEASURES; i++)
+		sum = MAX(sum, MAX(tests->failures[i].sum, tests->slow[i].sum));
+	return sum / ALARM;
+}
