Follow roll-outs in the daemon

The fleet passes orders and records of roll-outs on to lib/rollouts, the control listener serves reports of other daemons, and records go to the traffic thread, whose part is still a stub.

--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -40,6 +40,9 @@
 static void on_restored(void *ctx);
 static void on_store_answered(void *ctx, bool answered);
 static void on_notice(void *ctx, const gc_store_item_t *item);
+static void start_rollouts(routed_daemon_t *daemon, gc_store_t store);
+static void on_rollout(void *ctx, const gc_store_item_t *item, bool listed);
+static void on_rollout_record(void *ctx, const gc_rollout_record_t *record);
 static void on_crash(void *ctx, gc_str_t instance,
 		     const gc_crash_report_t *report, uint64_t revision,
 		     int64_t kept_ms);
@@ -181,6 +184,7 @@
 		.publish = publish,
 		.on_confirmed = on_confirmed,
 		.notice = on_notice,
+		.rollout = on_rollout,
 		.store_answered = on_store_answered,
 		.era_seen = on_fleet_era,
 		.ctx = daemon,
@@ -226,6 +230,7 @@
 				       (long)times.store_timeout);
 	start_notices(daemon, conf.store);
 	start_stream_versions(daemon, conf.store);
+	start_rollouts(daemon, conf.store);
 	permits_conf.http = daemon->http;
 	daemon->permits = gc_permits_peer_create(daemon, &permits_conf);
 	start_witness(daemon);
@@ -257,6 +262,7 @@
 
 	gc_crash_notices_set_era(daemon->notices, era);
 	gc_stream_versions_set_era(daemon->stream_versions, era);
+	gc_rollouts_set_era(daemon->rollouts, era);
 }
 
 static void on_notices_era(void *ctx, uint64_t era)
@@ -319,6 +325,39 @@
 	daemon->stream_versions = gc_stream_versions_create(daemon, &conf);
 }
 
+static void start_rollouts(routed_daemon_t *daemon, gc_store_t store)
+{
+	gc_rollouts_conf_t conf = {
+		.timers = daemon->timers,
+		.clock = &gc_clock_system,
+		.random = &daemon->random,
+		.http = daemon->http,
+		.store = store,
+		.adapter = &gc_platform_adapter,
+		.self = gc_str(daemon->settings->instance),
+		.limits = daemon->settings->rollout,
+		.record_changed = on_rollout_record,
+		.era_seen = on_notices_era,
+		.ctx = daemon,
+	};
+
+	daemon->rollouts = gc_rollouts_create(daemon, &conf);
+}
+
+static void on_rollout(void *ctx, const gc_store_item_t *item, bool listed)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_rollouts_apply_item(daemon->rollouts, item, listed);
+}
+
+static void on_rollout_record(void *ctx, const gc_rollout_record_t *record)
+{
+	routed_daemon_t *daemon = ctx;
+
+	gc_routed_traffic_set_rollout(daemon->traffic, record);
+}
+
 static void on_recorded(void *ctx, uint64_t token, bool ok)
 {
 	routed_daemon_t *daemon = ctx;
@@ -386,6 +425,7 @@
 	gc_crash_witness_set_view(daemon->witness, view);
 	gc_places_peer_set_view(daemon->places, view);
 	gc_stream_versions_set_view(daemon->stream_versions, view);
+	gc_rollouts_set_view(daemon->rollouts, view);
 	gc_routed_traffic_set_view(daemon->traffic, view);
 }
 
@@ -416,6 +456,7 @@
 		.permits = daemon->permits,
 		.witness = daemon->witness,
 		.places = daemon->places,
+		.rollouts = daemon->rollouts,
 		.confirmed = &daemon->confirmed,
 		.instance = gc_str(settings->instance),
 		.max_confirmed_age_ms = settings->contact_ms,
--- a/goldcrestd/routed_private.h
+++ b/goldcrestd/routed_private.h
@@ -12,6 +12,7 @@
 #include "lib/peers_watch.h"
 #include "lib/permits_peer.h"
 #include "lib/places_peer.h"
+#include "lib/rollouts.h"
 #include "lib/routed_traffic.h"
 
 typedef struct routed_daemon {
@@ -27,6 +28,7 @@
 	gc_crash_witness_t *witness;
 	gc_places_peer_t *places;
 	gc_stream_versions_t *stream_versions;
+	gc_rollouts_t *rollouts;
 	gc_fleet_t *fleet;
 	gc_control_listener_t *control_listener;
 	gc_routed_traffic_t *traffic;
--- a/lib/control_listener.c
+++ b/lib/control_listener.c
@@ -8,6 +8,8 @@
 #include "lib/peers_watch.h"
 #include "lib/permits_peer.h"
 #include "lib/places_peer.h"
+#include "lib/rollouts.h"
+#include "lib/rollouts_peer.h"
 
 /* Addresses in one response; callers use no more. */
 #define MAX_ADDRESSES 64
@@ -17,9 +19,10 @@
 #define METRICS_PATH	    "/metrics"
 /* Longest wait that a watch of another daemon may request. */
 #define MAX_WATCH_WAIT_MS 30000
-/* Requests are small and come on short-lived connections. */
+/* Requests are small and come on short-lived connections; the longest ones are reports
+ * on roll-outs. */
 #define MAX_HEADER_BYTES  8192
-#define MAX_BODY_BYTES	  1024
+#define MAX_BODY_BYTES	  GC_ROLLOUTS_MAX_BODY
 #define HEADER_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS	  15000
 
@@ -68,6 +71,8 @@
 static void send_places(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
 static void on_places(void *ctx, const char *text);
+static void send_rollout(gc_control_listener_t *listener,
+			 gc_caller_conn_t *conn, gc_str_t body);
 static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn,
 			gc_str_t target);
 static void send_metrics(gc_caller_conn_t *conn);
@@ -160,6 +165,8 @@
 		start_question(listener, conn, target);
 	else if (path_matches(target, GC_PLACES_PATH))
 		send_places(listener, conn, target);
+	else if (path_matches(target, GC_ROLLOUTS_PATH))
+		send_rollout(listener, conn, gc_http_message_body(request));
 	else if (path_matches(target, GC_CONFIG_PEER_PATH))
 		send_config(listener, conn, target);
 	else if (path_matches(target, METRICS_PATH))
@@ -330,6 +337,17 @@
 			       text ? gc_str(text) : GC_STR_EMPTY);
 }
 
+static void send_rollout(gc_control_listener_t *listener,
+			 gc_caller_conn_t *conn, gc_str_t body)
+{
+	g_autofree char *text =
+		gc_rollouts_peer_response(listener->conf.rollouts, body);
+
+	gc_caller_conn_respond(conn, text ? 200 : 400,
+			       GC_STR_LIT("Content-Type: application/json\r\n"),
+			       gc_str(text));
+}
+
 /* A newer configuration shows that the other one is a copy's, however long ago it was
  * confirmed; only one that is in force shows that none is newer. */
 static void send_config(gc_control_listener_t *listener, gc_caller_conn_t *conn,
--- a/lib/control_listener.h
+++ b/lib/control_listener.h
@@ -28,6 +28,7 @@
 	struct gc_permits_peer *permits;
 	struct gc_crash_witness *witness;
 	struct gc_places_peer *places;
+	struct gc_rollouts *rollouts;
 	const gc_confirmed_time_t *confirmed;
 	gc_str_t instance; /* name of this daemon */
 	/* Not ready if the configuration was confirmed longer ago than this. */
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -84,6 +84,11 @@
 	 * nothing and are left out. May be NULL.
 	 */
 	void (*notice)(void *ctx, const gc_store_item_t *item);
+	/*
+	 * Called with each item, deletions too, that is an order or a record of a
+	 * roll-out. listed: of a full list, not a change. May be NULL.
+	 */
+	void (*rollout)(void *ctx, const gc_store_item_t *item, bool listed);
 	/* Called after each call that keeps this daemon's entry: whether the store
 	 * has answered it; may be NULL. */
 	void (*store_answered)(void *ctx, bool answered);
--- a/lib/fleet_items.c
+++ b/lib/fleet_items.c
@@ -1,4 +1,5 @@
-/* Items of the store: configuration, servers, daemons, base versions, notices. */
+/* Items of the store: configuration, servers, daemons, base versions, notices,
+ * roll-outs. */
 #include <string.h>
 
 #include <jansson.h>
@@ -16,6 +17,7 @@
 static bool apply_base_version(gc_fleet_t *fleet, gc_str_t service,
 			       const gc_store_item_t *item);
 static bool is_notice(const gc_store_item_t *item);
+static bool is_rollout(const gc_fleet_t *fleet, const gc_store_item_t *item);
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
 static void apply_server(gc_fleet_t *fleet, gc_str_t id,
 			 const gc_store_item_t *item);
@@ -49,6 +51,9 @@
 		apply_kept_era(fleet, item);
 	if (is_notice(item) && fleet->conf.notice)
 		fleet->conf.notice(fleet->conf.ctx, item);
+	if (is_rollout(fleet, item) && fleet->conf.rollout)
+		fleet->conf.rollout(fleet->conf.ctx, item,
+				    !fleet->list_complete);
 	return false;
 }
 
@@ -115,6 +120,15 @@
 		strip_prefix(item->key, GC_CRASH_NOTICES_KEPT_PREFIX, &rest));
 }
 
+static bool is_rollout(const gc_fleet_t *fleet, const gc_store_item_t *item)
+{
+	const gc_adapter_t *adapter = fleet->conf.adapter;
+	gc_str_t rest;
+
+	return strip_prefix(item->key, adapter->rollout_orders_prefix, &rest) ||
+	       strip_prefix(item->key, adapter->rollout_records_prefix, &rest);
+}
+
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
 {
 	size_t len = strlen(prefix);
--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -82,6 +82,7 @@
 typedef struct write {
 	service_t *service;
 	uint64_t era;
+	uint64_t expected; /* revision */
 	gc_rollout_record_t *record;
 } write_t;
 
@@ -156,6 +157,7 @@
 static void write_record(service_t *service, const gc_rollout_record_t *record);
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
 static void take_written(service_t *service, const gc_rollout_record_t *record);
+static void await_watch(service_t *service);
 static void delay_write(service_t *service, const GError *err);
 static void take_era(gc_rollouts_t *rollouts, uint64_t era);
 
@@ -953,6 +955,7 @@
 	service->write = talloc_zero(service, write_t);
 	service->write->service = service;
 	service->write->era = rollouts->era;
+	service->write->expected = service->stored_revision;
 	service->write->record = gc_rollout_record_copy(service->write, record);
 	gc_counter_add(rollouts->store_calls, 1);
 	store->ops->put_if(store->store, gc_str(key), gc_str(value),
@@ -973,11 +976,10 @@
 	if (write->era == rollouts->era) {
 		if (!err)
 			take_written(service, write->record);
-		else if (g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
-			service->write_not_before =
-				gc_add_ms(now_of(service), WATCH_MS);
-		else
+		if (err && !g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
 			delay_write(service, err);
+		else if (service->stored_revision == write->expected)
+			await_watch(service);
 	}
 	talloc_free(write);
 }
@@ -993,12 +995,16 @@
 						       : "rolled_back",
 	       NULL);
 	service->retry_ms = RETRY_MS;
-	/* Its revision is known when the watch has brought it. */
-	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
 	if (is_of_order(service, record) && !is_decided(service->known))
 		set_known(service, record);
 }
 
+/* The revision for the next write is known when the watch has brought the item. */
+static void await_watch(service_t *service)
+{
+	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
+}
+
 static void delay_write(service_t *service, const GError *err)
 {
 	if (service->retry_ms == RETRY_MS)
