Hold the target out until its roll-out has a record

Between an order and the judge's first record, or while the store is busy, daemons had nothing that kept new requests from servers of the target. They now go by a record of their own with a share of 0.

--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -116,7 +116,6 @@
 			   const gc_rollout_order_t *order, const char *fault);
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed);
-static void supersede(const service_t *service, gc_rollout_record_t *former);
 static bool has_version(const service_t *service, gc_str_t version);
 static void log_order(const service_t *service);
 static void remove_order(service_t *service, bool listed);
@@ -130,6 +129,9 @@
 static void log_decision(service_t *service);
 static void publish(const service_t *service,
 		    const gc_rollout_record_t *record);
+static void publish_interim(const service_t *service);
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record);
 static gc_rollout_record_t *withdraw(service_t *service, const char *reason);
 static void bar(gc_rollout_record_t *record, gc_str_t version);
 static bool needs_rewrite(const service_t *service);
@@ -348,9 +350,8 @@
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed)
 {
-	gc_rollout_record_t *former = service->known;
-
 	TALLOC_FREE(service->held);
+	TALLOC_FREE(service->known);
 	TALLOC_FREE(service->judge);
 	TALLOC_FREE(service->own);
 	TALLOC_FREE(service->fault);
@@ -361,33 +362,23 @@
 	service->order->target = gc_str_dup(service->order, order->target);
 	service->order_revision = order->id;
 	service->fault = fault ? talloc_strdup(service, fault) : NULL;
-	service->bars_target = !has_version(service, order->target);
+	service->bars_target =
+		service->rollouts->view && !has_version(service, order->target);
 	service->removed = false;
 	service->arrived = !listed;
 	service->order_at = now_of(service);
 	service->decision_logged = false;
-	service->known = NULL;
 	log_order(service);
 	adopt_record_id(service);
 	if (is_of_order(service, service->stored))
 		set_known(service, service->stored);
-	else if (former && former->state == GC_ROLLOUT_RUNNING)
-		supersede(service, former);
-	talloc_free(former);
+	else if (fault)
+		set_known(service, withdraw(service, service->fault));
+	else
+		publish_interim(service);
 	start_reports(service);
 }
 
-/* No new requests go to the former target while the new order has no record. */
-static void supersede(const service_t *service, gc_rollout_record_t *former)
-{
-	former->state = GC_ROLLOUT_ROLLED_BACK;
-	former->reason = GC_STR_LIT("superseded by another order");
-	former->share = 0;
-	former->n_routes = 0;
-	bar(former, former->target);
-	publish(service, former);
-}
-
 static bool has_version(const service_t *service, gc_str_t version)
 {
 	const gc_fleet_view_t *view = service->rollouts->view;
@@ -463,6 +454,8 @@
 		else if (is_of_order(service, record) &&
 			 (is_decided(record) || !is_decided(service->known)))
 			set_known(service, record);
+		else if (!service->known)
+			publish_interim(service);
 	}
 	start_reports(service);
 }
@@ -551,6 +544,56 @@
 	conf->record_changed(conf->ctx, record);
 }
 
+/*
+ * Until the order has a record: its target gets no new request, nor does one whose order
+ * it supersedes; the rest is as before. If no other version is left, the target may be
+ * the one in force.
+ */
+static void publish_interim(const service_t *service)
+{
+	const gc_rollout_record_t *stored = service->stored;
+	const gc_rollout_order_t *order = service->order;
+	gc_rollout_record_t base = {
+		.service = service->name,
+		.target = order->target,
+		.state = GC_ROLLOUT_RUNNING,
+		.reason = GC_STR_EMPTY,
+		.order = order->id,
+		.duration_ms = order->duration_ms,
+	};
+	gc_rollout_record_t *record;
+
+	if (stored) {
+		base.barred = stored->barred;
+		base.n_barred = stored->n_barred;
+	}
+	record = gc_rollout_record_copy(service->order, &base);
+	if (stored && stored->state == GC_ROLLOUT_RUNNING &&
+	    !gc_str_eq(stored->target, order->target))
+		bar(record, stored->target);
+	if (has_other_version(service, record))
+		publish(service, record);
+	else if (stored && stored->state != GC_ROLLOUT_RUNNING)
+		publish(service, stored);
+	talloc_free(record);
+}
+
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record)
+{
+	const gc_fleet_view_t *view = service->rollouts->view;
+
+	for (size_t i = 0; view && i < view->n_servers; i++) {
+		const gc_registry_entry_t *server = &view->servers[i];
+
+		if (gc_str_eq(server->service, service->name) &&
+		    !gc_str_eq(server->version, record->target) &&
+		    !gc_rollout_is_barred(record, server->version))
+			return true;
+	}
+	return false;
+}
+
 /*
  * A record that ends the roll-out in the store, if one runs, and bars what it bars. For
  * the order, if there is one. Valid until the next call for the service.
@@ -864,8 +907,6 @@
 		return again;
 	if (is_decided(known))
 		return known;
-	if (service->fault)
-		return withdraw(service, service->fault);
 	record = ask_judge(service, has_own || !known ? stored : known);
 	return record ? record : again;
 }
@@ -1051,4 +1092,8 @@
 	gc_fleet_view_unref(rollouts->view);
 	rollouts->view = gc_fleet_view_ref(view);
 	gc_issuers_set_view(rollouts->issuers, view);
+	for (service_t *service = rollouts->services; service;
+	     service = service->next)
+		if (service->order && !service->known)
+			publish_interim(service);
 }
--- a/regress/check_rollouts.c
+++ b/regress/check_rollouts.c
@@ -864,6 +864,53 @@
 }
 END_TEST
 
+/* Servers of the target that are there before the record got all their share. */
+START_TEST(test_no_requests_before_the_record)
+{
+	start();
+	world.busy = true;
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(3000);
+	for (size_t i = 0; i < N_DAEMONS; i++) {
+		const gc_rollout_record_t *record = world.daemons[i].record;
+
+		ck_assert_ptr_nonnull(record);
+		ck_assert_int_eq(record->state, GC_ROLLOUT_RUNNING);
+		ck_assert_str_eq(record->target.data, "v2");
+		ck_assert_double_eq(record->share, 0);
+	}
+	world.busy = false;
+	run(5000);
+	ck_assert_double_eq(world.daemons[0].record->share, 0.08);
+	finish();
+}
+END_TEST
+
+/* A daemon that starts between an order and its record dropped what was barred. */
+START_TEST(test_start_before_the_record)
+{
+	const gc_rollout_record_t *record;
+
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(1000);
+	judge_at(0)->n_failed = BAD_ANSWERS;
+	run(2000);
+	check_state(GC_ROLLOUT_ROLLED_BACK, "v2", "bad answers");
+	world.busy = true;
+	put(ORDER_KEY, &world.order, ORDER_V3);
+	kill_daemon(&world.daemons[0]);
+	start_daemon(&world.daemons[0]);
+	record = world.daemons[0].record;
+	ck_assert_ptr_nonnull(record);
+	ck_assert_str_eq(record->target.data, "v3");
+	ck_assert_double_eq(record->share, 0);
+	ck_assert(gc_rollout_is_barred(record, GC_STR_LIT("v2")));
+	ck_assert(!gc_rollout_is_barred(record, GC_STR_LIT("v1")));
+	finish();
+}
+END_TEST
+
 /* The former target got requests on, or the former decision ended the new order. */
 START_TEST(test_second_order)
 {
@@ -1025,6 +1072,8 @@
 		test_restore_keeps_the_decision,
 		test_restore_while_running,
 		test_restore_with_an_older_order,
+		test_no_requests_before_the_record,
+		test_start_before_the_record,
 		test_second_order,
 		test_same_order_again,
 		test_removed_order,
