--- a/regress/check_capabilities.c
+++ b/regress/check_capabilities.c
@@ -35,6 +35,22 @@
 }
 END_TEST
 
+/* The share of a roll-out can't be kept by daemons that know nothing of it. */
+START_TEST(test_rollouts_are_named)
+{
+	uint32_t all = ALL | GC_CAN_ROLL_OUT;
+	json_t *entry = json_pack("{s:o}", GC_CAPABILITIES_MEMBER,
+				  gc_capabilities_encode(all));
+
+	ck_assert_uint_eq(gc_capabilities_decode(entry), all);
+	json_decref(entry);
+	ck_assert_uint_eq(decode("{\"capabilities\":[\"rollouts\"]}"),
+			  GC_CAN_ROLL_OUT);
+	ck_assert_uint_eq(
+		decode("{\"forward\":\"1.2.3.4:5\"}") & GC_CAN_ROLL_OUT, 0);
+}
+END_TEST
+
 /* Daemons 0 to 7, of which the odd ones are of an older build. */
 static gc_fleet_view_t *half_of_older_builds(void)
 {
@@ -92,6 +108,7 @@
 {
 	const TTest *const tests[] = {
 		test_entries_of_all_builds,
+		test_rollouts_are_named,
 		test_only_capable_daemons_are_chosen,
 		NULL,
 	};
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -34,6 +34,10 @@
 	unsigned int n_views;
 	unsigned int n_notices;
 	char notice_key[48]; /* of the last one */
+	unsigned int n_rollouts; /* items of roll-outs */
+	char rollout_key[48]; /* of the last one */
+	bool rollout_deleted;
+	bool rollout_listed;
 	char notice_value[16];
 	uint64_t notice_revision;
 	uint64_t era; /* in the responses */
@@ -154,6 +158,17 @@
 	fake->notice_revision = item->revision;
 }
 
+static void on_rollout(void *ctx, const gc_store_item_t *item, bool listed)
+{
+	fake_t *fake = ctx;
+
+	fake->n_rollouts++;
+	g_snprintf(fake->rollout_key, sizeof(fake->rollout_key), "%.*s",
+		   GC_STR_ARG(item->key));
+	fake->rollout_deleted = item->deleted;
+	fake->rollout_listed = listed;
+}
+
 static void on_era(void *ctx, uint64_t era)
 {
 	((fake_t *)ctx)->noted_era = era;
@@ -198,6 +213,7 @@
 		.publish = on_view,
 		.on_confirmed = on_confirmed,
 		.notice = on_notice,
+		.rollout = on_rollout,
 		.era_seen = on_era,
 		.ctx = fake,
 	};
@@ -495,6 +511,38 @@
 	fake->done(fake->ctx, &items, NULL);
 }
 
+/* A removed order ends its roll-out, one that a list lacks doesn't. */
+START_TEST(test_items_of_rollouts_are_handed_on)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	fake_t fake = {0};
+	gc_clock_t clock;
+
+	start(mem, &fake, &clock);
+	respond_item(&fake, "op/rollout/app", "{}", 3, 5);
+	ck_assert_uint_eq(fake.n_rollouts, 1);
+	ck_assert_str_eq(fake.rollout_key, "op/rollout/app");
+	ck_assert(fake.rollout_listed);
+	ck_assert(!fake.rollout_deleted);
+	respond_item(&fake, "status/rollout/app", "{}", 6, 6);
+	ck_assert_uint_eq(fake.n_rollouts, 2);
+	ck_assert_str_eq(fake.rollout_key, "status/rollout/app");
+	ck_assert(!fake.rollout_listed);
+	wait_for_watch(&fake, 6);
+	respond_item(&fake, "op/rollout/app", NULL, 7, 7);
+	ck_assert_uint_eq(fake.n_rollouts, 3);
+	ck_assert(fake.rollout_deleted);
+	ck_assert(!fake.rollout_listed);
+	/* Keys beside the prefixes are none. */
+	wait_for_watch(&fake, 7);
+	respond_item(&fake, "op/rollout", "{}", 8, 8);
+	wait_for_watch(&fake, 8);
+	respond_item(&fake, "op/rollouts/app", "{}", 9, 9);
+	ck_assert_uint_eq(fake.n_rollouts, 3);
+	talloc_free(mem);
+}
+END_TEST
+
 /*
  * Notices on crashes reach this daemon and, through it, those that watch it. A
  * view for each of them would be work for the traffic thread without a change.
@@ -860,6 +908,7 @@
 		test_confirmed_time_of_a_watch_with_an_unreadable_key,
 		test_older_version_is_ignored,
 		test_list_goes_on_at_the_page_that_failed,
+		test_items_of_rollouts_are_handed_on,
 		test_notices_are_handed_on_without_a_view,
 		test_restore_seen_by_a_watch,
 		test_restore_between_pages_of_a_list,
--- a/regress/check_platform.c
+++ b/regress/check_platform.c
@@ -629,6 +629,192 @@
 }
 END_TEST
 
+static char *rollout_fault(const char *order)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	GError *err = NULL;
+	gc_rollout_order_t read;
+	char *message = NULL;
+	bool ok = gc_platform_adapter.read_rollout_order(
+		mem, GC_STR_LIT("app"), gc_str(order), &read, &err);
+
+	ck_assert(ok == !err);
+	if (err) {
+		ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
+		message = g_strdup(err->message);
+		g_error_free(err);
+	}
+	talloc_free(mem);
+	return message;
+}
+
+static void check_rollout_fault(const char *order, const char *message)
+{
+	g_autofree char *fault = rollout_fault(order);
+
+	ck_assert_ptr_nonnull(fault);
+	ck_assert_ptr_nonnull(strstr(fault, message));
+}
+
+/* An order that can't be meant was carried out, or its fault not named. */
+START_TEST(test_rollout_orders)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_rollout_order_t order;
+
+	ck_assert(gc_platform_adapter.read_rollout_order(
+		mem, GC_STR_LIT("app"),
+		GC_STR_LIT("{\"service\":\"app\",\"target\":\"v2\","
+			   "\"duration_s\":1.5,\"more\":[]}"),
+		&order, NULL));
+	ck_assert_str_eq(order.service.data, "app");
+	ck_assert_str_eq(order.target.data, "v2");
+	ck_assert_int_eq(order.duration_ms, 1500);
+	/* The target is known although the order is invalid. */
+	ck_assert(!gc_platform_adapter.read_rollout_order(
+		mem, GC_STR_LIT("app"),
+		GC_STR_LIT("{\"service\":\"app\",\"target\":\"v2\"}"), &order,
+		NULL));
+	ck_assert_str_eq(order.target.data, "v2");
+	talloc_free(mem);
+	check_rollout_fault("", "byte");
+	check_rollout_fault("[]", "not an object");
+	check_rollout_fault("{\"target\":\"v2\",\"duration_s\":9}",
+			    "service: missing or invalid");
+	check_rollout_fault(
+		"{\"service\":7,\"target\":\"v2\",\"duration_s\":9}",
+		"service: missing or invalid");
+	check_rollout_fault(
+		"{\"service\":\"b\",\"target\":\"v2\",\"duration_s\":9}",
+		"service: differs from the key");
+	check_rollout_fault("{\"service\":\"app\",\"duration_s\":9}",
+			    "target: missing or invalid");
+	check_rollout_fault(
+		"{\"service\":\"app\",\"target\":\"\",\"duration_s\":9}",
+		"target: missing or invalid");
+	check_rollout_fault("{\"service\":\"app\",\"target\":\"v2\"}",
+			    "duration_s: missing or invalid");
+}
+END_TEST
+
+START_TEST(test_durations_of_rollouts)
+{
+	static const struct {
+		const char *value;
+		bool ok;
+	} cases[] = {
+		{"1", true},	    {"0.999", false}, {"86400", true},
+		{"86400.1", false}, {"0", false},     {"-5", false},
+		{"\"12\"", false},  {"null", false},  {"[12]", false},
+		{"1e300", false},   {"12.25", true},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *order = g_strdup_printf(
+			"{\"service\":\"app\",\"target\":\"v2\","
+			"\"duration_s\":%s}",
+			cases[i].value);
+		g_autofree char *fault = rollout_fault(order);
+
+		ck_assert_msg(cases[i].ok == !fault, "%s", cases[i].value);
+	}
+}
+END_TEST
+
+/* What a daemon writes is read by the others without a change. */
+START_TEST(test_rollout_record)
+{
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_rollout_route_share_t routes[] = {{3, 0.25}, {UINT64_MAX, 0.5}};
+	gc_str_t barred[] = {GC_STR_LIT("v1"), GC_STR_LIT("v0 \"x\"")};
+	gc_rollout_record_t record = {
+		.service = GC_STR_LIT("app"),
+		.target = GC_STR_LIT("v2"),
+		.state = GC_ROLLOUT_ROLLED_BACK,
+		.reason = GC_STR_LIT("route \"r\": 9 of 40 answers failed"),
+		.order = UINT64_C(1) << 40,
+		.duration_ms = 12000,
+		.started_ms = INT64_C(1796392898000),
+		.share = 0.08,
+		.routes = routes,
+		.n_routes = 2,
+		.barred = barred,
+		.n_barred = 2,
+	};
+	g_autofree char *text =
+		gc_platform_adapter.write_rollout_record(&record);
+	gc_rollout_record_t read;
+
+	ck_assert_ptr_nonnull(strstr(text, "\"state\":\"rolled_back\""));
+	ck_assert(gc_platform_adapter.read_rollout_record(
+		mem, record.service, gc_str(text), &read, NULL));
+	ck_assert(gc_str_eq(read.service, record.service));
+	ck_assert(gc_str_eq(read.target, record.target));
+	ck_assert(gc_str_eq(read.reason, record.reason));
+	ck_assert_int_eq(read.state, record.state);
+	ck_assert_uint_eq(read.order, record.order);
+	ck_assert_int_eq(read.duration_ms, record.duration_ms);
+	ck_assert_int_eq(read.started_ms, record.started_ms);
+	ck_assert_double_eq(read.share, record.share);
+	ck_assert_uint_eq(read.n_routes, 2);
+	ck_assert_uint_eq(read.routes[1].route, UINT64_MAX);
+	ck_assert_double_eq(read.routes[1].share, 0.5);
+	ck_assert_uint_eq(read.n_barred, 2);
+	ck_assert(gc_str_eq(read.barred[1], barred[1]));
+	talloc_free(mem);
+}
+END_TEST
+
+/* Records of operators, older and later builds. */
+START_TEST(test_other_rollout_records)
+{
+	static const char *const invalid[] = {
+		"",
+		"[]",
+		"{\"state\":\"running\"}",
+		"{\"target\":\"v2\"}",
+		"{\"target\":\"v2\",\"state\":\"halfway\"}",
+		"{\"target\":7,\"state\":\"running\"}",
+	};
+	TALLOC_CTX *mem = talloc_new(NULL);
+	gc_rollout_record_t read;
+
+	ck_assert(gc_platform_adapter.read_rollout_record(
+		mem, GC_STR_LIT("app"),
+		GC_STR_LIT("{\"state\":\"succeeded\",\"target\":\"v2\"}"),
+		&read, NULL));
+	ck_assert_int_eq(read.state, GC_ROLLOUT_SUCCEEDED);
+	ck_assert_str_eq(read.target.data, "v2");
+	ck_assert_str_eq(read.service.data, "app");
+	ck_assert_uint_eq(read.order, 0);
+	ck_assert_uint_eq(read.n_barred, 0);
+	/* Members of other types count as absent; routes are sorted. */
+	ck_assert(gc_platform_adapter.read_rollout_record(
+		mem, GC_STR_LIT("app"),
+		GC_STR_LIT("{\"state\":\"running\",\"target\":\"v2\","
+			   "\"order\":-1,\"share\":7,\"barred\":[3,\"v1\"],"
+			   "\"later\":{},\"routes\":[{\"route\":\"z\"},"
+			   "{\"route\":\"ff\",\"share\":1},"
+			   "{\"route\":\"0a\",\"share\":0.5},7]}"),
+		&read, NULL));
+	ck_assert_uint_eq(read.order, 0);
+	ck_assert_double_eq(read.share, 0);
+	ck_assert_uint_eq(read.n_barred, 1);
+	ck_assert_uint_eq(read.n_routes, 2);
+	ck_assert_uint_eq(read.routes[0].route, 10);
+	ck_assert_uint_eq(read.routes[1].route, 255);
+	for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+		g_autoptr(GError) err = NULL;
+
+		ck_assert(!gc_platform_adapter.read_rollout_record(
+			mem, GC_STR_LIT("app"), gc_str(invalid[i]), &read,
+			&err));
+		ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
+	}
+	talloc_free(mem);
+}
+END_TEST
+
 int main(void)
 {
 	const TTest *const tests[] = {
@@ -650,6 +836,10 @@
 		test_address_query_and_response,
 		test_copy_requests,
 		test_shared_parts,
+		test_rollout_orders,
+		test_durations_of_rollouts,
+		test_rollout_record,
+		test_other_rollout_records,
 		NULL,
 	};
 
--- a/regress/check_settings.c
+++ b/regress/check_settings.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "core/error.h"
+#include "lib/routed_settings.h"
 #include "lib/settings.h"
 
 #define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -152,6 +153,56 @@
 }
 END_TEST
 
+static gc_routed_settings_t *load_routed(const char *members, GError **err)
+{
+	char path[] = "/tmp/check_settings.XXXXXX";
+	int fd = mkstemp(path);
+	g_autofree char *text = g_strdup_printf(
+		"{\"mode\":\"routed\",\"instance\":\"d1\","
+		"\"failure_domain\":\"a\",\"caller\":\"127.0.0.1:1\","
+		"\"ready\":\"127.0.0.1:2\",\"addresses\":\"127.0.0.1:3\","
+		"\"store\":\"127.0.0.1:4\"%s}",
+		members);
+	gc_routed_settings_t *settings;
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(write(fd, text, strlen(text)), (int)strlen(text));
+	close(fd);
+	settings = gc_routed_settings_load(NULL, path, err);
+	unlink(path);
+	return settings;
+}
+
+/* Roll-outs are off unless their bounds are set. */
+START_TEST(test_rollout_settings)
+{
+	gc_routed_settings_t *settings = load_routed("", NULL);
+	GError *err = NULL;
+
+	ck_assert_ptr_nonnull(settings);
+	ck_assert_double_eq(settings->rollout.share, 0);
+	ck_assert_uint_eq(settings->rollout.slack, 0);
+	ck_assert_int_eq(settings->rollout.withdraw_ms, 5000);
+	talloc_free(settings);
+	settings = load_routed(",\"rollout_share\":0.1,\"rollout_slack\":50,"
+			       "\"rollout_withdraw_ms\":4000",
+			       NULL);
+	ck_assert_ptr_nonnull(settings);
+	ck_assert_double_eq(settings->rollout.share, 0.1);
+	ck_assert_uint_eq(settings->rollout.slack, 50);
+	ck_assert_int_eq(settings->rollout.withdraw_ms, 4000);
+	talloc_free(settings);
+	ck_assert_ptr_null(load_routed(",\"rollout_share\":1.1,"
+				       "\"rollout_slack\":-1,"
+				       "\"rollout_withdraw_ms\":\"x\"",
+				       &err));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_share: "));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_slack: "));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_withdraw_ms: "));
+	g_error_free(err);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("settings");
@@ -164,6 +215,7 @@
 	tcase_add_test(tcase, test_reports_all_errors);
 	tcase_add_test(tcase, test_missing_setting);
 	tcase_add_test(tcase, test_invalid_file);
+	tcase_add_test(tcase, test_rollout_settings);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
