--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -43,32 +43,32 @@
 	gc_rollout_order_t *order;
 	uint64_t order_revision; /* of its item; 0: not in the store */
 	char *fault; /* why it can't be carried out; NULL: it can */
-	bool bars_target; /* of an order with a fault */
-	bool removed; /* by the operator */
-	bool arrived; /* as a change, at order_at */
-	struct timespec order_at;
-	/* Since a restore: the order may be written again until then. */
-	bool restored;
+	struct timespec order_at; /* when it became known here */
+	gc_store_item_t *held; /* another order, which may be a copy's */
 	struct timespec restored_at;
-	gc_store_item_t *held; /* another order, which may be the copy's */
 
 	gc_rollout_record_t *stored; /* NULL: none, or it can't be read */
 	uint64_t stored_revision; /* of its item; 0: there is none */
 	/* The newest record of the order that is known here, stored or not. */
 	gc_rollout_record_t *known;
-	bool decision_logged;
 
 	gc_rollout_judge_t *judge; /* NULL until this daemon judges */
-	bool reported_to; /* by another daemon, at reported_at */
-	struct timespec reported_at;
+	struct timespec reported_at; /* last report of another daemon */
 	gc_rollout_report_t *own; /* of the traffic thread; NULL: none yet */
 	struct report_call *call; /* to the judge */
 	gc_timer_t *timer; /* of the next report */
-	bool timer_runs;
 
 	struct write *write; /* under way */
 	struct timespec write_not_before;
 	int64_t retry_ms;
+
+	bool bars_target; /* of an order with a fault */
+	bool removed; /* the order, by the operator */
+	bool arrived; /* the order, as a change */
+	bool restored; /* the order may be written again since restored_at */
+	bool decision_logged;
+	bool reported_to;
+	bool timer_runs;
 } service_t;
 
 /* A report that is under way; outlives a service that was freed. */
@@ -1049,7 +1049,7 @@
 static void delay_write(service_t *service, const GError *err)
 {
 	if (service->retry_ms == RETRY_MS)
-		gc_log_error(GC_LOG_WARNING, GC_EVENT_ROLLOUT_RECORD,
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_RECORD_NOT_WRITTEN,
 			     "can't write the record of a roll-out", err);
 	service->write_not_before =
 		gc_add_ms(now_of(service), service->retry_ms);
--- a/regress/routed_rollouts.t
+++ b/regress/routed_rollouts.t
@@ -37,12 +37,26 @@
   $ await has_state rolled_back; record app
   rolled_back v2 target: no ready server of this version
   $ order app '{"service":"app","target":"v2","duration_s":60}'; await has_state running
-  $ operator '{"key":"op/rollout/app"}'; await has_state rolled_back; record app
+  $ operator '{"key":"op/rollout/app","remove":true}'; await has_state rolled_back; record app
   rolled_back v2 the order was removed
 
 Every daemon knows each order and decision, and one of them writes each record.
 
   $ for d in d1 d2 d3; do grep -c '"event":1625' $d.log; grep -c '"event":1628' $d.log; done
+  4
+  6
+  4
+  6
+  4
+  6
   $ cat d?.log | grep '"event":1627' | grep -c rolled_back
+  6
 
-  $ stop_all
+The judge dies with a roll-out: another one ends it.
+
+  $ order app '{"service":"app","target":"v3","duration_s":4}'; await has_state running
+  $ for d in d1 d2 d3; do ! grep -q '"event":1627' $d.log || JUDGE=$d; done
+  $ eval "kill_9 \$${JUDGE}_pid"; await has_state rolled_back; record app
+  rolled_back v3 target: no ready server of this version
+  $ for d in d1 d2 d3; do [ $d = $JUDGE ] || grep '"event":1627' $d.log; done | grep -c rolled_back
+  1
