--- a/regress/check_rollouts.c
+++ b/regress/check_rollouts.c
@@ -44,12 +44,14 @@
 	char name[8];
 	char address[32];
 	bool dead;
-	bool unreachable; /* by the other daemons */
+	bool unreachable; /* by the other daemons but `friend` */
+	const struct daemon *friend; /* NULL: none */
 	bool cut_off; /* from the store */
 	gc_rollouts_t *rollouts;
 	gc_rollout_record_t *record; /* the last one that came into force */
 	unsigned int n_backwards; /* decisions that were taken back */
 	unsigned int n_failed; /* bad answers of the target that it counted */
+	int64_t elapsed_ms; /* in its last report */
 } daemon_t;
 
 typedef struct write_call {
@@ -164,6 +166,30 @@
 	talloc_free(call);
 }
 
+static daemon_t *find_daemon(uint64_t hash)
+{
+	for (size_t i = 0; i < N_DAEMONS; i++)
+		if (XXH64(world.daemons[i].name, strlen(world.daemons[i].name),
+			  0) == hash)
+			return &world.daemons[i];
+	return NULL;
+}
+
+static bool reaches(const struct gc_http_call *call, const daemon_t *daemon)
+{
+	const char *sender = strstr(call->body, "\"daemon\":\"");
+	g_autofree char *url =
+		g_strdup_printf("http://%s" GC_ROLLOUTS_PATH, daemon->address);
+
+	ck_assert_ptr_nonnull(sender);
+	return strcmp(url, call->url) == 0 && !daemon->dead &&
+	       (!daemon->unreachable ||
+		(daemon->friend &&
+		 daemon->friend ==
+			 find_daemon(g_ascii_strtoull(
+				 sender + strlen("\"daemon\":\""), NULL, 16))));
+}
+
 static void answer_call(struct gc_http_call *call)
 {
 	GError *err = NULL;
@@ -171,11 +197,8 @@
 
 	for (size_t i = 0; i < N_DAEMONS; i++) {
 		daemon_t *daemon = &world.daemons[i];
-		g_autofree char *url = g_strdup_printf(
-			"http://%s" GC_ROLLOUTS_PATH, daemon->address);
 
-		if (strcmp(url, call->url) != 0 || daemon->dead ||
-		    daemon->unreachable)
+		if (!reaches(call, daemon))
 			continue;
 		text = gc_rollouts_peer_response(daemon->rollouts,
 						 (gc_str_t){call->body,
@@ -224,6 +247,7 @@
 {
 	size_t i = 0;
 
+	find_daemon(report->daemon)->elapsed_ms = report->elapsed_ms;
 	if (report->order != judge->order.id)
 		return;
 	while (judge->daemons[i] != 0 && judge->daemons[i] != report->daemon)
@@ -280,14 +304,14 @@
 	write_call_t **at = &world.writes;
 
 	ck_assert(gc_str_eq(key, GC_STR_LIT(RECORD_KEY)));
+	for (; *at; at = &(*at)->next)
+		ck_assert_ptr_ne((*at)->daemon, store);
 	call->daemon = store;
 	call->value = talloc_strndup(call, value.data, value.len);
 	call->expected = expected;
 	call->done = done;
 	call->ctx = ctx;
 	world.n_writes++;
-	while (*at)
-		at = &(*at)->next;
 	*at = call;
 }
 
@@ -568,8 +592,8 @@
 	return daemon;
 }
 
-static void check_state(gc_rollout_state_t state, const char *target,
-			const char *reason)
+static void check_stored(gc_rollout_state_t state, const char *target,
+			 const char *reason)
 {
 	TALLOC_CTX *mem = talloc_new(NULL);
 	gc_rollout_record_t record;
@@ -578,6 +602,14 @@
 	ck_assert_int_eq(record.state, state);
 	ck_assert_str_eq(record.target.data, target);
 	ck_assert_ptr_nonnull(strstr(record.reason.data, reason));
+	talloc_free(mem);
+}
+
+/* In the store and in force at all daemons. */
+static void check_state(gc_rollout_state_t state, const char *target,
+			const char *reason)
+{
+	check_stored(state, target, reason);
 	for (size_t i = 0; i < N_DAEMONS; i++) {
 		const gc_rollout_record_t *in_force = world.daemons[i].record;
 
@@ -587,7 +619,6 @@
 		ck_assert_int_eq(in_force->state, state);
 		ck_assert_str_eq(in_force->target.data, target);
 	}
-	talloc_free(mem);
 }
 
 /* Of the record in the store. */
@@ -613,6 +644,8 @@
 	ck_assert_uint_eq(world.n_writes, 1);
 	run(10000);
 	check_state(GC_ROLLOUT_RUNNING, "v2", "");
+	for (size_t i = 0; i < N_DAEMONS; i++)
+		ck_assert_int_ge(world.daemons[i].elapsed_ms, 9000);
 	run(1500);
 	check_state(GC_ROLLOUT_SUCCEEDED, "v2", "");
 	ck_assert_uint_eq(world.n_writes, 2);
@@ -697,6 +730,22 @@
 }
 END_TEST
 
+/* A daemon that the others report to, as they don't reach the first judge, did not judge
+ * since it reaches that one itself. */
+START_TEST(test_judge_of_the_others)
+{
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(1000);
+	judge_at(0)->unreachable = true;
+	judge_at(0)->friend = judge_at(1);
+	judge_at(2)->n_failed = BAD_ANSWERS;
+	run(3000);
+	check_state(GC_ROLLOUT_ROLLED_BACK, "v2", "bad answers");
+	finish();
+}
+END_TEST
+
 /* The next judge began without the counts that the dead one had been told. */
 START_TEST(test_next_judge_takes_over)
 {
@@ -821,6 +870,57 @@
 }
 END_TEST
 
+/* The write's answer came from the store as it was before the restore. */
+START_TEST(test_answer_of_an_older_era)
+{
+	write_call_t *write;
+
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(10000);
+	world.slow = true;
+	run(1000);
+	write = world.writes;
+	ck_assert_ptr_nonnull(write);
+	ck_assert_ptr_nonnull(strstr(write->value, "succeeded"));
+	restore(world.order, world.record, world.revision);
+	world.writes = write->next;
+	write->done(write->ctx, 0, 1, NULL);
+	ck_assert_int_eq(write->daemon->record->state, GC_ROLLOUT_RUNNING);
+	world.slow = false;
+	run(3000);
+	check_state(GC_ROLLOUT_SUCCEEDED, "v2", "");
+	finish();
+}
+END_TEST
+
+/* A list has an order as it was before the second one, and the record of the second one:
+ * the daemon wrote the first one's record again. */
+START_TEST(test_list_that_is_no_snapshot)
+{
+	stored_t first;
+	stored_t second;
+
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	first = world.order;
+	run(1000);
+	put(ORDER_KEY, &world.order, ORDER_V3);
+	second = world.order;
+	run(1000);
+	kill_daemon(judge_at(0));
+	world.order = first;
+	start_daemon(judge_at(0));
+	world.order = second;
+	run(2000);
+	check_stored(GC_ROLLOUT_RUNNING, "v3", "");
+	deliver(ORDER_KEY, &world.order, false, false);
+	run(2000);
+	check_state(GC_ROLLOUT_RUNNING, "v3", "");
+	finish();
+}
+END_TEST
+
 /* A roll-out that ran went on under its record, to its time limit. */
 START_TEST(test_restore_while_running)
 {
@@ -1003,11 +1103,25 @@
 			    cases[i].reason);
 		ck_assert(is_barred("v1"));
 		ck_assert(!is_barred("v2"));
+		/* It has no servers yet. */
+		ck_assert(is_barred("v3"));
 	}
 	finish();
 }
 END_TEST
 
+/* The order names the version in force, which got no requests any more. */
+START_TEST(test_invalid_order_for_the_version_in_force)
+{
+	start();
+	put(ORDER_KEY, &world.order, "{\"service\":\"app\",\"target\":\"v1\"}");
+	run(1000);
+	check_state(GC_ROLLOUT_ROLLED_BACK, "v1", "duration_s");
+	ck_assert(!is_barred("v1"));
+	finish();
+}
+END_TEST
+
 /* A daemon that starts halfway began the roll-out anew, or had no share. */
 START_TEST(test_restarted_daemons)
 {
@@ -1023,6 +1137,9 @@
 	run(2000);
 	check_state(GC_ROLLOUT_RUNNING, "v2", "");
 	ck_assert_uint_eq(world.n_writes, 1);
+	/* None saw when the order came. */
+	for (size_t i = 0; i < N_DAEMONS; i++)
+		ck_assert_int_eq(world.daemons[i].elapsed_ms, -1);
 	finish();
 }
 END_TEST
@@ -1065,11 +1182,14 @@
 		test_counts_of_all_daemons,
 		test_conflict_with_another_judge,
 		test_decision_of_the_store_counts,
+		test_judge_of_the_others,
 		test_next_judge_takes_over,
 		test_dead_judge_at_the_order,
 		test_busy_store,
 		test_success_waits_for_the_store,
 		test_restore_keeps_the_decision,
+		test_answer_of_an_older_era,
+		test_list_that_is_no_snapshot,
 		test_restore_while_running,
 		test_restore_with_an_older_order,
 		test_no_requests_before_the_record,
@@ -1079,6 +1199,7 @@
 		test_removed_order,
 		test_removed_after_success,
 		test_invalid_orders,
+		test_invalid_order_for_the_version_in_force,
 		test_restarted_daemons,
 		test_cut_off_daemon_is_told,
 		test_bad_reports,
