Spread a roll-out's answers by what each route lacks

Routes that got fewer answers, or show some evidence, get a higher share, so that fewer roll-outs end undecided.

--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -16,8 +16,10 @@
 #define ACCEPT_AT    0.85
 #define RECHECKED_AT 0.92
 #define UNDECIDED_AT 0.95
-/* Part of an alarm's evidence that delays the acceptance. */
-#define MAX_SUSPICION 0.5
+/* Part of an alarm's evidence that raises the shares and delays the acceptance. */
+#ifndef MAX_SUSPICION
+#define MAX_SUSPICION 0.4
+#endif
 /* Answers of the target on a route. Fewer are enough if they are this part of all, or
  * this part of what the budget allows. */
 #define MIN_ANSWERS	   8
@@ -320,6 +322,16 @@
 static const gc_rollout_record_t *
 update_shares(gc_rollout_judge_t *judge, struct timespec now, int64_t elapsed)
 {
+	gc_rollout_progress_t progress = {
+		.limits = &judge->limits,
+		.reports = judge->reports,
+		.tests = judge->tests,
+		.requests_per_ms = judge->requests_per_ms,
+		.elapsed_ms = elapsed,
+		.duration_ms = judge->order.duration_ms,
+		.urgent = gc_rollout_tests_suspicion(judge->tests) >=
+			  MAX_SUSPICION,
+	};
 	gc_rollout_plan_t current;
 	gc_rollout_plan_t plan;
 
@@ -327,9 +339,7 @@
 	    gc_ms_between(judge->shares_at, now) < SHARES_MS)
 		return NULL;
 	gc_rollout_plan_read(&current, judge->next);
-	if (!gc_rollout_plan_compute(&plan, &judge->limits, judge->reports,
-				     judge->requests_per_ms, elapsed,
-				     judge->order.duration_ms) ||
+	if (!gc_rollout_plan_compute(&plan, &progress) ||
 	    !gc_rollout_plan_differs(&plan, &current))
 		return NULL;
 	judge->has_shares = true;
--- a/core/rollout_shares.c
+++ b/core/rollout_shares.c
@@ -15,27 +15,48 @@
 #define PLANNED_SLACK 0.6
 /* Part of the slack that is never exceeded on purpose. */
 #define BOUND_SLACK 0.8
-/* The budget is used up by this part of the time, when a good version is accepted. */
+/* The slack is used up by this part of the time, when a good version is accepted. */
 #define USED_UP_AT 0.85
 /* Time until reports have come in and a lower share is in force everywhere. */
 #define LAG_MS 2500
+/* Part of what is left below the bound that may be used up in that time: requests may
+ * become more meanwhile. */
+#ifndef ROOM_PART
+#define ROOM_PART 0.5
+#endif
 /* Requests and answers before shares are planned. */
 #define MIN_REQUESTS 10
 #define MIN_ANSWERS  5
 /* Least time for which a plan is made. */
 #define MIN_PLAN_MS 1500
 /* Relative changes of the whole share, and of a route's, that are written. */
-#define CHANGE	     0.25
-#define ROUTE_CHANGE 0.4
+#define CHANGE	     0.3
+#define ROUTE_CHANGE 0.5
 #define SEARCH_STEPS 40
+/* Additional answers on a route that is about to raise an alarm, in relation to those
+ * on others. */
+#ifndef SUSPICION_WEIGHT
+#define SUSPICION_WEIGHT 4.0
+#endif
+/* Least answers on a route, in relation to those that each should have in all: a
+ * version may turn bad on a route late. */
+#define LEAST_PART 0.3
+
+/* Of a route, until the end of the plan. */
+typedef struct demand {
+	double n_requests;
+	double n_target; /* answers of the target so far */
+	double weight;
+} demand_t;
 
 static void add_weight(gc_rollout_plan_t *plan, uint64_t route, double weight);
-static double allowed_share(const gc_rollout_limits_t *limits,
-			    const gc_rollout_reports_t *reports,
-			    double requests_per_ms, int64_t elapsed_ms,
-			    int64_t duration_ms);
-static void spread(gc_rollout_plan_t *plan);
-static double sum_spread(const gc_rollout_plan_t *plan, double part);
+static double allowed_share(const gc_rollout_progress_t *progress);
+static double planned_ms(const gc_rollout_progress_t *progress);
+static void spread(gc_rollout_plan_t *plan,
+		   const gc_rollout_progress_t *progress);
+static double demand_for(const demand_t *demand, double n_each);
+static double target_answers(const gc_rollout_reports_t *reports,
+			     uint64_t route);
 static int compare_routes(const void *a, const void *b);
 static double share_in(const gc_rollout_plan_t *plan, uint64_t route);
 static bool differs_by(double a, double b, double part);
@@ -63,17 +84,13 @@
 }
 
 bool gc_rollout_plan_compute(gc_rollout_plan_t *plan,
-			     const gc_rollout_limits_t *limits,
-			     const gc_rollout_reports_t *reports,
-			     double requests_per_ms, int64_t elapsed_ms,
-			     int64_t duration_ms)
+			     const gc_rollout_progress_t *progress)
 {
-	if (gc_rollout_plan_weigh(plan, reports) < MIN_ANSWERS ||
-	    gc_rollout_reports_n_requests(reports) < MIN_REQUESTS)
+	if (gc_rollout_plan_weigh(plan, progress->reports) < MIN_ANSWERS ||
+	    gc_rollout_reports_n_requests(progress->reports) < MIN_REQUESTS)
 		return false;
-	plan->share = allowed_share(limits, reports, requests_per_ms,
-				    elapsed_ms, duration_ms);
-	spread(plan);
+	plan->share = allowed_share(progress);
+	spread(plan, progress);
 	qsort(plan->routes, plan->n_routes, sizeof(*plan->routes),
 	      compare_routes);
 	return true;
@@ -116,60 +133,106 @@
 }
 
 /* The share of all requests that the budget and the bound allow. */
-static double allowed_share(const gc_rollout_limits_t *limits,
-			    const gc_rollout_reports_t *reports,
-			    double requests_per_ms, int64_t elapsed_ms,
-			    int64_t duration_ms)
+static double allowed_share(const gc_rollout_progress_t *progress)
 {
-	double n_requests = (double)gc_rollout_reports_n_requests(reports);
-	double n_sent = (double)gc_rollout_reports_n_sent(reports);
-	double mean_per_ms = n_requests / (double)MAX(elapsed_ms, 1);
-	double left_ms =
-		MAX(USED_UP_AT * (double)duration_ms - (double)elapsed_ms,
-		    MIN_PLAN_MS);
-	double budget =
-		gc_rollout_budget(limits, mean_per_ms * (double)duration_ms);
-	double share = (budget - n_sent) / (mean_per_ms * left_ms);
+	const gc_rollout_limits_t *limits = progress->limits;
+	double n_requests =
+		(double)gc_rollout_reports_n_requests(progress->reports);
+	double n_sent = (double)gc_rollout_reports_n_sent(progress->reports);
+	double per_ms = n_requests / (double)MAX(progress->elapsed_ms, 1);
+	double lag_requests = MAX(progress->requests_per_ms, per_ms) * LAG_MS;
 	double room = limits->share * n_requests + BOUND_SLACK * limits->slack -
-		      n_sent;
-	double lag_requests = MAX(requests_per_ms, mean_per_ms) * LAG_MS;
+		      n_sent - sqrt(limits->share * lag_requests);
+	double left_ms = planned_ms(progress);
+	double budget = gc_rollout_budget(
+		limits, per_ms * ((double)progress->elapsed_ms + left_ms));
+	double share = (budget - n_sent) / (per_ms * MAX(left_ms, MIN_PLAN_MS));
+	double most;
 
 	/* While a lower share is under way, the bound rises by new requests, too. */
-	share = MIN(share, limits->share + room / lag_requests);
-	if (room <= 0)
-		share = 0;
+	most = room > 0 ? limits->share + ROOM_PART * room / lag_requests : 0;
+	share = progress->urgent ? most : MIN(share, most);
 	return CLAMP(share, 0, MAX_SHARE);
 }
 
-/* Turns parts of all answers into shares by which each route gets as many answers, as
- * far as MAX_SHARE allows. */
-static void spread(gc_rollout_plan_t *plan)
+/* How long the plan is to last. */
+static double planned_ms(const gc_rollout_progress_t *progress)
+{
+	double used_up_ms = USED_UP_AT * (double)progress->duration_ms;
+	double elapsed_ms = (double)progress->elapsed_ms;
+
+	if (elapsed_ms < used_up_ms)
+		return used_up_ms - elapsed_ms;
+	return (double)progress->duration_ms - elapsed_ms;
+}
+
+/*
+ * Turns parts of all answers into shares by which each route gets as many answers from
+ * the target by the end of the plan, those before included, and a suspicious one more.
+ */
+static void spread(gc_rollout_plan_t *plan,
+		   const gc_rollout_progress_t *progress)
 {
+	double n_requests =
+		(double)gc_rollout_reports_n_requests(progress->reports) *
+		MAX(planned_ms(progress), MIN_PLAN_MS) /
+		(double)MAX(progress->elapsed_ms, 1);
+	demand_t demands[GC_ROLLOUT_MAX_ROUTES];
 	double low = 0;
-	double high = 1;
+	double high = 2 * n_requests +
+		      (double)gc_rollout_reports_n_sent(progress->reports);
 
+	for (size_t i = 0; i < plan->n_routes; i++) {
+		const gc_rollout_route_share_t *route = &plan->routes[i];
+
+		demands[i] = (demand_t){
+			.n_requests = n_requests * route->share,
+			.n_target =
+				target_answers(progress->reports, route->route),
+			.weight = 1 + SUSPICION_WEIGHT *
+					      gc_rollout_tests_route_suspicion(
+						      progress->tests,
+						      progress->reports,
+						      route->route),
+		};
+	}
 	for (int i = 0; i < SEARCH_STEPS; i++) {
-		double part = (low + high) / 2;
+		double n_each = (low + high) / 2;
+		double sum = 0;
 
-		if (sum_spread(plan, part) < plan->share)
-			low = part;
+		for (size_t j = 0; j < plan->n_routes; j++)
+			sum += demand_for(&demands[j], n_each);
+		if (sum < plan->share * n_requests)
+			low = n_each;
 		else
-			high = part;
+			high = n_each;
 	}
-	for (size_t i = 0; i < plan->n_routes; i++) {
-		double *share = &plan->routes[i].share;
+	for (size_t i = 0; i < plan->n_routes; i++)
+		plan->routes[i].share =
+			demand_for(&demands[i], low) / demands[i].n_requests;
+}
 
-		*share = MIN(low / *share, MAX_SHARE);
-	}
+/* Requests of the route that the target needs to get n_each answers in all. */
+static double demand_for(const demand_t *demand, double n_each)
+{
+	double n = MAX(n_each * demand->weight - demand->n_target,
+		       n_each * LEAST_PART);
+
+	return MIN(n, MAX_SHARE * demand->n_requests);
 }
 
-static double sum_spread(const gc_rollout_plan_t *plan, double part)
+static double target_answers(const gc_rollout_reports_t *reports,
+			     uint64_t route)
 {
-	double sum = 0;
+	uint64_t n_target = 0;
+	size_t n;
+	const gc_rollout_series_t *series =
+		gc_rollout_reports_series(reports, &n);
 
-	for (size_t i = 0; i < plan->n_routes; i++)
-		sum += MIN(MAX_SHARE * plan->routes[i].share, part);
-	return sum;
+	for (size_t i = 0; i < n; i++)
+		if (series[i].route == route)
+			n_target = MAX(n_target, series[i].n_target);
+	return (double)n_target;
 }
 
 static int compare_routes(const void *a, const void *b)
--- a/core/rollout_shares.h
+++ b/core/rollout_shares.h
@@ -8,6 +8,7 @@
 
 #include "core/rollout.h"
 #include "core/rollout_reports.h"
+#include "core/rollout_tests.h"
 
 typedef struct gc_rollout_plan {
 	double share; /* of all requests, and of routes that are not listed */
@@ -15,6 +16,18 @@
 	size_t n_routes;
 } gc_rollout_plan_t;
 
+/* What a plan is made from. */
+typedef struct gc_rollout_progress {
+	const gc_rollout_limits_t *limits;
+	const gc_rollout_reports_t *reports;
+	const gc_rollout_tests_t *tests;
+	double requests_per_ms; /* in the last moments */
+	int64_t elapsed_ms;
+	int64_t duration_ms;
+	/* As many answers as the bound allows are wanted now. */
+	bool urgent;
+} gc_rollout_progress_t;
+
 /* The plan until the first answers have come. */
 void gc_rollout_plan_start(gc_rollout_plan_t *plan);
 /* The plan in force, of a record. */
@@ -28,14 +41,11 @@
 			     const gc_rollout_reports_t *reports);
 /*
  * Stores a plan that uses up the budget by the time of the decision, and with which
- * the bound holds while reports and records are under way. requests_per_ms: in the
- * last moments. Returns false if too little is known of the routes.
+ * the bound holds while reports and records are under way. Returns false if too little
+ * is known of the routes.
  */
 bool gc_rollout_plan_compute(gc_rollout_plan_t *plan,
-			     const gc_rollout_limits_t *limits,
-			     const gc_rollout_reports_t *reports,
-			     double requests_per_ms, int64_t elapsed_ms,
-			     int64_t duration_ms);
+			     const gc_rollout_progress_t *progress);
 /* True if the plan differs from the one in force by enough to be written. */
 bool gc_rollout_plan_differs(const gc_rollout_plan_t *plan,
 			     const gc_rollout_plan_t *current);
--- a/core/rollout_tests.c
+++ b/core/rollout_tests.c
@@ -12,30 +12,52 @@
 
 /* Time constant of the others' counts: a few intervals between reports, and short
  * enough to follow a burst. */
+#ifndef FAILURE_WINDOW_S
 #define FAILURE_WINDOW_S 6.0
-#define SLOW_WINDOW_S	 3.0
+#endif
+#ifndef SLOW_WINDOW_S
+#define SLOW_WINDOW_S 3.0
+#endif
+/* Of the latest counts, which tell that a burst has begun. */
+#ifndef LATEST_WINDOW_S
+#define LATEST_WINDOW_S 1.0
+#endif
 /* Least rate that is assumed for the others, so that a few bad answers of a service
  * that seems to have none raise no alarm. */
 #define MIN_RATE 0.02
+#ifndef LATEST_DEVIATIONS
+#define LATEST_DEVIATIONS 0.5
+#endif
 /* The raised rate that is tested: at least this ratio and this difference. */
+#ifndef RAISED_RATIO
 #define RAISED_RATIO 2.0
-#define RAISED_STEP  0.18
+#endif
+#ifndef RAISED_STEP
+#define RAISED_STEP 0.18
+#endif
 /* Where so many of the others' answers are bad, those of the target tell nothing. */
 #define MAX_RATE   0.6
 #define MAX_RAISED 0.95
 /* Sum that raises an alarm. */
+#ifndef ALARM
 #define ALARM 9.0
+#endif
 /* The others' counts don't decay below this number of answers. */
 #define MIN_RECENT 16.0
 /* Answers of the others before the target's times are compared with theirs. */
 #define MIN_OTHERS 8
 /* Answers by which the rate of a route is drawn to that of all routes. */
-#define PRIOR_ANSWERS	     10.0
+#ifndef PRIOR_ANSWERS
+#define PRIOR_ANSWERS 10.0
+#endif
+#ifndef PRIOR_LATEST_ANSWERS
 #define PRIOR_LATEST_ANSWERS 3.0
-#define BASE_DEVIATIONS	     1.0
-/* Slow: at least four buckets above the median's, that is by a factor between 2.8
- * and 4. */
-#define SLOW_BUCKETS 4
+#endif
+#ifndef BASE_DEVIATIONS
+#define BASE_DEVIATIONS 1.0
+#endif
+/* Three times as slow, in buckets. */
+#define SLOW_BUCKETS 3.17
 
 /* Bad ones of a number of answers. */
 typedef struct tally {
@@ -59,6 +81,7 @@
 
 typedef struct tested_series {
 	recent_t others;
+	recent_t latest; /* of the others */
 	test_t failures;
 	test_t slow;
 } tested_series_t;
@@ -76,7 +99,7 @@
 typedef struct base {
 	tally_t route;
 	tally_t all; /* routes */
-	/* Of these, those that came since the last step. */
+	/* The latest of these. */
 	tally_t route_now;
 	tally_t all_now;
 } base_t;
@@ -90,7 +113,9 @@
 
 static void add_others(gc_rollout_tests_t *tests, struct timespec now,
 		       const gc_rollout_series_t *series, size_t n);
-static void decay(recent_t *recent, double s);
+static double slowed(double s, double window_s, double n);
+static void decay(recent_t *recent, double failures, double times);
+static void add_counts(recent_t *recent, const gc_rollout_counts_t *counts);
 static void test_failures(gc_rollout_tests_t *tests,
 			  gc_rollout_series_t *series, size_t n,
 			  gc_rollout_measure_t measure);
@@ -100,9 +125,11 @@
 		       const gc_rollout_series_t *series, size_t n,
 		       gc_rollout_measure_t measure, recent_t *pooled,
 		       base_t *base);
-static size_t slow_bucket(const recent_t *others);
-static double count_slow(const recent_t *recent, size_t bucket);
-static tally_t tally_times(const gc_rollout_counts_t *counts, size_t bucket);
+static double slow_from(const recent_t *others, const recent_t *latest);
+static double median(const recent_t *recent);
+static double slow_part(size_t bucket, double from);
+static tally_t tally_recent(const recent_t *recent, double from);
+static tally_t tally_times(const gc_rollout_counts_t *counts, double from);
 static double base_rate(const base_t *base);
 static double add_step(test_t *test, double rate, tally_t tally);
 static void add_pooled(test_t *test, const pooled_step_t *step);
@@ -158,29 +185,28 @@
 		       const gc_rollout_series_t *series, size_t n)
 {
 	double s = (double)gc_us_between(tests->stepped_at, now) / 1e6;
+	double latest = exp(-MAX(s, 0) / LATEST_WINDOW_S);
 
 	tests->stepped_at = now;
 	for (size_t i = 0; i < n; i++) {
-		recent_t *recent = &tests->series[i].others;
-		const gc_rollout_counts_t *others = &series[i].others;
-
-		decay(recent, MAX(s, 0));
-		recent->n += others->n;
-		recent->n_failed += others->n_failed;
-		for (size_t j = 0; j < GC_ROLLOUT_TIME_BUCKETS; j++) {
-			recent->times[j] += others->times[j];
-			recent->n_timed += others->times[j];
-		}
+		recent_t *others = &tests->series[i].others;
+
+		decay(others, slowed(s, FAILURE_WINDOW_S, others->n),
+		      slowed(s, SLOW_WINDOW_S, others->n_timed));
+		add_counts(others, &series[i].others);
+		decay(&tests->series[i].latest, latest, latest);
+		add_counts(&tests->series[i].latest, &series[i].others);
 	}
 }
 
-static void decay(recent_t *recent, double s)
+/* The factor by which counts decay, so that MIN_RECENT of n answers are left. */
+static double slowed(double s, double window_s, double n)
 {
-	double failures = MAX(exp(-s / FAILURE_WINDOW_S),
-			      MIN_RECENT / MAX(recent->n, MIN_RECENT));
-	double times = MAX(exp(-s / SLOW_WINDOW_S),
-			   MIN_RECENT / MAX(recent->n_timed, MIN_RECENT));
+	return MAX(exp(-MAX(s, 0) / window_s), MIN_RECENT / MAX(n, MIN_RECENT));
+}
 
+static void decay(recent_t *recent, double failures, double times)
+{
 	recent->n *= failures;
 	recent->n_failed *= failures;
 	recent->n_timed *= times;
@@ -188,6 +214,16 @@
 		recent->times[i] *= times;
 }
 
+static void add_counts(recent_t *recent, const gc_rollout_counts_t *counts)
+{
+	recent->n += counts->n;
+	recent->n_failed += counts->n_failed;
+	for (size_t i = 0; i < GC_ROLLOUT_TIME_BUCKETS; i++) {
+		recent->times[i] += counts->times[i];
+		recent->n_timed += counts->times[i];
+	}
+}
+
 static void test_failures(gc_rollout_tests_t *tests,
 			  gc_rollout_series_t *series, size_t n,
 			  gc_rollout_measure_t measure)
@@ -202,8 +238,8 @@
 			continue;
 		base.all.n += others->n;
 		base.all.n_bad += others->n_failed;
-		base.all_now.n += series[i].others.n;
-		base.all_now.n_bad += series[i].others.n_failed;
+		base.all_now.n += tests->series[i].latest.n;
+		base.all_now.n_bad += tests->series[i].latest.n_failed;
 	}
 	for (size_t i = 0; i < n; i++) {
 		const recent_t *others = &tests->series[i].others;
@@ -214,8 +250,8 @@
 		if (series[i].measure != measure || target->n == 0)
 			continue;
 		base.route = (tally_t){others->n, others->n_failed};
-		base.route_now = (tally_t){series[i].others.n,
-					   series[i].others.n_failed};
+		base.route_now = (tally_t){tests->series[i].latest.n,
+					   tests->series[i].latest.n_failed};
 		rate = base_rate(&base);
 		pooled.ratio +=
 			add_step(&tests->series[i].failures, rate, tally);
@@ -239,26 +275,23 @@
 
 	pool_times(tests, series, n, measure, &all, &base);
 	for (size_t i = 0; i < n; i++) {
+		const recent_t *latest = &tests->series[i].latest;
 		const recent_t *others = &tests->series[i].others;
-		tally_t tally =
-			tally_times(&series[i].target, slow_bucket(others));
+		double n_target = tally_times(&series[i].target, 0).n;
+		tally_t tally;
+		double from;
 		double rate;
 
-		if (series[i].measure != measure || tally.n < 1)
+		if (series[i].measure != measure || n_target < 1)
 			continue;
-		if (series[i].n_others == 0 && tally.n >= MIN_OTHERS) {
+		if (series[i].n_others == 0 && n_target >= MIN_OTHERS)
 			others = &all;
-			tally = tally_times(&series[i].target,
-					    slow_bucket(others));
-		}
 		if (others->n_timed < MIN_OTHERS)
 			continue;
-		base.route = (tally_t){
-			others->n_timed,
-			count_slow(others, slow_bucket(others)),
-		};
-		base.route_now =
-			tally_times(&series[i].others, slow_bucket(others));
+		from = slow_from(others, latest);
+		tally = tally_times(&series[i].target, from);
+		base.route = tally_recent(others, from);
+		base.route_now = tally_recent(latest, from);
 		rate = base_rate(&base);
 		pooled.ratio += add_step(&tests->series[i].slow, rate, tally);
 		pooled.tally.n += tally.n;
@@ -277,52 +310,75 @@
 {
 	for (size_t i = 0; i < n; i++) {
 		const recent_t *others = &tests->series[i].others;
-		size_t bucket = slow_bucket(others);
-		tally_t latest = tally_times(&series[i].others, bucket);
+		double from = slow_from(others, &tests->series[i].latest);
+		tally_t recent = tally_recent(others, from);
+		tally_t latest = tally_recent(&tests->series[i].latest, from);
 
 		if (series[i].measure != measure)
 			continue;
 		pooled->n_timed += others->n_timed;
 		for (size_t j = 0; j < GC_ROLLOUT_TIME_BUCKETS; j++)
 			pooled->times[j] += others->times[j];
-		base->all.n += others->n_timed;
-		base->all.n_bad += count_slow(others, bucket);
+		base->all.n += recent.n;
+		base->all.n_bad += recent.n_bad;
 		base->all_now.n += latest.n;
 		base->all_now.n_bad += latest.n_bad;
 	}
 }
 
-/* The first bucket of slow answers. */
-static size_t slow_bucket(const recent_t *others)
+/* Where slow answers begin, in buckets. In a burst, the latest answers tell first that
+ * all have become slower. */
+static double slow_from(const recent_t *others, const recent_t *latest)
 {
-	double below = 0;
-	size_t median = 0;
+	double from = median(others);
+
+	if (latest->n_timed >= MIN_OTHERS)
+		from = MAX(from, median(latest));
+	return from + SLOW_BUCKETS;
+}
 
-	for (; median < GC_ROLLOUT_TIME_BUCKETS; median++) {
-		below += others->times[median];
-		if (below >= others->n_timed / 2)
+/*
+ * In buckets. Times are taken to be spread evenly over a bucket: with whole buckets,
+ * the same slow-down would count as slow on one route and not on the next, so that
+ * routes could not be pooled.
+ */
+static double median(const recent_t *recent)
+{
+	double left = recent->n_timed / 2;
+	size_t i = 0;
+
+	for (; i < GC_ROLLOUT_TIME_BUCKETS - 1; i++) {
+		if (recent->times[i] >= left)
 			break;
+		left -= recent->times[i];
 	}
-	return median + SLOW_BUCKETS;
+	if (recent->times[i] <= 0)
+		return (double)i;
+	return (double)i + MIN(left / recent->times[i], 1);
+}
+
+/* The part of a bucket that is slow. */
+static double slow_part(size_t bucket, double from)
+{
+	return CLAMP((double)bucket + 1 - from, 0, 1);
 }
 
-static double count_slow(const recent_t *recent, size_t bucket)
+static tally_t tally_recent(const recent_t *recent, double from)
 {
-	double n = 0;
+	tally_t tally = {.n = recent->n_timed};
 
-	for (size_t i = bucket; i < GC_ROLLOUT_TIME_BUCKETS; i++)
-		n += recent->times[i];
-	return n;
+	for (size_t i = 0; i < GC_ROLLOUT_TIME_BUCKETS; i++)
+		tally.n_bad += recent->times[i] * slow_part(i, from);
+	return tally;
 }
 
-static tally_t tally_times(const gc_rollout_counts_t *counts, size_t bucket)
+static tally_t tally_times(const gc_rollout_counts_t *counts, double from)
 {
 	tally_t tally = {0};
 
 	for (size_t i = 0; i < GC_ROLLOUT_TIME_BUCKETS; i++) {
 		tally.n += counts->times[i];
-		if (i >= bucket)
-			tally.n_bad += counts->times[i];
+		tally.n_bad += counts->times[i] * slow_part(i, from);
 	}
 	return tally;
 }
@@ -345,6 +401,9 @@
 
 	route += BASE_DEVIATIONS *
 		 sqrt(route * (1 - route) / (base->route.n + PRIOR_ANSWERS));
+	now += LATEST_DEVIATIONS * sqrt(now * (1 - now) /
+					(base->route_now.n + base->all_now.n +
+					 PRIOR_LATEST_ANSWERS));
 	return MAX(MAX(route, now), MIN_RATE);
 }
 
@@ -394,6 +453,22 @@
 	return true;
 }
 
+double gc_rollout_tests_route_suspicion(const gc_rollout_tests_t *tests,
+					const gc_rollout_reports_t *reports,
+					uint64_t route)
+{
+	double sum = 0;
+	size_t n;
+	const gc_rollout_series_t *series =
+		gc_rollout_reports_series(reports, &n);
+
+	for (size_t i = 0; i < MIN(n, tests->n_series); i++)
+		if (series[i].route == route)
+			sum = MAX(sum, MAX(tests->series[i].failures.sum,
+					   tests->series[i].slow.sum));
+	return sum / ALARM;
+}
+
 double gc_rollout_tests_suspicion(const gc_rollout_tests_t *tests)
 {
 	double sum = 0;
--- a/core/rollout_tests.h
+++ b/core/rollout_tests.h
@@ -37,5 +37,9 @@
 			   gc_rollout_alarm_t *alarm);
 /* The strongest evidence against the target, as a part of that of an alarm. */
 double gc_rollout_tests_suspicion(const gc_rollout_tests_t *tests);
+/* The same for one route. reports: of the last step. */
+double gc_rollout_tests_route_suspicion(const gc_rollout_tests_t *tests,
+					const gc_rollout_reports_t *reports,
+					uint64_t route);
 
 #endif
