Let a daemon that started after a restore take over the order's id

A daemon that starts after a restore of the store takes the order that is written again as a new one. If it was the judge, the decision that the others knew was lost; else the daemons never agreed.

--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -146,6 +146,8 @@
 static void on_response(void *ctx, int status, gc_str_t body, bool sent,
 			const GError *err);
 static bool take_response(service_t *service, gc_str_t body);
+static void adopt_peer_id(service_t *service, uint64_t id, uint64_t revision,
+			  const gc_rollout_record_t *record);
 static void take_peer_record(service_t *service,
 			     const gc_rollout_record_t *record);
 static gc_rollout_judge_t *get_judge(service_t *service);
@@ -754,6 +756,7 @@
 	gc_rollouts_message_t message = {
 		.service = service->name,
 		.report = report_of(service),
+		.order_revision = service->order_revision,
 		.record = service->known,
 	};
 	g_autofree char *body = gc_rollouts_encode_report(adapter, &message);
@@ -807,19 +810,38 @@
 
 static bool take_response(service_t *service, gc_str_t body)
 {
-	TALLOC_CTX *mem = talloc_new(NULL);
-	gc_rollout_record_t *record;
-	bool ok =
-		gc_rollouts_decode_response(mem,
+	gc_rollouts_answer_t *answer =
+		gc_rollouts_decode_response(NULL,
 					    service->rollouts->conf.adapter,
-					    service->name, body, &record, NULL);
+					    service->name, body, NULL);
+	bool ok = answer != NULL;
 
-	if (ok && record)
-		take_peer_record(service, record);
-	talloc_free(mem);
+	if (ok && answer->record) {
+		adopt_peer_id(service, answer->order, answer->order_revision,
+			      answer->record);
+		take_peer_record(service, answer->record);
+	}
+	talloc_free(answer);
 	return ok;
 }
 
+/* The other daemon knows since before a restore the order that this one took as new. */
+static void adopt_peer_id(service_t *service, uint64_t id, uint64_t revision,
+			  const gc_rollout_record_t *record)
+{
+	gc_rollout_order_t *order = service->order;
+
+	if (!order || service->fault || order->id != service->order_revision ||
+	    revision != order->id || id == order->id || record->order != id ||
+	    is_decided(service->known))
+		return;
+	order->id = id;
+	TALLOC_FREE(service->judge);
+	TALLOC_FREE(service->own);
+	set_known(service, record);
+	start_reports(service);
+}
+
 /* A decision for the same order, while none is known here. */
 static void take_peer_record(service_t *service,
 			     const gc_rollout_record_t *record)
@@ -834,7 +856,7 @@
 	TALLOC_CTX *mem = talloc_new(NULL);
 	gc_rollouts_message_t *message = gc_rollouts_decode_report(
 		mem, rollouts->conf.adapter, body, NULL);
-	const gc_rollout_record_t *record = NULL;
+	gc_rollouts_answer_t answer = {0};
 	service_t *service;
 	char *text;
 
@@ -846,16 +868,23 @@
 	if (service && service->order) {
 		service->reported_to = true;
 		service->reported_at = now_of(service);
-		if (message->record)
+		if (message->record) {
+			adopt_peer_id(service, message->report.order,
+				      message->order_revision, message->record);
 			take_peer_record(service, message->record);
+		}
 		if (!service->fault && !is_decided(service->known))
 			gc_rollout_judge_add_report(get_judge(service),
 						    now_of(service),
 						    &message->report);
 		start_reports(service);
-		record = service->known;
+		answer = (gc_rollouts_answer_t){
+			.order = service->order->id,
+			.order_revision = service->order_revision,
+			.record = service->known,
+		};
 	}
-	text = gc_rollouts_encode_response(rollouts->conf.adapter, record);
+	text = gc_rollouts_encode_response(rollouts->conf.adapter, &answer);
 	talloc_free(mem);
 	return text;
 }
--- a/lib/rollouts_peer.c
+++ b/lib/rollouts_peer.c
@@ -25,6 +25,7 @@
 static const char *read_numbers(const json_t *json,
 				gc_rollout_report_t *report);
 static bool read_whole(const json_t *value, int64_t max, int64_t *number);
+static uint64_t revision_of(const json_t *json, const char *name);
 static bool read_u32(const json_t *value, uint32_t *number);
 static bool read_hash(const json_t *value, uint64_t *hash);
 static bool read_counts(TALLOC_CTX *mem, const json_t *list,
@@ -49,10 +50,12 @@
 		text,
 		"{\"service\":%s,\"daemon\":\"%016" G_GINT64_MODIFIER
 		"x\",\"order\":%" G_GUINT64_FORMAT
+		",\"revision\":%" G_GUINT64_FORMAT
 		",\"elapsed_ms\":%" G_GINT64_FORMAT
 		",\"requests\":%u,\"sent\":%u,\"record\":%s,\"counts\":[",
 		name ? name : "\"\"", report->daemon, report->order,
-		report->elapsed_ms, report->n_requests, report->n_sent, record);
+		message->order_revision, report->elapsed_ms, report->n_requests,
+		report->n_sent, record);
 	for (size_t i = 0; i < report->n_counts; i++) {
 		gsize len = text->len;
 
@@ -137,6 +140,7 @@
 	if (!fault) {
 		message->service = gc_str_dup(message, name);
 		message->record = record;
+		message->order_revision = revision_of(json, "revision");
 	} else {
 		set_invalid(err, fault);
 		TALLOC_FREE(message);
@@ -177,6 +181,15 @@
 	return true;
 }
 
+/* 0 if the member is missing or no revision. */
+static uint64_t revision_of(const json_t *json, const char *name)
+{
+	int64_t revision = 0;
+
+	read_whole(json_object_get(json, name), INT64_MAX, &revision);
+	return (uint64_t)revision;
+}
+
 static bool read_u32(const json_t *value, uint32_t *number)
 {
 	int64_t whole;
@@ -271,24 +284,35 @@
 }
 
 char *gc_rollouts_encode_response(const gc_adapter_t *adapter,
-				  const gc_rollout_record_t *record)
+				  const gc_rollouts_answer_t *answer)
 {
-	g_autofree char *text = record_text(adapter, record);
+	g_autofree char *text = record_text(adapter, answer->record);
 
-	return g_strdup_printf("{\"record\":%s}", text);
+	return g_strdup_printf("{\"order\":%" G_GUINT64_FORMAT
+			       ",\"revision\":%" G_GUINT64_FORMAT
+			       ",\"record\":%s}",
+			       answer->order, answer->order_revision, text);
 }
 
-bool gc_rollouts_decode_response(TALLOC_CTX *mem, const gc_adapter_t *adapter,
-				 gc_str_t service, gc_str_t body,
-				 gc_rollout_record_t **record, GError **err)
+gc_rollouts_answer_t *gc_rollouts_decode_response(TALLOC_CTX *mem,
+						  const gc_adapter_t *adapter,
+						  gc_str_t service,
+						  gc_str_t body, GError **err)
 {
+	gc_rollouts_answer_t *answer = talloc_zero(mem, gc_rollouts_answer_t);
 	json_t *json = json_loadb(body.data, body.len, 0, NULL);
-	bool ok = json_is_object(json) &&
-		  read_record(mem, adapter, service,
-			      json_object_get(json, "record"), record);
+	gc_rollout_record_t *record = NULL;
 
-	if (!ok)
+	if (json_is_object(json) &&
+	    read_record(answer, adapter, service,
+			json_object_get(json, "record"), &record)) {
+		answer->order = revision_of(json, "order");
+		answer->order_revision = revision_of(json, "revision");
+		answer->record = record;
+	} else {
 		set_invalid(err, "record");
+		TALLOC_FREE(answer);
+	}
 	json_decref(json);
-	return ok;
+	return answer;
 }
--- a/regress/check_rollouts.c
+++ b/regress/check_rollouts.c
@@ -938,6 +938,39 @@
 }
 END_TEST
 
+/* A daemon that started after the restore took the order as a new one: the decision was
+ * lost if it was the judge, and the others never agreed with it. */
+START_TEST(test_start_after_a_restore)
+{
+	for (size_t position = 0; position < N_DAEMONS; position++)
+		for (int decided = 0; decided < 2; decided++) {
+			start();
+			put(ORDER_KEY, &world.order, ORDER_V2);
+			run(2000);
+			if (decided)
+				judge_at(0)->n_failed = BAD_ANSWERS;
+			run(2000);
+			judge_at(0)->n_failed = 0;
+			restore((stored_t){NULL, 0}, (stored_t){NULL, 0}, 0);
+			world.record = (stored_t){NULL, 0};
+			kill_daemon(judge_at(position));
+			start_daemon(judge_at(position));
+			world.revision += 40;
+			put(ORDER_KEY, &world.order, ORDER_V2);
+			run(5000);
+			check_state(decided ? GC_ROLLOUT_ROLLED_BACK
+					    : GC_ROLLOUT_RUNNING,
+				    "v2", "");
+			run(12000);
+			check_state(decided ? GC_ROLLOUT_ROLLED_BACK
+					    : GC_ROLLOUT_SUCCEEDED,
+				    "v2", "");
+			ck_assert_uint_eq(world.n_decisions, 1);
+			finish();
+		}
+}
+END_TEST
+
 /* The copy's older order was carried out again. */
 START_TEST(test_restore_with_an_older_order)
 {
@@ -1191,6 +1224,7 @@
 		test_answer_of_an_older_era,
 		test_list_that_is_no_snapshot,
 		test_restore_while_running,
+		test_start_after_a_restore,
 		test_restore_with_an_older_order,
 		test_no_requests_before_the_record,
 		test_start_before_the_record,
--- a/regress/check_rollouts_peer.c
+++ b/regress/check_rollouts_peer.c
@@ -58,6 +58,7 @@
 			   .n_sent = 11,
 			   .counts = counts,
 			   .n_counts = 2},
+		.order_revision = 15,
 		.record = &record,
 	};
 	g_autofree char *text = gc_rollouts_encode_report(adapter, &message);
@@ -68,6 +69,7 @@
 	ck_assert(gc_str_eq(read->service, message.service));
 	ck_assert_uint_eq(read->report.daemon, 5);
 	ck_assert_uint_eq(read->report.order, 12);
+	ck_assert_uint_eq(read->order_revision, 15);
 	ck_assert_int_eq(read->report.elapsed_ms, 777);
 	ck_assert_uint_eq(read->report.n_requests, 100);
 	ck_assert_uint_eq(read->report.n_sent, 11);
@@ -158,26 +160,36 @@
 		.state = GC_ROLLOUT_SUCCEEDED,
 		.order = 12,
 	};
-	g_autofree char *none = gc_rollouts_encode_response(adapter, NULL);
-	g_autofree char *text = gc_rollouts_encode_response(adapter, &record);
-	gc_rollout_record_t *read;
+	gc_rollouts_answer_t answer = {0};
+	g_autofree char *none = gc_rollouts_encode_response(adapter, &answer);
+	g_autofree char *text = NULL;
+	gc_rollouts_answer_t *read;
 	static const char *const bad[] = {"", "[]", "{\"record\":7}",
 					  "{\"record\":\"{}\"}"};
 
-	ck_assert(gc_rollouts_decode_response(mem, adapter, record.service,
-					      gc_str(none), &read, NULL));
-	ck_assert_ptr_null(read);
-	ck_assert(gc_rollouts_decode_response(mem, adapter, record.service,
-					      gc_str(text), &read, NULL));
-	ck_assert_int_eq(read->state, GC_ROLLOUT_SUCCEEDED);
+	answer = (gc_rollouts_answer_t){12, 15, &record};
+	text = gc_rollouts_encode_response(adapter, &answer);
+	read = gc_rollouts_decode_response(mem, adapter, record.service,
+					   gc_str(none), NULL);
+	ck_assert_ptr_nonnull(read);
+	ck_assert_ptr_null(read->record);
+	ck_assert_uint_eq(read->order, 0);
+	read = gc_rollouts_decode_response(mem, adapter, record.service,
+					   gc_str(text), NULL);
+	ck_assert_ptr_nonnull(read);
 	ck_assert_uint_eq(read->order, 12);
-	ck_assert_str_eq(read->service.data, "app");
+	ck_assert_uint_eq(read->order_revision, 15);
+	ck_assert_int_eq(read->record->state, GC_ROLLOUT_SUCCEEDED);
+	ck_assert_uint_eq(read->record->order, 12);
+	ck_assert_str_eq(read->record->service.data, "app");
+	/* Members that another build doesn't write. */
+	ck_assert_ptr_nonnull(gc_rollouts_decode_response(
+		mem, adapter, record.service, GC_STR_LIT("{}"), NULL));
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
 		g_autoptr(GError) err = NULL;
 
-		ck_assert(!gc_rollouts_decode_response(
-			mem, adapter, record.service, gc_str(bad[i]), &read,
-			&err));
+		ck_assert_ptr_null(gc_rollouts_decode_response(
+			mem, adapter, record.service, gc_str(bad[i]), &err));
 		ck_assert(g_error_matches(err, GC_ERROR, GC_ERR_INVALID));
 	}
 	talloc_free(mem);
