--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -43,32 +43,32 @@
 	gc_rollout_order_t *order;
 	uint64_t order_revision; /* of its item; 0: not in the store */
 	char *fault; /* why it can't be carried out; NULL: it can */
-	bool bars_target; /* of an order with a fault */
-	bool removed; /* by the operator */
-	bool arrived; /* as a change, at order_at */
-	struct timespec order_at;
-	/* Since a restore: the order may be written again until then. */
-	bool restored;
+	struct timespec order_at; /* when it became known here */
+	gc_store_item_t *held; /* another order, which may be a copy's */
 	struct timespec restored_at;
-	gc_store_item_t *held; /* another order, which may be the copy's */
 
 	gc_rollout_record_t *stored; /* NULL: none, or it can't be read */
 	uint64_t stored_revision; /* of its item; 0: there is none */
 	/* The newest record of the order that is known here, stored or not. */
 	gc_rollout_record_t *known;
-	bool decision_logged;
 
 	gc_rollout_judge_t *judge; /* NULL until this daemon judges */
-	bool reported_to; /* by another daemon, at reported_at */
-	struct timespec reported_at;
+	struct timespec reported_at; /* last report of another daemon */
 	gc_rollout_report_t *own; /* of the traffic thread; NULL: none yet */
 	struct report_call *call; /* to the judge */
 	gc_timer_t *timer; /* of the next report */
-	bool timer_runs;
 
 	struct write *write; /* under way */
 	struct timespec write_not_before;
 	int64_t retry_ms;
+
+	bool bars_target; /* of an order with a fault */
+	bool removed; /* the order, by the operator */
+	bool arrived; /* the order, as a change */
+	bool restored; /* the order may be written again since restored_at */
+	bool decision_logged;
+	bool reported_to;
+	bool timer_runs;
 } service_t;
 
 /* A report that is under way; outlives a service that was freed. */
@@ -82,6 +82,7 @@
 typedef struct write {
 	service_t *service;
 	uint64_t era;
+	uint64_t expected; /* revision */
 	gc_rollout_record_t *record;
 } write_t;
 
@@ -115,7 +116,6 @@
 			   const gc_rollout_order_t *order, const char *fault);
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed);
-static void supersede(const service_t *service, gc_rollout_record_t *former);
 static bool has_version(const service_t *service, gc_str_t version);
 static void log_order(const service_t *service);
 static void remove_order(service_t *service, bool listed);
@@ -129,6 +129,9 @@
 static void log_decision(service_t *service);
 static void publish(const service_t *service,
 		    const gc_rollout_record_t *record);
+static void publish_interim(const service_t *service);
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record);
 static gc_rollout_record_t *withdraw(service_t *service, const char *reason);
 static void bar(gc_rollout_record_t *record, gc_str_t version);
 static bool needs_rewrite(const service_t *service);
@@ -143,6 +146,8 @@
 static void on_response(void *ctx, int status, gc_str_t body, bool sent,
 			const GError *err);
 static bool take_response(service_t *service, gc_str_t body);
+static void adopt_peer_id(service_t *service, uint64_t id, uint64_t revision,
+			  const gc_rollout_record_t *record);
 static void take_peer_record(service_t *service,
 			     const gc_rollout_record_t *record);
 static gc_rollout_judge_t *get_judge(service_t *service);
@@ -156,6 +161,7 @@
 static void write_record(service_t *service, const gc_rollout_record_t *record);
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
 static void take_written(service_t *service, const gc_rollout_record_t *record);
+static void await_watch(service_t *service);
 static void delay_write(service_t *service, const GError *err);
 static void take_era(gc_rollouts_t *rollouts, uint64_t era);
 
@@ -346,9 +352,8 @@
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed)
 {
-	gc_rollout_record_t *former = service->known;
-
 	TALLOC_FREE(service->held);
+	TALLOC_FREE(service->known);
 	TALLOC_FREE(service->judge);
 	TALLOC_FREE(service->own);
 	TALLOC_FREE(service->fault);
@@ -359,33 +364,23 @@
 	service->order->target = gc_str_dup(service->order, order->target);
 	service->order_revision = order->id;
 	service->fault = fault ? talloc_strdup(service, fault) : NULL;
-	service->bars_target = !has_version(service, order->target);
+	service->bars_target =
+		service->rollouts->view && !has_version(service, order->target);
 	service->removed = false;
 	service->arrived = !listed;
 	service->order_at = now_of(service);
 	service->decision_logged = false;
-	service->known = NULL;
 	log_order(service);
 	adopt_record_id(service);
 	if (is_of_order(service, service->stored))
 		set_known(service, service->stored);
-	else if (former && former->state == GC_ROLLOUT_RUNNING)
-		supersede(service, former);
-	talloc_free(former);
+	else if (fault)
+		set_known(service, withdraw(service, service->fault));
+	else
+		publish_interim(service);
 	start_reports(service);
 }
 
-/* No new requests go to the former target while the new order has no record. */
-static void supersede(const service_t *service, gc_rollout_record_t *former)
-{
-	former->state = GC_ROLLOUT_ROLLED_BACK;
-	former->reason = GC_STR_LIT("superseded by another order");
-	former->share = 0;
-	former->n_routes = 0;
-	bar(former, former->target);
-	publish(service, former);
-}
-
 static bool has_version(const service_t *service, gc_str_t version)
 {
 	const gc_fleet_view_t *view = service->rollouts->view;
@@ -461,6 +456,8 @@
 		else if (is_of_order(service, record) &&
 			 (is_decided(record) || !is_decided(service->known)))
 			set_known(service, record);
+		else if (!service->known)
+			publish_interim(service);
 	}
 	start_reports(service);
 }
@@ -549,6 +546,56 @@
 	conf->record_changed(conf->ctx, record);
 }
 
+/*
+ * Until the order has a record: its target gets no new request, nor does one whose order
+ * it supersedes; the rest is as before. If no other version is left, the target may be
+ * the one in force.
+ */
+static void publish_interim(const service_t *service)
+{
+	const gc_rollout_record_t *stored = service->stored;
+	const gc_rollout_order_t *order = service->order;
+	gc_rollout_record_t base = {
+		.service = service->name,
+		.target = order->target,
+		.state = GC_ROLLOUT_RUNNING,
+		.reason = GC_STR_EMPTY,
+		.order = order->id,
+		.duration_ms = order->duration_ms,
+	};
+	gc_rollout_record_t *record;
+
+	if (stored) {
+		base.barred = stored->barred;
+		base.n_barred = stored->n_barred;
+	}
+	record = gc_rollout_record_copy(service->order, &base);
+	if (stored && stored->state == GC_ROLLOUT_RUNNING &&
+	    !gc_str_eq(stored->target, order->target))
+		bar(record, stored->target);
+	if (has_other_version(service, record))
+		publish(service, record);
+	else if (stored && stored->state != GC_ROLLOUT_RUNNING)
+		publish(service, stored);
+	talloc_free(record);
+}
+
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record)
+{
+	const gc_fleet_view_t *view = service->rollouts->view;
+
+	for (size_t i = 0; view && i < view->n_servers; i++) {
+		const gc_registry_entry_t *server = &view->servers[i];
+
+		if (gc_str_eq(server->service, service->name) &&
+		    !gc_str_eq(server->version, record->target) &&
+		    !gc_rollout_is_barred(record, server->version))
+			return true;
+	}
+	return false;
+}
+
 /*
  * A record that ends the roll-out in the store, if one runs, and bars what it bars. For
  * the order, if there is one. Valid until the next call for the service.
@@ -709,6 +756,7 @@
 	gc_rollouts_message_t message = {
 		.service = service->name,
 		.report = report_of(service),
+		.order_revision = service->order_revision,
 		.record = service->known,
 	};
 	g_autofree char *body = gc_rollouts_encode_report(adapter, &message);
@@ -762,19 +810,38 @@
 
 static bool take_response(service_t *service, gc_str_t body)
 {
-	TALLOC_CTX *mem = talloc_new(NULL);
-	gc_rollout_record_t *record;
-	bool ok =
-		gc_rollouts_decode_response(mem,
+	gc_rollouts_answer_t *answer =
+		gc_rollouts_decode_response(NULL,
 					    service->rollouts->conf.adapter,
-					    service->name, body, &record, NULL);
+					    service->name, body, NULL);
+	bool ok = answer != NULL;
 
-	if (ok && record)
-		take_peer_record(service, record);
-	talloc_free(mem);
+	if (ok && answer->record) {
+		adopt_peer_id(service, answer->order, answer->order_revision,
+			      answer->record);
+		take_peer_record(service, answer->record);
+	}
+	talloc_free(answer);
 	return ok;
 }
 
+/* The other daemon knows since before a restore the order that this one took as new. */
+static void adopt_peer_id(service_t *service, uint64_t id, uint64_t revision,
+			  const gc_rollout_record_t *record)
+{
+	gc_rollout_order_t *order = service->order;
+
+	if (!order || service->fault || order->id != service->order_revision ||
+	    revision != order->id || id == order->id || record->order != id ||
+	    is_decided(service->known))
+		return;
+	order->id = id;
+	TALLOC_FREE(service->judge);
+	TALLOC_FREE(service->own);
+	set_known(service, record);
+	start_reports(service);
+}
+
 /* A decision for the same order, while none is known here. */
 static void take_peer_record(service_t *service,
 			     const gc_rollout_record_t *record)
@@ -789,7 +856,7 @@
 	TALLOC_CTX *mem = talloc_new(NULL);
 	gc_rollouts_message_t *message = gc_rollouts_decode_report(
 		mem, rollouts->conf.adapter, body, NULL);
-	const gc_rollout_record_t *record = NULL;
+	gc_rollouts_answer_t answer = {0};
 	service_t *service;
 	char *text;
 
@@ -801,16 +868,23 @@
 	if (service && service->order) {
 		service->reported_to = true;
 		service->reported_at = now_of(service);
-		if (message->record)
+		if (message->record) {
+			adopt_peer_id(service, message->report.order,
+				      message->order_revision, message->record);
 			take_peer_record(service, message->record);
+		}
 		if (!service->fault && !is_decided(service->known))
 			gc_rollout_judge_add_report(get_judge(service),
 						    now_of(service),
 						    &message->report);
 		start_reports(service);
-		record = service->known;
+		answer = (gc_rollouts_answer_t){
+			.order = service->order->id,
+			.order_revision = service->order_revision,
+			.record = service->known,
+		};
 	}
-	text = gc_rollouts_encode_response(rollouts->conf.adapter, record);
+	text = gc_rollouts_encode_response(rollouts->conf.adapter, &answer);
 	talloc_free(mem);
 	return text;
 }
@@ -862,8 +936,6 @@
 		return again;
 	if (is_decided(known))
 		return known;
-	if (service->fault)
-		return withdraw(service, service->fault);
 	record = ask_judge(service, has_own || !known ? stored : known);
 	return record ? record : again;
 }
@@ -953,6 +1025,7 @@
 	service->write = talloc_zero(service, write_t);
 	service->write->service = service;
 	service->write->era = rollouts->era;
+	service->write->expected = service->stored_revision;
 	service->write->record = gc_rollout_record_copy(service->write, record);
 	gc_counter_add(rollouts->store_calls, 1);
 	store->ops->put_if(store->store, gc_str(key), gc_str(value),
@@ -973,11 +1046,10 @@
 	if (write->era == rollouts->era) {
 		if (!err)
 			take_written(service, write->record);
-		else if (g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
-			service->write_not_before =
-				gc_add_ms(now_of(service), WATCH_MS);
-		else
+		if (err && !g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
 			delay_write(service, err);
+		else if (service->stored_revision == write->expected)
+			await_watch(service);
 	}
 	talloc_free(write);
 }
@@ -993,16 +1065,20 @@
 						       : "rolled_back",
 	       NULL);
 	service->retry_ms = RETRY_MS;
-	/* Its revision is known when the watch has brought it. */
-	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
 	if (is_of_order(service, record) && !is_decided(service->known))
 		set_known(service, record);
 }
 
+/* The revision for the next write is known when the watch has brought the item. */
+static void await_watch(service_t *service)
+{
+	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
+}
+
 static void delay_write(service_t *service, const GError *err)
 {
 	if (service->retry_ms == RETRY_MS)
-		gc_log_error(GC_LOG_WARNING, GC_EVENT_ROLLOUT_RECORD,
+		gc_log_error(GC_LOG_WARNING, GC_EVENT_RECORD_NOT_WRITTEN,
 			     "can't write the record of a roll-out", err);
 	service->write_not_before =
 		gc_add_ms(now_of(service), service->retry_ms);
@@ -1045,4 +1121,8 @@
 	gc_fleet_view_unref(rollouts->view);
 	rollouts->view = gc_fleet_view_ref(view);
 	gc_issuers_set_view(rollouts->issuers, view);
+	for (service_t *service = rollouts->services; service;
+	     service = service->next)
+		if (service->order && !service->known)
+			publish_interim(service);
 }
