--- a/goldcrestd/routed_messages.c
+++ b/goldcrestd/routed_messages.c
@@ -11,6 +11,14 @@
 	size_t version_len;
 } version_message_t;
 
+/* What was counted of a roll-out. */
+typedef struct rollout_message {
+	char *service;
+	size_t service_len;
+	gc_rollout_report_t report;
+	gc_rollout_counts_t *counts;
+} rollout_message_t;
+
 /* A lost server that other daemons are asked about. */
 typedef struct witness_message {
 	uint64_t token;
@@ -36,6 +44,9 @@
 static void handle_record_version(void *ctx, void *message);
 static void find_version(void *ctx, uint64_t token, const char *key);
 static void handle_find_version(void *ctx, void *message);
+static void report_rollout(void *ctx, gc_str_t service,
+			   const gc_rollout_report_t *report);
+static void handle_report_rollout(void *ctx, void *message);
 
 void routed_set_messages(gc_routed_traffic_conf_t *conf,
 			 routed_daemon_t *daemon)
@@ -49,6 +60,7 @@
 	conf->ask_places = ask_places;
 	conf->record_version = record_version;
 	conf->find_version = find_version;
+	conf->report_rollout = report_rollout;
 	conf->share_ctx = daemon;
 }
 
@@ -233,3 +245,34 @@
 				query->key);
 	g_free(query);
 }
+
+/* Called in the traffic thread. */
+static void report_rollout(void *ctx, gc_str_t service,
+			   const gc_rollout_report_t *report)
+{
+	routed_daemon_t *daemon = ctx;
+	rollout_message_t *message = g_new0(rollout_message_t, 1);
+
+	message->service = g_strndup(service.data, service.len);
+	message->service_len = service.len;
+	message->report = *report;
+	message->counts = g_memdup2(report->counts,
+				    report->n_counts * sizeof(*report->counts));
+	message->report.counts = message->counts;
+	gc_mailbox_post(daemon->mailbox, handle_report_rollout, message);
+}
+
+static void handle_report_rollout(void *ctx, void *message)
+{
+	routed_daemon_t *daemon = ctx;
+	rollout_message_t *rollout = message;
+
+	if (daemon->rollouts)
+		gc_rollouts_report(daemon->rollouts,
+				   (gc_str_t){rollout->service,
+					      rollout->service_len},
+				   &rollout->report);
+	g_free(rollout->service);
+	g_free(rollout->counts);
+	g_free(rollout);
+}
