Wait for the load of the roll-out tests by its ids

The tests waited for the last jobs, which are servers that don't end, and ran into their limit of 300 s.

--- a/regress/routed_rollout.t
+++ b/regress/routed_rollout.t
@@ -18,10 +18,10 @@
 JSON says, and orders the roll-out; load S: sends requests of two kinds to all daemons.
 
   $ start_version() { for n in 1 2 3; do start_server $2$n app a plain $1; done; bad "$3" "$2"'1 '"$2"'2 '"$2"3; sleep 0.7; SINCE=$(now); operator "{\"key\":\"op/rollout/app\",\"value\":{\"service\":\"app\",\"target\":\"$1\",\"duration_s\":${DURATION-7}}}"; }
-  $ load() { python3 "$LOAD" send 70 $1 /look/ok $D1 $D2 $D3 $D4 >look.out & python3 "$LOAD" send 50 $1 /book/ok $D1 $D2 $D3 $D4 >book.out & }
+  $ load() { python3 "$LOAD" send 70 $1 /look/ok $D1 $D2 $D3 $D4 >look.out & LOADS=$!; python3 "$LOAD" send 50 $1 /book/ok $D1 $D2 $D3 $D4 >book.out & LOADS="$LOADS $!"; }
   $ files() { echo $1"1.ports,"$1"2.ports,"$1"3.ports"; }
   $ await_state() { python3 "$CHECK" await $STORE app $1 12 $2; }
-  $ checks() { sleep 1; UNTIL=$(python3 -c "print($SINCE + ${DURATION-7})"); python3 "$CHECK" exposure $SINCE $UNTIL 0.1 50 $(files $1) $OLD,$(files $1); python3 "$CHECK" withdrawn $SINCE 50 5 $(files $1); wait $(jobs -p | tail -n 2) || true; }
+  $ checks() { sleep 1; UNTIL=$(python3 -c "print($SINCE + ${DURATION-7})"); python3 "$CHECK" exposure $SINCE $UNTIL 0.1 50 $(files $1) $OLD,$(files $1); python3 "$CHECK" withdrawn $SINCE 50 5 $(files $1); wait $LOADS; }
   $ gone() { for n in 1 2 3; do operator "{\"key\":\"servers/$1$n\",\"remove\":true}"; eval "kill \$$1${n}_pid"; done; }
 
 One that fails 30 % of its requests.
@@ -31,7 +31,7 @@
   $ checks fail; AFTER=$(now)
   within the bound
   withdrawn
-  $ load 2; sleep 2.5; python3 "$CHECK" used $AFTER $(files fail)
+  $ load 2; wait $LOADS; python3 "$CHECK" used $AFTER $(files fail)
   0
   $ gone fail
 
@@ -63,12 +63,12 @@
 
   $ load 10; start_version v6 good '{"work_ms": 20}'; await_state succeeded v6
   succeeded v6
-  $ sleep 0.5; AFTER=$(now); wait $(jobs -p | tail -n 2) || true; cat look.out book.out
+  $ sleep 0.5; AFTER=$(now); wait $LOADS; cat look.out book.out
   200:700
   200:500
   $ python3 "$CHECK" used $AFTER $OLD; [ $(python3 "$CHECK" used $AFTER $(files good)) -gt 50 ] && echo used
   0
   used
-  $ gone old; load 2; sleep 2.5; cat look.out book.out
+  $ gone old; load 2; wait $LOADS; cat look.out book.out
   200:140
   200:100
--- a/regress/routed_rollout_faults.t
+++ b/regress/routed_rollout_faults.t
@@ -16,7 +16,7 @@
   $ rollout() { order app "{\"service\":\"app\",\"target\":\"$1\",\"duration_s\":7}"; }
   $ await_state() { python3 "$CHECK" await $STORE ${SERVICE-app} $1 12 $2; }
   $ reason() { python3 "$CHECK" field $STORE ${SERVICE-app} reason; }
-  $ load() { python3 "$LOAD" send 70 $1 /look/ok $D1 $D2 $D3 ${2-$D4} >look.out & python3 "$LOAD" send 50 $1 /book/ok $D1 $D2 $D3 ${2-$D4} >book.out & }
+  $ load() { python3 "$LOAD" send 70 $1 /look/ok $D1 $D2 $D3 ${2-$D4} >look.out & LOADS=$!; python3 "$LOAD" send 50 $1 /book/ok $D1 $D2 $D3 ${2-$D4} >book.out & LOADS="$LOADS $!"; }
 
 Orders that can't be followed: the status names the field.
 
@@ -42,7 +42,7 @@
   $ await_state succeeded v3; python3 "$CHECK" used $AFTER two1.ports,two2.ports
   succeeded v3
   0
-  $ wait $(jobs -p | tail -n 2) || true; cat look.out book.out
+  $ wait $LOADS; cat look.out book.out
   200:840
   200:600
 
@@ -57,13 +57,13 @@
 The store is away in the middle: a bad version gets nothing meanwhile, and is taken back.
 
   $ for s in five1 five2; do start_server $s app a plain v5; done; bad '{"work_ms": 20, "fail": 0.3}' "five1 five2"; sleep 0.7
-  $ wait $(jobs -p | tail -n 2) || true; load 9 $D3; rollout v5; await_state running v5; sleep 0.3; store_fault '{"mode": "busy"}'; sleep 2.6; AFTER=$(now); sleep 1
+  $ wait $LOADS; load 9 $D3; rollout v5; await_state running v5; sleep 0.3; store_fault '{"mode": "busy"}'; sleep 2.6; AFTER=$(now); sleep 1
   running v5
   $ python3 "$CHECK" used $AFTER five1.ports,five2.ports; store_fault '{"mode": "ok"}'
   0
   $ await_state rolled_back v5
   rolled_back v5
-  $ wait $(jobs -p | tail -n 2) || true
+  $ wait $LOADS
 
 Streams stay with their version while another one is rolled out.
 
