Spread reports on roll-outs, and keep barred versions at a start

All daemons reported to the judge at the moment of the order, and then at the same time in each interval. A daemon that started with an invalid order in the store, as the judge, wrote a record without the versions that the former one barred; test_start_with_an_invalid_order failed before.

--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -8,6 +8,9 @@
 #include "lib/log_events.h"
 #include "lib/rollouts_private.h"
 
+/* The oldest barred versions are forgotten. */
+#define MAX_BARRED 16
+
 static int rollouts_destructor(gc_rollouts_t *rollouts);
 static int service_destructor(gc_rollouts_service_t *service);
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
@@ -155,6 +158,12 @@
 			 (gc_rollouts_is_decided(record) ||
 			  !gc_rollouts_is_decided(service->known)))
 			gc_rollouts_set_known(service, record);
+		else if (service->fault &&
+			 !gc_rollouts_is_of_order(service, record))
+			/* With what the record bars. */
+			gc_rollouts_set_known(
+				service,
+				gc_rollouts_withdraw(service, service->fault));
 		else if (!service->known)
 			gc_rollouts_publish_interim(service);
 	}
@@ -313,16 +322,19 @@
 
 static void bar(gc_rollout_record_t *record, gc_str_t version)
 {
+	size_t first = record->n_barred >= MAX_BARRED;
+	size_t n = 0;
 	gc_str_t *barred;
 
 	if (version.len == 0 || gc_rollout_is_barred(record, version))
 		return;
 	barred = talloc_array(record, gc_str_t,
 			      (unsigned int)record->n_barred + 1);
-	for (size_t i = 0; i < record->n_barred; i++)
-		barred[i] = record->barred[i];
-	barred[record->n_barred++] = gc_str_dup(record, version);
+	for (size_t i = first; i < record->n_barred; i++)
+		barred[n++] = record->barred[i];
+	barred[n++] = gc_str_dup(record, version);
 	record->barred = barred;
+	record->n_barred = n;
 }
 
 void gc_rollouts_set_era(gc_rollouts_t *rollouts, uint64_t era)
--- a/lib/rollouts_reports.c
+++ b/lib/rollouts_reports.c
@@ -9,14 +9,16 @@
 #include "lib/rollouts_peer.h"
 #include "lib/rollouts_private.h"
 
-/* Time for the judge's response; three judges can be asked in about one interval of
- * reports. */
-#define REPORT_TIMEOUT_MS 150
+/* Time for the response of a judge, which may have less than a tenth of a processor and
+ * gets the reports of a hundred daemons in each interval. */
+#define REPORT_TIMEOUT_MS 300
 #define MAX_URL_BYTES	  128
 /* A daemon that gets reports judges as long as they come in, plus two that are lost. */
 #define REPORTED_MS (3 * GC_ROLLOUT_REPORT_MS)
 
 static bool is_settled(const gc_rollouts_service_t *service);
+static int64_t first_delay_ms(const gc_rollouts_service_t *service);
+static uint64_t hash_of(const gc_rollouts_service_t *service);
 static bool send_report(gc_rollouts_service_t *service, size_t position);
 static void start_call(gc_rollouts_service_t *service, size_t position,
 		       const gc_registry_entry_t *issuer);
@@ -49,7 +51,26 @@
 	if (service->timer_runs || is_settled(service))
 		return;
 	service->timer_runs = true;
-	gc_timer_set(service->timer, 1);
+	gc_timer_set(service->timer, first_delay_ms(service));
+}
+
+/* The judge acts at once; the reports of the others are spread over an interval, as a small
+ * daemon would not answer all of them in time if they came together. */
+static int64_t first_delay_ms(const gc_rollouts_service_t *service)
+{
+	const gc_rollouts_conf_t *conf = &service->rollouts->conf;
+	const gc_registry_entry_t *first = gc_issuers_find(
+		service->rollouts->issuers, hash_of(service), 0);
+
+	if (!first || gc_str_eq(first->id, conf->self))
+		return 1;
+	return (int64_t)(conf->random->next(conf->random->ctx) %
+			 GC_ROLLOUT_REPORT_MS);
+}
+
+static uint64_t hash_of(const gc_rollouts_service_t *service)
+{
+	return XXH64(service->name.data, service->name.len, 0);
 }
 
 void gc_rollouts_on_timer(void *ctx)
@@ -114,7 +135,7 @@
 static bool send_report(gc_rollouts_service_t *service, size_t position)
 {
 	gc_rollouts_t *rollouts = service->rollouts;
-	uint64_t hash = XXH64(service->name.data, service->name.len, 0);
+	uint64_t hash = hash_of(service);
 
 	for (; position < GC_N_ISSUERS; position++) {
 		const gc_registry_entry_t *issuer =
--- a/regress/check_rollouts.c
+++ b/regress/check_rollouts.c
@@ -77,6 +77,8 @@
 	daemon_t daemons[N_DAEMONS];
 	gc_fleet_view_t *view;
 	gc_clock_t clock;
+	uint64_t seed;
+	gc_random_t random;
 	uint64_t revision;
 	uint64_t era;
 	stored_t order;
@@ -429,6 +431,7 @@
 {
 	gc_rollouts_conf_t conf = {
 		.clock = &world.clock,
+		.random = &world.random,
 		.store = {&store_ops, daemon},
 		.adapter = &gc_platform_adapter,
 		.self = gc_str(daemon->name),
@@ -500,6 +503,7 @@
 	memset(&world, 0, sizeof(world));
 	world.mem = talloc_new(NULL);
 	world.clock = (gc_clock_t){fake_now, fake_now, NULL};
+	world.random = (gc_random_t){unit_next_random, &world.seed};
 	world.era = 1;
 	for (int i = 0; i < N_DAEMONS; i++) {
 		daemon_t *daemon = &world.daemons[i];
@@ -1143,6 +1147,26 @@
 }
 END_TEST
 
+/* The judge starts with the invalid order: its record lacked what was barred before. */
+START_TEST(test_start_with_an_invalid_order)
+{
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(12000);
+	check_state(GC_ROLLOUT_SUCCEEDED, "v2", "");
+	for (size_t i = 0; i < N_DAEMONS; i++)
+		kill_daemon(&world.daemons[i]);
+	put(ORDER_KEY, &world.order, "{\"service\":\"app\",\"target\":\"v3\"}");
+	for (size_t i = 0; i < N_DAEMONS; i++)
+		start_daemon(&world.daemons[i]);
+	run(2000);
+	check_state(GC_ROLLOUT_ROLLED_BACK, "v3", "duration_s");
+	ck_assert(is_barred("v1"));
+	ck_assert(!is_barred("v2"));
+	finish();
+}
+END_TEST
+
 /* The order names the version in force, which got no requests any more. */
 START_TEST(test_invalid_order_for_the_version_in_force)
 {
@@ -1233,6 +1257,7 @@
 		test_removed_order,
 		test_removed_after_success,
 		test_invalid_orders,
+		test_start_with_an_invalid_order,
 		test_invalid_order_for_the_version_in_force,
 		test_restarted_daemons,
 		test_cut_off_daemon_is_told,
