--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -4,13 +4,11 @@
 #include <glib.h>
 #include <xxhash.h>
 
+#include "core/rollout_record.h"
 #include "lib/log.h"
 #include "lib/log_events.h"
 #include "lib/rollouts_private.h"
 
-/* The oldest barred versions are forgotten. */
-#define MAX_BARRED 16
-
 static int rollouts_destructor(gc_rollouts_t *rollouts);
 static int service_destructor(gc_rollouts_service_t *service);
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest);
@@ -22,7 +20,6 @@
 static void log_decision(gc_rollouts_service_t *service);
 static bool has_other_version(const gc_rollouts_service_t *service,
 			      const gc_rollout_record_t *record);
-static void bar(gc_rollout_record_t *record, gc_str_t version);
 
 gc_rollouts_t *gc_rollouts_create(TALLOC_CTX *mem,
 				  const gc_rollouts_conf_t *conf)
@@ -264,7 +261,7 @@
 	record = gc_rollout_record_copy(service->order, &base);
 	if (stored && stored->state == GC_ROLLOUT_RUNNING &&
 	    !gc_str_eq(stored->target, order->target))
-		bar(record, stored->target);
+		gc_rollout_record_bar(record, stored->target);
 	if (has_other_version(service, record))
 		gc_rollouts_publish(service, record);
 	else if (stored && stored->state != GC_ROLLOUT_RUNNING)
@@ -314,29 +311,12 @@
 		base.started_ms = stored->started_ms;
 	record = gc_rollout_record_copy(service->order, &base);
 	if (stored && stored->state == GC_ROLLOUT_RUNNING)
-		bar(record, stored->target);
-	if (!service->fault || service->bars_target)
-		bar(record, order->target);
+		gc_rollout_record_bar(record, stored->target);
+	if (order->target.len > 0 && (!service->fault || service->bars_target))
+		gc_rollout_record_bar(record, order->target);
 	return record;
 }
 
-static void bar(gc_rollout_record_t *record, gc_str_t version)
-{
-	size_t first = record->n_barred >= MAX_BARRED;
-	size_t n = 0;
-	gc_str_t *barred;
-
-	if (version.len == 0 || gc_rollout_is_barred(record, version))
-		return;
-	barred = talloc_array(record, gc_str_t,
-			      (unsigned int)record->n_barred + 1);
-	for (size_t i = first; i < record->n_barred; i++)
-		barred[n++] = record->barred[i];
-	barred[n++] = gc_str_dup(record, version);
-	record->barred = barred;
-	record->n_barred = n;
-}
-
 void gc_rollouts_set_era(gc_rollouts_t *rollouts, uint64_t era)
 {
 	bool first = rollouts->era == 0;
