--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -31,9 +31,12 @@
 #define RECENT_REPORT_MS 3000
 #define REPORTING_PART	 0.75
 /* Shares stay for this time, so that their effect is reported before the next. */
-#define SHARES_MS 1200
+#define SHARES_MS 2000
 /* The same if they may reach the bound. */
-#define LOWERED_MS 500
+#define LOWERED_MS 1000
+
+/* Weight that recent requests keep for each interval of reports. */
+#define RECENT_DECAY 0.6
 
 struct gc_rollout_judge {
 	gc_rollout_limits_t limits;
@@ -48,7 +51,10 @@
 	bool has_shares;
 	struct timespec rate_at;
 	uint64_t rate_requests; /* at rate_at */
+	uint64_t rate_sent;
 	double requests_per_ms;
+	double recent_requests; /* since the shares were changed */
+	double recent_sent;
 };
 
 static int64_t elapsed_ms(const gc_rollout_judge_t *judge, struct timespec now,
@@ -186,13 +192,19 @@
 static void update_rate(gc_rollout_judge_t *judge, struct timespec now)
 {
 	uint64_t n_requests = gc_rollout_reports_n_requests(judge->reports);
+	uint64_t n_sent = gc_rollout_reports_n_sent(judge->reports);
 	int64_t ms = gc_ms_between(judge->rate_at, now);
 
 	if (ms < GC_ROLLOUT_REPORT_MS)
 		return;
 	judge->requests_per_ms =
 		(double)(n_requests - judge->rate_requests) / (double)ms;
+	judge->recent_requests = RECENT_DECAY * judge->recent_requests +
+				 (double)(n_requests - judge->rate_requests);
+	judge->recent_sent = RECENT_DECAY * judge->recent_sent +
+			     (double)(n_sent - judge->rate_sent);
 	judge->rate_requests = n_requests;
+	judge->rate_sent = n_sent;
 	judge->rate_at = now;
 }
 
@@ -362,6 +374,9 @@
 		.reports = judge->reports,
 		.tests = judge->tests,
 		.requests_per_ms = judge->requests_per_ms,
+		.recent_requests = judge->recent_requests,
+		.recent_sent = judge->recent_sent,
+		.share = judge->next->share,
 		.elapsed_ms = elapsed,
 		.duration_ms = judge->order.duration_ms,
 		.urgent = gc_rollout_tests_suspicion(judge->tests) >=
@@ -381,6 +396,8 @@
 	     !gc_rollout_plan_differs(&plan, &current)))
 		return NULL;
 	judge->has_shares = true;
+	judge->recent_requests = 0;
+	judge->recent_sent = 0;
 	judge->shares_at = now;
 	gc_rollout_plan_write(judge->next, &plan);
 	return judge->next;
--- a/core/rollout_shares.c
+++ b/core/rollout_shares.c
@@ -35,8 +35,9 @@
 #define ROUTE_CHANGE 0.5
 /* The same for a share that may reach the bound. With the larger change, 31 of 10,000
  * random roll-outs sent more than the bound for a time. */
-#define EXCESS	     0.1
-#define SEARCH_STEPS 40
+#define MEASURED_DEVIATIONS 2.0
+#define EXCESS		    0.1
+#define SEARCH_STEPS	    40
 /* Additional answers on a route that is about to raise an alarm, in relation to those
  * on others. */
 #define SUSPICION_WEIGHT 8.0
@@ -54,6 +55,7 @@
 static void add_weight(gc_rollout_plan_t *plan, uint64_t route, double weight);
 static void allow_shares(gc_rollout_plan_t *plan,
 			 const gc_rollout_progress_t *progress);
+static double measured_share(const gc_rollout_progress_t *progress);
 static double planned_ms(const gc_rollout_progress_t *progress);
 static void spread(gc_rollout_plan_t *plan,
 		   const gc_rollout_progress_t *progress);
@@ -109,6 +111,8 @@
 	if (n_answers < MIN_ANSWERS || n_requests < MIN_REQUESTS)
 		return false;
 	allow_shares(plan, progress);
+	if (plan->measured > progress->share)
+		plan->share *= progress->share / plan->measured;
 	if ((double)n_answers < MIN_ANSWERED * n_requests)
 		plan->n_routes = 0;
 	spread(plan, progress);
@@ -175,6 +179,17 @@
 		plan->most = limits->share + ROOM_PART * room / lag_requests;
 	plan->share = progress->urgent ? plan->most : MIN(share, plan->most);
 	plan->share = CLAMP(plan->share, 0, MAX_SHARE);
+	plan->measured = measured_share(progress);
+}
+
+/* The least that the target's real share is likely to be. It exceeds the one in force
+ * if routes with a high share have become more frequent. */
+static double measured_share(const gc_rollout_progress_t *progress)
+{
+	double n_sent = progress->recent_sent;
+
+	n_sent -= MEASURED_DEVIATIONS * sqrt(n_sent);
+	return MAX(n_sent, 0) / MAX(progress->recent_requests, 1);
 }
 
 /* How long the plan is to last. */
@@ -268,7 +283,7 @@
 bool gc_rollout_plan_is_too_high(const gc_rollout_plan_t *current,
 				 const gc_rollout_plan_t *plan)
 {
-	return current->share > (1 + EXCESS) * plan->most;
+	return MAX(current->share, plan->measured) > (1 + EXCESS) * plan->most;
 }
 
 bool gc_rollout_plan_differs(const gc_rollout_plan_t *plan,
--- a/core/rollout_shares.h
+++ b/core/rollout_shares.h
@@ -14,8 +14,10 @@
 	double share; /* of all requests, and of routes that are not listed */
 	gc_rollout_route_share_t routes[GC_ROLLOUT_MAX_ROUTES]; /* sorted */
 	size_t n_routes;
-	/* The share at which requests under way could reach the bound. */
+	/* The share at which requests under way could reach the bound, and the one
+	 * that the target got lately; of a computed plan. */
 	double most;
+	double measured;
 } gc_rollout_plan_t;
 
 /* What a plan is made from. */
@@ -23,7 +25,11 @@
 	const gc_rollout_limits_t *limits;
 	const gc_rollout_reports_t *reports;
 	const gc_rollout_tests_t *tests;
-	double requests_per_ms; /* in the last moments */
+	/* In the last moments, since the shares were changed. */
+	double requests_per_ms;
+	double recent_requests;
+	double recent_sent;
+	double share; /* in force */
 	int64_t elapsed_ms;
 	int64_t duration_ms;
 	/* As many answers as the bound allows are wanted now. */
--- a/regress/prop_rollout.cc
+++ b/regress/prop_rollout.cc
@@ -66,7 +66,7 @@
 	load_result_t result;
 
 	load_run(&spec, *rc::gen::arbitrary<uint64_t>(), &result);
-	RC_ASSERT(result.max_excess <= 0.0);
+	RC_ASSERT(result.excess <= 0.0);
 	RC_ASSERT(result.n_changed_decisions == 0);
 	RC_ASSERT(result.decided_ms >= 0);
 	RC_ASSERT(result.decided_ms <= DURATION_MS);
--- a/regress/rollout_load.h
+++ b/regress/rollout_load.h
@@ -67,7 +67,11 @@
 	uint64_t n_sent;
 	uint64_t n_bad; /* failures and slow answers of the bad version */
 	uint64_t n_bad_at_decision;
-	double max_excess; /* of n_sent over share * n_requests + slack */
+	/* Requests sent to the target before it was accepted, less what the bound allows
+	 * for all requests until the time limit. */
+	double excess;
+	/* The same for the requests until then, at the worst moment. */
+	double max_excess;
 	int n_records;
 	int n_changed_decisions;
 	char reason[256];
@@ -105,7 +109,7 @@
 	int n_records;
 	load_answer_t *pending;
 	size_t n_pending;
-	uint64_t next_request;
+	uint64_t n_sent_undecided; /* before a success */
 	load_result_t *result;
 } load_t;
 
@@ -368,13 +372,19 @@
 		       GC_STR_ARG(copy->reason));
 }
 
+static inline double load_excess(const load_t *load)
+{
+	return (double)load->n_sent_undecided -
+	       load->spec->limits.share * (double)load->result->n_requests -
+	       load->spec->limits.slack;
+}
+
 static inline void load_step(load_t *load)
 {
 	const load_spec_t *spec = load->spec;
 	load_result_t *result = load->result;
 	double rate = spec->requests_per_s * load_sum_of_parts(load);
 	double left = rate * LOAD_STEP_MS / 1000;
-	double excess;
 
 	/* Times between requests are exponential. */
 	while ((left += log(1 - load_uniform(load))) > 0)
@@ -391,15 +401,14 @@
 		load_create_judge(load);
 	if (load->now_ms % GC_ROLLOUT_REPORT_MS == 0)
 		load_judge(load);
-	excess = (double)result->n_sent -
-		 spec->limits.share * (double)result->n_requests -
-		 spec->limits.slack;
 	/* After a success, all requests go to the target. */
-	if (result->decided_ms < 0 || result->state != GC_ROLLOUT_SUCCEEDED)
-		result->max_excess = fmax(result->max_excess, excess);
+	if (result->decided_ms >= 0 && result->state == GC_ROLLOUT_SUCCEEDED)
+		return;
+	load->n_sent_undecided = result->n_sent;
+	result->max_excess = fmax(result->max_excess, load_excess(load));
 }
 
-/* Plays a roll-out from the order to a second after its time limit. */
+/* Plays a roll-out from the order to its time limit. */
 static inline void load_run(const load_spec_t *spec, uint64_t seed,
 			    load_result_t *result)
 {
@@ -424,9 +433,9 @@
 					   (double)spec->max_lag_ms);
 	}
 	load_create_judge(&load);
-	for (; load.now_ms <= spec->duration_ms + 1000;
-	     load.now_ms += LOAD_STEP_MS)
+	for (; load.now_ms <= spec->duration_ms; load.now_ms += LOAD_STEP_MS)
 		load_step(&load);
+	result->excess = load_excess(&load);
 	result->n_records = load.n_records;
 	talloc_free(load.mem);
 }
