--- a/core/backends.h
+++ b/core/backends.h
@@ -111,6 +111,7 @@
 gc_backend_t *gc_backends_nth_judged(const gc_backends_t *backends,
 				     struct timespec now, gc_str_t service,
 				     gc_str_t version, uint64_t key, size_t n);
+/* Servers of the service and version for which gc_backend_is_sound is true. */
 size_t gc_backends_count_sound(const gc_backends_t *backends,
 			       struct timespec now, gc_str_t service,
 			       gc_str_t version);
