--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -113,6 +113,7 @@
 			exchange->silence_query = NULL;
 			gc_backend_record_activity(exchange->backend);
 			gc_exchange_record_served(exchange);
+			gc_exchange_count_first_event(exchange);
 			gc_exchange_begin_at(
 				exchange, exchange->hop
 						  ? exchange->hop_version
@@ -195,8 +196,10 @@
 static void forward_bytes(gc_exchange_t *exchange, gc_str_t data)
 {
 	gc_caller_conn_send_data(exchange->caller, data);
-	if (is_caller_behind(exchange))
-		set_server_paused(exchange, true);
+	if (!is_caller_behind(exchange))
+		return;
+	exchange->slow_reader = true;
+	set_server_paused(exchange, true);
 }
 
 static bool is_caller_behind(const gc_exchange_t *exchange)
@@ -231,6 +234,8 @@
 					   "the stream ended inside an event");
 		return;
 	}
+	if (!exchange->ended_held)
+		gc_exchange_count_stream_end(exchange);
 	if (gc_exchange_is_held(exchange)) {
 		exchange->attempts.may_have_run = true;
 		exchange->ended_held = true;
--- a/lib/routed_settings.c
+++ b/lib/routed_settings.c
@@ -124,6 +124,11 @@
 	settings->lease_ms =
 		(int64_t)number(reader, "lease_ms", 3000, 1000, 600000);
 	settings->held_bytes_max = read_held_bytes_max(reader);
+	settings->rollout.share = number(reader, "rollout_share", 0, 0, 1);
+	settings->rollout.slack =
+		(uint32_t)number(reader, "rollout_slack", 0, 0, 1e9);
+	settings->rollout.withdraw_ms = (int64_t)number(
+		reader, "rollout_withdraw_ms", 5000, 500, 600000);
 	settings->log_level = GC_LOG_INFO;
 	if (level && !gc_log_level_parse(level, &settings->log_level))
 		add_error(reader, "log_level",
--- a/lib/routed_settings.h
+++ b/lib/routed_settings.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "core/rollout.h"
 #include "lib/log.h"
 #include "lib/settings.h"
 
@@ -55,6 +56,8 @@
 	/* None (0): bound over the bytes that are buffered for callers and servers;
 	 * a quarter of "memory_mb" if that is given and in force. */
 	uint64_t held_bytes_max;
+	/* 0, 0, 5000: "rollout_share", "rollout_slack", "rollout_withdraw_ms" */
+	gc_rollout_limits_t rollout;
 	gc_log_level_t log_level;
 } gc_routed_settings_t;
 
--- a/regress/check_settings.c
+++ b/regress/check_settings.c
@@ -228,6 +228,36 @@
 }
 END_TEST
 
+/* Roll-outs are off unless their bounds are set. */
+START_TEST(test_rollout_settings)
+{
+	gc_routed_settings_t *settings = load_routed("", NULL);
+	GError *err = NULL;
+
+	ck_assert_ptr_nonnull(settings);
+	ck_assert_double_eq(settings->rollout.share, 0);
+	ck_assert_uint_eq(settings->rollout.slack, 0);
+	ck_assert_int_eq(settings->rollout.withdraw_ms, 5000);
+	talloc_free(settings);
+	settings = load_routed("\"rollout_share\":0.1,\"rollout_slack\":50,"
+			       "\"rollout_withdraw_ms\":4000,",
+			       NULL);
+	ck_assert_ptr_nonnull(settings);
+	ck_assert_double_eq(settings->rollout.share, 0.1);
+	ck_assert_uint_eq(settings->rollout.slack, 50);
+	ck_assert_int_eq(settings->rollout.withdraw_ms, 4000);
+	talloc_free(settings);
+	ck_assert_ptr_null(load_routed("\"rollout_share\":1.1,"
+				       "\"rollout_slack\":-1,"
+				       "\"rollout_withdraw_ms\":\"x\",",
+				       &err));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_share: "));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_slack: "));
+	ck_assert_ptr_nonnull(strstr(err->message, "rollout_withdraw_ms: "));
+	g_error_free(err);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("settings");
@@ -242,6 +272,7 @@
 	tcase_add_test(tcase, test_invalid_file);
 	tcase_add_test(tcase, test_held_bytes_are_bounded_only_if_asked_for);
 	tcase_add_test(tcase, test_invalid_bounds_are_named);
+	tcase_add_test(tcase, test_rollout_settings);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
