Add a conditional removal to the store's interface

An operator's tool has to take back what it wrote to the store, but not what another operator wrote meanwhile. remove_if sends a transaction with the expected revision, as put_if does.

--- a/lib/store.h
+++ b/lib/store.h
@@ -68,6 +68,10 @@
 	 * there is no such item); GC_ERR_CONFLICT if it is another. */
 	void (*put_if)(void *store, gc_str_t key, gc_str_t value,
 		       uint64_t expected, gc_store_done_t done, void *ctx);
+	/* Removes an item if its revision is the expected one; GC_ERR_CONFLICT if
+	 * it is another, or if there is none any more. */
+	void (*remove_if)(void *store, gc_str_t key, uint64_t expected,
+			  gc_store_done_t done, void *ctx);
 	void (*end_lease)(void *store, uint64_t lease, gc_store_done_t done,
 			  void *ctx);
 } gc_store_ops_t;
