Add goldcrestctl rollout

In the routed mode operators write to the store, for which there was no command. rollout shows, orders, removes and awaits a roll-out of a service through the store's interface; the adapter gains the writer of orders beside its readers. Changes are made by compare-and-set, so that of two operators one gets a conflict. An order's status counts only if it names this order.

--- a/goldcrestctl/goldcrestctl.h
+++ b/goldcrestctl/goldcrestctl.h
@@ -15,12 +15,14 @@
 	CTL_CONFLICT = 3,
 	CTL_UNAVAILABLE = 4,
 	CTL_NOT_IN_EFFECT = 5,
+	CTL_ROLLED_BACK = 6,
 } ctl_exit_t;
 
 /* Options that all commands share. */
 typedef struct ctl {
 	char **urls; /* operator listeners of daemons; NULL-terminated */
 	char *key; /* operator key */
+	char *store; /* "IP:PORT" of the store in the routed mode; may be NULL */
 	bool json; /* print JSON instead of text */
 } ctl_t;
 
@@ -76,6 +78,9 @@
 ctl_exit_t ctl_status(const ctl_t *ctl, int argc, char **argv);
 ctl_exit_t ctl_wait(const ctl_t *ctl, int argc, char **argv);
 
+/* rollout.c */
+ctl_exit_t ctl_rollout(const ctl_t *ctl, int argc, char **argv);
+
 /* Prints the message and returns CTL_USAGE. */
 ctl_exit_t ctl_usage_error(const char *message, ...) G_GNUC_PRINTF(1, 2);
 
--- a/goldcrestctl/main.c
+++ b/goldcrestctl/main.c
@@ -6,6 +6,7 @@
 
 #include <curl/curl.h>
 
+#include "core/address.h"
 #include "goldcrestctl.h"
 
 typedef struct command {
@@ -19,10 +20,13 @@
 	{"model", ctl_model},	  {"account", ctl_account},
 	{"service", ctl_service}, {"depart", ctl_depart},
 	{"return", ctl_return},	  {"wait", ctl_wait},
+	{"rollout", ctl_rollout},
 };
 
+static ctl_exit_t check_options(ctl_t *ctl, const command_t *command,
+				const char *key_file);
 static bool read_key(ctl_t *ctl, const char *key_file);
-static ctl_exit_t run_command(const ctl_t *ctl, int argc, char **argv);
+static const command_t *find_command(const char *name);
 
 ctl_exit_t ctl_usage_error(const char *message, ...)
 {
@@ -46,12 +50,15 @@
 		 "Operator listener of a daemon; may be repeated", "URL"},
 		{"key-file", 0, 0, G_OPTION_ARG_FILENAME, &key_file,
 		 "File with the operator key", "FILE"},
+		{"store", 0, 0, G_OPTION_ARG_STRING, &ctl.store,
+		 "Store of the routed mode, for rollout", "IP:PORT"},
 		{"json", 0, 0, G_OPTION_ARG_NONE, &json, "Print JSON", NULL},
 		G_OPTION_ENTRY_NULL};
 	g_autoptr(GOptionContext) context =
 		g_option_context_new("COMMAND [ARGUMENT...]");
 	g_autoptr(GError) err = NULL;
 	const char *urls = g_getenv("GOLDCREST_URLS");
+	const command_t *command;
 	ctl_exit_t result;
 
 	g_option_context_add_main_entries(context, entries, NULL);
@@ -64,22 +71,47 @@
 	if (argc < 2)
 		return ctl_usage_error(
 			"expected a command; see goldcrestctl(1)");
-	if (!ctl.urls)
-		return ctl_usage_error("expected --url or GOLDCREST_URLS");
-	if (!read_key(&ctl, key_file))
-		return CTL_USAGE;
-	for (char **url = ctl.urls; *url; url++) {
-		if (g_str_has_suffix(*url, "/"))
-			(*url)[strlen(*url) - 1] = '\0';
-	}
+	command = find_command(argv[1]);
+	result = check_options(&ctl, command, key_file);
+	if (result != CTL_OK)
+		return result;
+	if (!command)
+		return ctl_usage_error("unknown command \"%s\"", argv[1]);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
-	result = run_command(&ctl, argc - 1, argv + 1);
+	result = command->run(&ctl, argc - 2, argv + 2);
 	curl_global_cleanup();
 	g_strfreev(ctl.urls);
 	g_free(ctl.key);
+	g_free(ctl.store);
 	return result;
 }
 
+/* command: NULL if there is none of that name. */
+static ctl_exit_t check_options(ctl_t *ctl, const command_t *command,
+				const char *key_file)
+{
+	/* Needs no daemon and no operator key. */
+	if (command && command->run == ctl_rollout) {
+		if (!ctl->store)
+			return ctl_usage_error("%s: expected --store",
+					       command->name);
+		if (!gc_address_is_host_port(gc_str(ctl->store)))
+			return ctl_usage_error(
+				"--store: expected IP:PORT, not \"%s\"",
+				ctl->store);
+		return CTL_OK;
+	}
+	if (!ctl->urls)
+		return ctl_usage_error("expected --url or GOLDCREST_URLS");
+	if (!read_key(ctl, key_file))
+		return CTL_USAGE;
+	for (char **url = ctl->urls; *url; url++) {
+		if (g_str_has_suffix(*url, "/"))
+			(*url)[strlen(*url) - 1] = '\0';
+	}
+	return CTL_OK;
+}
+
 static bool read_key(ctl_t *ctl, const char *key_file)
 {
 	const char *key = g_getenv("GOLDCREST_OPERATOR_KEY");
@@ -102,11 +134,12 @@
 	return true;
 }
 
-static ctl_exit_t run_command(const ctl_t *ctl, int argc, char **argv)
+/* NULL if there is none. */
+static const command_t *find_command(const char *name)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
-		if (strcmp(commands[i].name, argv[0]) == 0)
-			return commands[i].run(ctl, argc - 1, argv + 1);
+		if (strcmp(commands[i].name, name) == 0)
+			return &commands[i];
 	}
-	return ctl_usage_error("unknown command \"%s\"", argv[0]);
+	return NULL;
 }
--- a/lib/adapter.h
+++ b/lib/adapter.h
@@ -95,7 +95,8 @@
 	bool (*read_rollout_record)(TALLOC_CTX *mem, gc_str_t service,
 				    gc_str_t value, gc_rollout_record_t *record,
 				    GError **err);
-	/* Free with g_free. */
+	/* Free with g_free. The id of an order is not written. */
+	char *(*write_rollout_order)(const gc_rollout_order_t *order);
 	char *(*write_rollout_record)(const gc_rollout_record_t *record);
 	/* POST to a backend server: copies a run's KV cache to another one. */
 	const char *copy_request_path;
