Order roll-outs in the soak test, and check their promises

The mode rollout moves services to good, failing and slow versions beside the other faults, with second orders and removals, and checks exposure, withdrawal, barred versions and decisions by what the servers log. Servers log to versions.log, as what killed ones got counts too; proxies tell when they held a request back.

--- a/regress/soak/proxy.py
+++ b/regress/soak/proxy.py
@@ -5,12 +5,14 @@
 import socket
 import struct
 import sys
+import time
 
 sys.path.append(os.path.join(os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__)))), "standins", "routed"))
 
 import cut
 
+HELD_S = 0.05  # shorter holds don't matter to the checks
 DROP_ALL = [(cut.BPF_RET_K, 0, 0, 0)]
 
 
@@ -30,6 +32,7 @@
         self.port = 0
         self.cut = cut.Cut()
         self.silenced = []  # sockets that drop what clients send
+        self.held = []  # (begin, end) of the times in which data waited here
 
     async def start(self):
         server = await asyncio.start_server(self.handle_connection,
@@ -105,11 +108,14 @@
 
     async def forward(self, reader, writer, to_server):
         while data := await reader.read(65536):
+            begin = time.monotonic()
             while self.mode in ("silent", "link") or (
                     self.mode == "one-way" and not to_server):
                 await asyncio.sleep(0.05)
             if self.mode == "slow":
                 await asyncio.sleep(0.15)
+            if to_server and time.monotonic() > begin + HELD_S:
+                self.held.append((begin, time.monotonic()))
             writer.write(data)
             await writer.drain()
         await self.wait_for_link(writer)
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -26,6 +26,7 @@
             broke off
   planned   only changes of the configuration (of 1,400 more routes with a third of
             the seeds), SIGHUP and SIGTERM, and the faults of the other modes
+  rollout   operators move services to good and bad software versions
   share     each daemon is held to a small share of a processor
   upgrade   the daemons start with the builds of --old, which are made or found in
             --builds (default: with the logs), and are replaced one after the
@@ -49,6 +50,7 @@
 
 import cut_off
 import losses
+import rollouts
 from proxy import Proxy
 from upgrade import Upgrade
 
@@ -68,7 +70,8 @@
     "unframed": {"look": ["unframed"], "draft": ["plain", "plaincut", "empty"]},
     "silent": {"look": ["pause"], "book": ["pause"], "draft": ["pause"]}}
 MODES = ["crash", "restore", "leaving", "limits", "brittle", "versions",
-         "cutoff", "links", "planned", "share", "upgrade", *BEHAVIOURS]
+         "cutoff", "links", "planned", "share", "upgrade", "rollout",
+         *BEHAVIOURS]
 # Faults that every seed may have; those of the mode "planned".
 FAULTS = ["kill server", "kill daemon", "stop daemon", "pause daemon",
           "proxy server", "proxy store", "proxy caller", "store", "config",
@@ -123,10 +126,12 @@
         self.upgrade = Upgrade(self, seed, old, builds or self.path("builds"))
         self.cut_off_check = cut_off.CutOffCheck(self.daemons, self.upgrade)
         self.losses = losses.LossCheck(self)
+        self.rollouts = rollouts.RolloutCheck(self, seed)
         self.n_more_routes = (MORE_ROUTES if "planned" in modes and
                               seed % 3 == 0 else 0)
         # Of all servers that were started: (service, proxy).
         self.server_proxies = []
+        self.proxies_by_name = {}
         # Source addresses of the cut, how (see cut.py), and its services.
         self.cut = ([], "", ())
         # Held by a fault of links, as two on one socket would end each other.
@@ -215,31 +220,34 @@
                          {"name": "llm", "engine": {"backups": True}}],
             "tenants": [{"name": "north", "api_keys": keys}]}})
 
-    async def start_server(self, service, zone):
+    async def start_server(self, service, zone, version=None):
         self.n_servers_started += 1
         name = f"{service}{self.n_servers_started}"
         await self.spawn(name, [
             sys.executable, f"{STANDINS}/standin_server.py", f"{name}.ports",
             name, service, zone, f"http://127.0.0.1:{self.store}"] +
-            (["engine", self.choose_version(name)] if service == "llm"
-             else []))
+            (["engine", self.choose_version(name, version)]
+             if service == "llm" else
+             ["plain", self.choose_version(name, version)] if version else []))
         proxy = await Proxy(await self.port_of(name)).start()
         self.servers[name] = (service, zone, proxy)
         self.server_proxies.append((service, proxy))
+        self.proxies_by_name[name] = proxy
         self.cut_links(service, proxy)
+        await self.rollouts.configure(name)
         await self.register_server(name)
 
-    def choose_version(self, name):
+    def choose_version(self, name, version):
         # The series of faults of seeds without this mode must not change.
-        self.versions[name] = (self.random.choice(["v1", "v2"])
+        self.versions[name] = version or (self.random.choice(["v1", "v2"])
                                if "versions" in self.modes else "v1")
         return self.versions[name]
 
-    async def register_server(self, name):
+    async def register_server(self, name, state="ready"):
         service, zone, proxy = self.servers[name]
         await self.post_to_store("/operator", {
             "key": f"servers/{name}", "value": {
-                "service": service, "zone": zone, "slots": 8, "state": "ready",
+                "service": service, "zone": zone, "slots": 8, "state": state,
                 "address": f"127.0.0.1:{proxy.port}",
                 "version": self.versions.get(name, "v1"),
                 "born": await self.start_time_of(name, proxy)}})
@@ -282,7 +290,8 @@
             "addresses": "127.0.0.1:0", "peer": f"127.0.0.1:{ports[2]}",
             "forward": f"{self.forward_ip(name)}:{ports[3]}",
             "source": self.source_of(name),
-            "store": f"127.0.0.1:{store_proxy.port}", "stop_grace_s": 3})
+            "store": f"127.0.0.1:{store_proxy.port}", "stop_grace_s": 3,
+            **(rollouts.SETTINGS if self.rollouts.enabled else {})})
         with open(self.path(name + ".json"), "w", encoding="ascii") as f:
             json.dump(settings, f)
         await self.spawn(name, [program, "-f", name + ".json"])
@@ -375,7 +384,8 @@
         if kind in cut_off.DAEMON_FAULTS + cut_off.STORE_FAULTS:
             await self.disturb.wait()
         disturbances = [check.begin_fault(kind, daemon)
-                        for check in (self.cut_off_check, self.losses)]
+                        for check in (self.cut_off_check, self.losses,
+                                      self.rollouts)]
         self.log_fault(f"begin: {kind}, {daemon}")
         await self.run_fault(kind, daemon)
         self.log_fault(f"end: {kind}, {daemon}")
@@ -410,7 +420,8 @@
                                           {"Server-Leaving": "1"})
                 await asyncio.sleep(for_s)
             self.send_signal(server, signal.SIGKILL)
-            await self.start_server(service, server_zone)
+            await self.start_server(service, server_zone,
+                                    self.rollouts.replacement(server))
             await asyncio.sleep(1.2)
             await self.post_to_store("/operator", {"key": f"servers/{server}",
                                                    "remove": True})
@@ -421,6 +432,7 @@
             await self.post_to_store("/faults", {"mode": "ok",
                                                  "restore": True})
             await self.put_config()
+            await self.rollouts.write_orders()
             for name in sorted(self.servers):
                 # Another fault may end it meanwhile.
                 if name in self.servers:
@@ -544,7 +556,8 @@
         data = await self.send_try(route, behaviour, run_id, key, port, body)
         last = last_event_id(data)
         versions = versions_of(data)
-        for i in range(MAX_RESUMES if "versions" in self.modes else 0):
+        resumes = self.rollouts.enabled or "versions" in self.modes
+        for i in range(MAX_RESUMES if resumes else 0):
             if route != "draft" or not 0 < last < EVENTS_PER_STREAM:
                 break
             daemon = self.random.choice(sorted(self.daemons))
@@ -652,7 +665,8 @@
     async def main(self, seconds):
         await self.start()
         clients = [asyncio.ensure_future(self.run_client(i))
-                   for i in range(CLIENTS)]
+                   for i in range(CLIENTS + self.rollouts.enabled *
+                                  rollouts.MORE_CLIENTS)]
         clients += self.losses.start_clients()
         if "crash" in self.modes:
             clients.append(asyncio.ensure_future(self.run_deadly_client()))
@@ -660,7 +674,8 @@
             clients.append(asyncio.ensure_future(
                 self.cut_off_check.run_lookups(self)))
             clients.append(asyncio.ensure_future(self.watch_servers()))
-        await asyncio.gather(self.inject_faults(seconds), self.upgrade.run())
+        await asyncio.gather(self.inject_faults(seconds), self.upgrade.run(),
+                             self.rollouts.run(seconds))
         await asyncio.sleep(4)
         successes_before = self.counts.get("200", 0)
         crashes_before = self.n_crashes()
@@ -682,6 +697,7 @@
         self.check_runs()
         self.upgrade.check_daemons()
         self.violations += self.cut_off_check.violations()
+        self.violations += self.rollouts.violations()
         # Crashes of servers and upgrades disturb at times that aren't known.
         if not {"crash", "upgrade"} & set(self.modes):
             self.violations += self.losses.violations(self.run_ids)
--- a/standins/routed/bad_version.py
+++ b/standins/routed/bad_version.py
@@ -13,7 +13,8 @@
 
 
 class BadVersion:
-    def __init__(self):
+    def __init__(self, log):
+        self.log = log  # called with "bad" at a bad answer
         self.work_s = 0
         self.command = {}
         self.n = 0  # requests since the command
@@ -40,4 +41,5 @@
         await asyncio.sleep(work_s)
         if fails or work_s > self.work_s:
             self.bad.append(round(time.monotonic(), 3))
+            self.log("bad")
         return fails, work_s
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -178,7 +178,7 @@
         self.writers = weakref.WeakSet()
         self.cut = cut.Cut()
         self.slots = brittle.Slots()
-        self.bad = bad_version.BadVersion()
+        self.bad = bad_version.BadVersion(self.log_version)
         self.begun = []
 
     def register(self, port, state="ready"):
@@ -203,6 +203,12 @@
         headers.update(extra)
         return headers
 
+    def log_version(self, what):
+        """Persists after exit, for checks of what each version got."""
+        with open("versions.log", "a", encoding="ascii") as f:
+            f.write(f"{time.monotonic():.3f} {what} {self.id} {self.service} "
+                    f"{self.version}\n")
+
     def busy_headers(self):
         return {} if self.retry_after is None else {
             "Retry-After": self.retry_after}
@@ -424,6 +430,7 @@
             return True
         self.runs.append(run_id)
         self.begun.append(round(time.monotonic(), 3))
+        self.log_version("begun")
         # Persists after exit; tests count the runs of all servers in it.
         with open("runs.log", "a", encoding="ascii") as f:
             f.write(f"{run_id} {self.service}\n")
