--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -82,6 +82,7 @@
 typedef struct write {
 	service_t *service;
 	uint64_t era;
+	uint64_t expected; /* revision */
 	gc_rollout_record_t *record;
 } write_t;
 
@@ -115,7 +116,6 @@
 			   const gc_rollout_order_t *order, const char *fault);
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed);
-static void supersede(const service_t *service, gc_rollout_record_t *former);
 static bool has_version(const service_t *service, gc_str_t version);
 static void log_order(const service_t *service);
 static void remove_order(service_t *service, bool listed);
@@ -129,6 +129,9 @@
 static void log_decision(service_t *service);
 static void publish(const service_t *service,
 		    const gc_rollout_record_t *record);
+static void publish_interim(const service_t *service);
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record);
 static gc_rollout_record_t *withdraw(service_t *service, const char *reason);
 static void bar(gc_rollout_record_t *record, gc_str_t version);
 static bool needs_rewrite(const service_t *service);
@@ -156,6 +159,7 @@
 static void write_record(service_t *service, const gc_rollout_record_t *record);
 static void on_written(void *ctx, uint64_t id, uint64_t era, const GError *err);
 static void take_written(service_t *service, const gc_rollout_record_t *record);
+static void await_watch(service_t *service);
 static void delay_write(service_t *service, const GError *err);
 static void take_era(gc_rollouts_t *rollouts, uint64_t era);
 
@@ -346,9 +350,8 @@
 static void start_order(service_t *service, const gc_rollout_order_t *order,
 			const char *fault, bool listed)
 {
-	gc_rollout_record_t *former = service->known;
-
 	TALLOC_FREE(service->held);
+	TALLOC_FREE(service->known);
 	TALLOC_FREE(service->judge);
 	TALLOC_FREE(service->own);
 	TALLOC_FREE(service->fault);
@@ -359,33 +362,23 @@
 	service->order->target = gc_str_dup(service->order, order->target);
 	service->order_revision = order->id;
 	service->fault = fault ? talloc_strdup(service, fault) : NULL;
-	service->bars_target = !has_version(service, order->target);
+	service->bars_target =
+		service->rollouts->view && !has_version(service, order->target);
 	service->removed = false;
 	service->arrived = !listed;
 	service->order_at = now_of(service);
 	service->decision_logged = false;
-	service->known = NULL;
 	log_order(service);
 	adopt_record_id(service);
 	if (is_of_order(service, service->stored))
 		set_known(service, service->stored);
-	else if (former && former->state == GC_ROLLOUT_RUNNING)
-		supersede(service, former);
-	talloc_free(former);
+	else if (fault)
+		set_known(service, withdraw(service, service->fault));
+	else
+		publish_interim(service);
 	start_reports(service);
 }
 
-/* No new requests go to the former target while the new order has no record. */
-static void supersede(const service_t *service, gc_rollout_record_t *former)
-{
-	former->state = GC_ROLLOUT_ROLLED_BACK;
-	former->reason = GC_STR_LIT("superseded by another order");
-	former->share = 0;
-	former->n_routes = 0;
-	bar(former, former->target);
-	publish(service, former);
-}
-
 static bool has_version(const service_t *service, gc_str_t version)
 {
 	const gc_fleet_view_t *view = service->rollouts->view;
@@ -461,6 +454,8 @@
 		else if (is_of_order(service, record) &&
 			 (is_decided(record) || !is_decided(service->known)))
 			set_known(service, record);
+		else if (!service->known)
+			publish_interim(service);
 	}
 	start_reports(service);
 }
@@ -549,6 +544,56 @@
 	conf->record_changed(conf->ctx, record);
 }
 
+/*
+ * Until the order has a record: its target gets no new request, nor does one whose order
+ * it supersedes; the rest is as before. If no other version is left, the target may be
+ * the one in force.
+ */
+static void publish_interim(const service_t *service)
+{
+	const gc_rollout_record_t *stored = service->stored;
+	const gc_rollout_order_t *order = service->order;
+	gc_rollout_record_t base = {
+		.service = service->name,
+		.target = order->target,
+		.state = GC_ROLLOUT_RUNNING,
+		.reason = GC_STR_EMPTY,
+		.order = order->id,
+		.duration_ms = order->duration_ms,
+	};
+	gc_rollout_record_t *record;
+
+	if (stored) {
+		base.barred = stored->barred;
+		base.n_barred = stored->n_barred;
+	}
+	record = gc_rollout_record_copy(service->order, &base);
+	if (stored && stored->state == GC_ROLLOUT_RUNNING &&
+	    !gc_str_eq(stored->target, order->target))
+		bar(record, stored->target);
+	if (has_other_version(service, record))
+		publish(service, record);
+	else if (stored && stored->state != GC_ROLLOUT_RUNNING)
+		publish(service, stored);
+	talloc_free(record);
+}
+
+static bool has_other_version(const service_t *service,
+			      const gc_rollout_record_t *record)
+{
+	const gc_fleet_view_t *view = service->rollouts->view;
+
+	for (size_t i = 0; view && i < view->n_servers; i++) {
+		const gc_registry_entry_t *server = &view->servers[i];
+
+		if (gc_str_eq(server->service, service->name) &&
+		    !gc_str_eq(server->version, record->target) &&
+		    !gc_rollout_is_barred(record, server->version))
+			return true;
+	}
+	return false;
+}
+
 /*
  * A record that ends the roll-out in the store, if one runs, and bars what it bars. For
  * the order, if there is one. Valid until the next call for the service.
@@ -862,8 +907,6 @@
 		return again;
 	if (is_decided(known))
 		return known;
-	if (service->fault)
-		return withdraw(service, service->fault);
 	record = ask_judge(service, has_own || !known ? stored : known);
 	return record ? record : again;
 }
@@ -953,6 +996,7 @@
 	service->write = talloc_zero(service, write_t);
 	service->write->service = service;
 	service->write->era = rollouts->era;
+	service->write->expected = service->stored_revision;
 	service->write->record = gc_rollout_record_copy(service->write, record);
 	gc_counter_add(rollouts->store_calls, 1);
 	store->ops->put_if(store->store, gc_str(key), gc_str(value),
@@ -973,11 +1017,10 @@
 	if (write->era == rollouts->era) {
 		if (!err)
 			take_written(service, write->record);
-		else if (g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
-			service->write_not_before =
-				gc_add_ms(now_of(service), WATCH_MS);
-		else
+		if (err && !g_error_matches(err, GC_ERROR, GC_ERR_CONFLICT))
 			delay_write(service, err);
+		else if (service->stored_revision == write->expected)
+			await_watch(service);
 	}
 	talloc_free(write);
 }
@@ -993,12 +1036,16 @@
 						       : "rolled_back",
 	       NULL);
 	service->retry_ms = RETRY_MS;
-	/* Its revision is known when the watch has brought it. */
-	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
 	if (is_of_order(service, record) && !is_decided(service->known))
 		set_known(service, record);
 }
 
+/* The revision for the next write is known when the watch has brought the item. */
+static void await_watch(service_t *service)
+{
+	service->write_not_before = gc_add_ms(now_of(service), WATCH_MS);
+}
+
 static void delay_write(service_t *service, const GError *err)
 {
 	if (service->retry_ms == RETRY_MS)
@@ -1045,4 +1092,8 @@
 	gc_fleet_view_unref(rollouts->view);
 	rollouts->view = gc_fleet_view_ref(view);
 	gc_issuers_set_view(rollouts->issuers, view);
+	for (service_t *service = rollouts->services; service;
+	     service = service->next)
+		if (service->order && !service->known)
+			publish_interim(service);
 }
