--- a/regress/soak/rollouts.py
+++ b/regress/soak/rollouts.py
@@ -70,7 +70,8 @@
         self.rollouts = {}  # by target
         self.orders = {}  # by service, those in the store
         self.retired = {}  # version -> the one that took its place
-        self.barred = {}  # version -> when the record first named it
+        # (Service, version) -> when the record first named it.
+        self.barred = {}
         self.store_faults = []
         self.holds = []  # faults that hold requests of all servers back
         self.tasks = []
@@ -175,7 +176,8 @@
             await self.soak.register_server(name, "draining")
         await asyncio.sleep(DRAIN_S)
         base = next((version for version in map(self.version_of, self.servers_of(
-            rollout.service, lambda version: version not in self.barred))), "v1")
+            rollout.service, lambda version: (rollout.service, version)
+            not in self.barred))), "v1")
         await self.kill(rollout.service,
                         lambda version: version == rollout.target, base)
 
@@ -204,22 +206,14 @@
             await asyncio.sleep(POLL_S)
 
     async def record(self, service):
-        reader, writer = await asyncio.open_connection("127.0.0.1",
-                                                       self.soak.store)
-        try:
-            writer.write(f"GET /v1/kv-key?key=status%2Frollout%2F{service} "
-                         f"HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n"
-                         .encode())
-            data = await reader.read(-1)
-            return json.loads(base64.b64decode(
-                json.loads(data.split(b"\r\n\r\n", 1)[1])["value"]))
-        finally:
-            writer.close()
+        item = await self.soak.get_json(
+            self.soak.store, f"/v1/kv-key?key=status%2Frollout%2F{service}")
+        return json.loads(base64.b64decode(item["value"]))
 
     def note(self, record):
         now = time.monotonic()
         for version in record.get("barred", []):
-            self.barred.setdefault(version, now)
+            self.barred.setdefault((record["service"], version), now)
         rollout = self.rollouts.get(record["target"])
         if rollout is None:
             return
@@ -248,11 +242,11 @@
                 yield from self.check_exposure(rollout, begun)
                 yield from self.check_withdrawal(
                     rollout, begun, bad.get(rollout.target, []))
-        for version, since in self.barred.items():
-            late = [at for at, *_ in self.begun_at(begun, version)
+        for (service, version), since in self.barred.items():
+            late = [at for at in self.begun_at(begun, service, version)
                     if at > since + WITHDRAW_S]
             if late:
-                yield (f"{version}: {len(late)} requests, the first one "
+                yield (f"{version} of {service}: {len(late)} requests, the first one "
                        f"{late[0] - since:.2f} s after it was barred")
 
     def read_log(self):
@@ -287,7 +281,7 @@
                    f"{len(versions)} requests")
 
     def check_withdrawal(self, rollout, begun, bad):
-        for at, _ in self.begun_at(begun, rollout.target):
+        for at in self.begun_at(begun, rollout.service, rollout.target):
             faults = [fault for fault in self.store_faults if fault.begin <= at]
             since = max([fault.end for fault in faults], default=0)
             late = sorted(t for t in bad if t > since)[N_BAD - 1:N_BAD]
@@ -296,11 +290,11 @@
                        f"{at - late[0]:.2f} s after its bad answer {N_BAD}")
                 return
 
-    def begun_at(self, begun, version):
-        """The requests of a version whose times of sending are known."""
+    def begun_at(self, begun, service, version):
+        """When a version got requests, but those that were held back."""
         proxies = self.soak.proxies_by_name
-        return [(at, server) for at, server, _, of in begun
-                if of == version and
+        return [at for at, server, *of in begun
+                if of == [service, version] and
                 not any(hold.begin < at < hold.end + RESEND_S
                         for hold in self.holds) and
                 not any(begin < at < end + RESEND_S
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -258,18 +258,18 @@
         One that doesn't answer, as it is down, registers itself when it is back.
         """
         try:
-            report = await asyncio.wait_for(self.report_of(proxy), 0.5)
+            report = await asyncio.wait_for(self.get_json(
+                proxy.target_port, "/v1/report"), 0.5)
             self.start_times[name] = report["born"]
         except (OSError, EOFError, KeyError, asyncio.TimeoutError):
             pass
         return self.start_times.get(name, int(time.time() * 1000))
 
     @staticmethod
-    async def report_of(proxy):
-        reader, writer = await asyncio.open_connection("127.0.0.1",
-                                                       proxy.target_port)
+    async def get_json(port, path):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
-            writer.write(b"GET /v1/report HTTP/1.1\r\nHost: s\r\n\r\n")
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode())
             head = await reader.readuntil(b"\r\n\r\n")
             length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
             return json.loads(await reader.readexactly(length))
