--- a/regress/soak/rollouts.py
+++ b/regress/soak/rollouts.py
@@ -52,7 +52,8 @@
         self.begin = time.monotonic()
         self.state = None  # once it is decided
         self.decided_at = None
-        self.ended = False  # superseded or removed
+        self.superseded = False  # before it was decided
+        self.removed_at = None  # before it was decided
 
     def value(self):
         return {"service": self.service, "target": self.target,
@@ -73,6 +74,7 @@
         # (Service, version) -> when the record first named it.
         self.barred = {}
         self.store_faults = []
+        self.restores = []  # of these, those in which it went back to a copy
         self.holds = []  # faults that hold requests of all servers back
         self.tasks = []
         self.watching = True
@@ -81,6 +83,8 @@
         interval = Interval([])
         if kind in STORE_FAULTS:
             self.store_faults.append(interval)
+        if kind == "restore":
+            self.restores.append(interval)
         if kind in ("links", "cutoff"):
             self.holds.append(interval)
         return interval
@@ -118,12 +122,13 @@
         way = self.random.choices(["through", "second", "remove"], [6, 2, 1])[0]
         if way != "through":
             await asyncio.sleep(rollout.duration_s / 2)
-            rollout.ended = rollout.state is None
-        if way == "remove":
+        former = None
+        if way == "remove" and rollout.state is None:
+            rollout.removed_at = time.monotonic()
             self.orders.pop(service)
             await self.write_order(service)
-        former = None
-        if way == "second" and rollout.ended:
+        elif way == "second" and rollout.state is None:
+            rollout.superseded = True
             former, rollout = rollout, await self.order(service)
         while (rollout.state is None and time.monotonic() <
                rollout.begin + rollout.duration_s + DECIDE_SLACK_S):
@@ -223,11 +228,11 @@
             if state == "succeeded" and rollout.kind != "good":
                 self.soak.add_violation(f"{rollout.target} ({rollout.kind}): "
                                         "a bad version succeeded")
-        # A store that goes back to a copy may have lost the decision.
+        # A store that goes back to a copy may have lost the decision for a while.
         elif rollout.state not in (None, state) and not (
                 state == "running" and any(
                     fault.end > rollout.decided_at
-                    for fault in self.store_faults)):
+                    for fault in self.restores)):
             self.soak.add_violation(
                 f"{rollout.target}: {rollout.state}, then {state}")
 
@@ -266,8 +271,13 @@
         away = any(fault.begin < limit + DECIDE_SLACK_S and
                    fault.end > limit - rollout.duration_s / 4
                    for fault in self.store_faults)
-        if rollout.state is None and not rollout.ended and not away:
+        if away or rollout.superseded:
+            return
+        if rollout.state is None:
             yield f"{rollout.target}: not decided in time"
+        elif (rollout.removed_at and rollout.state == "succeeded" and
+              rollout.decided_at > rollout.removed_at + DECIDE_SLACK_S):
+            yield f"{rollout.target}: succeeded without an order"
 
     @staticmethod
     def check_exposure(rollout, begun):
