Tell the status of an order that was written again after a restore

Its record keeps the order's former id, so that goldcrestctl rollout -w timed out and the status was shown as another order's. control_rollout.t passes.

--- a/goldcrestctl/rollout.c
+++ b/goldcrestctl/rollout.c
@@ -65,6 +65,7 @@
 static bool evaluate(const ctl_t *ctl, const rollout_t *rollout, bool timed_out,
 		     ctl_exit_t *result);
 static bool is_decided(const rollout_t *rollout);
+static bool is_of_order(const rollout_t *rollout);
 static ctl_exit_t report_unreadable(const ctl_t *ctl, const rollout_t *rollout);
 static ctl_exit_t report_error(const ctl_t *ctl, const GError *err,
 			       bool changing);
@@ -237,6 +238,7 @@
 		rollout->has_record = adapter->read_rollout_record(
 			client, gc_str(service), item.value, &rollout->record,
 			&rollout->record_error);
+	rollout->record.revision = item.revision;
 	return true;
 }
 
@@ -387,12 +389,28 @@
 {
 	const gc_rollout_record_t *record = &rollout->record;
 
-	if (!rollout->has_record || record->state == GC_ROLLOUT_RUNNING)
-		return false;
-	/* An order that can't be read has no id in its record. */
-	return rollout->order_revision == 0 ||
-	       record->order == rollout->order_revision ||
-	       (rollout->order_error && record->order == 0);
+	return rollout->has_record && record->state != GC_ROLLOUT_RUNNING &&
+	       (rollout->order_revision == 0 || is_of_order(rollout));
+}
+
+/*
+ * An order that was written again after the store went back to a copy goes on under
+ * the id that it had; its record is written again after it.
+ */
+static bool is_of_order(const rollout_t *rollout)
+{
+	const gc_rollout_record_t *record = &rollout->record;
+	const gc_rollout_order_t *order = &rollout->order;
+
+	if (record->order == rollout->order_revision)
+		return true;
+	/* An order that can't be read may have no id in its record. */
+	if (rollout->order_error)
+		return record->order == 0;
+	return record->order != 0 &&
+	       record->revision > rollout->order_revision &&
+	       record->duration_ms == order->duration_ms &&
+	       gc_str_eq(record->target, order->target);
 }
 
 static ctl_exit_t report_unreadable(const ctl_t *ctl, const rollout_t *rollout)
@@ -538,8 +556,7 @@
 	       record->order);
 	if (record->state == GC_ROLLOUT_RUNNING)
 		printf(", share %g", record->share);
-	puts(rollout->order_revision != 0 &&
-			     record->order != rollout->order_revision
+	puts(rollout->order_revision != 0 && !is_of_order(rollout)
 		     ? ", of another order"
 		     : "");
 	if (record->reason.len > 0)
--- a/regress/control_rollout.t
+++ b/regress/control_rollout.t
@@ -97,6 +97,25 @@
   status: succeeded, target v2, order 14
   barred: v1
 
+An order that was written again after the store went back to a copy has another revision
+than its record, which is written again later.
+
+  $ rollout app v2 12
+  ordered: app to v2 within 12 s
+  $ record '"state":"rolled_back","reason":"failures on look","order":14,"share":0,"barred":["v2"]'
+  $ rollout -w -t 1 app
+  order 16: app to v2 within 12 s
+  status: rolled_back, target v2, order 14
+  reason: failures on look
+  barred: v2
+  [6]
+  $ rollout app v4 12
+  ordered: app to v4 within 12 s
+  $ rollout app | tail -n 3
+  status: rolled_back, target v2, order 14, of another order
+  reason: failures on look
+  barred: v2
+
 The order is removed; a second removal finds none.
 
   $ rollout -r app
@@ -106,8 +125,9 @@
   [1]
   $ rollout app
   no order
-  status: succeeded, target v2, order 14
-  barred: v1
+  status: rolled_back, target v2, order 14
+  reason: failures on look
+  barred: v2
   $ rollout app v3 5 && json -r app
   ordered: app to v3 within 5 s
   {"removed":true,"service":"app"}
@@ -193,14 +213,14 @@
   $ record '"state":"paused"'
   $ rollout app >out 2>err; echo $?; cat out; sed "s/$STORE/STORE/" err
   1
-  order 19: app to v2 within 2 s
+  order 22: app to v2 within 2 s
   goldcrestctl: STORE: decode roll-out record: state: missing or invalid
   $ rollout -w app 2>&1 | sed "s/$STORE/STORE/"; echo ${PIPESTATUS[0]}
   goldcrestctl: STORE: decode roll-out record: state: missing or invalid
   1
   $ operator '{"key":"status/rollout/app","value":[]}'
   $ json app 2>&1 | sed "s/$STORE/STORE/"; echo ${PIPESTATUS[0]}
-  {"order":{"duration_s":2.0,"id":19,"service":"app","target":"v2"},"status":null}
+  {"order":{"duration_s":2.0,"id":22,"service":"app","target":"v2"},"status":null}
   goldcrestctl: STORE: decode roll-out record: not an object
   1
 
@@ -209,7 +229,7 @@
   $ operator '{"key":"op/rollout/app","value":{"service":"llm","target":"v2","duration_s":5}}'
   $ record '"state":"rolled_back","reason":"service: differs from the key","order":0'
   $ rollout -w app 2>&1 | sed "s/$STORE/STORE/"; echo ${PIPESTATUS[0]}
-  status: rolled_back, target v2, order 0, of another order
+  status: rolled_back, target v2, order 0
   reason: service: differs from the key
   6
 
