--- a/regress/soak/rollouts.py
+++ b/regress/soak/rollouts.py
@@ -70,7 +70,8 @@
         self.random = random.Random(f"rollout {seed}")
         self.rollouts = {}  # by target
         self.orders = {}  # by service, those in the store
-        self.retired = {}  # version -> the one that took its place
+        # (Service, version) -> the version that took its place.
+        self.retired = {}
         # (Service, version) -> when the record first named it.
         self.barred = {}
         self.store_faults = []
@@ -89,12 +90,14 @@
             self.holds.append(interval)
         return interval
 
-    def replacement(self, server):
+    def replacement(self, service, server):
         """The version of a server that takes the place of this one."""
-        version = self.soak.versions.get(server)
-        while version in self.retired:
-            version = self.retired[version]
-        return version if self.enabled else None
+        if not self.enabled:
+            return None
+        version = self.version_of(server)
+        while successor := self.retired.get((service, version)):
+            version = successor
+        return version
 
     async def configure(self, server):
         """Gives a server the qualities of its version."""
@@ -191,7 +194,7 @@
         disturbance = self.soak.losses.begin_fault("kill server", "")
         while names := self.servers_of(service, is_meant):
             for name in names:
-                self.retired[self.version_of(name)] = successor
+                self.retired[service, self.version_of(name)] = successor
                 self.soak.servers.pop(name)
                 self.soak.send_signal(name, signal.SIGKILL)
                 await self.soak.post_to_store("/operator", {
--- a/regress/soak/soak.py
+++ b/regress/soak/soak.py
@@ -421,7 +421,7 @@
                 await asyncio.sleep(for_s)
             self.send_signal(server, signal.SIGKILL)
             await self.start_server(service, server_zone,
-                                    self.rollouts.replacement(server))
+                                    self.rollouts.replacement(service, server))
             await asyncio.sleep(1.2)
             await self.post_to_store("/operator", {"key": f"servers/{server}",
                                                    "remove": True})
