--- a/core/rollout_shares.h
+++ b/core/rollout_shares.h
@@ -14,6 +14,8 @@
 	double share; /* of all requests, and of routes that are not listed */
 	gc_rollout_route_share_t routes[GC_ROLLOUT_MAX_ROUTES]; /* sorted */
 	size_t n_routes;
+	/* The share at which requests under way could reach the bound. */
+	double most;
 } gc_rollout_plan_t;
 
 /* What a plan is made from. */
@@ -33,6 +35,9 @@
 /* The plan in force, of a record. */
 void gc_rollout_plan_read(gc_rollout_plan_t *plan,
 			  const gc_rollout_record_t *record);
+/* The same the other way round; the record must be a copy. */
+void gc_rollout_plan_write(gc_rollout_record_t *record,
+			   const gc_rollout_plan_t *plan);
 /* Requests that the target may get if the service gets n_requests in the whole time. */
 double gc_rollout_budget(const gc_rollout_limits_t *limits, double n_requests);
 /* Fills in the routes with their parts of all answers instead of shares. Returns the
@@ -46,7 +51,10 @@
  */
 bool gc_rollout_plan_compute(gc_rollout_plan_t *plan,
 			     const gc_rollout_progress_t *progress);
-/* True if the plan differs from the one in force by enough to be written. */
+/* True if the plan differs from the one in force by enough to be written, and if the
+ * one in force endangers the bound. */
+bool gc_rollout_plan_is_too_high(const gc_rollout_plan_t *current,
+				 const gc_rollout_plan_t *plan);
 bool gc_rollout_plan_differs(const gc_rollout_plan_t *plan,
 			     const gc_rollout_plan_t *current);
 
