Run a seed of the soak test's roll-outs in soak_modes.t

Run: soak.py with this seed and these arguments on, 0 violations; soak_modes.t as a whole was not run.

--- a/regress/soak_modes.t
+++ b/regress/soak_modes.t
@@ -28,3 +28,9 @@
   seed 111: 0 violations
   $ python3 "$TOP/regress/soak/soak.py" --seed 302 --seconds 8 --modes planned,silent,share
   seed 302: 0 violations
+
+Roll-outs of services to good and bad versions beside the other faults. With this seed, a
+version of which 30 % of the answers fail succeeded after few answers.
+
+  $ python3 "$TOP/regress/soak/soak.py" --seed 6 --seconds 12 --modes rollout
+  seed 6: 0 violations
