Split the pace of requests from the judge of roll-outs

The record of the last call is freed only after the one passed in is copied, as a caller may pass the former. A new judge without reports no longer accepts a target whose alternatives have gone. check_rollout, check_rollout_judge and prop_rollout (2,000 cases) pass.

--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -5,6 +5,7 @@
 
 #include "core/clock.h"
 #include "core/rollout_judge.h"
+#include "core/rollout_pace.h"
 #include "core/rollout_record.h"
 #include "core/rollout_reports.h"
 #include "core/rollout_shares.h"
@@ -35,9 +36,6 @@
 /* The same if they may reach the bound. */
 #define LOWERED_MS 1000
 
-/* Weight that recent requests keep for each interval of reports. */
-#define RECENT_DECAY 0.6
-
 struct gc_rollout_judge {
 	gc_rollout_limits_t limits;
 	gc_rollout_order_t order;
@@ -49,18 +47,12 @@
 	gc_rollout_record_t *next;
 	struct timespec shares_at;
 	bool has_shares;
-	struct timespec rate_at;
-	uint64_t rate_requests; /* at rate_at */
-	uint64_t rate_sent;
-	double requests_per_ms;
-	double recent_requests; /* since the shares were changed */
-	double recent_sent;
+	gc_rollout_pace_t pace;
 };
 
 static int64_t elapsed_ms(const gc_rollout_judge_t *judge, struct timespec now,
 			  const gc_rollout_fleet_t *fleet,
 			  const gc_rollout_record_t *record);
-static void update_rate(gc_rollout_judge_t *judge, struct timespec now);
 static const char *refusal(gc_rollout_judge_t *judge,
 			   const gc_rollout_fleet_t *fleet);
 static bool is_only_version(const gc_rollout_judge_t *judge,
@@ -110,7 +102,7 @@
 	judge->tests = gc_rollout_tests_create(judge);
 	judge->created = now;
 	judge->elapsed_ms = elapsed_ms;
-	judge->rate_at = now;
+	judge->pace.at = now;
 	return judge;
 }
 
@@ -130,17 +122,19 @@
 	int64_t elapsed = elapsed_ms(judge, now, fleet, begun ? record : NULL);
 	double part =
 		(double)elapsed / (double)MAX(judge->order.duration_ms, 1);
+	gc_rollout_record_t *last = judge->next;
 	gc_rollout_alarm_t alarm;
 	const char *reason;
 
 	if (begun && record->state != GC_ROLLOUT_RUNNING)
 		return NULL;
-	TALLOC_FREE(judge->next);
 	if (begun)
 		judge->next = gc_rollout_record_copy(judge, record);
 	else
 		begin(judge, fleet, record);
-	update_rate(judge, now);
+	/* Not before, as the caller may pass it as the record. */
+	talloc_free(last);
+	gc_rollout_pace_update(&judge->pace, now, judge->reports);
 	if (!judge->alarm &&
 	    gc_rollout_tests_step(judge->tests, now, judge->reports, &alarm))
 		judge->alarm = alarm_reason(judge, &alarm);
@@ -152,7 +146,8 @@
 		return roll_back(judge, judge->alarm, true);
 	if (fleet->n_target_servers > 0 &&
 	    is_only_version(judge, fleet, judge->next) &&
-	    (!begun || !has_other_answers(judge)))
+	    (!begun || (has_most_reports(judge, now, fleet) &&
+			!has_other_answers(judge))))
 		return succeed(judge, fleet, "no other version is listed");
 	reason = failure(judge, fleet, part);
 	if (reason)
@@ -188,26 +183,6 @@
 	return CLAMP(elapsed, 0, judge->order.duration_ms);
 }
 
-/* Whole intervals of reports only, as these come at different times. */
-static void update_rate(gc_rollout_judge_t *judge, struct timespec now)
-{
-	uint64_t n_requests = gc_rollout_reports_n_requests(judge->reports);
-	uint64_t n_sent = gc_rollout_reports_n_sent(judge->reports);
-	int64_t ms = gc_ms_between(judge->rate_at, now);
-
-	if (ms < GC_ROLLOUT_REPORT_MS)
-		return;
-	judge->requests_per_ms =
-		(double)(n_requests - judge->rate_requests) / (double)ms;
-	judge->recent_requests = RECENT_DECAY * judge->recent_requests +
-				 (double)(n_requests - judge->rate_requests);
-	judge->recent_sent = RECENT_DECAY * judge->recent_sent +
-			     (double)(n_sent - judge->rate_sent);
-	judge->rate_requests = n_requests;
-	judge->rate_sent = n_sent;
-	judge->rate_at = now;
-}
-
 /* Why the order can't be followed; NULL if it can. */
 static const char *refusal(gc_rollout_judge_t *judge,
 			   const gc_rollout_fleet_t *fleet)
@@ -373,9 +348,7 @@
 		.limits = &judge->limits,
 		.reports = judge->reports,
 		.tests = judge->tests,
-		.requests_per_ms = judge->requests_per_ms,
-		.recent_requests = judge->recent_requests,
-		.recent_sent = judge->recent_sent,
+		.pace = &judge->pace,
 		.share = judge->next->share,
 		.elapsed_ms = elapsed,
 		.duration_ms = judge->order.duration_ms,
@@ -396,8 +369,7 @@
 	     !gc_rollout_plan_differs(&plan, &current)))
 		return NULL;
 	judge->has_shares = true;
-	judge->recent_requests = 0;
-	judge->recent_sent = 0;
+	gc_rollout_pace_reset(&judge->pace);
 	judge->shares_at = now;
 	gc_rollout_plan_write(judge->next, &plan);
 	return judge->next;
--- a/core/rollout_shares.c
+++ b/core/rollout_shares.c
@@ -166,7 +166,8 @@
 		(double)gc_rollout_reports_n_requests(progress->reports);
 	double n_sent = (double)gc_rollout_reports_n_sent(progress->reports);
 	double per_ms = n_requests / (double)MAX(progress->elapsed_ms, 1);
-	double lag_requests = MAX(progress->requests_per_ms, per_ms) * LAG_MS;
+	double lag_requests =
+		MAX(progress->pace->requests_per_ms, per_ms) * LAG_MS;
 	double room = limits->share * n_requests + BOUND_SLACK * limits->slack -
 		      n_sent - sqrt(limits->share * lag_requests);
 	double left_ms = planned_ms(progress);
@@ -186,10 +187,10 @@
  * if routes with a high share have become more frequent. */
 static double measured_share(const gc_rollout_progress_t *progress)
 {
-	double n_sent = progress->recent_sent;
+	double n_sent = progress->pace->recent_sent;
 
 	n_sent -= MEASURED_DEVIATIONS * sqrt(n_sent);
-	return MAX(n_sent, 0) / MAX(progress->recent_requests, 1);
+	return MAX(n_sent, 0) / MAX(progress->pace->recent_requests, 1);
 }
 
 /* How long the plan is to last. */
--- a/core/rollout_shares.h
+++ b/core/rollout_shares.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "core/rollout.h"
+#include "core/rollout_pace.h"
 #include "core/rollout_reports.h"
 #include "core/rollout_tests.h"
 
@@ -25,10 +26,7 @@
 	const gc_rollout_limits_t *limits;
 	const gc_rollout_reports_t *reports;
 	const gc_rollout_tests_t *tests;
-	/* In the last moments, since the shares were changed. */
-	double requests_per_ms;
-	double recent_requests;
-	double recent_sent;
+	const gc_rollout_pace_t *pace;
 	double share; /* in force */
 	int64_t elapsed_ms;
 	int64_t duration_ms;
