--- a/goldcrestd/routed.c
+++ b/goldcrestd/routed.c
@@ -42,6 +42,7 @@
 static void on_notice(void *ctx, const gc_store_item_t *item);
 static void start_rollouts(routed_daemon_t *daemon, gc_store_t store);
 static void on_rollout(void *ctx, const gc_store_item_t *item, bool listed);
+static void on_listing(void *ctx, bool complete);
 static void on_rollout_record(void *ctx, const gc_rollout_record_t *record);
 static void on_crash(void *ctx, gc_str_t instance,
 		     const gc_crash_report_t *report, uint64_t revision,
@@ -185,6 +186,7 @@
 		.on_confirmed = on_confirmed,
 		.notice = on_notice,
 		.rollout = on_rollout,
+		.listing = on_listing,
 		.store_answered = on_store_answered,
 		.era_seen = on_fleet_era,
 		.ctx = daemon,
@@ -351,6 +353,16 @@
 	gc_rollouts_apply_item(daemon->rollouts, item, listed);
 }
 
+static void on_listing(void *ctx, bool complete)
+{
+	routed_daemon_t *daemon = ctx;
+
+	if (complete)
+		gc_rollouts_end_list(daemon->rollouts);
+	else
+		gc_rollouts_begin_list(daemon->rollouts);
+}
+
 static void on_rollout_record(void *ctx, const gc_rollout_record_t *record)
 {
 	routed_daemon_t *daemon = ctx;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -147,6 +147,8 @@
 	g_string_truncate(fleet->last_key, 0);
 	gc_registry_begin_list(fleet->servers);
 	gc_registry_begin_list(fleet->daemons);
+	if (fleet->conf.listing)
+		fleet->conf.listing(fleet->conf.ctx, false);
 	fleet->list_started = gc_clock_now(fleet->conf.clock);
 	request_page(fleet);
 }
@@ -317,6 +319,8 @@
 	fleet->list_complete = true;
 	gc_registry_end_list(fleet->servers, gc_clock_now(fleet->conf.clock));
 	gc_registry_end_list(fleet->daemons, gc_clock_now(fleet->conf.clock));
+	if (fleet->conf.listing)
+		fleet->conf.listing(fleet->conf.ctx, true);
 	/* With the kept era the store has all since a minute after its last
 	 * restore (core/restore_mark.h). */
 	starts = !fleet->started && fleet->routes && fleet->conf.config_peer &&
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -89,6 +89,8 @@
 	 * roll-out. listed: of a full list, not a change. May be NULL.
 	 */
 	void (*rollout)(void *ctx, const gc_store_item_t *item, bool listed);
+	/* Called when a full list begins, and when it is complete. May be NULL. */
+	void (*listing)(void *ctx, bool complete);
 	/* Called after each call that keeps this daemon's entry: whether the store
 	 * has answered it; may be NULL. */
 	void (*store_answered)(void *ctx, bool answered);
--- a/lib/rollouts.c
+++ b/lib/rollouts.c
@@ -83,6 +83,21 @@
 	return true;
 }
 
+void gc_rollouts_begin_list(gc_rollouts_t *rollouts)
+{
+	for (gc_rollouts_service_t *service = rollouts->services; service;
+	     service = service->next)
+		service->listed = false;
+}
+
+void gc_rollouts_end_list(gc_rollouts_t *rollouts)
+{
+	for (gc_rollouts_service_t *service = rollouts->services; service;
+	     service = service->next)
+		if (!service->listed && service->order_revision != 0)
+			gc_rollouts_remove_order(service);
+}
+
 static bool strip_prefix(gc_str_t key, const char *prefix, gc_str_t *rest)
 {
 	size_t len = strlen(prefix);
--- a/lib/rollouts.h
+++ b/lib/rollouts.h
@@ -49,6 +49,10 @@
 /* True if the item is an order or a record; it is taken. */
 bool gc_rollouts_apply_item(gc_rollouts_t *rollouts,
 			    const gc_store_item_t *item, bool listed);
+/* A full list of the store begins, or is complete: an order that it lacks was removed
+ * while its deletion could not be seen, unless the store was restored. */
+void gc_rollouts_begin_list(gc_rollouts_t *rollouts);
+void gc_rollouts_end_list(gc_rollouts_t *rollouts);
 /* Takes a reference to the view. */
 void gc_rollouts_set_view(gc_rollouts_t *rollouts, gc_fleet_view_t *view);
 void gc_rollouts_set_era(gc_rollouts_t *rollouts, uint64_t era);
@@ -56,7 +60,7 @@
 void gc_rollouts_report(gc_rollouts_t *rollouts, gc_str_t service,
 			const gc_rollout_report_t *report);
 /* The response to a report of another daemon, as JSON; free with g_free. NULL if the
- * body is invalid. */
+ * body is invalid, or no order for its service is known here. */
 char *gc_rollouts_peer_response(gc_rollouts_t *rollouts, gc_str_t body);
 
 #endif
--- a/lib/rollouts_judge.c
+++ b/lib/rollouts_judge.c
@@ -100,8 +100,10 @@
 		talloc_array(mem, gc_str_t,
 			     (unsigned int)service->rollouts->view->n_servers +
 				     1));
-	gc_rollout_judge_add_report(of_order, gc_rollouts_now(service),
-				    &report);
+	/* Without counts of the traffic thread it would tell of no traffic. */
+	if (service->own)
+		gc_rollout_judge_add_report(of_order, gc_rollouts_now(service),
+					    &report);
 	record = gc_rollout_judge_decide(of_order, gc_rollouts_now(service),
 					 &fleet, newest);
 	talloc_free(mem);
--- a/lib/rollouts_orders.c
+++ b/lib/rollouts_orders.c
@@ -23,7 +23,6 @@
 			bool listed);
 static bool has_version(const gc_rollouts_service_t *service, gc_str_t version);
 static void log_order(const gc_rollouts_service_t *service);
-static void remove_order(gc_rollouts_service_t *service, bool listed);
 
 void gc_rollouts_apply_order(gc_rollouts_service_t *service,
 			     const gc_store_item_t *item, bool listed)
@@ -34,9 +33,10 @@
 	TALLOC_CTX *mem;
 
 	if (item->deleted) {
-		remove_order(service, listed);
+		gc_rollouts_remove_order(service);
 		return;
 	}
+	service->listed = true;
 	/* Lists repeat what is known. */
 	if (item->revision == service->order_revision ||
 	    (!service->restored && item->revision < service->order_revision))
@@ -171,13 +171,12 @@
 		       "duration_ms", ms, NULL);
 }
 
-/* An order that a list lacks is no deletion: the list may be of a restored store. */
-static void remove_order(gc_rollouts_service_t *service, bool listed)
+void gc_rollouts_remove_order(gc_rollouts_service_t *service)
 {
 	gc_rollout_record_t *record;
 
 	service->order_revision = 0;
-	if (listed || !service->order || gc_rollouts_is_decided(service->known))
+	if (!service->order || gc_rollouts_is_decided(service->known))
 		return;
 	service->removed = true;
 	record = gc_rollouts_withdraw(service, "the order was removed");
--- a/lib/rollouts_private.h
+++ b/lib/rollouts_private.h
@@ -44,6 +44,7 @@
 
 	bool bars_target; /* of an order with a fault */
 	bool removed; /* the order, by the operator */
+	bool listed; /* the order, in the full list that is being read */
 	bool arrived; /* the order, as a change */
 	bool restored; /* the order may be written again since restored_at */
 	bool decision_logged;
@@ -125,6 +126,8 @@
 			     const gc_store_item_t *item, bool listed);
 /* Takes the order that was held back, if the operator has not written another one in time
  * after the restore. */
+/* The operator has removed the order. */
+void gc_rollouts_remove_order(gc_rollouts_service_t *service);
 void gc_rollouts_apply_held(gc_rollouts_service_t *service);
 
 /* rollouts_reports.c */
--- a/lib/rollouts_reports.c
+++ b/lib/rollouts_reports.c
@@ -270,25 +270,28 @@
 		return NULL;
 	}
 	service = gc_rollouts_find(rollouts, message->service);
-	if (service && service->order) {
-		service->reported_to = true;
-		service->reported_at = gc_rollouts_now(service);
-		if (message->record) {
-			adopt_peer_id(service, message->report.order,
-				      message->order_revision, message->record);
-			take_peer_record(service, message->record);
-		}
-		if (!service->fault && !gc_rollouts_is_decided(service->known))
-			gc_rollout_judge_add_report(
-				gc_rollouts_get_judge(service),
-				gc_rollouts_now(service), &message->report);
-		gc_rollouts_start_reports(service);
-		answer = (gc_rollouts_answer_t){
-			.order = service->order->id,
-			.order_revision = service->order_revision,
-			.record = service->known,
-		};
+	/* Another judge may know the order already. */
+	if (!service || !service->order) {
+		talloc_free(mem);
+		return NULL;
 	}
+	service->reported_to = true;
+	service->reported_at = gc_rollouts_now(service);
+	if (message->record) {
+		adopt_peer_id(service, message->report.order,
+			      message->order_revision, message->record);
+		take_peer_record(service, message->record);
+	}
+	if (!service->fault && !gc_rollouts_is_decided(service->known))
+		gc_rollout_judge_add_report(gc_rollouts_get_judge(service),
+					    gc_rollouts_now(service),
+					    &message->report);
+	gc_rollouts_start_reports(service);
+	answer = (gc_rollouts_answer_t){
+		.order = service->order->id,
+		.order_revision = service->order_revision,
+		.record = service->known,
+	};
 	text = gc_rollouts_encode_response(rollouts->conf.adapter, &answer);
 	talloc_free(mem);
 	return text;
--- a/regress/check_rollout_judge.c
+++ b/regress/check_rollout_judge.c
@@ -351,6 +351,11 @@
 	former.target = gc_str("v9");
 	record = decide_once(mem, &limits, "v0", 5, 0, &fleet, &former);
 	ck_assert(!gc_rollout_is_barred(record, gc_str("v0")));
+	/* Its roll-back left the version in effect without a bar. */
+	ck_assert(!gc_rollout_is_barred(record, gc_str("v9")));
+	/* A record with only state and target bars nothing. */
+	former.order = 0;
+	record = decide_once(mem, &limits, "v0", 5, 0, &fleet, &former);
 	ck_assert(gc_rollout_is_barred(record, gc_str("v9")));
 	talloc_free(mem);
 }
--- a/regress/check_rollouts.c
+++ b/regress/check_rollouts.c
@@ -1099,6 +1099,22 @@
 }
 END_TEST
 
+/* An order that was removed while no watch was open went on, as no list tells of it. */
+START_TEST(test_order_that_a_list_lacks)
+{
+	start();
+	put(ORDER_KEY, &world.order, ORDER_V2);
+	run(1000);
+	for (size_t i = 0; i < G_N_ELEMENTS(world.daemons); i++) {
+		gc_rollouts_begin_list(world.daemons[i].rollouts);
+		gc_rollouts_end_list(world.daemons[i].rollouts);
+	}
+	run(1000);
+	check_state(GC_ROLLOUT_ROLLED_BACK, "v2", "removed");
+	finish();
+}
+END_TEST
+
 /* The removal of an order that is decided took the version back. */
 START_TEST(test_removed_after_success)
 {
@@ -1255,6 +1271,7 @@
 		test_second_order,
 		test_same_order_again,
 		test_removed_order,
+		test_order_that_a_list_lacks,
 		test_removed_after_success,
 		test_invalid_orders,
 		test_start_with_an_invalid_order,
