Ask for more answers before a roll-out succeeds

Cause: at a few requests a second, five answers of a route were enough, as they were a quarter of all of it; a version of which 30 % fail passes that in one of six cases.

Change: 12 answers of each route, or 45 % of its answers, or 0.8 of what the budget allows, instead of 8, 25 % and 0.5. An exceeded bound costs callers more than a good version that has to be ordered again.

--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -25,9 +25,9 @@
 #define MAX_LAST_SUSPICION 0.7
 /* Answers of the target on a route. Fewer are enough if they are this part of all, or
  * this part of what the budget allows. */
-#define MIN_ANSWERS	   8
-#define MIN_ANSWERS_PART   0.25
-#define MIN_ANSWERS_BUDGET 0.5
+#define MIN_ANSWERS	   12
+#define MIN_ANSWERS_PART   0.45
+#define MIN_ANSWERS_BUDGET 0.8
 /* Age of reports, and part of the daemons that must have sent one. */
 #define RECENT_REPORT_MS 3000
 #define REPORTING_PART	 0.75
