--- a/regress/routed_mixed.t
+++ b/regress/routed_mixed.t
@@ -31,7 +31,7 @@
   $ for n in 2 4 6 8; do USE=new; start_forwarding $n; new="$new $CALLER_ADDR"; done
   $ for n in 1 2; do curl -s "http://$STORE/v1/kv-key?key=goldcrest/daemons/d$n" | python3 -c 'import base64, json, sys; print(json.loads(base64.b64decode(json.load(sys.stdin)["value"])).get("capabilities"))'; done
   None
-  ['places', 'witness']
+  ['places', 'witness', 'rollouts']
 
 Three brittle servers take 100 requests a second. Below that, new daemons serve all
 of theirs, and old ones as well. At that, servers fall at most as often as with old
