--- a/regress/routed_builds.t
+++ b/regress/routed_builds.t
@@ -33,6 +33,12 @@
   8957ce8: ask /peer/reached: 404
   92654f6: ask /peer/changes: 200
   92654f6: ask /peer/permits: 200
+  a875efe: ask /peer/changes: 200
+  a875efe: ask /peer/config: 200
+  a875efe: ask /peer/permits: 200
+  a875efe: ask /peer/places: 200
+  a875efe: ask /peer/places told: 200
+  a875efe: ask /peer/reached: 404
   ab48416: ask /peer/changes: 200
   ab48416: ask /peer/permits: 200
   ab48416: ask /peer/places: 200
