--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -11,6 +11,7 @@
 import atexit
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -285,7 +286,8 @@
 
 def free_port(ip):
     """Below the ports of outgoing connections."""
-    for port in range(20000 + os.getpid() % 5000, 32000):
+    for _ in range(1000):
+        port = random.randrange(20000, 32000)
         if (ip, port) in taken:
             continue
         with socket.socket() as s:
