Review: two servers work on a stream after a daemon lost another one

Cause: a daemon that runs a request for another one doesn't notice that the link to that one is silent, while that one goes on elsewhere.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -338,8 +338,14 @@
         except OSError:
             reset(writer)
             return
+        await self.join(reader, writer, far_reader, far_writer)
+
+    async def join(self, reader, writer, far_reader, far_writer):
+        self.writers.add(far_writer)
         await asyncio.gather(self.copy(reader, far_writer),
                              self.copy(far_reader, writer))
+        if not self.is_cut:
+            self.writers -= {writer, far_writer}
 
     async def copy(self, reader, writer):
         try:
