Review: each case reads TROUBLE itself

Cause: TROUBLE was read by review/common-2/harness.py alone, so that nothing in the folder of a case showed that it can be run without the disruption. Added: the run.py of each case reads it and hands it to the harness, which doesn't look at the environment any more.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -9,6 +9,8 @@
 
 import harness
 
+# TROUBLE=0 leaves out the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 COPY_BEFORE_S = 1.0  # the copy is made so long before the withdrawal
 CUT_BEFORE_S = 0.3
 RESTORE_AFTER_S = 5.0  # the copy is some seconds old
@@ -95,4 +97,4 @@
     case.record("the operator writes the configuration without key-2 again")
 
 
-harness.run(FOLDER, scenario)
+harness.run(FOLDER, scenario, TROUBLE)
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -9,6 +9,8 @@
 
 import harness
 
+# TROUBLE=0 leaves out the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 UPLOADS = 16
 BODY_BYTES = 4000000  # max_body_bytes is 4194304
 KEPT_CLIENTS = 8
@@ -111,4 +113,4 @@
     writer.close()
 
 
-harness.run(FOLDER, scenario)
+harness.run(FOLDER, scenario, TROUBLE)
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -38,9 +38,9 @@
 
 
 class Case:
-    def __init__(self, folder):
+    def __init__(self, folder, trouble):
         self.folder = folder
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.dir = tempfile.mkdtemp(prefix="review-")
         self.processes = []
         self.record_file = open(os.path.join(folder, "record.txt"), "w",
@@ -368,12 +368,15 @@
     writer.transport.abort()
 
 
-def run(folder, scenario):
-    """scenario(case) returns the list of what broke the rule."""
+def run(folder, scenario, trouble):
+    """scenario(case) returns the list of what broke the rule.
+
+    Without trouble, it leaves out the disruption.
+    """
     if not os.access(DAEMON, os.X_OK):
         print("target/goldcrestd isn't built")
         sys.exit(NOT_RUN)
-    case = Case(folder)
+    case = Case(folder, trouble)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     async def limited():
         # Connections of proxies that are open at the end.
