Keep what an attempt has been answered as one value

Cause: the status, head, body and verdicts of an attempt's answer were eleven fields of the exchange, set back by hand where an attempt starts and where a kept run returns. The kept run had its own subset, without a head. When a lookup went back because nobody else could go on, its body so far was dropped, the status and head of the other attempt stayed, and it was marked as a success.

Change: core/answer holds what one attempt has been answered. The exchange has the answer of the attempt in progress, the kept run its own, and the response to the caller that of the server whose head it has. Going back replaces the whole value, with all that the kept server has sent meanwhile. The bytes that a server has taken (counted_sent) are those of the kept connection again.

--- a/lib/exchange.h
+++ b/lib/exchange.h
@@ -5,6 +5,7 @@
 #ifndef GC_LIB_EXCHANGE_H
 #define GC_LIB_EXCHANGE_H
 
+#include "core/answer.h"
 #include "core/attempts.h"
 #include "core/crash_suspects.h"
 #include "core/event_sequencer.h"
@@ -33,11 +34,9 @@
 	struct timespec attempt_started;
 	uint64_t rollout_order;
 	bool rollout_target;
-	int attempt_status;
+	gc_answer_t *answer;
 	gc_backend_t *copy_holder; /* NULL if none, or if it was used */
 	gc_str_t copy_location;
-	GByteArray *partial_event; /* of a stream */
-	GByteArray *body; /* of the answer to a lookup, so far */
 } gc_standby_t;
 
 typedef struct gc_exchange {
@@ -106,7 +105,6 @@
 	 * event or last resumption of reading.
 	 */
 	struct timespec last_activity;
-	bool received_event; /* from this attempt */
 	gc_silence_t silence; /* before the first event of this attempt */
 	/* Load query in progress, on a silent server or at an uncertain end of a
 	 * response, or NULL. */
@@ -139,18 +137,11 @@
 	/* Complete events that wait until the stream is on record. */
 	GString *held_events;
 	bool ended_held; /* the response has ended meanwhile */
+	gc_answer_t *answer; /* of the attempt in progress or the last one */
+	/* The answer whose head the caller gets, once the response has begun or events
+	 * are held; else NULL. */
+	gc_answer_t *begun_by;
 	bool head_sent; /* the response to the caller has begun */
-	GString *response_head; /* header lines for the caller */
-	int response_status; /* for the caller */
-	int attempt_status; /* of the attempt's response; 0: none yet */
-	bool not_a_stream; /* the response, which is to go on with one */
-	GByteArray *response_body;
-	bool success; /* 2xx with an authentication code */
-	/* The response names this request, so that it can't be a late copy of a
-	 * response to another one. */
-	bool identified;
-	bool not_run; /* the server states that it did not run the request */
-	bool misdirected; /* 421: another server has the address now */
 
 	/* Passing on (exchange_hop.c). */
 	bool received; /* another daemon passed the request on */
@@ -213,7 +204,7 @@
 /* The request as sent to another daemon; free with g_string_free. */
 GString *gc_exchange_hop_text(const gc_exchange_t *exchange, int64_t left_ms);
 /* Takes the head of a daemon's response. */
-void gc_exchange_read_hop_head(gc_exchange_t *exchange,
+void gc_exchange_read_hop_head(gc_exchange_t *exchange, gc_answer_t *answer,
 			       const gc_http_message_t *response);
 /* Ends an attempt at a daemon whose complete response isn't a success; may free the
  * exchange. */
@@ -258,6 +249,12 @@
 void gc_exchange_release_attempt(gc_exchange_t *exchange);
 /* Of an attempt's call; ctx is the exchange (exchange_run.c). */
 extern const gc_call_ops_t gc_exchange_call_ops;
+/* Takes the head of a response into the answer (exchange_run.c). hop: it is that of
+ * another daemon. */
+void gc_exchange_read_head(gc_exchange_t *exchange, gc_answer_t *answer,
+			   bool hop, const gc_http_message_t *response);
+/* Records what the head of the attempt's answer shows of its server. */
+void gc_exchange_record_head(gc_exchange_t *exchange);
 /* Records the end of an attempt; starts another one or ends the request, and may
  * free the exchange. */
 void gc_exchange_finish_attempt(gc_exchange_t *exchange, gc_attempt_end_t end,
--- a/lib/exchange_copy.c
+++ b/lib/exchange_copy.c
@@ -147,7 +147,7 @@
 	gc_backend_unref(exchange->resume_holder);
 	exchange->resume_holder = NULL;
 	/* No copy exists before the run's first event. */
-	if (!exchange->copy_holder || !exchange->received_event)
+	if (!exchange->copy_holder || !exchange->answer->received_event)
 		return;
 	exchange->resume_holder = gc_backend_ref(exchange->copy_holder);
 	exchange->resume_location = exchange->copy_location;
@@ -160,7 +160,7 @@
 	gc_backend_t *target = NULL;
 
 	gc_timer_set(exchange->copy_timer, COPY_CHECK_MS);
-	if (exchange->copy_request || !exchange->received_event ||
+	if (exchange->copy_request || !exchange->answer->received_event ||
 	    gc_backend_is_pausing(exchange->backend, now))
 		return;
 	if (!exchange->copy_holder ||
--- a/lib/exchange_crash.c
+++ b/lib/exchange_crash.c
@@ -56,7 +56,7 @@
  * about the last server. */
 static bool is_suspect(const gc_exchange_t *exchange)
 {
-	return !exchange->received_event;
+	return !exchange->answer->received_event;
 }
 
 bool gc_exchange_check_suspects(gc_exchange_t *exchange)
--- a/lib/exchange_end.c
+++ b/lib/exchange_end.c
@@ -74,7 +74,7 @@
 		return;
 	}
 	if (decision == GC_DECISION_FORWARD &&
-	    !gc_status_means_not_run(exchange->response_status))
+	    !gc_status_means_not_run(exchange->answer->status))
 		gc_exchange_respond(exchange);
 	else if (decision == GC_DECISION_REFUSE)
 		refuse_without_server(exchange, &not_run);
@@ -128,10 +128,9 @@
 void gc_exchange_respond(gc_exchange_t *exchange)
 {
 	gc_caller_conn_t *caller = exchange->caller;
-	gc_str_t head = {exchange->response_head->str,
-			 exchange->response_head->len};
-	gc_str_t body = {(const char *)exchange->response_body->data,
-			 exchange->response_body->len};
+	const gc_answer_t *answer = exchange->answer;
+	gc_str_t head = {answer->head->str, answer->head->len};
+	gc_str_t body = {(const char *)answer->body->data, answer->body->len};
 
 	gc_exchange_log_end(exchange, GC_REQUEST_ANSWERED, "request answered");
 	if (caller) {
@@ -140,8 +139,8 @@
 		if (exchange->head_sent)
 			gc_caller_conn_end_stream(caller);
 		else
-			gc_caller_conn_respond(
-				caller, exchange->response_status, head, body);
+			gc_caller_conn_respond(caller, answer->status, head,
+					       body);
 	}
 	talloc_free(exchange);
 }
@@ -184,8 +183,9 @@
 void gc_exchange_log_end(const gc_exchange_t *exchange, gc_request_end_t end,
 			 const char *message)
 {
-	g_autofree char *status =
-		g_strdup_printf("%d", exchange->response_status);
+	const gc_answer_t *answer =
+		exchange->begun_by ? exchange->begun_by : exchange->answer;
+	g_autofree char *status = g_strdup_printf("%d", answer->status);
 	g_autofree char *attempts =
 		g_strdup_printf("%u", exchange->attempts.sent);
 	g_autofree char *elapsed_ms = g_strdup_printf(
--- a/lib/exchange_forward.c
+++ b/lib/exchange_forward.c
@@ -12,6 +12,8 @@
 static void begin_forwarding(gc_exchange_t *exchange);
 static void forward_events(gc_exchange_t *exchange, gc_str_t data);
 static void send_events(gc_exchange_t *exchange, gc_str_t events);
+static void send_head(gc_exchange_t *exchange);
+static void fix_head(gc_exchange_t *exchange);
 static void hold_events(gc_exchange_t *exchange, const GString *events);
 static void record_event_gap(gc_exchange_t *exchange);
 static void append_event(void *ctx, gc_str_t event);
@@ -27,7 +29,7 @@
 	/* Nothing is forwarded to a caller that has disconnected. */
 	if (!exchange->caller)
 		return;
-	if (exchange->success && exchange->sequencer) {
+	if (exchange->answer->success && exchange->sequencer) {
 		forward_events(exchange, data);
 		return;
 	}
@@ -38,13 +40,13 @@
 		forward_bytes(exchange, data);
 		return;
 	}
-	g_byte_array_append(exchange->response_body, (const guint8 *)data.data,
+	g_byte_array_append(exchange->answer->body, (const guint8 *)data.data,
 			    (guint)data.len);
 	count_response(exchange);
-	if (exchange->success &&
-	    exchange->response_body->len > MAX_BUFFERED_RESPONSE_BYTES) {
+	if (exchange->answer->success &&
+	    exchange->answer->body->len > MAX_BUFFERED_RESPONSE_BYTES) {
 		begin_forwarding(exchange);
-	} else if (exchange->response_body->len > MAX_FAILURE_RESPONSE_BYTES) {
+	} else if (exchange->answer->body->len > MAX_FAILURE_RESPONSE_BYTES) {
 		gc_exchange_cancel_call(exchange);
 		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
 					   "the failure response is too long");
@@ -54,13 +56,10 @@
 /* The body is too long to be received completely before it is forwarded. */
 static void begin_forwarding(gc_exchange_t *exchange)
 {
-	GByteArray *body = exchange->response_body;
+	GByteArray *body = exchange->answer->body;
 
 	gc_exchange_drop_standby(exchange);
-	gc_caller_conn_begin_stream(exchange->caller, exchange->response_status,
-				    (gc_str_t){exchange->response_head->str,
-					       exchange->response_head->len});
-	exchange->head_sent = true;
+	send_head(exchange);
 	forward_bytes(exchange,
 		      (gc_str_t){(const char *)body->data, body->len});
 	g_byte_array_set_size(body, 0);
@@ -77,7 +76,7 @@
 			: 0;
 
 	gc_caller_conn_hold(exchange->caller, GC_HELD_RESPONSE,
-			    gc_buffer_memory(exchange->response_body->len) +
+			    gc_buffer_memory(exchange->answer->body->len) +
 				    gc_buffer_memory(events) +
 				    gc_buffer_memory(partial));
 	if (gc_caller_conn_stop_source(exchange->caller))
@@ -104,8 +103,8 @@
 		exchange->last_activity =
 			gc_clock_now(exchange->relay->conf.clock);
 		record_event_gap(exchange);
-		if (!exchange->received_event) {
-			exchange->received_event = true;
+		if (!exchange->answer->received_event) {
+			exchange->answer->received_event = true;
 			gc_exchange_drop_standby(exchange);
 			if (exchange->silence_query)
 				gc_backend_query_destroy(
@@ -137,18 +136,35 @@
 
 static void send_events(gc_exchange_t *exchange, gc_str_t events)
 {
-	if (!exchange->head_sent)
-		gc_caller_conn_begin_stream(
-			exchange->caller, exchange->response_status,
-			(gc_str_t){exchange->response_head->str,
-				   exchange->response_head->len});
-	exchange->head_sent = true;
+	send_head(exchange);
 	forward_bytes(exchange, events);
 }
 
+static void send_head(gc_exchange_t *exchange)
+{
+	const gc_answer_t *answer;
+
+	if (exchange->head_sent)
+		return;
+	fix_head(exchange);
+	answer = exchange->begun_by;
+	gc_caller_conn_begin_stream(exchange->caller, answer->status,
+				    (gc_str_t){answer->head->str,
+					       answer->head->len});
+	exchange->head_sent = true;
+}
+
+/* The caller gets the head of the server that sent the first event. */
+static void fix_head(gc_exchange_t *exchange)
+{
+	if (!exchange->begun_by)
+		exchange->begun_by = gc_answer_ref(exchange->answer);
+}
+
 /* The server isn't read further until the events are forwarded. */
 static void hold_events(gc_exchange_t *exchange, const GString *events)
 {
+	fix_head(exchange);
 	if (!exchange->held_events)
 		exchange->held_events = g_string_new(NULL);
 	g_string_append_len(exchange->held_events, events->str,
@@ -242,11 +258,7 @@
 		return;
 	}
 	gc_backend_record_success(exchange->backend);
-	if (!exchange->head_sent)
-		gc_caller_conn_begin_stream(
-			caller, exchange->response_status,
-			(gc_str_t){exchange->response_head->str,
-				   exchange->response_head->len});
+	send_head(exchange);
 	gc_exchange_log_end(exchange, GC_REQUEST_ANSWERED, "request answered");
 	gc_caller_conn_set_data(caller, NULL);
 	talloc_free(exchange);
--- a/lib/exchange_hop.c
+++ b/lib/exchange_hop.c
@@ -232,7 +232,7 @@
 }
 
 /* Without a result it isn't the response of a daemon that got the request. */
-void gc_exchange_read_hop_head(gc_exchange_t *exchange,
+void gc_exchange_read_hop_head(gc_exchange_t *exchange, gc_answer_t *answer,
 			       const gc_http_message_t *response)
 {
 	gc_str_t result =
@@ -240,16 +240,16 @@
 	gc_str_t version =
 		gc_http_message_find_header(response, HOP_VERSION_HEADER);
 
-	exchange->identified = exchange->identified && result.data;
-	exchange->misdirected = false;
-	exchange->not_run = exchange->identified &&
-			    (gc_str_eq(result, GC_STR_LIT(RESULT_NOT_RUN)) ||
-			     is_denial(exchange, response));
-	exchange->passed_on = exchange->identified && !exchange->not_run;
+	answer->identified = answer->identified && result.data;
+	answer->misdirected = false;
+	answer->not_run = answer->identified &&
+			  (gc_str_eq(result, GC_STR_LIT(RESULT_NOT_RUN)) ||
+			   is_denial(exchange, response));
+	exchange->passed_on = answer->identified && !answer->not_run;
 	if (exchange->passed_on)
 		gc_relay_record_passing(exchange->relay, true);
 	exchange->hop_version = gc_str_dup(exchange, version);
-	if (exchange->not_run) {
+	if (answer->not_run) {
 		double seconds = 0;
 
 		gc_parse_decimal(gc_http_message_find_header(response,
@@ -275,11 +275,11 @@
 
 void gc_exchange_finish_hop(gc_exchange_t *exchange)
 {
-	if (!exchange->identified) {
+	if (!exchange->answer->identified) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
 			"the response isn't that of a daemon to the request");
-	} else if (exchange->not_run) {
+	} else if (exchange->answer->not_run) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_UNREACHABLE,
 			"the daemon did not run the request");
--- a/lib/exchange_link.c
+++ b/lib/exchange_link.c
@@ -104,7 +104,7 @@
 	int64_t left_ms = UNHEARD_MS - unheard_ms(exchange, now);
 
 	/* A daemon that runs the request watches its server itself. */
-	if (exchange->hop || exchange->received_event ||
+	if (exchange->hop || exchange->answer->received_event ||
 	    !may_ever_leave(exchange))
 		return;
 	if (left_ms > 0) {
--- a/lib/exchange_rollout.c
+++ b/lib/exchange_rollout.c
@@ -318,9 +318,10 @@
 void gc_exchange_count_response(const gc_exchange_t *exchange)
 {
 	gc_rollout_evidence_t *evidence = find_evidence(exchange);
-	int status = exchange->attempt_status;
+	int status = exchange->answer->status;
 
-	if (!evidence || !exchange->identified || exchange->not_run)
+	if (!evidence || !exchange->answer->identified ||
+	    exchange->answer->not_run)
 		return;
 	if (status >= 500)
 		gc_rollout_evidence_add_failure(evidence, route_hash(exchange),
@@ -329,7 +330,7 @@
 							: GC_ROLLOUT_ANSWER,
 						exchange->rollout_target);
 	else if (!exchange->sequencer && !exchange->slow_reader &&
-		 (exchange->success || status >= 300))
+		 (exchange->answer->success || status >= 300))
 		add_time(exchange, GC_ROLLOUT_ANSWER, attempt_ms(exchange));
 }
 
@@ -339,7 +340,7 @@
 	int64_t n = gc_event_sequencer_last_id(exchange->sequencer) -
 		    exchange->rollout_first_id;
 
-	if (exchange->received_event && n > 0 && !exchange->slow_reader)
+	if (exchange->answer->received_event && n > 0 && !exchange->slow_reader)
 		add_time(exchange, GC_ROLLOUT_EVENT_GAP,
 			 gc_ms_between(exchange->rollout_first_at,
 				       exchange->last_activity) /
@@ -348,8 +349,8 @@
 
 void gc_exchange_count_time_limit(const gc_exchange_t *exchange)
 {
-	if (!exchange->call || exchange->attempt_status != 0 ||
-	    exchange->received_event)
+	if (!exchange->call || exchange->answer->status != 0 ||
+	    exchange->answer->received_event)
 		return;
 	add_time(exchange,
 		 exchange->sequencer ? GC_ROLLOUT_FIRST_EVENT
--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -50,8 +50,7 @@
 	relay->n_exchanges++;
 	relay->n_received += exchange->received;
 	gc_caller_conn_set_data(exchange->caller, exchange);
-	exchange->response_head = g_string_new(NULL);
-	exchange->response_body = g_byte_array_new();
+	exchange->answer = gc_answer_create();
 	gc_exchange_read_traits(exchange);
 	exchange->time_limit_timer = gc_timer_create(
 		exchange, timers, gc_exchange_on_time_limit, exchange);
@@ -120,8 +119,8 @@
 		gc_backend_unref(exchange->hops[i]);
 	gc_backend_unref(exchange->resume_holder);
 	gc_fleet_view_unref(exchange->view);
-	g_string_free(exchange->response_head, TRUE);
-	g_byte_array_free(exchange->response_body, TRUE);
+	gc_answer_unref(exchange->answer);
+	gc_answer_unref(exchange->begun_by);
 	if (exchange->held_events)
 		g_string_free(exchange->held_events, TRUE);
 	if (exchange->prev)
@@ -175,16 +174,12 @@
 	exchange->attempt_started = now;
 	gc_exchange_count_attempt(exchange, backend);
 	exchange->last_activity = now;
-	exchange->received_event = false;
+	gc_answer_unref(exchange->answer);
+	exchange->answer = gc_answer_create();
 	exchange->suspect_trial = false;
 	exchange->permit_asked = false;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
-	exchange->success = false;
-	exchange->not_run = false;
-	exchange->not_a_stream = false;
-	exchange->attempt_status = 0;
-	g_byte_array_set_size(exchange->response_body, 0);
 	if (exchange->sequencer)
 		gc_event_sequencer_discard_partial(exchange->sequencer);
 	gc_log(GC_LOG_DEBUG, GC_EVENT_ROUTED_ATTEMPT, "attempt started",
@@ -239,45 +234,58 @@
 static void on_head(void *ctx, const gc_http_message_t *response)
 {
 	gc_exchange_t *exchange = ctx;
+
+	gc_exchange_read_head(exchange, exchange->answer, exchange->hop,
+			      response);
+	gc_exchange_record_head(exchange);
+}
+
+void gc_exchange_read_head(gc_exchange_t *exchange, gc_answer_t *answer,
+			   bool hop, const gc_http_message_t *response)
+{
 	const gc_header_names_t *names =
 		&exchange->relay->conf.adapter->headers;
 	int status = gc_http_message_status(response);
 
-	if (gc_backend_limit_ended(exchange->backend))
-		gc_relay_report_limit_end(exchange->relay, exchange->backend);
-	gc_relay_report_places(exchange->relay, exchange->backend);
-	exchange->identified =
+	answer->status = status;
+	answer->identified =
 		exchange->id.len == 0 ||
 		gc_http_message_find_header(response, names->request_id).data;
-	exchange->misdirected = exchange->identified && status == 421;
-	if (exchange->identified && !exchange->misdirected)
-		gc_exchange_record_alive(exchange);
-	exchange->not_run =
-		exchange->misdirected ||
-		(exchange->identified &&
+	answer->misdirected = answer->identified && status == 421;
+	answer->not_run =
+		answer->misdirected ||
+		(answer->identified &&
 		 gc_http_message_find_header(response, names->not_run).data);
-	if (exchange->hop)
-		gc_exchange_read_hop_head(exchange, response);
-	else
-		gc_relay_record_response(exchange->relay, exchange->service,
-					 gc_call_is_first(exchange->call));
-	exchange->success =
-		exchange->identified && !exchange->not_run && status >= 200 &&
+	if (hop)
+		gc_exchange_read_hop_head(exchange, answer, response);
+	answer->success =
+		answer->identified && !answer->not_run && status >= 200 &&
 		status < 300 &&
 		gc_http_message_find_header(response, names->mac).data;
-	exchange->attempt_status = status;
-	exchange->retry_unused = false;
 	/* The caller gets the head of the server that sent the first event. */
-	if (exchange->head_sent || exchange->held_events) {
-		exchange->not_a_stream =
-			exchange->success && !is_event_stream(response);
-		exchange->success &= !exchange->not_a_stream;
+	if (exchange->begun_by) {
+		answer->not_a_stream =
+			answer->success && !is_event_stream(response);
+		answer->success &= !answer->not_a_stream;
 		return;
 	}
-	exchange->response_status = status;
-	g_string_truncate(exchange->response_head, 0);
-	gc_exchange_append_headers(exchange->response_head, response);
-	gc_exchange_append_hop_result(exchange, exchange->response_head);
+	gc_exchange_append_headers(answer->head, response);
+	gc_exchange_append_hop_result(exchange, answer->head);
+}
+
+void gc_exchange_record_head(gc_exchange_t *exchange)
+{
+	const gc_answer_t *answer = exchange->answer;
+
+	if (gc_backend_limit_ended(exchange->backend))
+		gc_relay_report_limit_end(exchange->relay, exchange->backend);
+	gc_relay_report_places(exchange->relay, exchange->backend);
+	if (answer->identified && !answer->misdirected)
+		gc_exchange_record_alive(exchange);
+	if (!exchange->hop)
+		gc_relay_record_response(exchange->relay, exchange->service,
+					 gc_call_is_first(exchange->call));
+	exchange->retry_unused = false;
 }
 
 /* Another daemon could not tell at which version the stream began. */
@@ -303,42 +311,43 @@
 
 	/* The upstream frees the call after this callback. */
 	exchange->call = NULL;
-	if (exchange->hop && !exchange->success) {
+	if (exchange->hop && !exchange->answer->success) {
 		gc_exchange_finish_hop(exchange);
 		return;
 	}
-	if (exchange->identified && !exchange->not_run &&
-	    (!exchange->sequencer || exchange->attempt_status >= 300))
+	if (exchange->answer->identified && !exchange->answer->not_run &&
+	    (!exchange->sequencer || exchange->answer->status >= 300))
 		gc_exchange_record_served(exchange);
-	if (!exchange->success || !is_end_uncertain(exchange, response))
+	if (!exchange->answer->success || !is_end_uncertain(exchange, response))
 		gc_exchange_count_response(exchange);
-	if (!exchange->identified) {
+	if (!exchange->answer->identified) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
 			"the response doesn't name the request");
-	} else if (exchange->not_run) {
+	} else if (exchange->answer->not_run) {
 		gc_exchange_finish_attempt(
 			exchange,
-			exchange->misdirected ? GC_END_REPLACED
-					      : GC_END_REFUSED,
+			exchange->answer->misdirected ? GC_END_REPLACED
+						      : GC_END_REFUSED,
 			"the server did not run the request");
-	} else if (exchange->success && exchange->sequencer &&
+	} else if (exchange->answer->success && exchange->sequencer &&
 		   is_cut_before_events(exchange, response)) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
 			"the stream ended before its first event");
-	} else if (exchange->success && is_end_uncertain(exchange, response)) {
+	} else if (exchange->answer->success &&
+		   is_end_uncertain(exchange, response)) {
 		check_end(exchange);
-	} else if (exchange->success && exchange->sequencer) {
+	} else if (exchange->answer->success && exchange->sequencer) {
 		gc_exchange_finish_stream(exchange);
-	} else if (exchange->success || is_final_failure(exchange)) {
+	} else if (exchange->answer->success || is_final_failure(exchange)) {
 		gc_backend_record_success(exchange->backend);
 		gc_exchange_respond(exchange);
-	} else if (exchange->not_a_stream) {
+	} else if (exchange->answer->not_a_stream) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_FAILED,
 			"the response doesn't go on with the stream");
-	} else if (exchange->attempt_status < 300) {
+	} else if (exchange->answer->status < 300) {
 		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
 					   "the response is not authenticated");
 	} else {
@@ -364,7 +373,7 @@
  * first events are there has no place for it. */
 static bool is_final_failure(const gc_exchange_t *exchange)
 {
-	int status = exchange->attempt_status;
+	int status = exchange->answer->status;
 
 	return status >= 300 && status < 500 &&
 	       !gc_status_means_not_run(status) && !exchange->held_events &&
@@ -376,7 +385,7 @@
 static bool is_cut_before_events(const gc_exchange_t *exchange,
 				 const gc_http_message_t *response)
 {
-	return !exchange->received_event &&
+	return !exchange->answer->received_event &&
 	       gc_http_message_body_until_close(response);
 }
 
@@ -459,7 +468,7 @@
 	int64_t left_ms =
 		exchange->time_limit_ms - gc_exchange_elapsed_ms(exchange);
 	g_autofree char *status =
-		g_strdup_printf("%d", exchange->attempt_status);
+		g_strdup_printf("%d", exchange->answer->status);
 	g_autofree char *after_ms =
 		g_strdup_printf("%" G_GINT64_FORMAT,
 				gc_ms_between(exchange->attempt_started, now));
@@ -472,9 +481,9 @@
 	       "request", exchange->id.data, "hash", hash, "server",
 	       gc_backend_id(exchange->backend).data, "reason", reason,
 	       "status", status, "after_ms", after_ms, "events",
-	       exchange->received_event ? "yes" : "no", NULL);
+	       exchange->answer->received_event ? "yes" : "no", NULL);
 	exchange->attempt_ended = now;
-	if (exchange->hop && exchange->not_run)
+	if (exchange->hop && exchange->answer->not_run)
 		gc_hop_peers_record_refusal(exchange->backend, now);
 	else if (exchange->sequencer ||
 		 !gc_exchange_is_kept(exchange, exchange->backend))
--- a/lib/exchange_silence.c
+++ b/lib/exchange_silence.c
@@ -57,7 +57,7 @@
 
 int64_t gc_exchange_inactivity_ms(const gc_exchange_t *exchange)
 {
-	struct timespec since = exchange->received_event
+	struct timespec since = exchange->answer->received_event
 					? exchange->last_activity
 					: exchange->attempt_started;
 	int64_t left_ms = exchange->time_limit_ms -
@@ -76,7 +76,7 @@
 	const gc_route_t *route = exchange->route;
 	double ms = FIRST_EVENT_FRACTION * (double)route->target_latency_ms;
 
-	if (exchange->received_event)
+	if (exchange->answer->received_event)
 		ms = EVENT_GAP_FRACTION * (double)route->target_gap_ms;
 	return ms > 0 ? (int64_t)ms : DEFAULT_INACTIVITY_MS;
 }
@@ -92,7 +92,7 @@
 {
 	int64_t limit_ms = gc_exchange_inactivity_ms(exchange);
 
-	if (exchange->received_event && !exchange->hop)
+	if (exchange->answer->received_event && !exchange->hop)
 		limit_ms = gc_silence_ask_ms(limit_ms);
 	gc_timer_set(exchange->inactivity_timer, limit_ms);
 }
@@ -107,7 +107,8 @@
 	/* The inactivity time restarts when reading resumes. */
 	if (!exchange->call || exchange->read_paused)
 		return;
-	if (exchange->sequencer && exchange->received_event && !exchange->hop) {
+	if (exchange->sequencer && exchange->answer->received_event &&
+	    !exchange->hop) {
 		check_gap(exchange, now);
 		return;
 	}
@@ -359,7 +360,7 @@
 	/* Servers that aren't ejected any more aren't reached all the same. */
 	if (cut_off)
 		return false;
-	if (exchange->copy_holder && exchange->received_event &&
+	if (exchange->copy_holder && exchange->answer->received_event &&
 	    gc_backend_usable(exchange->copy_holder, now))
 		return true;
 	if (gc_backends_candidates(exchange->relay->backends, now,
--- a/lib/exchange_standby.c
+++ b/lib/exchange_standby.c
@@ -22,8 +22,8 @@
 static void on_lookup_head(void *ctx, const gc_http_message_t *response);
 static void on_lookup_body(void *ctx, gc_str_t data);
 static void on_lookup_complete(void *ctx, const gc_http_message_t *response);
-static bool is_answer(const gc_exchange_t *exchange,
-		      const gc_http_message_t *response);
+static bool may_be_whole(const gc_answer_t *answer,
+			 const gc_http_message_t *response);
 static void on_body(void *ctx, gc_str_t data);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
@@ -31,6 +31,7 @@
 static void go_back(gc_exchange_t *exchange, const char *reason);
 static void end_next_attempt(gc_exchange_t *exchange);
 static void restore_attempt(gc_exchange_t *exchange);
+static void restore_partial_event(gc_exchange_t *exchange);
 static void put_last(gc_exchange_t *exchange, gc_backend_t *server);
 static void release(gc_exchange_t *exchange);
 static void log_return(const gc_exchange_t *exchange, const char *reason);
@@ -65,12 +66,10 @@
 	standby->rollout_order = exchange->rollout_order;
 	standby->rollout_target = exchange->rollout_target;
 	standby->left_at = gc_clock_now(exchange->relay->conf.clock);
-	standby->attempt_status = exchange->attempt_status;
+	standby->answer = gc_answer_ref(exchange->answer);
 	if (exchange->sequencer)
-		standby->partial_event =
+		standby->answer->partial_event =
 			gc_event_sequencer_take_partial(exchange->sequencer);
-	else
-		standby->body = g_byte_array_new();
 	/* One that was requested ends with the attempt. */
 	if (exchange->copy_holder && exchange->copy_handle.len == 0) {
 		standby->copy_holder = gc_backend_ref(exchange->copy_holder);
@@ -93,13 +92,13 @@
 static bool is_begun_stream(const gc_exchange_t *exchange)
 {
 	return exchange->sequencer && exchange->head_sent &&
-	       exchange->received_event;
+	       exchange->answer->received_event;
 }
 
 /* Its server's host has all of the request, and no response has begun. */
 static bool is_early_lookup(const gc_exchange_t *exchange)
 {
-	return !exchange->sequencer && exchange->attempt_status == 0 &&
+	return !exchange->sequencer && exchange->answer->status == 0 &&
 	       gc_call_delivery(exchange->call).waiting == 0 &&
 	       gc_exchange_is_within_target(
 		       exchange, gc_clock_now(exchange->relay->conf.clock));
@@ -169,10 +168,7 @@
 	gc_standby_t *standby = &exchange->standby;
 
 	gc_timer_stop(standby->timer);
-	if (standby->partial_event)
-		g_byte_array_unref(standby->partial_event);
-	if (standby->body)
-		g_byte_array_unref(standby->body);
+	gc_answer_unref(standby->answer);
 	gc_backend_unref(standby->copy_holder);
 	*standby = (gc_standby_t){.timer = standby->timer};
 }
@@ -200,31 +196,26 @@
 {
 	gc_exchange_t *exchange = ctx;
 
-	if (!is_answer(exchange, response))
+	gc_exchange_read_head(exchange, exchange->standby.answer, false,
+			      response);
+	if (!may_be_whole(exchange->standby.answer, response))
 		gc_exchange_drop_standby(exchange);
 }
 
-static bool is_answer(const gc_exchange_t *exchange,
-		      const gc_http_message_t *response)
+static bool may_be_whole(const gc_answer_t *answer,
+			 const gc_http_message_t *response)
 {
-	const gc_header_names_t *names =
-		&exchange->relay->conf.adapter->headers;
-	int status = gc_http_message_status(response);
-
-	if ((exchange->id.len > 0 &&
-	     !gc_http_message_find_header(response, names->request_id).data) ||
-	    gc_http_message_find_header(response, names->not_run).data ||
-	    gc_status_means_not_run(status) || status >= 500 ||
-	    gc_http_message_body_until_close(response))
-		return false;
-	return status >= 300 ||
-	       gc_http_message_find_header(response, names->mac).data != NULL;
+	return answer->identified && !answer->not_run &&
+	       !gc_status_means_not_run(answer->status) &&
+	       answer->status < 500 &&
+	       !gc_http_message_body_until_close(response) &&
+	       (answer->success || answer->status >= 300);
 }
 
 static void on_lookup_body(void *ctx, gc_str_t data)
 {
 	gc_exchange_t *exchange = ctx;
-	GByteArray *body = exchange->standby.body;
+	GByteArray *body = exchange->standby.answer->body;
 
 	if (body->len + data.len > MAX_KEPT_BYTES)
 		gc_exchange_drop_standby(exchange);
@@ -236,14 +227,8 @@
 static void on_lookup_complete(void *ctx, const gc_http_message_t *response)
 {
 	gc_exchange_t *exchange = ctx;
-	g_autoptr(GByteArray) body = g_byte_array_ref(exchange->standby.body);
 
 	go_back(exchange, "it answered");
-	gc_exchange_call_ops.head(exchange, response);
-	if (body->len > 0)
-		gc_exchange_call_ops.body(exchange,
-					  (gc_str_t){(const char *)body->data,
-						     body->len});
 	gc_exchange_call_ops.complete(exchange, response);
 }
 
@@ -326,25 +311,32 @@
 	exchange->rollout_order = standby->rollout_order;
 	exchange->rollout_target = standby->rollout_target;
 	exchange->last_activity = gc_clock_now(exchange->relay->conf.clock);
-	exchange->received_event = exchange->sequencer != NULL;
 	exchange->silence = (gc_silence_t){0};
 	exchange->read_paused = false;
-	exchange->success = true;
-	exchange->identified = true;
-	exchange->misdirected = false;
-	exchange->not_run = false;
-	exchange->not_a_stream = false;
-	exchange->attempt_status = standby->attempt_status;
-	g_byte_array_set_size(exchange->response_body, 0);
+	gc_answer_unref(exchange->answer);
+	exchange->answer = gc_answer_ref(standby->answer);
 	if (exchange->sequencer)
-		gc_event_sequencer_set_partial(exchange->sequencer,
-					       standby->partial_event);
+		restore_partial_event(exchange);
 	gc_call_set_ops(exchange->call, &gc_exchange_call_ops, exchange);
 	gc_exchange_restore_copy(exchange, standby->copy_holder,
 				 standby->copy_location);
 	gc_exchange_watch_link(exchange);
 	gc_relay_watch_silence(exchange->relay);
 	gc_exchange_watch_silence(exchange);
+	exchange->counted_sent = gc_call_sent_bytes(exchange->call);
+	/* That of a stream was recorded before its server was left. */
+	if (!exchange->sequencer && exchange->answer->status != 0)
+		gc_exchange_record_head(exchange);
+}
+
+static void restore_partial_event(gc_exchange_t *exchange)
+{
+	gc_answer_t *answer = exchange->answer;
+
+	gc_event_sequencer_set_partial(exchange->sequencer,
+				       answer->partial_event);
+	g_byte_array_unref(answer->partial_event);
+	answer->partial_event = NULL;
 }
 
 /* The last one in the list is that of the attempt in progress. */
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -56,6 +56,7 @@
                query
   status-NAME  answers with a status that is none, see statuses.py; also after once-
                and badthen-
+  halves_NAME  sends an answer in two halves, see halves.py; after turns-, with _ for -
   answer-NAME  (engines) the answers that aren't the rest of a stream, in
                bad_responses.py; after then- or ever-, without "answer-"
 These apply to engines:
@@ -128,6 +129,7 @@
 import bad_version
 import brittle
 import cut
+import halves
 import heads
 import silent_link
 import statuses
@@ -464,6 +466,11 @@
             return await bad_responses.write_other(
                 writer, behaviour[1], self.response_headers(request),
                 int(request.headers.get("last-event-id", 0)))
+        if behaviour[0].startswith("halves_"):
+            return await halves.write_halves(
+                writer, behaviour[0].partition("_")[2].replace("_", "-"),
+                self.id, self.response_headers(request),
+                request.method != "HEAD")
         if self.slots.slots and not await self.slots.work(reader):
             return False
         event_s = 0
