Check the end of every answer without a length, whatever its status

Cause: whether a server is still there at the end of an answer that ends with its connection was asked for successes only. Final failures, and those that are forwarded when no attempt is left, took other branches of on_complete, which took each answer for whole.

Change: the question is asked once, for every answer that may be forwarded, before anything is decided by it; what follows for a whole one is in take_answer. A failure that was cut counts as broken: a lookup goes on at another server, a booking ends with 502.

--- a/lib/exchange_run.c
+++ b/lib/exchange_run.c
@@ -19,6 +19,7 @@
 static void on_head(void *ctx, const gc_http_message_t *response);
 static void on_complete(void *ctx, const gc_http_message_t *response);
 static void on_failed(void *ctx, gc_attempt_end_t end, const char *reason);
+static void take_answer(gc_exchange_t *exchange);
 static bool is_event_stream(const gc_http_message_t *response);
 static bool is_final_failure(const gc_exchange_t *exchange);
 static bool is_cut_before_events(const gc_exchange_t *exchange,
@@ -318,36 +319,43 @@
 	if (exchange->answer->identified && !exchange->answer->not_run &&
 	    (!exchange->sequencer || exchange->answer->status >= 300))
 		gc_exchange_record_served(exchange);
-	if (!exchange->answer->success || !is_end_uncertain(exchange, response))
-		gc_exchange_count_response(exchange);
-	if (!exchange->answer->identified) {
+	if (!exchange->answer->identified)
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
 			"the response doesn't name the request");
-	} else if (exchange->answer->not_run) {
+	else if (exchange->answer->not_run)
 		gc_exchange_finish_attempt(
 			exchange,
 			exchange->answer->misdirected ? GC_END_REPLACED
 						      : GC_END_REFUSED,
 			"the server did not run the request");
-	} else if (exchange->answer->success && exchange->sequencer &&
-		   is_cut_before_events(exchange, response)) {
+	else if (exchange->answer->success && exchange->sequencer &&
+		 is_cut_before_events(exchange, response))
 		gc_exchange_finish_attempt(
 			exchange, GC_END_BROKEN,
 			"the stream ended before its first event");
-	} else if (exchange->answer->success &&
-		   is_end_uncertain(exchange, response)) {
+	else if (is_end_uncertain(exchange, response))
 		check_end(exchange);
-	} else if (exchange->answer->success && exchange->sequencer) {
+	else
+		take_answer(exchange);
+}
+
+/* The answer is whole. */
+static void take_answer(gc_exchange_t *exchange)
+{
+	const gc_answer_t *answer = exchange->answer;
+
+	gc_exchange_count_response(exchange);
+	if (answer->success && exchange->sequencer) {
 		gc_exchange_finish_stream(exchange);
-	} else if (exchange->answer->success || is_final_failure(exchange)) {
+	} else if (answer->success || is_final_failure(exchange)) {
 		gc_backend_record_success(exchange->backend);
 		gc_exchange_respond(exchange);
-	} else if (exchange->answer->not_a_stream) {
+	} else if (answer->not_a_stream) {
 		gc_exchange_finish_attempt(
 			exchange, GC_END_FAILED,
 			"the response doesn't go on with the stream");
-	} else if (exchange->answer->status < 300) {
+	} else if (answer->status < 300) {
 		gc_exchange_finish_attempt(exchange, GC_END_BROKEN,
 					   "the response is not authenticated");
 	} else {
@@ -390,12 +398,17 @@
 }
 
 /* A response that ends with its connection may be whole, or its server may have
- * ended. */
+ * ended. It makes no difference for one that isn't forwarded. */
 static bool is_end_uncertain(const gc_exchange_t *exchange,
 			     const gc_http_message_t *response)
 {
-	return gc_http_message_body_until_close(response) &&
-	       !exchange->head_request;
+	const gc_answer_t *answer = exchange->answer;
+	bool is_forwarded = answer->success ||
+			    (answer->status >= 300 && !exchange->begun_by &&
+			     !gc_status_means_not_run(answer->status));
+
+	return is_forwarded && !exchange->head_request &&
+	       gc_http_message_body_until_close(response);
 }
 
 /* A server that leaves or pauses isn't asked. It may end at any time, so that its
@@ -443,12 +456,8 @@
 			end == GC_END_REPLACED
 				? "another start of the server answered for it"
 				: "the server ended with the response");
-	} else if (exchange->sequencer) {
-		gc_exchange_finish_stream(exchange);
 	} else {
-		gc_exchange_count_response(exchange);
-		gc_backend_record_success(exchange->backend);
-		gc_exchange_respond(exchange);
+		take_answer(exchange);
 	}
 }
 
--- a/standins/routed/standin_server.py
+++ b/standins/routed/standin_server.py
@@ -17,9 +17,11 @@
   late         sends a response to another request before the right one
   extra        sends the response twice
   unframed     sends a response without a length
+  unframed409, unframed500  the same with that status
   unframedstop does so, and stops its process (SIGSTOP)
   unframedsilent does so, and is silent for 1.2 s (POST /silence)
   unframeddie  sends a part of one, closes the connection and crashes
+  unframeddie409, unframeddie500  the same with that status
   unframeddark does so, but its address takes connections and answers nothing
                for 1.2 s; then it starts again, and registers 0.5 s later
   slow         responds after 400 ms
@@ -504,9 +506,10 @@
             response = other + response
         elif behaviour == "extra":
             response = response + response
-        elif behaviour == "unframed":
+        elif behaviour in ("unframed", "unframed409", "unframed500"):
             headers = self.response_headers(request)
-            writer.write(wire.response_head(200, headers) + b"unframed\n")
+            status = behaviour.removeprefix("unframed") or 200
+            writer.write(wire.response_head(status, headers) + b"unframed\n")
             return False
         elif behaviour == "unframedstop":
             headers = self.response_headers(request)
@@ -525,10 +528,13 @@
             await writer.wait_closed()
             self.be_silent(SILENCE_MS)
             return False
-        elif behaviour in ("unframeddie", "unframeddark"):
+        elif behaviour in ("unframeddie", "unframeddie409", "unframeddie500",
+                           "unframeddark"):
             headers = self.response_headers(request)
-            writer.write(wire.response_head(200, headers) + b"unfr")
-            if behaviour == "unframeddie":
+            status = behaviour.removeprefix("unframeddie")
+            writer.write(wire.response_head(
+                status if status.isdigit() else 200, headers) + b"unfr")
+            if behaviour != "unframeddark":
                 await self.close_and_crash(writer)
             else:
                 await self.close_and_go_dark(writer)
