Count whole milliseconds in check_loop_watch

The whole script on failed in "field(text, ms) >= 300" with 299, as an earlier one had. The test worked until its thread's time, in whole ms, was 300 more than at the start. As the first value is rounded down, that may be up to 1 ms less than 300, and the turn that the product logs, too. It works for all of the 300 ms now; the bound of 300 is the same.

--- a/regress/check_loop_watch.c
+++ b/regress/check_loop_watch.c
@@ -29,7 +29,8 @@
 static void on_timer(void *ctx)
 {
 	test_t *test = ctx;
-	int64_t until_ms = cpu_ms() + TURN_MS;
+	/* Whole ms: the one that has begun doesn't count. */
+	int64_t until_ms = cpu_ms() + 1 + TURN_MS;
 
 	while (test->works && cpu_ms() < until_ms)
 		;
