Go on to accept for 50 ms before a listener of the routed mode closes

Seen by callers: while a daemon stopped, a connection that had just been established was reset before its request was sent. routed_stop_load.t: 3 of 40 runs, ten at a time beside ten busy processes.

Cause: the listener set the filter against new connections, accepted what waited and closed. A connection whose first packet was taken before the filter is established by the caller's next packet, which the kernel of a busy machine handles later than the last accept. In a trial with times in the test's output, all three resets came within 0.1 ms of the establishment and 300 ms before the daemon's end, which is when its listener closes.

Change: gc_listener_drop_new sets the filter, and the listener goes on to accept for GC_HANDSHAKE_MS before it closes.

--- a/lib/caller_listener.c
+++ b/lib/caller_listener.c
@@ -26,6 +26,7 @@
 #define REQUEST_OVERHEAD_BYTES 8192
 
 static void on_accept(void *ctx, int fd);
+static void on_close_timer(void *ctx);
 static bool is_known(const gc_caller_listener_t *listener, int fd);
 static int conn_destructor(gc_caller_conn_t *conn);
 static void close_conn(gc_caller_conn_t *conn, bool reset, const char *reason);
@@ -94,6 +95,8 @@
 
 	listener->ev = ev;
 	listener->timers = timers;
+	listener->close_timer =
+		gc_timer_create(listener, timers, on_close_timer, listener);
 	listener->clock = clock;
 	listener->ops = *ops;
 	listener->ctx = ctx;
@@ -130,6 +133,14 @@
 
 void gc_caller_listener_stop_accepting(gc_caller_listener_t *listener)
 {
+	gc_listener_drop_new(listener->tcp_listener);
+	gc_timer_set(listener->close_timer, GC_HANDSHAKE_MS);
+}
+
+static void on_close_timer(void *ctx)
+{
+	gc_caller_listener_t *listener = ctx;
+
 	gc_listener_close(listener->tcp_listener);
 }
 
--- a/lib/caller_listener.h
+++ b/lib/caller_listener.h
@@ -80,7 +80,8 @@
  * that was received on it.
  */
 void gc_caller_listener_set_closing(gc_caller_listener_t *listener);
-/* Accepts the connections that wait, then refuses new ones. */
+/* Takes no further connections, accepts those that are being established, and refuses
+ * new ones after GC_HANDSHAKE_MS. */
 void gc_caller_listener_stop_accepting(gc_caller_listener_t *listener);
 /*
  * Connections with an unanswered request, bytes of one that were not read yet,
--- a/lib/caller_listener_private.h
+++ b/lib/caller_listener_private.h
@@ -67,6 +67,7 @@
 	gc_buffer_bound_t *bound; /* NULL: none */
 	const gc_clock_t *clock;
 	gc_listener_t *tcp_listener;
+	gc_timer_t *close_timer; /* closes tcp_listener */
 	gc_caller_listener_ops_t ops;
 	void *ctx;
 	gc_caller_conn_t *conns;
--- a/lib/socket.c
+++ b/lib/socket.c
@@ -548,6 +548,12 @@
 	return 0;
 }
 
+void gc_listener_drop_new(gc_listener_t *listener)
+{
+	if (listener->fd >= 0)
+		gc_socket_drop_new_connections(listener->fd);
+}
+
 void gc_listener_close(gc_listener_t *listener)
 {
 	int fd;
@@ -555,7 +561,6 @@
 	if (listener->fd < 0)
 		return;
 	TALLOC_FREE(listener->fde);
-	gc_socket_drop_new_connections(listener->fd);
 	while ((fd = accept_next(listener)) >= 0)
 		listener->accept(listener->ctx, fd);
 	close(listener->fd);
--- a/lib/socket.h
+++ b/lib/socket.h
@@ -15,6 +15,10 @@
 typedef struct gc_socket gc_socket_t;
 typedef struct gc_listener gc_listener_t;
 
+/* Within it, a connection whose first packet was taken is established: a round trip
+ * of a caller, and the delay of the kernel of a busy machine. */
+#define GC_HANDSHAKE_MS 50
+
 /* Every callback may destroy the socket. */
 typedef struct gc_socket_ops {
 	void (*connected)(void *ctx); /* may be NULL */
@@ -114,14 +118,16 @@
 				  const char *address, uint16_t port,
 				  gc_listener_accept_t accept, void *ctx,
 				  GError **err);
-/* Accepts all waiting connections, then refuses new ones. */
-void gc_listener_close(gc_listener_t *listener);
 /*
- * Lets a listening socket take no further connections, which its clients try again. Those
- * that are established can still be accepted; without this, one that is established
- * between the last accept and the close is reset, with the request that it brought.
- * Where the filter can't be set, that stays possible.
+ * Takes no further connections, which their clients try again; goes on to accept those
+ * that are being established. To be called GC_HANDSHAKE_MS before gc_listener_close:
+ * one that the kernel establishes between the last accept and the close is reset.
  */
+void gc_listener_drop_new(gc_listener_t *listener);
+/* Accepts all waiting connections, then refuses new ones. */
+void gc_listener_close(gc_listener_t *listener);
+/* The same as gc_listener_drop_new for a listening socket. Without effect where the filter
+ * can't be set. */
 void gc_socket_drop_new_connections(int fd);
 uint16_t gc_listener_port(const gc_listener_t *listener);
 
