Find the daemon that runs a stream by its last event of a request

The whole script on failed in routed_hop.t (it hung for 300 s) and routed_hop_faults.t. Both take the daemon whose log ends with 1113, "attempt started", for the one that runs a stream, and leave out events that may follow it: 1124, and one of them 1144 and 1145.

The whole script was not run again on this commit.

--- a/regress/routed_hop.t
+++ b/regress/routed_hop.t
@@ -181,7 +181,7 @@
   $ operator '{"key":"goldcrest/daemons/d7","remove":true}'
   $ start_forwarding 3; start_forwarding 4; sleep 1.5
   $ (at 1 send_request /draft/slow >stream.out) & stream=$!; sleep 0.5
-  $ victim=$(for d in 3 4; do grep -v '"event":1124' d$d.log | tail -n 1 | grep -q '"event":1113' && echo $d; done); eval "kill -TERM \$d${victim}_pid"
+  $ victim=$(for d in 3 4; do grep '"event":11[01]' d$d.log | tail -n 1 | grep -q '"event":1113' && echo $d; done); eval "kill -TERM \$d${victim}_pid"
   $ each 10 1 /book/ok; wait $stream; cat stream.out | ids
   10 200
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
--- a/regress/routed_hop_faults.t
+++ b/regress/routed_hop_faults.t
@@ -40,7 +40,7 @@
   $ partition reset "$SERVERS" 11
   $ for i in 1 2 3 4 5 6; do at 1 status /look/ok; at 1 status /draft/ok; done >find.out; sleep 0.5
   $ (at 1 send_request /draft/slow >stream.out) & stream=$!; sleep 0.5
-  $ victim=$(for d in 2 3; do grep -v '"event":1124\|"event":114[45]' d$d.log | tail -n 1 | grep -q '"event":1113' && echo $d; done); eval "kill -STOP \$d${victim}_pid"
+  $ victim=$(for d in 2 3; do grep '"event":11[01]' d$d.log | tail -n 1 | grep -q '"event":1113' && echo $d; done); eval "kill -STOP \$d${victim}_pid"
   $ each 15 1 /look/ok; wait $stream; cat stream.out | ids
   15 200
   id: 1 id: 2 id: 3 id: 4 id: 5 id: 6 id: 7 id: 8 200 
