--- a/regress/routed_mute_links.t
+++ b/regress/routed_mute_links.t
@@ -56,13 +56,8 @@
   ok
   ok
   ok
-  $ for d in 1 2 3 4 5 6; do grep -c '"event":1130' d$d.log || true; done
-  2
-  2
-  2
-  2
-  0
-  0
+  $ echo $(for d in 1 2 3 4 5 6; do grep -c '"event":1130' d$d.log || true; done)
+  2 2 2 2 0 0
 
 Links come back: the daemons find out by themselves.
 
